--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,23 @@
+//! stagehoist decides for a front end that sends calls to workers which load programs on demand: where each
+//! call goes, when, and when it is turned away. It predicts the finish of each request on each worker and
+//! sends it to the earliest finish within the deadline, or refuses it, after Clockwork (Gujarati et al.,
+//! OSDI 2020). It opens no socket and reads no clock: the caller hands in events and carries out actions.
+//!
+//! ```
+//! use stagehoist::{wire, Action, Event, FrontEnd};
+//!
+//! let settings = wire::parse_settings("balancers=1\nclasses.count=1\nclasses.0.aim=800.0\n").unwrap();
+//! let mut front_end = FrontEnd::new(settings, 7, 0);
+//! let mut actions: Vec<Action> = Vec::new();
+//! let events: Vec<Event> = Vec::new();
+//! front_end.handle(0, &events, &mut actions);
+//! assert!(actions.iter().all(|a| matches!(a, Action::Timer { .. })));
+//! ```
+#![forbid(unsafe_code)]
+
+pub mod interface;
+pub mod rules;
+pub mod wire;
+
+pub use interface::*;
+pub use rules::FrontEnd;
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,1113 @@
+//! All decisions of a front end, with their tables and tuned values. The types that come in and go out are in
+//! `interface.rs`. After Clockwork (Gujarati et al., OSDI 2020): predict each request's finish on each worker,
+//! send it to the earliest finish within the deadline, or refuse it.
+//!
+//! Map, in reading order:
+//! - tuned values, tables (`RunProfile`, `Warm`, `Worker`, `Function`, `Pending`, `FrontEnd`)
+//! - `handle`: takes in every event, then decides once
+//! - observation: roster, answers, reports, health (outlier ejection, slow start)
+//! - prediction: `base_run`, `predict`
+//! - decision: `place` (choice and admission), `decide` (release by required start), `order_loads`
+//! - guards: `send`, `load`, `settle`, the choke points at which the five rules are kept
+
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Runs kept for each worker and function (the design's ten).
+const RUNS: usize = 10;
+/// Requests of one function that may wait behind its lanes at a worker (the design's small allowance).
+const ALLOWANCE: usize = 1;
+/// A worker takes work until runs there would be stretched about so many times.
+const STRETCH: f64 = 2.0;
+/// Weight of a new sample in the running means.
+const GAIN: f64 = 0.15;
+/// Part of the points that probes may cost, as a share of the result.
+const PROBE_POINTS: f64 = 0.004;
+/// Part of a told limit (cold budget, load ration) that is used; the rest is margin.
+const MARGIN: f64 = 0.7;
+/// An attempt is overdue after this many times its predicted span.
+const OVERDUE: f64 = 3.0;
+
+/// The last runs of a function on a worker that found a loaded copy.
+#[derive(Clone, Default)]
+struct RunProfile {
+    runs: VecDeque<Micros>,
+}
+
+impl RunProfile {
+    fn add(&mut self, run: Micros) {
+        if self.runs.len() == RUNS {
+            self.runs.pop_front();
+        }
+        self.runs.push_back(run);
+    }
+    /// The 99th percentile of the last ten runs, unless they have a long tail: of ten runs that percentile is
+    /// the greatest, and where runs differ by their own work it says more of one heavy request than of the
+    /// next. Then none, and the mean model of `base_run` stands in.
+    fn p99(&self) -> Option<Micros> {
+        let top = *self.runs.iter().max()?;
+        let mean = self.runs.iter().sum::<Micros>() / self.runs.len() as Micros;
+        (self.runs.len() == RUNS && top * 2 <= mean * 3).then_some(top)
+    }
+}
+
+/// A belief that a worker holds loaded copies of a function.
+#[derive(Clone)]
+struct Warm {
+    /// When the load is through, for one under way.
+    ready: Micros,
+    /// When the belief ages out.
+    until: Micros,
+    used: Micros,
+    copies: u32,
+}
+
+/// An attempt in flight at a worker.
+struct Attempt {
+    request: RequestId,
+    number: u16,
+    function: FunctionId,
+    sent: Micros,
+    /// Predicted finish.
+    end: Micros,
+    /// Run time expected at pace 1 without contention.
+    base: f64,
+    /// Contention expected when it was sent.
+    factor: f64,
+    cold: bool,
+    noticed: bool,
+}
+
+struct Worker {
+    id: WorkerId,
+    zone: u32,
+    cell: u16,
+    kind: u16,
+    capacity: f64,
+    started: Micros,
+    ready: bool,
+    /// Slow start: cold since then.
+    cold_from: Option<Micros>,
+    /// Class work sent within the told window: for the cold budget.
+    spent: VecDeque<(Micros, f64)>,
+    flights: Vec<Attempt>,
+    /// Seen run time over expected run time.
+    pace: f64,
+    pace_at: Micros,
+    /// In-flight requests of other front ends, by the worker's reports.
+    others: Option<f64>,
+    errors: f64,
+    strikes: u32,
+    ejected_until: Micros,
+    full_until: Micros,
+    heard: Micros,
+    probed: Micros,
+    loads: BTreeMap<FunctionId, Micros>,
+    warm: BTreeMap<FunctionId, Warm>,
+    profiles: BTreeMap<FunctionId, RunProfile>,
+}
+
+struct Function {
+    class: u16,
+    memory: f64,
+    lanes: usize,
+    load_told: Micros,
+    load_seen: Option<f64>,
+    /// Mean run time at pace 1 without contention.
+    base: Option<f64>,
+    last: Micros,
+    asked_until: Micros,
+    ask_wait: Micros,
+    asks_out: u32,
+}
+
+struct Pending {
+    request: Request,
+    arrived: Micros,
+    deadline: Micros,
+    aim_at: Micros,
+    /// By attempt number: the worker, when sent, and what is known of its execution.
+    attempts: Vec<(WorkerId, Micros, Run)>,
+    held: bool,
+    wake: Micros,
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Run {
+    Out,
+    NotRun,
+    MayHaveRun,
+}
+
+struct Prediction {
+    finish: Micros,
+    /// Finish with what prices and cold placement add; the choice goes by it.
+    cost: f64,
+    factor: f64,
+    base: f64,
+    warm: bool,
+    room: bool,
+    index: usize,
+}
+
+enum Placed {
+    Send(Prediction),
+    Hold(Micros),
+    GiveUp,
+}
+
+pub struct FrontEnd {
+    settings: Settings,
+    seed: u64,
+    workers: Vec<Worker>,
+    index: BTreeMap<WorkerId, usize>,
+    functions: BTreeMap<FunctionId, Function>,
+    pending: BTreeMap<RequestId, Pending>,
+    /// Held requests by required start.
+    queue: BTreeSet<(Micros, RequestId)>,
+    deadlines: BTreeSet<(Micros, RequestId)>,
+    /// Mean run of each class at pace 1; its mean told work.
+    class_run: Vec<Option<f64>>,
+    class_work: Vec<Option<f64>>,
+    /// Class work that this front end sends to established workers, for each unit of capacity in a window.
+    usual: f64,
+    usual_at: Micros,
+    mean_gap: f64,
+    last_arrival: Micros,
+    arrivals: VecDeque<Micros>,
+    orders: VecDeque<Micros>,
+    timer_at: Option<Micros>,
+    token: u32,
+    asked_discovery: Option<Micros>,
+}
+
+fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a ^ b.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    x ^ (x >> 31)
+}
+
+/// A number in 0..1 from two others, the same at every front end.
+fn rank(a: u64, b: u64) -> f64 {
+    (mix(a, b) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+fn blend(mean: &mut Option<f64>, sample: f64) {
+    *mean = Some(mean.map_or(sample, |m| m + GAIN * (sample - m)));
+}
+
+impl FrontEnd {
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> FrontEnd {
+        let classes = settings.classes.len();
+        FrontEnd {
+            settings,
+            seed,
+            workers: Vec::new(),
+            index: BTreeMap::new(),
+            functions: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            queue: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            class_run: vec![None; classes],
+            class_work: vec![None; classes],
+            usual: 0.0,
+            usual_at: now,
+            mean_gap: 0.0,
+            last_arrival: now,
+            arrivals: VecDeque::new(),
+            orders: VecDeque::new(),
+            timer_at: None,
+            token: 0,
+            asked_discovery: None,
+        }
+    }
+
+    /// Takes in every event of a batch, then decides once.
+    pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
+        for event in events {
+            match event {
+                Event::Roster { form, rows } => self.take_roster(now, *form, rows, out),
+                Event::Request(request) => self.take_request(now, request),
+                Event::Began { request, .. } => {
+                    // A stream that has begun is the client's: nothing more is owed by the deadline.
+                    if let Some(p) = self.pending.get(request) {
+                        self.deadlines.remove(&(p.deadline, *request));
+                    }
+                }
+                Event::Ended(ended) => self.take_end(now, ended, out),
+                Event::Gone { request } => self.forget(*request),
+                Event::Timer { token } => {
+                    if *token == self.token {
+                        self.timer_at = None;
+                    }
+                }
+                Event::Probed { worker, outcome, report, .. } => {
+                    if let Some(&i) = self.index.get(worker) {
+                        if *outcome == Outcome::Ok {
+                            self.take_report(i, now, report);
+                        } else if *outcome == Outcome::ConnectFailed || *outcome == Outcome::Reset {
+                            self.strike(i, now, true, out);
+                        }
+                    }
+                }
+                Event::Peer { .. } => {}
+                Event::Loaded { worker, function, outcome, took, copies } => {
+                    self.take_loaded(now, *worker, *function, *outcome, *took, *copies)
+                }
+            }
+        }
+        self.decide(now, out);
+    }
+
+    // ---- observation ----
+
+    fn take_roster(&mut self, now: Micros, form: RosterForm, rows: &[RosterRow], out: &mut Vec<Action>) {
+        if form == RosterForm::Failed {
+            self.asked_discovery = None;
+            return;
+        }
+        if self.settings.ask_discovery && self.asked_discovery.is_none() {
+            self.asked_discovery = Some(now);
+            out.push(Action::Watch { on: true });
+        }
+        if form != RosterForm::Delta {
+            let listed: BTreeSet<WorkerId> = rows.iter().map(|r| r.worker).collect();
+            self.workers.iter_mut().filter(|w| !listed.contains(&w.id)).for_each(|w| w.ready = false);
+        }
+        for row in rows {
+            let i = *self.index.entry(row.worker).or_insert_with(|| {
+                self.workers.push(Worker {
+                    id: row.worker,
+                    zone: row.zone as u32,
+                    cell: row.cell,
+                    kind: row.kind,
+                    capacity: 1.0,
+                    started: row.started,
+                    ready: false,
+                    cold_from: (row.started > 0).then_some(row.started),
+                    spent: VecDeque::new(),
+                    flights: Vec::new(),
+                    pace: 1.0,
+                    pace_at: now,
+                    others: None,
+                    errors: 0.0,
+                    strikes: 0,
+                    ejected_until: 0,
+                    full_until: 0,
+                    heard: now,
+                    probed: now,
+                    loads: BTreeMap::new(),
+                    warm: BTreeMap::new(),
+                    profiles: BTreeMap::new(),
+                });
+                self.workers.len() - 1
+            });
+            let w = &mut self.workers[i];
+            if row.started > w.started {
+                // A restart is empty and cold: beliefs about the process before it are void.
+                w.started = row.started;
+                w.cold_from = Some(row.started);
+                w.warm.clear();
+                w.profiles.clear();
+                w.loads.clear();
+                (w.pace, w.errors, w.strikes, w.ejected_until, w.others) = (1.0, 0.0, 0, 0, None);
+            }
+            w.ready = row.lifecycle == Lifecycle::Ready;
+            if row.capacity > 0.0 {
+                w.capacity = row.capacity;
+            }
+            (w.zone, w.cell, w.kind) = (row.zone as u32, row.cell, row.kind);
+        }
+    }
+
+    fn take_request(&mut self, now: Micros, r: &Request) {
+        let Some(class) = self.settings.classes.get(r.class as usize) else { return };
+        let gap = (now - self.last_arrival) as f64;
+        self.mean_gap = if self.mean_gap == 0.0 { gap } else { self.mean_gap + 0.02 * (gap - self.mean_gap) };
+        self.last_arrival = now;
+        self.arrivals.push_back(now);
+        if let Some(work) = r.work {
+            blend(&mut self.class_work[r.class as usize], work.max(1) as f64);
+        }
+        let f = self.functions.entry(r.function).or_insert_with(|| Function {
+            class: r.class,
+            memory: 0.0,
+            lanes: 1,
+            load_told: 0,
+            load_seen: None,
+            base: None,
+            last: now,
+            asked_until: 0,
+            ask_wait: 0,
+            asks_out: 0,
+        });
+        f.memory = r.memory_mb.max(0.0);
+        f.lanes = r.lanes.clamp(1.0, 1e4) as usize;
+        f.load_told = r.load;
+        f.last = now;
+        let stretch = class.aim_stretch * r.work.unwrap_or(0) as f64;
+        // The client's budget ends the wait; the own answer must be out before that.
+        let deadline = now + r.budget.max(0) - (2 * self.settings.tick).min(r.budget.max(0) / 4);
+        let aim_at = (now + class.aim + stretch as Micros).min(deadline);
+        let p = Pending {
+            request: r.clone(),
+            arrived: now,
+            deadline,
+            aim_at,
+            attempts: Vec::new(),
+            held: false,
+            wake: now,
+        };
+        self.deadlines.insert((deadline, r.id));
+        self.pending.insert(r.id, p);
+        self.hold(r.id, now);
+    }
+
+    /// Queues a request by its required start.
+    fn hold(&mut self, id: RequestId, now: Micros) {
+        let Some(p) = self.pending.get(&id) else { return };
+        let run = self.base_run(&p.request) as Micros;
+        let start = if p.aim_at - run >= now { p.aim_at - run } else { p.deadline - run };
+        let p = self.pending.get_mut(&id).expect("looked up above");
+        p.held = true;
+        p.wake = start;
+        self.queue.insert((start, id));
+    }
+
+    fn unhold(&mut self, id: RequestId) {
+        if let Some(p) = self.pending.get_mut(&id) {
+            if p.held {
+                p.held = false;
+                self.queue.remove(&(p.wake, id));
+            }
+        }
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        self.unhold(id);
+        if let Some(p) = self.pending.remove(&id) {
+            self.deadlines.remove(&(p.deadline, id));
+        }
+    }
+
+    fn take_end(&mut self, now: Micros, e: &Ended, out: &mut Vec<Action>) {
+        let Some(&i) = self.index.get(&e.worker) else { return };
+        let w = &mut self.workers[i];
+        let at = w.flights.iter().position(|a| a.request == e.request && a.number == e.attempt);
+        let attempt = at.map(|at| w.flights.swap_remove(at));
+        let not_run =
+            matches!(e.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
+        if let Some(a) = &attempt {
+            self.learn(i, now, e, a, out);
+        }
+        if e.concluded {
+            self.forget(e.request);
+            return;
+        }
+        let Some(p) = self.pending.get_mut(&e.request) else { return };
+        if let Some(slot) = p.attempts.get_mut(e.attempt as usize) {
+            slot.2 = if not_run { Run::NotRun } else { Run::MayHaveRun };
+        }
+        let still_out = p.attempts.iter().any(|a| a.2 == Run::Out);
+        if !still_out && !p.held {
+            if self.may_resend(e.request, now) {
+                self.hold(e.request, now);
+            } else {
+                self.settle(e.request, out);
+            }
+        }
+    }
+
+    /// What an ended attempt tells of its worker and function.
+    fn learn(&mut self, i: usize, now: Micros, e: &Ended, a: &Attempt, out: &mut Vec<Action>) {
+        let keep = self.settings.keep;
+        let w = &mut self.workers[i];
+        match e.outcome {
+            Outcome::Ok => {
+                w.heard = now;
+                w.strikes = 0;
+                w.errors *= 1.0 - GAIN;
+                let warm =
+                    w.warm.entry(a.function).or_insert(Warm { ready: now, until: 0, used: now, copies: 1 });
+                warm.ready = warm.ready.min(now);
+                warm.used = now;
+                warm.until = now + keep;
+                let f = self.functions.get_mut(&a.function);
+                if e.note.copy == 2 || (a.cold && e.note.copy != 1) {
+                    if let Some(f) = f {
+                        let load = e.took as f64 - a.base * w.pace * a.factor;
+                        if load > 0.0 && e.note.copy == 2 {
+                            blend(&mut f.load_seen, load);
+                        }
+                    }
+                } else if e.note.copy <= 1 {
+                    // Only runs on a standing copy feed the profile and the worker's pace.
+                    let took = e.took.max(1) as f64;
+                    let ratio = (took / (a.base * a.factor).max(1.0)).clamp(0.1, 10.0);
+                    w.pace = (w.pace + GAIN * (ratio - w.pace)).clamp(0.2, 20.0);
+                    w.pace_at = now;
+                    let sample = took / (w.pace * a.factor);
+                    w.profiles.entry(a.function).or_default().add(e.took);
+                    if let Some(f) = f {
+                        blend(&mut f.base, sample);
+                        blend(&mut self.class_run[f.class as usize], sample);
+                    }
+                }
+                if self.settings.report_via == ReportVia::Answers {
+                    self.take_report(i, now, &e.report);
+                }
+            }
+            Outcome::Miss => {
+                w.heard = now;
+                w.warm.remove(&a.function);
+            }
+            Outcome::Full => {
+                w.heard = now;
+                // Full: leave it alone for about one run.
+                w.full_until = now + (a.base * w.pace) as Micros / 2;
+            }
+            Outcome::Error if e.note.copy == 4 => {
+                w.heard = now;
+                w.warm.remove(&a.function);
+            }
+            Outcome::Error => {
+                w.heard = now;
+                self.strike(i, now, false, out)
+            }
+            Outcome::ConnectFailed | Outcome::Reset => self.strike(i, now, true, out),
+            Outcome::Timeout | Outcome::Cancelled => {
+                let ratio = e.took as f64 / (a.base * a.factor).max(1.0);
+                if ratio > w.pace {
+                    w.pace = (w.pace + GAIN * (ratio - w.pace)).clamp(0.2, 20.0);
+                    w.pace_at = now;
+                }
+            }
+            Outcome::Moot => {}
+        }
+    }
+
+    /// Counts a failure against a worker. A broken or refused connection ejects at once and voids what was
+    /// believed warm there, for the process behind it has likely gone; errors eject when they are frequent.
+    /// Guards against dead, silent, restarting and fast-failing workers, whatever the cause. It could harm
+    /// where single resets are common: the ejection is short at first and doubles only while failures go on.
+    fn strike(&mut self, i: usize, now: Micros, broken: bool, out: &mut Vec<Action>) {
+        let s = &self.settings;
+        let shortest = (s.connect_timeout * 2).max(s.tick * 100);
+        let longest = (s.keep / 2).max(shortest);
+        let w = &mut self.workers[i];
+        w.errors += GAIN * (1.0 - w.errors);
+        if broken {
+            w.warm.clear();
+            w.loads.clear();
+        }
+        if (broken || w.errors > 2.0 * GAIN) && w.ejected_until <= now {
+            w.strikes = (w.strikes + 1).min(16);
+            w.ejected_until = now + (shortest << (w.strikes - 1).min(5)).min(longest);
+            let text = format!("eject worker {} for {} ms", w.id, (w.ejected_until - now) / 1000);
+            out.push(Action::Log { text });
+        }
+    }
+
+    fn take_report(&mut self, i: usize, now: Micros, report: &Report) {
+        let w = &mut self.workers[i];
+        w.heard = now;
+        let Some(values) = report else { return };
+        let own = w.flights.len() as f64;
+        for (field, &value) in self.settings.report.iter().zip(values) {
+            let total = match field {
+                ReportField::InFlight => value as f64,
+                // A queue stands only when every slot is taken.
+                ReportField::Queue if value >= 0.5 => value as f64 + STRETCH * w.capacity,
+                ReportField::Busy => (value as f64).clamp(0.0, 1.0) * w.capacity,
+                _ => continue,
+            };
+            blend(&mut w.others, (total - own).max(0.0));
+        }
+    }
+
+    fn take_loaded(
+        &mut self,
+        now: Micros,
+        worker: WorkerId,
+        function: FunctionId,
+        outcome: Outcome,
+        took: Micros,
+        copies: u8,
+    ) {
+        let keep = self.settings.keep;
+        let Some(&i) = self.index.get(&worker) else { return };
+        let w = &mut self.workers[i];
+        let ordered = w.loads.remove(&function).is_some();
+        if let Some(f) = self.functions.get_mut(&function) {
+            if !ordered {
+                f.asks_out = f.asks_out.saturating_sub(1);
+            } else if outcome == Outcome::Ok {
+                blend(&mut f.load_seen, took as f64);
+            }
+        }
+        if copies > 0 {
+            // An ask does not renew the copy's idle time: it may have stood for a while.
+            let until = now + if ordered { keep } else { keep / 2 };
+            let warm = w.warm.entry(function).or_insert(Warm { ready: now, until, used: now, copies: 1 });
+            warm.until = warm.until.max(until);
+            warm.ready = warm.ready.min(now);
+            warm.copies = copies as u32;
+        } else if outcome != Outcome::Timeout && w.warm.get(&function).is_some_and(|x| x.ready <= now) {
+            w.warm.remove(&function);
+        }
+        if outcome == Outcome::Full && ordered {
+            w.full_until = now + self.settings.tick * 50;
+        }
+    }
+
+    // ---- prediction ----
+
+    /// Run time of a request at pace 1 without contention, by the best means at hand: its function's mean, its
+    /// class's, all classes', a fraction of its aim; scaled by its told work where that is told.
+    fn base_run(&self, r: &Request) -> f64 {
+        let c = r.class as usize;
+        let class = self.class_run[c].or_else(|| self.class_run.iter().flatten().copied().next());
+        let class = class.unwrap_or(self.settings.classes[c].aim as f64 / 4.0);
+        let own = self.functions.get(&r.function).and_then(|f| f.base);
+        match (r.work, self.class_work[c]) {
+            (Some(work), Some(mean)) => class * (work as f64 / mean).clamp(0.1, 10.0),
+            _ => own.unwrap_or(class),
+        }
+    }
+
+    /// Load time: seen, else told, else as long as the aim of the class (generous, as a load is slow).
+    fn load_time(&self, function: FunctionId) -> f64 {
+        let Some(f) = self.functions.get(&function) else { return 0.0 };
+        let told = if f.load_told > 0 {
+            f.load_told as f64
+        } else {
+            self.settings.classes[f.class as usize].aim as f64
+        };
+        f.load_seen.unwrap_or(told)
+    }
+
+    fn knee(&self, w: &Worker) -> f64 {
+        w.capacity.max(1.0)
+    }
+
+    /// In-flight requests at a worker that are not this front end's: by reports where there are any, else as
+    /// if the other front ends carried as much as this one.
+    fn others(&self, w: &Worker) -> f64 {
+        if let Some(others) = w.others {
+            return others;
+        }
+        let total: f64 = self.workers.iter().filter(|w| w.ready).map(|w| w.capacity).sum();
+        let own: usize = self.workers.iter().map(|w| w.flights.len()).sum();
+        (self.settings.front_ends - 1) as f64 * own as f64 * w.capacity / total.max(1.0)
+    }
+
+    fn predict(&self, i: usize, p: &Pending, base: f64, now: Micros) -> Prediction {
+        let w = &self.workers[i];
+        let r = &p.request;
+        let lanes = self.functions.get(&r.function).map_or(1, |f| f.lanes);
+        let warm = w.warm.get(&r.function).filter(|x| x.until > now);
+        let mine = w.flights.iter().filter(|a| a.function == r.function);
+        let count = mine.clone().count();
+        let held = w.flights.len() as f64 + self.others(w) + 1.0;
+        let factor = (held / self.knee(w)).max(1.0);
+        let slots = lanes * warm.map_or(1, |x| x.copies.max(1)) as usize;
+        let mut start = now;
+        if count >= slots {
+            // The lanes are taken: the earliest end, or later ends for those that wait before this one.
+            let mut ends: Vec<Micros> = mine.map(|a| a.end.max(now)).collect();
+            ends.sort_unstable();
+            start = ends[count - slots];
+        }
+        start = match warm {
+            Some(x) => start.max(x.ready),
+            None => start.max(now + self.load_time(r.function) as Micros),
+        };
+        let mean = base * w.pace * factor;
+        let profile = w.profiles.get(&r.function).and_then(|x| x.p99());
+        let run = profile.map_or(mean, |x| x as f64);
+        let finish = start + run as Micros;
+        let aim = self.settings.classes[r.class as usize].aim as f64;
+        let mut cost = finish as f64;
+        if w.zone != self.settings.zone {
+            cost += self.settings.price_cross_zone * aim;
+        }
+        if warm.is_none() {
+            // Cold placement leans to the worker that every front end ranks first for the function, by as much
+            // as half a load: copies that others asked for are found there, and fewer are loaded in all.
+            cost += 0.5 * self.load_time(r.function) * rank(r.function, w.id as u64);
+        } else {
+            cost += rank(self.seed ^ r.id as u64, w.id as u64) * 1000.0;
+        }
+        let room = count < slots + ALLOWANCE && held <= STRETCH * self.knee(w) && w.full_until <= now;
+        Prediction { finish, cost, factor, base, warm: warm.is_some(), room, index: i }
+    }
+
+    // ---- decision ----
+
+    fn healthy(&self, w: &Worker, now: Micros) -> bool {
+        // After an ejection one request at a time tries the worker until an answer clears it.
+        w.ejected_until <= now && (w.strikes == 0 || w.flights.is_empty())
+    }
+
+    /// Where a held request goes now, or until when it waits.
+    fn place(&mut self, id: RequestId, now: Micros, out: &mut Vec<Action>) -> Placed {
+        let p = &self.pending[&id];
+        let base = self.base_run(&p.request);
+        let function = p.request.function;
+        let miss = self.settings.on_miss == OnMiss::Miss;
+        let ready = self.workers.iter().filter(|w| w.ready).count();
+        let healthy = self.workers.iter().filter(|w| w.ready && self.healthy(w, now)).count();
+        // With most workers ejected the judgement is doubted rather than the workers.
+        let doubt = healthy * 2 < ready;
+        let class = &self.settings.classes[p.request.class as usize];
+        let (unsafe_call, late_worth) = (class.effect == Effect::Unsafe, class.late_worth);
+        let (mut best, mut any): (Option<Prediction>, Option<Prediction>) = (None, None);
+        let mut warm_in_time = false;
+        for i in 0..self.workers.len() {
+            let w = &self.workers[i];
+            if !w.ready || (!self.healthy(w, now) && !doubt) || !self.in_group(p, w, now) {
+                continue;
+            }
+            if p.attempts.iter().any(|a| a.0 == w.id && (a.2 != Run::NotRun || ready > p.attempts.len())) {
+                continue;
+            }
+            // An unsafe call that may have run ends in failure: not where errors were seen of late.
+            if unsafe_call && w.errors > GAIN / 2.0 && !doubt {
+                continue;
+            }
+            let x = self.predict(i, p, base, now);
+            if miss && !x.warm {
+                continue;
+            }
+            warm_in_time |= x.warm && x.finish <= p.aim_at;
+            if x.room && self.cold_room(i, p, now) && best.as_ref().is_none_or(|b| x.cost < b.cost) {
+                best = Some(x);
+            } else if any.as_ref().is_none_or(|b| x.cost < b.cost) {
+                any = Some(x);
+            }
+        }
+        let in_time = |x: &Option<Prediction>, by: Micros| x.as_ref().is_some_and(|x| x.finish <= by);
+        let (aim_at, deadline) = (p.aim_at, p.deadline);
+        if !warm_in_time {
+            let wait = self.ask(function, now, out);
+            if wait > now {
+                return Placed::Hold(wait);
+            }
+        }
+        if in_time(&best, aim_at) {
+            return Placed::Send(best.expect("in time"));
+        }
+        if in_time(&any, aim_at) {
+            return Placed::Hold(aim_at);
+        }
+        // Past the aim: the answer still earns its late worth within the client's budget.
+        if late_worth > 0.0 && in_time(&best, deadline) {
+            return Placed::Send(best.expect("in time"));
+        }
+        if now + (base as Micros) < deadline {
+            return Placed::Hold(deadline - base as Micros);
+        }
+        Placed::GiveUp
+    }
+
+    /// Asks the workers whether they hold a function that is believed warm nowhere in time: at the start of a
+    /// front end, and when others may have loaded it. An ask costs a probe; a load costs a fetch and the wait.
+    /// Returns until when an answer is worth waiting for.
+    fn ask(&mut self, function: FunctionId, now: Micros, out: &mut Vec<Action>) -> Micros {
+        if !self.settings.may_order {
+            return 0;
+        }
+        let Some(f) = self.functions.get(&function) else { return 0 };
+        if f.asked_until > now {
+            return if f.asks_out > 0 { f.ask_wait } else { 0 };
+        }
+        let mut asks = 0;
+        for i in 0..self.workers.len() {
+            let w = &self.workers[i];
+            if w.ready && self.healthy(w, now) && !w.loads.contains_key(&function) {
+                asks += 1;
+                out.push(Action::Load { worker: w.id, function, copies: 0 });
+            }
+        }
+        let f = self.functions.get_mut(&function).expect("looked up above");
+        f.asked_until = now + self.settings.keep / 2;
+        f.asks_out = asks;
+        f.ask_wait = now + self.settings.classes[f.class as usize].aim / 16;
+        if asks > 0 {
+            f.ask_wait
+        } else {
+            0
+        }
+    }
+
+    fn decide(&mut self, now: Micros, out: &mut Vec<Action>) {
+        self.expire(now, out);
+        let held: Vec<(Micros, RequestId)> = self.queue.iter().copied().collect();
+        let mut blocked: BTreeMap<(FunctionId, u16), u32> = BTreeMap::new();
+        let mut wanted: BTreeMap<FunctionId, RequestId> = BTreeMap::new();
+        let mut next = now + self.settings.keep.max(1_000_000);
+        for (_, id) in held {
+            let Some(p) = self.pending.get(&id) else { continue };
+            let key = (p.request.function, p.request.class);
+            if blocked.get(&key).is_some_and(|&n| n >= 2) && p.attempts.is_empty() {
+                continue;
+            }
+            let function = key.0;
+            match self.place(id, now, out) {
+                Placed::Send(x) => {
+                    if !x.warm || x.finish > self.pending[&id].aim_at {
+                        wanted.insert(function, id);
+                    }
+                    self.send(id, x, now, out)
+                }
+                Placed::Hold(until) => {
+                    next = next.min(until.max(now + self.settings.tick));
+                    wanted.insert(function, id);
+                    *blocked.entry(key).or_default() += 1;
+                }
+                Placed::GiveUp => self.settle(id, out),
+            }
+        }
+        self.order_loads(now, &wanted, out);
+        self.probe(now, out);
+        self.set_timer(now, next, out);
+    }
+
+    /// Ends what ran out of time, notices overdue attempts, and lets go of what is old.
+    fn expire(&mut self, now: Micros, out: &mut Vec<Action>) {
+        while let Some(&(at, id)) = self.deadlines.first() {
+            if at > now {
+                break;
+            }
+            self.settle(id, out);
+        }
+        let s = &self.settings;
+        let keep_orders = s.load_window.max(1);
+        while self.orders.front().is_some_and(|&t| t <= now - keep_orders) {
+            self.orders.pop_front();
+        }
+        while self.arrivals.front().is_some_and(|&t| t <= now - keep_orders) {
+            self.arrivals.pop_front();
+        }
+        let (window, warm_up, keep) = (s.fall_window.max(1), s.warm_up, s.keep.max(1));
+        let order_timeout = s.order_timeout + s.tick * 4;
+        let mut again = Vec::new();
+        let mut silent = Vec::new();
+        for (i, w) in self.workers.iter_mut().enumerate() {
+            while w.spent.front().is_some_and(|&(t, _)| t <= now - window) {
+                w.spent.pop_front();
+            }
+            if w.cold_from.is_some_and(|t| now >= t + warm_up) {
+                w.cold_from = None;
+            }
+            w.loads.retain(|_, t| now - *t <= order_timeout);
+            // A judgement that nothing has confirmed for a while fades.
+            if now - w.pace_at > keep / 8 {
+                w.pace_at = now;
+                w.pace += 0.1 * (1.0 - w.pace);
+                w.errors *= 0.9;
+            }
+            let heard = w.heard;
+            for a in &mut w.flights {
+                let late = (OVERDUE * (a.end - a.sent) as f64) as Micros;
+                if !a.noticed && now > a.sent + late && heard <= a.sent {
+                    a.noticed = true;
+                    again.push((a.request, a.number));
+                    silent.push(i);
+                }
+            }
+        }
+        for i in silent {
+            self.strike(i, now, self.workers[i].flights.len() > 1, out);
+        }
+        for (id, number) in again {
+            self.try_again(id, number, now, out);
+        }
+        self.functions.retain(|_, f| now - f.last < 8 * keep);
+        if self.usual_at + window <= now {
+            self.usual_at = now;
+            let (mut work, mut capacity) = (0.0, 0.0);
+            for w in self.workers.iter_mut() {
+                w.warm.retain(|_, x| x.until + keep > now);
+                let functions = &self.functions;
+                w.profiles.retain(|f, _| functions.contains_key(f));
+                if w.ready && w.cold_from.is_none() && w.ejected_until <= now {
+                    work += w.spent.iter().map(|x| x.1).sum::<f64>();
+                    capacity += w.capacity;
+                }
+            }
+            let sample = if capacity > 0.0 { work / capacity } else { 0.0 };
+            self.usual += 0.3 * (sample - self.usual);
+        }
+    }
+
+    /// An attempt is overdue at a worker that has gone silent: another copy where two may be out, else it is
+    /// called off, and its end brings the request back.
+    fn try_again(&mut self, id: RequestId, number: u16, now: Micros, out: &mut Vec<Action>) {
+        let Some(p) = self.pending.get(&id) else { return };
+        if p.held || self.settings.classes[p.request.class as usize].effect != Effect::Safe {
+            return;
+        }
+        if self.settings.second_copies && self.may_resend(id, now) {
+            self.hold(id, now);
+        } else if self.settings.may_cancel {
+            out.push(Action::Cancel { request: id, attempt: number });
+        }
+    }
+
+    /// Load orders by the design's priority p = d - sum(a * capacity / l): demand that the copies which stand
+    /// or load cannot serve within the aim. The top functions with p above nought get one more instance each.
+    fn order_loads(&mut self, now: Micros, wanted: &BTreeMap<FunctionId, RequestId>, out: &mut Vec<Action>) {
+        if !self.settings.may_order || wanted.is_empty() {
+            return;
+        }
+        let mut ranked: Vec<(f64, FunctionId, RequestId)> = Vec::new();
+        for (&function, &id) in wanted {
+            let p = self.priority(function, now);
+            if p > 0.0 && self.pending.contains_key(&id) {
+                ranked.push((p, function, id));
+            }
+        }
+        ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        for (_, function, id) in ranked {
+            if self.functions.get(&function).is_some_and(|f| f.asks_out > 0 && f.ask_wait > now) {
+                continue;
+            }
+            let p = &self.pending[&id];
+            let base = self.base_run(&p.request);
+            let mut best: Option<Prediction> = None;
+            for i in 0..self.workers.len() {
+                let w = &self.workers[i];
+                let warm = w.warm.get(&function).is_some_and(|x| x.until > now);
+                if !w.ready || !self.healthy(w, now) || warm || !w.loads.is_empty() || w.full_until > now {
+                    continue;
+                }
+                let x = self.predict(i, p, base, now);
+                if best.as_ref().is_none_or(|b| x.cost < b.cost) {
+                    best = Some(x);
+                }
+            }
+            if let Some(x) = best {
+                self.load(x.index, function, now, out);
+            }
+        }
+    }
+
+    fn priority(&self, function: FunctionId, now: Micros) -> f64 {
+        let Some(f) = self.functions.get(&function) else { return 0.0 };
+        let span = self.settings.classes[f.class as usize].aim as f64;
+        let mut demand = 0.0;
+        for p in self.pending.values().filter(|p| p.request.function == function) {
+            demand += self.base_run(&p.request);
+        }
+        let mut shares: Vec<(f64, f64)> = Vec::new();
+        for w in self.workers.iter().filter(|w| w.ready) {
+            let warm = w.warm.get(&function).filter(|x| x.until > now);
+            if warm.is_none() && !w.loads.contains_key(&function) {
+                continue;
+            }
+            let lanes = f.lanes * warm.map_or(1, |x| x.copies.max(1)) as usize;
+            let capacity = (lanes as f64).min(self.knee(w)) * span;
+            let mean = self.class_run[f.class as usize].unwrap_or(span / 4.0);
+            let load = (w.flights.iter().map(|a| a.base).sum::<f64>() + self.others(w) * mean) * w.pace;
+            shares.push((load.max(1.0), capacity));
+        }
+        let inverse: f64 = shares.iter().map(|x| 1.0 / x.0).sum();
+        let served: f64 =
+            shares.iter().map(|(load, capacity)| demand / load / inverse * capacity / load).sum();
+        demand - served
+    }
+
+    /// Probes the workers in turn, where reports come that way, within what probes may cost.
+    fn probe(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let s = &self.settings;
+        if !s.may_probe || s.report_via != ReportVia::Probe || self.mean_gap <= 0.0 {
+            return;
+        }
+        let each = if s.price_probe > 0.0 { (PROBE_POINTS / s.price_probe).min(1.0) } else { 1.0 };
+        let ready = self.workers.iter().filter(|w| w.ready).count();
+        let aim = s.classes.iter().map(|c| c.aim).min().unwrap_or(0);
+        let every = ((self.mean_gap * ready as f64 / each) as Micros).max(aim / 3);
+        for w in self.workers.iter_mut().filter(|w| w.ready && now - w.probed >= every) {
+            w.probed = now;
+            out.push(Action::Probe { worker: w.id });
+        }
+    }
+
+    fn set_timer(&mut self, now: Micros, mut next: Micros, out: &mut Vec<Action>) {
+        if let Some(&(at, _)) = self.deadlines.first() {
+            next = next.min(at);
+        }
+        if let Some(&(at, _)) = self.queue.first() {
+            next = next.min(at.max(now + self.settings.tick));
+        }
+        for w in &self.workers {
+            for a in w.flights.iter().filter(|a| !a.noticed) {
+                next = next.min(a.sent + (OVERDUE * (a.end - a.sent) as f64) as Micros + 1);
+            }
+        }
+        next = next.max(now + self.settings.tick);
+        if self.timer_at.is_none_or(|at| next < at || at <= now) {
+            self.token = self.token.wrapping_add(1);
+            self.timer_at = Some(next);
+            out.push(Action::Timer { after: next - now, token: self.token });
+        }
+    }
+
+    // ---- guards: every Send, Load, Refuse and Fail passes here ----
+
+    /// Rule 2: another attempt only where none is out that may not be doubled, and none may have run in a way
+    /// that the class forbids to repeat.
+    fn may_resend(&self, id: RequestId, now: Micros) -> bool {
+        let Some(p) = self.pending.get(&id) else { return false };
+        if p.attempts.len() as u32 >= self.settings.max_attempts || now >= p.deadline {
+            return false;
+        }
+        let out = p.attempts.iter().any(|a| a.2 == Run::Out);
+        let ran = p.attempts.iter().any(|a| a.2 == Run::MayHaveRun);
+        if out && !self.settings.second_copies {
+            return false;
+        }
+        match self.settings.classes[p.request.class as usize].effect {
+            Effect::Safe => true,
+            Effect::Unsafe => !out && !ran,
+            Effect::Keyed { window, .. } => {
+                let first = p.attempts.iter().filter(|a| a.2 != Run::NotRun).map(|a| a.1).min();
+                first.is_none_or(|t| now < t + (window as f64 * MARGIN) as Micros)
+            }
+        }
+    }
+
+    /// Rule 2: a keyed request that may have run stays within the group that drops its repeats.
+    fn in_group(&self, p: &Pending, w: &Worker, _now: Micros) -> bool {
+        let Effect::Keyed { group, .. } = self.settings.classes[p.request.class as usize].effect else {
+            return true;
+        };
+        p.attempts.iter().filter(|a| a.2 != Run::NotRun).all(|a| {
+            let Some(&i) = self.index.get(&a.0) else { return false };
+            match group {
+                Group::All => true,
+                Group::Zone => self.workers[i].zone == w.zone,
+                Group::Cell => self.workers[i].cell == w.cell,
+            }
+        })
+    }
+
+    fn may_refuse(&self, p: &Pending) -> bool {
+        match self.settings.classes[p.request.class as usize].effect {
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+            _ => p.attempts.iter().all(|a| a.2 == Run::NotRun),
+        }
+    }
+
+    /// Work of a class as a share of the mean.
+    fn weight(&self, class: u16) -> f64 {
+        let seen: Vec<f64> = self.class_run.iter().flatten().copied().collect();
+        let mean = seen.iter().sum::<f64>() / seen.len().max(1) as f64;
+        self.class_run[class as usize].map_or(1.0, |x| x / mean)
+    }
+
+    /// Rule 4: a cold worker gets, in each window of the rule, no more than the told share and multiple of what
+    /// this front end sends to an established worker of its size. As every front end keeps to its own part,
+    /// the sum stays under what the worker can do. One request may always be out.
+    fn cold_room(&self, i: usize, p: &Pending, now: Micros) -> bool {
+        let w = &self.workers[i];
+        let Some(from) = w.cold_from else { return true };
+        let s = &self.settings;
+        let gone = ((now - from) as f64 / s.warm_up.max(1) as f64).clamp(0.0, 1.0);
+        let share = s.start_share + (1.0 - s.start_share) * gone;
+        let budget = MARGIN * share * s.fall_multiple * self.usual * w.capacity;
+        let spent: f64 = w.spent.iter().filter(|x| x.0 > now - s.fall_window).map(|x| x.1).sum();
+        spent == 0.0 || spent + self.weight(p.request.class) <= budget
+    }
+
+    /// Sends a request. Nothing is sent to a worker that is not ready (rule 3), beyond a cold worker's budget
+    /// (rule 4), for a request that is over (rule 1) or that may not have another attempt (rule 2).
+    fn send(&mut self, id: RequestId, x: Prediction, now: Micros, out: &mut Vec<Action>) {
+        let Some(p) = self.pending.get(&id) else { return };
+        let w = &self.workers[x.index];
+        if !w.ready
+            || !self.may_resend(id, now)
+            || !self.in_group(p, w, now)
+            || !self.cold_room(x.index, p, now)
+        {
+            return;
+        }
+        self.unhold(id);
+        let weight = self.weight(self.pending[&id].request.class);
+        let load = self.load_time(self.pending[&id].request.function) as Micros;
+        let keep = self.settings.keep;
+        let on_load = self.settings.on_miss == OnMiss::Load;
+        let p = self.pending.get_mut(&id).expect("looked up above");
+        let w = &mut self.workers[x.index];
+        let number = p.attempts.len() as u16;
+        p.attempts.push((w.id, now, Run::Out));
+        w.spent.push_back((now, weight));
+        w.flights.push(Attempt {
+            request: id,
+            number,
+            function: p.request.function,
+            sent: now,
+            end: x.finish,
+            base: x.base,
+            factor: x.factor,
+            cold: !x.warm,
+            noticed: false,
+        });
+        if let Some(warm) = w.warm.get_mut(&p.request.function) {
+            warm.used = now;
+            if x.warm {
+                warm.until = warm.until.max(now + keep);
+            }
+        }
+        if !x.warm && on_load {
+            // It will load there: those that follow may count on it.
+            let warm = Warm { ready: now + load, until: now + load + keep, used: now, copies: 1 };
+            w.warm.insert(p.request.function, warm);
+        }
+        out.push(Action::Send { request: id, worker: w.id, timeout: 0 });
+    }
+
+    /// Orders a load: to ready workers only (rule 3), one at a time on each, inside the ration (rule 5).
+    fn load(&mut self, i: usize, function: FunctionId, now: Micros, out: &mut Vec<Action>) {
+        let s = &self.settings;
+        let w = &self.workers[i];
+        if !s.may_order || !w.ready || !w.loads.is_empty() {
+            return;
+        }
+        if s.load_window > 0 {
+            // At the window's edge the count here errs to the strict side.
+            let ration = s.load_free + s.load_share * self.arrivals.len() as f64 - 1.0;
+            if self.orders.len() as f64 + 1.0 > ration.max(1.0_f64.min(s.load_free)) {
+                return;
+            }
+        }
+        let need = self.functions.get(&function).map_or(0.0, |f| f.memory);
+        let memory = s.memory_mb.get(w.kind as usize).copied().unwrap_or(f64::INFINITY);
+        let in_use = |f: &FunctionId| self.functions.get(f).map_or(0.0, |f| f.memory);
+        let held: f64 = w.warm.iter().map(|(f, x)| in_use(f) * x.copies as f64).sum();
+        if held + need > memory {
+            let idle = w.warm.iter().filter(|(f, _)| w.flights.iter().all(|a| a.function != **f));
+            if let Some(f) = idle.min_by_key(|(f, x)| (x.used, **f)).map(|(f, _)| *f) {
+                out.push(Action::Drop { worker: w.id, function: f });
+                self.workers[i].warm.remove(&f);
+            }
+        }
+        let w = &mut self.workers[i];
+        w.loads.insert(function, now);
+        self.orders.push_back(now);
+        out.push(Action::Load { worker: w.id, function, copies: 1 });
+    }
+
+    /// Rule 1: the one final answer, a refusal where that may be said (rule 2), else a failure.
+    fn settle(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(p) = self.pending.get(&id) else { return };
+        if self.may_refuse(p) {
+            out.push(Action::Refuse { request: id, retry_after: 0 });
+        } else {
+            out.push(Action::Fail { request: id });
+        }
+        self.forget(id);
+    }
+}
