--- a/src/rules.rs
+++ b/src/rules.rs
@@ -96,6 +96,7 @@
     pace_at: Micros,
     /// In-flight requests of other front ends, by the worker's reports.
     others: Option<f64>,
+    others_at: Micros,
     errors: f64,
     strikes: u32,
     ejected_until: Micros,
@@ -178,6 +179,7 @@
     orders: VecDeque<Micros>,
     timer_at: Option<Micros>,
     token: u32,
+    shortest_aim: Micros,
     asked_discovery: Option<Micros>,
 }
 
@@ -200,6 +202,7 @@
 impl FrontEnd {
     pub fn new(settings: Settings, seed: u64, now: Micros) -> FrontEnd {
         let classes = settings.classes.len();
+        let shortest_aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
         FrontEnd {
             settings,
             seed,
@@ -219,6 +222,7 @@
             orders: VecDeque::new(),
             timer_at: None,
             token: 0,
+            shortest_aim,
             asked_discovery: None,
         }
     }
@@ -291,6 +295,7 @@
                     pace: 1.0,
                     pace_at: now,
                     others: None,
+                    others_at: now,
                     errors: 0.0,
                     strikes: 0,
                     ejected_until: 0,
@@ -518,11 +523,16 @@
             let total = match field {
                 ReportField::InFlight => value as f64,
                 // A queue stands only when every slot is taken.
-                ReportField::Queue if value >= 0.5 => value as f64 + STRETCH * w.capacity,
+                ReportField::Queue if value >= 0.5 => value as f64 + w.capacity,
+                ReportField::Queue => {
+                    w.others = None;
+                    continue;
+                }
                 ReportField::Busy => (value as f64).clamp(0.0, 1.0) * w.capacity,
                 _ => continue,
             };
             blend(&mut w.others, (total - own).max(0.0));
+            w.others_at = now;
         }
     }
 
@@ -593,8 +603,9 @@
 
     /// In-flight requests at a worker that are not this front end's: by reports where there are any, else as
     /// if the other front ends carried as much as this one.
-    fn others(&self, w: &Worker) -> f64 {
-        if let Some(others) = w.others {
+    fn others(&self, w: &Worker, now: Micros) -> f64 {
+        // A report older than a run or two says nothing of the present.
+        if let Some(others) = w.others.filter(|_| now - w.others_at < self.shortest_aim) {
             return others;
         }
         let total: f64 = self.workers.iter().filter(|w| w.ready).map(|w| w.capacity).sum();
@@ -609,7 +620,7 @@
         let warm = w.warm.get(&r.function).filter(|x| x.until > now);
         let mine = w.flights.iter().filter(|a| a.function == r.function);
         let count = mine.clone().count();
-        let held = w.flights.len() as f64 + self.others(w) + 1.0;
+        let held = w.flights.len() as f64 + self.others(w, now) + 1.0;
         let factor = (held / self.knee(w)).max(1.0);
         let slots = lanes * warm.map_or(1, |x| x.copies.max(1)) as usize;
         let mut start = now;
@@ -663,7 +674,7 @@
         let class = &self.settings.classes[p.request.class as usize];
         let (unsafe_call, late_worth) = (class.effect == Effect::Unsafe, class.late_worth);
         let (mut best, mut any): (Option<Prediction>, Option<Prediction>) = (None, None);
-        let mut warm_in_time = false;
+        let mut warm_any = false;
         for i in 0..self.workers.len() {
             let w = &self.workers[i];
             if !w.ready || (!self.healthy(w, now) && !doubt) || !self.in_group(p, w, now) {
@@ -680,7 +691,7 @@
             if miss && !x.warm {
                 continue;
             }
-            warm_in_time |= x.warm && x.finish <= p.aim_at;
+            warm_any |= x.warm;
             if x.room && self.cold_room(i, p, now) && best.as_ref().is_none_or(|b| x.cost < b.cost) {
                 best = Some(x);
             } else if any.as_ref().is_none_or(|b| x.cost < b.cost) {
@@ -689,7 +700,7 @@
         }
         let in_time = |x: &Option<Prediction>, by: Micros| x.as_ref().is_some_and(|x| x.finish <= by);
         let (aim_at, deadline) = (p.aim_at, p.deadline);
-        if !warm_in_time {
+        if !warm_any {
             let wait = self.ask(function, now, out);
             if wait > now {
                 return Placed::Hold(wait);
@@ -791,6 +802,7 @@
             self.arrivals.pop_front();
         }
         let (window, warm_up, keep) = (s.fall_window.max(1), s.warm_up, s.keep.max(1));
+        let aim = self.shortest_aim;
         let order_timeout = s.order_timeout + s.tick * 4;
         let mut again = Vec::new();
         let mut silent = Vec::new();
@@ -808,18 +820,24 @@
                 w.pace += 0.1 * (1.0 - w.pace);
                 w.errors *= 0.9;
             }
-            let heard = w.heard;
-            for a in &mut w.flights {
-                let late = (OVERDUE * (a.end - a.sent) as f64) as Micros;
-                if !a.noticed && now > a.sent + late && heard <= a.sent {
+            // Two or more attempts far over their predicted span, and no word from the worker since they left:
+            // it is silent. A single one may be a heavy request.
+            let (heard, least) = (w.heard, aim);
+            let late = |a: &Attempt| {
+                now > a.sent + ((OVERDUE * (a.end - a.sent) as f64) as Micros).max(least) && heard <= a.sent
+            };
+            if w.flights.iter().filter(|a| late(a)).count() > 1 {
+                for a in w.flights.iter_mut().filter(|a| !a.noticed) {
                     a.noticed = true;
                     again.push((a.request, a.number));
+                }
+                if w.ejected_until <= now {
                     silent.push(i);
                 }
             }
         }
         for i in silent {
-            self.strike(i, now, self.workers[i].flights.len() > 1, out);
+            self.strike(i, now, true, out);
         }
         for (id, number) in again {
             self.try_again(id, number, now, out);
@@ -910,7 +928,7 @@
             let lanes = f.lanes * warm.map_or(1, |x| x.copies.max(1)) as usize;
             let capacity = (lanes as f64).min(self.knee(w)) * span;
             let mean = self.class_run[f.class as usize].unwrap_or(span / 4.0);
-            let load = (w.flights.iter().map(|a| a.base).sum::<f64>() + self.others(w) * mean) * w.pace;
+            let load = (w.flights.iter().map(|a| a.base).sum::<f64>() + self.others(w, now) * mean) * w.pace;
             shares.push((load.max(1.0), capacity));
         }
         let inverse: f64 = shares.iter().map(|x| 1.0 / x.0).sum();
@@ -927,8 +945,7 @@
         }
         let each = if s.price_probe > 0.0 { (PROBE_POINTS / s.price_probe).min(1.0) } else { 1.0 };
         let ready = self.workers.iter().filter(|w| w.ready).count();
-        let aim = s.classes.iter().map(|c| c.aim).min().unwrap_or(0);
-        let every = ((self.mean_gap * ready as f64 / each) as Micros).max(aim / 3);
+        let every = ((self.mean_gap * ready as f64 / each) as Micros).max(self.shortest_aim / 3);
         for w in self.workers.iter_mut().filter(|w| w.ready && now - w.probed >= every) {
             w.probed = now;
             out.push(Action::Probe { worker: w.id });
@@ -942,10 +959,8 @@
         if let Some(&(at, _)) = self.queue.first() {
             next = next.min(at.max(now + self.settings.tick));
         }
-        for w in &self.workers {
-            for a in w.flights.iter().filter(|a| !a.noticed) {
-                next = next.min(a.sent + (OVERDUE * (a.end - a.sent) as f64) as Micros + 1);
-            }
+        if self.workers.iter().any(|w| w.flights.len() > 1) {
+            next = next.min(now + self.settings.tick * 50);
         }
         next = next.max(now + self.settings.tick);
         if self.timer_at.is_none_or(|at| next < at || at <= now) {
