Late requests yield to those in time; others fill at most half a worker unless reported

Cause: a standing backlog at the front end served everything late, oldest first, with workers half idle.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,7 +18,7 @@
 /// Requests of one function that may wait behind its lanes at a worker (the design's small allowance).
 const ALLOWANCE: usize = 1;
 /// A worker takes work until runs there would be stretched about so many times.
-const STRETCH: f64 = 2.0;
+const STRETCH: f64 = 3.0;
 /// Weight of a new sample in the running means.
 const GAIN: f64 = 0.15;
 /// Part of the points that probes may cost, as a share of the result.
@@ -130,6 +130,8 @@
     /// By attempt number: the worker, when sent, and what is known of its execution.
     attempts: Vec<(WorkerId, Micros, Run)>,
     held: bool,
+    /// The aim can no longer be met: those that still can go first.
+    late: bool,
     wake: Micros,
 }
 
@@ -165,7 +167,7 @@
     functions: BTreeMap<FunctionId, Function>,
     pending: BTreeMap<RequestId, Pending>,
     /// Held requests by required start.
-    queue: BTreeSet<(Micros, RequestId)>,
+    queue: BTreeSet<(bool, Micros, RequestId)>,
     deadlines: BTreeSet<(Micros, RequestId)>,
     /// Mean run of each class at pace 1; its mean told work.
     class_run: Vec<Option<f64>>,
@@ -362,6 +364,7 @@
             aim_at,
             attempts: Vec::new(),
             held: false,
+            late: false,
             wake: now,
         };
         self.deadlines.insert((deadline, r.id));
@@ -373,18 +376,20 @@
     fn hold(&mut self, id: RequestId, now: Micros) {
         let Some(p) = self.pending.get(&id) else { return };
         let run = self.base_run(&p.request) as Micros;
-        let start = if p.aim_at - run >= now { p.aim_at - run } else { p.deadline - run };
+        let late = p.aim_at - run < now;
+        let start = if late { p.deadline - run } else { p.aim_at - run };
         let p = self.pending.get_mut(&id).expect("looked up above");
         p.held = true;
+        p.late = late;
         p.wake = start;
-        self.queue.insert((start, id));
+        self.queue.insert((late, start, id));
     }
 
     fn unhold(&mut self, id: RequestId) {
         if let Some(p) = self.pending.get_mut(&id) {
             if p.held {
                 p.held = false;
-                self.queue.remove(&(p.wake, id));
+                self.queue.remove(&(p.late, p.wake, id));
             }
         }
     }
@@ -610,7 +615,10 @@
         }
         let total: f64 = self.workers.iter().filter(|w| w.ready).map(|w| w.capacity).sum();
         let own: usize = self.workers.iter().map(|w| w.flights.len()).sum();
-        (self.settings.front_ends - 1) as f64 * own as f64 * w.capacity / total.max(1.0)
+        // Front ends may carry very unequal shares: they are taken to fill no more than half a worker; what
+        // is beyond that shows in its pace.
+        let alike = (self.settings.front_ends - 1) as f64 * own as f64 / total.max(1.0);
+        alike.min(0.5) * w.capacity
     }
 
     fn predict(&self, i: usize, p: &Pending, base: f64, now: Micros) -> Prediction {
@@ -713,7 +721,8 @@
             return Placed::Hold(aim_at);
         }
         // Past the aim: the answer still earns its late worth within the client's budget.
-        if late_worth > 0.0 && in_time(&best, deadline) {
+        let spare = |x: &Prediction| x.factor <= 1.0;
+        if late_worth > 0.0 && in_time(&best, deadline) && best.as_ref().is_some_and(spare) {
             return Placed::Send(best.expect("in time"));
         }
         if now + (base as Micros) < deadline {
@@ -754,11 +763,18 @@
 
     fn decide(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.expire(now, out);
-        let held: Vec<(Micros, RequestId)> = self.queue.iter().copied().collect();
+        // Those whose required start for the aim has passed fall behind those that can still meet theirs.
+        let passed: Vec<RequestId> =
+            self.queue.iter().take_while(|x| !x.0 && x.1 < now).map(|x| x.2).collect();
+        for id in passed {
+            self.unhold(id);
+            self.hold(id, now);
+        }
+        let held: Vec<RequestId> = self.queue.iter().map(|x| x.2).collect();
         let mut blocked: BTreeMap<(FunctionId, u16), u32> = BTreeMap::new();
         let mut wanted: BTreeMap<FunctionId, RequestId> = BTreeMap::new();
         let mut next = now + self.settings.keep.max(1_000_000);
-        for (_, id) in held {
+        for id in held {
             let Some(p) = self.pending.get(&id) else { continue };
             let key = (p.request.function, p.request.class);
             if blocked.get(&key).is_some_and(|&n| n >= 2) && p.attempts.is_empty() {
@@ -956,7 +972,7 @@
         if let Some(&(at, _)) = self.deadlines.first() {
             next = next.min(at);
         }
-        if let Some(&(at, _)) = self.queue.first() {
+        if let Some(&(_, at, _)) = self.queue.first() {
             next = next.min(at.max(now + self.settings.tick));
         }
         if self.workers.iter().any(|w| w.flights.len() > 1) {
