--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,6 +25,11 @@
 const PROBE_POINTS: f64 = 0.004;
 /// Part of a told limit (cold budget, load ration) that is used; the rest is margin.
 const MARGIN: f64 = 0.7;
+/// Lean of the choice to the workers ranked first for a function, in load times: cold and warm.
+const COLD_LEAN: f64 = 0.5;
+const WARM_LEAN: f64 = 0.1;
+/// Chance that a copy is gone which was not used for as long as it is kept at least.
+const RISK: f64 = 0.3;
 /// An attempt is overdue after this many times its predicted span.
 const OVERDUE: f64 = 3.0;
 
@@ -564,7 +569,7 @@
         if copies > 0 {
             // An ask does not renew the copy's idle time: it may have stood for a while.
             let until = now + if ordered { keep } else { keep / 2 };
-            let warm = w.warm.entry(function).or_insert(Warm { ready: now, until, used: now, copies: 1 });
+            let warm = w.warm.entry(function).or_insert(Warm { ready: now, until, used: 0, copies: 1 });
             warm.until = warm.until.max(until);
             warm.ready = warm.ready.min(now);
             warm.copies = copies as u32;
@@ -651,13 +656,19 @@
         if w.zone != self.settings.zone {
             cost += self.settings.price_cross_zone * aim;
         }
-        if warm.is_none() {
-            // Cold placement leans to the worker that every front end ranks first for the function, by as much
-            // as half a load: copies that others asked for are found there, and fewer are loaded in all.
-            cost += 0.5 * self.load_time(r.function) * rank(r.function, w.id as u64);
-        } else {
-            cost += rank(self.seed ^ r.id as u64, w.id as u64) * 1000.0;
-        }
+        // Every front end ranks the workers alike for a function and leans to those ranked first, and to copies
+        // in use of late: calls gather on few copies, which stay loaded, where each front end finds them warm.
+        // An idle copy may have given way to another; one only heard of by an ask may be about to.
+        let load = self.load_time(r.function);
+        let lean = rank(r.function, w.id as u64);
+        cost += match warm {
+            None => COLD_LEAN * load * lean,
+            Some(x) if x.used == 0 => load * (RISK + WARM_LEAN * lean),
+            Some(x) => {
+                load * (RISK * (now - x.used) as f64 / self.settings.keep.max(1) as f64 + WARM_LEAN * lean)
+            }
+        };
+        cost += rank(self.seed ^ r.id as u64, w.id as u64) * 1000.0;
         let room = count < slots + ALLOWANCE && held <= STRETCH * self.knee(w) && w.full_until <= now;
         Prediction { finish, cost, factor, base, warm: warm.is_some(), room, index: i }
     }
