--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,519 @@
+//! The module by its behaviour: each rule from both sides, each failure found, and a randomised checker of
+//! actions under many settings. Nothing here models a worker; outcomes are drawn.
+
+use stagehoist::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+const MS: Micros = 1000;
+
+fn settings(more: &str) -> Settings {
+    let base = "balancers=2\nclasses.count=2\nclasses.0.aim=800\nclasses.0.effect=idempotent\nclasses.0.late_worth=0.1\n\
+        classes.1.aim=800\nclasses.1.effect=at_most_once\ngranularity=2\ninvariants.drain_grace=1000\n\
+        invariants.fall=1000\ninvariants.overload_factor=2\ninvariants.start_capacity=0.25\n\
+        invariants.warm_up=10000\nlimits.most_tries=3\nlimits.second_copies=true\nlimits.cancel=true\n\
+        limits.connect_timeout=250\nspecifics.idle_life=9000\nspecifics.if_cold=load\nspecifics.load_wait=10000\n\
+        specifics.ram_mb_by_kind=4000\nzone=0\n";
+    // A later line of the same key stands.
+    wire::parse_settings(&format!("{base}{more}")).unwrap()
+}
+
+fn row(worker: WorkerId, lifecycle: Lifecycle, started: Micros) -> RosterRow {
+    RosterRow {
+        worker,
+        kind: 0,
+        lifecycle,
+        zone: (worker % 2) as u8,
+        started,
+        cell: (worker % 3) as u16,
+        capacity: 4.0,
+    }
+}
+
+fn roster(form: RosterForm, rows: Vec<RosterRow>) -> Event {
+    Event::Roster { form, rows: Rc::from(rows) }
+}
+
+fn request(id: RequestId, class: u16, function: FunctionId) -> Event {
+    let (work, load, budget) = (None, 500 * MS, 2500 * MS);
+    let (tenant, memory_mb, lanes, repeat) = (0, 500.0, 2.0, false);
+    Event::Request(Request { id, class, tenant, function, budget, work, memory_mb, lanes, load, repeat })
+}
+
+fn ended(request: RequestId, attempt: u16, worker: WorkerId, outcome: Outcome) -> Event {
+    let concluded = matches!(outcome, Outcome::Ok);
+    let note = Note { copy: concluded as u8, crowd: 0 };
+    Event::Ended(Ended { request, attempt, worker, concluded, outcome, note, took: 100 * MS, report: None })
+}
+
+struct Bench {
+    front_end: FrontEnd,
+    now: Micros,
+}
+
+impl Bench {
+    fn new(more: &str, workers: &[WorkerId]) -> Bench {
+        let mut bench = Bench { front_end: FrontEnd::new(settings(more), 7, 1000 * MS), now: 1000 * MS };
+        let rows = workers.iter().map(|&w| row(w, Lifecycle::Ready, 0)).collect();
+        bench.step(0, vec![roster(RosterForm::Cached, rows)]);
+        bench
+    }
+    fn step(&mut self, after: Micros, events: Vec<Event>) -> Vec<Action> {
+        self.now += after;
+        let mut out = Vec::new();
+        self.front_end.handle(self.now, &events, &mut out);
+        out
+    }
+}
+
+fn sends(actions: &[Action]) -> Vec<(RequestId, WorkerId)> {
+    let send = |a: &Action| match a {
+        Action::Send { request, worker, .. } => Some((*request, *worker)),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+fn refused(actions: &[Action], id: RequestId) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { request, .. } if *request == id))
+}
+fn failed(actions: &[Action], id: RequestId) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { request } if *request == id))
+}
+
+#[test]
+fn a_warm_worker_is_kept_to() {
+    let mut b = Bench::new("", &[1, 2, 3, 4]);
+    let first = sends(&b.step(MS, vec![request(1, 0, 9)]))[0].1;
+    b.step(600 * MS, vec![ended(1, 0, first, Outcome::Ok)]);
+    for id in 2..8 {
+        assert_eq!(sends(&b.step(MS, vec![request(id, 0, 9)])), [(id, first)]);
+        b.step(100 * MS, vec![ended(id, 0, first, Outcome::Ok)]);
+    }
+}
+
+#[test]
+fn rule_1_one_answer_before_the_budget_ends() {
+    let mut b = Bench::new("", &[]);
+    assert!(sends(&b.step(0, vec![request(1, 0, 9)])).is_empty());
+    let mut answers = 0;
+    for _ in 0..1300 {
+        let out = b.step(2 * MS, vec![]);
+        answers += refused(&out, 1) as u32;
+        assert!(answers == 0 || b.now <= 1000 * MS + 2500 * MS);
+    }
+    assert_eq!(answers, 1);
+    // Events for what is over, or never was, are passed over.
+    let out = b
+        .step(MS, vec![Event::Gone { request: 1 }, Event::Gone { request: 77 }, ended(1, 0, 5, Outcome::Ok)]);
+    assert!(!refused(&out, 1) && !failed(&out, 1));
+}
+
+#[test]
+fn rule_2_an_unsafe_call_that_may_have_run_fails() {
+    let mut b = Bench::new("", &[1, 2]);
+    let (_, w) = sends(&b.step(0, vec![request(1, 1, 9)]))[0];
+    let out = b.step(50 * MS, vec![ended(1, 0, w, Outcome::Error)]);
+    assert!(failed(&out, 1) && !refused(&out, 1) && sends(&out).is_empty());
+}
+
+#[test]
+fn rule_2_proof_that_it_never_ran_allows_another_attempt() {
+    for outcome in [Outcome::Full, Outcome::ConnectFailed, Outcome::Miss] {
+        let mut b = Bench::new("", &[1, 2]);
+        let (_, w) = sends(&b.step(0, vec![request(1, 1, 9)]))[0];
+        let mut again = sends(&b.step(5 * MS, vec![ended(1, 0, w, outcome)]));
+        for _ in 0..200 {
+            again.extend(sends(&b.step(5 * MS, vec![])));
+        }
+        assert_eq!(again.len(), 1, "{outcome:?}");
+    }
+}
+
+#[test]
+fn rule_2_a_safe_call_is_sent_again_after_an_error() {
+    let mut b = Bench::new("", &[1, 2]);
+    let (_, w) = sends(&b.step(0, vec![request(1, 0, 9)]))[0];
+    let again = sends(&b.step(5 * MS, vec![ended(1, 0, w, Outcome::Error)]));
+    assert_eq!(again, [(1, 3 - w)]);
+}
+
+#[test]
+fn rule_3_nothing_goes_to_a_draining_or_gone_worker() {
+    for lifecycle in [Lifecycle::Draining, Lifecycle::Gone] {
+        let mut b = Bench::new("", &[1]);
+        b.step(MS, vec![roster(RosterForm::Delta, vec![row(1, lifecycle, 0)])]);
+        let out = b.step(0, vec![request(1, 0, 9)]);
+        assert!(sends(&out).is_empty());
+        let out = b.step(MS, vec![roster(RosterForm::Delta, vec![row(1, Lifecycle::Ready, 0)])]);
+        assert_eq!(sends(&out), [(1, 1)]);
+    }
+    // Missing from a whole list is gone.
+    let mut b = Bench::new("", &[1, 2]);
+    b.step(MS, vec![roster(RosterForm::Full, vec![row(2, Lifecycle::Ready, 0)])]);
+    for id in 1..4 {
+        assert!(sends(&b.step(0, vec![request(id, 0, 9)])).iter().all(|s| s.1 == 2));
+    }
+}
+
+#[test]
+fn rule_4_a_cold_worker_gets_its_share_only() {
+    let mut b = Bench::new("", &[1, 2]);
+    let mut id = 0;
+    let mut to_cold = |b: &mut Bench, rounds: usize| {
+        let mut most = 0;
+        let mut recent: Vec<Micros> = Vec::new();
+        for _ in 0..rounds {
+            let events = (0..2).map(|k| request(id + k, 0, (id + k) as u64 % 5)).collect();
+            id += 2;
+            let out = sends(&b.step(20 * MS, events));
+            let now = b.now;
+            recent.retain(|t| *t > now - 1000 * MS);
+            recent.extend(out.iter().filter(|s| s.1 == 3).map(|_| now));
+            most = most.max(recent.len());
+            b.step(5 * MS, out.iter().map(|s| ended(s.0, 0, s.1, Outcome::Ok)).collect());
+        }
+        most
+    };
+    assert_eq!(to_cold(&mut b, 400), 0);
+    // 80 calls a second go to two workers: 40 to each; a worker at a quarter of its capacity may get
+    // 0.25 x 2 x 40 of them in the window, and its share grows with its time.
+    let started = b.now;
+    b.step(0, vec![roster(RosterForm::Delta, vec![row(3, Lifecycle::Ready, started)])]);
+    let cold = to_cold(&mut b, 40);
+    assert!((1..=22).contains(&cold), "{cold}");
+}
+
+#[test]
+fn rule_5_orders_stay_inside_the_ration() {
+    let more = "specifics.if_cold=miss\nspecifics.placement_calls=true\nspecifics.loads_within=10000\n\
+        specifics.load_free=3\nspecifics.load_part=0.1\n";
+    let mut b = Bench::new(more, &[1, 2, 3, 4, 5, 6, 7, 8]);
+    let mut orders: Vec<Micros> = Vec::new();
+    let mut calls: Vec<Micros> = Vec::new();
+    for id in 0..400u32 {
+        calls.push(b.now + 10 * MS);
+        let out = b.step(10 * MS, vec![request(id, 0, id as u64)]);
+        let mut answers = Vec::new();
+        for a in &out {
+            let Action::Load { worker, function, copies } = *a else { continue };
+            if copies > 0 {
+                orders.push(b.now);
+                let within =
+                    |list: &[Micros]| list.iter().filter(|t| **t > b.now - 10_000 * MS).count() as f64;
+                assert!(within(&orders) <= 3.0 + 0.1 * within(&calls));
+            }
+            let outcome = Outcome::Ok;
+            answers.push(Event::Loaded { worker, function, outcome, took: 5 * MS, copies });
+        }
+        b.step(5 * MS, answers);
+    }
+    assert!(orders.len() > 10, "{}", orders.len());
+}
+
+#[test]
+fn a_restart_clears_what_was_believed_warm() {
+    let mut b = Bench::new("specifics.if_cold=miss\nspecifics.placement_calls=true\n", &[1]);
+    let loaded = |copies| Event::Loaded { worker: 1, function: 9, outcome: Outcome::Ok, took: MS, copies };
+    b.step(0, vec![request(1, 0, 9)]);
+    assert_eq!(sends(&b.step(MS, vec![loaded(1)])), [(1, 1)]);
+    b.step(100 * MS, vec![ended(1, 0, 1, Outcome::Ok)]);
+    let now = b.now;
+    b.step(MS, vec![roster(RosterForm::Delta, vec![row(1, Lifecycle::Ready, now)])]);
+    assert!(sends(&b.step(MS, vec![request(2, 0, 9)])).is_empty());
+}
+
+#[test]
+fn a_queue_report_of_nought_frees_the_worker() {
+    // Found on a quiet day: one queue seen kept a worker taken for full ever after.
+    let more = "limits.probes=true\nload_info.via=on_probe\nload_info.fields=q\n";
+    let mut b = Bench::new(more, &[1]);
+    let probed = |q: f32| {
+        let report = Some([q, 0.0, 0.0, 0.0]);
+        Event::Probed { worker: 1, outcome: Outcome::Ok, took: MS, report }
+    };
+    b.step(0, vec![probed(30.0)]);
+    assert!(sends(&b.step(MS, vec![request(1, 0, 9)])).is_empty());
+    assert_eq!(sends(&b.step(MS, vec![probed(0.0)])), [(1, 1)]);
+}
+
+#[test]
+fn one_slow_answer_does_not_eject_a_worker() {
+    // Found on a quiet day: single heavy calls were taken for silence, and their workers ejected.
+    let mut b = Bench::new("", &[1]);
+    b.step(0, vec![request(1, 0, 9)]);
+    let mut out = Vec::new();
+    for _ in 0..1000 {
+        out.extend(b.step(2 * MS, vec![]));
+    }
+    assert!(!out.iter().any(|a| matches!(a, Action::Log { .. })));
+}
+
+#[test]
+fn a_silent_worker_is_left_and_its_safe_calls_go_elsewhere() {
+    let mut b = Bench::new("", &[1]);
+    for id in 1..4 {
+        assert_eq!(sends(&b.step(0, vec![request(id, 0, 9)])), [(id, 1)]);
+    }
+    b.step(0, vec![roster(RosterForm::Delta, vec![row(2, Lifecycle::Ready, 0)])]);
+    let mut again = BTreeSet::new();
+    let mut last = 0;
+    for _ in 0..1200 {
+        for (id, w) in sends(&b.step(2 * MS, vec![])) {
+            assert_eq!(w, 2);
+            again.insert(id);
+            last = b.now;
+        }
+    }
+    assert!(!again.is_empty() && last < 1000 * MS + 2500 * MS);
+}
+
+#[test]
+fn late_requests_yield_to_those_in_time() {
+    // Found on busy days: a standing backlog was served oldest first, and so all of it late.
+    let mut b = Bench::new("classes.0.late_worth=0.1\n", &[]);
+    for id in 1..30 {
+        b.step(0, vec![request(id, 0, id as u64)]);
+    }
+    b.step(900 * MS, vec![]);
+    b.step(0, vec![request(100, 0, 100)]);
+    let out = b.step(0, vec![roster(RosterForm::Delta, vec![row(1, Lifecycle::Ready, 0)])]);
+    assert_eq!(sends(&out)[0].0, 100);
+}
+
+// ---- the randomised checker ----
+
+struct Random(u64);
+
+impl Random {
+    fn next(&mut self) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0
+    }
+    fn below(&mut self, n: u64) -> u64 {
+        self.next() % n
+    }
+}
+
+struct Open {
+    class: usize,
+    deadline: Micros,
+    /// Worker, when sent, still out, may have run.
+    attempts: Vec<(WorkerId, Micros, bool, bool)>,
+}
+
+/// Draws legal events, checks every action against the five rules, and returns all actions.
+fn play(s: &Settings, seed: u64, steps: usize, beside: bool) -> Vec<Action> {
+    let mut r = Random(seed);
+    let mut now = 5_000_000;
+    let mut front_end = FrontEnd::new(s.clone(), seed, now);
+    let mut other = FrontEnd::new(s.clone(), seed + 1, now);
+    let mut all = Vec::new();
+    let (mut open, mut over): (BTreeMap<RequestId, Open>, BTreeSet<RequestId>) = Default::default();
+    let mut outstanding: Vec<(RequestId, u16, WorkerId)> = Vec::new();
+    let mut ready: BTreeMap<WorkerId, bool> = (1..9).map(|w| (w, true)).collect();
+    let mut timers: Vec<(Micros, u32)> = Vec::new();
+    let mut answers: Vec<Event> = Vec::new();
+    let (mut orders, mut calls): (Vec<Micros>, Vec<Micros>) = Default::default();
+    let mut events =
+        vec![roster(RosterForm::Cached, ready.keys().map(|&w| row(w, Lifecycle::Ready, 0)).collect())];
+    for n in 0..steps as u32 {
+        events.append(&mut answers);
+        let calm = n as usize > steps - 3000.min(steps / 2);
+        if !calm && r.below(3) == 0 {
+            let class = r.below(s.classes.len() as u64) as u16;
+            let budget = (r.below(4) * 700 * MS as u64) as Micros;
+            let Event::Request(mut q) = request(n, class, r.below(12)) else { unreachable!() };
+            q.budget = budget;
+            q.lanes = r.below(4) as f64;
+            q.work = (r.below(2) == 0).then_some(r.below(300_000) as Micros);
+            open.insert(n, Open { class: class as usize, deadline: now + budget, attempts: Vec::new() });
+            calls.push(now);
+            events.push(Event::Request(q));
+        }
+        let late: Vec<RequestId> = open.iter().filter(|o| o.1.deadline <= now).map(|o| *o.0).collect();
+        for i in (0..outstanding.len()).rev() {
+            let (id, attempt, worker) = outstanding[i];
+            let timed_out = late.contains(&id);
+            if r.below(40) != 0 && !timed_out {
+                continue;
+            }
+            outstanding.swap_remove(i);
+            use Outcome::*;
+            let drawn = [Ok, Ok, Ok, Ok, Ok, Error, Full, ConnectFailed, Reset, Miss][r.below(10) as usize];
+            let outcome = if timed_out { Timeout } else { drawn };
+            let Event::Ended(mut e) = ended(id, attempt, worker, outcome) else { unreachable!() };
+            e.took = (r.below(400_000)) as Micros;
+            e.concluded = over.contains(&id) || outcome == Ok;
+            e.note.copy = r.below(5) as u8;
+            e.report = (r.below(2) == 0).then_some([r.below(9) as f32, 0.5, 0.0, 0.0]);
+            if let Some(o) = open.get_mut(&id) {
+                let slot = &mut o.attempts[attempt as usize];
+                *slot = (slot.0, slot.1, false, !matches!(outcome, Full | ConnectFailed | Miss));
+            }
+            if outcome == Ok {
+                open.remove(&id);
+                over.insert(id);
+            }
+            events.push(Event::Ended(e));
+        }
+        if r.below(60) == 0 {
+            let w = 1 + r.below(10) as WorkerId;
+            let lifecycle = [Lifecycle::Ready, Lifecycle::Ready, Lifecycle::Draining, Lifecycle::Gone]
+                [r.below(4) as usize];
+            ready.insert(w, lifecycle == Lifecycle::Ready);
+            let started = if r.below(2) == 0 { now } else { 0 };
+            events.push(roster(RosterForm::Delta, vec![row(w, lifecycle, started)]));
+        }
+        if r.below(200) == 0 {
+            // Late or unknown ids are legal and mean nothing.
+            events.push(Event::Gone { request: 4_000_000_000 });
+            events.push(Event::Probed { worker: 999, outcome: Outcome::Ok, took: 0, report: None });
+            events.push(Event::Loaded { worker: 999, function: 1, outcome: Outcome::Ok, took: 0, copies: 3 });
+            events.push(ended(4_000_000_000, 9, 999, Outcome::Error));
+            events.push(Event::Peer { from: 1, bytes: vec![0xff; 256] });
+        }
+        timers.retain(|&(at, token)| {
+            if at <= now {
+                events.push(Event::Timer { token });
+            }
+            at > now
+        });
+        let mut out = Vec::new();
+        front_end.handle(now, &events, &mut out);
+        if beside {
+            other.handle(now, &events, &mut Vec::new());
+        }
+        events.clear();
+        for action in &out {
+            match action {
+                Action::Send { request, worker, .. } => {
+                    assert!(!over.contains(request), "rule 1: sent after its end");
+                    assert!(ready[worker], "rule 3: sent to a draining worker");
+                    let zone = |w: WorkerId| w % 2;
+                    let o = open.get_mut(request).expect("known");
+                    let anyone = o.attempts.iter().any(|a| a.2);
+                    let ran: Vec<_> = o.attempts.iter().filter(|a| a.2 || a.3).copied().collect();
+                    assert!(!anyone || s.second_copies, "rule 2: two out at once");
+                    assert!(o.attempts.len() < s.max_attempts as usize);
+                    match s.classes[o.class].effect {
+                        Effect::Safe => {}
+                        Effect::Unsafe => assert!(ran.is_empty(), "rule 2: unsafe sent twice"),
+                        Effect::Keyed { group, window } => {
+                            for a in ran {
+                                assert!(now <= a.1 + window, "rule 2: past the window");
+                                assert!(match group {
+                                    Group::All => true,
+                                    Group::Zone => zone(a.0) == zone(*worker),
+                                    Group::Cell => a.0 % 3 == worker % 3,
+                                });
+                            }
+                        }
+                    }
+                    outstanding.push((*request, o.attempts.len() as u16, *worker));
+                    o.attempts.push((*worker, now, true, false));
+                }
+                Action::Refuse { request, .. } | Action::Fail { request } => {
+                    let o = open.remove(request).expect("rule 1: one answer for each request");
+                    over.insert(*request);
+                    assert!(now <= o.deadline + 8 * MS, "rule 1: answered too late");
+                    let clean = o.attempts.iter().all(|a| !a.2 && !a.3);
+                    let harmless = match s.classes[o.class].effect {
+                        Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+                        _ => clean,
+                    };
+                    assert!(harmless || matches!(action, Action::Fail { .. }), "rule 2: refused");
+                }
+                Action::Cancel { request, attempt } => {
+                    assert!(s.may_cancel);
+                    if let Some(i) = outstanding.iter().position(|a| (a.0, a.1) == (*request, *attempt)) {
+                        let (id, attempt, worker) = outstanding.swap_remove(i);
+                        if let Some(o) = open.get_mut(&id) {
+                            o.attempts[attempt as usize].2 = false;
+                            o.attempts[attempt as usize].3 = true;
+                        }
+                        let Event::Ended(mut e) = ended(id, attempt, worker, Outcome::Cancelled) else {
+                            unreachable!()
+                        };
+                        e.concluded = over.contains(&id);
+                        answers.push(Event::Ended(e));
+                    }
+                }
+                Action::Load { worker, function, copies } => {
+                    assert!(s.may_order, "an order where none are allowed");
+                    if *copies > 0 {
+                        assert!(ready[worker], "rule 3: ordered at a draining worker");
+                        orders.push(now);
+                        let within =
+                            |list: &[Micros]| list.iter().filter(|t| **t > now - s.load_window).count();
+                        let most = s.load_free + s.load_share * within(&calls) as f64;
+                        assert!(s.load_window == 0 || within(&orders) as f64 <= most, "rule 5");
+                    }
+                    let outcome =
+                        [Outcome::Ok, Outcome::Full, Outcome::Error, Outcome::Timeout][r.below(4) as usize];
+                    let (worker, function, took, copies) = (*worker, *function, 900 * MS, r.below(3) as u8);
+                    answers.push(Event::Loaded { worker, function, outcome, took, copies });
+                }
+                Action::Drop { .. } => assert!(s.may_order),
+                Action::Probe { worker } => {
+                    assert!(s.may_probe);
+                    let report = Some([r.below(9) as f32, 0.0, 0.0, 0.0]);
+                    answers.push(Event::Probed { worker: *worker, outcome: Outcome::Ok, took: MS, report });
+                }
+                Action::Timer { after, token } => {
+                    assert!(*after > 0 && timers.len() < 100_000);
+                    timers.push((now + after, *token));
+                }
+                Action::Tell { .. } => assert!(s.may_tell),
+                _ => {}
+            }
+        }
+        all.append(&mut out);
+        now += 2 * MS;
+        let overdue = open.values().filter(|o| o.deadline + 8 * MS < now).count();
+        assert_eq!(overdue, 0, "rule 1: a request is overdue");
+    }
+    all
+}
+
+/// Settings of deployments seen and not seen.
+fn table() -> Vec<Settings> {
+    [
+        "",
+        "limits.second_copies=false\nlimits.most_tries=5\nspecifics.tells_warm=true\nspecifics.counts_alike=true\n",
+        "specifics.if_cold=miss\nspecifics.placement_calls=true\nspecifics.loads_within=10000\nspecifics.load_free=6\n\
+         specifics.load_part=0.1\nlimits.probes=true\nload_info.via=on_probe\nload_info.fields=rif,x0\n",
+        "specifics.placement_calls=true\nspecifics.loads_within=5000\nspecifics.load_free=0\nlimits.probes=true\n\
+         load_info.via=on_probe\nload_info.fields=q\ntariffs.probe=0.01\n",
+        "specifics.placement_calls=true\nload_info.via=inline\nload_info.fields=busy\nspecifics.memory_price=0.15\n",
+        "classes.1.effect=deduplicated\nclasses.1.dedup_scope=all\nclasses.1.key_ttl=1000\n",
+        "classes.1.effect=deduplicated\nclasses.1.dedup_scope=zone\nclasses.1.key_ttl=900\n",
+        "classes.1.effect=deduplicated\nclasses.1.dedup_scope=cell\nclasses.1.key_ttl=0\nlimits.second_copies=false\n",
+        "classes.0.streaming=true\nbalancers=40\nregistry_mode=subscribe\n",
+        "invariants.warm_up=0\ninvariants.fall=0\nspecifics.idle_life=0\nlimits.most_tries=0\ngranularity=0\n",
+        "specifics.idle_life=99999999\ninvariants.overload_factor=1000000\nlimits.most_tries=60000\nlimits.cancel=false\n",
+    ]
+    .iter()
+    .map(|more| settings(more))
+    .collect()
+}
+
+#[test]
+fn the_rules_hold_under_drawn_events() {
+    for (i, s) in table().iter().enumerate() {
+        for seed in 1..4 {
+            let all = play(s, seed * 7919 + i as u64, 6000, false);
+            assert!(sends(&all).len() > 100, "settings {i}: the module sends");
+        }
+    }
+}
+
+#[test]
+fn identical_events_give_identical_actions() {
+    for s in table().iter().take(4) {
+        let first = play(s, 31, 3000, false);
+        assert_eq!(first, play(s, 31, 3000, false));
+        assert_eq!(first, play(s, 31, 3000, true));
+    }
+}
