--- a/src/interface.rs
+++ b/src/interface.rs
@@ -46,8 +46,9 @@
 }
 
 /// What happens to a call at a worker that lacks its function.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum OnMiss {
+    #[default]
     Load,
     Miss,
 }
@@ -62,15 +63,16 @@
 }
 
 /// How load reports come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ReportVia {
+    #[default]
+    Never,
     Answers,
     Probe,
-    Never,
 }
 
 /// What the front end is told at its start.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     pub front_ends: u32,
     pub zone: u32,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,6 +30,8 @@
 const WARM_LEAN: f64 = 0.1;
 /// Chance that a copy is gone which was not used for as long as it is kept at least.
 const RISK: f64 = 0.3;
+/// Workers asked for a function that is believed warm nowhere: those ranked first for it.
+const ASKS: usize = 6;
 /// An attempt is overdue after this many times its predicted span.
 const OVERDUE: f64 = 3.0;
 
@@ -84,22 +86,24 @@
 }
 
 struct Worker {
-    id: WorkerId,
-    zone: u32,
-    cell: u16,
-    kind: u16,
-    capacity: f64,
-    started: Micros,
+    row: RosterRow,
     ready: bool,
     /// Slow start: cold since then.
     cold_from: Option<Micros>,
     /// Class work sent within the told window: for the cold budget.
     spent: VecDeque<(Micros, f64)>,
     flights: Vec<Attempt>,
-    /// Seen run time over expected run time.
+    probed: Micros,
+    believed: Beliefs,
+}
+
+/// What is believed of the process behind a worker; void when it restarts.
+#[derive(Default)]
+struct Beliefs {
+    /// Seen run time over expected run time, and when that last changed.
     pace: f64,
     pace_at: Micros,
-    /// In-flight requests of other front ends, by the worker's reports.
+    /// In-flight requests of other front ends, by its reports.
     others: Option<f64>,
     others_at: Micros,
     errors: f64,
@@ -107,12 +111,12 @@
     ejected_until: Micros,
     full_until: Micros,
     heard: Micros,
-    probed: Micros,
     loads: BTreeMap<FunctionId, Micros>,
     warm: BTreeMap<FunctionId, Warm>,
     profiles: BTreeMap<FunctionId, RunProfile>,
 }
 
+#[derive(Default)]
 struct Function {
     class: u16,
     memory: f64,
@@ -129,7 +133,6 @@
 
 struct Pending {
     request: Request,
-    arrived: Micros,
     deadline: Micros,
     aim_at: Micros,
     /// By attempt number: the worker, when sent, and what is known of its execution.
@@ -164,6 +167,7 @@
     GiveUp,
 }
 
+#[derive(Default)]
 pub struct FrontEnd {
     settings: Settings,
     seed: u64,
@@ -180,16 +184,24 @@
     /// Class work that this front end sends to established workers, for each unit of capacity in a window.
     usual: f64,
     usual_at: Micros,
-    mean_gap: f64,
-    last_arrival: Micros,
     arrivals: VecDeque<Micros>,
     orders: VecDeque<Micros>,
     timer_at: Option<Micros>,
+    /// Seen load time over the usual, of late, at the store that all workers share.
+    load_pace: Option<f64>,
     token: u32,
     shortest_aim: Micros,
     asked_discovery: Option<Micros>,
 }
 
+impl Function {
+    fn loaded_in(&mut self, took: f64, pace: &mut Option<f64>) {
+        let usual = self.load_seen.or((self.load_told > 0).then_some(self.load_told as f64)).unwrap_or(took);
+        blend(pace, (took / usual.max(1.0)).clamp(0.25, 16.0));
+        blend(&mut self.load_seen, took / pace.unwrap_or(1.0));
+    }
+}
+
 fn mix(a: u64, b: u64) -> u64 {
     let mut x = a ^ b.wrapping_mul(0x9E37_79B9_7F4A_7C15);
     x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
@@ -207,31 +219,12 @@
 }
 
 impl FrontEnd {
-    pub fn new(settings: Settings, seed: u64, now: Micros) -> FrontEnd {
+    pub fn new(mut settings: Settings, seed: u64, now: Micros) -> FrontEnd {
+        settings.tick = settings.tick.max(1000);
         let classes = settings.classes.len();
         let shortest_aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
-        FrontEnd {
-            settings,
-            seed,
-            workers: Vec::new(),
-            index: BTreeMap::new(),
-            functions: BTreeMap::new(),
-            pending: BTreeMap::new(),
-            queue: BTreeSet::new(),
-            deadlines: BTreeSet::new(),
-            class_run: vec![None; classes],
-            class_work: vec![None; classes],
-            usual: 0.0,
-            usual_at: now,
-            mean_gap: 0.0,
-            last_arrival: now,
-            arrivals: VecDeque::new(),
-            orders: VecDeque::new(),
-            timer_at: None,
-            token: 0,
-            shortest_aim,
-            asked_discovery: None,
-        }
+        let (class_run, class_work) = (vec![None; classes], vec![None; classes]);
+        FrontEnd { settings, seed, class_run, class_work, shortest_aim, usual_at: now, ..Default::default() }
     }
 
     /// Takes in every event of a batch, then decides once.
@@ -264,7 +257,7 @@
                 }
                 Event::Peer { .. } => {}
                 Event::Loaded { worker, function, outcome, took, copies } => {
-                    self.take_loaded(now, *worker, *function, *outcome, *took, *copies)
+                    self.take_loaded(now, (*worker, *function), *outcome, *took, *copies)
                 }
             }
         }
@@ -284,76 +277,37 @@
         }
         if form != RosterForm::Delta {
             let listed: BTreeSet<WorkerId> = rows.iter().map(|r| r.worker).collect();
-            self.workers.iter_mut().filter(|w| !listed.contains(&w.id)).for_each(|w| w.ready = false);
+            self.workers.iter_mut().filter(|w| !listed.contains(&w.row.worker)).for_each(|w| w.ready = false);
         }
         for row in rows {
-            let i = *self.index.entry(row.worker).or_insert_with(|| {
-                self.workers.push(Worker {
-                    id: row.worker,
-                    zone: row.zone as u32,
-                    cell: row.cell,
-                    kind: row.kind,
-                    capacity: 1.0,
-                    started: row.started,
-                    ready: false,
-                    cold_from: (row.started > 0).then_some(row.started),
-                    spent: VecDeque::new(),
-                    flights: Vec::new(),
-                    pace: 1.0,
-                    pace_at: now,
-                    others: None,
-                    others_at: now,
-                    errors: 0.0,
-                    strikes: 0,
-                    ejected_until: 0,
-                    full_until: 0,
-                    heard: now,
-                    probed: now,
-                    loads: BTreeMap::new(),
-                    warm: BTreeMap::new(),
-                    profiles: BTreeMap::new(),
-                });
-                self.workers.len() - 1
-            });
+            let fresh = Beliefs { pace: 1.0, pace_at: now, heard: now, ..Beliefs::default() };
+            let cold_from = (row.started > 0).then_some(row.started);
+            let Some(&i) = self.index.get(&row.worker) else {
+                self.index.insert(row.worker, self.workers.len());
+                let (spent, flights, ready) =
+                    (VecDeque::new(), Vec::new(), row.lifecycle == Lifecycle::Ready);
+                let (row, probed, believed) = (row.clone(), now, fresh);
+                self.workers.push(Worker { row, ready, cold_from, spent, flights, probed, believed });
+                continue;
+            };
             let w = &mut self.workers[i];
-            if row.started > w.started {
+            if row.started > w.row.started {
                 // A restart is empty and cold: beliefs about the process before it are void.
-                w.started = row.started;
-                w.cold_from = Some(row.started);
-                w.warm.clear();
-                w.profiles.clear();
-                w.loads.clear();
-                (w.pace, w.errors, w.strikes, w.ejected_until, w.others) = (1.0, 0.0, 0, 0, None);
+                (w.cold_from, w.believed) = (cold_from, fresh);
             }
             w.ready = row.lifecycle == Lifecycle::Ready;
-            if row.capacity > 0.0 {
-                w.capacity = row.capacity;
-            }
-            (w.zone, w.cell, w.kind) = (row.zone as u32, row.cell, row.kind);
+            w.row = row.clone();
         }
     }
 
     fn take_request(&mut self, now: Micros, r: &Request) {
         let Some(class) = self.settings.classes.get(r.class as usize) else { return };
-        let gap = (now - self.last_arrival) as f64;
-        self.mean_gap = if self.mean_gap == 0.0 { gap } else { self.mean_gap + 0.02 * (gap - self.mean_gap) };
-        self.last_arrival = now;
         self.arrivals.push_back(now);
         if let Some(work) = r.work {
             blend(&mut self.class_work[r.class as usize], work.max(1) as f64);
         }
-        let f = self.functions.entry(r.function).or_insert_with(|| Function {
-            class: r.class,
-            memory: 0.0,
-            lanes: 1,
-            load_told: 0,
-            load_seen: None,
-            base: None,
-            last: now,
-            asked_until: 0,
-            ask_wait: 0,
-            asks_out: 0,
-        });
+        let f = self.functions.entry(r.function).or_default();
+        f.class = r.class;
         f.memory = r.memory_mb.max(0.0);
         f.lanes = r.lanes.clamp(1.0, 1e4) as usize;
         f.load_told = r.load;
@@ -362,16 +316,8 @@
         // The client's budget ends the wait; the own answer must be out before that.
         let deadline = now + r.budget.max(0) - (2 * self.settings.tick).min(r.budget.max(0) / 4);
         let aim_at = (now + class.aim + stretch as Micros).min(deadline);
-        let p = Pending {
-            request: r.clone(),
-            arrived: now,
-            deadline,
-            aim_at,
-            attempts: Vec::new(),
-            held: false,
-            late: false,
-            wake: now,
-        };
+        let (request, attempts, held, late, wake) = (r.clone(), Vec::new(), false, false, now);
+        let p = Pending { request, deadline, aim_at, attempts, held, late, wake };
         self.deadlines.insert((deadline, r.id));
         self.pending.insert(r.id, p);
         self.hold(r.id, now);
@@ -408,28 +354,24 @@
 
     fn take_end(&mut self, now: Micros, e: &Ended, out: &mut Vec<Action>) {
         let Some(&i) = self.index.get(&e.worker) else { return };
-        let w = &mut self.workers[i];
-        let at = w.flights.iter().position(|a| a.request == e.request && a.number == e.attempt);
-        let attempt = at.map(|at| w.flights.swap_remove(at));
-        let not_run =
-            matches!(e.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
-        if let Some(a) = &attempt {
-            self.learn(i, now, e, a, out);
+        let flights = &mut self.workers[i].flights;
+        if let Some(at) = flights.iter().position(|a| (a.request, a.number) == (e.request, e.attempt)) {
+            let attempt = flights.swap_remove(at);
+            self.learn(i, now, e, &attempt, out);
         }
         if e.concluded {
-            self.forget(e.request);
-            return;
+            return self.forget(e.request);
         }
         let Some(p) = self.pending.get_mut(&e.request) else { return };
         if let Some(slot) = p.attempts.get_mut(e.attempt as usize) {
+            use Outcome::*;
+            let not_run = matches!(e.outcome, Full | ConnectFailed | Moot | Miss);
             slot.2 = if not_run { Run::NotRun } else { Run::MayHaveRun };
         }
-        let still_out = p.attempts.iter().any(|a| a.2 == Run::Out);
-        if !still_out && !p.held {
-            if self.may_resend(e.request, now) {
-                self.hold(e.request, now);
-            } else {
-                self.settle(e.request, out);
+        if p.attempts.iter().all(|a| a.2 != Run::Out) && !p.held {
+            match self.may_resend(e.request, now) {
+                true => self.hold(e.request, now),
+                false => self.settle(e.request, out),
             }
         }
     }
@@ -437,68 +379,50 @@
     /// What an ended attempt tells of its worker and function.
     fn learn(&mut self, i: usize, now: Micros, e: &Ended, a: &Attempt, out: &mut Vec<Action>) {
         let keep = self.settings.keep;
-        let w = &mut self.workers[i];
+        let b = &mut self.workers[i].believed;
+        let ratio = (e.took.max(1) as f64 / (a.base * a.factor).max(1.0)).clamp(0.1, 20.0);
+        if !matches!(
+            e.outcome,
+            Outcome::Timeout | Outcome::Cancelled | Outcome::ConnectFailed | Outcome::Reset
+        ) {
+            b.heard = now;
+        }
+        let Some(f) = self.functions.get_mut(&a.function) else { return };
         match e.outcome {
             Outcome::Ok => {
-                w.heard = now;
-                w.strikes = 0;
-                w.errors *= 1.0 - GAIN;
-                let warm =
-                    w.warm.entry(a.function).or_insert(Warm { ready: now, until: 0, used: now, copies: 1 });
-                warm.ready = warm.ready.min(now);
-                warm.used = now;
-                warm.until = now + keep;
-                let f = self.functions.get_mut(&a.function);
-                if e.note.copy == 2 || (a.cold && e.note.copy != 1) {
-                    if let Some(f) = f {
-                        let load = e.took as f64 - a.base * w.pace * a.factor;
-                        if load > 0.0 && e.note.copy == 2 {
-                            blend(&mut f.load_seen, load);
-                        }
-                    }
+                (b.strikes, b.errors) = (0, b.errors * (1.0 - GAIN));
+                let copies = b.warm.get(&a.function).map_or(1, |x| x.copies);
+                b.warm.insert(a.function, Warm { ready: now, until: now + keep, used: now, copies });
+                if e.note.copy == 2 {
+                    let load = (e.took as f64 - a.base * b.pace * a.factor).max(1.0);
+                    f.loaded_in(load, &mut self.load_pace);
                 } else if e.note.copy <= 1 {
                     // Only runs on a standing copy feed the profile and the worker's pace.
-                    let took = e.took.max(1) as f64;
-                    let ratio = (took / (a.base * a.factor).max(1.0)).clamp(0.1, 10.0);
-                    w.pace = (w.pace + GAIN * (ratio - w.pace)).clamp(0.2, 20.0);
-                    w.pace_at = now;
-                    let sample = took / (w.pace * a.factor);
-                    w.profiles.entry(a.function).or_default().add(e.took);
-                    if let Some(f) = f {
-                        blend(&mut f.base, sample);
-                        blend(&mut self.class_run[f.class as usize], sample);
-                    }
+                    b.pace = (b.pace + GAIN * (ratio - b.pace)).clamp(0.2, 20.0);
+                    b.pace_at = now;
+                    let sample = e.took as f64 / (b.pace * a.factor);
+                    b.profiles.entry(a.function).or_default().add(e.took);
+                    blend(&mut f.base, sample);
+                    blend(&mut self.class_run[f.class as usize], sample);
                 }
                 if self.settings.report_via == ReportVia::Answers {
                     self.take_report(i, now, &e.report);
                 }
             }
-            Outcome::Miss => {
-                w.heard = now;
-                w.warm.remove(&a.function);
-            }
-            Outcome::Full => {
-                w.heard = now;
-                // Full: leave it alone for about one run.
-                w.full_until = now + (a.base * w.pace) as Micros / 2;
-            }
-            Outcome::Error if e.note.copy == 4 => {
-                w.heard = now;
-                w.warm.remove(&a.function);
-            }
-            Outcome::Error => {
-                w.heard = now;
-                self.strike(i, now, false, out)
-            }
+            Outcome::Miss => drop(b.warm.remove(&a.function)),
+            // Full: leave it alone for about half a run.
+            Outcome::Full => b.full_until = now + (a.base * b.pace) as Micros / 2,
+            Outcome::Error if e.note.copy == 4 => drop(b.warm.remove(&a.function)),
+            Outcome::Error => self.strike(i, now, false, out),
             Outcome::ConnectFailed | Outcome::Reset => self.strike(i, now, true, out),
-            Outcome::Timeout | Outcome::Cancelled => {
-                let ratio = e.took as f64 / (a.base * a.factor).max(1.0);
-                if ratio > w.pace {
-                    w.pace = (w.pace + GAIN * (ratio - w.pace)).clamp(0.2, 20.0);
-                    w.pace_at = now;
-                }
+            Outcome::Timeout | Outcome::Cancelled if a.cold => {
+                // It was waiting for a load: that is the store's slowness, not the worker's.
+                f.loaded_in(e.took as f64, &mut self.load_pace);
+            }
+            Outcome::Timeout | Outcome::Cancelled if ratio > b.pace => {
+                (b.pace, b.pace_at) = (b.pace + GAIN * (ratio - b.pace), now);
             }
-            Outcome::Moot => {}
+            _ => {}
         }
     }
 
@@ -511,73 +435,73 @@
         let shortest = (s.connect_timeout * 2).max(s.tick * 100);
         let longest = (s.keep / 2).max(shortest);
         let w = &mut self.workers[i];
-        w.errors += GAIN * (1.0 - w.errors);
+        w.believed.errors += GAIN * (1.0 - w.believed.errors);
         if broken {
-            w.warm.clear();
-            w.loads.clear();
-        }
-        if (broken || w.errors > 2.0 * GAIN) && w.ejected_until <= now {
-            w.strikes = (w.strikes + 1).min(16);
-            w.ejected_until = now + (shortest << (w.strikes - 1).min(5)).min(longest);
-            let text = format!("eject worker {} for {} ms", w.id, (w.ejected_until - now) / 1000);
+            w.believed.warm.clear();
+            w.believed.loads.clear();
+        }
+        if (broken || w.believed.errors > 2.0 * GAIN) && w.believed.ejected_until <= now {
+            w.believed.strikes = (w.believed.strikes + 1).min(16);
+            w.believed.ejected_until = now + (shortest << (w.believed.strikes - 1).min(5)).min(longest);
+            let text =
+                format!("eject worker {} for {} ms", w.row.worker, (w.believed.ejected_until - now) / 1000);
             out.push(Action::Log { text });
         }
     }
 
     fn take_report(&mut self, i: usize, now: Micros, report: &Report) {
         let w = &mut self.workers[i];
-        w.heard = now;
+        w.believed.heard = now;
         let Some(values) = report else { return };
         let own = w.flights.len() as f64;
         for (field, &value) in self.settings.report.iter().zip(values) {
             let total = match field {
                 ReportField::InFlight => value as f64,
                 // A queue stands only when every slot is taken.
-                ReportField::Queue if value >= 0.5 => value as f64 + w.capacity,
+                ReportField::Queue if value >= 0.5 => value as f64 + w.row.capacity,
                 ReportField::Queue => {
-                    w.others = None;
+                    w.believed.others = None;
                     continue;
                 }
-                ReportField::Busy => (value as f64).clamp(0.0, 1.0) * w.capacity,
+                ReportField::Busy => (value as f64).clamp(0.0, 1.0) * w.row.capacity,
                 _ => continue,
             };
-            blend(&mut w.others, (total - own).max(0.0));
-            w.others_at = now;
+            blend(&mut w.believed.others, (total - own).max(0.0));
+            w.believed.others_at = now;
         }
     }
 
     fn take_loaded(
         &mut self,
         now: Micros,
-        worker: WorkerId,
-        function: FunctionId,
+        at: (WorkerId, FunctionId),
         outcome: Outcome,
         took: Micros,
         copies: u8,
     ) {
+        let (worker, function) = at;
         let keep = self.settings.keep;
         let Some(&i) = self.index.get(&worker) else { return };
-        let w = &mut self.workers[i];
-        let ordered = w.loads.remove(&function).is_some();
+        let b = &mut self.workers[i].believed;
+        let ordered = b.loads.remove(&function).is_some();
         if let Some(f) = self.functions.get_mut(&function) {
             if !ordered {
                 f.asks_out = f.asks_out.saturating_sub(1);
             } else if outcome == Outcome::Ok {
-                blend(&mut f.load_seen, took as f64);
+                f.loaded_in(took as f64, &mut self.load_pace);
             }
         }
         if copies > 0 {
             // An ask does not renew the copy's idle time: it may have stood for a while.
             let until = now + if ordered { keep } else { keep / 2 };
-            let warm = w.warm.entry(function).or_insert(Warm { ready: now, until, used: 0, copies: 1 });
+            let warm = b.warm.entry(function).or_insert(Warm { ready: now, until, used: 0, copies: 1 });
             warm.until = warm.until.max(until);
-            warm.ready = warm.ready.min(now);
-            warm.copies = copies as u32;
-        } else if outcome != Outcome::Timeout && w.warm.get(&function).is_some_and(|x| x.ready <= now) {
-            w.warm.remove(&function);
+            (warm.ready, warm.copies) = (warm.ready.min(now), copies as u32);
+        } else if outcome != Outcome::Timeout && b.warm.get(&function).is_some_and(|x| x.ready <= now) {
+            b.warm.remove(&function);
         }
         if outcome == Outcome::Full && ordered {
-            w.full_until = now + self.settings.tick * 50;
+            b.full_until = now + self.shortest_aim / 8;
         }
     }
 
@@ -596,41 +520,38 @@
         }
     }
 
-    /// Load time: seen, else told, else as long as the aim of the class (generous, as a load is slow).
+    /// Load time: as seen of the function, else told, else as long as its aim (generous), times the store's pace
+    /// of late. The store is shared: when it slows for one function it is slow for all.
     fn load_time(&self, function: FunctionId) -> f64 {
         let Some(f) = self.functions.get(&function) else { return 0.0 };
-        let told = if f.load_told > 0 {
-            f.load_told as f64
-        } else {
-            self.settings.classes[f.class as usize].aim as f64
-        };
-        f.load_seen.unwrap_or(told)
+        let told = if f.load_told > 0 { f.load_told } else { self.settings.classes[f.class as usize].aim };
+        f.load_seen.unwrap_or(told as f64) * self.load_pace.unwrap_or(1.0)
     }
 
     fn knee(&self, w: &Worker) -> f64 {
-        w.capacity.max(1.0)
+        w.row.capacity.max(1.0)
     }
 
     /// In-flight requests at a worker that are not this front end's: by reports where there are any, else as
     /// if the other front ends carried as much as this one.
     fn others(&self, w: &Worker, now: Micros) -> f64 {
         // A report older than a run or two says nothing of the present.
-        if let Some(others) = w.others.filter(|_| now - w.others_at < self.shortest_aim) {
+        if let Some(others) = w.believed.others.filter(|_| now - w.believed.others_at < self.shortest_aim) {
             return others;
         }
-        let total: f64 = self.workers.iter().filter(|w| w.ready).map(|w| w.capacity).sum();
+        let total: f64 = self.workers.iter().filter(|w| w.ready).map(|w| w.row.capacity).sum();
         let own: usize = self.workers.iter().map(|w| w.flights.len()).sum();
         // Front ends may carry very unequal shares: they are taken to fill no more than half a worker; what
         // is beyond that shows in its pace.
         let alike = (self.settings.front_ends - 1) as f64 * own as f64 / total.max(1.0);
-        alike.min(0.5) * w.capacity
+        alike.min(0.5) * w.row.capacity
     }
 
     fn predict(&self, i: usize, p: &Pending, base: f64, now: Micros) -> Prediction {
         let w = &self.workers[i];
         let r = &p.request;
         let lanes = self.functions.get(&r.function).map_or(1, |f| f.lanes);
-        let warm = w.warm.get(&r.function).filter(|x| x.until > now);
+        let warm = w.believed.warm.get(&r.function).filter(|x| x.until > now);
         let mine = w.flights.iter().filter(|a| a.function == r.function);
         let count = mine.clone().count();
         let held = w.flights.len() as f64 + self.others(w, now) + 1.0;
@@ -647,20 +568,20 @@
             Some(x) => start.max(x.ready),
             None => start.max(now + self.load_time(r.function) as Micros),
         };
-        let mean = base * w.pace * factor;
-        let profile = w.profiles.get(&r.function).and_then(|x| x.p99());
+        let mean = base * w.believed.pace * factor;
+        let profile = w.believed.profiles.get(&r.function).and_then(|x| x.p99());
         let run = profile.map_or(mean, |x| x as f64);
         let finish = start + run as Micros;
         let aim = self.settings.classes[r.class as usize].aim as f64;
         let mut cost = finish as f64;
-        if w.zone != self.settings.zone {
+        if w.row.zone as u32 != self.settings.zone {
             cost += self.settings.price_cross_zone * aim;
         }
         // Every front end ranks the workers alike for a function and leans to those ranked first, and to copies
         // in use of late: calls gather on few copies, which stay loaded, where each front end finds them warm.
         // An idle copy may have given way to another; one only heard of by an ask may be about to.
         let load = self.load_time(r.function);
-        let lean = rank(r.function, w.id as u64);
+        let lean = rank(r.function, w.row.worker as u64);
         cost += match warm {
             None => COLD_LEAN * load * lean,
             Some(x) if x.used == 0 => load * (RISK + WARM_LEAN * lean),
@@ -668,8 +589,9 @@
                 load * (RISK * (now - x.used) as f64 / self.settings.keep.max(1) as f64 + WARM_LEAN * lean)
             }
         };
-        cost += rank(self.seed ^ r.id as u64, w.id as u64) * 1000.0;
-        let room = count < slots + ALLOWANCE && held <= STRETCH * self.knee(w) && w.full_until <= now;
+        cost += rank(self.seed ^ r.id as u64, w.row.worker as u64) * 1000.0;
+        let room =
+            count < slots + ALLOWANCE && held <= STRETCH * self.knee(w) && w.believed.full_until <= now;
         Prediction { finish, cost, factor, base, warm: warm.is_some(), room, index: i }
     }
 
@@ -677,7 +599,7 @@
 
     fn healthy(&self, w: &Worker, now: Micros) -> bool {
         // After an ejection one request at a time tries the worker until an answer clears it.
-        w.ejected_until <= now && (w.strikes == 0 || w.flights.is_empty())
+        w.believed.ejected_until <= now && (w.believed.strikes == 0 || w.flights.is_empty())
     }
 
     /// Where a held request goes now, or until when it waits.
@@ -694,23 +616,32 @@
         let (unsafe_call, late_worth) = (class.effect == Effect::Unsafe, class.late_worth);
         let (mut best, mut any): (Option<Prediction>, Option<Prediction>) = (None, None);
         let mut warm_any = false;
+        let more_loading = |w: &Worker| w.believed.warm.values().any(|x| x.ready > now);
+        let holds = |w: &Worker| w.ready && w.believed.warm.get(&function).is_some_and(|x| x.until > now);
+        let held_somewhere = self.workers.iter().any(holds);
+        let more = !miss && held_somewhere && self.priority(function, now) > 0.0;
         for i in 0..self.workers.len() {
             let w = &self.workers[i];
-            if !w.ready || (!self.healthy(w, now) && !doubt) || !self.in_group(p, w, now) {
+            if !w.ready || (!self.healthy(w, now) && !doubt) || !self.in_group(p, w) {
                 continue;
             }
-            if p.attempts.iter().any(|a| a.0 == w.id && (a.2 != Run::NotRun || ready > p.attempts.len())) {
+            if p.attempts
+                .iter()
+                .any(|a| a.0 == w.row.worker && (a.2 != Run::NotRun || ready > p.attempts.len()))
+            {
                 continue;
             }
             // An unsafe call that may have run ends in failure: not where errors were seen of late.
-            if unsafe_call && w.errors > GAIN / 2.0 && !doubt {
+            if unsafe_call && w.believed.errors > GAIN / 2.0 && !doubt {
                 continue;
             }
             let x = self.predict(i, p, base, now);
-            if miss && !x.warm {
+            warm_any |= x.warm;
+            // A call to a cold worker is a load: one at a time there, and while copies stand, only when the
+            // priority asks for more. Guards against loads that crowd each other and the store.
+            if !x.warm && (miss || more_loading(w) || (held_somewhere && !more)) {
                 continue;
             }
-            warm_any |= x.warm;
             if x.room && self.cold_room(i, p, now) && best.as_ref().is_none_or(|b| x.cost < b.cost) {
                 best = Some(x);
             } else if any.as_ref().is_none_or(|b| x.cost < b.cost) {
@@ -746,30 +677,19 @@
     /// front end, and when others may have loaded it. An ask costs a probe; a load costs a fetch and the wait.
     /// Returns until when an answer is worth waiting for.
     fn ask(&mut self, function: FunctionId, now: Micros, out: &mut Vec<Action>) -> Micros {
-        if !self.settings.may_order {
-            return 0;
-        }
-        let Some(f) = self.functions.get(&function) else { return 0 };
-        if f.asked_until > now {
+        let Some(f) = self.functions.get_mut(&function) else { return 0 };
+        if !self.settings.may_order || f.asked_until > now {
             return if f.asks_out > 0 { f.ask_wait } else { 0 };
         }
-        let mut asks = 0;
-        for i in 0..self.workers.len() {
-            let w = &self.workers[i];
-            if w.ready && self.healthy(w, now) && !w.loads.contains_key(&function) {
-                asks += 1;
-                out.push(Action::Load { worker: w.id, function, copies: 0 });
-            }
-        }
-        let f = self.functions.get_mut(&function).expect("looked up above");
         f.asked_until = now + self.settings.keep / 2;
-        f.asks_out = asks;
         f.ask_wait = now + self.settings.classes[f.class as usize].aim / 16;
-        if asks > 0 {
-            f.ask_wait
-        } else {
-            0
-        }
+        let ready = |w: &&Worker| w.ready && w.believed.ejected_until <= now;
+        let mut asked: Vec<WorkerId> = self.workers.iter().filter(ready).map(|w| w.row.worker).collect();
+        asked.sort_by(|a, b| rank(function, *a as u64).total_cmp(&rank(function, *b as u64)));
+        asked.truncate(ASKS);
+        f.asks_out = asked.len() as u32;
+        out.extend(asked.iter().map(|&worker| Action::Load { worker, function, copies: 0 }));
+        f.ask_wait
     }
 
     fn decide(&mut self, now: Micros, out: &mut Vec<Action>) {
@@ -821,46 +741,38 @@
             self.settle(id, out);
         }
         let s = &self.settings;
-        let keep_orders = s.load_window.max(1);
-        while self.orders.front().is_some_and(|&t| t <= now - keep_orders) {
+        let (load_window, seen_window) = (s.load_window.max(1), s.load_window.max(s.keep).max(1));
+        while self.orders.front().is_some_and(|&t| t <= now - load_window) {
             self.orders.pop_front();
         }
-        while self.arrivals.front().is_some_and(|&t| t <= now - keep_orders) {
+        while self.arrivals.front().is_some_and(|&t| t <= now - seen_window) {
             self.arrivals.pop_front();
         }
         let (window, warm_up, keep) = (s.fall_window.max(1), s.warm_up, s.keep.max(1));
         let aim = self.shortest_aim;
         let order_timeout = s.order_timeout + s.tick * 4;
-        let mut again = Vec::new();
-        let mut silent = Vec::new();
+        let (mut again, mut silent) = (Vec::new(), Vec::new());
         for (i, w) in self.workers.iter_mut().enumerate() {
-            while w.spent.front().is_some_and(|&(t, _)| t <= now - window) {
-                w.spent.pop_front();
-            }
-            if w.cold_from.is_some_and(|t| now >= t + warm_up) {
-                w.cold_from = None;
-            }
-            w.loads.retain(|_, t| now - *t <= order_timeout);
+            w.spent.retain(|x| x.0 > now - window);
+            w.cold_from = w.cold_from.filter(|t| now < t + warm_up);
+            let b = &mut w.believed;
+            b.loads.retain(|_, t| now - *t <= order_timeout);
             // A judgement that nothing has confirmed for a while fades.
-            if now - w.pace_at > keep / 8 {
-                w.pace_at = now;
-                w.pace += 0.1 * (1.0 - w.pace);
-                w.errors *= 0.9;
+            if now - b.pace_at > keep / 8 {
+                b.pace_at = now;
+                b.pace += 0.1 * (1.0 - b.pace);
+                b.errors *= 0.9;
             }
             // Two or more attempts far over their predicted span, and no word from the worker since they left:
             // it is silent. A single one may be a heavy request.
-            let (heard, least) = (w.heard, aim);
-            let late = |a: &Attempt| {
-                now > a.sent + ((OVERDUE * (a.end - a.sent) as f64) as Micros).max(least) && heard <= a.sent
-            };
-            if w.flights.iter().filter(|a| late(a)).count() > 1 {
+            let span = |a: &Attempt| ((OVERDUE * (a.end - a.sent) as f64) as Micros).max(aim);
+            let late = |a: &&Attempt| now > a.sent + span(a) && b.heard <= a.sent;
+            if w.flights.iter().filter(late).count() > 1 {
                 for a in w.flights.iter_mut().filter(|a| !a.noticed) {
                     a.noticed = true;
                     again.push((a.request, a.number));
                 }
-                if w.ejected_until <= now {
-                    silent.push(i);
-                }
+                silent.push(i);
             }
         }
         for i in silent {
@@ -869,17 +781,17 @@
         for (id, number) in again {
             self.try_again(id, number, now, out);
         }
-        self.functions.retain(|_, f| now - f.last < 8 * keep);
         if self.usual_at + window <= now {
+            self.functions.retain(|_, f| now - f.last < 8 * keep);
             self.usual_at = now;
             let (mut work, mut capacity) = (0.0, 0.0);
             for w in self.workers.iter_mut() {
-                w.warm.retain(|_, x| x.until + keep > now);
+                w.believed.warm.retain(|_, x| x.until + keep > now);
                 let functions = &self.functions;
-                w.profiles.retain(|f, _| functions.contains_key(f));
-                if w.ready && w.cold_from.is_none() && w.ejected_until <= now {
+                w.believed.profiles.retain(|f, _| functions.contains_key(f));
+                if w.ready && w.cold_from.is_none() && w.believed.ejected_until <= now {
                     work += w.spent.iter().map(|x| x.1).sum::<f64>();
-                    capacity += w.capacity;
+                    capacity += w.row.capacity;
                 }
             }
             let sample = if capacity > 0.0 { work / capacity } else { 0.0 };
@@ -907,13 +819,8 @@
         if !self.settings.may_order || wanted.is_empty() {
             return;
         }
-        let mut ranked: Vec<(f64, FunctionId, RequestId)> = Vec::new();
-        for (&function, &id) in wanted {
-            let p = self.priority(function, now);
-            if p > 0.0 && self.pending.contains_key(&id) {
-                ranked.push((p, function, id));
-            }
-        }
+        let ranked = wanted.iter().map(|(&f, &id)| (self.priority(f, now), f, id));
+        let mut ranked: Vec<_> = ranked.filter(|x| x.0 > 0.0 && self.pending.contains_key(&x.2)).collect();
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         for (_, function, id) in ranked {
             if self.functions.get(&function).is_some_and(|f| f.asks_out > 0 && f.ask_wait > now) {
@@ -921,19 +828,14 @@
             }
             let p = &self.pending[&id];
             let base = self.base_run(&p.request);
-            let mut best: Option<Prediction> = None;
-            for i in 0..self.workers.len() {
-                let w = &self.workers[i];
-                let warm = w.warm.get(&function).is_some_and(|x| x.until > now);
-                if !w.ready || !self.healthy(w, now) || warm || !w.loads.is_empty() || w.full_until > now {
-                    continue;
-                }
-                let x = self.predict(i, p, base, now);
-                if best.as_ref().is_none_or(|b| x.cost < b.cost) {
-                    best = Some(x);
-                }
-            }
-            if let Some(x) = best {
+            let may = |i: &usize| {
+                let w = &self.workers[*i];
+                let b = &w.believed;
+                let warm = b.warm.get(&function).is_some_and(|x| x.until > now);
+                w.ready && self.healthy(w, now) && !warm && b.loads.is_empty() && b.full_until <= now
+            };
+            let found = (0..self.workers.len()).filter(may).map(|i| self.predict(i, p, base, now));
+            if let Some(x) = found.min_by(|a, b| a.cost.total_cmp(&b.cost)) {
                 self.load(x.index, function, now, out);
             }
         }
@@ -942,20 +844,19 @@
     fn priority(&self, function: FunctionId, now: Micros) -> f64 {
         let Some(f) = self.functions.get(&function) else { return 0.0 };
         let span = self.settings.classes[f.class as usize].aim as f64;
-        let mut demand = 0.0;
-        for p in self.pending.values().filter(|p| p.request.function == function) {
-            demand += self.base_run(&p.request);
-        }
+        let asking = self.pending.values().filter(|p| p.request.function == function);
+        let demand: f64 = asking.map(|p| self.base_run(&p.request)).sum();
         let mut shares: Vec<(f64, f64)> = Vec::new();
         for w in self.workers.iter().filter(|w| w.ready) {
-            let warm = w.warm.get(&function).filter(|x| x.until > now);
-            if warm.is_none() && !w.loads.contains_key(&function) {
+            let warm = w.believed.warm.get(&function).filter(|x| x.until > now);
+            if warm.is_none() && !w.believed.loads.contains_key(&function) {
                 continue;
             }
             let lanes = f.lanes * warm.map_or(1, |x| x.copies.max(1)) as usize;
             let capacity = (lanes as f64).min(self.knee(w)) * span;
             let mean = self.class_run[f.class as usize].unwrap_or(span / 4.0);
-            let load = (w.flights.iter().map(|a| a.base).sum::<f64>() + self.others(w, now) * mean) * w.pace;
+            let load = (w.flights.iter().map(|a| a.base).sum::<f64>() + self.others(w, now) * mean)
+                * w.believed.pace;
             shares.push((load.max(1.0), capacity));
         }
         let inverse: f64 = shares.iter().map(|x| 1.0 / x.0).sum();
@@ -967,15 +868,16 @@
     /// Probes the workers in turn, where reports come that way, within what probes may cost.
     fn probe(&mut self, now: Micros, out: &mut Vec<Action>) {
         let s = &self.settings;
-        if !s.may_probe || s.report_via != ReportVia::Probe || self.mean_gap <= 0.0 {
+        if !s.may_probe || s.report_via != ReportVia::Probe || self.arrivals.is_empty() {
             return;
         }
         let each = if s.price_probe > 0.0 { (PROBE_POINTS / s.price_probe).min(1.0) } else { 1.0 };
         let ready = self.workers.iter().filter(|w| w.ready).count();
-        let every = ((self.mean_gap * ready as f64 / each) as Micros).max(self.shortest_aim / 3);
+        let gap = s.load_window.max(s.keep).max(1) as f64 / self.arrivals.len() as f64;
+        let every = ((gap * ready as f64 / each) as Micros).max(self.shortest_aim / 3);
         for w in self.workers.iter_mut().filter(|w| w.ready && now - w.probed >= every) {
             w.probed = now;
-            out.push(Action::Probe { worker: w.id });
+            out.push(Action::Probe { worker: w.row.worker });
         }
     }
 
@@ -1022,7 +924,7 @@
     }
 
     /// Rule 2: a keyed request that may have run stays within the group that drops its repeats.
-    fn in_group(&self, p: &Pending, w: &Worker, _now: Micros) -> bool {
+    fn in_group(&self, p: &Pending, w: &Worker) -> bool {
         let Effect::Keyed { group, .. } = self.settings.classes[p.request.class as usize].effect else {
             return true;
         };
@@ -1030,8 +932,8 @@
             let Some(&i) = self.index.get(&a.0) else { return false };
             match group {
                 Group::All => true,
-                Group::Zone => self.workers[i].zone == w.zone,
-                Group::Cell => self.workers[i].cell == w.cell,
+                Group::Zone => self.workers[i].row.zone == w.row.zone,
+                Group::Cell => self.workers[i].row.cell == w.row.cell,
             }
         })
     }
@@ -1059,7 +961,7 @@
         let s = &self.settings;
         let gone = ((now - from) as f64 / s.warm_up.max(1) as f64).clamp(0.0, 1.0);
         let share = s.start_share + (1.0 - s.start_share) * gone;
-        let budget = MARGIN * share * s.fall_multiple * self.usual * w.capacity;
+        let budget = MARGIN * share * s.fall_multiple * self.usual * w.row.capacity;
         let spent: f64 = w.spent.iter().filter(|x| x.0 > now - s.fall_window).map(|x| x.1).sum();
         spent == 0.0 || spent + self.weight(p.request.class) <= budget
     }
@@ -1069,11 +971,7 @@
     fn send(&mut self, id: RequestId, x: Prediction, now: Micros, out: &mut Vec<Action>) {
         let Some(p) = self.pending.get(&id) else { return };
         let w = &self.workers[x.index];
-        if !w.ready
-            || !self.may_resend(id, now)
-            || !self.in_group(p, w, now)
-            || !self.cold_room(x.index, p, now)
-        {
+        if !w.ready || !self.may_resend(id, now) || !self.in_group(p, w) || !self.cold_room(x.index, p, now) {
             return;
         }
         self.unhold(id);
@@ -1084,7 +982,7 @@
         let p = self.pending.get_mut(&id).expect("looked up above");
         let w = &mut self.workers[x.index];
         let number = p.attempts.len() as u16;
-        p.attempts.push((w.id, now, Run::Out));
+        p.attempts.push((w.row.worker, now, Run::Out));
         w.spent.push_back((now, weight));
         w.flights.push(Attempt {
             request: id,
@@ -1097,7 +995,7 @@
             cold: !x.warm,
             noticed: false,
         });
-        if let Some(warm) = w.warm.get_mut(&p.request.function) {
+        if let Some(warm) = w.believed.warm.get_mut(&p.request.function) {
             warm.used = now;
             if x.warm {
                 warm.until = warm.until.max(now + keep);
@@ -1106,40 +1004,41 @@
         if !x.warm && on_load {
             // It will load there: those that follow may count on it.
             let warm = Warm { ready: now + load, until: now + load + keep, used: now, copies: 1 };
-            w.warm.insert(p.request.function, warm);
+            w.believed.warm.insert(p.request.function, warm);
         }
-        out.push(Action::Send { request: id, worker: w.id, timeout: 0 });
+        out.push(Action::Send { request: id, worker: w.row.worker, timeout: 0 });
     }
 
     /// Orders a load: to ready workers only (rule 3), one at a time on each, inside the ration (rule 5).
     fn load(&mut self, i: usize, function: FunctionId, now: Micros, out: &mut Vec<Action>) {
         let s = &self.settings;
         let w = &self.workers[i];
-        if !s.may_order || !w.ready || !w.loads.is_empty() {
+        if !s.may_order || !w.ready || !w.believed.loads.is_empty() {
             return;
         }
         if s.load_window > 0 {
+            let taken = self.arrivals.iter().rev().take_while(|t| **t > now - s.load_window).count();
             // At the window's edge the count here errs to the strict side.
-            let ration = s.load_free + s.load_share * self.arrivals.len() as f64 - 1.0;
+            let ration = s.load_free + s.load_share * taken as f64 - 1.0;
             if self.orders.len() as f64 + 1.0 > ration.max(1.0_f64.min(s.load_free)) {
                 return;
             }
         }
         let need = self.functions.get(&function).map_or(0.0, |f| f.memory);
-        let memory = s.memory_mb.get(w.kind as usize).copied().unwrap_or(f64::INFINITY);
+        let memory = s.memory_mb.get(w.row.kind as usize).copied().unwrap_or(f64::INFINITY);
         let in_use = |f: &FunctionId| self.functions.get(f).map_or(0.0, |f| f.memory);
-        let held: f64 = w.warm.iter().map(|(f, x)| in_use(f) * x.copies as f64).sum();
+        let held: f64 = w.believed.warm.iter().map(|(f, x)| in_use(f) * x.copies as f64).sum();
         if held + need > memory {
-            let idle = w.warm.iter().filter(|(f, _)| w.flights.iter().all(|a| a.function != **f));
+            let idle = w.believed.warm.iter().filter(|(f, _)| w.flights.iter().all(|a| a.function != **f));
             if let Some(f) = idle.min_by_key(|(f, x)| (x.used, **f)).map(|(f, _)| *f) {
-                out.push(Action::Drop { worker: w.id, function: f });
-                self.workers[i].warm.remove(&f);
+                out.push(Action::Drop { worker: w.row.worker, function: f });
+                self.workers[i].believed.warm.remove(&f);
             }
         }
         let w = &mut self.workers[i];
-        w.loads.insert(function, now);
+        w.believed.loads.insert(function, now);
         self.orders.push_back(now);
-        out.push(Action::Load { worker: w.id, function, copies: 1 });
+        out.push(Action::Load { worker: w.row.worker, function, copies: 1 });
     }
 
     /// Rule 1: the one final answer, a refusal where that may be said (rule 2), else a failure.
