--- a/src/bin/stagehoist-adapter.rs
+++ b/src/bin/stagehoist-adapter.rs
@@ -68,7 +68,8 @@
             Input::Event { instance, event } => pending.entry(instance).or_default().push(event),
         }
     }
-    let (mut actions, mut faults): (Vec<(u16, Action)>, Vec<(u16, String)>) = (Vec::new(), Vec::new());
+    let mut actions: Vec<(u16, Action)> = Vec::new();
+    let mut faults: Vec<(u16, String)> = Vec::new();
     let mut out = Vec::new();
     for (instance, events) in pending {
         let Some(front_end) = instances.get_mut(&instance) else { continue };
