--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,6 @@
 /// An attempt is overdue after this many times its predicted span.
 const OVERDUE: f64 = 3.0;
 
-/// The last runs of a function on a worker that found a loaded copy.
 #[derive(Default)]
 struct RunProfile(VecDeque<Micros>);
 
@@ -74,7 +73,6 @@
     row: RosterRow,
     ready: bool,
     cold_from: Option<Micros>,
-    /// Class work sent within the told window: for the cold budget.
     spent: VecDeque<(Micros, f64)>,
     flights: Vec<Attempt>,
     probed: Micros,
@@ -111,10 +109,12 @@
     asked_until: Micros,
     ask_wait: Micros,
     asks_out: u32,
+    demand: f64,
 }
 
 struct Pending {
     request: Request,
+    base: f64,
     deadline: Micros,
     aim_at: Micros,
     /// By attempt number: the worker, when sent, and what is known of its execution.
@@ -169,6 +169,7 @@
     load_pace: Option<f64>,
     token: u32,
     shortest_aim: Micros,
+    alike: f64,
     watched: bool,
 }
 
@@ -205,7 +206,6 @@
         FrontEnd { settings, seed, class_run, class_work, shortest_aim, usual_at: now, ..Default::default() }
     }
 
-    /// Takes in every event of a batch, then decides once.
     pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
         for event in events {
             match event {
@@ -278,14 +278,14 @@
         // The client's budget ends the wait; the own answer must be out before that.
         let deadline = now + r.budget.max(0) - (2 * self.settings.tick).min(r.budget.max(0) / 4);
         let aim_at = (now + class.aim + stretch as Micros).min(deadline);
-        let (request, attempts, held) = (r.clone(), Vec::new(), None);
-        let p = Pending { request, deadline, aim_at, attempts, held };
+        let (request, attempts, held, base) = (r.clone(), Vec::new(), None, self.base_run(r));
+        let p = Pending { request, base, deadline, aim_at, attempts, held };
+        self.functions.entry(r.function).and_modify(|f| f.demand += base);
         self.deadlines.insert((deadline, r.id));
         self.pending.insert(r.id, p);
         self.hold(r.id, now);
     }
 
-    /// Queues a request by its required start.
     fn hold(&mut self, id: RequestId, now: Micros) {
         let Some(p) = self.pending.get(&id) else { return };
         let start = p.aim_at - self.base_run(&p.request) as Micros;
@@ -305,6 +305,7 @@
         self.unhold(id);
         if let Some(p) = self.pending.remove(&id) {
             self.deadlines.remove(&(p.deadline, id));
+            self.functions.entry(p.request.function).and_modify(|f| f.demand = (f.demand - p.base).max(0.0));
         }
     }
 
@@ -332,7 +333,6 @@
         }
     }
 
-    /// What an ended attempt tells of its worker and function.
     fn learn(&mut self, i: usize, now: Micros, e: &Ended, a: &Attempt, out: &mut Vec<Action>) {
         let keep = self.settings.keep;
         let b = &mut self.workers[i].believed;
@@ -477,12 +477,7 @@
         if let Some(others) = w.believed.others.filter(|_| now - w.believed.others_at < self.shortest_aim) {
             return others;
         }
-        let total: f64 = self.workers.iter().filter(|w| w.ready).map(|w| w.row.capacity).sum();
-        let own: usize = self.workers.iter().map(|w| w.flights.len()).sum();
-        // Front ends may carry very unequal shares: they are taken to fill no more than half a worker; what
-        // is beyond that shows in its pace.
-        let alike = (self.settings.front_ends - 1) as f64 * own as f64 / total.max(1.0);
-        alike.min(0.5) * w.row.capacity
+        self.alike * w.row.capacity
     }
 
     fn predict(&self, i: usize, p: &Pending, base: f64, now: Micros) -> Prediction {
@@ -549,15 +544,18 @@
             if !w.ready || !(well || doubt) || !self.in_group(p, w) || tried {
                 continue;
             }
+            if miss && w.believed.warm.get(&function).is_none_or(|x| x.until <= now) {
+                continue;
+            }
             let x = self.predict(i, p, base, now);
-            if x.warm || !(miss || loading(w)) {
+            if x.warm || !loading(w) {
                 found.push(Prediction { room: x.room && self.cold_room(i, p, now), ..x });
             }
         }
         // A call to a cold worker is a load: one at a time there, and while copies stand that this call may
         // use, only when the priority asks for more. Guards against loads that crowd the store.
         let warm_any = found.iter().any(|x| x.warm);
-        let enough = warm_any && self.priority(function, now) <= 0.0;
+        let enough = warm_any && found.iter().any(|x| !x.warm) && self.priority(function, now) <= 0.0;
         found.retain(|x| x.warm || !enough);
         found.sort_by(|a, b| b.cost.total_cmp(&a.cost));
         let best = found.iter().rposition(|x| x.room).map(|i| found.remove(i));
@@ -600,6 +598,10 @@
 
     fn decide(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.expire(now, out);
+        let total: f64 = self.workers.iter().filter(|w| w.ready).map(|w| w.row.capacity).sum();
+        let own: usize = self.workers.iter().map(|w| w.flights.len()).sum();
+        // Others as if alike, half a worker at most; what is beyond that shows in its pace.
+        self.alike = ((self.settings.front_ends - 1) as f64 * own as f64 / total.max(1.0)).min(0.5);
         // Those whose required start for the aim has passed fall behind those that can still meet theirs.
         let passed = self.queue.iter().take_while(|x| !x.0 && x.1 < now);
         for id in passed.map(|x| x.2).collect::<Vec<_>>() {
@@ -636,7 +638,6 @@
         self.set_timer(now, next, out);
     }
 
-    /// Ends what ran out of time, notices overdue attempts, lets go of what is old.
     fn expire(&mut self, now: Micros, out: &mut Vec<Action>) {
         let due: Vec<RequestId> = self.deadlines.iter().take_while(|d| d.0 <= now).map(|d| d.1).collect();
         due.into_iter().for_each(|id| self.settle(id, out));
@@ -710,7 +711,7 @@
         let mut ranked: Vec<_> = ranked.filter(|x| x.0 > 0.0 && self.pending.contains_key(&x.2)).collect();
         ranked.retain(|x| self.functions.get(&x.1).is_some_and(|f| f.asks_out == 0 || f.ask_wait <= now));
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        for (_, function, id) in ranked {
+        for (_, function, id) in ranked.into_iter().take(self.workers.len()) {
             let (p, base) = (&self.pending[&id], self.base_run(&self.pending[&id].request));
             let may = |i: &usize| {
                 let w = &self.workers[*i];
@@ -728,8 +729,6 @@
     fn priority(&self, function: FunctionId, now: Micros) -> f64 {
         let Some(f) = self.functions.get(&function) else { return 0.0 };
         let span = self.settings.classes[f.class as usize].aim as f64;
-        let asking = self.pending.values().filter(|p| p.request.function == function);
-        let demand: f64 = asking.map(|p| self.base_run(&p.request)).sum();
         let mut shares: Vec<(f64, f64)> = Vec::new();
         for w in self.workers.iter().filter(|w| w.ready) {
             let warm = w.believed.warm.get(&function).filter(|x| x.until > now);
@@ -744,7 +743,8 @@
             shares.push((load.max(1.0), capacity));
         }
         let inverse: f64 = shares.iter().map(|x| 1.0 / x.0).sum();
-        demand - shares.iter().map(|(load, capacity)| demand / load / inverse * capacity / load).sum::<f64>()
+        f.demand
+            - shares.iter().map(|(load, capacity)| f.demand / load / inverse * capacity / load).sum::<f64>()
     }
 
     /// Probes the workers in turn, where reports come that way, within what probes may cost.
