--- a/src/interface.rs
+++ b/src/interface.rs
@@ -114,15 +114,16 @@
     pub report_via: ReportVia,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Lifecycle {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
 /// A line of the list of workers.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RosterRow {
     pub worker: WorkerId,
     pub kind: u16,
