--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,6 +1,6 @@
-//! All decisions of a front end; `interface.rs` holds the types that come in and go out. After Clockwork (Gujarati
-//! et al., OSDI 2020): predict a request's finish on each worker, send it to the earliest within the deadline, or
-//! refuse. Reading order: observation, prediction, decision, guards (`send`, `load`, `settle`: the five rules).
+//! All decisions of a front end; `interface.rs` holds the types that go in and out. After Clockwork (Gujarati
+//! et al., OSDI 2020): predict a request's finish on each worker, send it to the earliest, or refuse it.
+//! Reading order: observation, prediction, decision, guards (`send`, `load`, `settle`: the five rules).
 
 use crate::interface::Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, Moot, Reset, Timeout};
 use crate::interface::*;
@@ -27,8 +27,8 @@
 /// An attempt is overdue after this many times its predicted span.
 const OVERDUE: f64 = 3.0;
 
-/// The 99th percentile of the last ten runs (the greatest), unless a long tail makes it tell of one heavy request
-/// more than of the next; then the mean of `base_run` stands in.
+/// The 99th percentile of ten runs (the greatest), unless a long tail makes it tell of one heavy request more
+/// than of the next; then the mean of `base_run` stands in.
 fn p99(runs: &VecDeque<f64>) -> Option<f64> {
     let (top, sum) = runs.iter().fold((0.0, 0.0), |(top, sum), &x| (f64::max(top, x), sum + x));
     (runs.len() == RUNS && top * RUNS as f64 <= 1.5 * sum).then_some(top)
@@ -399,9 +399,9 @@
     }
 
     /// Counts a failure against a worker. A broken connection ejects at once and voids what was believed warm
-    /// there and begins a slow start, as the process comes back cold before the list tells, unless an answer to an
-    /// earlier attempt shows that it lived. Errors eject when frequent. Covers dead, silent, restarting and
-    /// fast-failing workers. Could harm where single resets are common.
+    /// there and begins a slow start, as the process comes back cold before the list tells, unless an answer
+    /// to an earlier attempt shows that it lived. Errors eject when frequent. Covers dead, silent,
+    /// restarting and fast-failing workers. Could harm where single resets are common.
     fn strike(&mut self, i: usize, now: Micros, broken: bool, out: &mut Vec<Action>) {
         let shortest = (self.settings.connect_timeout * 2).max(self.settings.tick * 100);
         let longest = (self.settings.keep / 2).max(shortest);
@@ -474,8 +474,8 @@
         f.load_seen.unwrap_or(told as f64) * self.load_pace.unwrap_or(1.0)
     }
 
-    /// Others' requests at a worker: reported, else as if they sent what this one did of late, so that each spreads
-    /// its few calls as the fleet needs. The choice goes by all of the guess (second), the finish by little.
+    /// Others' requests at a worker: reported, else as if they sent what this one did of late, so that each
+    /// spreads its calls as the fleet needs. The choice goes by all of the guess, the finish by little.
     fn others(&self, w: &Worker, now: Micros) -> (f64, f64) {
         if let Some(others) = w.believed.others.filter(|_| now - w.believed.others_at < self.shortest_aim) {
             return (others, others);
@@ -519,7 +519,7 @@
         cost += rank(self.seed ^ r.id as u64, w.row.worker as u64) * 1000.0;
         let crowded = held > STRETCH * size || w.believed.full_until > now;
         let room = count < slots + ALLOWANCE && !crowded;
-        let (warm, home) = (warm.is_some(), warm.is_none() && home > RISK);
+        let (warm, home) = (warm.is_some(), warm.is_none() && home > 0.0);
         Prediction { finish, cost, factor, base: p.base, warm, home, load: wait, room, index: i }
     }
 
@@ -528,7 +528,7 @@
         w.believed.ejected_until <= now && (w.believed.strikes == 0 || w.flights.is_empty())
     }
 
-    /// Choice and admission: where a held request goes now, or until when it waits; not after now: it is given up.
+    /// Choice and admission: where a held request goes now, or until when it waits; by now: it is given up.
     fn place(&self, id: RequestId, now: Micros) -> Result<Prediction, Micros> {
         let (p, function) = (&self.pending[&id], self.pending[&id].request.function);
         let (miss, load) = (self.settings.on_miss == OnMiss::Miss, self.load_time(function));
@@ -553,8 +553,8 @@
             let home = need > 0.0;
             need -= self.home_size(f, w, now);
             let absent = known.map_or(w.cold_from.is_some(), |x| x.copies == 0 && x.ready > now);
-            // Where a miss only answers: to a believed copy, at first also to a home. Else a load: one at a time
-            // on a worker, and beyond the homes at the first with room.
+            // Where a miss only answers: to a believed copy, at first also to a home. Else a load: one at a
+            // time on a worker, and beyond the homes at the first with room.
             let barred = miss && (absent || again) || !home && (miss || found[0][1].is_some());
             if !warm && (barred || w.believed.loading_until > now) {
                 continue;
@@ -588,9 +588,9 @@
         }
     }
 
-    /// The fleet's demand for a function, in calls at work at once; the call in hand does not count. The workers
-    /// ranked first that hold it are its homes, where all front ends find copies without asking. Covers many front
-    /// ends with little traffic each; could harm while popularity turns.
+    /// The fleet's demand for a function, in calls at work at once; the call in hand does not count. The
+    /// workers ranked first that hold it are its homes, where all front ends find copies without asking.
+    /// Covers many front ends with little traffic each; could harm while popularity turns.
     fn demand(&self, f: &Function, now: Micros) -> f64 {
         let over = 2 * self.settings.keep.max(1);
         let seen = (f.calls.0 * fade(now - f.calls.1, over) - 1.0).max(0.0);
@@ -663,7 +663,7 @@
             if now - b.pace_at > keep / 8 {
                 (b.pace_at, b.pace, b.errors) = (now, b.pace + 0.1 * (1.0 - b.pace), b.errors * 0.9);
             }
-            // Two attempts far over their predicted span and no word since: silent. One may be a heavy request.
+            // Two attempts far over their predicted span, no word since: silent. One may be a heavy request.
             let span = |a: &Attempt| ((OVERDUE * (a.predicted.finish - a.sent) as f64) as Micros).max(aim);
             let late = |a: &&Attempt| now > a.sent + span(a) && b.heard <= a.sent;
             if w.flights.iter().filter(late).count() > 1 {
@@ -819,13 +819,12 @@
         self.class_run[class as usize].map_or(1.0, |x| x * n / sum)
     }
 
-    /// Rule 4: in each slot of the told window a cold worker gets the told share and multiple of what established
-    /// ones serve (not: are sent) for this front end, so that the sum stays under what it can do. A part below one
+    /// Rule 4: in each slot of the told window a cold worker gets the told share and multiple of what others
+    /// serve (not: are sent) for this front end, so that the sum stays under what it can do. A part below one
     /// request is a chance, drawn anew for each slot. Could harm: a cold worker is used late.
     fn cold_room(&self, i: usize, p: &Pending, now: Micros) -> bool {
         let w = &self.workers[i];
         let (s, share) = (&self.settings, self.share(w, now));
-        // With none established so far: what came, spread over the fleet.
         let came = self.arrivals.len() as f64 / s.load_window.max(s.keep).max(1) as f64;
         let spread = came * s.fall_window as f64 / self.fleet.max(1.0);
         let usual = if self.usual > 0.0 { self.usual } else { spread };
@@ -852,6 +851,7 @@
         let (slot, carried, weight) =
             (self.cold_slot(w, now), self.carried(w, now), self.weight(p.request.class));
         let (keep, on_load) = (self.settings.keep, self.settings.on_miss == OnMiss::Load);
+        let likely = self.hits.is_none_or(|x| x > RISK);
         self.unhold(id);
         let (p, w) = (self.pending.get_mut(&id).expect("looked up above"), &mut self.workers[x.index]);
         let number = p.attempts.len() as u16;
@@ -864,7 +864,7 @@
             let ready = now + x.load;
             let warm = Warm { ready, until: ready + keep, used: now, copies: 1 };
             w.believed.warm.insert(p.request.function, warm);
-            w.believed.loading_until = if x.home { w.believed.loading_until } else { ready };
+            w.believed.loading_until = if x.home && likely { w.believed.loading_until } else { ready };
         }
         out.push(Action::Send { request: id, worker: w.row.worker, timeout: 0 });
         let function = p.request.function;
