--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -183,6 +183,64 @@
     assert!((1..=22).contains(&cold), "{cold}");
 }
 
+#[test]
+fn rule_4_many_front_ends_together_spare_a_cold_worker() {
+    // Found with 87 front ends: one call a window from each knocked a cold worker over.
+    let more = "balancers=100\ninvariants.start_capacity=0.25\ninvariants.overload_factor=2\n";
+    let established = || [1, 2].iter().map(|&w| row(w, Lifecycle::Ready, 0)).collect::<Vec<_>>();
+    let mut all: Vec<Bench> = (0..100)
+        .map(|seed| {
+            let front_end = FrontEnd::new(settings(more), seed * 7919 + 1, 1000 * MS);
+            let mut b = Bench { front_end, now: 1000 * MS };
+            b.step(0, vec![roster(RosterForm::Cached, established())]);
+            b
+        })
+        .collect();
+    let mut to_cold: Vec<Micros> = Vec::new();
+    for round in 0..60u32 {
+        for (k, b) in all.iter_mut().enumerate() {
+            if round == 40 {
+                let cold = row(3, Lifecycle::Ready, b.now);
+                b.step(0, vec![roster(RosterForm::Delta, vec![cold])]);
+            }
+            // Two calls a second at each, of functions that no front end has met.
+            let id = round * 100 + k as u32;
+            let out = sends(&b.step((5 * k) as Micros * MS, vec![request(id, 0, id as u64)]));
+            to_cold.extend(out.iter().filter(|s| s.1 == 3).map(|_| b.now));
+            let rest = (500 - 5 * k) as Micros * MS;
+            b.step(rest, out.iter().map(|s| ended(s.0, 0, s.1, Outcome::Ok)).collect());
+        }
+    }
+    // 200 calls a second on two workers are 100 for each: a quarter of that, twice, may come in a second.
+    let most =
+        to_cold.iter().map(|&t| to_cold.iter().filter(|x| (t..t + 1000 * MS).contains(x)).count()).max();
+    assert!((1..=100).contains(&most.unwrap_or(0)), "{most:?}");
+    let first = to_cold.iter().filter(|t| **t < 1000 * MS + 40 * 500 * MS + 1000 * MS).count();
+    assert!(first <= 50, "{first}");
+}
+
+#[test]
+fn a_call_tried_at_a_home_does_not_keep_the_next_ones_waiting() {
+    // Found by the test of rule 4: calls to homes were taken for loads under way, and held those that followed.
+    let mut b = Bench::new("", &[1]);
+    for id in 0..20u32 {
+        let out = sends(&b.step(20 * MS, vec![request(id, 0, id as u64)]));
+        assert_eq!(out, [(id, 1)]);
+        b.step(5 * MS, vec![ended(id, 0, 1, Outcome::Ok)]);
+    }
+}
+
+#[test]
+fn calls_held_before_any_worker_is_listed_go_out_when_one_is() {
+    // Found with the list late: the order of workers for a function was made at a call's arrival only.
+    let mut b = Bench::new("", &[]);
+    assert!(sends(&b.step(0, vec![request(1, 0, 9)])).is_empty());
+    assert_eq!(
+        sends(&b.step(0, vec![roster(RosterForm::Delta, vec![row(1, Lifecycle::Ready, 0)])])),
+        [(1, 1)]
+    );
+}
+
 #[test]
 fn rule_5_orders_stay_inside_the_ration() {
     let more = "specifics.if_cold=miss\nspecifics.placement_calls=true\nspecifics.loads_within=10000\n\
