--- /dev/null
+++ b/crates/standin/src/broker/server.rs
@@ -0,0 +1,185 @@
+//! The broker on a listening socket, with faults on command.
+
+use super::{Broker, Cut, Micros};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, Notify};
+
+/// What the broker's operators, or a scripted day, can do to it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Faults {
+    /// Cut connections that consume from a queue, at their next publish or delivery.
+    Cut { queue: String, how: Cut },
+    /// Close connections that consume from a queue, now.
+    Drop { queue: String },
+    /// Hold back everything written to clients for so long each time; zero ends it.
+    Delay(Duration),
+    /// Read nothing from any client for so long.
+    StopReading(Duration),
+    /// Publishes are not taken, or are again (`connection.blocked`).
+    Blocked(bool),
+    /// `channel.flow` to every channel.
+    Flow(bool),
+    /// All connections end; durable queues and persistent messages stay, or nothing does.
+    Restart { keep_durable: bool },
+}
+
+/// A way to give commands to a running broker and to look into it.
+#[derive(Clone)]
+pub struct Handle {
+    commands: mpsc::UnboundedSender<Faults>,
+}
+
+impl Handle {
+    /// Gives a command; it is carried out at once.
+    pub fn fault(&self, fault: Faults) {
+        // A broker that ended takes no commands; nothing depends on it then.
+        let _ = self.commands.send(fault);
+    }
+
+    /// A handle and the end of it that [`serve`] takes.
+    pub fn new() -> (Handle, mpsc::UnboundedReceiver<Faults>) {
+        let (commands, receiver) = mpsc::unbounded_channel();
+        (Handle { commands }, receiver)
+    }
+}
+
+struct Shared {
+    broker: RefCell<Broker>,
+    wakers: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    started: Instant,
+    delay: RefCell<Duration>,
+    deaf_until: RefCell<Instant>,
+}
+
+impl Shared {
+    fn now(&self) -> Micros {
+        self.started.elapsed().as_micros() as Micros
+    }
+
+    fn wake(&self) {
+        let dirty = self.broker.borrow_mut().take_dirty();
+        let wakers = self.wakers.borrow();
+        dirty.iter().filter_map(|number| wakers.get(number)).for_each(|waker| waker.notify_one());
+    }
+}
+
+/// Serves until the listener fails or the future is dropped. Must run inside a `LocalSet`.
+pub async fn serve(
+    listener: TcpListener,
+    broker: Broker,
+    mut commands: mpsc::UnboundedReceiver<Faults>,
+) -> io::Result<()> {
+    let shared = Rc::new(Shared {
+        broker: RefCell::new(broker),
+        wakers: RefCell::default(),
+        started: Instant::now(),
+        delay: RefCell::default(),
+        deaf_until: RefCell::new(Instant::now()),
+    });
+    let mut tick = tokio::time::interval(Duration::from_millis(20));
+    let mut tasks = tokio::task::JoinSet::new();
+    let mut commanded = true;
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let (stream, _) = accepted?;
+                let number = shared.broker.borrow_mut().connect(shared.now());
+                let waker = Rc::new(Notify::new());
+                shared.wakers.borrow_mut().insert(number, waker.clone());
+                let shared = shared.clone();
+                tasks.spawn_local(async move {
+                    // A client that goes away in any manner ends its connection; there is no one to tell.
+                    let _ = connection(&shared, number, stream, &waker).await;
+                    shared.broker.borrow_mut().disconnect(number, shared.now());
+                    shared.wakers.borrow_mut().remove(&number);
+                    shared.wake();
+                });
+            }
+            _ = tick.tick() => {
+                let now = shared.now();
+                shared.broker.borrow_mut().tick(now);
+                shared.wake();
+            }
+            command = commands.recv(), if commanded => match command {
+                Some(fault) => apply(&shared, fault),
+                None => commanded = false,
+            },
+            Some(_) = tasks.join_next() => {}
+        }
+    }
+}
+
+fn apply(shared: &Shared, fault: Faults) {
+    let now = shared.now();
+    {
+        let mut broker = shared.broker.borrow_mut();
+        match fault {
+            Faults::Cut { queue, how } => {
+                for number in broker.consumers_of(&queue) {
+                    broker.arm_cut(number, how);
+                }
+            }
+            Faults::Drop { queue } => {
+                for number in broker.consumers_of(&queue) {
+                    broker.disconnect(number, now);
+                    broker.dirty.insert(number);
+                }
+            }
+            Faults::Delay(delay) => *shared.delay.borrow_mut() = delay,
+            Faults::StopReading(span) => *shared.deaf_until.borrow_mut() = Instant::now() + span,
+            Faults::Blocked(blocked) => broker.set_blocked(blocked),
+            Faults::Flow(active) => broker.set_flow(active),
+            Faults::Restart { keep_durable } => broker.restart(keep_durable, now),
+        }
+    }
+    shared.wake();
+}
+
+async fn connection(shared: &Shared, number: u64, mut stream: TcpStream, waker: &Notify) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut buffer = vec![0u8; 64 << 10];
+    loop {
+        let Some(mut output) = shared.broker.borrow_mut().take_output(number) else {
+            return Ok(());
+        };
+        if !output.is_empty() {
+            let delay = *shared.delay.borrow();
+            if !delay.is_zero() {
+                tokio::time::sleep(delay).await;
+            }
+            // A client that takes nothing for ten seconds is given up.
+            let wrote =
+                tokio::time::timeout(Duration::from_secs(10), stream.write_all_buf(&mut output)).await;
+            wrote.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            continue;
+        }
+        if shared.broker.borrow().is_over(number) {
+            return stream.shutdown().await;
+        }
+        let deaf = *shared.deaf_until.borrow();
+        if deaf > Instant::now() {
+            tokio::select! {
+                _ = waker.notified() => {}
+                _ = tokio::time::sleep_until(deaf.into()) => {}
+            }
+            continue;
+        }
+        tokio::select! {
+            _ = waker.notified() => {}
+            read = stream.read(&mut buffer) => {
+                let n = read?;
+                if n == 0 {
+                    return Ok(());
+                }
+                shared.broker.borrow_mut().receive(number, &buffer[..n], shared.now());
+                shared.wake();
+            }
+        }
+    }
+}
