Configuration: a line-based format whose faults are all told at once with their places

Need: the running gateway is set up by its operators, with units on every quantity and no silent surprise. One table of directives with kinds and ranges; include, quotes, near words for misspelt ones, checks between directives; everything of the module's settings has a name; a configuration is written back and read again unchanged.

--- /dev/null
+++ b/crates/config/src/grammar.rs
@@ -0,0 +1,235 @@
+//! The directives: their arguments by place and by key, with kinds and ranges.
+
+use crate::value::Kind;
+
+const MS: i64 = 1000;
+const S: i64 = 1_000_000;
+const H: i64 = 3600 * S;
+
+/// An argument: by place where it comes before the keys, else named by its key.
+pub struct Argument {
+    pub key: &'static str,
+    pub kind: Kind,
+    pub required: bool,
+}
+
+/// How often a directive may stand in a configuration.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Often {
+    Once,
+    /// Once for each value of its first argument.
+    OncePerName,
+}
+
+/// A directive.
+pub struct Directive {
+    pub name: &'static str,
+    pub places: &'static [Argument],
+    pub keys: &'static [Argument],
+    pub often: Often,
+}
+
+const fn must(key: &'static str, kind: Kind) -> Argument {
+    Argument { key, kind, required: true }
+}
+
+const fn may(key: &'static str, kind: Kind) -> Argument {
+    Argument { key, kind, required: false }
+}
+
+const fn one(name: &'static str, places: &'static [Argument]) -> Directive {
+    Directive { name, places, keys: &[], often: Often::Once }
+}
+
+const YES: &[Argument] = &[must("value", Kind::YesNo)];
+const ANY_DURATION: &[Argument] = &[must("value", Kind::Duration(0, H))];
+const SHARE: &[Argument] = &[must("value", Kind::Number(0.0, 1.0))];
+
+/// Every directive of a configuration.
+pub const DIRECTIVES: &[Directive] = &[
+    // This process.
+    one("front-ends", &[must("count", Kind::Count(1, 1024))]),
+    one("fleet-front-ends", &[must("count", Kind::Count(1, 100_000))]),
+    one("seed", &[must("number", Kind::Count(0, u64::MAX))]),
+    one("batch-interval", &[must("value", Kind::Duration(0, S))]),
+    one("held-most", &[must("calls", Kind::Count(1, 1_000_000))]),
+    one("body-most", &[must("size", Kind::Size(1, 64 << 20))]),
+    one("answer-margin", &[must("value", Kind::Duration(0, 10 * S))]),
+    one("drain-most", &[must("value", Kind::Duration(MS, H))]),
+    Directive {
+        name: "listen",
+        places: &[must("what", Kind::Word(&["metrics"])), must("address", Kind::Address)],
+        keys: &[],
+        often: Often::OncePerName,
+    },
+    // The service.
+    Directive {
+        name: "class",
+        places: &[must("name", Kind::Text)],
+        keys: &[
+            must("aim", Kind::Duration(MS, H)),
+            must("give-up", Kind::Duration(MS, H)),
+            may("effect", Kind::Word(&["safe", "keyed", "unsafe"])),
+            may("group", Kind::Word(&["all", "zone", "cell"])),
+            may("window", Kind::Duration(MS, H)),
+            may("worth", Kind::Number(0.0, 1e6)),
+            may("late-worth", Kind::Number(0.0, 1.0)),
+            may("aim-stretch", Kind::Number(0.0, 1e3)),
+        ],
+        often: Often::OncePerName,
+    },
+    Directive {
+        name: "function",
+        places: &[must("name", Kind::Text)],
+        keys: &[
+            must("class", Kind::Text),
+            must("memory", Kind::Size(1, 1 << 50)),
+            may("lanes", Kind::Count(1, 10_000)),
+            may("load", Kind::Duration(0, H)),
+            may("work", Kind::Duration(0, H)),
+        ],
+        often: Often::OncePerName,
+    },
+    Directive {
+        name: "tenant",
+        places: &[must("name", Kind::Text)],
+        keys: &[must("quota", Kind::Rate(0.0, 1e9))],
+        often: Often::OncePerName,
+    },
+    one("over-share-worth", SHARE),
+    one("worth-by", &[must("unit", Kind::Word(&["call", "work"]))]),
+    // Callers over AMQP.
+    Directive {
+        name: "broker",
+        places: &[must("url", Kind::Url("amqp"))],
+        keys: &[],
+        often: Often::OncePerName,
+    },
+    Directive {
+        name: "consume",
+        places: &[must("queue", Kind::Text)],
+        keys: &[
+            may("prefetch", Kind::Count(1, 65_535)),
+            may("declare", Kind::Word(&["no", "durable", "transient"])),
+        ],
+        often: Often::OncePerName,
+    },
+    one("heartbeat", &[must("value", Kind::Duration(0, H))]),
+    Directive {
+        name: "reconnect",
+        places: &[],
+        keys: &[must("first", Kind::Duration(MS, H)), must("most", Kind::Duration(MS, H))],
+        often: Often::Once,
+    },
+    one("confirm-timeout", &[must("value", Kind::Duration(MS, H))]),
+    one("doubtful-reply", &[must("what", Kind::Word(&["withhold", "resend"]))]),
+    Directive {
+        name: "answer-memory",
+        places: &[],
+        keys: &[must("count", Kind::Count(1, 10_000_000)), must("keep", Kind::Duration(S, 24 * H))],
+        often: Often::Once,
+    },
+    // Workers.
+    Directive {
+        name: "worker-list",
+        places: &[must("source", Kind::Word(&["consul", "file"])), must("where", Kind::Text)],
+        keys: &[
+            may("service", Kind::Text),
+            may("wait", Kind::Duration(100 * MS, 10 * 60 * S)),
+            may("poll", Kind::Duration(10 * MS, H)),
+        ],
+        often: Often::Once,
+    },
+    one("list-subscribe", YES),
+    one("list-ask-within", ANY_DURATION),
+    Directive {
+        name: "worker-kind",
+        places: &[must("name", Kind::Text)],
+        keys: &[must("memory", Kind::Size(1, 1 << 50))],
+        often: Often::OncePerName,
+    },
+    Directive { name: "zone-names", places: &[must("names", Kind::Text)], keys: &[], often: Often::Once },
+    one("zone", &[must("name", Kind::Text)]),
+    one("drain-grace", ANY_DURATION),
+    Directive {
+        name: "cold-start",
+        places: &[],
+        keys: &[
+            must("window", Kind::Duration(0, H)),
+            must("multiple", Kind::Number(0.0, 1e3)),
+            must("share", Kind::Number(0.0, 1.0)),
+            must("warm-up", Kind::Duration(0, H)),
+        ],
+        often: Often::Once,
+    },
+    one("attempts", &[must("most", Kind::Count(1, 100))]),
+    one("second-copies", YES),
+    one("cancel", YES),
+    one("probe", YES),
+    one("order-loads", YES),
+    one("answers-tell-copy", YES),
+    one("answers-tell-crowd", YES),
+    one("connect-timeout", &[must("value", Kind::Duration(MS, 60 * S))]),
+    Directive {
+        name: "idle-connections",
+        places: &[],
+        keys: &[must("close", Kind::Duration(MS, H)), must("most", Kind::Count(0, 10_000))],
+        often: Often::Once,
+    },
+    one("retry-after-most", ANY_DURATION),
+    one("idle-keep", ANY_DURATION),
+    one("on-miss", &[must("what", Kind::Word(&["load", "miss"]))]),
+    one("load-timeout", &[must("value", Kind::Duration(MS, H))]),
+    Directive {
+        name: "load-ration",
+        places: &[],
+        keys: &[
+            must("window", Kind::Duration(MS, H)),
+            must("free", Kind::Number(0.0, 1e6)),
+            must("share", Kind::Number(0.0, 1e3)),
+        ],
+        often: Often::Once,
+    },
+    Directive {
+        name: "price",
+        places: &[],
+        keys: &[
+            may("memory", Kind::Number(0.0, 1e3)),
+            may("probe", Kind::Number(0.0, 1e3)),
+            may("cross-zone", Kind::Number(0.0, 1e3)),
+            may("fetch", Kind::Number(0.0, 1e3)),
+        ],
+        often: Often::Once,
+    },
+    Directive {
+        name: "reports",
+        places: &[must("via", Kind::Word(&["never", "answers", "probe"]))],
+        keys: &[may("fields", Kind::Text)],
+        often: Often::Once,
+    },
+];
+
+/// The directive of that name.
+pub fn directive(name: &str) -> Option<&'static Directive> {
+    DIRECTIVES.iter().find(|d| d.name == name)
+}
+
+/// The known word nearest to a misspelt one, where one is near.
+pub fn nearest<'a>(word: &str, known: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    known.map(|k| (distance(word, k), k)).filter(|(d, k)| *d <= 1 + k.len() / 4).min().map(|(_, k)| k)
+}
+
+fn distance(a: &str, b: &str) -> usize {
+    let b: Vec<char> = b.chars().collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, x) in a.chars().enumerate() {
+        let mut before = row[0];
+        row[0] = i + 1;
+        for (j, y) in b.iter().enumerate() {
+            let change = before + usize::from(x != *y);
+            before = row[j + 1];
+            row[j + 1] = change.min(row[j] + 1).min(before + 1);
+        }
+    }
+    row[b.len()]
+}
--- /dev/null
+++ b/crates/config/src/lexer.rs
@@ -0,0 +1,245 @@
+//! Files to lines, lines to words with their places, words to directives with typed values.
+
+use crate::build::{build, Config};
+use crate::grammar::{directive, nearest, Directive, Often, DIRECTIVES};
+use crate::value::Value;
+use crate::{Fault, Faults, Position};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+/// Deepest nesting of `include`.
+const DEPTH: usize = 8;
+/// Largest file read, in bytes.
+const FILE_MOST: u64 = 16 << 20;
+/// Faults told at most.
+const FAULTS_MOST: usize = 1000;
+
+/// A directive with its values by key, each with its place.
+pub struct Line {
+    pub directive: &'static Directive,
+    pub at: Position,
+    pub values: BTreeMap<&'static str, (Value, Position)>,
+}
+
+struct Word {
+    text: String,
+    column: usize,
+}
+
+/// Reads a file and those it includes (relative to the file that includes them).
+pub fn load(path: &Path) -> Result<Config, Faults> {
+    let mut reader = Reader::default();
+    let start = Position { file: path.display().to_string(), line: 1, column: 1 };
+    reader.file(path, &start);
+    reader.finish(&start)
+}
+
+/// Reads a configuration from a text; `include` is looked up beside `name`.
+pub fn parse(name: &str, text: &str) -> Result<Config, Faults> {
+    let mut reader = Reader::default();
+    reader.text(Path::new(name), text);
+    reader.finish(&Position { file: name.into(), line: 1, column: 1 })
+}
+
+#[derive(Default)]
+struct Reader {
+    lines: Vec<Line>,
+    faults: Vec<Fault>,
+    open: Vec<PathBuf>,
+}
+
+impl Reader {
+    fn fault(&mut self, at: &Position, what: impl Into<String>, expected: impl Into<String>) {
+        if self.faults.len() < FAULTS_MOST {
+            self.faults.push(Fault { at: at.clone(), what: what.into(), expected: expected.into() });
+        }
+    }
+
+    fn finish(mut self, start: &Position) -> Result<Config, Faults> {
+        self.repeats();
+        let config = build(&self.lines, &mut self.faults, start);
+        match config {
+            Some(config) if self.faults.is_empty() => Ok(config),
+            _ => {
+                // One fault a place is enough to mend it.
+                let mut seen = std::collections::BTreeSet::new();
+                self.faults.retain(|f| seen.insert((f.at.clone(), f.what.clone())));
+                self.faults.sort_by(|a, b| a.at.cmp(&b.at));
+                Err(Faults(self.faults))
+            }
+        }
+    }
+
+    fn file(&mut self, path: &Path, from: &Position) {
+        let canonical = path.canonicalize().unwrap_or_else(|_| path.to_path_buf());
+        if self.open.len() >= DEPTH || self.open.contains(&canonical) {
+            let what = format!("{} includes itself or is nested too deep", path.display());
+            return self.fault(from, what, format!("at most {DEPTH} levels and no circle"));
+        }
+        let small = std::fs::metadata(path).is_ok_and(|m| m.len() <= FILE_MOST && m.is_file());
+        let text = if small { std::fs::read(path) } else { Err(std::io::ErrorKind::InvalidInput.into()) };
+        match text.map(String::from_utf8) {
+            Ok(Ok(text)) => {
+                self.open.push(canonical);
+                self.text(path, &text);
+                self.open.pop();
+            }
+            Ok(Err(_)) => self.fault(from, format!("{} is not UTF-8", path.display()), "a text file"),
+            Err(e) => {
+                let what = format!("can't read {}: {e}", path.display());
+                self.fault(from, what, format!("a readable file of at most {FILE_MOST} bytes"));
+            }
+        }
+    }
+
+    fn text(&mut self, path: &Path, text: &str) {
+        let file = path.display().to_string();
+        for (number, line) in text.lines().enumerate() {
+            let at = |column| Position { file: file.clone(), line: number + 1, column };
+            match words(line) {
+                Err(column) => {
+                    self.fault(&at(column), "quote is not closed", "a closing \" on the same line")
+                }
+                Ok(words) if words.is_empty() => {}
+                Ok(words) => self.line(path, &words, &at),
+            }
+        }
+    }
+
+    fn line(&mut self, path: &Path, words: &[Word], at: &dyn Fn(usize) -> Position) {
+        let first = &words[0];
+        if first.text == "include" {
+            return match words {
+                [_, file] => {
+                    let target = path.parent().unwrap_or(Path::new("")).join(&file.text);
+                    self.file(&target, &at(file.column));
+                }
+                _ => self.fault(&at(first.column), "include takes one file", "include FILE"),
+            };
+        }
+        let Some(directive) = directive(&first.text) else {
+            let near = nearest(&first.text, DIRECTIVES.iter().map(|d| d.name));
+            let expected = near.map_or("a directive".into(), |n| format!("a directive, perhaps {n}"));
+            return self.fault(&at(first.column), format!("unknown directive {}", first.text), expected);
+        };
+        let mut values = BTreeMap::new();
+        let mut rest = words[1..].iter();
+        for place in directive.places {
+            match rest.next() {
+                Some(word) => self.value(&mut values, place.key, place.kind, word, at),
+                None => {
+                    let expected = place.kind.parse("").err().unwrap_or_default();
+                    let what = format!("{} lacks its {}", directive.name, place.key);
+                    self.fault(&at(first.column), what, expected);
+                }
+            }
+        }
+        while let Some(word) = rest.next() {
+            let Some(key) = directive.keys.iter().find(|k| k.key == word.text) else {
+                let keys: Vec<&str> = directive.keys.iter().map(|k| k.key).collect();
+                let near = nearest(&word.text, keys.iter().copied());
+                let expected = match (near, keys.is_empty()) {
+                    (Some(near), _) => near.to_string(),
+                    (None, true) => "the end of the line".into(),
+                    (None, false) => format!("one of {}", keys.join(", ")),
+                };
+                let what = format!("{} does not take {}", directive.name, word.text);
+                self.fault(&at(word.column), what, expected);
+                // Its value, were there one, would only bring a second fault.
+                if !keys.is_empty() && rest.clone().next().is_some_and(|w| !keys.contains(&w.text.as_str())) {
+                    rest.next();
+                }
+                continue;
+            };
+            if values.contains_key(key.key) {
+                self.fault(&at(word.column), format!("{} stands twice", key.key), "each key once");
+            }
+            match rest.next() {
+                Some(value) => self.value(&mut values, key.key, key.kind, value, at),
+                None => {
+                    let expected = key.kind.parse("").err().unwrap_or_default();
+                    self.fault(&at(word.column), format!("{} lacks its value", key.key), expected);
+                }
+            }
+        }
+        for key in directive.keys.iter().filter(|k| k.required) {
+            let named = words.iter().any(|w| w.text == key.key);
+            if !named {
+                let expected = key.kind.parse("").err().unwrap_or_default();
+                let what = format!("{} lacks {}", directive.name, key.key);
+                self.fault(&at(first.column), what, format!("{} with {expected}", key.key));
+            }
+        }
+        self.lines.push(Line { directive, at: at(first.column), values });
+    }
+
+    fn value(
+        &mut self,
+        values: &mut BTreeMap<&'static str, (Value, Position)>,
+        key: &'static str,
+        kind: crate::value::Kind,
+        word: &Word,
+        at: &dyn Fn(usize) -> Position,
+    ) {
+        match kind.parse(&word.text) {
+            Ok(value) => drop(values.insert(key, (value, at(word.column)))),
+            Err(expected) => self.fault(&at(word.column), format!("{} is {:?}", key, word.text), expected),
+        }
+    }
+
+    /// Directives that stand more often than they may.
+    fn repeats(&mut self) {
+        let mut first: BTreeMap<(&str, String), Position> = BTreeMap::new();
+        let mut faults = Vec::new();
+        for line in &self.lines {
+            let name = match line.directive.often {
+                Often::Once => String::new(),
+                Often::OncePerName => {
+                    match line.directive.places.first().and_then(|p| line.values.get(p.key)) {
+                        Some((value, _)) => format!(" {value:?}"),
+                        None => continue,
+                    }
+                }
+            };
+            if let Some(earlier) = first.get(&(line.directive.name, name.clone())) {
+                let what = format!("{} stands a second time", line.directive.name);
+                faults.push((line.at.clone(), what, format!("it once; first at {earlier}")));
+            } else {
+                first.insert((line.directive.name, name), line.at.clone());
+            }
+        }
+        faults.into_iter().for_each(|(at, what, expected)| self.fault(&at, what, expected));
+    }
+}
+
+/// Words of a line, up to a comment; an open quote gives its column.
+fn words(line: &str) -> Result<Vec<Word>, usize> {
+    let mut words = Vec::new();
+    let mut chars = line.chars().enumerate().peekable();
+    while let Some(&(at, c)) = chars.peek() {
+        if c.is_whitespace() {
+            chars.next();
+        } else if c == '#' {
+            break;
+        } else if c == '"' {
+            chars.next();
+            let mut text = String::new();
+            loop {
+                match chars.next() {
+                    None => return Err(at + 1),
+                    Some((_, '"')) => break,
+                    Some((_, '\\')) => text.extend(chars.next().map(|(_, c)| c)),
+                    Some((_, c)) => text.push(c),
+                }
+            }
+            words.push(Word { text, column: at + 1 });
+        } else {
+            let mut text = String::new();
+            while let Some((_, c)) = chars.next_if(|(_, c)| !c.is_whitespace()) {
+                text.push(c);
+            }
+            words.push(Word { text, column: at + 1 });
+        }
+    }
+    Ok(words)
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,64 @@
+//! The configuration of stagehoist, in the manner of classic daemons: one directive a line, `#` begins a comment,
+//! quotes keep spaces together, every quantity carries its unit, `include FILE` reads another file in place.
+//!
+//! [`load`] reads a file and those it includes and tells all faults at once, each with file, line, column and what was
+//! expected. [`Config::render`] writes a configuration back; reading that gives the same configuration.
+//!
+//! ```
+//! let text = "class lookup aim 800ms give-up 2.5s\nfunction free-times class lookup memory 64MB lanes 2\n\
+//!     broker amqp://127.0.0.1:5672/\nconsume calls prefetch 100\nworker-list file workers.list\n";
+//! let config = stagehoist_config::parse("example.conf", text).unwrap();
+//! assert_eq!(config.classes[0].give_up, 2_500_000);
+//! ```
+#![forbid(unsafe_code)]
+
+mod build;
+mod grammar;
+mod lexer;
+mod render;
+mod value;
+
+pub use build::{Broker, Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
+pub use lexer::{load, parse};
+pub use value::{parse_duration, parse_size, Value};
+
+use std::fmt;
+
+/// A place in a file; lines and columns count from 1, columns in characters.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    pub file: String,
+    pub line: usize,
+    pub column: usize,
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}:{}", self.file, self.line, self.column)
+    }
+}
+
+/// One thing that is wrong with a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{at}: {what}; expected {expected}")]
+pub struct Fault {
+    pub at: Position,
+    pub what: String,
+    pub expected: String,
+}
+
+/// All that is wrong with a configuration, by file, line and column.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct Faults(pub Vec<Fault>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, fault) in self.0.iter().enumerate() {
+            if i > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{fault}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/config/src/render.rs
@@ -0,0 +1,158 @@
+//! A configuration written back, one directive a line; reading it gives the same configuration.
+
+use crate::build::{Config, ListSource};
+use crate::value::{show_duration as d, show_size};
+use stagehoist::{Effect, Group, OnMiss, ReportVia};
+use std::fmt::Write;
+
+fn word(text: &str) -> String {
+    if !text.is_empty() && !text.contains(|c: char| c.is_whitespace() || matches!(c, '"' | '#' | '\\')) {
+        return text.to_string();
+    }
+    format!("\"{}\"", text.replace('\\', "\\\\").replace('"', "\\\""))
+}
+
+fn yes(flag: bool) -> &'static str {
+    if flag {
+        "yes"
+    } else {
+        "no"
+    }
+}
+
+impl Config {
+    /// The configuration as text, every directive written out.
+    pub fn render(&self) -> String {
+        let mut out = String::new();
+        let mut line = |text: String| {
+            // Writing to a string can't fail.
+            let _ = writeln!(out, "{text}");
+        };
+        line(format!("front-ends {}", self.front_ends));
+        line(format!("fleet-front-ends {}", self.fleet_front_ends));
+        line(format!("seed {}", self.seed));
+        line(format!("batch-interval {}", d(self.batch_interval)));
+        line(format!("held-most {}", self.held_most));
+        line(format!("body-most {}", show_size(self.body_most)));
+        line(format!("answer-margin {}", d(self.answer_margin)));
+        line(format!("drain-most {}", d(self.drain_most)));
+        for listen in &self.listen {
+            line(format!("listen metrics {}", listen.address));
+        }
+        for c in &self.classes {
+            let effect = match c.effect {
+                Effect::Safe => "safe".to_string(),
+                Effect::Unsafe => "unsafe".to_string(),
+                Effect::Keyed { group, window } => {
+                    let group = match group {
+                        Group::All => "all",
+                        Group::Zone => "zone",
+                        Group::Cell => "cell",
+                    };
+                    format!("keyed group {group} window {}", d(window))
+                }
+            };
+            line(format!(
+                "class {} aim {} give-up {} effect {effect} worth {} late-worth {} aim-stretch {}",
+                word(&c.name),
+                d(c.aim),
+                d(c.give_up),
+                c.worth,
+                c.late_worth,
+                c.aim_stretch
+            ));
+        }
+        for f in &self.functions {
+            line(format!(
+                "function {} class {} memory {} lanes {} load {} work {}",
+                word(&f.pattern),
+                word(&f.class),
+                show_size(f.memory),
+                f.lanes,
+                d(f.load),
+                d(f.work)
+            ));
+        }
+        for t in &self.tenants {
+            line(format!("tenant {} quota {}/s", word(&t.name), t.quota));
+        }
+        line(format!("over-share-worth {}", self.over_share_worth));
+        line(format!("worth-by {}", if self.worth_by_work { "work" } else { "call" }));
+        for b in &self.brokers {
+            line(format!("broker {}", word(&b.url)));
+        }
+        for c in &self.consume {
+            let declare = match c.declare {
+                None => "no",
+                Some(true) => "durable",
+                Some(false) => "transient",
+            };
+            line(format!("consume {} prefetch {} declare {declare}", word(&c.queue), c.prefetch));
+        }
+        line(format!("heartbeat {}", d(self.heartbeat)));
+        line(format!("reconnect first {} most {}", d(self.reconnect.0), d(self.reconnect.1)));
+        line(format!("confirm-timeout {}", d(self.confirm_timeout)));
+        line(format!("doubtful-reply {}", if self.resend_doubtful { "resend" } else { "withhold" }));
+        line(format!("answer-memory count {} keep {}", self.answer_memory.0, d(self.answer_memory.1)));
+        match &self.list {
+            ListSource::Consul { address, service, wait } => {
+                line(format!(
+                    "worker-list consul {} service {} wait {}",
+                    word(address),
+                    word(service),
+                    d(*wait)
+                ));
+            }
+            ListSource::File { path, poll } => {
+                line(format!("worker-list file {} poll {}", word(path), d(*poll)))
+            }
+        }
+        line(format!("list-subscribe {}", yes(self.list_subscribe)));
+        line(format!("list-ask-within {}", d(self.list_ask_within)));
+        for k in &self.kinds {
+            line(format!("worker-kind {} memory {}", word(&k.name), show_size(k.memory)));
+        }
+        if !self.zones.is_empty() {
+            line(format!("zone-names {}", word(&self.zones.join(","))));
+        }
+        if let Some(zone) = &self.zone {
+            line(format!("zone {}", word(zone)));
+        }
+        line(format!("drain-grace {}", d(self.drain_grace)));
+        line(format!(
+            "cold-start window {} multiple {} share {} warm-up {}",
+            d(self.cold_window),
+            self.cold_multiple,
+            self.cold_share,
+            d(self.warm_up)
+        ));
+        line(format!("attempts {}", self.attempts));
+        line(format!("second-copies {}", yes(self.second_copies)));
+        line(format!("cancel {}", yes(self.cancel)));
+        line(format!("probe {}", yes(self.probe)));
+        line(format!("order-loads {}", yes(self.order_loads)));
+        line(format!("answers-tell-copy {}", yes(self.answers_tell_copy)));
+        line(format!("answers-tell-crowd {}", yes(self.answers_tell_crowd)));
+        line(format!("connect-timeout {}", d(self.connect_timeout)));
+        line(format!("idle-connections close {} most {}", d(self.idle_close), self.idle_most));
+        line(format!("retry-after-most {}", d(self.retry_after_most)));
+        line(format!("idle-keep {}", d(self.idle_keep)));
+        line(format!("on-miss {}", if self.on_miss == OnMiss::Miss { "miss" } else { "load" }));
+        line(format!("load-timeout {}", d(self.load_timeout)));
+        if let Some((window, free, share)) = self.load_ration {
+            line(format!("load-ration window {} free {free} share {share}", d(window)));
+        }
+        line(format!(
+            "price memory {} probe {} cross-zone {} fetch {}",
+            self.price_memory, self.price_probe, self.price_cross_zone, self.price_fetch
+        ));
+        match self.report_via {
+            ReportVia::Never => line("reports never".into()),
+            ReportVia::Answers => {
+                line(format!("reports answers fields {}", word(&self.report_fields.join(","))))
+            }
+            ReportVia::Probe => line(format!("reports probe fields {}", word(&self.report_fields.join(",")))),
+        }
+        out
+    }
+}
