Decisions on membership and recovery, pure: announced drains, redelivery, replies in doubt

Need: lists of workers lag behind what workers say themselves, and brokers deliver again what was at work when a connection dropped. crates/membership puts lists and announcements together to the module's rows and keeps the index of blocking queries; crates/recovery decides what a redelivered message gets (run, join, answer from memory, settle, fail) and when to connect anew. Measured: 13 tests, three of them over drawn sequences (256 draws each): one run for each remembered message; no row is ready that the list drains; a thousand clients cut off together come back spread.

--- /dev/null
+++ b/crates/membership/tests/membership.rs
@@ -0,0 +1,113 @@
+//! Lists that are late, flap and go backwards, and workers that know better.
+
+use proptest::prelude::*;
+use stagehoist::{Lifecycle, RosterForm};
+use stagehoist_membership::blocking::{Answer, Blocking};
+use stagehoist_membership::{Entry, Members, Update};
+
+const S: i64 = 1_000_000;
+
+fn members() -> Members {
+    Members::new(vec!["large".into()], vec!["hall-a".into(), "hall-b".into()], 30 * S)
+}
+
+fn entry(name: &str, started: i64) -> Entry {
+    Entry { started, kind: "large".into(), zone: "hall-b".into(), ..Entry::new(name, "127.0.0.1:1") }
+}
+
+fn state(update: &Update, id: u32) -> Lifecycle {
+    update.rows.iter().find(|r| r.worker == id).map_or(Lifecycle::Gone, |r| r.lifecycle)
+}
+
+#[test]
+fn numbers_come_from_names_and_places_from_settings() {
+    let (mut one, mut other) = (members(), members());
+    let a = one.listed(vec![entry("w2", 5), entry("w1", 5)], 0);
+    other.listed(vec![entry("w9", 5)], 0);
+    let b = other.listed(vec![entry("w1", 5), entry("w2", 5), entry("w1", 9)], 0);
+    assert_eq!(a.rows, b.rows);
+    assert_eq!((a.rows[0].kind, a.rows[0].zone), (0, 1));
+    let odd = one.listed(vec![Entry { kind: "new".into(), ..Entry::new("w3", "x:1") }], 0);
+    assert_eq!((odd.rows[0].kind, odd.rows[0].zone), (u16::MAX, u8::MAX));
+}
+
+#[test]
+fn a_worker_that_says_it_drains_stays_out_while_the_list_lags() {
+    let mut m = members();
+    let id = m.listed(vec![entry("w", 5)], 0).rows[0].worker;
+    let told = m.announced(id, true, S).unwrap();
+    assert_eq!((told.form, state(&told, id)), (RosterForm::Delta, Lifecycle::Draining));
+    assert!(m.announced(id, true, S).is_none());
+    assert_eq!(state(&m.listed(vec![entry("w", 5)], 2 * S), id), Lifecycle::Draining);
+    // The list catches up, then shows it ready again: it was undrained.
+    let draining = Entry { draining: true, ..entry("w", 5) };
+    assert_eq!(state(&m.listed(vec![draining], 3 * S), id), Lifecycle::Draining);
+    assert_eq!(state(&m.listed(vec![entry("w", 5)], 4 * S), id), Lifecycle::Ready);
+    // A restart makes the old word void; so do the worker's own new word and a long time.
+    m.announced(id, true, 5 * S);
+    assert_eq!(state(&m.listed(vec![entry("w", 6 * S)], 6 * S), id), Lifecycle::Ready);
+    m.announced(id, true, 7 * S);
+    assert_eq!(state(&m.announced(id, false, 8 * S).unwrap(), id), Lifecycle::Ready);
+    m.announced(id, true, 9 * S);
+    assert_eq!(state(&m.listed(vec![entry("w", 6 * S)], 50 * S), id), Lifecycle::Ready);
+}
+
+#[test]
+fn the_missing_are_gone_and_keep_number_and_address() {
+    let mut m = members();
+    let id = m.listed(vec![entry("w", 5)], 0).rows[0].worker;
+    assert_eq!(state(&m.listed(vec![], S), id), Lifecycle::Gone);
+    assert_eq!(m.address(id), Some("127.0.0.1:1"));
+    assert!(m.announced(id, true, S).is_none());
+    assert_eq!(state(&m.listed(vec![entry("w", 9)], 2 * S), id), Lifecycle::Ready);
+}
+
+#[test]
+fn an_index_that_goes_backwards_starts_anew_and_failures_wait_longer() {
+    let mut b = Blocking::new(S, 8 * S);
+    assert_eq!((b.index(), b.answered(Some(40))), (0, Answer::Changed));
+    assert_eq!((b.index(), b.answered(Some(40))), (40, Answer::Same));
+    assert_eq!((b.answered(Some(7)), b.index()), (Answer::Changed, 0));
+    assert_eq!((b.answered(Some(7)), b.index()), (Answer::Changed, 7));
+    assert_eq!((b.answered(None), b.index()), (Answer::Changed, 0));
+    let waits: Vec<i64> = (0..6).map(|_| b.failed(1.0)).collect();
+    assert_eq!(waits, [S, 2 * S, 4 * S, 8 * S, 8 * S, 8 * S]);
+    b.answered(Some(8));
+    assert_eq!(b.failed(0.0), S / 2);
+}
+
+proptest! {
+    /// Whatever lists and announcements come in whatever order, a row is never ready against the last word of the list.
+    #[test]
+    fn the_module_is_never_told_ready_of_a_worker_that_the_list_drains(
+        steps in prop::collection::vec((0u8..4, 0usize..3, any::<bool>()), 1..60)
+    ) {
+        let mut m = members();
+        let names = ["a", "b", "c"];
+        let mut last = [Lifecycle::Gone; 3];
+        for (time, (what, which, flag)) in steps.into_iter().enumerate() {
+            let now = time as i64 * S;
+            let update = if what < 2 {
+                last[which] = match (what, flag) {
+                    (0, _) => Lifecycle::Gone,
+                    (_, true) => Lifecycle::Draining,
+                    (_, false) => Lifecycle::Ready,
+                };
+                let list = (0..3).filter(|i| last[*i] != Lifecycle::Gone).map(|i| {
+                    Entry { draining: last[i] == Lifecycle::Draining, ..entry(names[i], 1) }
+                });
+                Some(m.listed(list.collect(), now))
+            } else {
+                let id = m.listed(vec![entry("z", 1)], now).rows[0].worker;
+                last = [Lifecycle::Gone; 3];
+                m.announced(id, flag, now)
+            };
+            for row in update.iter().flat_map(|u| &u.rows) {
+                let place = names.iter().position(|n| m.name(row.worker) == Some(*n));
+                if let Some(i) = place {
+                    prop_assert!(row.lifecycle != Lifecycle::Ready || last[i] == Lifecycle::Ready);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/recovery/src/backoff.rs
@@ -0,0 +1,39 @@
+//! Pauses between attempts to connect: doubling from the first to the longest, each drawn from its upper half, so that
+//! clients that lost one broker together come back spread out.
+
+use rand_chacha::ChaCha8Rng;
+use rand_core::{Rng, SeedableRng};
+use stagehoist::Micros;
+
+/// A sequence of pauses.
+#[derive(Clone, Debug)]
+pub struct Backoff {
+    first: Micros,
+    most: Micros,
+    failures: u32,
+    random: ChaCha8Rng,
+}
+
+impl Backoff {
+    /// From `first` to `most`, both in microseconds.
+    pub fn new(first: Micros, most: Micros, seed: u64) -> Backoff {
+        Backoff { first, most, failures: 0, random: ChaCha8Rng::seed_from_u64(seed) }
+    }
+
+    /// A number drawn evenly from 0 to 1.
+    pub fn part(&mut self) -> f64 {
+        (self.random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// The pause before the next attempt.
+    pub fn pause(&mut self) -> Micros {
+        let grown = self.first.saturating_mul(1 << self.failures.min(30)).clamp(1, self.most.max(1));
+        self.failures = self.failures.saturating_add(1);
+        grown / 2 + (grown as f64 / 2.0 * self.part()) as Micros
+    }
+
+    /// A connection stood: the next failure is a first one again.
+    pub fn reset(&mut self) {
+        self.failures = 0;
+    }
+}
--- /dev/null
+++ b/crates/recovery/src/memory.rs
@@ -0,0 +1,168 @@
+//! The memory of messages: which are at work, which are answered, and what is known of their replies. It answers a message
+//! that is delivered again without running it again.
+
+use stagehoist::{Effect, Micros};
+use std::collections::{HashMap, VecDeque};
+
+/// What identifies a message over deliveries: its reply queue, correlation id and message id.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key {
+    pub reply_to: String,
+    pub correlation: String,
+    pub message: String,
+}
+
+impl Key {
+    /// None where nothing tells one message of a caller from its next.
+    pub fn new(reply_to: &str, correlation: &str, message: &str) -> Option<Key> {
+        (!correlation.is_empty() || !message.is_empty()).then(|| Key {
+            reply_to: reply_to.into(),
+            correlation: correlation.into(),
+            message: message.into(),
+        })
+    }
+}
+
+/// What is known of a reply that was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sent {
+    /// Its last byte never left: no caller can have it.
+    Never,
+    /// It left whole and nothing came back: the caller may have it.
+    Doubtful,
+    /// The broker answers for it.
+    Confirmed,
+}
+
+/// What to do with a delivery.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict<A> {
+    /// Take it as a call.
+    Run,
+    /// It is at work under this number; its answer goes to this delivery.
+    Join(u64),
+    /// Its answer is known and did not arrive: send it, run nothing.
+    Resend(A),
+    /// Its answer arrived, or may have: acknowledge it, send nothing, run nothing.
+    Settle { doubtful: bool },
+    /// It was delivered before and nothing is known of it: answer `failed`, run nothing.
+    Fail,
+}
+
+#[derive(Clone, Debug)]
+enum Known<A> {
+    Running(u64),
+    Answered(A, Sent),
+}
+
+#[derive(Clone, Debug)]
+struct Entry<A> {
+    known: Known<A>,
+    born: Micros,
+}
+
+/// The messages of late, bounded in number and age.
+#[derive(Clone, Debug)]
+pub struct Memory<A> {
+    most: usize,
+    keep: Micros,
+    resend_doubtful: bool,
+    entries: HashMap<Key, Entry<A>>,
+    /// Birth order; an entry that was replaced leaves a stale line, told by its time.
+    order: VecDeque<(Micros, Key)>,
+}
+
+impl<A: Clone> Memory<A> {
+    /// At most `most` messages, each for `keep`. Where `resend_doubtful`, a reply in doubt is sent again on redelivery,
+    /// which may give a caller two answers; else it is withheld, which may give it none.
+    pub fn new(most: usize, keep: Micros, resend_doubtful: bool) -> Memory<A> {
+        Memory { most, keep, resend_doubtful, entries: HashMap::new(), order: VecDeque::new() }
+    }
+
+    /// Messages held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether none is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// A delivery came. `ticket` is the number it will run under if the verdict is [`Verdict::Run`].
+    ///
+    /// A delivery that is not marked as redelivered is a message of its own, even where a caller uses an id twice. One
+    /// that is and of which nothing is known was with another front end, or with this one before a restart: it may have
+    /// run there, so that only what is safe to repeat runs.
+    pub fn delivered(
+        &mut self,
+        key: Option<&Key>,
+        redelivered: bool,
+        effect: Effect,
+        ticket: u64,
+        now: Micros,
+    ) -> Verdict<A> {
+        self.expire(now);
+        let entry = key.filter(|_| redelivered).and_then(|key| self.entries.get_mut(key));
+        let verdict = match entry {
+            Some(Entry { known: Known::Running(at_work), .. }) => return Verdict::Join(*at_work),
+            Some(Entry { known: Known::Answered(answer, sent), .. }) => {
+                let again = match sent {
+                    Sent::Never => true,
+                    Sent::Doubtful => self.resend_doubtful,
+                    Sent::Confirmed => false,
+                };
+                if !again {
+                    return Verdict::Settle { doubtful: *sent == Sent::Doubtful };
+                }
+                // Sent anew, it is out of our hands until told otherwise.
+                *sent = Sent::Doubtful;
+                return Verdict::Resend(answer.clone());
+            }
+            None if redelivered && effect != Effect::Safe => Verdict::Fail,
+            None => Verdict::Run,
+        };
+        if let (Some(key), Verdict::Run) = (key, &verdict) {
+            self.insert(key, Known::Running(ticket), now);
+        }
+        verdict
+    }
+
+    fn insert(&mut self, key: &Key, known: Known<A>, now: Micros) {
+        while self.entries.len() >= self.most.max(1) {
+            let Some((born, old)) = self.order.pop_front() else { break };
+            if self.entries.get(&old).is_some_and(|e| e.born == born) {
+                self.entries.remove(&old);
+            }
+        }
+        self.order.push_back((now, key.clone()));
+        self.entries.insert(key.clone(), Entry { known, born: now });
+    }
+
+    fn expire(&mut self, now: Micros) {
+        while self.order.front().is_some_and(|(born, _)| now - born > self.keep) {
+            let Some((born, key)) = self.order.pop_front() else { break };
+            if self.entries.get(&key).is_some_and(|e| e.born == born) {
+                self.entries.remove(&key);
+            }
+        }
+    }
+
+    /// A message's call has its answer; what becomes of the reply is told by [`Memory::sent`].
+    pub fn answered(&mut self, key: &Key, ticket: u64, answer: A, sent: Sent) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            if matches!(entry.known, Known::Running(t) if t == ticket) {
+                entry.known = Known::Answered(answer, sent);
+            }
+        }
+    }
+
+    /// More is known of a message's reply. Nothing undoes a confirm.
+    pub fn sent(&mut self, key: &Key, now_known: Sent) {
+        if let Some(Entry { known: Known::Answered(_, sent), .. }) = self.entries.get_mut(key) {
+            if *sent != Sent::Confirmed {
+                *sent = now_known;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/recovery/tests/recovery.rs
@@ -0,0 +1,121 @@
+//! Messages delivered again in every state of their first delivery, and pauses that grow and spread.
+
+use proptest::prelude::*;
+use stagehoist::{Effect, Group};
+use stagehoist_recovery::{Backoff, Key, Memory, Sent, Verdict};
+
+const S: i64 = 1_000_000;
+const KEYED: Effect = Effect::Keyed { group: Group::All, window: 5 * S };
+
+fn key(n: u32) -> Key {
+    Key::new("replies", &format!("c{n}"), "").unwrap()
+}
+
+fn memory(resend: bool) -> Memory<&'static str> {
+    Memory::new(100, 60 * S, resend)
+}
+
+#[test]
+fn a_known_message_is_joined_answered_or_settled_but_never_run_again() {
+    let mut m = memory(false);
+    for effect in [Effect::Safe, Effect::Unsafe, KEYED] {
+        let k = key(1);
+        assert_eq!(m.delivered(Some(&k), false, effect, 7, 0), Verdict::Run);
+        assert_eq!(m.delivered(Some(&k), true, effect, 8, 1), Verdict::Join(7));
+        m.answered(&k, 7, "yes", Sent::Never);
+        assert_eq!(m.delivered(Some(&k), true, effect, 9, 2), Verdict::Resend("yes"));
+        // Sent anew it may have arrived.
+        assert_eq!(m.delivered(Some(&k), true, effect, 9, 3), Verdict::Settle { doubtful: true });
+        m.sent(&k, Sent::Never);
+        assert_eq!(m.delivered(Some(&k), true, effect, 9, 4), Verdict::Resend("yes"));
+        m.sent(&k, Sent::Confirmed);
+        m.sent(&k, Sent::Never);
+        assert_eq!(m.delivered(Some(&k), true, effect, 9, 5), Verdict::Settle { doubtful: false });
+    }
+}
+
+#[test]
+fn an_unknown_message_that_was_delivered_before_runs_only_if_safe() {
+    let mut m = memory(false);
+    assert_eq!(m.delivered(Some(&key(1)), true, Effect::Unsafe, 1, 0), Verdict::Fail);
+    assert_eq!(m.delivered(Some(&key(2)), true, KEYED, 2, 0), Verdict::Fail);
+    assert_eq!(m.delivered(Some(&key(3)), true, Effect::Safe, 3, 0), Verdict::Run);
+    assert_eq!(m.delivered(None, true, Effect::Unsafe, 4, 0), Verdict::Fail);
+    assert_eq!(m.delivered(None, false, Effect::Unsafe, 5, 0), Verdict::Run);
+    assert!(Key::new("replies", "", "").is_none());
+}
+
+#[test]
+fn doubt_is_resent_only_where_told_so() {
+    let mut m = memory(true);
+    m.delivered(Some(&key(1)), false, Effect::Unsafe, 1, 0);
+    m.answered(&key(1), 1, "yes", Sent::Doubtful);
+    assert_eq!(m.delivered(Some(&key(1)), true, Effect::Unsafe, 2, 0), Verdict::Resend("yes"));
+}
+
+#[test]
+fn an_id_used_twice_is_two_messages_and_an_old_answer_does_not_touch_the_new() {
+    let mut m = memory(false);
+    assert_eq!(m.delivered(Some(&key(1)), false, Effect::Safe, 1, 0), Verdict::Run);
+    assert_eq!(m.delivered(Some(&key(1)), false, Effect::Safe, 2, 5), Verdict::Run);
+    m.answered(&key(1), 1, "old", Sent::Confirmed);
+    assert_eq!(m.delivered(Some(&key(1)), true, Effect::Safe, 3, 6), Verdict::Join(2));
+}
+
+#[test]
+fn it_forgets_by_age_and_number() {
+    let mut m = memory(false);
+    for n in 0..1000 {
+        m.delivered(Some(&key(n)), false, Effect::Unsafe, u64::from(n), i64::from(n));
+        assert!(m.len() <= 100);
+    }
+    assert_eq!(m.delivered(Some(&key(5)), true, Effect::Unsafe, 1, 1000), Verdict::Fail);
+    assert_eq!(m.delivered(Some(&key(999)), true, Effect::Unsafe, 1, 1000), Verdict::Join(999));
+    assert_eq!(m.delivered(Some(&key(999)), true, Effect::Unsafe, 1, 70 * S), Verdict::Fail);
+    assert!(m.is_empty());
+}
+
+#[test]
+fn pauses_double_to_the_longest_and_come_back_after_a_stand() {
+    let mut b = Backoff::new(100, 1000, 3);
+    for most in [100, 200, 400, 800, 1000, 1000] {
+        let pause = b.pause();
+        assert!((most / 2..=most).contains(&pause), "{pause} of {most}");
+    }
+    b.reset();
+    assert!(b.pause() <= 100);
+}
+
+proptest! {
+    /// A thousand clients of one seed each, cut off at once: no tenth of their span gets over a quarter of them.
+    #[test]
+    fn clients_cut_off_together_come_back_apart(seed in any::<u64>()) {
+        let pauses: Vec<i64> =
+            (0..1000).map(|i| Backoff::new(S, 8 * S, seed ^ (i * 7919)).pause()).collect();
+        for tenth in 0..10 {
+            let from = S / 2 + tenth * S / 20;
+            let inside = pauses.iter().filter(|p| (from..from + S / 20).contains(*p)).count();
+            prop_assert!(inside < 250);
+        }
+    }
+
+    /// Of any sequence of deliveries of one message, at most one runs while it is remembered.
+    #[test]
+    fn one_run_for_each_message(steps in prop::collection::vec(0u8..5, 1..40)) {
+        let mut m = memory(true);
+        let k = key(1);
+        let mut runs = u32::from(m.delivered(Some(&k), false, Effect::Unsafe, 0, 0) == Verdict::Run);
+        for (at, step) in steps.into_iter().enumerate() {
+            match step {
+                0 | 1 => {
+                    let verdict = m.delivered(Some(&k), true, Effect::Unsafe, 9, at as i64);
+                    runs += u32::from(verdict == Verdict::Run);
+                }
+                2 => m.answered(&k, 0, "a", Sent::Doubtful),
+                3 => m.sent(&k, Sent::Never),
+                _ => m.sent(&k, Sent::Confirmed),
+            }
+        }
+        prop_assert_eq!(runs, 1);
+    }
+}
