--- /dev/null
+++ b/crates/gateway/src/amqp/front.rs
@@ -0,0 +1,531 @@
+//! One front end's side of its broker, without I/O: deliveries become calls, answers become replies, and a delivery is
+//! acknowledged only once its reply is confirmed or known to be impossible. What a lost connection leaves behind is kept:
+//! calls at work go on, and their messages are answered from memory when they are delivered again.
+
+use super::message::{reply, Reader, Unusable};
+use crate::state::{Answer, Arrival, Ticket};
+use stagehoist::{Effect, Micros};
+use stagehoist_amqp::{basic, channel, confirm, queue, short};
+use stagehoist_amqp::{AMQPClass, Client, ClientEvent, ClientOptions, FieldTable, Message};
+use stagehoist_config::{Broker, Config};
+use stagehoist_recovery::{Backoff, Key, Memory, Sent, Verdict};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+/// Times that a reply is published again after the broker said it can't take it (`basic.nack`).
+const NACKS_MOST: u32 = 3;
+
+/// What a front has done, for metrics and tests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FrontCounters {
+    pub delivered: u64,
+    pub redelivered: u64,
+    pub rejected: u64,
+    pub answered_unusable: u64,
+    pub replies: u64,
+    pub confirmed: u64,
+    pub unroutable: u64,
+    pub from_memory: u64,
+    pub joined: u64,
+    pub withheld: u64,
+    pub failed_unknown: u64,
+    pub connections_lost: u64,
+    pub channels_lost: u64,
+}
+
+struct Delivery {
+    /// Which connection and channel it came on; its tag means something there only.
+    generation: u64,
+    tag: u64,
+    reply_to: Rc<str>,
+    correlation: Rc<str>,
+    key: Option<Key>,
+    answer: Option<Answer>,
+    /// Number of its reply on the channel, and when it was published.
+    published: Option<(u64, Micros)>,
+    nacks: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// No connection.
+    Apart,
+    Opening,
+    /// The channel is to be opened (again) at this time.
+    Waiting(Micros),
+    Setup,
+    Ready,
+}
+
+/// The state of one front.
+pub struct Front {
+    config: Rc<Config>,
+    reader: Reader,
+    memory: Memory<Answer>,
+    backoff: Backoff,
+    client: Option<Client>,
+    phase: Phase,
+    channel: u16,
+    generation: u64,
+    consuming: usize,
+    /// Queues whose consumer the broker cancelled, and when to consume again.
+    again: BTreeMap<usize, Micros>,
+    deliveries: HashMap<Ticket, Delivery>,
+    replies: BTreeMap<u64, Ticket>,
+    next_ticket: Ticket,
+    arrivals: Vec<Arrival>,
+    draining: bool,
+    pub counters: FrontCounters,
+}
+
+impl Front {
+    /// A front without a connection. `seed` spreads its reconnects.
+    pub fn new(config: Rc<Config>, seed: u64) -> Front {
+        let (most, keep) = config.answer_memory;
+        Front {
+            reader: Reader::new(config.clone()),
+            memory: Memory::new(most as usize, keep, config.resend_doubtful),
+            backoff: Backoff::new(config.reconnect.0, config.reconnect.1, seed),
+            config,
+            client: None,
+            phase: Phase::Apart,
+            channel: 0,
+            generation: 0,
+            consuming: 0,
+            again: BTreeMap::new(),
+            deliveries: HashMap::new(),
+            replies: BTreeMap::new(),
+            next_ticket: 1,
+            arrivals: Vec::new(),
+            draining: false,
+            counters: FrontCounters::default(),
+        }
+    }
+
+    /// A socket to a broker stands.
+    pub fn connected(&mut self, broker: &Broker, now: Micros) {
+        let options = ClientOptions {
+            user: broker.user.clone(),
+            password: broker.password.clone(),
+            vhost: broker.vhost.clone(),
+            heartbeat: (self.config.heartbeat / 1_000_000).clamp(0, 65_535) as u16,
+            body_limit: self.config.body_most as usize,
+            ..ClientOptions::default()
+        };
+        self.client = Some(Client::new(options, now));
+        self.phase = Phase::Opening;
+    }
+
+    /// Whether messages are being consumed.
+    pub fn is_ready(&self) -> bool {
+        self.phase == Phase::Ready
+    }
+
+    /// The pause before the next attempt to connect.
+    pub fn pause(&mut self) -> Micros {
+        self.backoff.pause()
+    }
+
+    /// The connection, while there is one.
+    pub fn client(&mut self) -> Option<&mut Client> {
+        self.client.as_mut()
+    }
+
+    /// Whether the connection is over and its output only waits to be written.
+    pub fn is_over(&self) -> bool {
+        self.client.as_ref().is_none_or(Client::is_over)
+    }
+
+    /// Calls that came since last asked.
+    pub fn take_arrivals(&mut self) -> Vec<Arrival> {
+        std::mem::take(&mut self.arrivals)
+    }
+
+    /// Deliveries of the present connection that are not acknowledged.
+    pub fn unsettled(&self) -> usize {
+        self.deliveries.values().filter(|d| d.generation == self.generation).count()
+    }
+
+    /// Calls at work, of lost connections too.
+    pub fn at_work(&self) -> usize {
+        self.deliveries.values().filter(|d| d.answer.is_none()).count()
+    }
+
+    /// When [`Front::tick`] is due.
+    pub fn due(&self) -> Option<Micros> {
+        let client = self.client.as_ref().and_then(Client::due);
+        let waiting = match self.phase {
+            Phase::Waiting(at) => Some(at),
+            _ => None,
+        };
+        let again = self.again.values().min().copied();
+        // Replies are published in turn, so that the lowest number is the oldest.
+        let oldest = self.replies.values().next().and_then(|t| self.deliveries.get(t)?.published);
+        let confirm = oldest.map(|(_, at)| at + self.config.confirm_timeout);
+        [client, waiting, again, confirm].into_iter().flatten().min()
+    }
+
+    /// Time passes: heartbeats, channels opened again, confirms that don't come.
+    pub fn tick(&mut self, now: Micros) {
+        if let Some(client) = self.client.as_mut() {
+            client.tick(now);
+        }
+        if matches!(self.phase, Phase::Waiting(at) if at <= now) {
+            self.open_channel();
+        }
+        let due: Vec<usize> = self.again.iter().filter(|(_, at)| **at <= now).map(|(i, _)| *i).collect();
+        for index in due {
+            self.again.remove(&index);
+            self.consume(index);
+        }
+        let oldest = self.replies.values().next().and_then(|t| self.deliveries.get(t)?.published);
+        if oldest.is_some_and(|(_, at)| now - at >= self.config.confirm_timeout) {
+            tracing::warn!("the broker confirms no replies; connection given up");
+            self.replies.pop_first();
+            if let Some(client) = self.client.as_mut() {
+                client.close(200, "no confirms in time");
+            }
+        }
+        self.events(now, 0);
+    }
+
+    /// Bytes came. `blind` is how long this process may have been unable to read them, in microseconds.
+    pub fn receive(&mut self, bytes: &[u8], now: Micros, blind: Micros) {
+        if let Some(client) = self.client.as_mut() {
+            client.receive(bytes, now);
+        }
+        self.events(now, blind);
+    }
+
+    fn events(&mut self, now: Micros, blind: Micros) {
+        while let Some(event) = self.client.as_mut().and_then(Client::event) {
+            match event {
+                ClientEvent::Open => self.open_channel(),
+                ClientEvent::Method(_, method) => self.take_method(method, now),
+                ClientEvent::Delivered(_, message) => self.take_delivery(*message, now, blind),
+                ClientEvent::Returned(_, message) => {
+                    self.counters.unroutable += 1;
+                    let correlation =
+                        message.properties.correlation_id().as_ref().map(|c| c.as_str().to_string());
+                    tracing::warn!(correlation, "reply queue is gone; the answer can't be delivered");
+                }
+                ClientEvent::Confirmed { seq, ok, .. } => self.take_confirm(seq, ok, now),
+                ClientEvent::ChannelClosed { code, text, .. } => {
+                    tracing::warn!(code, text, "channel closed by the broker");
+                    self.counters.channels_lost += 1;
+                    self.leave_channel();
+                    self.phase = Phase::Waiting(now + self.backoff.pause());
+                }
+                ClientEvent::Blocked(blocked) => tracing::warn!(blocked, "broker takes no replies for now"),
+                ClientEvent::Closed { code, text } => tracing::info!(code, text, "connection closed"),
+                ClientEvent::Failed(fault) => tracing::warn!(%fault, "connection failed"),
+            }
+        }
+    }
+
+    fn open_channel(&mut self) {
+        if let Some(number) = self.client.as_mut().and_then(Client::open_channel) {
+            self.channel = number;
+            self.generation += 1;
+            self.phase = Phase::Setup;
+        }
+    }
+
+    fn send(&mut self, method: AMQPClass) {
+        let channel = self.channel;
+        if let Some(client) = self.client.as_mut() {
+            client.send(channel, method);
+        }
+    }
+
+    fn basic(&mut self, method: basic::AMQPMethod) {
+        self.send(AMQPClass::Basic(method));
+    }
+
+    fn take_method(&mut self, method: AMQPClass, now: Micros) {
+        match method {
+            AMQPClass::Channel(channel::AMQPMethod::OpenOk(_)) => {
+                let select = confirm::Select { nowait: false };
+                self.send(AMQPClass::Confirm(confirm::AMQPMethod::Select(select)));
+                self.consuming = 0;
+                if !self.draining {
+                    (0..self.config.consume.len()).for_each(|index| self.consume(index));
+                }
+            }
+            AMQPClass::Basic(basic::AMQPMethod::ConsumeOk(_)) => {
+                self.consuming += 1;
+                if self.consuming == self.config.consume.len() {
+                    self.phase = Phase::Ready;
+                    self.backoff.reset();
+                    tracing::info!("consuming");
+                }
+            }
+            AMQPClass::Basic(basic::AMQPMethod::Cancel(cancel)) => {
+                // The queue went away under us; it may be declared again.
+                tracing::warn!(consumer = cancel.consumer_tag.as_str(), "consumer cancelled by the broker");
+                let tag = cancel.consumer_tag.as_str();
+                let index = (0..self.config.consume.len()).find(|i| self.tag(*i) == tag);
+                if let Some(index) = index.filter(|_| !self.draining) {
+                    self.consuming = self.consuming.saturating_sub(1);
+                    let pause = self.backoff.pause();
+                    self.again.insert(index, now + pause);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn tag(&self, index: usize) -> String {
+        format!("stagehoist-{index}")
+    }
+
+    fn consume(&mut self, index: usize) {
+        let Some(from) = self.config.consume.get(index).cloned() else { return };
+        if let Some(durable) = from.declare {
+            let declare = queue::Declare {
+                queue: short(&from.queue),
+                passive: false,
+                durable,
+                exclusive: false,
+                auto_delete: false,
+                nowait: false,
+                arguments: FieldTable::default(),
+            };
+            self.send(AMQPClass::Queue(queue::AMQPMethod::Declare(declare)));
+        }
+        self.basic(basic::AMQPMethod::Qos(basic::Qos { prefetch_count: from.prefetch, global: false }));
+        let consume = basic::Consume {
+            queue: short(&from.queue),
+            consumer_tag: short(&self.tag(index)),
+            no_local: false,
+            no_ack: false,
+            exclusive: false,
+            nowait: false,
+            arguments: FieldTable::default(),
+        };
+        self.basic(basic::AMQPMethod::Consume(consume));
+    }
+
+    fn reject(&mut self, tag: u64) {
+        self.counters.rejected += 1;
+        self.basic(basic::AMQPMethod::Reject(basic::Reject { delivery_tag: tag, requeue: false }));
+    }
+
+    fn ack(&mut self, tag: u64) {
+        self.basic(basic::AMQPMethod::Ack(basic::Ack { delivery_tag: tag, multiple: false }));
+    }
+
+    fn take_delivery(&mut self, message: Message, now: Micros, blind: Micros) {
+        let AMQPClass::Basic(basic::AMQPMethod::Deliver(deliver)) = message.method else { return };
+        self.counters.delivered += 1;
+        self.counters.redelivered += u64::from(deliver.redelivered);
+        let properties = &message.properties;
+        let text = |value: &Option<stagehoist_amqp::ShortString>| {
+            value.as_ref().map_or(String::new(), |v| v.as_str().to_string())
+        };
+        let (reply_to, correlation) = (text(properties.reply_to()), text(properties.correlation_id()));
+        let message_id = text(properties.message_id());
+        let tag = deliver.delivery_tag;
+        if reply_to.is_empty() {
+            let key = deliver.routing_key.as_str();
+            tracing::warn!(
+                correlation,
+                message_id,
+                key,
+                reason = "no-reply-to",
+                "rejected to the dead letters"
+            );
+            return self.reject(tag);
+        }
+        let key = Key::new(&reply_to, &correlation, &message_id);
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let delivery = Delivery {
+            generation: self.generation,
+            tag,
+            reply_to: reply_to.into(),
+            correlation: correlation.into(),
+            key: key.clone(),
+            answer: None,
+            published: None,
+            nacks: 0,
+        };
+        let routing_key = deliver.routing_key.as_str();
+        let asked = self.reader.read(properties, routing_key, message.size, now, blind);
+        let effect = asked.as_ref().map_or(Effect::Safe, |a| self.effect(&a.function));
+        let verdict = match &asked {
+            // Too late is a matter of this delivery; what is known of the message still counts.
+            Ok(_) | Err(Unusable::TooLate) => {
+                self.memory.delivered(key.as_ref(), deliver.redelivered, effect, ticket, now)
+            }
+            Err(_) => Verdict::Run,
+        };
+        match verdict {
+            Verdict::Join(at_work) => {
+                self.counters.joined += 1;
+                if let Some(old) = self.deliveries.get_mut(&at_work) {
+                    (old.generation, old.tag) = (self.generation, tag);
+                }
+            }
+            Verdict::Resend(answer) => {
+                self.counters.from_memory += 1;
+                self.deliveries.insert(ticket, Delivery { answer: Some(answer), ..delivery });
+                self.publish(ticket, now);
+            }
+            Verdict::Settle { doubtful } => {
+                self.counters.withheld += u64::from(doubtful);
+                tracing::info!(
+                    correlation = &*delivery.correlation,
+                    doubtful,
+                    "delivered again after its reply left"
+                );
+                self.ack(tag);
+            }
+            Verdict::Fail => {
+                self.counters.failed_unknown += 1;
+                self.deliveries.insert(ticket, delivery);
+                self.answer(ticket, Answer::Failed { reason: "delivered-before" }, now);
+            }
+            Verdict::Run => {
+                let correlation = delivery.correlation.clone();
+                self.deliveries.insert(ticket, delivery);
+                match asked {
+                    Err(wrong) => {
+                        self.counters.answered_unusable += 1;
+                        tracing::info!(correlation = &*correlation, reason = wrong.reason(), %wrong, "not taken");
+                        self.answer(ticket, Answer::Refused { reason: wrong.reason(), retry_after: 0 }, now);
+                    }
+                    Ok(asked) => {
+                        let content_type = properties.content_type().as_ref().map(|c| c.as_str().to_string());
+                        self.arrivals.push(Arrival {
+                            ticket,
+                            function: asked.function,
+                            tenant: asked.tenant,
+                            budget: asked.budget,
+                            repeat: deliver.redelivered,
+                            body: message.body,
+                            content_type,
+                            correlation,
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    fn effect(&self, function: &str) -> Effect {
+        let class = self.config.function(function).and_then(|f| self.config.class_index(&f.class));
+        class.map_or(Effect::Safe, |class| self.config.classes[class].effect)
+    }
+
+    /// A call has its final answer.
+    pub fn answer(&mut self, ticket: Ticket, answer: Answer, now: Micros) {
+        let Some(delivery) = self.deliveries.get_mut(&ticket) else { return };
+        if let Some(key) = &delivery.key {
+            self.memory.answered(key, ticket, answer.clone(), Sent::Never);
+        }
+        if delivery.generation != self.generation || self.client.as_ref().is_none_or(|c| !c.is_open()) {
+            // Its connection is lost: the broker delivers it again, here or elsewhere.
+            self.deliveries.remove(&ticket);
+            return;
+        }
+        delivery.answer = Some(answer);
+        self.publish(ticket, now);
+    }
+
+    fn publish(&mut self, ticket: Ticket, now: Micros) {
+        let Some(delivery) = self.deliveries.get_mut(&ticket) else { return };
+        let (Some(answer), Some(client)) = (&delivery.answer, self.client.as_mut()) else { return };
+        let (properties, body) = reply(answer, &delivery.correlation);
+        let publish = basic::Publish {
+            exchange: short(""),
+            routing_key: short(&delivery.reply_to),
+            mandatory: true,
+            immediate: false,
+        };
+        if let Some(seq) = client.publish(self.channel, publish, &properties, &body) {
+            self.counters.replies += 1;
+            delivery.published = Some((seq, now));
+            self.replies.insert(seq, ticket);
+            if let Some(key) = &delivery.key {
+                self.memory.sent(key, Sent::Doubtful);
+            }
+        }
+    }
+
+    fn take_confirm(&mut self, seq: u64, ok: bool, now: Micros) {
+        let Some(ticket) = self.replies.remove(&seq) else { return };
+        if !ok {
+            let Some(delivery) = self.deliveries.get_mut(&ticket) else { return };
+            delivery.nacks += 1;
+            if delivery.nacks <= NACKS_MOST {
+                return self.publish(ticket, now);
+            }
+        }
+        let Some(delivery) = self.deliveries.remove(&ticket) else { return };
+        if ok {
+            self.counters.confirmed += 1;
+            if let Some(key) = &delivery.key {
+                self.memory.sent(key, Sent::Confirmed);
+            }
+            self.ack(delivery.tag);
+        } else {
+            tracing::warn!(
+                correlation = &*delivery.correlation,
+                "the broker can't take the reply; dead-lettered"
+            );
+            self.reject(delivery.tag);
+        }
+    }
+
+    /// The channel is gone: what was on it comes again. Calls at work go on.
+    fn leave_channel(&mut self) {
+        let channel = self.channel;
+        for ticket in std::mem::take(&mut self.replies).into_values() {
+            let Some(delivery) = self.deliveries.remove(&ticket) else { continue };
+            let (Some(key), Some((seq, _))) = (&delivery.key, delivery.published) else { continue };
+            let unsent = self.client.as_ref().is_some_and(|c| c.surely_unsent(channel, seq));
+            self.memory.sent(key, if unsent { Sent::Never } else { Sent::Doubtful });
+        }
+        self.generation += 1;
+        self.again.clear();
+        self.consuming = 0;
+    }
+
+    /// The connection is gone.
+    pub fn lost(&mut self, _now: Micros) {
+        if self.client.is_none() {
+            return;
+        }
+        self.counters.connections_lost += 1;
+        self.leave_channel();
+        self.client = None;
+        self.phase = Phase::Apart;
+    }
+
+    /// Take no more messages; what was delivered is answered.
+    pub fn drain(&mut self) {
+        if std::mem::replace(&mut self.draining, true) {
+            return;
+        }
+        if !matches!(self.phase, Phase::Setup | Phase::Ready) {
+            return;
+        }
+        for index in 0..self.config.consume.len() {
+            let cancel = basic::Cancel { consumer_tag: short(&self.tag(index)), nowait: false };
+            self.basic(basic::AMQPMethod::Cancel(cancel));
+        }
+    }
+
+    /// Whether all that was delivered is answered and acknowledged, after [`Front::drain`].
+    pub fn is_drained(&self) -> bool {
+        self.draining && self.unsettled() == 0
+    }
+
+    /// Ends the connection in order.
+    pub fn close(&mut self) {
+        if let Some(client) = self.client.as_mut() {
+            client.close(200, "drained");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/amqp/link.rs
@@ -0,0 +1,222 @@
+//! The socket of a front: brokers tried in turn, with seeded pauses between attempts.
+
+use super::{Front, FrontCounters};
+use crate::clock::Clock;
+use crate::state::{Answer, News, Ticket};
+use stagehoist::Micros;
+use stagehoist_config::Config;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+
+/// How often the loop looks at its own clock; a look that comes later by more than [`BLIND`] means that this process was
+/// stopped, and that what it reads next may have waited so long.
+const LOOK: Micros = 100_000;
+const BLIND: Micros = 200_000;
+/// Longest time for a connection to stand, and for a broker to take bytes.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// What the driver says to its link.
+#[derive(Debug)]
+pub enum ToLink {
+    Answer(Ticket, Answer),
+    /// Take no more messages.
+    Drain,
+}
+
+/// What a link shows of itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LinkState {
+    pub ready: bool,
+    pub drained: bool,
+    pub at_work: usize,
+    pub counters: FrontCounters,
+}
+
+/// Runs until the driver lets go of its sender, or until all is answered after [`ToLink::Drain`].
+pub async fn run(
+    config: Rc<Config>,
+    seed: u64,
+    clock: Clock,
+    news: mpsc::Sender<News>,
+    mut from_driver: mpsc::UnboundedReceiver<ToLink>,
+    state: watch::Sender<LinkState>,
+) {
+    let mut front = Front::new(config.clone(), seed);
+    let mut turn = 0usize;
+    let mut draining = false;
+    loop {
+        if draining && front.at_work() == 0 {
+            return publish_state(&front, &state, true);
+        }
+        let broker = &config.brokers[turn % config.brokers.len()];
+        turn += 1;
+        let connecting = tokio::time::timeout(PATIENCE, TcpStream::connect(&broker.address));
+        tokio::pin!(connecting);
+        let stream = loop {
+            tokio::select! {
+                done = &mut connecting => break done.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())),
+                said = from_driver.recv() => match said {
+                    None => return,
+                    Some(ToLink::Answer(ticket, answer)) => front.answer(ticket, answer, clock.now()),
+                    Some(ToLink::Drain) => draining = true,
+                },
+            }
+        };
+        match stream {
+            Ok(stream) => {
+                tracing::info!(broker = broker.address, "connected");
+                front.connected(broker, clock.now());
+                if draining {
+                    front.drain();
+                }
+                let ended =
+                    talk(&mut front, stream, clock, &news, &mut from_driver, &state, &mut draining).await;
+                front.lost(clock.now());
+                match ended {
+                    Ended::Over => return publish_state(&front, &state, true),
+                    Ended::Lost(why) => tracing::warn!(broker = broker.address, why, "connection lost"),
+                }
+            }
+            Err(e) => tracing::warn!(broker = broker.address, error = %e, "can't connect"),
+        }
+        publish_state(&front, &state, false);
+        let until = clock.instant(clock.now() + front.pause());
+        loop {
+            tokio::select! {
+                _ = tokio::time::sleep_until(until) => break,
+                said = from_driver.recv() => match said {
+                    None => return,
+                    Some(ToLink::Answer(ticket, answer)) => front.answer(ticket, answer, clock.now()),
+                    Some(ToLink::Drain) => draining = true,
+                },
+            }
+        }
+    }
+}
+
+fn publish_state(front: &Front, state: &watch::Sender<LinkState>, drained: bool) {
+    state.send_replace(LinkState {
+        ready: front.is_ready(),
+        drained,
+        at_work: front.at_work(),
+        counters: front.counters,
+    });
+}
+
+enum Ended {
+    Over,
+    Lost(String),
+}
+
+async fn talk(
+    front: &mut Front,
+    mut stream: TcpStream,
+    clock: Clock,
+    news: &mpsc::Sender<News>,
+    from_driver: &mut mpsc::UnboundedReceiver<ToLink>,
+    state: &watch::Sender<LinkState>,
+    draining: &mut bool,
+) -> Ended {
+    if let Err(e) = stream.set_nodelay(true) {
+        return Ended::Lost(e.to_string());
+    }
+    let mut buffer = vec![0u8; 64 << 10];
+    let mut closing = false;
+    let mut looked = clock.now();
+    let mut blind = 0;
+    let mut stuck_since: Option<Micros> = None;
+    loop {
+        for arrival in front.take_arrivals() {
+            // A driver that is behind holds back reading, and so the broker.
+            if news.send(News::Call(arrival)).await.is_err() {
+                return Ended::Over;
+            }
+        }
+        publish_state(front, state, false);
+        if *draining && !closing && front.is_drained() {
+            front.close();
+            closing = true;
+        }
+        // Write what there is, as far as the socket takes it.
+        let now = clock.now();
+        let Some(client) = front.client() else { return Ended::Lost("no client".into()) };
+        let mut wants_write = !client.output().is_empty();
+        if wants_write {
+            match stream.try_write(client.output()) {
+                Ok(n) => {
+                    let _ = client.output().split_to(n);
+                    client.wrote(n, now);
+                    wants_write = !client.output().is_empty();
+                    stuck_since = None;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    let since = *stuck_since.get_or_insert(now);
+                    if now - since > PATIENCE.as_micros() as Micros {
+                        return Ended::Lost("the broker reads nothing".into());
+                    }
+                }
+                Err(e) => return Ended::Lost(e.to_string()),
+            }
+        }
+        if front.is_over() && !wants_write {
+            let _ = stream.shutdown().await;
+            return if closing { Ended::Over } else { Ended::Lost("closed".into()) };
+        }
+        let due = front.due().unwrap_or(Micros::MAX).min(looked + LOOK);
+        tokio::select! {
+            biased;
+            said = from_driver.recv() => match said {
+                None => return Ended::Over,
+                Some(first) => {
+                    // All that is there, so that replies of one batch go out in one write.
+                    let mut next = Some(first);
+                    while let Some(said) = next {
+                        match said {
+                            ToLink::Answer(ticket, answer) => front.answer(ticket, answer, clock.now()),
+                            ToLink::Drain => {
+                                *draining = true;
+                                front.drain();
+                            }
+                        }
+                        next = from_driver.try_recv().ok();
+                    }
+                }
+            },
+            ready = stream.readable() => {
+                if let Err(e) = ready {
+                    return Ended::Lost(e.to_string());
+                }
+                let now = clock.now();
+                if now - looked > LOOK + BLIND {
+                    blind = now - looked;
+                    tracing::warn!(ms = blind / 1000, "this process did not run; messages read now count as waiting so long");
+                }
+                looked = now;
+                match stream.try_read(&mut buffer) {
+                    Ok(0) => return Ended::Lost("closed by the broker".into()),
+                    Ok(n) => {
+                        front.receive(&buffer[..n], now, blind);
+                        if n < buffer.len() {
+                            blind = 0;
+                        }
+                    }
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => blind = 0,
+                    Err(e) => return Ended::Lost(e.to_string()),
+                }
+            }
+            _ = stream.writable(), if wants_write => {}
+            _ = tokio::time::sleep_until(clock.instant(due)) => {
+                let now = clock.now();
+                if now - looked > LOOK + BLIND {
+                    blind = now - looked;
+                }
+                looked = now;
+                front.tick(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/amqp/message.rs
@@ -0,0 +1,154 @@
+//! A delivery to a call, an answer to a reply.
+//!
+//! Of a call: the function is the header `function`, else the routing key; the tenant the header `tenant`; the budget
+//! `expiration` in milliseconds where that is less than the class's give-up time, less the age of the message where the
+//! broker stamps it with the header `timestamp_in_ms`. Of a reply: the headers `outcome` (`served`, `refused`, `failed`),
+//! `reason`, and `retry-after-ms` with a refusal.
+
+use crate::state::Answer;
+use bytes::Bytes;
+use stagehoist::Micros;
+use stagehoist_amqp::{header_int, header_text, long, short, AMQPValue, BasicProperties, FieldTable};
+use stagehoist_config::Config;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Header that RabbitMQ's message interceptors (and the stand-in broker) stamp on what they take.
+pub const STAMP: &str = "timestamp_in_ms";
+
+/// What a message asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    pub function: Rc<str>,
+    pub tenant: u32,
+    pub budget: Micros,
+}
+
+/// Why a message is no call; the word goes into the reply's `reason`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unusable {
+    #[error("header function is no text")]
+    MalformedFunction,
+    #[error("header tenant is no text")]
+    MalformedTenant,
+    #[error("header tenant names no tenant of this configuration")]
+    UnknownTenant,
+    #[error("expiration is no whole number of milliseconds")]
+    MalformedExpiration,
+    #[error("neither header function nor routing key names a function")]
+    NoFunction,
+    #[error("body is larger than the configuration takes")]
+    TooLarge,
+    #[error("its time was over before it was taken")]
+    TooLate,
+}
+
+impl Unusable {
+    /// The word for the reply.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Unusable::MalformedFunction => "malformed-function",
+            Unusable::MalformedTenant => "malformed-tenant",
+            Unusable::UnknownTenant => "unknown-tenant",
+            Unusable::MalformedExpiration => "malformed-expiration",
+            Unusable::NoFunction => "no-function",
+            Unusable::TooLarge => "too-large",
+            Unusable::TooLate => "too-late",
+        }
+    }
+}
+
+/// Reads messages by a configuration.
+#[derive(Debug)]
+pub struct Reader {
+    config: Rc<Config>,
+    tenants: HashMap<String, u32>,
+}
+
+impl Reader {
+    pub fn new(config: Rc<Config>) -> Reader {
+        let tenants = config.tenants.iter().enumerate().map(|(i, t)| (t.name.clone(), i as u32)).collect();
+        Reader { config, tenants }
+    }
+
+    /// What a message asks for. `age` is how long it may have waited unseen in this process, in microseconds.
+    pub fn read(
+        &self,
+        properties: &BasicProperties,
+        routing_key: &str,
+        size: u64,
+        now: Micros,
+        age: Micros,
+    ) -> Result<Asked, Unusable> {
+        let none = FieldTable::default();
+        let headers = properties.headers().as_ref().unwrap_or(&none);
+        let text = |key: &str, wrong: Unusable| match headers.inner().get(key) {
+            None | Some(AMQPValue::Void) => Ok(None),
+            Some(_) => header_text(headers, key).map(Some).ok_or(wrong),
+        };
+        let function = text("function", Unusable::MalformedFunction)?;
+        let function = function.unwrap_or_else(|| routing_key.to_string());
+        if function.is_empty() {
+            return Err(Unusable::NoFunction);
+        }
+        let tenant = match text("tenant", Unusable::MalformedTenant)? {
+            Some(name) if !self.tenants.is_empty() => {
+                *self.tenants.get(&name).ok_or(Unusable::UnknownTenant)?
+            }
+            _ => 0,
+        };
+        if size > self.config.body_most {
+            return Err(Unusable::TooLarge);
+        }
+        let give_up = self.config.function(&function).and_then(|f| self.config.class_index(&f.class));
+        let give_up = give_up.map_or(i64::MAX / 4, |class| self.config.classes[class].give_up);
+        let own = match properties.expiration() {
+            None => i64::MAX / 4,
+            Some(text) => match text.as_str().parse::<u32>() {
+                Ok(ms) => Micros::from(ms) * 1000,
+                Err(_) => return Err(Unusable::MalformedExpiration),
+            },
+        };
+        let stamped = headers.inner().get(STAMP).and_then(header_int).map(|ms| now - ms * 1000);
+        // A stamp from the future, or from before anything could still wait, tells of clocks and not of waiting.
+        let waited = stamped.filter(|w| (0..3_600_000_000).contains(w)).unwrap_or(0).max(age);
+        let budget = give_up.min(own) - waited - self.config.answer_margin;
+        if budget <= 0 {
+            return Err(Unusable::TooLate);
+        }
+        Ok(Asked { function: function.into(), tenant, budget })
+    }
+}
+
+/// The properties and body of a reply.
+pub fn reply(answer: &Answer, correlation: &str) -> (BasicProperties, Bytes) {
+    let mut headers = FieldTable::default();
+    let mut put = |key: &str, value: AMQPValue| {
+        headers.insert(short(key), value);
+    };
+    let mut properties = BasicProperties::default();
+    let body = match answer {
+        Answer::Served { body, content_type } => {
+            put("outcome", long("served"));
+            if let Some(kind) = content_type {
+                properties = properties.with_content_type(short(kind));
+            }
+            body.clone()
+        }
+        Answer::Refused { reason, retry_after } => {
+            put("outcome", long("refused"));
+            put("reason", long(*reason));
+            put("retry-after-ms", AMQPValue::LongLongInt((retry_after + 999) / 1000));
+            Bytes::new()
+        }
+        Answer::Failed { reason } => {
+            put("outcome", long("failed"));
+            put("reason", long(*reason));
+            Bytes::new()
+        }
+    };
+    if !correlation.is_empty() {
+        properties = properties.with_correlation_id(short(correlation));
+    }
+    (properties.with_headers(headers).with_delivery_mode(1), body)
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,23 @@
+//! The running gateway. Each front end is one thread with one decision module, one AMQP connection, its own pool of
+//! connections to workers and its own follower of the worker list; front ends share nothing.
+//!
+//! - [`state`]: calls, attempts, timers and names between sockets and the module, without I/O.
+//! - [`driver`]: the loop that gathers what sockets bring, lets the module choose once a batch, and carries out its choices.
+//! - [`amqp`], [`workers`], [`list`]: the protocols to callers, to workers and to the worker list.
+//! - [`serve`]: front ends started, watched and drained.
+//!
+//! Nothing here decides about a call: that is the module's, in the `stagehoist` package.
+#![forbid(unsafe_code)]
+
+pub mod amqp;
+pub mod clock;
+pub mod driver;
+pub mod error;
+pub mod list;
+pub mod metrics_page;
+pub mod serve;
+pub mod state;
+pub mod workers;
+
+pub use error::GatewayError;
+pub use serve::{serve, Running};
--- /dev/null
+++ b/crates/gateway/src/list/consul.rs
@@ -0,0 +1,203 @@
+//! The worker list from Consul's health API, `GET /v1/health/service/NAME`, by blocking queries. Metadata of a service
+//! instance tells `kind`, `zone`, `cell`, `capacity`, `started` (Unix time in milliseconds) and `state draining`; one in
+//! maintenance mode drains, one with another critical check is left out.
+
+use super::ToList;
+use crate::clock::Clock;
+use crate::state::News;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use stagehoist::Micros;
+use stagehoist_membership::blocking::{Answer, Blocking};
+use stagehoist_membership::Entry;
+use stagehoist_recovery::Backoff;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// Largest list read, in bytes.
+const LIST_MOST: usize = 64 << 20;
+
+#[derive(Deserialize)]
+struct Row {
+    #[serde(rename = "Node")]
+    node: Node,
+    #[serde(rename = "Service")]
+    service: Service,
+    #[serde(rename = "Checks", default)]
+    checks: Vec<Check>,
+}
+
+#[derive(Deserialize)]
+struct Node {
+    #[serde(rename = "Address", default)]
+    address: String,
+}
+
+#[derive(Deserialize)]
+struct Service {
+    #[serde(rename = "ID")]
+    id: String,
+    #[serde(rename = "Address", default)]
+    address: String,
+    #[serde(rename = "Port")]
+    port: u16,
+    #[serde(rename = "Meta", default)]
+    meta: Option<BTreeMap<String, String>>,
+}
+
+#[derive(Deserialize)]
+struct Check {
+    #[serde(rename = "CheckID", default)]
+    id: String,
+    #[serde(rename = "Status", default)]
+    status: String,
+}
+
+/// Reads the body of an answer.
+pub fn parse(body: &[u8]) -> Result<Vec<Entry>, serde_json::Error> {
+    let rows: Vec<Row> = serde_json::from_slice(body)?;
+    let entry = |row: Row| {
+        let maintenance = |c: &Check| c.id.starts_with("_service_maintenance") || c.id == "_node_maintenance";
+        let critical = |c: &Check| c.status == "critical" || c.status == "maintenance";
+        if row.checks.iter().any(|c| critical(c) && !maintenance(c)) {
+            return None;
+        }
+        let address = if row.service.address.is_empty() { row.node.address } else { row.service.address };
+        let meta = row.service.meta.unwrap_or_default();
+        let text = |key: &str| meta.get(key).cloned().unwrap_or_default();
+        let number = |key: &str| meta.get(key).and_then(|v| v.parse::<f64>().ok());
+        let maintained = row.checks.iter().any(|c| critical(c) && maintenance(c));
+        Some(Entry {
+            address: format!("{address}:{}", row.service.port),
+            draining: maintained || text("state") == "draining",
+            kind: text("kind"),
+            zone: text("zone"),
+            cell: number("cell").unwrap_or(0.0) as u16,
+            capacity: number("capacity").unwrap_or(1.0),
+            started: (number("started").unwrap_or(0.0) * 1000.0) as Micros,
+            name: row.service.id,
+        })
+    };
+    Ok(rows.into_iter().filter_map(entry).collect())
+}
+
+pub(super) struct Follower {
+    address: String,
+    service: String,
+    wait: Micros,
+    blocking: Blocking,
+    spread: Backoff,
+    watching: bool,
+}
+
+impl Follower {
+    pub fn new(address: &str, service: &str, wait: Micros, seed: u64, watching: bool) -> Follower {
+        Follower {
+            address: address.into(),
+            service: service.into(),
+            wait,
+            blocking: Blocking::new(100_000, 5_000_000),
+            spread: Backoff::new(1, 1, seed),
+            watching,
+        }
+    }
+
+    pub async fn run(
+        mut self,
+        clock: Clock,
+        news: mpsc::Sender<News>,
+        mut asks: mpsc::UnboundedReceiver<ToList>,
+    ) {
+        loop {
+            let mut once = false;
+            while !self.watching && !once {
+                match asks.recv().await {
+                    None => return,
+                    Some(ToList::Watch(on)) => self.watching = on,
+                    Some(ToList::Fetch) => once = true,
+                }
+            }
+            let index = if once { 0 } else { self.blocking.index() };
+            // Consul adds up to a sixteenth of the wait; two seconds more are for the way.
+            let limit = Duration::from_micros((self.wait + self.wait / 16) as u64 + 2_000_000);
+            let got = tokio::select! {
+                got = tokio::time::timeout(limit, self.query(index)) => got,
+                asked = asks.recv() => match asked {
+                    None => return,
+                    Some(ToList::Watch(on)) => {
+                        self.watching = on;
+                        continue;
+                    }
+                    Some(ToList::Fetch) => {
+                        // The whole list at once: the next query must not block.
+                        self.blocking.answered(None);
+                        continue;
+                    }
+                },
+            };
+            let told = match got {
+                Ok(Ok((index, entries))) => {
+                    let changed = if once { Answer::Changed } else { self.blocking.answered(index) };
+                    (changed == Answer::Changed).then_some(News::List(entries))
+                }
+                failed => {
+                    let why = match failed {
+                        Ok(Err(e)) => e,
+                        _ => "no answer in time".into(),
+                    };
+                    tracing::warn!(
+                        address = self.address,
+                        why,
+                        "worker list can't be had; the old one stands"
+                    );
+                    let _ = news.send(News::ListFailed).await;
+                    let part = self.spread.part();
+                    let pause = self.blocking.failed(part);
+                    tokio::time::sleep_until(clock.instant(clock.now() + pause)).await;
+                    None
+                }
+            };
+            if let Some(told) = told {
+                if news.send(told).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn query(&self, index: u64) -> Result<(Option<u64>, Vec<Entry>), String> {
+        let text = |e: &dyn std::fmt::Display| e.to_string();
+        let stream = TcpStream::connect(&self.address).await.map_err(|e| text(&e))?;
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.map_err(|e| text(&e))?;
+        let driving = tokio::task::spawn_local(async move {
+            let _ = connection.await;
+        });
+        let uri = format!(
+            "/v1/health/service/{}?index={index}&wait={}ms",
+            percent_encoding::utf8_percent_encode(&self.service, percent_encoding::NON_ALPHANUMERIC),
+            self.wait / 1000
+        );
+        let request = Request::get(uri).header("host", &self.address).body(Empty::<Bytes>::new());
+        let asked = async {
+            let request = request.map_err(|e| text(&e))?;
+            let response = sender.send_request(request).await.map_err(|e| text(&e))?;
+            if !response.status().is_success() {
+                return Err(format!("status {}", response.status()));
+            }
+            let index = response.headers().get("x-consul-index");
+            let index = index.and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
+            let body = Limited::new(response.into_body(), LIST_MOST).collect().await.map_err(|e| text(&e))?;
+            let entries = parse(&body.to_bytes()).map_err(|e| text(&e))?;
+            Ok((index, entries))
+        };
+        let result = asked.await;
+        driving.abort();
+        result
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/list/mod.rs
@@ -0,0 +1,36 @@
+//! The list of workers, followed by Consul's health API or read from a file. Late, failing and flapping lists are told to
+//! the module as they come.
+
+pub mod consul;
+pub mod file;
+
+use crate::clock::Clock;
+use crate::state::News;
+use stagehoist_config::{Config, ListSource};
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+/// What the module asks of the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ToList {
+    Watch(bool),
+    Fetch,
+}
+
+/// Follows the list until the driver is gone. Where the configuration has `list-subscribe no`, following begins at once.
+pub async fn follow(
+    config: Rc<Config>,
+    seed: u64,
+    clock: Clock,
+    news: mpsc::Sender<News>,
+    asks: mpsc::UnboundedReceiver<ToList>,
+) {
+    match &config.list {
+        ListSource::Consul { address, service, wait } => {
+            let watching = !config.list_subscribe;
+            let follower = consul::Follower::new(address, service, *wait, seed, watching);
+            follower.run(clock, news, asks).await;
+        }
+        ListSource::File { path, poll } => file::follow(path, *poll, news, asks).await,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,92 @@
+//! Front ends started on threads of their own, watched, and drained.
+
+use crate::clock::Clock;
+use crate::driver::{self, FrontEndState};
+use crate::error::GatewayError;
+use crate::metrics_page;
+use metrics_exporter_prometheus::PrometheusHandle;
+use stagehoist_config::Config;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::thread::JoinHandle;
+use tokio::sync::watch;
+
+/// A gateway that runs.
+pub struct Running {
+    drain: watch::Sender<bool>,
+    threads: Vec<JoinHandle<()>>,
+    states: Vec<watch::Receiver<FrontEndState>>,
+    /// Where the metrics page stands.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Starts all front ends of a configuration. `metrics` is the recorder's handle where the process has one.
+pub fn serve(config: &Config, metrics: Option<PrometheusHandle>) -> Result<Running, GatewayError> {
+    let (drain, drained) = watch::channel(false);
+    let mut running = Running { drain, threads: Vec::new(), states: Vec::new(), metrics: None };
+    let clock = Clock::new();
+    for number in 0..config.front_ends {
+        let (config, drained) = (config.clone(), drained.clone());
+        let (state, seen) = watch::channel(FrontEndState::default());
+        let thread = std::thread::Builder::new().name(format!("front-end-{number}"));
+        let spawned = thread.spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let Ok(runtime) = runtime else { return };
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, driver::run(Rc::new(config), number, clock, drained, state));
+        });
+        running.threads.push(spawned.map_err(GatewayError::Start)?);
+        running.states.push(seen);
+    }
+    if let (Some(listen), Some(handle)) = (config.listen.first(), metrics) {
+        let fail = |source| GatewayError::Listen { address: listen.address.clone(), source };
+        let listener = std::net::TcpListener::bind(&listen.address).map_err(fail)?;
+        listener.set_nonblocking(true).map_err(fail)?;
+        running.metrics = listener.local_addr().ok();
+        let mut drained = drained.clone();
+        let thread = std::thread::Builder::new().name("metrics".into());
+        let spawned = thread.spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let Ok(runtime) = runtime else { return };
+            runtime.block_on(async move {
+                let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+                tokio::select! {
+                    () = metrics_page::serve(listener, handle) => {}
+                    _ = drained.wait_for(|d| *d) => {}
+                }
+            });
+        });
+        running.threads.push(spawned.map_err(GatewayError::Start)?);
+    }
+    Ok(running)
+}
+
+impl Running {
+    /// The present state of each front end.
+    pub fn states(&self) -> Vec<FrontEndState> {
+        self.states.iter().map(|s| *s.borrow()).collect()
+    }
+
+    /// Whether every front end consumes and knows a worker.
+    pub fn is_ready(&self) -> bool {
+        self.states().iter().all(|s| s.consuming && s.ready_workers > 0)
+    }
+
+    /// Whether a front end ended though it was not told to.
+    pub fn is_broken(&self) -> bool {
+        !*self.drain.borrow() && self.threads.iter().any(JoinHandle::is_finished)
+    }
+
+    /// Takes no more calls; what is held is answered.
+    pub fn drain(&self) {
+        self.drain.send_replace(true);
+    }
+
+    /// Waits for all threads to end.
+    pub fn join(self) -> Result<(), GatewayError> {
+        for (number, thread) in self.threads.into_iter().enumerate() {
+            thread.join().map_err(|_| GatewayError::FrontEnd(number as u32))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/workers/meaning.rs
@@ -0,0 +1,102 @@
+//! What a worker's answer means to the module.
+
+use bytes::Bytes;
+use hyper::header::{HeaderMap, CONTENT_TYPE};
+use hyper::StatusCode;
+use serde_json::Value;
+use stagehoist::{Note, Outcome, Report};
+
+use crate::state::AttemptResult;
+
+pub const NOT_RUN: &str = "stagehoist-not-run";
+pub const COPY: &str = "stagehoist-copy";
+pub const CROWD: &str = "stagehoist-crowd";
+pub const WORKER: &str = "stagehoist-worker";
+/// Header of ORCA load reports, and of the request that asks for one.
+pub const LOAD_METRICS: &str = "endpoint-load-metrics";
+pub const LOAD_METRICS_FORMAT: &str = "endpoint-load-metrics-format";
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// The outcome that a status and its headers stand for.
+pub fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    if status.is_success() {
+        return Outcome::Ok;
+    }
+    match text(headers, NOT_RUN) {
+        Some("not-loaded") => Outcome::Miss,
+        Some("queue-full" | "no-memory" | "draining") => Outcome::Full,
+        // A status alone promises nothing: a 503 may come from a worker that began and broke off.
+        _ => Outcome::Error,
+    }
+}
+
+/// What the headers tell of the copy that served.
+pub fn note(headers: &HeaderMap) -> Note {
+    let copy = match text(headers, COPY) {
+        Some("warm") => 1,
+        Some("began") => 2,
+        Some("waited") => 3,
+        Some("load-failed") => 4,
+        _ => 0,
+    };
+    let crowd = text(headers, CROWD).and_then(|c| c.parse().ok()).unwrap_or(0);
+    Note { copy, crowd }
+}
+
+/// What a worker says of itself.
+pub fn draining(headers: &HeaderMap) -> Option<bool> {
+    match text(headers, WORKER) {
+        Some("draining") => Some(true),
+        Some("serving") => Some(false),
+        _ => None,
+    }
+}
+
+/// An ORCA report in its `JSON` or `TEXT` form, as the values of `fields`. `busy` is `cpu_utilization`; every other name
+/// is looked up in `named_metrics`, then among the report's own fields. A value that is not there is 0.
+pub fn report(headers: &HeaderMap, fields: &[String]) -> Report {
+    let line = text(headers, LOAD_METRICS)?;
+    let (form, rest) = line.split_once(' ')?;
+    let value: Box<dyn Fn(&str) -> Option<f64>> = match form {
+        "JSON" => {
+            let json: Value = serde_json::from_str(rest).ok()?;
+            Box::new(move |name: &str| match name {
+                "busy" => json.get("cpu_utilization")?.as_f64(),
+                name => json.get("named_metrics").and_then(|m| m.get(name)).or(json.get(name))?.as_f64(),
+            })
+        }
+        "TEXT" => {
+            let pairs: Vec<(String, f64)> = rest
+                .split(',')
+                .filter_map(|p| p.split_once('='))
+                .filter_map(|(k, v)| Some((k.trim().to_string(), v.trim().parse().ok()?)))
+                .collect();
+            Box::new(move |name: &str| {
+                let long = format!("named_metrics.{name}");
+                let name = if name == "busy" { "cpu_utilization" } else { name };
+                pairs.iter().find(|(k, _)| *k == long || k == name).map(|p| p.1)
+            })
+        }
+        _ => return None,
+    };
+    let mut report = [0f32; 4];
+    for (slot, field) in report.iter_mut().zip(fields) {
+        *slot = value(field).unwrap_or(0.0) as f32;
+    }
+    Some(report)
+}
+
+/// The result of an attempt from a whole answer.
+pub fn result(status: StatusCode, headers: &HeaderMap, body: Bytes, fields: &[String]) -> AttemptResult {
+    AttemptResult {
+        outcome: outcome(status, headers),
+        note: note(headers),
+        report: report(headers, fields),
+        body,
+        content_type: headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok()).map(str::to_string),
+        draining: draining(headers),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/workers/pool.rs
@@ -0,0 +1,334 @@
+//! Connections to workers, kept alive by worker; one exchange at a time on each. Calling an attempt off closes its
+//! connection.
+
+use super::meaning;
+use crate::clock::Clock;
+use crate::state::{Attempt, AttemptResult, News};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use percent_encoding::{utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
+use stagehoist::{Outcome, RequestId, WorkerId};
+use stagehoist_config::Config;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+/// What stays as it is in a path segment.
+const SEGMENT: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+
+/// A connection whose socket closes when it is dropped.
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+type Pools = Rc<RefCell<HashMap<Rc<str>, Vec<(Connection, Instant)>>>>;
+type Running = Rc<RefCell<HashMap<(RequestId, u16), AbortHandle>>>;
+
+/// One front end's connections to its workers.
+pub struct Workers {
+    config: Rc<Config>,
+    clock: Clock,
+    pools: Pools,
+    addresses: RefCell<HashMap<WorkerId, Rc<str>>>,
+    running: Running,
+    news: mpsc::Sender<News>,
+}
+
+/// How an exchange ended without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Broken {
+    /// Nothing was written to the worker.
+    Unsent,
+    /// The connection broke after the request was, or may have been, written.
+    Reset,
+    /// What came is no answer.
+    Garbage,
+}
+
+impl Workers {
+    pub fn new(config: Rc<Config>, clock: Clock, news: mpsc::Sender<News>) -> Workers {
+        let (pools, addresses, running) = Default::default();
+        Workers { config, clock, pools, addresses, running, news }
+    }
+
+    /// Begins an attempt; its end comes as [`News::Attempt`].
+    pub fn attempt(&self, attempt: Attempt) {
+        self.addresses.borrow_mut().insert(attempt.worker, attempt.address.clone());
+        let key = (attempt.request, attempt.attempt);
+        let path = format!("/v2/models/{}/infer", utf8_percent_encode(&attempt.function, SEGMENT));
+        let mut request = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header(HOST, &*attempt.address)
+            .header(meaning::LOAD_METRICS_FORMAT, "TEXT");
+        if let Some(kind) = &attempt.content_type {
+            request = request.header(CONTENT_TYPE, kind);
+        }
+        if !attempt.correlation.is_empty() {
+            request = request.header("stagehoist-correlation", &*attempt.correlation);
+        }
+        // A caller's text that can't stand in a header is left out; the call goes on.
+        let request = request.body(Full::new(attempt.body.clone())).unwrap_or_else(|_| {
+            let path = format!("/v2/models/{}/infer", utf8_percent_encode(&attempt.function, SEGMENT));
+            let mut plain = Request::new(Full::new(attempt.body.clone()));
+            *plain.method_mut() = Method::POST;
+            if let Ok(uri) = path.parse() {
+                *plain.uri_mut() = uri;
+            }
+            plain
+        });
+        let (config, pools, news) = (self.config.clone(), self.pools.clone(), self.news.clone());
+        let running = self.running.clone();
+        let task = tokio::task::spawn_local(async move {
+            let exchanged = exchange(&config, &pools, &attempt.address, request, config.body_most).await;
+            let (result, back) = match exchanged {
+                Ok((status, headers, body, connection)) => {
+                    (meaning::result(status, &headers, body, &config.report_fields), Some(connection))
+                }
+                Err(broken) => {
+                    let outcome = match broken {
+                        Broken::Unsent => Outcome::ConnectFailed,
+                        Broken::Reset => Outcome::Reset,
+                        Broken::Garbage => Outcome::Error,
+                    };
+                    (AttemptResult::bare(outcome), None)
+                }
+            };
+            running.borrow_mut().remove(&key);
+            // A driver that is gone needs no news.
+            let _ = news.send(News::Attempt { request: key.0, attempt: key.1, result }).await;
+            if let Some(connection) = back {
+                put_back(&config, &pools, &attempt.address, connection).await;
+            }
+        });
+        if !task.is_finished() {
+            self.running.borrow_mut().insert(key, task.abort_handle());
+        }
+    }
+
+    /// Ends an attempt by closing its connection.
+    pub fn abort(&self, request: RequestId, attempt: u16) {
+        if let Some(task) = self.running.borrow_mut().remove(&(request, attempt)) {
+            task.abort();
+        }
+    }
+
+    fn order<F>(&self, address: Rc<str>, request: Request<Full<Bytes>>, limit: Duration, tell: F)
+    where
+        F: FnOnce(Result<(StatusCode, hyper::HeaderMap, Bytes), Outcome>) -> Option<News> + 'static,
+    {
+        let (config, pools, news) = (self.config.clone(), self.pools.clone(), self.news.clone());
+        tokio::task::spawn_local(async move {
+            let exchanged =
+                tokio::time::timeout(limit, exchange(&config, &pools, &address, request, 1 << 16)).await;
+            let (told, back) = match exchanged {
+                Err(_) => (Err(Outcome::Timeout), None),
+                Ok(Ok((status, headers, body, connection))) => {
+                    (Ok((status, headers, body)), Some(connection))
+                }
+                Ok(Err(Broken::Unsent)) => (Err(Outcome::ConnectFailed), None),
+                Ok(Err(Broken::Reset)) => (Err(Outcome::Reset), None),
+                Ok(Err(Broken::Garbage)) => (Err(Outcome::Error), None),
+            };
+            if let Some(item) = tell(told) {
+                let _ = news.send(item).await;
+            }
+            if let Some(connection) = back {
+                put_back(&config, &pools, &address, connection).await;
+            }
+        });
+    }
+
+    /// Asks a worker for its load; the answer comes as [`News::Probed`].
+    pub fn probe(&self, worker: WorkerId, address: Rc<str>) {
+        let sent = self.clock.now();
+        let mut request = get("/v2/health/ready".into(), &address);
+        let json = hyper::header::HeaderValue::from_static("JSON");
+        request.headers_mut().insert(meaning::LOAD_METRICS_FORMAT, json);
+        let fields = self.config.report_fields.clone();
+        let limit = Duration::from_micros(self.config.connect_timeout as u64) + Duration::from_secs(1);
+        self.order(address, request, limit, move |told| {
+            Some(match told {
+                Ok((status, headers, _)) => News::Probed {
+                    worker,
+                    sent,
+                    outcome: meaning::outcome(status, &headers),
+                    report: meaning::report(&headers, &fields),
+                    draining: meaning::draining(&headers),
+                },
+                Err(outcome) => News::Probed { worker, sent, outcome, report: None, draining: None },
+            })
+        });
+    }
+
+    /// Orders copies of a function, or with none asks how many stand; the answer comes as [`News::Loaded`].
+    pub fn load(&self, worker: WorkerId, address: Rc<str>, function: Rc<str>, copies: u8) {
+        let sent = self.clock.now();
+        let name = utf8_percent_encode(&function, SEGMENT).to_string();
+        let request = if copies == 0 {
+            get(format!("/v2/models/{name}/ready"), &address)
+        } else {
+            let body = format!("{{\"parameters\":{{\"copies\":{copies}}}}}");
+            post(format!("/v2/repository/models/{name}/load"), &address, body)
+        };
+        let limit = Duration::from_micros(self.config.load_timeout as u64);
+        self.order(address, request, limit, move |told| {
+            let (outcome, copies) = match told {
+                Ok((status, headers, body)) => {
+                    let json: Option<serde_json::Value> = serde_json::from_slice(&body).ok();
+                    let stand = json.and_then(|j| j.get("copies")?.as_u64());
+                    let outcome = match meaning::outcome(status, &headers) {
+                        Outcome::Miss if copies == 0 => Outcome::Ok,
+                        other => other,
+                    };
+                    let usual = if outcome == Outcome::Ok { u64::from(copies) } else { 0 };
+                    (outcome, stand.unwrap_or(usual).min(255) as u8)
+                }
+                Err(outcome) => (outcome, 0),
+            };
+            Some(News::Loaded { worker, function, sent, outcome, copies })
+        });
+    }
+
+    /// Has idle copies unloaded; nothing is heard of it.
+    pub fn unload(&self, address: Rc<str>, function: &str) {
+        let name = utf8_percent_encode(function, SEGMENT).to_string();
+        let request = post(format!("/v2/repository/models/{name}/unload"), &address, "{}".into());
+        let limit = Duration::from_micros(self.config.load_timeout as u64);
+        self.order(address, request, limit, |_| None);
+    }
+
+    /// Closes idle connections to a worker.
+    pub fn close_idle(&self, worker: WorkerId) {
+        if let Some(address) = self.addresses.borrow().get(&worker) {
+            self.pools.borrow_mut().remove(address);
+        }
+    }
+
+    /// Closes connections that were idle for long or that the worker closed.
+    pub fn sweep(&self) {
+        let most = Duration::from_micros(self.config.idle_close as u64);
+        let mut pools = self.pools.borrow_mut();
+        for idle in pools.values_mut() {
+            idle.retain(|(c, since)| since.elapsed() < most && !c.sender.is_closed());
+        }
+        pools.retain(|_, idle| !idle.is_empty());
+        let mut addresses = self.addresses.borrow_mut();
+        if addresses.len() > 2 * stagehoist_membership::WORKERS_MOST {
+            addresses.clear();
+        }
+    }
+
+    /// Exchanges under way.
+    pub fn running(&self) -> usize {
+        self.running.borrow().len()
+    }
+}
+
+fn get(path: String, address: &str) -> Request<Full<Bytes>> {
+    build(Method::GET, path, address, Bytes::new())
+}
+
+fn post(path: String, address: &str, body: String) -> Request<Full<Bytes>> {
+    build(Method::POST, path, address, body.into())
+}
+
+fn build(method: Method, path: String, address: &str, body: Bytes) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    // Segments are percent-encoded, so that the path always parses.
+    if let Ok(uri) = path.parse() {
+        *request.uri_mut() = uri;
+    }
+    if let Ok(host) = address.parse() {
+        request.headers_mut().insert(HOST, host);
+    }
+    request
+}
+
+async fn connect(config: &Config, address: &str) -> Option<Connection> {
+    let limit = Duration::from_micros(config.connect_timeout as u64);
+    let stream = tokio::time::timeout(limit, TcpStream::connect(address)).await.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let task = tokio::task::spawn_local(async move {
+        // Its errors reach whoever waits for an answer on it.
+        let _ = connection.await;
+    });
+    Some(Connection { sender, task: task.abort_handle() })
+}
+
+fn take_idle(pools: &Pools, address: &str, close: Duration) -> Option<Connection> {
+    let mut pools = pools.borrow_mut();
+    let idle = pools.get_mut(address)?;
+    while let Some((connection, since)) = idle.pop() {
+        if connection.sender.is_ready() && since.elapsed() < close {
+            return Some(connection);
+        }
+    }
+    None
+}
+
+async fn put_back(config: &Config, pools: &Pools, address: &Rc<str>, mut connection: Connection) {
+    if connection.sender.ready().await.is_ok() {
+        let mut pools = pools.borrow_mut();
+        let idle = pools.entry(address.clone()).or_default();
+        if (idle.len() as u64) < config.idle_most {
+            idle.push((connection, Instant::now()));
+        }
+    }
+}
+
+type Whole = (StatusCode, hyper::HeaderMap, Bytes, Connection);
+
+/// One request and its whole answer. A kept connection that the worker closed before anything was written is replaced by a
+/// new one; that is no second request, as the first never left.
+async fn exchange(
+    config: &Config,
+    pools: &Pools,
+    address: &str,
+    request: Request<Full<Bytes>>,
+    most: u64,
+) -> Result<Whole, Broken> {
+    let close = Duration::from_micros(config.idle_close as u64);
+    let mut request = request;
+    let (response, connection) = loop {
+        let kept = take_idle(pools, address, close);
+        let fresh = kept.is_none();
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => connect(config, address).await.ok_or(Broken::Unsent)?,
+        };
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => break (response, connection),
+            Err(mut e) => match e.take_message() {
+                Some(unsent) if !fresh => request = unsent,
+                Some(_) => return Err(Broken::Unsent),
+                None => {
+                    return Err(if e.error().is_parse() { Broken::Garbage } else { Broken::Reset });
+                }
+            },
+        }
+    };
+    let (head, body): (_, hyper::body::Incoming) = Response::into_parts(response);
+    match Limited::new(body, most as usize).collect().await {
+        Ok(whole) => Ok((head.status, head.headers, whole.to_bytes(), connection)),
+        Err(e) if e.downcast_ref::<http_body_util::LengthLimitError>().is_some() => Err(Broken::Garbage),
+        Err(_) => Err(Broken::Reset),
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,3 +5,6 @@
 #![forbid(unsafe_code)]
 
 pub mod broker;
+pub mod list;
+pub mod store;
+pub mod worker;
