--- a/crates/gateway/src/workers/meaning.rs
+++ b/crates/gateway/src/workers/meaning.rs
@@ -55,12 +55,15 @@
     }
 }
 
+/// Looks up a value of a report by its name.
+type Lookup = Box<dyn Fn(&str) -> Option<f64>>;
+
 /// An ORCA report in its `JSON` or `TEXT` form, as the values of `fields`. `busy` is `cpu_utilization`; every other name
 /// is looked up in `named_metrics`, then among the report's own fields. A value that is not there is 0.
 pub fn report(headers: &HeaderMap, fields: &[String]) -> Report {
     let line = text(headers, LOAD_METRICS)?;
     let (form, rest) = line.split_once(' ')?;
-    let value: Box<dyn Fn(&str) -> Option<f64>> = match form {
+    let value: Lookup = match form {
         "JSON" => {
             let json: Value = serde_json::from_str(rest).ok()?;
             Box::new(move |name: &str| match name {
