--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,80 @@
+//! The `stagehoist` command.
+#![forbid(unsafe_code)]
+
+mod demo;
+mod serve;
+mod standin;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
+
+/// A gateway that hands calls to workers which load functions or models on demand.
+#[derive(Parser)]
+#[command(version, about)]
+struct Cli {
+    /// What to log: a level (error, warn, info, debug, trace) or filter directives such as `warn,stagehoist_gateway=debug`.
+    #[arg(long, global = true, default_value = "warn")]
+    log: String,
+    /// How to log.
+    #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
+    log_format: LogFormat,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// The whole stack on loopback with a short day of trouble; exit code 0 only if every rule held.
+    Demo(demo::DemoArgs),
+    /// Run the gateway by a configuration file until SIGTERM or SIGINT, then drain.
+    Serve {
+        /// The configuration file.
+        conf: PathBuf,
+    },
+    /// Tell everything that is wrong with a configuration file.
+    Check {
+        /// The configuration file.
+        conf: PathBuf,
+        /// Print the configuration with every directive written out.
+        #[arg(long)]
+        print: bool,
+    },
+    /// A stand-in for an outside system.
+    Standin {
+        #[command(subcommand)]
+        what: standin::Standin,
+    },
+    /// Play a scripted day of trouble from a file and print its ledger; exit code 0 only if every rule held.
+    Play(demo::PlayArgs),
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let filter = match EnvFilter::try_new(&cli.log) {
+        Ok(filter) => filter,
+        Err(e) => {
+            eprintln!("stagehoist: --log {}: {e}", cli.log);
+            return ExitCode::from(2);
+        }
+    };
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match cli.log_format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().flatten_event(true).init(),
+    }
+    match cli.command {
+        Command::Demo(args) => demo::demo(&args),
+        Command::Play(args) => demo::play(&args),
+        Command::Serve { conf } => serve::serve(&conf),
+        Command::Check { conf, print } => serve::check(&conf, print),
+        Command::Standin { what } => standin::run(what),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,89 @@
+//! `serve` and `check`.
+
+use stagehoist_config::load;
+use stagehoist_gateway::{metrics_page, serve as start};
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Tells what is wrong with a configuration; exit code 2 where something is.
+pub fn check(conf: &Path, print: bool) -> ExitCode {
+    match load(conf) {
+        Ok(config) if print => {
+            print!("{}", config.render());
+            ExitCode::SUCCESS
+        }
+        Ok(_) => {
+            println!("{}: no faults", conf.display());
+            ExitCode::SUCCESS
+        }
+        Err(faults) => {
+            eprintln!("{faults}");
+            eprintln!("{}: {} faults", conf.display(), faults.0.len());
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Runs the gateway until it is told to end.
+pub fn serve(conf: &Path) -> ExitCode {
+    let config = match load(conf) {
+        Ok(config) => config,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(2);
+        }
+    };
+    let fail = |e: &dyn std::fmt::Display| {
+        eprintln!("stagehoist: {e}");
+        ExitCode::FAILURE
+    };
+    let metrics = if config.listen.is_empty() {
+        None
+    } else {
+        match metrics_page::install() {
+            Ok(handle) => Some(handle),
+            Err(e) => return fail(&e),
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => return fail(&e),
+    };
+    // Signals are caught before anything runs, so that none is lost.
+    let signals = runtime.block_on(async {
+        Ok::<_, std::io::Error>((signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?))
+    });
+    let (mut terminate, mut interrupt) = match signals {
+        Ok(signals) => signals,
+        Err(e) => return fail(&e),
+    };
+    let running = match start(&config, metrics) {
+        Ok(running) => running,
+        Err(e) => return fail(&e),
+    };
+    tracing::info!(front_ends = config.front_ends, metrics = ?running.metrics, "serving");
+    let broken = runtime.block_on(async {
+        let mut look = tokio::time::interval(Duration::from_millis(200));
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => return false,
+                _ = interrupt.recv() => return false,
+                _ = look.tick() => if running.is_broken() {
+                    return true;
+                },
+            }
+        }
+    });
+    running.drain();
+    let joined = running.join();
+    match joined {
+        Err(e) => fail(&e),
+        Ok(()) if broken => fail(&"a front end ended though it was not told to"),
+        Ok(()) => {
+            tracing::info!("ended in order");
+            ExitCode::SUCCESS
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/standin.rs
@@ -0,0 +1,185 @@
+//! `standin`: each stand-in by itself, on a told address, until SIGINT or SIGTERM.
+
+use clap::Subcommand;
+use stagehoist_standin::broker::{self, Broker, BrokerOptions};
+use stagehoist_standin::list::{Listed, Registry};
+use stagehoist_standin::store::{self, StoreOptions};
+use stagehoist_standin::worker::{self, Catalogue, Program, Spec, WorkerOptions};
+use std::collections::BTreeMap;
+use std::io;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use tokio::net::TcpListener;
+
+#[derive(Subcommand)]
+pub enum Standin {
+    /// An AMQP 0-9-1 broker.
+    Broker {
+        #[arg(long, default_value = "127.0.0.1:5672")]
+        listen: String,
+        #[arg(long, default_value = "guest")]
+        user: String,
+        #[arg(long, default_value = "guest")]
+        password: String,
+    },
+    /// Workers over KServe v2, on ports given by the system, and a list of them.
+    Workers {
+        #[arg(long, default_value_t = 3)]
+        count: u32,
+        /// Address of a program store.
+        #[arg(long)]
+        store: String,
+        /// Where to serve their list in the manner of Consul's health API.
+        #[arg(long, default_value = "127.0.0.1:8500")]
+        list: String,
+        /// A function that all of them can load: NAME:MEMORY-MB:LANES:START-MS:RUN-MS; NAME may end with *.
+        #[arg(long = "function", default_value = "*:64:2:80:20")]
+        functions: Vec<String>,
+    },
+    /// A list of workers from a file, served in the manner of Consul's health API.
+    List {
+        #[arg(long, default_value = "127.0.0.1:8500")]
+        listen: String,
+        /// Lines of NAME ADDRESS.
+        #[arg(long)]
+        file: std::path::PathBuf,
+    },
+    /// The program store that workers fetch from.
+    Store {
+        #[arg(long, default_value = "127.0.0.1:8600")]
+        listen: String,
+        #[arg(long, default_value_t = 120)]
+        fetch_ms: u64,
+        #[arg(long, default_value_t = 8)]
+        at_ease: u32,
+        #[arg(long, default_value_t = 64)]
+        most: u32,
+    },
+}
+
+/// Runs a stand-in until it is told to end.
+pub fn run(what: Standin) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("stagehoist: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let local = tokio::task::LocalSet::new();
+    let ended = local.block_on(&runtime, async {
+        let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+        tokio::select! {
+            ended = serve(what) => ended,
+            _ = tokio::signal::ctrl_c() => Ok(()),
+            _ = terminate.recv() => Ok(()),
+        }
+    });
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("stagehoist: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn listen(name: &str, address: &str) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|e| io::Error::new(e.kind(), format!("can't listen on {address}: {e}")))?;
+    println!("{name} {}", listener.local_addr()?);
+    Ok(listener)
+}
+
+fn bad(text: String) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidInput, text)
+}
+
+async fn serve(what: Standin) -> io::Result<()> {
+    match what {
+        Standin::Broker { listen: address, user, password } => {
+            let (_handle, commands) = broker::Handle::new();
+            let options = BrokerOptions { user, password, ..BrokerOptions::default() };
+            broker::serve(listen("broker", &address).await?, Broker::new(options), commands).await
+        }
+        Standin::Store { listen: address, fetch_ms, at_ease, most } => {
+            let fetch = Duration::from_millis(fetch_ms);
+            let options = StoreOptions { fetch, at_ease, most, ..StoreOptions::default() };
+            store::serve(listen("program-store", &address).await?, options, Arc::default()).await
+        }
+        Standin::List { listen: address, file } => {
+            let registry = Registry::new();
+            let text = std::fs::read_to_string(&file)
+                .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", file.display())))?;
+            let mut addresses = BTreeMap::new();
+            for (number, line) in text.lines().enumerate() {
+                let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
+                match words[..] {
+                    [] => {}
+                    [name, address] => {
+                        registry.put(listed(name, 0));
+                        addresses.insert(name.to_string(), address.to_string());
+                    }
+                    _ => {
+                        return Err(bad(format!("{}:{}: expected NAME ADDRESS", file.display(), number + 1)))
+                    }
+                }
+            }
+            registry.serve(listen("worker-list", &address).await?, addresses).await
+        }
+        Standin::Workers { count, store, list, functions } => {
+            let catalogue = functions.iter().map(|f| function(f)).collect::<io::Result<Vec<_>>>()?;
+            let catalogue = Arc::new(Catalogue(catalogue));
+            let registry = Registry::new();
+            let mut addresses = BTreeMap::new();
+            let mut tasks = tokio::task::JoinSet::new();
+            for i in 0..count {
+                let name = format!("w{i}");
+                let listener = listen(&format!("worker-{name}"), "127.0.0.1:0").await?;
+                addresses.insert(name.clone(), listener.local_addr()?.to_string());
+                registry.put(listed(&name, now_ms()));
+                let options = WorkerOptions {
+                    name,
+                    spec: Spec::default(),
+                    catalogue: catalogue.clone(),
+                    store: store.clone(),
+                    seed: u64::from(i),
+                };
+                tasks.spawn_local(worker::run(listener, options, Arc::default(), true));
+            }
+            registry.serve(listen("worker-list", &list).await?, addresses).await
+        }
+    }
+}
+
+fn now_ms() -> i64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as i64
+}
+
+fn listed(name: &str, started_ms: i64) -> Listed {
+    Listed {
+        name: name.into(),
+        zone: "hall-a".into(),
+        kind: "usual".into(),
+        cell: 0,
+        capacity: 4.0,
+        started_ms,
+        draining: false,
+    }
+}
+
+fn function(text: &str) -> io::Result<(String, Program)> {
+    let wrong = || bad(format!("{text}: expected NAME:MEMORY-MB:LANES:START-MS:RUN-MS"));
+    let parts: Vec<&str> = text.split(':').collect();
+    let [name, memory, lanes, start, run] = parts[..] else { return Err(wrong()) };
+    let number = |t: &str| t.parse::<u32>().map_err(|_| wrong());
+    let program = Program {
+        memory: u64::from(number(memory)?) * 1_000_000,
+        lanes: number(lanes)?.max(1) as usize,
+        start: i64::from(number(start)?) * 1000,
+        run: i64::from(number(run)?) * 1000,
+    };
+    Ok((name.to_string(), program))
+}
--- a/crates/judge/src/capture.rs
+++ b/crates/judge/src/capture.rs
@@ -61,6 +61,7 @@
     records: Vec<Record>,
     bytes: usize,
     cut_short: bool,
+    stopped: bool,
 }
 
 /// A recording, written by taps on any thread.
@@ -85,6 +86,9 @@
     /// Writes a line.
     pub fn write(&self, link: usize, connection: u64, what: What) {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        if inner.stopped {
+            return;
+        }
         if let What::Bytes(_, bytes) = &what {
             if inner.bytes + bytes.len() > BYTES_MOST {
                 inner.cut_short = true;
@@ -97,9 +101,15 @@
         inner.records.push(Record { at, link, connection, what });
     }
 
+    /// Records nothing from here on.
+    pub fn stop(&self) {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner).stopped = true;
+    }
+
     /// Ends the recording and gives what was recorded.
     pub fn finish(&self, links: Vec<Link>) -> Capture {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.stopped = true;
         let records = std::mem::take(&mut inner.records);
         Capture { links, records, cut_short: inner.cut_short }
     }
--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -12,7 +12,10 @@
     Unsafe,
     /// Repeats within the window, at workers of one group, are dropped by the workers. A worker's group is looked up in
     /// [`Charter::groups`]; `None` groups all.
-    Keyed { grouped: bool, window: Micros },
+    Keyed {
+        grouped: bool,
+        window: Micros,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -125,7 +128,12 @@
 
     /// When a front end could know what reached it at a time.
     fn knew(&self, front_end: u32, at: Micros) -> Micros {
-        self.frozen.iter().filter(|f| f.0 == front_end && f.1 <= at && at <= f.2).map(|f| f.2).max().unwrap_or(at)
+        self.frozen
+            .iter()
+            .filter(|f| f.0 == front_end && f.1 <= at && at <= f.2)
+            .map(|f| f.2)
+            .max()
+            .unwrap_or(at)
     }
 }
 
@@ -185,7 +193,9 @@
         } else if late {
             let excused = !charter.ran(last.front_end, by);
             let at = call.answers[0].0;
-            tally.check(excused, || format!("{id}: answered at {} ms, its time ended at {} ms", ms(at), ms(by)));
+            tally.check(excused, || {
+                format!("{id}: answered at {} ms, its time ended at {} ms", ms(at), ms(by))
+            });
         } else if call.answers.is_empty() {
             let left = !call.replies.is_empty();
             let went_back = last.lost.is_some_and(|t| t <= by);
@@ -211,9 +221,9 @@
             let earlier = &attempts[..n];
             if !charter.second_copies {
                 // Two front ends know nothing of each other; within one, no two at a time.
-                let doubled = earlier.iter().any(|e| {
-                    e.front_end == attempt.front_end && e.ended.is_none_or(|t| t > attempt.asked)
-                });
+                let doubled = earlier
+                    .iter()
+                    .any(|e| e.front_end == attempt.front_end && e.ended.is_none_or(|t| t > attempt.asked));
                 tally.check(!doubled, || {
                     format!("{id}: attempt {n} at {} ms while an earlier one was out", ms(attempt.asked))
                 });
@@ -224,7 +234,8 @@
                 Effect::Safe => true,
                 Effect::Unsafe => perhaps.is_empty(),
                 Effect::Keyed { grouped, window } => perhaps.iter().all(|e| {
-                    let same = !grouped || charter.groups.get(&e.worker) == charter.groups.get(&attempt.worker);
+                    let same =
+                        !grouped || charter.groups.get(&e.worker) == charter.groups.get(&attempt.worker);
                     same && attempt.asked - e.asked <= *window
                 }),
             };
@@ -243,9 +254,9 @@
             Effect::Keyed { grouped, .. } => *grouped,
         };
         for reply in call.replies.iter().filter(|r| bound && r.outcome == "refused") {
-            let perhaps = attempts.iter().find(|a| {
-                a.asked <= reply.at && !(a.never && a.ended.is_some_and(|t| t <= reply.at))
-            });
+            let perhaps = attempts
+                .iter()
+                .find(|a| a.asked <= reply.at && !(a.never && a.ended.is_some_and(|t| t <= reply.at)));
             tally.check(perhaps.is_none(), || {
                 let worker = perhaps.map_or("?", |p| p.worker.as_str());
                 format!("{id}: refused at {} ms though an attempt to {worker} may have run", ms(reply.at))
@@ -316,12 +327,18 @@
             let over = inside.len() as f64 > budget;
             let informed = inside.iter().filter(|s| {
                 let told = story.told.get(&(s.1, start.worker.clone()));
-                told.is_some_and(|t| t.iter().any(|t| t.by_list && t.ready && t.at >= start.at && t.at <= s.0))
+                told.is_some_and(|t| {
+                    t.iter().any(|t| t.by_list && t.ready && t.at >= start.at && t.at <= s.0)
+                })
             });
             let breach = over && informed.count() * 3 >= inside.len() * 2;
             tally.check(!breach, || {
                 let (n, at) = (inside.len(), ms(*from));
-                format!("{}: {n} calls within {} ms from {at} ms, budget {budget:.0}", start.worker, ms(window))
+                format!(
+                    "{}: {n} calls within {} ms from {at} ms, budget {budget:.0}",
+                    start.worker,
+                    ms(window)
+                )
             });
         }
     }
@@ -337,7 +354,8 @@
         let same = story.loads.iter().filter(|l| l.front_end == load.front_end);
         let loads = same.filter(|l| within(l.at)).count();
         let taken = story.taken.get(&load.front_end).unwrap_or(&none);
-        let taken = taken.partition_point(|t| *t <= load.at) - taken.partition_point(|t| *t <= load.at - window);
+        let taken =
+            taken.partition_point(|t| *t <= load.at) - taken.partition_point(|t| *t <= load.at - window);
         let ration = free + share * taken as f64;
         tally.check(loads as f64 <= ration, || {
             let (at, f) = (ms(load.at), load.front_end);
--- /dev/null
+++ b/crates/stage/src/callers.rs
@@ -0,0 +1,202 @@
+//! Callers: calls published at a drawn pace, replies counted as they come.
+
+use crate::layout::{Layout, GIVE_UP, QUEUE};
+use bytes::Bytes;
+use rand_chacha::ChaCha8Rng;
+use rand_core::{Rng, SeedableRng};
+use stagehoist_amqp::{
+    basic, long, queue, short, AMQPClass, BasicProperties, Client, ClientEvent, ClientOptions, FieldTable,
+};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// Counts shown while a day runs; the verdict does not rest on them.
+#[derive(Debug, Default)]
+pub struct Counts {
+    pub sent: AtomicU64,
+    pub served: AtomicU64,
+    pub refused: AtomicU64,
+    pub failed: AtomicU64,
+    /// Consumers of the queue of calls, as the broker last told.
+    pub consumers: AtomicU64,
+}
+
+/// What callers are told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// Calls a second; 0 pauses.
+    pub rate: f64,
+    pub stop: bool,
+}
+
+fn draw(random: &mut ChaCha8Rng) -> f64 {
+    (random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// One caller process: sends at the told pace until told to stop.
+pub async fn run(
+    broker: String,
+    number: u32,
+    layout: Layout,
+    seed: u64,
+    counts: Arc<Counts>,
+    mut pace: watch::Receiver<Pace>,
+) {
+    let start = Instant::now();
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut sent = 0u64;
+    while !pace.borrow_and_update().stop {
+        if let Ok(stream) = TcpStream::connect(&broker).await {
+            // A lost connection is made anew; what was under way is the broker's and the gateway's matter.
+            let _ = talk(stream, start, number, &layout, &mut random, &mut sent, &counts, &mut pace).await;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[allow(clippy::too_many_arguments)]
+async fn talk(
+    mut stream: TcpStream,
+    start: Instant,
+    number: u32,
+    layout: &Layout,
+    random: &mut ChaCha8Rng,
+    sent: &mut u64,
+    counts: &Counts,
+    pace: &mut watch::Receiver<Pace>,
+) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let now = || start.elapsed().as_micros() as i64;
+    let options = ClientOptions { product: "stand-in caller".into(), ..ClientOptions::default() };
+    let mut client = Client::new(options, now());
+    let replies = format!("replies-{number}");
+    let mut channel = 0;
+    let mut ready = false;
+    let mut buffer = vec![0u8; 64 << 10];
+    let mut next = now();
+    let mut looked = 0;
+    loop {
+        while let Some(event) = client.event() {
+            match event {
+                ClientEvent::Open => {
+                    channel = client.open_channel().unwrap_or(0);
+                    // The reply queue outlives a restart of the broker and of this connection.
+                    client.send(
+                        channel,
+                        AMQPClass::Queue(queue::AMQPMethod::Declare(declare(&replies, false))),
+                    );
+                    let consume = basic::Consume {
+                        queue: short(&replies),
+                        consumer_tag: short("r"),
+                        no_local: false,
+                        no_ack: true,
+                        exclusive: false,
+                        nowait: false,
+                        arguments: FieldTable::default(),
+                    };
+                    client.send(channel, AMQPClass::Basic(basic::AMQPMethod::Consume(consume)));
+                }
+                ClientEvent::Method(_, AMQPClass::Basic(basic::AMQPMethod::ConsumeOk(_))) => ready = true,
+                ClientEvent::Method(_, AMQPClass::Queue(queue::AMQPMethod::DeclareOk(ok))) => {
+                    if ok.queue.as_str() == QUEUE {
+                        counts.consumers.store(u64::from(ok.consumer_count), Ordering::Relaxed);
+                    }
+                }
+                ClientEvent::Delivered(_, message) => {
+                    let headers = message.properties.headers().clone().unwrap_or_default();
+                    let outcome = stagehoist_amqp::header_text(&headers, "outcome").unwrap_or_default();
+                    let count = match outcome.as_str() {
+                        "served" => &counts.served,
+                        "refused" => &counts.refused,
+                        _ => &counts.failed,
+                    };
+                    count.fetch_add(1, Ordering::Relaxed);
+                }
+                ClientEvent::ChannelClosed { .. } => return Ok(()),
+                ClientEvent::Closed { .. } | ClientEvent::Failed(_) => return Ok(()),
+                _ => {}
+            }
+        }
+        let told = *pace.borrow_and_update();
+        if told.stop {
+            client.close(200, "done");
+        }
+        if ready && !told.stop {
+            if now() - looked > 100_000 {
+                // Who consumes is asked in the protocol's own way: a passive declaration.
+                looked = now();
+                client.send(channel, AMQPClass::Queue(queue::AMQPMethod::Declare(declare(QUEUE, true))));
+            }
+            if told.rate <= 0.0 {
+                next = now();
+            }
+            while told.rate > 0.0 && next <= now() {
+                *sent += 1;
+                counts.sent.fetch_add(1, Ordering::Relaxed);
+                publish(&mut client, channel, number, *sent, &replies, layout, random);
+                next += (-(1.0 - draw(random)).ln() / told.rate * 1e6) as i64;
+            }
+        }
+        let output = client.output().split();
+        if !output.is_empty() {
+            stream.write_all(&output).await?;
+            client.wrote(output.len(), now());
+        }
+        if client.is_over() {
+            return stream.shutdown().await;
+        }
+        let wait = (next - now()).clamp(200, 50_000) as u64;
+        tokio::select! {
+            read = stream.read(&mut buffer) => {
+                let n = read?;
+                if n == 0 {
+                    return Ok(());
+                }
+                client.receive(&buffer[..n], now());
+            }
+            _ = tokio::time::sleep(Duration::from_micros(wait)) => client.tick(now()),
+        }
+    }
+}
+
+fn declare(name: &str, passive: bool) -> queue::Declare {
+    queue::Declare {
+        queue: short(name),
+        passive,
+        durable: true,
+        exclusive: false,
+        auto_delete: false,
+        nowait: false,
+        arguments: FieldTable::default(),
+    }
+}
+
+fn publish(
+    client: &mut Client,
+    channel: u16,
+    caller: u32,
+    n: u64,
+    replies: &str,
+    layout: &Layout,
+    random: &mut ChaCha8Rng,
+) {
+    let function = layout.function(draw(random), draw(random));
+    let id = format!("c{caller}-{n}");
+    let body = format!("{{\"id\":\"{id}\",\"inputs\":[{{\"name\":\"day\",\"shape\":[1],\"datatype\":\"INT32\",\"data\":[{n}]}}]}}");
+    let mut headers = FieldTable::default();
+    headers.insert(short("function"), long(function));
+    let properties = BasicProperties::default()
+        .with_content_type(short("application/json"))
+        .with_correlation_id(short(&id))
+        .with_reply_to(short(replies))
+        .with_expiration(short(&(GIVE_UP / 1000).to_string()))
+        .with_delivery_mode(2)
+        .with_headers(headers);
+    let publish =
+        basic::Publish { exchange: short(""), routing_key: short(QUEUE), mandatory: false, immediate: false };
+    client.publish(channel, publish, &properties, &Bytes::from(body));
+}
--- /dev/null
+++ b/crates/stage/src/layout.rs
@@ -0,0 +1,139 @@
+//! What stands on the stage: functions, classes, workers, and the configuration and charter that follow from them.
+
+use crate::day::Day;
+use stagehoist_judge::rules::{Charter, ClassRule, Effect};
+use stagehoist_standin::worker::{Catalogue, Program, Spec};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const MS: i64 = 1000;
+const S: i64 = 1_000_000;
+
+/// Give-up time of every class, in microseconds.
+pub const GIVE_UP: i64 = 2500 * MS;
+/// Queue that calls are published to.
+pub const QUEUE: &str = "calls";
+
+/// Workers and functions of a stage.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    pub workers: Vec<WorkerPlan>,
+    pub catalogue: Arc<Catalogue>,
+    pub spec: Spec,
+}
+
+/// One worker.
+#[derive(Clone, Debug)]
+pub struct WorkerPlan {
+    pub name: String,
+    pub hall: String,
+    pub cell: u16,
+}
+
+impl Layout {
+    /// The layout of a day: workers `w0`, `w1`, ... spread over halls `hall-a`, `hall-b`, ...
+    pub fn of(day: &Day) -> Layout {
+        let halls = day.halls.clamp(1, 26);
+        let hall = |i: u32| format!("hall-{}", char::from(b'a' + (i % halls) as u8));
+        let plan = |i: u32| WorkerPlan { name: format!("w{i}"), hall: hall(i), cell: (i / 2) as u16 };
+        let program = |memory_mb: u64, lanes, start_ms, run_ms| Program {
+            memory: memory_mb * 1_000_000,
+            lanes,
+            start: start_ms * MS,
+            run: run_ms * MS,
+        };
+        let catalogue = Catalogue(vec![
+            ("free-times".into(), program(64, 4, 60, 25)),
+            ("clashes".into(), program(96, 4, 80, 30)),
+            ("recurring".into(), program(128, 2, 100, 40)),
+            ("rare-*".into(), program(48, 1, 50, 30)),
+        ]);
+        let spec = Spec {
+            cores: 4.0,
+            memory: 800_000_000,
+            queue_most: 48,
+            loads_most: 3,
+            idle_keep: 10 * S,
+            warm_up: 6 * S,
+            start_share: 0.25,
+            load_on_miss: true,
+            grow: true,
+            fall_multiple: 2.5,
+            fall_window: S,
+        };
+        Layout { workers: (0..day.workers).map(plan).collect(), catalogue: Arc::new(catalogue), spec }
+    }
+
+    /// The configuration of one front end's process.
+    pub fn config(&self, day: &Day, front_end: u32, broker: &str, list: &str) -> String {
+        let halls: Vec<String> = {
+            let set: std::collections::BTreeSet<_> = self.workers.iter().map(|w| w.hall.clone()).collect();
+            set.into_iter().collect()
+        };
+        format!(
+            "front-ends 1\nfleet-front-ends {fleet}\nseed {seed}\n\
+             listen metrics 127.0.0.1:0\n\
+             class lookup aim 800ms give-up 2500ms effect safe worth 1 late-worth 0.1\n\
+             class check aim 800ms give-up 2500ms effect keyed group all window 5s worth 1 late-worth 0.1\n\
+             class record aim 1500ms give-up 2500ms effect unsafe worth 3 late-worth 0.1\n\
+             function free-times class lookup memory 64MB lanes 4 load 200ms\n\
+             function clashes class check memory 96MB lanes 4 load 200ms\n\
+             function recurring class record memory 128MB lanes 2 load 250ms\n\
+             function rare-* class lookup memory 48MB lanes 1 load 180ms\n\
+             broker amqp://guest:guest@{broker}/\n\
+             consume {QUEUE} prefetch 400 declare durable\n\
+             reconnect first 50ms most 1s\n\
+             heartbeat 5s\n\
+             worker-list consul http://{list} service workers wait 5s\n\
+             worker-kind usual memory 800MB\n\
+             zone-names {halls}\nzone {zone}\n\
+             drain-grace 1s\n\
+             cold-start window 1s multiple 2.5 share 0.25 warm-up 6s\n\
+             attempts 4\nsecond-copies yes\ncancel yes\nprobe yes\norder-loads yes\n\
+             idle-keep 10s\non-miss load\nload-timeout 10s\n\
+             load-ration window 10s free 12 share 0.2\n\
+             reports answers fields busy,inflight\n",
+            fleet = day.front_ends,
+            seed = day.seed + u64::from(front_end) * 101,
+            halls = halls.join(","),
+            zone = halls[front_end as usize % halls.len()],
+        )
+    }
+
+    /// The rules' figures, as [`Layout::config`] tells them to the gateway.
+    pub fn charter(&self) -> Charter {
+        let class = |effect| ClassRule { effect, give_up: GIVE_UP };
+        Charter {
+            functions: vec![
+                ("free-times".into(), class(Effect::Safe)),
+                ("clashes".into(), class(Effect::Keyed { grouped: false, window: 5 * S })),
+                ("recurring".into(), class(Effect::Unsafe)),
+                ("rare-*".into(), class(Effect::Safe)),
+            ],
+            answer_grace: 50 * MS,
+            drain_grace: S,
+            second_copies: true,
+            ration: Some((10 * S, 12.0, 0.2)),
+            groups: BTreeMap::new(),
+            cold: Some((S, 2.5, 0.25, 6 * S)),
+            starts: Vec::new(),
+            frozen: Vec::new(),
+            killed: Vec::new(),
+        }
+    }
+
+    /// Calls a second that a warm worker serves of the usual mix.
+    pub fn capacity(&self) -> f64 {
+        self.spec.cores / 0.030
+    }
+
+    /// The function of a call, from two draws between 0 and 1: three that are asked for often, and a long tail.
+    pub fn function(&self, which: f64, tail: f64) -> String {
+        match which {
+            w if w < 0.45 => "free-times".into(),
+            w if w < 0.75 => "clashes".into(),
+            w if w < 0.92 => "recurring".into(),
+            _ => format!("rare-{:03}", (200.0 * tail * tail) as u32),
+        }
+    }
+}
--- /dev/null
+++ b/crates/stage/src/lib.rs
@@ -0,0 +1,15 @@
+//! The whole stack on loopback: stand-in broker, workers, store and list, a recording proxy on every link, callers, and
+//! gateway processes started from the project's own binary. A [`Day`] scripts what goes wrong; [`play`] plays it and has
+//! the judge decide the rules from what crossed the sockets.
+#![forbid(unsafe_code)]
+
+mod callers;
+mod day;
+mod layout;
+mod play;
+mod stack;
+
+pub use day::{Day, DayFault, Trouble};
+pub use layout::Layout;
+pub use play::{play, play_on, Ledger, Progress};
+pub use stack::{Stack, StageError};
