Stamped messages: what waited in the broker's queue counts against a call's budget

The header timestamp_in_ms (RabbitMQ's message interceptors; now the stand-in broker) tells the age.

--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -194,7 +194,16 @@
             let excused = !charter.ran(last.front_end, by);
             let at = call.answers[0].0;
             tally.check(excused, || {
-                format!("{id}: answered at {} ms, its time ended at {} ms", ms(at), ms(by))
+                let deliveries: Vec<String> =
+                    call.deliveries.iter().map(|d| format!("{} at {} ms", d.front_end, ms(d.at))).collect();
+                let replies: Vec<String> = call.replies.iter().map(|r| format!("{} ms", ms(r.at))).collect();
+                format!(
+                    "{id}: answered at {} ms, its time ended at {} ms; to front end {}; replies left at {}",
+                    ms(at),
+                    ms(by),
+                    deliveries.join(", "),
+                    replies.join(", ")
+                )
             });
         } else if call.answers.is_empty() {
             let left = !call.replies.is_empty();
--- a/crates/stage/src/day.rs
+++ b/crates/stage/src/day.rs
@@ -147,6 +147,8 @@
     pub rate: f64,
     pub length: Duration,
     pub seed: u64,
+    /// Workers load a missing function when a call finds it so; else only a front end's order brings it.
+    pub load_on_miss: bool,
     pub troubles: Vec<(Duration, Trouble)>,
 }
 
@@ -159,6 +161,7 @@
             rate: 150.0,
             length: Duration::from_secs(60),
             seed: 7,
+            load_on_miss: true,
             troubles: Vec::new(),
         }
     }
@@ -279,13 +282,20 @@
             "front-ends" => self.front_ends = w.number("", "a number of front ends")?,
             "seed" => self.seed = w.number("", "a whole number")?,
             "rate" => self.rate = w.number("/s", "a rate such as 150/s")?,
+            "on-miss" => {
+                self.load_on_miss = match w.word("load or miss")? {
+                    "load" => true,
+                    "miss" => false,
+                    _ => return w.wrong("load or miss"),
+                };
+            }
             "length" => self.length = w.duration()?,
             "at" => {
                 let at = w.duration()?;
                 let trouble = trouble(w)?;
                 self.troubles.push((at, trouble));
             }
-            _ => return w.wrong("halls, workers, front-ends, seed, rate, length or at"),
+            _ => return w.wrong("halls, workers, front-ends, seed, rate, on-miss, length or at"),
         }
         Ok(())
     }
--- a/crates/stage/src/layout.rs
+++ b/crates/stage/src/layout.rs
@@ -56,7 +56,7 @@
             idle_keep: 10 * S,
             warm_up: 6 * S,
             start_share: 0.25,
-            load_on_miss: true,
+            load_on_miss: day.load_on_miss,
             grow: true,
             fall_multiple: 2.5,
             fall_window: S,
@@ -90,9 +90,10 @@
              drain-grace 1s\n\
              cold-start window 1s multiple 2.5 share 0.25 warm-up 6s\n\
              attempts 4\nsecond-copies yes\ncancel yes\nprobe yes\norder-loads yes\n\
-             idle-keep 10s\non-miss load\nload-timeout 10s\n\
+             idle-keep 10s\non-miss {miss}\nload-timeout 10s\n\
              load-ration window 10s free 12 share 0.2\n\
              reports answers fields busy,inflight\n",
+            miss = if day.load_on_miss { "load" } else { "miss" },
             fleet = day.front_ends,
             seed = day.seed + u64::from(front_end) * 101,
             halls = halls.join(","),
--- a/crates/stage/src/stack.rs
+++ b/crates/stage/src/stack.rs
@@ -144,7 +144,8 @@
         let (listener, broker_address) = listen()?;
         hosts.push(host(move || async move {
             let Ok(listener) = TcpListener::from_std(listener) else { return };
-            let ended = broker::serve(listener, Broker::new(BrokerOptions::default()), commands).await;
+            let options = BrokerOptions { stamp_from: Some(unix_ms() * 1000), ..BrokerOptions::default() };
+            let ended = broker::serve(listener, Broker::new(options), commands).await;
             tracing::warn!(?ended, "broker ended");
         })?);
 
--- a/crates/standin/src/broker/methods.rs
+++ b/crates/standin/src/broker/methods.rs
@@ -5,7 +5,7 @@
 use stagehoist_amqp::codec::{ids, put_content, put_method};
 use stagehoist_amqp::error::{reply, Fault};
 use stagehoist_amqp::{basic, channel, confirm, exchange, queue, short};
-use stagehoist_amqp::{AMQPClass, FieldTable, Message};
+use stagehoist_amqp::{AMQPClass, AMQPValue, FieldTable, Message};
 
 type Done = Result<(), Fault>;
 
@@ -521,6 +521,11 @@
             }
             properties = properties.with_reply_to(short(&format!("{REPLY_QUEUE}.{number}.{id}")));
         }
+        if let Some(zero) = self.options.stamp_from {
+            let mut headers = properties.headers().clone().unwrap_or_default();
+            headers.insert(short("timestamp_in_ms"), AMQPValue::LongLongInt((zero + now) / 1000));
+            properties = properties.with_headers(headers);
+        }
         let stored = Stored {
             exchange: name.to_string(),
             key: key.to_string(),
--- a/crates/standin/src/broker/mod.rs
+++ b/crates/standin/src/broker/mod.rs
@@ -37,6 +37,9 @@
     pub vhost: String,
     /// Heartbeat interval offered, in seconds.
     pub heartbeat: u16,
+    /// Unix time in microseconds at the zero of the broker's clock: messages are stamped with the header `timestamp_in_ms`
+    /// when they are taken, as RabbitMQ's message interceptors do. None: not stamped.
+    pub stamp_from: Option<Micros>,
 }
 
 impl Default for BrokerOptions {
@@ -47,6 +50,7 @@
             mechanisms: "PLAIN AMQPLAIN".into(),
             vhost: "/".into(),
             heartbeat: 60,
+            stamp_from: None,
         }
     }
 }
