A call goes back to the worker where its own miss had the copy loaded

Cause, found on the running gateway with an ordinary client: where a miss only answers, a lone call missed at its function's home, the load was ordered there, and the call then passed over the one worker that held its copy until its time was up. Exception: a worker tried before is tried again where a copy came to stand since the attempt. A bench-free test fails without it.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -559,8 +559,14 @@
             if !warm && (barred || w.believed.loading_until > now) {
                 continue;
             }
+            // Not again where it was, unless a copy came to stand there since: the one that its own miss had
+            // loaded. Guards against calls that wait out their time beside their copy; also covers a lane
+            // freed after 'full'. Could harm where copies come and go faster than calls are tried.
+            let since = |a: &Micros| warm && known.is_some_and(|x| x.ready > *a);
             let mut here = p.attempts.iter().filter(|a| a.0 == w.row.worker);
-            if here.any(|a| a.2 != Run::Never || ready > p.attempts.len()) || !self.in_group(p, w) {
+            let spent =
+                |a: &(WorkerId, Micros, Run)| a.2 != Run::Never || ready > p.attempts.len() && !since(&a.1);
+            if here.any(spent) || !self.in_group(p, w) {
                 continue;
             }
             let stands = if !home { -1.0 } else { chance * !absent as u8 as f64 };
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -602,3 +602,27 @@
         assert_eq!(first, play(s, 31, 1500, true));
     }
 }
+
+/// Found on the running gateway: a lone call missed at its function's home, the load it caused was ordered there, and the
+/// call then passed over the one worker that held its copy until its time was up.
+#[test]
+fn a_call_goes_back_to_where_its_own_miss_had_the_copy_loaded() {
+    let mut b = Bench::new("specifics.if_cold=miss\nspecifics.placement_calls=true\n", &[1, 2, 3, 4, 5, 6]);
+    let first = sends(&b.step(0, vec![request(1, 0, 9)]));
+    let mut out = b.step(5 * MS, vec![ended(1, 0, first[0].1, Outcome::Miss)]);
+    let mut loads = Vec::new();
+    for _ in 0..50 {
+        loads.extend(out.iter().filter_map(|a| match a {
+            Action::Load { worker, function: 9, .. } => Some(*worker),
+            _ => None,
+        }));
+        if !loads.is_empty() {
+            break;
+        }
+        out = b.step(10 * MS, vec![]);
+    }
+    assert_eq!(loads, [first[0].1]);
+    let (worker, function, took) = (loads[0], 9, 300 * MS);
+    let loaded = Event::Loaded { worker, function, outcome: Outcome::Ok, took, copies: 1 };
+    assert_eq!(sends(&b.step(300 * MS, vec![loaded])), [(1, first[0].1)]);
+}
