--- a/crates/config/src/build.rs
+++ b/crates/config/src/build.rs
@@ -122,6 +122,8 @@
     pub heartbeat: i64,
     pub reconnect: (i64, i64),
     pub confirm_timeout: i64,
+    /// Replies and acknowledgements in one transaction, in place of publisher confirms.
+    pub transactions: bool,
     pub resend_doubtful: bool,
     pub answer_memory: (u64, i64),
     pub list: ListSource,
@@ -511,6 +513,7 @@
         worth_by_work: s.text("worth-by", "unit").as_deref() == Some("work"),
         heartbeat: s.duration("heartbeat", 10 * S),
         confirm_timeout: s.duration("confirm-timeout", 5 * S),
+        transactions: s.text("replies", "by").as_deref() == Some("transaction"),
         resend_doubtful: s.text("doubtful-reply", "what").as_deref() == Some("resend"),
         answer_memory: (
             s.count("answer-memory", "count", 100_000),
--- a/crates/config/src/grammar.rs
+++ b/crates/config/src/grammar.rs
@@ -122,6 +122,7 @@
         often: Often::Once,
     },
     one("confirm-timeout", &[must("value", Kind::Duration(MS, H))]),
+    one("replies", &[must("by", Kind::Word(&["confirm", "transaction"]))]),
     one("doubtful-reply", &[must("what", Kind::Word(&["withhold", "resend"]))]),
     Directive {
         name: "answer-memory",
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -92,6 +92,7 @@
         line(format!("heartbeat {}", d(self.heartbeat)));
         line(format!("reconnect first {} most {}", d(self.reconnect.0), d(self.reconnect.1)));
         line(format!("confirm-timeout {}", d(self.confirm_timeout)));
+        line(format!("replies {}", if self.transactions { "transaction" } else { "confirm" }));
         line(format!("doubtful-reply {}", if self.resend_doubtful { "resend" } else { "withhold" }));
         line(format!("answer-memory count {} keep {}", self.answer_memory.0, d(self.answer_memory.1)));
         match &self.list {
--- a/crates/gateway/src/amqp/front.rs
+++ b/crates/gateway/src/amqp/front.rs
@@ -5,11 +5,11 @@
 use super::message::{reply, Reader, Unusable};
 use crate::state::{Answer, Arrival, Ticket};
 use stagehoist::{Effect, Micros};
-use stagehoist_amqp::{basic, channel, confirm, queue, short};
+use stagehoist_amqp::{basic, channel, confirm, queue, short, tx};
 use stagehoist_amqp::{AMQPClass, Client, ClientEvent, ClientOptions, FieldTable, Message};
 use stagehoist_config::{Broker, Config};
 use stagehoist_recovery::{Backoff, Key, Memory, Sent, Verdict};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
 /// Times that a reply is published again after the broker said it can't take it (`basic.nack`).
@@ -72,6 +72,9 @@
     again: BTreeMap<usize, Micros>,
     deliveries: HashMap<Ticket, Delivery>,
     replies: BTreeMap<u64, Ticket>,
+    /// In transactions: replies of the one that is open, whether it holds anything, and those being committed.
+    open: (Vec<Ticket>, bool),
+    committing: VecDeque<(Micros, Vec<Ticket>)>,
     next_ticket: Ticket,
     arrivals: Vec<Arrival>,
     draining: bool,
@@ -95,6 +98,8 @@
             again: BTreeMap::new(),
             deliveries: HashMap::new(),
             replies: BTreeMap::new(),
+            open: (Vec::new(), false),
+            committing: VecDeque::new(),
             next_ticket: 1,
             arrivals: Vec::new(),
             draining: false,
@@ -159,12 +164,26 @@
             _ => None,
         };
         let again = self.again.values().min().copied();
-        // Replies are published in turn, so that the lowest number is the oldest.
-        let oldest = self.replies.values().next().and_then(|t| self.deliveries.get(t)?.published);
-        let confirm = oldest.map(|(_, at)| at + self.config.confirm_timeout);
+        let confirm = self.oldest_unconfirmed().map(|at| at + self.config.confirm_timeout);
         [client, waiting, again, confirm].into_iter().flatten().min()
     }
 
+    /// When the reply that waits longest for its confirm, or commit, was sent.
+    fn oldest_unconfirmed(&self) -> Option<Micros> {
+        // Replies are published in turn, so that the lowest number is the oldest.
+        let reply = self.replies.values().next().and_then(|t| self.deliveries.get(t)?.published);
+        reply.map(|r| r.1).or(self.committing.front().map(|c| c.0))
+    }
+
+    /// Ends the open transaction, if it holds anything: what was put into it since the last call takes effect together.
+    pub fn flush(&mut self, now: Micros) {
+        if std::mem::take(&mut self.open.1) {
+            let tickets = std::mem::take(&mut self.open.0);
+            self.committing.push_back((now, tickets));
+            self.send(AMQPClass::Tx(tx::AMQPMethod::Commit(tx::Commit {})));
+        }
+    }
+
     /// Time passes: heartbeats, channels opened again, confirms that don't come.
     pub fn tick(&mut self, now: Micros) {
         if let Some(client) = self.client.as_mut() {
@@ -178,10 +197,11 @@
             self.again.remove(&index);
             self.consume(index);
         }
-        let oldest = self.replies.values().next().and_then(|t| self.deliveries.get(t)?.published);
-        if oldest.is_some_and(|(_, at)| now - at >= self.config.confirm_timeout) {
+        if self.oldest_unconfirmed().is_some_and(|at| now - at >= self.config.confirm_timeout) {
             tracing::warn!("the broker confirms no replies; connection given up");
-            self.replies.pop_first();
+            if self.replies.pop_first().is_none() {
+                self.committing.pop_front();
+            }
             if let Some(client) = self.client.as_mut() {
                 client.close(200, "no confirms in time");
             }
@@ -245,8 +265,12 @@
     fn take_method(&mut self, method: AMQPClass, now: Micros) {
         match method {
             AMQPClass::Channel(channel::AMQPMethod::OpenOk(_)) => {
-                let select = confirm::Select { nowait: false };
-                self.send(AMQPClass::Confirm(confirm::AMQPMethod::Select(select)));
+                if self.config.transactions {
+                    self.send(AMQPClass::Tx(tx::AMQPMethod::Select(tx::Select {})));
+                } else {
+                    let select = confirm::Select { nowait: false };
+                    self.send(AMQPClass::Confirm(confirm::AMQPMethod::Select(select)));
+                }
                 self.consuming = 0;
                 if !self.draining {
                     (0..self.config.consume.len()).for_each(|index| self.consume(index));
@@ -260,6 +284,15 @@
                     tracing::info!("consuming");
                 }
             }
+            AMQPClass::Tx(tx::AMQPMethod::CommitOk(_)) => {
+                for ticket in self.committing.pop_front().map(|c| c.1).unwrap_or_default() {
+                    let Some(delivery) = self.deliveries.remove(&ticket) else { continue };
+                    self.counters.confirmed += 1;
+                    if let Some(key) = &delivery.key {
+                        self.memory.sent(key, Sent::Confirmed);
+                    }
+                }
+            }
             AMQPClass::Basic(basic::AMQPMethod::Cancel(cancel)) => {
                 // The queue went away under us; it may be declared again.
                 tracing::warn!(consumer = cancel.consumer_tag.as_str(), "consumer cancelled by the broker");
@@ -308,10 +341,12 @@
 
     fn reject(&mut self, tag: u64) {
         self.counters.rejected += 1;
+        self.open.1 |= self.config.transactions;
         self.basic(basic::AMQPMethod::Reject(basic::Reject { delivery_tag: tag, requeue: false }));
     }
 
     fn ack(&mut self, tag: u64) {
+        self.open.1 |= self.config.transactions;
         self.basic(basic::AMQPMethod::Ack(basic::Ack { delivery_tag: tag, multiple: false }));
     }
 
@@ -445,6 +480,16 @@
         };
         if let Some(seq) = client.publish(self.channel, publish, &properties, &body) {
             self.counters.replies += 1;
+            if self.config.transactions {
+                // The acknowledgement takes effect with the reply or not at all, so that a message which comes again has
+                // had no reply: there is no doubt to keep.
+                let tag = delivery.tag;
+                if let Some(key) = &delivery.key {
+                    self.memory.sent(key, Sent::Never);
+                }
+                self.open.0.push(ticket);
+                return self.ack(tag);
+            }
             delivery.published = Some((seq, now));
             self.replies.insert(seq, ticket);
             if let Some(key) = &delivery.key {
@@ -487,6 +532,10 @@
             let unsent = self.client.as_ref().is_some_and(|c| c.surely_unsent(channel, seq));
             self.memory.sent(key, if unsent { Sent::Never } else { Sent::Doubtful });
         }
+        let open = std::mem::take(&mut self.open).0;
+        for ticket in std::mem::take(&mut self.committing).into_iter().flat_map(|c| c.1).chain(open) {
+            self.deliveries.remove(&ticket);
+        }
         self.generation += 1;
         self.again.clear();
         self.consuming = 0;
--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -143,6 +143,7 @@
         }
         // Write what there is, as far as the socket takes it.
         let now = clock.now();
+        front.flush(now);
         let Some(client) = front.client() else { return Ended::Lost("no client".into()) };
         let mut wants_write = !client.output().is_empty();
         if wants_write {
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -208,7 +208,9 @@
         };
         if let Some(reason) = reason {
             self.counters.turned_away += 1;
-            let answer = Answer::Refused { reason, retry_after: self.config.retry_after_most };
+            // Coming back later helps against a crowd, not against a name that nobody knows.
+            let retry_after = if reason == "too-many-held" { self.config.retry_after_most } else { 0 };
+            let answer = Answer::Refused { reason, retry_after };
             tracing::info!(
                 correlation = &*arrival.correlation,
                 function = &*arrival.function,
--- a/crates/judge/src/story.rs
+++ b/crates/judge/src/story.rs
@@ -3,7 +3,7 @@
 use crate::capture::{Capture, Micros, Peer, Way};
 use crate::streams::{amqp, connections, http, AmqpItem, Connection, Exchange};
 use serde_json::Value;
-use stagehoist_amqp::{basic, AMQPClass, BasicProperties};
+use stagehoist_amqp::{basic, channel, connection, AMQPClass, BasicProperties};
 use std::collections::{BTreeMap, HashMap};
 
 /// A call that a caller published.
@@ -83,6 +83,8 @@
     pub told: BTreeMap<(u32, String), Vec<Told>>,
     /// Deliveries by front end: when.
     pub taken: BTreeMap<u32, Vec<Micros>>,
+    /// Times in which the broker took no publishes from a front end, as it told it: from, to.
+    pub blocked: BTreeMap<u32, Vec<(Micros, Micros)>>,
     pub end: Micros,
 }
 
@@ -152,8 +154,27 @@
     }
 
     fn broker(&mut self, connection: &Connection, front_end: u32) {
+        let mut shut: Option<Micros> = None;
         for item in amqp(connection) {
-            let AmqpItem::Message(message) = item.item else { continue };
+            let message = match item.item {
+                AmqpItem::Message(message) => message,
+                AmqpItem::Method(method) if item.way == Way::In => {
+                    let open = match method {
+                        AMQPClass::Connection(connection::AMQPMethod::Blocked(_)) => false,
+                        AMQPClass::Connection(connection::AMQPMethod::Unblocked(_)) => true,
+                        AMQPClass::Channel(channel::AMQPMethod::Flow(flow)) => flow.active,
+                        _ => continue,
+                    };
+                    if open {
+                        let from = shut.take().unwrap_or(item.at);
+                        self.blocked.entry(front_end).or_default().push((from, item.at));
+                    } else {
+                        shut.get_or_insert(item.at);
+                    }
+                    continue;
+                }
+                AmqpItem::Method(_) => continue,
+            };
             let id = correlation(&message.properties);
             match (&message.method, item.way) {
                 (AMQPClass::Basic(basic::AMQPMethod::Deliver(deliver)), Way::In) => {
@@ -172,6 +193,10 @@
                 _ => {}
             }
         }
+        if let Some(from) = shut {
+            let to = connection.closed.unwrap_or(self.end);
+            self.blocked.entry(front_end).or_default().push((from, to));
+        }
     }
 
     fn worker(&mut self, connection: &Connection, front_end: u32, worker: &str) {
--- a/crates/stage/src/day.rs
+++ b/crates/stage/src/day.rs
@@ -149,6 +149,8 @@
     pub seed: u64,
     /// Workers load a missing function when a call finds it so; else only a front end's order brings it.
     pub load_on_miss: bool,
+    /// Replies and acknowledgements in transactions, in place of publisher confirms.
+    pub transactions: bool,
     pub troubles: Vec<(Duration, Trouble)>,
 }
 
@@ -162,6 +164,7 @@
             length: Duration::from_secs(60),
             seed: 7,
             load_on_miss: true,
+            transactions: false,
             troubles: Vec::new(),
         }
     }
@@ -289,28 +292,73 @@
                     _ => return w.wrong("load or miss"),
                 };
             }
+            "replies" => {
+                self.transactions = match w.word("confirm or transaction")? {
+                    "confirm" => false,
+                    "transaction" => true,
+                    _ => return w.wrong("confirm or transaction"),
+                };
+            }
             "length" => self.length = w.duration()?,
             "at" => {
                 let at = w.duration()?;
                 let trouble = trouble(w)?;
                 self.troubles.push((at, trouble));
             }
-            _ => return w.wrong("halls, workers, front-ends, seed, rate, on-miss, length or at"),
+            _ => return w.wrong("halls, workers, front-ends, seed, rate, on-miss, replies, length or at"),
         }
         Ok(())
     }
 
-    /// The same day in a fraction of its time: every moment and span shrinks alike, but spans keep `least`.
+    /// The same day in a fraction of its time: moments and spans shrink alike, but no span under 400 ms, as shorter ones
+    /// would pass between two calls.
     pub fn shortened(mut self, to: Duration) -> Day {
+        const LEAST: Duration = Duration::from_millis(400);
         let part = to.as_secs_f64() / self.length.as_secs_f64();
         self.length = to;
-        for (at, _) in &mut self.troubles {
+        for (at, trouble) in &mut self.troubles {
             *at = at.mul_f64(part);
+            if let Some(span) = trouble.span_mut() {
+                *span = span.mul_f64(part.min(1.0)).max(LEAST.min(*span));
+            }
         }
         self
     }
 }
 
+impl Trouble {
+    fn span_mut(&mut self) -> Option<&mut Duration> {
+        match self {
+            Trouble::Drain { span, .. }
+            | Trouble::Vanish { span, .. }
+            | Trouble::Die { span, .. }
+            | Trouble::StoreSlow { span, .. }
+            | Trouble::LoseAnswers { span, .. }
+            | Trouble::Reset { span, .. }
+            | Trouble::Stall { span, .. }
+            | Trouble::Garbage { span, .. }
+            | Trouble::Truncate { span, .. }
+            | Trouble::Late { span, .. }
+            | Trouble::Slow { span, .. }
+            | Trouble::Fail { span, .. }
+            | Trouble::BrokerDelay { span, .. }
+            | Trouble::BrokerDeaf { span }
+            | Trouble::BrokerBlocked { span }
+            | Trouble::BrokerFlow { span }
+            | Trouble::ListFails { span }
+            | Trouble::ListLags { span, .. }
+            | Trouble::ListFlaps { span, .. }
+            | Trouble::Flood { span, .. }
+            | Trouble::Stop { span, .. } => Some(span),
+            Trouble::BrokerCut { .. }
+            | Trouble::BrokerRestart
+            | Trouble::ListIndexResets
+            | Trouble::Terminate { .. }
+            | Trouble::Kill { .. } => None,
+        }
+    }
+}
+
 fn trouble(w: &mut Words<'_>) -> Step<Trouble> {
     match w.word("worker, hall, store, answers, broker, list, flood or front-end")? {
         "worker" => {
--- a/crates/stage/src/layout.rs
+++ b/crates/stage/src/layout.rs
@@ -83,7 +83,7 @@
              broker amqp://guest:guest@{broker}/\n\
              consume {QUEUE} prefetch 400 declare durable\n\
              reconnect first 50ms most 1s\n\
-             heartbeat 5s\n\
+             heartbeat 5s\nreplies {replies}\n\
              worker-list consul http://{list} service workers wait 5s\n\
              worker-kind usual memory 800MB\n\
              zone-names {halls}\nzone {zone}\n\
@@ -94,6 +94,7 @@
              load-ration window 10s free 12 share 0.2\n\
              reports answers fields busy,inflight\n",
             miss = if day.load_on_miss { "load" } else { "miss" },
+            replies = if day.transactions { "transaction" } else { "confirm" },
             fleet = day.front_ends,
             seed = day.seed + u64::from(front_end) * 101,
             halls = halls.join(","),
--- a/crates/standin/src/broker/mod.rs
+++ b/crates/standin/src/broker/mod.rs
@@ -67,6 +67,12 @@
     Over,
 }
 
+#[derive(Debug, Default)]
+struct Transaction {
+    publishes: Vec<stagehoist_amqp::Message>,
+    settles: Vec<(u64, bool, methods::Settled)>,
+}
+
 /// A delivery that waits for its acknowledgement.
 #[derive(Debug)]
 struct Unacked {
@@ -88,6 +94,8 @@
     assembler: Assembler,
     /// Number of the last publish, in confirm mode.
     confirms: Option<u64>,
+    /// Publishes and acknowledgements that wait for `tx.commit`, in transaction mode.
+    tx: Option<Transaction>,
     /// Prefetch for new consumers, and for the channel as a whole.
     prefetch: u16,
     prefetch_all: u16,
