--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -2,7 +2,7 @@
 
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
-use stagehoist_stage::{play_on, Day, Ledger, Progress, Stack, StageError};
+use stagehoist_stage::{measure, play_on, Day, Ledger, Progress, Stack, StageError};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -187,3 +187,39 @@
         ExitCode::FAILURE
     }
 }
+
+/// Measures and prints one line for each way of calling.
+pub fn measured(rate: f64, seconds: u64, workers: &[u32], json: bool) -> ExitCode {
+    let binary = match std::env::current_exe() {
+        Ok(binary) => binary,
+        Err(e) => return fail(&e),
+    };
+    let mut show = |m: &stagehoist_stage::Measured| {
+        if json {
+            println!("{}", serde_json::to_string(m).unwrap_or_default());
+            return;
+        }
+        let held: Vec<String> = m.held_us.iter().map(|(k, v)| format!("{k} {v:.0}")).collect();
+        print!(
+            "{:<20} {:>4} workers  {:>6} answered  held us: {}",
+            m.what,
+            m.workers,
+            m.answered,
+            held.join("  ")
+        );
+        if m.cpu_us > 0.0 {
+            print!("  cpu {:.1} us a call, {:.0} calls/s a core", m.cpu_us, m.per_core_s);
+        }
+        if let Some(module) = m.module_us {
+            print!("  module {module:.1} us a call");
+        }
+        if let Some(bytes) = m.held_bytes {
+            print!("  {bytes:.0} bytes a held call");
+        }
+        println!();
+    };
+    match measure(&binary, workers, rate, seconds, &mut show) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(&e),
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -47,6 +47,21 @@
         #[arg(long)]
         print: bool,
     },
+    /// Measure the gateway beside a direct call and a pass-through proxy, in one run.
+    Measure {
+        /// Calls a second.
+        #[arg(long, default_value_t = 1000.0)]
+        rate: f64,
+        /// Seconds for each measurement.
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// Numbers of workers, separated by commas.
+        #[arg(long, default_value = "12,100", value_delimiter = ',')]
+        workers: Vec<u32>,
+        /// One JSON object a line.
+        #[arg(long)]
+        json: bool,
+    },
     /// A stand-in for an outside system.
     Standin {
         #[command(subcommand)]
@@ -75,6 +90,7 @@
         Command::Play(args) => demo::play(&args),
         Command::Serve { conf } => serve::serve(&conf),
         Command::Check { conf, print } => serve::check(&conf, print),
+        Command::Measure { rate, seconds, workers, json } => demo::measured(rate, seconds, &workers, json),
         Command::Standin { what } => standin::run(what),
     }
 }
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -45,6 +45,14 @@
         #[arg(long)]
         file: std::path::PathBuf,
     },
+    /// A pass-through proxy that decides nothing, to measure against.
+    Proxy {
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: String,
+        /// Addresses to pass requests to in turn, separated by commas.
+        #[arg(long)]
+        to: String,
+    },
     /// The program store that workers fetch from.
     Store {
         #[arg(long, default_value = "127.0.0.1:8600")]
@@ -109,6 +117,10 @@
             let options = StoreOptions { fetch, at_ease, most, ..StoreOptions::default() };
             store::serve(listen("program-store", &address).await?, options, Arc::default()).await
         }
+        Standin::Proxy { listen: address, to } => {
+            let targets = to.split(',').map(str::to_string).collect();
+            stagehoist_standin::proxy::serve(listen("proxy", &address).await?, targets).await
+        }
         Standin::List { listen: address, file } => {
             let registry = Registry::new();
             let text = std::fs::read_to_string(&file)
--- /dev/null
+++ b/crates/gateway/tests/core.rs
@@ -0,0 +1,184 @@
+//! Calls and attempts between sockets and the module: one end for each attempt, one answer for each call, everything in time.
+
+use bytes::Bytes;
+use stagehoist::{Micros, Note, Outcome};
+use stagehoist_config::parse;
+use stagehoist_gateway::state::{Answer, Arrival, Attempt, AttemptResult, Command, Core, News};
+use stagehoist_membership::Entry;
+use std::rc::Rc;
+
+const MS: Micros = 1000;
+
+struct Stage {
+    core: Core,
+    now: Micros,
+}
+
+impl Stage {
+    fn new(more: &str) -> Stage {
+        let text = format!(
+            "class lookup aim 800ms give-up 2500ms\nclass record aim 800ms give-up 2500ms effect unsafe\n\
+             function free-times class lookup memory 64MB lanes 4 load 200ms\n\
+             function recurring class record memory 64MB lanes 4 load 200ms\n\
+             broker amqp://127.0.0.1:1/\nconsume calls\nworker-list file none\n{more}"
+        );
+        let config = Rc::new(parse("core.conf", &text).unwrap());
+        let now = 1_700_000_000_000_000;
+        let mut stage = Stage { core: Core::new(config, 3, now), now };
+        stage.list(&["w1", "w2", "w3"]);
+        stage
+    }
+    fn turn(&mut self, after: Micros, mut news: Vec<News>) -> Vec<Command> {
+        self.now += after;
+        let mut out = Vec::new();
+        self.core.turn(self.now, &mut news, &mut out);
+        while self.core.due().is_some_and(|d| d <= self.now) {
+            self.core.turn(self.now, &mut Vec::new(), &mut out);
+        }
+        out
+    }
+    fn list(&mut self, names: &[&str]) -> Vec<Command> {
+        let entries = names.iter().map(|n| Entry { capacity: 4.0, ..Entry::new(*n, format!("{n}:1")) });
+        self.turn(0, vec![News::List(entries.collect())])
+    }
+    fn call(&mut self, ticket: u64, function: &str) -> Vec<Command> {
+        self.turn(
+            MS,
+            vec![News::Call(Arrival {
+                ticket,
+                function: function.into(),
+                tenant: 0,
+                budget: 2500 * MS,
+                repeat: false,
+                body: Bytes::from_static(b"{}"),
+                content_type: None,
+                correlation: "c".into(),
+            })],
+        )
+    }
+}
+
+fn attempts(commands: &[Command]) -> Vec<Attempt> {
+    let attempt = |c: &Command| match c {
+        Command::Attempt(a) => Some(a.clone()),
+        _ => None,
+    };
+    commands.iter().filter_map(attempt).collect()
+}
+
+fn answers(commands: &[Command]) -> Vec<(u64, &'static str, &'static str)> {
+    let answer = |c: &Command| match c {
+        Command::Answer { ticket, answer: Answer::Served { .. }, .. } => Some((*ticket, "served", "")),
+        Command::Answer { ticket, answer: Answer::Refused { reason, .. }, .. } => {
+            Some((*ticket, "refused", *reason))
+        }
+        Command::Answer { ticket, answer: Answer::Failed { reason }, .. } => {
+            Some((*ticket, "failed", *reason))
+        }
+        _ => None,
+    };
+    commands.iter().filter_map(answer).collect()
+}
+
+fn ended(a: &Attempt, outcome: Outcome, draining: Option<bool>) -> News {
+    let note = Note { copy: 1, crowd: 0 };
+    let result = AttemptResult { note, draining, ..AttemptResult::bare(outcome) };
+    News::Attempt { request: a.request, attempt: a.attempt, result }
+}
+
+#[test]
+fn a_call_is_sent_and_its_answer_given_once() {
+    let mut s = Stage::new("");
+    let sent = attempts(&s.call(1, "free-times"));
+    assert_eq!((sent.len(), &*sent[0].function), (1, "free-times"));
+    assert_eq!(answers(&s.turn(30 * MS, vec![ended(&sent[0], Outcome::Ok, None)])), [(1, "served", "")]);
+    // What comes again, or late, is passed over.
+    assert!(s
+        .turn(MS, vec![ended(&sent[0], Outcome::Ok, None)])
+        .iter()
+        .all(|c| !matches!(c, Command::Answer { .. })));
+    assert_eq!((s.core.unanswered(), s.core.out()), (0, 0));
+}
+
+#[test]
+fn an_attempt_is_cut_at_its_calls_deadline_and_an_unsafe_call_fails() {
+    let mut s = Stage::new("");
+    let sent = attempts(&s.call(1, "recurring"));
+    let mut all = Vec::new();
+    for _ in 0..260 {
+        all.extend(s.turn(10 * MS, vec![]));
+    }
+    assert_eq!(answers(&all), [(1, "failed", "no-answer-in-time")]);
+    let aborted =
+        all.iter().filter(|c| matches!(c, Command::Abort { request, .. } if *request == sent[0].request));
+    assert_eq!((aborted.count(), attempts(&all).len(), s.core.out()), (1, 0, 0));
+}
+
+#[test]
+fn a_worker_that_says_it_drains_gets_nothing_new_before_any_list_says_so() {
+    let mut s = Stage::new("");
+    let first = attempts(&s.call(1, "free-times")).remove(0);
+    s.turn(20 * MS, vec![ended(&first, Outcome::Ok, Some(true))]);
+    for ticket in 2..20 {
+        let sent = attempts(&s.call(ticket, "free-times"));
+        assert!(sent.iter().all(|a| a.worker != first.worker), "sent to a worker that drains");
+        let over = sent.iter().map(|a| ended(a, Outcome::Ok, Some(false))).collect();
+        s.turn(20 * MS, over);
+    }
+}
+
+#[test]
+fn unknown_functions_and_too_many_calls_are_turned_away_at_once() {
+    let mut s = Stage::new("held-most 2\n");
+    assert_eq!(answers(&s.call(1, "nobody")), [(1, "refused", "unknown-function")]);
+    s.list(&[]);
+    s.call(2, "free-times");
+    s.call(3, "free-times");
+    assert_eq!(answers(&s.call(4, "free-times")), [(4, "refused", "too-many-held")]);
+    assert_eq!(s.core.counters.turned_away, 2);
+    let mut all = Vec::new();
+    for _ in 0..260 {
+        all.extend(s.turn(10 * MS, vec![]));
+    }
+    assert_eq!(answers(&all), [(2, "refused", "no-workers"), (3, "refused", "no-workers")]);
+}
+
+#[test]
+fn a_refused_connection_is_proof_and_a_reset_is_none() {
+    let mut s = Stage::new("");
+    let first = attempts(&s.call(1, "recurring")).remove(0);
+    let again = attempts(&s.turn(MS, vec![ended(&first, Outcome::ConnectFailed, None)]));
+    assert_eq!((again.len(), again[0].attempt), (1, 1));
+    assert_eq!(
+        answers(&s.turn(MS, vec![ended(&again[0], Outcome::Reset, None)])),
+        [(1, "failed", "connection-broke")]
+    );
+}
+
+#[test]
+fn a_caller_that_left_is_owed_nothing_and_its_attempt_still_ends() {
+    let mut s = Stage::new("");
+    let sent = attempts(&s.call(1, "free-times"));
+    assert!(answers(&s.turn(MS, vec![News::Gone(1)])).is_empty());
+    assert_eq!((s.core.unanswered(), s.core.out()), (0, 1));
+    assert!(answers(&s.turn(MS, vec![ended(&sent[0], Outcome::Ok, None)])).is_empty());
+    assert_eq!(s.core.out(), 0);
+}
+
+#[test]
+fn a_lost_order_is_told_once_and_its_late_answer_passed_over() {
+    let mut s = Stage::new("on-miss miss\nload-timeout 500ms\n");
+    let first = attempts(&s.call(1, "free-times")).remove(0);
+    let out = s.turn(MS, vec![ended(&first, Outcome::Miss, None)]);
+    let order = out.iter().find_map(|c| match c {
+        Command::Load { worker, function, .. } => Some((*worker, function.clone())),
+        _ => None,
+    });
+    let (worker, function) = order.expect("a load after a miss");
+    let sent = s.now;
+    let again: Vec<_> = s.turn(600 * MS, vec![]);
+    assert!(again.iter().any(|c| matches!(c, Command::Load { .. })), "ordered anew after the lost one");
+    let news = News::Loaded { worker, function, sent, outcome: Outcome::Ok, copies: 1 };
+    s.turn(MS, vec![news]);
+    assert_eq!(s.core.unanswered(), 1 - answers(&again).len());
+}
--- a/crates/judge/src/tap.rs
+++ b/crates/judge/src/tap.rs
@@ -90,7 +90,7 @@
         };
         // A fixed sequence spread evenly, so that a third of the answers is a third in any stretch.
         let n = self.draws.fetch_add(1, Ordering::Relaxed);
-        let draw = (n.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32) * 100 >> 32;
+        let draw = ((n.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32) * 100) >> 32;
         if draw < u64::from(self.percent.load(Ordering::Relaxed)) {
             trouble
         } else {
--- a/crates/stage/src/callers.rs
+++ b/crates/stage/src/callers.rs
@@ -101,10 +101,10 @@
                     client.send(channel, AMQPClass::Basic(basic::AMQPMethod::Consume(consume)));
                 }
                 ClientEvent::Method(_, AMQPClass::Basic(basic::AMQPMethod::ConsumeOk(_))) => ready = true,
-                ClientEvent::Method(_, AMQPClass::Queue(queue::AMQPMethod::DeclareOk(ok))) => {
-                    if ok.queue.as_str() == QUEUE {
-                        counts.consumers.store(u64::from(ok.consumer_count), Ordering::Relaxed);
-                    }
+                ClientEvent::Method(_, AMQPClass::Queue(queue::AMQPMethod::DeclareOk(ok)))
+                    if ok.queue.as_str() == QUEUE =>
+                {
+                    counts.consumers.store(u64::from(ok.consumer_count), Ordering::Relaxed);
                 }
                 ClientEvent::Delivered(_, message) => {
                     let headers = message.properties.headers().clone().unwrap_or_default();
--- a/crates/stage/src/layout.rs
+++ b/crates/stage/src/layout.rs
@@ -64,6 +64,15 @@
         Layout { workers: (0..day.workers).map(plan).collect(), catalogue: Arc::new(catalogue), spec }
     }
 
+    /// Workers that cost next to nothing, to measure what stands in front of them.
+    pub fn light(day: &Day) -> Layout {
+        let mut layout = Layout::of(day);
+        let program = |run| Program { memory: 1_000_000, lanes: 1000, start: 0, run };
+        layout.catalogue = Arc::new(Catalogue(vec![("*".into(), program(500))]));
+        layout.spec = Spec { cores: 1000.0, queue_most: 10_000, fall_multiple: 0.0, ..layout.spec };
+        layout
+    }
+
     /// The configuration of one front end's process.
     pub fn config(&self, day: &Day, front_end: u32, broker: &str, list: &str) -> String {
         let halls: Vec<String> = {
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -6,10 +6,12 @@
 mod callers;
 mod day;
 mod layout;
+mod measure;
 mod play;
 mod stack;
 
 pub use day::{Day, DayFault, Trouble};
 pub use layout::Layout;
+pub use measure::{measure, Measured};
 pub use play::{play, play_on, Ledger, Progress};
 pub use stack::{Stack, StageError};
--- a/crates/stage/src/stack.rs
+++ b/crates/stage/src/stack.rs
@@ -128,6 +128,11 @@
     /// Starts everything; `binary` is the project's own binary, whose `serve` runs the front ends.
     pub fn start(day: Day, binary: &Path) -> Result<Stack, StageError> {
         let layout = Layout::of(&day);
+        Stack::with_layout(day, layout, binary)
+    }
+
+    /// Starts everything by a layout other than the day's own.
+    pub fn with_layout(day: Day, layout: Layout, binary: &Path) -> Result<Stack, StageError> {
         let recorder = Recorder::default();
         let mut hosts = Vec::new();
         let mut links = Vec::new();
@@ -297,6 +302,14 @@
         lines[lines.len().saturating_sub(20)..].join("\n")
     }
 
+    /// Where a front end's metrics stand, as its log tells.
+    pub fn metrics_address(&self, front_end: u32) -> Option<String> {
+        let path = self.folder.path().join(format!("front-end-{front_end}.log"));
+        let text = std::fs::read_to_string(path).ok()?;
+        let at = text.rfind("metrics=Some(")? + "metrics=Some(".len();
+        Some(text[at..].split(')').next()?.to_string())
+    }
+
     /// Waits until every front end consumes.
     pub fn wait_ready(&mut self, most: Duration) -> Result<(), StageError> {
         use std::sync::atomic::Ordering;
--- a/crates/standin/src/broker/mod.rs
+++ b/crates/standin/src/broker/mod.rs
@@ -343,7 +343,12 @@
                 }
             } else {
                 match connection.decoder.next_frame() {
-                    Ok(Some(frame)) => self.take_frame(number, frame, now).map(|()| true),
+                    Ok(Some(frame)) => {
+                        let taken = self.take_frame(number, frame, now).map(|()| true);
+                        // After each frame, so that what a client hears does not hang on how its bytes were cut.
+                        self.pump(now);
+                        taken
+                    }
                     Ok(None) => Ok(false),
                     Err(fault) => Err(fault),
                 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod broker;
 pub mod list;
+pub mod proxy;
 pub mod store;
 pub mod worker;
