--- a/crates/amqp/tests/split.rs
+++ b/crates/amqp/tests/split.rs
@@ -14,7 +14,7 @@
     let deliver = basic::Deliver {
         consumer_tag: short("c"),
         delivery_tag: n,
-        redelivered: n % 2 == 0,
+        redelivered: n.is_multiple_of(2),
         exchange: short(""),
         routing_key: short("calls"),
     };
