--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -81,6 +81,7 @@
         }
     };
     let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let log = log.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
     match cli.log_format {
         LogFormat::Text => log.init(),
         LogFormat::Json => log.json().flatten_event(true).init(),
--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -127,6 +127,7 @@
     let mut buffer = vec![0u8; 64 << 10];
     let mut closing = false;
     let mut looked = clock.now();
+    let mut shown = 0;
     let mut blind = 0;
     let mut stuck_since: Option<Micros> = None;
     loop {
@@ -136,7 +137,11 @@
                 return Ended::Over;
             }
         }
-        publish_state(front, state, false);
+        // Counting takes a look at every delivery: not in every turn.
+        if *draining || clock.now() - shown >= LOOK {
+            shown = clock.now();
+            publish_state(front, state, false);
+        }
         if *draining && !closing && front.is_drained() {
             front.close();
             closing = true;
--- a/crates/stage/src/measure.rs
+++ b/crates/stage/src/measure.rs
@@ -192,12 +192,15 @@
     (held > 0).then(|| (after - before).max(0.0) / held as f64)
 }
 
+/// Starts a process in front of the addresses; gives its own address.
+type StartProxy<'a> = dyn FnMut(&[String]) -> Option<(String, Child)> + 'a;
+
 /// Workers and taps without a gateway: what a plain caller sees.
 fn plain(
     workers: u32,
     rate: f64,
     seconds: u64,
-    through: Option<&mut dyn FnMut(&[String]) -> Option<(String, Child)>>,
+    through: Option<&mut StartProxy<'_>>,
 ) -> Result<(Vec<i64>, u64, f64), StageError> {
     let day = day(workers, rate);
     let layout = Layout::light(&day);
