--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -656,8 +656,13 @@
         due.into_iter().for_each(|id| self.settle(id, out));
         let s = &self.settings;
         let (load_window, seen_window) = (s.load_window.max(1), s.load_window.max(s.keep).max(1));
-        self.orders.retain(|&t| t > now - load_window);
-        self.arrivals.retain(|&t| t > now - seen_window);
+        // Both are in order of time: what is over lies in front.
+        while self.orders.front().is_some_and(|&t| t <= now - load_window) {
+            self.orders.pop_front();
+        }
+        while self.arrivals.front().is_some_and(|&t| t <= now - seen_window) {
+            self.arrivals.pop_front();
+        }
         let (aim, order_timeout) = (self.shortest_aim, s.order_timeout + s.tick * 4);
         let (window, warm_up, keep) = (s.fall_window.max(1), s.warm_up, s.keep.max(1));
         let (mut again, mut silent) = (Vec::new(), Vec::new());
--- a/crates/stage/src/stack.rs
+++ b/crates/stage/src/stack.rs
@@ -234,17 +234,27 @@
             }
             while tasks.join_next().await.is_some() {}
         })?);
-        let record = recorder.clone();
-        hosts.push(host(move || async move {
-            let mut tasks = tokio::task::JoinSet::new();
-            for (listener, far, link, controls) in taps {
-                let Ok(listener) = TcpListener::from_std(listener) else { return };
-                tasks.spawn_local(tap::serve(listener, far, link, record.clone(), controls));
-            }
-            while let Some(ended) = tasks.join_next().await {
-                tracing::warn!(?ended, "tap ended");
-            }
-        })?);
+        // Callers' link, brokers' links and workers' links on threads of their own, so that one does not wait for another.
+        let group = |link: usize| match links[link].peer {
+            Peer::CallersBroker => 0,
+            Peer::Broker | Peer::List => 1,
+            Peer::Worker(_) => 2,
+        };
+        let mut groups: [Vec<_>; 3] = Default::default();
+        taps.into_iter().for_each(|tap| groups[group(tap.2)].push(tap));
+        for taps in groups {
+            let record = recorder.clone();
+            hosts.push(host(move || async move {
+                let mut tasks = tokio::task::JoinSet::new();
+                for (listener, far, link, controls) in taps {
+                    let Ok(listener) = TcpListener::from_std(listener) else { return };
+                    tasks.spawn_local(tap::serve(listener, far, link, record.clone(), controls));
+                }
+                while let Some(ended) = tasks.join_next().await {
+                    tracing::warn!(?ended, "tap ended");
+                }
+            })?);
+        }
 
         let counts = Arc::new(Counts::default());
         let (pace, told) = watch::channel(Pace { rate: 0.0, stop: false });
