--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -201,7 +201,7 @@
         }
         let held: Vec<String> = m.held_us.iter().map(|(k, v)| format!("{k} {v:.0}")).collect();
         print!(
-            "{:<20} {:>4} workers  {:>6} answered  held us: {}",
+            "{:<22} {:>4} workers  {:>6} answered  held us: {}",
             m.what,
             m.workers,
             m.answered,
--- a/crates/stage/src/layout.rs
+++ b/crates/stage/src/layout.rs
@@ -20,6 +20,9 @@
     pub workers: Vec<WorkerPlan>,
     pub catalogue: Arc<Catalogue>,
     pub spec: Spec,
+    /// Log filter of the front ends' processes, and whether they keep metrics.
+    pub log: String,
+    pub metrics: bool,
 }
 
 /// One worker.
@@ -61,7 +64,13 @@
             fall_multiple: 2.5,
             fall_window: S,
         };
-        Layout { workers: (0..day.workers).map(plan).collect(), catalogue: Arc::new(catalogue), spec }
+        Layout {
+            workers: (0..day.workers).map(plan).collect(),
+            catalogue: Arc::new(catalogue),
+            spec,
+            log: "info".into(),
+            metrics: true,
+        }
     }
 
     /// Workers that cost next to nothing, to measure what stands in front of them.
@@ -81,7 +90,7 @@
         };
         format!(
             "front-ends 1\nfleet-front-ends {fleet}\nseed {seed}\n\
-             listen metrics 127.0.0.1:0\n\
+             {metrics}\
              class lookup aim 800ms give-up 2500ms effect safe worth 1 late-worth 0.1\n\
              class check aim 800ms give-up 2500ms effect keyed group all window 5s worth 1 late-worth 0.1\n\
              class record aim 1500ms give-up 2500ms effect unsafe worth 3 late-worth 0.1\n\
@@ -103,6 +112,7 @@
              load-ration window 10s free 12 share 0.2\n\
              reports answers fields busy,inflight\n",
             miss = if day.load_on_miss { "load" } else { "miss" },
+            metrics = if self.metrics { "listen metrics 127.0.0.1:0\n" } else { "" },
             replies = if day.transactions { "transaction" } else { "confirm" },
             fleet = day.front_ends,
             seed = day.seed + u64::from(front_end) * 101,
--- a/crates/stage/src/measure.rs
+++ b/crates/stage/src/measure.rs
@@ -81,14 +81,40 @@
         for measured in [direct(workers, rate, seconds)?, proxied(binary, workers, rate, seconds)?] {
             show(&measured);
         }
-        show(&gateway(binary, workers, rate, seconds)?);
+        for kind in [Kind::Usual, Kind::Transactions, Kind::EveryCallLogged, Kind::NoMetrics] {
+            show(&gateway(binary, workers, rate, seconds, kind)?);
+        }
     }
     Ok(())
 }
 
-fn gateway(binary: &Path, workers: u32, rate: f64, seconds: u64) -> Result<Measured, StageError> {
-    let day = day(workers, rate);
-    let layout = Layout::light(&day);
+/// What is measured beside the usual gateway: what its own account of calls costs.
+#[derive(Clone, Copy)]
+enum Kind {
+    Usual,
+    Transactions,
+    EveryCallLogged,
+    NoMetrics,
+}
+
+fn gateway(binary: &Path, workers: u32, rate: f64, seconds: u64, kind: Kind) -> Result<Measured, StageError> {
+    let mut day = day(workers, rate);
+    let mut layout = Layout::light(&day);
+    let what = match kind {
+        Kind::Usual => "gateway",
+        Kind::Transactions => {
+            day.transactions = true;
+            "gateway, transactions"
+        }
+        Kind::EveryCallLogged => {
+            layout.log = "info,stagehoist_gateway=debug".into();
+            "gateway, calls logged"
+        }
+        Kind::NoMetrics => {
+            layout.metrics = false;
+            "gateway, no metrics"
+        }
+    };
     let mut stack = Stack::with_layout(day, layout, binary)?;
     stack.wait_ready(Duration::from_secs(20))?;
     let pid = stack.front_ends[0].process.id();
@@ -96,15 +122,16 @@
     stack.pace.send_replace(Pace { rate: rate / 4.0, stop: false });
     std::thread::sleep(Duration::from_secs(3));
     let (from, cpu) = (stack.recorder.now(), cpu_us(pid));
-    let module = module_us(&stack);
+    let module = if matches!(kind, Kind::Usual) { module_us(&stack) } else { 0.0 };
     stack.pace.send_replace(Pace { rate, stop: false });
     std::thread::sleep(Duration::from_secs(seconds));
     stack.pace.send_replace(Pace { rate: 0.0, stop: false });
     std::thread::sleep(Duration::from_millis(500));
     let cpu = cpu_us(pid) - cpu;
-    let module = module_us(&stack) - module;
+    let module = if matches!(kind, Kind::Usual) { module_us(&stack) - module } else { 0.0 };
     let capture = stack.recorder.finish(stack.links.clone());
-    let held_bytes = held(&mut stack);
+    let usual = matches!(kind, Kind::Usual);
+    let held_bytes = if usual { held(&mut stack) } else { None };
     stack.end(Duration::from_secs(10))?;
     let story = Story::read(&capture);
     let mut times = Vec::new();
--- a/crates/stage/src/stack.rs
+++ b/crates/stage/src/stack.rs
@@ -295,7 +295,7 @@
         let log =
             std::fs::OpenOptions::new().create(true).append(true).open(log).map_err(StageError::Config)?;
         Command::new(&self.binary)
-            .args(["--log", "info", "serve"])
+            .args(["--log", &self.layout.log, "--log-format", "json", "serve"])
             .arg(config)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -316,7 +316,7 @@
     pub fn metrics_address(&self, front_end: u32) -> Option<String> {
         let path = self.folder.path().join(format!("front-end-{front_end}.log"));
         let text = std::fs::read_to_string(path).ok()?;
-        let at = text.rfind("metrics=Some(")? + "metrics=Some(".len();
+        let at = text.rfind("Some(127.")? + "Some(".len();
         Some(text[at..].split(')').next()?.to_string())
     }
 
