--- a/crates/stage/src/measure.rs
+++ b/crates/stage/src/measure.rs
@@ -147,16 +147,8 @@
         }
     }
     let answered = times.len() as u64;
-    Ok(finish(
-        "gateway",
-        workers,
-        rate,
-        times,
-        answered,
-        cpu,
-        Some(module / answered.max(1) as f64),
-        held_bytes,
-    ))
+    let module = usual.then(|| module / answered.max(1) as f64);
+    Ok(finish(what, workers, rate, times, answered, cpu, module, held_bytes))
 }
 
 #[allow(clippy::too_many_arguments)]
