--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -84,7 +84,7 @@
     let log = log.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
     match cli.log_format {
         LogFormat::Text => log.init(),
-        LogFormat::Json => log.json().flatten_event(true).init(),
+        LogFormat::Json => log.json().flatten_event(true).with_span_list(false).init(),
     }
     match cli.command {
         Command::Demo(args) => demo::demo(&args),
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -529,12 +529,9 @@
     }
 
     /// Choice and admission: where a held request goes now, or until when it waits; by now: it is given up.
-    fn place(&self, id: RequestId, now: Micros) -> Result<Prediction, Micros> {
+    fn place(&self, id: RequestId, (ready, doubt): (usize, bool), now: Micros) -> Result<Prediction, Micros> {
         let (p, function) = (&self.pending[&id], self.pending[&id].request.function);
         let (miss, load) = (self.settings.on_miss == OnMiss::Miss, self.load_time(function));
-        let ready = self.workers.iter().filter(|w| w.ready).count();
-        // With most workers ejected the judgement is doubted rather than the workers.
-        let doubt = self.workers.iter().filter(|w| w.ready && self.healthy(w, now)).count() * 2 < ready;
         let class = &self.settings.classes[p.request.class as usize];
         let (unsafe_call, late_worth) = (class.effect == Effect::Unsafe, class.late_worth);
         let again = !p.attempts.is_empty();
@@ -625,13 +622,16 @@
         let mut blocked: BTreeMap<(FunctionId, u16), u32> = BTreeMap::new();
         let mut wanted = BTreeMap::new();
         let mut next = now + self.settings.keep.max(1_000_000);
+        let ready = self.workers.iter().filter(|w| w.ready).count();
+        // With most workers ejected the judgement is doubted rather than the workers.
+        let doubt = self.workers.iter().filter(|w| w.ready && self.healthy(w, now)).count() * 2 < ready;
         for id in held {
             let Some(p) = self.pending.get(&id) else { continue };
             let key = (p.request.function, p.request.class);
             if blocked.get(&key).is_some_and(|&n| n >= 2) && p.attempts.is_empty() {
                 continue;
             }
-            match self.place(id, now) {
+            match self.place(id, (ready, doubt), now) {
                 Ok(x) => {
                     if x.warm && x.finish > self.pending[&id].aim_at {
                         wanted.insert(key.0, id);
