--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -628,11 +628,7 @@
         for id in held {
             let Some(p) = self.pending.get(&id) else { continue };
             let key = (p.request.function, p.request.class);
-            // Where so many of a function found no place the rest wait for the next batch: calls not tried yet all
-            // face the same workers; those tried differ by where they were. Guards against a batch that costs
-            // more than its tick under overload. Could harm a call behind others that were all elsewhere.
-            let most = if p.attempts.is_empty() { 2 } else { 6 };
-            if blocked.get(&key).is_some_and(|&n| n >= most) {
+            if blocked.get(&key).is_some_and(|&n| n >= 2) && p.attempts.is_empty() {
                 continue;
             }
             match self.place(id, (ready, doubt), now) {
