--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -61,8 +61,13 @@
         Ok(day) => day,
         Err(code) => return code,
     };
+    played(day, args.json)
+}
+
+/// Plays a day on a new stack and accounts for it.
+fn played(day: Day, json: bool) -> ExitCode {
     match stage(day).and_then(|mut stack| play_on(&mut stack, &mut shower())) {
-        Ok(ledger) => account(&ledger, args.json),
+        Ok(ledger) => account(&ledger, json),
         Err(e) => fail(&e),
     }
 }
@@ -74,18 +79,13 @@
         Err(code) => return code,
     };
     if !args.stay {
-        return match stage(day).and_then(|mut stack| play_on(&mut stack, &mut shower())) {
-            Ok(ledger) => account(&ledger, args.json),
-            Err(e) => fail(&e),
-        };
+        return played(day, args.json);
     }
     if args.seconds.is_some() {
-        let played = stage(day.clone()).and_then(|mut stack| play_on(&mut stack, &mut shower()));
-        match played {
-            Ok(ledger) if ledger.good() => account(&ledger, args.json),
-            Ok(ledger) => return account(&ledger, args.json),
-            Err(e) => return fail(&e),
-        };
+        let code = played(day.clone(), args.json);
+        if code != ExitCode::SUCCESS {
+            return code;
+        }
     }
     let mut stack = match stage(day) {
         Ok(stack) => stack,
--- a/crates/gateway/src/workers/pool.rs
+++ b/crates/gateway/src/workers/pool.rs
@@ -233,11 +233,6 @@
             addresses.clear();
         }
     }
-
-    /// Exchanges under way.
-    pub fn running(&self) -> usize {
-        self.running.borrow().len()
-    }
 }
 
 fn get(path: String, address: &str) -> Request<Full<Bytes>> {
--- a/crates/standin/src/broker/methods.rs
+++ b/crates/standin/src/broker/methods.rs
@@ -390,12 +390,12 @@
                 let how = if r.requeue { Settled::Requeued } else { Settled::Rejected };
                 self.settle(number, id, (r.delivery_tag, false), how, ids, now)
             }
-            M::Recover(r) => {
-                self.recover(number, id, r.requeue, now);
+            M::Recover(_) => {
+                self.recover(number, id);
                 self.answer(number, id, false, AMQPClass::Basic(M::RecoverOk(basic::RecoverOk {})))
             }
-            M::RecoverAsync(r) => {
-                self.recover(number, id, r.requeue, now);
+            M::RecoverAsync(_) => {
+                self.recover(number, id);
                 Ok(())
             }
             _ => Err(Fault::connection(reply::COMMAND_INVALID, "method of the other side", ids)),
@@ -431,7 +431,7 @@
             return Err(Fault::channel(id, reply::ACCESS_REFUSED, text, ids));
         }
         queue.exclusive_consumer = c.exclusive;
-        (queue.consumed_once, queue.used) = (true, now);
+        queue.used = now;
         queue.consumers.push_back(ConsumerRef { connection: number, channel: id, tag: tag.clone() });
         if let Some(channel) = self.channel(number, id) {
             let prefetch = channel.prefetch;
@@ -504,32 +504,23 @@
                 consumer.out = consumer.out.saturating_sub(1);
             }
             self.model.touched.insert(unacked.queue.clone());
-            let mut message = unacked.message;
+            let message = unacked.message;
             match how {
                 Settled::Acked => self.stats.acked += 1,
                 Settled::Rejected => self.model.dead_letter(&unacked.queue, message, "rejected", now),
-                Settled::Requeued => {
-                    message.redelivered = true;
-                    if let Some(queue) = self.model.queues.get_mut(&unacked.queue) {
-                        queue.messages.push_front(message);
-                    }
-                }
+                Settled::Requeued => self.model.requeue(&unacked.queue, message),
             }
         }
         self.touch_consumed(number, id);
         Ok(())
     }
 
-    fn recover(&mut self, number: u64, id: u16, _requeue: bool, _now: Micros) {
+    fn recover(&mut self, number: u64, id: u16) {
         let Some(channel) = self.channel(number, id) else { return };
         let unacked = std::mem::take(&mut channel.unacked);
         channel.consumers.values_mut().for_each(|c| c.out = 0);
-        for (_, mut unacked) in unacked.into_iter().rev() {
-            unacked.message.redelivered = true;
-            if let Some(queue) = self.model.queues.get_mut(&unacked.queue) {
-                queue.messages.push_front(unacked.message);
-                self.model.touched.insert(unacked.queue);
-            }
+        for (_, unacked) in unacked.into_iter().rev() {
+            self.model.requeue(&unacked.queue, unacked.message);
         }
     }
 
--- a/crates/standin/src/broker/mod.rs
+++ b/crates/standin/src/broker/mod.rs
@@ -678,12 +678,8 @@
                 }
             }
         }
-        for (_, mut unacked) in channel.unacked.into_iter().rev() {
-            unacked.message.redelivered = true;
-            if let Some(queue) = self.model.queues.get_mut(&unacked.queue) {
-                queue.messages.push_front(unacked.message);
-                self.model.touched.insert(unacked.queue);
-            }
+        for (_, unacked) in channel.unacked.into_iter().rev() {
+            self.model.requeue(&unacked.queue, unacked.message);
         }
         emptied.iter().for_each(|name| self.remove_queue(name));
     }
--- a/crates/standin/src/broker/model.rs
+++ b/crates/standin/src/broker/model.rs
@@ -100,7 +100,6 @@
     pub messages: VecDeque<Stored>,
     pub consumers: VecDeque<ConsumerRef>,
     pub exclusive_consumer: bool,
-    pub consumed_once: bool,
 }
 
 /// All that stands in the broker, by name.
@@ -237,6 +236,15 @@
         true
     }
 
+    /// Puts a message that was not acknowledged back to the front of its queue, marked as redelivered.
+    pub fn requeue(&mut self, name: &str, mut message: Stored) {
+        message.redelivered = true;
+        if let Some(queue) = self.queues.get_mut(name) {
+            queue.messages.push_front(message);
+            self.touched.insert(name.to_string());
+        }
+    }
+
     /// Sends a message that a queue gives up to its dead-letter exchange, with the reason in `x-first-death-reason`
     /// and `x-first-death-queue`.
     pub fn dead_letter(&mut self, from: &str, mut message: Stored, reason: &str, now: Micros) {
