Module: held calls indexed by kind, a batch weighs those whose answer can have changed

Change: held calls are kept by kind (function, class, sent before or not). A batch weighs the first two of the kinds that a call came to, of kinds that a worker just heard of could take, and of a few others in turn (all of them 16 times within the shortest aim).

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -4,7 +4,9 @@
 
 use crate::interface::Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, Moot, Reset, Timeout};
 use crate::interface::*;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Bound::{Excluded, Unbounded};
 
 /// Runs kept for each function (the design's ten): of one worker alone few come.
 const RUNS: usize = 10;
@@ -26,6 +28,8 @@
 const HOME_FILL: f64 = 0.5;
 /// An attempt is overdue after this many times its predicted span.
 const OVERDUE: f64 = 3.0;
+/// Kinds of held calls weighed again in each batch, and all of them so often within the shortest aim.
+const SWEEP: (usize, Micros) = (2, 16);
 
 /// The 99th percentile of ten runs (the greatest), unless a long tail makes it tell of one heavy request more
 /// than of the next; then the mean of `base_run` stands in.
@@ -69,6 +73,8 @@
     probed: Micros,
     /// Mean in-flight work of this front end here, fading over half the keep-alive, and when it was so.
     carried: (f64, Micros),
+    /// What time alone opens and shuts, as of the last batch.
+    gates: (bool, bool, bool, Micros),
     believed: Beliefs,
 }
 
@@ -103,8 +109,16 @@
     calls: (f64, Micros),
     order: Vec<usize>,
     demand: f64,
+    /// As last weighed: how many of `order` were homes, and whether a further copy was wanted.
+    homes: Cell<usize>,
+    spread: Cell<bool>,
 }
 
+/// A place among the held: those whose aim can no longer be met come last, then by required start.
+type Place = (bool, Micros, RequestId);
+/// Held calls that would be chosen for alike: of one function and class, sent before or not.
+type Kind = (FunctionId, u16, bool);
+
 struct Pending {
     request: Request,
     base: f64,
@@ -116,6 +130,12 @@
     held: Option<(bool, Micros)>,
 }
 
+impl Pending {
+    fn kind(&self) -> Kind {
+        (self.request.function, self.request.class, !self.attempts.is_empty())
+    }
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Run {
     Out,
@@ -144,7 +164,15 @@
     index: BTreeMap<WorkerId, usize>,
     functions: BTreeMap<FunctionId, Function>,
     pending: BTreeMap<RequestId, Pending>,
-    queue: BTreeSet<(bool, Micros, RequestId)>,
+    queue: BTreeSet<Place>,
+    /// The queue by kind; kinds with a call that came or returned; workers of which something was heard.
+    held: BTreeMap<Kind, BTreeSet<Place>>,
+    fresh: BTreeSet<Kind>,
+    touched: BTreeSet<usize>,
+    /// Where the sweep over the kinds stands, and since when.
+    swept: (Kind, Micros),
+    /// Functions of held calls with a priority above nought, as last weighed.
+    wanted: BTreeMap<FunctionId, (f64, RequestId)>,
     deadlines: BTreeSet<(Micros, RequestId)>,
     class_run: Vec<Option<f64>>,
     class_work: Vec<Option<f64>>,
@@ -232,9 +260,18 @@
                     (Some(&i), Outcome::ConnectFailed | Outcome::Reset) => self.strike(i, now, true, out),
                     _ => {}
                 },
-                Event::Began { request, .. } => self.deadlines.retain(|d| d.1 != *request),
+                Event::Began { request, .. } => {
+                    let deadline = self.pending.get(request).map(|p| (p.deadline, *request));
+                    deadline.map(|d| self.deadlines.remove(&d));
+                }
                 Event::Timer { .. } | Event::Peer { .. } => {}
             }
+            let heard = match event {
+                Event::Ended(Ended { worker, .. }) => Some(worker),
+                Event::Probed { worker, .. } | Event::Loaded { worker, .. } => Some(worker),
+                _ => None,
+            };
+            self.touched.extend(heard.and_then(|w| self.index.get(w)));
         }
         self.decide(now, out);
     }
@@ -263,6 +300,7 @@
             }
             w.ready = row.lifecycle == Lifecycle::Ready;
             w.row = row.clone();
+            self.touched.insert(i);
         }
         let stale = self.functions.iter_mut().filter(|(_, f)| f.order.len() != self.workers.len());
         stale.for_each(|(&id, f)| f.order = ranked(id, &self.workers));
@@ -293,21 +331,30 @@
         self.alike = most.min(self.settings.front_ends.max(1) as f64);
         self.deadlines.insert((deadline, r.id));
         self.pending.insert(r.id, p);
-        self.hold(r.id, now);
+        self.hold(r.id, now, true);
     }
 
-    fn hold(&mut self, id: RequestId, now: Micros) {
-        let Some(p) = self.pending.get(&id) else { return };
+    fn hold(&mut self, id: RequestId, now: Micros, fresh: bool) {
+        let Some(p) = self.pending.get_mut(&id) else { return };
         let start = p.aim_at - p.base as Micros;
         let late = start < now;
         let start = if late { start - p.aim_at + p.deadline } else { start };
-        self.pending.entry(id).and_modify(|p| p.held = Some((late, start)));
+        p.held = Some((late, start));
+        let kind = p.kind();
         self.queue.insert((late, start, id));
+        self.held.entry(kind).or_default().insert((late, start, id));
+        self.fresh.extend(fresh.then_some(kind));
     }
 
     fn unhold(&mut self, id: RequestId) {
-        if let Some((late, start)) = self.pending.get_mut(&id).and_then(|p| p.held.take()) {
-            self.queue.remove(&(late, start, id));
+        let Some(p) = self.pending.get_mut(&id) else { return };
+        let (Some((late, start)), kind) = (p.held.take(), p.kind()) else { return };
+        self.queue.remove(&(late, start, id));
+        if let Some(of_kind) = self.held.get_mut(&kind) {
+            of_kind.remove(&(late, start, id));
+            if of_kind.is_empty() {
+                self.held.remove(&kind);
+            }
         }
     }
 
@@ -342,7 +389,7 @@
         if p.attempts.iter().all(|a| a.2 != Run::Out) && p.held.is_none() {
             let again = self.may_resend(e.request, now);
             if again {
-                self.hold(e.request, now)
+                self.hold(e.request, now, true)
             } else {
                 self.settle(e.request, out)
             }
@@ -538,7 +585,8 @@
         let mut found: [[Option<Prediction>; 2]; 2] = Default::default();
         let Some(f) = self.functions.get(&function) else { return Err(now) };
         let (mut need, chance) = (self.demand(f, now), self.hits.unwrap_or(0.5));
-        for &i in &f.order {
+        f.homes.set(0);
+        for (at, &i) in f.order.iter().enumerate() {
             let w = &self.workers[i];
             let known = w.believed.warm.get(&function);
             let warm = known.is_some_and(|x| x.until > now);
@@ -549,6 +597,7 @@
             }
             let home = need > 0.0;
             need -= self.home_size(f, w, now);
+            f.homes.set(if home { at + 1 } else { f.homes.get() });
             let absent = known.map_or(w.cold_from.is_some(), |x| x.copies == 0 && x.ready > now);
             // Where a miss only answers: to a believed copy, at first also to a home. Else a load: one at a
             // time on a worker, and beyond the homes at the first with room.
@@ -575,7 +624,8 @@
         }
         let [mut cold, [warm_full, warm_free]] = found;
         // While copies stand, another load only when the priority asks for it, lest loads crowd the store.
-        if (warm_full.is_some() || warm_free.is_some()) && self.priority(function, now) <= 0.0 {
+        f.spread.set(warm_full.is_none() && warm_free.is_none() || self.priority(function, now) > 0.0);
+        if !f.spread.get() {
             cold = [None, None];
         }
         let [cold_full, cold_free] = cold;
@@ -611,44 +661,111 @@
         w.cold_from.map_or(1.0, |t| least + (1.0 - least) * ((now - t) as f64 / over).clamp(0.0, 1.0))
     }
 
+    /// Weighs the held calls whose answer can have changed, in the order of the queue: of kinds that a call came
+    /// to, of kinds that a worker just heard of could take, and of a few others in turn. Guards against a cost
+    /// that grows with all that is held; could harm where a change goes unseen until the sweep comes by.
     fn decide(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.expire(now, out);
         let passed = self.queue.iter().take_while(|x| !x.0 && x.1 < now);
         for id in passed.map(|x| x.2).collect::<Vec<_>>() {
             self.unhold(id);
-            self.hold(id, now);
+            self.hold(id, now, false);
         }
-        let held: Vec<RequestId> = self.queue.iter().map(|x| x.2).collect();
-        let mut blocked: BTreeMap<(FunctionId, u16), u32> = BTreeMap::new();
-        let mut wanted = BTreeMap::new();
-        let mut next = now + self.settings.keep.max(1_000_000);
         let ready = self.workers.iter().filter(|w| w.ready).count();
         // With most workers ejected the judgement is doubted rather than the workers.
         let doubt = self.workers.iter().filter(|w| w.ready && self.healthy(w, now)).count() * 2 < ready;
-        for id in held {
-            let Some(p) = self.pending.get(&id) else { continue };
-            let key = (p.request.function, p.request.class);
-            if blocked.get(&key).is_some_and(|&n| n >= 2) && p.attempts.is_empty() {
+        let mut due = self.sweep(now);
+        due.append(&mut self.fresh);
+        let mut open: Vec<usize> = std::mem::take(&mut self.touched).into_iter().collect();
+        open.retain(|&i| self.open(i, doubt, now));
+        let head = |held: &BTreeSet<Place>| held.first().copied();
+        let mut tries: BTreeSet<(Place, Kind)> = BTreeSet::new();
+        tries.extend(due.iter().filter_map(|&kind| Some((head(self.held.get(&kind)?)?, kind))));
+        if !open.is_empty() {
+            let reached =
+                self.held.iter().filter(|(kind, _)| open.iter().any(|&i| self.reaches(i, kind, now)));
+            tries.extend(reached.filter_map(|(&kind, held)| Some((head(held)?, kind))));
+        }
+        let mut blocked: BTreeMap<Kind, u32> = BTreeMap::new();
+        while let Some((place, kind)) = tries.pop_first() {
+            let reached = |&i: &usize| self.open(i, doubt, now) && self.reaches(i, &kind, now);
+            if !due.contains(&kind) && !open.iter().any(reached) {
                 continue;
             }
-            match self.place(id, (ready, doubt), now) {
-                Ok(x) => {
-                    if x.warm && x.finish > self.pending[&id].aim_at {
-                        wanted.insert(key.0, id);
-                    }
-                    self.send(id, x, now, out)
-                }
-                Err(until) if until <= now => self.settle(id, out),
-                Err(until) => {
-                    next = next.min(until.max(now + self.settings.tick));
-                    wanted.insert(key.0, id);
-                    *blocked.entry(key).or_default() += 1;
-                }
+            let refused = self.try_place(place.2, (ready, doubt), now, out);
+            let tried = blocked.entry(kind).or_default();
+            *tried += refused as u32;
+            if *tried < 2 {
+                let mut rest =
+                    self.held.get(&kind).into_iter().flat_map(|x| x.range((Excluded(place), Unbounded)));
+                tries.extend(rest.next().map(|&next| (next, kind)));
             }
         }
-        self.order_loads(now, &wanted, out);
+        let over = self.queue.range((true, Micros::MIN, 0)..=(true, now, RequestId::MAX));
+        for id in over.map(|x| x.2).collect::<Vec<_>>() {
+            self.try_place(id, (ready, doubt), now, out);
+        }
+        self.order_loads(now, out);
         self.probe(now, out);
-        self.set_timer(now, next, out);
+        self.set_timer(now, out);
+    }
+
+    /// Sends a held call, or settles it, or tells that it waits on.
+    fn try_place(&mut self, id: RequestId, at: (usize, bool), now: Micros, out: &mut Vec<Action>) -> bool {
+        let Some(p) = self.pending.get(&id) else { return false };
+        let (function, aim_at) = (p.request.function, p.aim_at);
+        let placed = self.place(id, at, now);
+        let short = match &placed {
+            Ok(x) => x.warm && x.finish > aim_at,
+            Err(until) => *until > now,
+        };
+        if self.settings.may_order {
+            let priority = if short { self.priority(function, now) } else { 0.0 };
+            if priority > 0.0 {
+                self.wanted.insert(function, (priority, id));
+            } else {
+                self.wanted.remove(&function);
+            }
+        }
+        match placed {
+            Ok(x) => self.send(id, x, now, out),
+            Err(until) if until <= now => self.settle(id, out),
+            Err(_) => return true,
+        }
+        false
+    }
+
+    /// Kinds whose turn it is to be weighed though nothing was heard.
+    fn sweep(&mut self, now: Micros) -> BTreeSet<Kind> {
+        let (from, since) = self.swept;
+        let part = (now - since) as f64 / (self.shortest_aim / SWEEP.1).max(1) as f64;
+        let many = SWEEP.0 + (self.held.len() as f64 * part.clamp(0.0, 1.0)) as usize;
+        let (after, before) = (self.held.range((Excluded(from), Unbounded)), self.held.range(..=from));
+        let turn: Vec<Kind> = after.chain(before).take(many).map(|x| *x.0).collect();
+        self.swept = (turn.last().copied().unwrap_or(from), now);
+        turn.into_iter().collect()
+    }
+
+    fn open(&self, i: usize, doubt: bool, now: Micros) -> bool {
+        let w = &self.workers[i];
+        let held = w.flights.len() as f64 + 1.0 + self.others(w, now).0;
+        let well = self.healthy(w, now) || doubt;
+        w.ready && well && w.believed.full_until <= now && held <= STRETCH * w.row.capacity.max(1.0)
+    }
+
+    /// Whether calls of a kind could be sent to a worker that has room, as far as is seen without weighing them.
+    fn reaches(&self, i: usize, kind: &Kind, now: Micros) -> bool {
+        let (w, Some(f)) = (&self.workers[i], self.functions.get(&kind.0)) else { return false };
+        let home = || f.order.iter().take(f.homes.get()).any(|&x| x == i);
+        match w.believed.warm.get(&kind.0).filter(|x| x.until > now) {
+            Some(warm) => {
+                let slots = f.lanes * warm.copies.max(1) as usize + ALLOWANCE;
+                w.flights.len() < slots || w.flights.iter().filter(|a| a.function == kind.0).count() < slots
+            }
+            None if w.believed.loading_until > now => false,
+            None if self.settings.on_miss == OnMiss::Miss => !kind.2 && home(),
+            None => f.spread.get() || home(),
+        }
     }
 
     fn expire(&mut self, now: Micros, out: &mut Vec<Action>) {
@@ -686,6 +803,14 @@
             }
         }
         silent.into_iter().for_each(|i| self.strike(i, now, true, out));
+        for i in 0..self.workers.len() {
+            let (w, b) = (&self.workers[i], &self.workers[i].believed);
+            let slot = if w.cold_from.is_some() { self.cold_slot(w, now) } else { 0 };
+            let gates = (b.full_until <= now, b.ejected_until <= now, b.loading_until <= now, slot);
+            if std::mem::replace(&mut self.workers[i].gates, gates) != gates {
+                self.touched.insert(i);
+            }
+        }
         again.into_iter().for_each(|(id, number)| self.try_again(id, number, now, out));
         if self.usual_at + window <= now {
             self.functions.retain(|_, f| now - f.calls.1 < 8 * keep);
@@ -707,19 +832,29 @@
             return;
         }
         if self.settings.second_copies && self.may_resend(id, now) {
-            self.hold(id, now);
+            self.hold(id, now, true);
         } else if self.settings.may_cancel {
             out.push(Action::Cancel { request: id, attempt: number });
         }
     }
 
     /// The top functions by the design's priority, where above nought, get one more instance each.
-    fn order_loads(&mut self, now: Micros, wanted: &BTreeMap<FunctionId, RequestId>, out: &mut Vec<Action>) {
-        let ranked = wanted.iter().map(|(&f, &id)| (self.priority(f, now), f, id));
-        let mut ranked: Vec<_> = ranked.filter(|x| x.0 > 0.0 && self.pending.contains_key(&x.2)).collect();
+    fn order_loads(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let free = |w: &Worker| {
+            let b = &w.believed;
+            w.ready && self.healthy(w, now) && b.loads.is_empty() && b.full_until <= now
+        };
+        if self.wanted.is_empty() || !self.ration(now) || !self.workers.iter().any(free) {
+            return;
+        }
+        let mut ranked: Vec<_> = self.wanted.iter().map(|(&f, &(priority, id))| (priority, f, id)).collect();
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         for (_, function, id) in ranked.into_iter().take(self.workers.len()) {
-            let (p, load) = (&self.pending[&id], self.load_time(function));
+            let load = self.load_time(function);
+            let Some(p) = self.pending.get(&id).filter(|_| self.priority(function, now) > 0.0) else {
+                self.wanted.remove(&function);
+                continue;
+            };
             let may = |i: &usize| {
                 let (w, b) = (&self.workers[*i], &self.workers[*i].believed);
                 let warm = b.warm.get(&function).is_some_and(|x| x.until > now);
@@ -774,9 +909,12 @@
         }
     }
 
-    fn set_timer(&mut self, now: Micros, mut next: Micros, out: &mut Vec<Action>) {
+    fn set_timer(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let mut next = now + self.settings.keep.max(1_000_000);
         next = self.deadlines.first().map_or(next, |d| next.min(d.0));
-        next = self.queue.first().map_or(next, |q| next.min(q.1));
+        let late = self.queue.range((true, Micros::MIN, 0)..).next();
+        next = self.queue.first().into_iter().chain(late).map(|q| q.1).fold(next, Micros::min);
+        next = if self.held.is_empty() { next } else { next.min(now + self.shortest_aim / SWEEP.1) };
         let busy = self.workers.iter().any(|w| w.flights.len() > 1);
         next = if busy { next.min(now + self.settings.tick * 50) } else { next };
         next = next.max(now + self.settings.tick);
@@ -882,15 +1020,21 @@
         w.flights.push(Attempt { request: id, number, function, sent: now, predicted: x, noticed: false });
     }
 
+    /// Rule 5: whether one more order to load is inside the ration.
+    fn ration(&self, now: Micros) -> bool {
+        let s = &self.settings;
+        let taken = self.arrivals.len() - self.arrivals.partition_point(|t| *t <= now - s.load_window);
+        let ration = (s.load_free + s.load_share * taken as f64 - 1.0).max(1.0_f64.min(s.load_free));
+        s.load_window <= 0 || self.orders.len() as f64 + 1.0 <= ration
+    }
+
     /// Orders a load: to ready workers only (rule 3), one at a time on each, inside the ration (rule 5).
     fn load(&mut self, i: usize, function: FunctionId, now: Micros, out: &mut Vec<Action>) {
         let (s, w) = (&self.settings, &self.workers[i]);
         if !s.may_order || !w.ready || !w.believed.loads.is_empty() {
             return;
         }
-        let taken = self.arrivals.iter().rev().take_while(|t| **t > now - s.load_window).count();
-        let ration = (s.load_free + s.load_share * taken as f64 - 1.0).max(1.0_f64.min(s.load_free));
-        if s.load_window > 0 && self.orders.len() as f64 + 1.0 > ration {
+        if !self.ration(now) {
             return;
         }
         let memory = s.memory_mb.get(w.row.kind as usize).copied().unwrap_or(f64::INFINITY);
