Intake decided: a window that stands open, ages without stamps, bounds shared by party

Change: crates/admission, no I/O. Window: basic.qos over the channel, always wider than what is unsettled by what comes in two looks. Age: from the moment the queue was last seen empty, its depth and the place of a message; stamps (header timestamp_in_ms, else the publisher's timestamp) count within these bounds. Intake: bounds on calls and bytes, by dynamic thresholds between queues and tenants. Advice: predicted drain, spread. The prefetch directive is kept as a told bound; without it the window is the front end's.

--- /dev/null
+++ b/crates/admission/src/intake.rs
@@ -0,0 +1,107 @@
+//! Whether a call may be held: bounds on calls and bytes, shared by dynamic thresholds.
+//!
+//! Each party (a queue and tenant) may hold a multiple of what is still free (Choudhury and Hahne, "Dynamic Queue Length
+//! Thresholds for Shared-Memory Packet Switches", IEEE/ACM Transactions on Networking 6(2), 1998). A party alone fills most
+//! of the room; the more parties press, the less each may hold, and some room stays free for one that comes anew. So one
+//! flood does not shut out another's steady calls, and no share has to be told.
+
+use std::collections::HashMap;
+
+/// A party may hold this many times what is free: one alone four fifths of all, two four ninths each.
+const MULTIPLE: u64 = 4;
+
+/// Bounds on what is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    pub calls: u64,
+    pub bytes: u64,
+}
+
+/// Whose call it is: the number of its queue, or listener, and its tenant.
+pub type Party = (u32, u32);
+
+/// Why a call is not held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    #[error("more calls are held than may be")]
+    Calls,
+    #[error("more bytes are held than may be")]
+    Bytes,
+}
+
+impl Refusal {
+    /// The word for the reply.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Refusal::Calls => "too-many-held",
+            Refusal::Bytes => "too-many-bytes-held",
+        }
+    }
+}
+
+/// A call's room; to be given back by [`Intake::release`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use]
+pub struct Held {
+    party: Party,
+    bytes: u64,
+}
+
+/// What is held, by party.
+#[derive(Clone, Debug)]
+pub struct Intake {
+    bounds: Bounds,
+    calls: u64,
+    bytes: u64,
+    parties: HashMap<Party, (u64, u64)>,
+}
+
+impl Intake {
+    pub fn new(bounds: Bounds) -> Intake {
+        Intake { bounds, calls: 0, bytes: 0, parties: HashMap::new() }
+    }
+
+    /// Calls held.
+    pub fn calls(&self) -> u64 {
+        self.calls
+    }
+
+    /// Bytes held.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Parties that hold something.
+    pub fn parties(&self) -> usize {
+        self.parties.len()
+    }
+
+    /// Room for a call of so many bytes, or why there is none.
+    pub fn admit(&mut self, party: Party, bytes: u64) -> Result<Held, Refusal> {
+        let (calls, held) = self.parties.get(&party).copied().unwrap_or_default();
+        let free = self.bounds.calls.saturating_sub(self.calls);
+        if free == 0 || calls >= MULTIPLE.saturating_mul(free) {
+            return Err(Refusal::Calls);
+        }
+        let free = self.bounds.bytes.saturating_sub(self.bytes);
+        // One call alone may fill all, or a body just under the bound could never be served.
+        if bytes > free || (held > 0 && held + bytes > MULTIPLE.saturating_mul(free)) {
+            return Err(Refusal::Bytes);
+        }
+        self.calls += 1;
+        self.bytes += bytes;
+        self.parties.insert(party, (calls + 1, held + bytes));
+        Ok(Held { party, bytes })
+    }
+
+    /// The call was answered or left.
+    pub fn release(&mut self, held: Held) {
+        let Some((calls, bytes)) = self.parties.get_mut(&held.party) else { return };
+        (*calls, *bytes) = (calls.saturating_sub(1), bytes.saturating_sub(held.bytes));
+        if *calls == 0 {
+            self.parties.remove(&held.party);
+        }
+        self.calls = self.calls.saturating_sub(1);
+        self.bytes = self.bytes.saturating_sub(held.bytes);
+    }
+}
--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions at a front end's intake, without I/O: how many messages it asks a broker for ([`Window`]), how long a message
+//! has waited where nothing on it tells ([`Age`]), whether a call may be held ([`Intake`]), and when a caller that is
+//! turned away had better return ([`Advice`]).
+//!
+//! What happens to a call once taken is the module's matter alone.
+#![forbid(unsafe_code)]
+
+mod advice;
+mod age;
+mod intake;
+mod window;
+
+pub use advice::Advice;
+pub use age::Age;
+pub use intake::{Bounds, Held, Intake, Party, Refusal};
+pub use window::Window;
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -22,6 +22,9 @@
         user: String,
         #[arg(long, default_value = "guest")]
         password: String,
+        /// Stamp messages with the time at which they are taken (header timestamp_in_ms).
+        #[arg(long)]
+        stamp: bool,
     },
     /// Workers over KServe v2, on ports given by the system, and a list of them.
     Workers {
@@ -107,9 +110,12 @@
 
 async fn serve(what: Standin) -> io::Result<()> {
     match what {
-        Standin::Broker { listen: address, user, password } => {
+        Standin::Broker { listen: address, user, password, stamp } => {
             let (_handle, commands) = broker::Handle::new();
-            let options = BrokerOptions { user, password, ..BrokerOptions::default() };
+            // The broker's clock counts from its start.
+            let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+            let stamp_from = stamp.then_some(since_epoch.as_micros() as i64);
+            let options = BrokerOptions { user, password, stamp_from, ..BrokerOptions::default() };
             broker::serve(listen("broker", &address).await?, Broker::new(options), commands).await
         }
         Standin::Store { listen: address, fetch_ms, at_ease, most } => {
--- a/crates/config/src/build.rs
+++ b/crates/config/src/build.rs
@@ -75,7 +75,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Consume {
     pub queue: String,
-    pub prefetch: u16,
+    /// Messages out at a time; None: as many as the front end can take.
+    pub prefetch: Option<u16>,
     /// Declare the queue at start: `Some(true)` durable, `Some(false)` transient.
     pub declare: Option<bool>,
 }
@@ -108,6 +109,8 @@
     pub seed: u64,
     pub batch_interval: i64,
     pub held_most: u64,
+    /// Bytes of the bodies of held calls.
+    pub held_bytes_most: u64,
     pub body_most: u64,
     pub answer_margin: i64,
     pub drain_most: i64,
@@ -419,7 +422,7 @@
         .filter_map(|line| {
             Some(Consume {
                 queue: line.text("queue")?,
-                prefetch: line.count("prefetch").unwrap_or(200) as u16,
+                prefetch: line.count("prefetch").map(|n| n as u16),
                 declare: match line.text("declare").as_deref() {
                     Some("durable") => Some(true),
                     Some("transient") => Some(false),
@@ -502,6 +505,7 @@
         seed: s.count("seed", "number", 1),
         batch_interval: s.duration("batch-interval", MS),
         held_most: s.count("held-most", "calls", 20_000),
+        held_bytes_most: s.count("held-bytes-most", "size", 256_000_000),
         body_most: s.count("body-most", "size", 1_000_000),
         answer_margin: s.duration("answer-margin", 20 * MS),
         drain_most: s.duration("drain-most", 30 * S),
--- a/crates/config/src/grammar.rs
+++ b/crates/config/src/grammar.rs
@@ -53,6 +53,7 @@
     one("seed", &[must("number", Kind::Count(0, u64::MAX))]),
     one("batch-interval", &[must("value", Kind::Duration(0, S))]),
     one("held-most", &[must("calls", Kind::Count(1, 1_000_000))]),
+    one("held-bytes-most", &[must("size", Kind::Size(1, 1 << 40))]),
     one("body-most", &[must("size", Kind::Size(1, 64 << 20))]),
     one("answer-margin", &[must("value", Kind::Duration(0, 10 * S))]),
     one("drain-most", &[must("value", Kind::Duration(MS, H))]),
--- a/crates/config/src/lexer.rs
+++ b/crates/config/src/lexer.rs
@@ -41,11 +41,28 @@
     reader.finish(&Position { file: name.into(), line: 1, column: 1 })
 }
 
+/// All that a file, a pipe, or standard input (`-`) holds, up to [`FILE_MOST`].
+fn read(path: &Path) -> std::io::Result<Vec<u8>> {
+    use std::io::{Error, ErrorKind, Read};
+    let source: Box<dyn Read> = match path.as_os_str() == "-" {
+        true => Box::new(std::io::stdin()),
+        false => Box::new(std::fs::File::open(path)?),
+    };
+    let mut bytes = Vec::new();
+    source.take(FILE_MOST + 1).read_to_end(&mut bytes)?;
+    match bytes.len() as u64 > FILE_MOST {
+        true => Err(Error::new(ErrorKind::FileTooLarge, "too large")),
+        false => Ok(bytes),
+    }
+}
+
 #[derive(Default)]
 struct Reader {
     lines: Vec<Line>,
     faults: Vec<Fault>,
     open: Vec<PathBuf>,
+    /// Faults of files that could not be read at all.
+    unread: Vec<Fault>,
 }
 
 impl Reader {
@@ -56,6 +73,10 @@
     }
 
     fn finish(mut self, start: &Position) -> Result<Config, Faults> {
+        if !self.unread.is_empty() {
+            // What a file that can't be read might have said is no fault of its own.
+            return Err(Faults(self.unread));
+        }
         self.repeats();
         let config = build(&self.lines, &mut self.faults, start);
         match config {
@@ -76,9 +97,7 @@
             let what = format!("{} includes itself or is nested too deep", path.display());
             return self.fault(from, what, format!("at most {DEPTH} levels and no circle"));
         }
-        let small = std::fs::metadata(path).is_ok_and(|m| m.len() <= FILE_MOST && m.is_file());
-        let text = if small { std::fs::read(path) } else { Err(std::io::ErrorKind::InvalidInput.into()) };
-        match text.map(String::from_utf8) {
+        match read(path).map(String::from_utf8) {
             Ok(Ok(text)) => {
                 self.open.push(canonical);
                 self.text(path, &text);
@@ -87,7 +106,8 @@
             Ok(Err(_)) => self.fault(from, format!("{} is not UTF-8", path.display()), "a text file"),
             Err(e) => {
                 let what = format!("can't read {}: {e}", path.display());
-                self.fault(from, what, format!("a readable file of at most {FILE_MOST} bytes"));
+                let expected = format!("a readable file of at most {FILE_MOST} bytes");
+                self.unread.push(Fault { at: from.clone(), what, expected });
             }
         }
     }
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -33,6 +33,7 @@
         line(format!("seed {}", self.seed));
         line(format!("batch-interval {}", d(self.batch_interval)));
         line(format!("held-most {}", self.held_most));
+        line(format!("held-bytes-most {}", show_size(self.held_bytes_most)));
         line(format!("body-most {}", show_size(self.body_most)));
         line(format!("answer-margin {}", d(self.answer_margin)));
         line(format!("drain-most {}", d(self.drain_most)));
@@ -87,7 +88,8 @@
                 Some(true) => "durable",
                 Some(false) => "transient",
             };
-            line(format!("consume {} prefetch {} declare {declare}", word(&c.queue), c.prefetch));
+            let prefetch = c.prefetch.map_or(String::new(), |n| format!(" prefetch {n}"));
+            line(format!("consume {}{prefetch} declare {declare}", word(&c.queue)));
         }
         line(format!("heartbeat {}", d(self.heartbeat)));
         line(format!("reconnect first {} most {}", d(self.reconnect.0), d(self.reconnect.1)));
--- a/crates/gateway/src/amqp/front.rs
+++ b/crates/gateway/src/amqp/front.rs
@@ -2,9 +2,10 @@
 //! acknowledged only once its reply is confirmed or known to be impossible. What a lost connection leaves behind is kept:
 //! calls at work go on, and their messages are answered from memory when they are delivered again.
 
-use super::message::{reply, Reader, Unusable};
+use super::message::{reply, stamp, Reader, Unusable};
 use crate::state::{Answer, Arrival, Ticket};
 use stagehoist::{Effect, Micros};
+use stagehoist_admission::{Advice, Age, Bounds, Held, Intake, Window};
 use stagehoist_amqp::{basic, channel, confirm, queue, short, tx};
 use stagehoist_amqp::{AMQPClass, Client, ClientEvent, ClientOptions, FieldTable, Message};
 use stagehoist_config::{Broker, Config};
@@ -14,6 +15,8 @@
 
 /// Times that a reply is published again after the broker said it can't take it (`basic.nack`).
 const NACKS_MOST: u32 = 3;
+/// How often the depth of a queue is asked for while it was not seen empty.
+const LOOK: Micros = 250_000;
 
 /// What a front has done, for metrics and tests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -22,6 +25,10 @@
     pub redelivered: u64,
     pub rejected: u64,
     pub answered_unusable: u64,
+    /// Refused at intake: the bounds on held calls or bytes are reached.
+    pub turned_away: u64,
+    /// Changes of the window that the broker was asked for.
+    pub windows: u64,
     pub replies: u64,
     pub confirmed: u64,
     pub unroutable: u64,
@@ -44,6 +51,8 @@
     /// Number of its reply on the channel, and when it was published.
     published: Option<(u64, Micros)>,
     nacks: u32,
+    /// Its room among the held calls.
+    held: Option<Held>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,15 +87,30 @@
     next_ticket: Ticket,
     arrivals: Vec<Arrival>,
     draining: bool,
+    /// Deliveries of the present channel that were neither acknowledged nor rejected.
+    out: usize,
+    /// Of the present channel, where a queue is consumed without a told prefetch.
+    window: Option<Window>,
+    ages: Vec<Age>,
+    asked_depth: Micros,
+    intake: Intake,
+    advice: Advice,
     pub counters: FrontCounters,
 }
 
 impl Front {
-    /// A front without a connection. `seed` spreads its reconnects.
-    pub fn new(config: Rc<Config>, seed: u64) -> Front {
+    /// A front without a connection. `seed` spreads its reconnects and its advice.
+    pub fn new(config: Rc<Config>, seed: u64, now: Micros) -> Front {
         let (most, keep) = config.answer_memory;
+        let bounds = Bounds { calls: config.held_most, bytes: config.held_bytes_most };
         Front {
             reader: Reader::new(config.clone()),
+            out: 0,
+            window: None,
+            ages: vec![Age::default(); config.consume.len()],
+            asked_depth: 0,
+            intake: Intake::new(bounds),
+            advice: Advice::new(config.retry_after_most, seed, now),
             memory: Memory::new(most as usize, keep, config.resend_doubtful),
             backoff: Backoff::new(config.reconnect.0, config.reconnect.1, seed),
             config,
@@ -165,7 +189,44 @@
         };
         let again = self.again.values().min().copied();
         let confirm = self.oldest_unconfirmed().map(|at| at + self.config.confirm_timeout);
-        [client, waiting, again, confirm].into_iter().flatten().min()
+        let look = self.ages.iter().any(|a| a.is_unsure(self.asked_depth + LOOK, LOOK));
+        let look = (look && self.phase == Phase::Ready).then_some(self.asked_depth + LOOK);
+        [client, waiting, again, confirm, look].into_iter().flatten().min()
+    }
+
+    /// The socket holds nothing more: where the broker may send, its queues are empty.
+    pub fn dry(&mut self, now: Micros) {
+        if self.phase != Phase::Ready || self.window.as_ref().is_some_and(|w| !w.is_open(self.out)) {
+            return;
+        }
+        for (age, from) in self.ages.iter_mut().zip(&self.config.consume) {
+            if from.prefetch.is_none_or(|most| self.out < usize::from(most)) {
+                age.dry(now);
+            }
+        }
+    }
+
+    /// Asks for the depth of queues that were not seen empty for a while, and for a window that stands open.
+    fn look(&mut self, now: Micros) {
+        if self.phase != Phase::Ready || self.draining {
+            return;
+        }
+        if now - self.asked_depth >= LOOK {
+            self.asked_depth = now;
+            for index in 0..self.ages.len() {
+                if self.ages[index].is_unsure(now, LOOK) {
+                    self.declare(index, true, false);
+                }
+            }
+        }
+        if let Some(count) = self.window.as_mut().and_then(|w| w.ask(self.out, now)) {
+            self.counters.windows += 1;
+            self.qos(count, true);
+        }
+    }
+
+    fn qos(&mut self, prefetch_count: u16, global: bool) {
+        self.basic(basic::AMQPMethod::Qos(basic::Qos { prefetch_count, global }));
     }
 
     /// When the reply that waits longest for its confirm, or commit, was sent.
@@ -200,8 +261,9 @@
         let due: Vec<usize> = self.again.iter().filter(|(_, at)| **at <= now).map(|(i, _)| *i).collect();
         for index in due {
             self.again.remove(&index);
-            self.consume(index);
+            self.consume(index, now);
         }
+        self.look(now);
         if self.oldest_unconfirmed().is_some_and(|at| now - at >= self.config.confirm_timeout) {
             tracing::warn!("the broker confirms no replies; connection given up");
             if self.replies.pop_first().is_none() {
@@ -220,6 +282,7 @@
             client.receive(bytes, now);
         }
         self.events(now, blind);
+        self.look(now);
     }
 
     fn events(&mut self, now: Micros, blind: Micros) {
@@ -277,8 +340,16 @@
                     self.send(AMQPClass::Confirm(confirm::AMQPMethod::Select(select)));
                 }
                 self.consuming = 0;
+                self.out = 0;
+                self.ages.iter_mut().for_each(Age::restart);
                 if !self.draining {
-                    (0..self.config.consume.len()).for_each(|index| self.consume(index));
+                    // A window over the whole channel, as one consumer's can't be changed while it stands.
+                    let free = self.config.consume.iter().any(|c| c.prefetch.is_none());
+                    self.window = free.then(|| Window::new(now));
+                    if let Some(count) = self.window.as_ref().map(Window::asked) {
+                        self.qos(count, true);
+                    }
+                    (0..self.config.consume.len()).for_each(|index| self.consume(index, now));
                 }
             }
             AMQPClass::Basic(basic::AMQPMethod::ConsumeOk(_)) => {
@@ -289,6 +360,14 @@
                     tracing::info!("consuming");
                 }
             }
+            AMQPClass::Queue(queue::AMQPMethod::DeclareOk(ok)) => {
+                let index = self.config.consume.iter().position(|c| c.queue == ok.queue.as_str());
+                // Before the consumers stand, this one is not among those told.
+                let own = u64::from(self.phase != Phase::Ready);
+                if let Some(age) = index.and_then(|i| self.ages.get_mut(i)) {
+                    age.depth(u64::from(ok.message_count), u64::from(ok.consumer_count) + own, now);
+                }
+            }
             AMQPClass::Tx(tx::AMQPMethod::CommitOk(_)) => {
                 for ticket in self.committing.pop_front().map(|c| c.1).unwrap_or_default() {
                     let Some(delivery) = self.deliveries.remove(&ticket) else { continue };
@@ -317,21 +396,25 @@
         format!("stagehoist-{index}")
     }
 
-    fn consume(&mut self, index: usize) {
+    /// Declares a queue, or only asks for its depth.
+    fn declare(&mut self, index: usize, passive: bool, durable: bool) {
+        let declare = queue::Declare {
+            queue: short(&self.config.consume[index].queue),
+            passive,
+            durable,
+            exclusive: false,
+            auto_delete: false,
+            nowait: false,
+            arguments: FieldTable::default(),
+        };
+        self.send(AMQPClass::Queue(queue::AMQPMethod::Declare(declare)));
+    }
+
+    fn consume(&mut self, index: usize, now: Micros) {
         let Some(from) = self.config.consume.get(index).cloned() else { return };
-        if let Some(durable) = from.declare {
-            let declare = queue::Declare {
-                queue: short(&from.queue),
-                passive: false,
-                durable,
-                exclusive: false,
-                auto_delete: false,
-                nowait: false,
-                arguments: FieldTable::default(),
-            };
-            self.send(AMQPClass::Queue(queue::AMQPMethod::Declare(declare)));
-        }
-        self.basic(basic::AMQPMethod::Qos(basic::Qos { prefetch_count: from.prefetch, global: false }));
+        self.asked_depth = now;
+        self.declare(index, from.declare.is_none(), from.declare.unwrap_or(false));
+        self.qos(from.prefetch.unwrap_or(0), false);
         let consume = basic::Consume {
             queue: short(&from.queue),
             consumer_tag: short(&self.tag(index)),
@@ -346,11 +429,13 @@
 
     fn reject(&mut self, tag: u64) {
         self.counters.rejected += 1;
+        self.out = self.out.saturating_sub(1);
         self.open.1 |= self.config.transactions;
         self.basic(basic::AMQPMethod::Reject(basic::Reject { delivery_tag: tag, requeue: false }));
     }
 
     fn ack(&mut self, tag: u64) {
+        self.out = self.out.saturating_sub(1);
         self.open.1 |= self.config.transactions;
         self.basic(basic::AMQPMethod::Ack(basic::Ack { delivery_tag: tag, multiple: false }));
     }
@@ -358,6 +443,14 @@
     fn take_delivery(&mut self, message: Message, now: Micros, blind: Micros) {
         let AMQPClass::Basic(basic::AMQPMethod::Deliver(deliver)) = message.method else { return };
         self.counters.delivered += 1;
+        self.out += 1;
+        if let Some(window) = self.window.as_mut() {
+            window.delivered();
+        }
+        let index = deliver.consumer_tag.as_str().rsplit('-').next().and_then(|n| n.parse::<usize>().ok());
+        let queue = index.unwrap_or(0);
+        let stamp = stamp(&message.properties);
+        let waited = self.ages.get_mut(queue).map_or(0, |a| a.taken(stamp, deliver.redelivered, now));
         self.counters.redelivered += u64::from(deliver.redelivered);
         let properties = &message.properties;
         let text = |value: &Option<stagehoist_amqp::ShortString>| {
@@ -389,9 +482,10 @@
             answer: None,
             published: None,
             nacks: 0,
+            held: None,
         };
         let routing_key = deliver.routing_key.as_str();
-        let asked = self.reader.read(properties, routing_key, message.size, now, blind);
+        let asked = self.reader.read(properties, routing_key, message.size, waited.max(blind));
         let effect = asked.as_ref().map_or(Effect::Safe, |a| self.effect(&a.function));
         let verdict = match &asked {
             // Too late is a matter of this delivery; what is known of the message still counts.
@@ -436,6 +530,17 @@
                         self.answer(ticket, Answer::Refused { reason: wrong.reason(), retry_after: 0 }, now);
                     }
                     Ok(asked) => {
+                        match self.intake.admit((queue as u32, asked.tenant), message.size) {
+                            Ok(held) => {
+                                self.deliveries.entry(ticket).and_modify(|d| d.held = Some(held));
+                            }
+                            Err(why) => {
+                                self.counters.turned_away += 1;
+                                let retry_after = self.advice.retry_after(self.intake.calls());
+                                let reason = why.reason();
+                                return self.answer(ticket, Answer::Refused { reason, retry_after }, now);
+                            }
+                        }
                         let content_type = properties.content_type().as_ref().map(|c| c.as_str().to_string());
                         self.arrivals.push(Arrival {
                             ticket,
@@ -461,6 +566,10 @@
     /// A call has its final answer.
     pub fn answer(&mut self, ticket: Ticket, answer: Answer, now: Micros) {
         let Some(delivery) = self.deliveries.get_mut(&ticket) else { return };
+        if let Some(held) = delivery.held.take() {
+            self.intake.release(held);
+            self.advice.left(now);
+        }
         if let Some(key) = &delivery.key {
             self.memory.answered(key, ticket, answer.clone(), Sent::Never);
         }
--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -16,6 +16,8 @@
 /// stopped, and that what it reads next may have waited so long.
 const LOOK: Micros = 100_000;
 const BLIND: Micros = 200_000;
+/// A socket that was waited on for longer had nothing to read until then.
+const AWAITED: Micros = 1000;
 /// Longest time for a connection to stand, and for a broker to take bytes.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -45,7 +47,7 @@
     mut from_driver: mpsc::UnboundedReceiver<ToLink>,
     state: watch::Sender<LinkState>,
 ) {
-    let mut front = Front::new(config.clone(), seed);
+    let mut front = Front::new(config.clone(), seed, clock.now());
     let mut turn = 0usize;
     let mut draining = false;
     loop {
@@ -173,6 +175,7 @@
             return if closing { Ended::Over } else { Ended::Lost("closed".into()) };
         }
         let due = front.due().unwrap_or(Micros::MAX).min(looked + LOOK);
+        let waits_from = clock.now();
         tokio::select! {
             biased;
             said = from_driver.recv() => match said {
@@ -202,15 +205,23 @@
                     tracing::warn!(ms = blind / 1000, "this process did not run; messages read now count as waiting so long");
                 }
                 looked = now;
+                if blind == 0 && now - waits_from > AWAITED {
+                    // The socket was empty until this moment, and so the queue.
+                    front.dry(now);
+                }
                 match stream.try_read(&mut buffer) {
                     Ok(0) => return Ended::Lost("closed by the broker".into()),
                     Ok(n) => {
                         front.receive(&buffer[..n], now, blind);
                         if n < buffer.len() {
                             blind = 0;
+                            front.dry(now);
                         }
                     }
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => blind = 0,
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                        blind = 0;
+                        front.dry(now);
+                    }
                     Err(e) => return Ended::Lost(e.to_string()),
                 }
             }
--- a/crates/gateway/src/amqp/message.rs
+++ b/crates/gateway/src/amqp/message.rs
@@ -1,8 +1,8 @@
 //! A delivery to a call, an answer to a reply.
 //!
 //! Of a call: the function is the header `function`, else the routing key; the tenant the header `tenant`; the budget
-//! `expiration` in milliseconds where that is less than the class's give-up time, less the age of the message where the
-//! broker stamps it with the header `timestamp_in_ms`. Of a reply: the headers `outcome` (`served`, `refused`, `failed`),
+//! `expiration` in milliseconds where that is less than the class's give-up time, less the time that the message waited: by
+//! the broker's header `timestamp_in_ms`, else the publisher's `timestamp`, else by its place in the queue. Of a reply: the headers `outcome` (`served`, `refused`, `failed`),
 //! `reason`, and `retry-after-ms` with a refusal.
 
 use crate::state::Answer;
@@ -58,6 +58,17 @@
     }
 }
 
+/// When a message was published, in microseconds since the Unix epoch, as far as it tells: the broker's stamp, else the
+/// publisher's `timestamp`, which counts whole seconds, so that its middle is taken.
+pub fn stamp(properties: &BasicProperties) -> Option<Micros> {
+    let headers = properties.headers().as_ref();
+    let stamped =
+        headers.and_then(|h| h.inner().get(STAMP)).and_then(header_int).map(|ms| ms.checked_mul(1000));
+    let told = || properties.timestamp().and_then(|s| i64::try_from(s).ok()?.checked_mul(1_000_000));
+    // A stamp from before anything could still wait tells of clocks and not of waiting.
+    stamped.flatten().or_else(|| Some(told()? + 500_000)).filter(|at| *at > 0)
+}
+
 /// Reads messages by a configuration.
 #[derive(Debug)]
 pub struct Reader {
@@ -71,14 +82,13 @@
         Reader { config, tenants }
     }
 
-    /// What a message asks for. `age` is how long it may have waited unseen in this process, in microseconds.
+    /// What a message asks for. `waited` is how long it waited before it was taken, in microseconds.
     pub fn read(
         &self,
         properties: &BasicProperties,
         routing_key: &str,
         size: u64,
-        now: Micros,
-        age: Micros,
+        waited: Micros,
     ) -> Result<Asked, Unusable> {
         let none = FieldTable::default();
         let headers = properties.headers().as_ref().unwrap_or(&none);
@@ -109,9 +119,6 @@
                 Err(_) => return Err(Unusable::MalformedExpiration),
             },
         };
-        let stamped = headers.inner().get(STAMP).and_then(header_int).map(|ms| now - ms * 1000);
-        // A stamp from the future, or from before anything could still wait, tells of clocks and not of waiting.
-        let waited = stamped.filter(|w| (0..3_600_000_000).contains(w)).unwrap_or(0).max(age);
         let budget = give_up.min(own) - waited - self.config.answer_margin;
         if budget <= 0 {
             return Err(Unusable::TooLate);
--- a/crates/gateway/src/metrics_page.rs
+++ b/crates/gateway/src/metrics_page.rs
@@ -108,6 +108,8 @@
             ("stagehoist_amqp_confirmed_total", f.confirmed),
             ("stagehoist_amqp_unroutable_total", f.unroutable),
             ("stagehoist_amqp_from_memory_total", f.from_memory),
+            ("stagehoist_amqp_turned_away_total", f.turned_away),
+            ("stagehoist_amqp_windows_total", f.windows),
             ("stagehoist_amqp_joined_total", f.joined),
             ("stagehoist_amqp_withheld_total", f.withheld),
             ("stagehoist_amqp_failed_unknown_total", f.failed_unknown),
--- a/crates/stage/src/layout.rs
+++ b/crates/stage/src/layout.rs
@@ -99,7 +99,7 @@
              function recurring class record memory 128MB lanes 2 load 250ms\n\
              function rare-* class lookup memory 48MB lanes 1 load 180ms\n\
              broker amqp://guest:guest@{broker}/\n\
-             consume {QUEUE} prefetch 400 declare durable\n\
+             consume {QUEUE} declare durable\n\
              reconnect first 50ms most 1s\n\
              heartbeat 5s\nreplies {replies}\n\
              worker-list consul http://{list} service workers wait 5s\n\
