--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod demo;
+mod load;
 mod serve;
 mod standin;
 
@@ -62,6 +63,11 @@
         #[arg(long)]
         json: bool,
     },
+    /// Open-loop load on a running gateway, and sweeps of the whole stack beside baselines.
+    Load {
+        #[command(subcommand)]
+        what: load::Load,
+    },
     /// A stand-in for an outside system.
     Standin {
         #[command(subcommand)]
@@ -92,6 +98,7 @@
         Command::Serve { conf } => serve::serve(&conf),
         Command::Check { conf, print } => serve::check(&conf, print),
         Command::Measure { rate, seconds, workers, json } => demo::measured(rate, seconds, &workers, json),
+        Command::Load { what } => load::run(what),
         Command::Standin { what } => standin::run(what),
     }
 }
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,7 +1,8 @@
 //! `serve` and `check`.
 
 use stagehoist_config::load;
-use stagehoist_gateway::{metrics_page, serve as start};
+use stagehoist_gateway::state::{module, Decider};
+use stagehoist_gateway::{metrics_page, serve_with as start};
 use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -28,6 +29,11 @@
 
 /// Runs the gateway until it is told to end.
 pub fn serve(conf: &Path) -> ExitCode {
+    serve_with(module, conf)
+}
+
+/// The same with a policy told.
+pub fn serve_with(decider: Decider, conf: &Path) -> ExitCode {
     let config = match load(conf) {
         Ok(config) => config,
         Err(faults) => {
@@ -59,7 +65,7 @@
         Ok(signals) => signals,
         Err(e) => return fail(&e),
     };
-    let running = match start(&config, metrics) {
+    let running = match start(decider, &config, metrics) {
         Ok(running) => running,
         Err(e) => return fail(&e),
     };
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -39,6 +39,9 @@
         /// A function that all of them can load: NAME:MEMORY-MB:LANES:START-MS:RUN-MS; NAME may end with *.
         #[arg(long = "function", default_value = "*:64:2:80:20")]
         functions: Vec<String>,
+        /// Calls that each runs at full pace at a time.
+        #[arg(long, default_value_t = 4)]
+        cores: u32,
     },
     /// A list of workers from a file, served in the manner of Consul's health API.
     List {
@@ -147,7 +150,7 @@
             }
             registry.serve(listen("worker-list", &address).await?, addresses).await
         }
-        Standin::Workers { count, store, list, functions } => {
+        Standin::Workers { count, store, list, functions, cores } => {
             let catalogue = functions.iter().map(|f| function(f)).collect::<io::Result<Vec<_>>>()?;
             let catalogue = Arc::new(Catalogue(catalogue));
             let registry = Registry::new();
@@ -157,10 +160,10 @@
                 let name = format!("w{i}");
                 let listener = listen(&format!("worker-{name}"), "127.0.0.1:0").await?;
                 addresses.insert(name.clone(), listener.local_addr()?.to_string());
-                registry.put(listed(&name, now_ms()));
+                registry.put(Listed { capacity: f64::from(cores), ..listed(&name, now_ms()) });
                 let options = WorkerOptions {
                     name,
-                    spec: Spec::default(),
+                    spec: Spec { cores: f64::from(cores), ..Spec::default() },
                     catalogue: catalogue.clone(),
                     store: store.clone(),
                     seed: u64::from(i),
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,7 +18,9 @@
 mod render;
 mod value;
 
-pub use build::{Broker, Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
+pub use build::{
+    broker, Broker, Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant,
+};
 pub use lexer::{load, parse};
 pub use value::{parse_duration, parse_size, Value};
 
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use crate::list::{self, ToList};
 use crate::metrics_page::Gauges;
-use crate::state::{Command, Core, News};
+use crate::state::{Command, Core, Decider, News};
 use crate::workers::Workers;
 use stagehoist::Micros;
 use stagehoist_config::Config;
@@ -30,6 +30,7 @@
 /// Runs one front end on the current thread until it is told to drain and has, or `drain_most` ran out. Must be called
 /// inside a `LocalSet`.
 pub async fn run(
+    decider: Decider,
     config: Rc<Config>,
     number: u32,
     clock: Clock,
@@ -45,7 +46,7 @@
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn_local(link::run(config.clone(), seed, clock, news.clone(), from_driver, link_state));
     tasks.spawn_local(list::follow(config.clone(), seed, clock, news.clone(), asks));
-    let mut core = Core::new(config.clone(), seed, clock.now());
+    let mut core = Core::with(decider, config.clone(), seed, clock.now());
     let gauges = Gauges::new(number);
     let mut batch: Vec<News> = Vec::new();
     let mut commands: Vec<Command> = Vec::new();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,4 +20,4 @@
 pub mod workers;
 
 pub use error::GatewayError;
-pub use serve::{serve, Running};
+pub use serve::{serve, serve_with, Running};
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,6 +4,7 @@
 use crate::driver::{self, FrontEndState};
 use crate::error::GatewayError;
 use crate::metrics_page;
+use crate::state::{module, Decider};
 use metrics_exporter_prometheus::PrometheusHandle;
 use stagehoist_config::Config;
 use std::net::SocketAddr;
@@ -22,6 +23,15 @@
 
 /// Starts all front ends of a configuration. `metrics` is the recorder's handle where the process has one.
 pub fn serve(config: &Config, metrics: Option<PrometheusHandle>) -> Result<Running, GatewayError> {
+    serve_with(module, config, metrics)
+}
+
+/// The same with another policy than the module, to measure against.
+pub fn serve_with(
+    decider: Decider,
+    config: &Config,
+    metrics: Option<PrometheusHandle>,
+) -> Result<Running, GatewayError> {
     let (drain, drained) = watch::channel(false);
     let mut running = Running { drain, threads: Vec::new(), states: Vec::new(), metrics: None };
     let clock = Clock::new();
@@ -33,7 +43,7 @@
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let Ok(runtime) = runtime else { return };
             let local = tokio::task::LocalSet::new();
-            local.block_on(&runtime, driver::run(Rc::new(config), number, clock, drained, state));
+            local.block_on(&runtime, driver::run(decider, Rc::new(config), number, clock, drained, state));
         });
         running.threads.push(spawned.map_err(GatewayError::Start)?);
         running.states.push(seen);
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -1,8 +1,10 @@
 //! Calls and attempts between sockets and the module. It keeps what the module's interface promises: one `Ended` for
 //! each `Send`, one `Loaded` for each `Load`, attempts cut at their call's deadline, timers in time. It decides nothing.
 
-use super::{Answer, Arrival, Attempt, AttemptResult, Command, Functions, News, Ticket};
-use stagehoist::{Action, Ended, Event, FrontEnd, Micros, Outcome, Request, RequestId, RosterForm, WorkerId};
+use super::{
+    module, Answer, Arrival, Attempt, AttemptResult, Command, Decide, Decider, Functions, News, Ticket,
+};
+use stagehoist::{Action, Ended, Event, Micros, Outcome, Request, RequestId, RosterForm, WorkerId};
 use stagehoist_config::Config;
 use stagehoist_membership::{Members, Update};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -48,7 +50,7 @@
 
 /// One front end's state.
 pub struct Core {
-    front_end: FrontEnd,
+    decides: Box<dyn Decide>,
     config: Rc<Config>,
     functions: Functions,
     members: Members,
@@ -70,11 +72,16 @@
 impl Core {
     /// A front end without workers, as it is before the first list came.
     pub fn new(config: Rc<Config>, seed: u64, now: Micros) -> Core {
+        Core::with(module, config, seed, now)
+    }
+
+    /// The same, with decisions told.
+    pub fn with(decider: Decider, config: Rc<Config>, seed: u64, now: Micros) -> Core {
         let kinds = config.kinds.iter().map(|k| k.name.clone()).collect();
         // The list counts again when it contradicts a worker's word for longer than it may lag.
         let keep = 60_000_000.max(4 * config.list_ask_within);
         Core {
-            front_end: FrontEnd::new(config.settings(), seed, now),
+            decides: decider(config.settings(), seed, now),
             functions: Functions::new(config.clone()),
             members: Members::new(kinds, config.zones.clone(), keep),
             config,
@@ -139,7 +146,7 @@
             self.events.push(Event::Timer { token });
         }
         let start = std::time::Instant::now();
-        self.front_end.handle(now, &self.events, &mut self.actions);
+        self.decides.handle(now, &self.events, &mut self.actions);
         self.counters.module_ns += start.elapsed().as_nanos() as u64;
         self.counters.batches += 1;
         self.events.clear();
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -8,9 +8,29 @@
 pub use functions::{Functions, Resolved};
 
 use bytes::Bytes;
-use stagehoist::{Micros, Note, Outcome, Report, RequestId, WorkerId};
+use stagehoist::{Action, Event, FrontEnd, Micros, Note, Outcome, Report, RequestId, Settings, WorkerId};
 use std::rc::Rc;
 
+/// What chooses for a front end: the module, or a policy to measure it against on the same stack.
+pub trait Decide {
+    /// One batch: what happened since the last, and what is to be done.
+    fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>);
+}
+
+impl Decide for FrontEnd {
+    fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
+        FrontEnd::handle(self, now, events, out)
+    }
+}
+
+/// Makes one front end's decisions from its settings, seed and the time.
+pub type Decider = fn(Settings, u64, Micros) -> Box<dyn Decide>;
+
+/// The decision module.
+pub fn module(settings: Settings, seed: u64, now: Micros) -> Box<dyn Decide> {
+    Box::new(FrontEnd::new(settings, seed, now))
+}
+
 /// The number that a front (AMQP, ...) gives to a call of its own; unique within one front end.
 pub type Ticket = u64;
 
--- a/crates/gateway/tests/front.rs
+++ b/crates/gateway/tests/front.rs
@@ -495,8 +495,8 @@
     let mut w = World::new("");
     w.front.dry(w.now);
     // A publisher whose clock is an hour behind, and one whose clock is an hour ahead.
-    let seconds = |w: &World, by: i64| ((w.now + 7200_000_000) / 1_000_000 + by) as u64;
-    w.now += 7200_000_000;
+    let seconds = |w: &World, by: i64| ((w.now + 7_200_000_000) / 1_000_000 + by) as u64;
+    w.now += 7_200_000_000;
     w.front.dry(w.now);
     for (id, by) in [("behind", -3600), ("ahead", 3600)] {
         let at = seconds(&w, by) - 7200;
