--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -87,6 +87,8 @@
     others_at: Micros,
     errors: f64,
     strikes: u32,
+    /// Times in a row that it turned calls away.
+    fulls: u32,
     ejected_until: Micros,
     full_until: Micros,
     loading_until: Micros,
@@ -410,7 +412,7 @@
         }
         match e.outcome {
             Outcome::Ok => {
-                (b.strikes, b.errors) = (0, b.errors * (1.0 - GAIN));
+                (b.strikes, b.fulls, b.errors) = (0, 0, b.errors * (1.0 - GAIN));
                 b.loading_until = if a.predicted.warm || a.predicted.home { b.loading_until } else { now };
                 let copies = b.warm.get(&a.function).map_or(1, |x| x.copies.max(1));
                 b.warm.insert(a.function, Warm { ready: now, until: now + keep, used: now, copies });
@@ -430,7 +432,10 @@
                 self.take_report(i, now, &e.report);
             }
             Miss => drop(b.warm.insert(a.function, Warm::gone(now, keep))),
-            Full => b.full_until = now + (a.predicted.base * b.pace) as Micros / 2,
+            Full => {
+                b.full_until = now + ((a.predicted.base * b.pace) as Micros / 2 << b.fulls);
+                b.fulls = (b.fulls + 1).min(4);
+            }
             Error if e.note.copy == 4 => drop(b.warm.remove(&a.function)),
             Error => self.strike(i, now, false, out),
             ConnectFailed | Reset => self.strike(i, now, true, out),
