Module: refusals advise a return by the predicted drain, spread

Need: refusals told 0 ms, so that those refused together came back together. Change: what is held over the pace at which calls are served, between half and one and a half times that, at most the told bound. Hash and decay moved to numbers.rs, as they judge nothing; workers that time opens are found by the moment of the last batch.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 #![forbid(unsafe_code)]
 
 pub mod interface;
+mod numbers;
 pub mod rules;
 pub mod wire;
 
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -4,6 +4,7 @@
 
 use crate::interface::Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, Moot, Reset, Timeout};
 use crate::interface::*;
+use crate::numbers::{fade, mix, rank};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound::{Excluded, Unbounded};
@@ -73,8 +74,6 @@
     probed: Micros,
     /// Mean in-flight work of this front end here, fading over half the keep-alive, and when it was so.
     carried: (f64, Micros),
-    /// What time alone opens and shuts, as of the last batch.
-    gates: (bool, bool, bool, Micros),
     believed: Beliefs,
 }
 
@@ -87,8 +86,6 @@
     others_at: Micros,
     errors: f64,
     strikes: u32,
-    /// Times in a row that it turned calls away.
-    fulls: u32,
     ejected_until: Micros,
     full_until: Micros,
     loading_until: Micros,
@@ -209,17 +206,6 @@
     }
 }
 
-fn mix(a: u64, b: u64) -> u64 {
-    let mut x = a ^ b.wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    x ^ (x >> 31)
-}
-
-fn rank(a: u64, b: u64) -> f64 {
-    (mix(a, b) >> 11) as f64 / (1u64 << 53) as f64
-}
-
 /// Indices of the workers in the order of their ranks for a function.
 fn ranked(function: FunctionId, workers: &[Worker]) -> Vec<usize> {
     let mut order: Vec<usize> = (0..workers.len()).collect();
@@ -227,10 +213,6 @@
     order
 }
 
-fn fade(passed: Micros, over: Micros) -> f64 {
-    (-(passed as f64) / over.max(1) as f64).exp()
-}
-
 fn blend(mean: &mut Option<f64>, sample: f64) {
     *mean = Some(mean.map_or(sample, |m| m + GAIN * (sample - m)));
 }
@@ -268,12 +250,12 @@
                 }
                 Event::Timer { .. } | Event::Peer { .. } => {}
             }
-            let heard = match event {
-                Event::Ended(Ended { worker, .. }) => Some(worker),
-                Event::Probed { worker, .. } | Event::Loaded { worker, .. } => Some(worker),
-                _ => None,
-            };
-            self.touched.extend(heard.and_then(|w| self.index.get(w)));
+            if let Event::Ended(Ended { worker: w, .. })
+            | Event::Probed { worker: w, .. }
+            | Event::Loaded { worker: w, .. } = event
+            {
+                self.touched.extend(self.index.get(w));
+            }
         }
         self.decide(now, out);
     }
@@ -412,7 +394,7 @@
         }
         match e.outcome {
             Outcome::Ok => {
-                (b.strikes, b.fulls, b.errors) = (0, 0, b.errors * (1.0 - GAIN));
+                (b.strikes, b.errors) = (0, b.errors * (1.0 - GAIN));
                 b.loading_until = if a.predicted.warm || a.predicted.home { b.loading_until } else { now };
                 let copies = b.warm.get(&a.function).map_or(1, |x| x.copies.max(1));
                 b.warm.insert(a.function, Warm { ready: now, until: now + keep, used: now, copies });
@@ -432,10 +414,7 @@
                 self.take_report(i, now, &e.report);
             }
             Miss => drop(b.warm.insert(a.function, Warm::gone(now, keep))),
-            Full => {
-                b.full_until = now + ((a.predicted.base * b.pace) as Micros / 2 << b.fulls);
-                b.fulls = (b.fulls + 1).min(4);
-            }
+            Full => b.full_until = now + (a.predicted.base * b.pace) as Micros / 2,
             Error if e.note.copy == 4 => drop(b.warm.remove(&a.function)),
             Error => self.strike(i, now, false, out),
             ConnectFailed | Reset => self.strike(i, now, true, out),
@@ -466,8 +445,8 @@
         if (broken || b.errors > 2.0 * GAIN) && b.ejected_until <= now {
             b.strikes = (b.strikes + 1).min(16);
             b.ejected_until = now + (shortest << (b.strikes - 1).min(5)).min(longest);
-            let span = (b.ejected_until - now) / 1000;
-            out.push(Action::Log { text: format!("eject worker {} for {span} ms", w.row.worker) });
+            let (worker, span) = (w.row.worker, (b.ejected_until - now) / 1000);
+            out.push(Action::Log { text: format!("eject worker {worker} for {span} ms") });
         }
     }
 
@@ -666,9 +645,9 @@
         w.cold_from.map_or(1.0, |t| least + (1.0 - least) * ((now - t) as f64 / over).clamp(0.0, 1.0))
     }
 
-    /// Weighs the held calls whose answer can have changed, in the order of the queue: of kinds that a call came
-    /// to, of kinds that a worker just heard of could take, and of a few others in turn. Guards against a cost
-    /// that grows with all that is held; could harm where a change goes unseen until the sweep comes by.
+    /// Weighs the held calls whose answer can have changed, in the order of the queue: of kinds that a call
+    /// came to, that a worker just heard of could take, and a few others in turn. Guards against a cost that
+    /// grows with all that is held; could harm where a change goes unseen until the sweep comes by.
     fn decide(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.expire(now, out);
         let passed = self.queue.iter().take_while(|x| !x.0 && x.1 < now);
@@ -683,13 +662,12 @@
         due.append(&mut self.fresh);
         let mut open: Vec<usize> = std::mem::take(&mut self.touched).into_iter().collect();
         open.retain(|&i| self.open(i, doubt, now));
-        let head = |held: &BTreeSet<Place>| held.first().copied();
         let mut tries: BTreeSet<(Place, Kind)> = BTreeSet::new();
-        tries.extend(due.iter().filter_map(|&kind| Some((head(self.held.get(&kind)?)?, kind))));
+        tries.extend(due.iter().filter_map(|&kind| Some((*self.held.get(&kind)?.first()?, kind))));
         if !open.is_empty() {
             let reached =
                 self.held.iter().filter(|(kind, _)| open.iter().any(|&i| self.reaches(i, kind, now)));
-            tries.extend(reached.filter_map(|(&kind, held)| Some((head(held)?, kind))));
+            tries.extend(reached.filter_map(|(&kind, held)| Some((*held.first()?, kind))));
         }
         let mut blocked: BTreeMap<Kind, u32> = BTreeMap::new();
         while let Some((place, kind)) = tries.pop_first() {
@@ -758,7 +736,7 @@
         w.ready && well && w.believed.full_until <= now && held <= STRETCH * w.row.capacity.max(1.0)
     }
 
-    /// Whether calls of a kind could be sent to a worker that has room, as far as is seen without weighing them.
+    /// Whether calls of a kind could go to a worker that has room, as far as is seen without weighing them.
     fn reaches(&self, i: usize, kind: &Kind, now: Micros) -> bool {
         let (w, Some(f)) = (&self.workers[i], self.functions.get(&kind.0)) else { return false };
         let home = || f.order.iter().take(f.homes.get()).any(|&x| x == i);
@@ -792,6 +770,9 @@
             w.cold_from = w.cold_from.filter(|t| now < t + warm_up);
             let b = &mut w.believed;
             b.loads.retain(|_, t| now - *t <= order_timeout);
+            let opened = |t: &Micros| (self.swept.1 + 1..=now).contains(t);
+            let opens = [b.full_until, b.ejected_until, b.loading_until].iter().any(opened);
+            self.touched.extend((opens || w.cold_from.is_some()).then_some(i));
             // What nothing confirms fades.
             if now - b.pace_at > keep / 8 {
                 (b.pace_at, b.pace, b.errors) = (now, b.pace + 0.1 * (1.0 - b.pace), b.errors * 0.9);
@@ -808,14 +789,6 @@
             }
         }
         silent.into_iter().for_each(|i| self.strike(i, now, true, out));
-        for i in 0..self.workers.len() {
-            let (w, b) = (&self.workers[i], &self.workers[i].believed);
-            let slot = if w.cold_from.is_some() { self.cold_slot(w, now) } else { 0 };
-            let gates = (b.full_until <= now, b.ejected_until <= now, b.loading_until <= now, slot);
-            if std::mem::replace(&mut self.workers[i].gates, gates) != gates {
-                self.touched.insert(i);
-            }
-        }
         again.into_iter().for_each(|(id, number)| self.try_again(id, number, now, out));
         if self.usual_at + window <= now {
             self.functions.retain(|_, f| now - f.calls.1 < 8 * keep);
@@ -845,11 +818,10 @@
 
     /// The top functions by the design's priority, where above nought, get one more instance each.
     fn order_loads(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let free = |w: &Worker| {
-            let b = &w.believed;
-            w.ready && self.healthy(w, now) && b.loads.is_empty() && b.full_until <= now
-        };
-        if self.wanted.is_empty() || !self.ration(now) || !self.workers.iter().any(free) {
+        if self.wanted.is_empty()
+            || !self.ration(now)
+            || !self.workers.iter().any(|w| self.takes_load(w, now))
+        {
             return;
         }
         let mut ranked: Vec<_> = self.wanted.iter().map(|(&f, &(priority, id))| (priority, f, id)).collect();
@@ -860,11 +832,8 @@
                 self.wanted.remove(&function);
                 continue;
             };
-            let may = |i: &usize| {
-                let (w, b) = (&self.workers[*i], &self.workers[*i].believed);
-                let warm = b.warm.get(&function).is_some_and(|x| x.until > now);
-                w.ready && self.healthy(w, now) && !warm && b.loads.is_empty() && b.full_until <= now
-            };
+            let cold = |w: &Worker| w.believed.warm.get(&function).is_none_or(|x| x.until <= now);
+            let may = |i: &usize| cold(&self.workers[*i]) && self.takes_load(&self.workers[*i], now);
             let found = (0..self.workers.len()).filter(may).map(|i| self.predict(i, p, load, -1.0, now));
             if let Some(x) = found.min_by(|a, b| a.cost.total_cmp(&b.cost)) {
                 self.load(x.index, function, now, out);
@@ -872,6 +841,11 @@
         }
     }
 
+    fn takes_load(&self, w: &Worker, now: Micros) -> bool {
+        let b = &w.believed;
+        w.ready && self.healthy(w, now) && b.loads.is_empty() && b.full_until <= now
+    }
+
     fn priority(&self, function: FunctionId, now: Micros) -> f64 {
         let Some(f) = self.functions.get(&function) else { return 0.0 };
         let span = self.settings.classes[f.class as usize].aim as f64;
@@ -1057,10 +1031,22 @@
         out.push(Action::Load { worker: self.workers[i].row.worker, function, copies: 1 });
     }
 
+    /// Time in which what is held here will have drained, at the pace at which calls are served.
+    fn drain(&self) -> Option<f64> {
+        let pace = self.usual * self.fleet / self.settings.fall_window.max(1) as f64;
+        (pace > 0.0).then(|| self.queue.len() as f64 / pace)
+    }
+
+    /// Advice with a refusal: the drain, spread, so that those refused together do not return together.
+    fn retry_after(&self, id: RequestId) -> Micros {
+        let most = self.settings.max_retry_after as f64 / 1.5;
+        (self.drain().unwrap_or(most).min(most) * (0.5 + rank(self.seed, id as u64))) as Micros
+    }
+
     /// Rule 1: the one final answer, a refusal where that may be said (rule 2), else a failure.
     fn settle(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(refuse) = self.pending.get(&id).map(|p| self.may_refuse(p)) else { return };
-        let (request, retry_after) = (id, 0);
+        let (request, retry_after) = (id, self.retry_after(id));
         out.push(if refuse { Action::Refuse { request, retry_after } } else { Action::Fail { request } });
         self.forget(id);
     }
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -626,3 +626,23 @@
     let loaded = Event::Loaded { worker, function, outcome: Outcome::Ok, took, copies: 1 };
     assert_eq!(sends(&b.step(300 * MS, vec![loaded])), [(1, first[0].1)]);
 }
+
+/// Found with thousands of callers refused at once: told no time, they all came back at once.
+#[test]
+fn refusals_advise_by_the_drain_and_spread_returns() {
+    let mut b = Bench::new("limits.retry_after=true\nlimits.max_retry_after=1000\n", &[]);
+    let calls = (1..200).map(|id| request(id, 0, 9)).collect();
+    b.step(0, calls);
+    let mut told = Vec::new();
+    for _ in 0..1300 {
+        told.extend(b.step(2 * MS, vec![]).into_iter().filter_map(|a| match a {
+            Action::Refuse { retry_after, .. } => Some(retry_after),
+            _ => None,
+        }));
+    }
+    assert_eq!(told.len(), 199);
+    // Nothing was ever served: the whole of what may be told, from a third of it up.
+    assert!(told.iter().all(|t| (333 * MS..=1000 * MS).contains(t)), "{told:?}");
+    let in_a_tenth = |from: i64| told.iter().filter(|t| (from..from + 67 * MS).contains(*t)).count();
+    assert!((333..933).step_by(67).all(|ms| (5..45).contains(&in_a_tenth(ms * MS))), "returns come together");
+}
