Module: a call past its aim and behind more than drains in its time is refused at once

Change: when the aim of a held call can no longer be met, it is settled at once if late answers are worth nothing, or if what is held drains later than its time is up. Not while an attempt is out.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -651,9 +651,19 @@
     fn decide(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.expire(now, out);
         let passed = self.queue.iter().take_while(|x| !x.0 && x.1 < now);
+        // Late and behind more than will drain before its time is up: answered while there is time to return.
+        // Covers overload of any cause; could harm where the pace of service rises at once.
+        let drain = self.drain();
         for id in passed.map(|x| x.2).collect::<Vec<_>>() {
-            self.unhold(id);
-            self.hold(id, now, false);
+            let p = &self.pending[&id];
+            let behind = drain.is_some_and(|d| now as f64 + d > p.deadline as f64 - p.base);
+            let worthless = self.settings.classes[p.request.class as usize].late_worth <= 0.0;
+            if (behind || worthless) && p.attempts.iter().all(|a| a.2 != Run::Out) {
+                self.settle(id, out);
+            } else {
+                self.unhold(id);
+                self.hold(id, now, false);
+            }
         }
         let ready = self.workers.iter().filter(|w| w.ready).count();
         // With most workers ejected the judgement is doubted rather than the workers.
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -646,3 +646,15 @@
     let in_a_tenth = |from: i64| told.iter().filter(|t| (from..from + 67 * MS).contains(*t)).count();
     assert!((333..933).step_by(67).all(|ms| (5..45).contains(&in_a_tenth(ms * MS))), "returns come together");
 }
+
+/// Found under load by an open loop of callers: calls that could no longer be in time stayed held until their time was up.
+#[test]
+fn a_call_that_can_not_be_in_time_is_refused_at_once_where_late_answers_are_worth_nothing() {
+    for (late_worth, latest) in [("0", 800), ("0.1", 2500)] {
+        let mut b = Bench::new(&format!("classes.0.late_worth={late_worth}\n"), &[]);
+        let zero = b.now;
+        assert!(!refused(&b.step(0, vec![request(1, 0, 9)]), 1));
+        let found = (0..1300).find(|_| refused(&b.step(2 * MS, vec![]), 1));
+        assert!(found.is_some() && b.now - zero <= latest * MS && b.now - zero > (latest - 600) * MS);
+    }
+}
