Module: overdue calls are tried again only while nothing is held

Change: calls overdue at a silent worker are tried again, all of them, only if nothing was held when the batch began; the worker is left as before. Covers retries that multiply load; could harm where a worker falls silent while others have no room: its calls then end at their time.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -775,7 +775,7 @@
         }
         let (aim, order_timeout) = (self.shortest_aim, s.order_timeout + s.tick * 4);
         let (window, warm_up, keep) = (s.fall_window.max(1), s.warm_up, s.keep.max(1));
-        let (mut again, mut silent) = (Vec::new(), Vec::new());
+        let (mut again, mut silent, calm) = (Vec::new(), Vec::new(), self.queue.is_empty());
         for (i, w) in self.workers.iter_mut().enumerate() {
             w.cold_from = w.cold_from.filter(|t| now < t + warm_up);
             let b = &mut w.believed;
@@ -788,10 +788,11 @@
                 (b.pace_at, b.pace, b.errors) = (now, b.pace + 0.1 * (1.0 - b.pace), b.errors * 0.9);
             }
             // Two attempts far over their predicted span, no word since: silent. One may be a heavy request.
+            // None is tried again while calls are held: then copies would take room from first attempts.
             let span = |a: &Attempt| ((OVERDUE * (a.predicted.finish - a.sent) as f64) as Micros).max(aim);
             let late = |a: &&Attempt| now > a.sent + span(a) && b.heard <= a.sent;
             if w.flights.iter().filter(late).count() > 1 {
-                for a in w.flights.iter_mut().filter(|a| !a.noticed) {
+                for a in w.flights.iter_mut().filter(|a| calm && !a.noticed) {
                     a.noticed = true;
                     again.push((a.request, a.number));
                 }
@@ -815,8 +816,8 @@
 
     /// Overdue at a silent worker: another copy where two may be out, else called off, which brings it back.
     fn try_again(&mut self, id: RequestId, number: u16, now: Micros, out: &mut Vec<Action>) {
-        let Some(p) = self.pending.get(&id) else { return };
-        if p.held.is_some() || self.settings.classes[p.request.class as usize].effect != Effect::Safe {
+        let Some(p) = self.pending.get(&id).filter(|p| p.held.is_none()) else { return };
+        if self.settings.classes[p.request.class as usize].effect != Effect::Safe {
             return;
         }
         if self.settings.second_copies && self.may_resend(id, now) {
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -658,3 +658,26 @@
         assert!(found.is_some() && b.now - zero <= latest * MS && b.now - zero > (latest - 600) * MS);
     }
 }
+
+/// Found on an overloaded day: second copies of calls that were overdue for want of room took more of it.
+#[test]
+fn overdue_calls_are_tried_again_only_while_nothing_is_held() {
+    for held in [false, true] {
+        let mut b = Bench::new("classes.0.aim=1500\nclasses.1.aim=2400\n", &[1]);
+        b.step(0, vec![request(9, 0, 9)]);
+        b.step(100 * MS, vec![ended(9, 0, 1, Outcome::Ok)]);
+        (1..4).for_each(|id| drop(b.step(0, vec![request(id, 0, 9)])));
+        if held {
+            // More than the worker's lanes and allowance take: these wait.
+            (20..40).for_each(|id| drop(b.step(0, vec![request(id, 1, 9)])));
+        }
+        let waits = b.step(0, vec![]);
+        assert!(sends(&waits).is_empty());
+        b.step(
+            0,
+            vec![roster(RosterForm::Delta, vec![RosterRow { capacity: 0.0, ..row(2, Lifecycle::Ready, 0) }])],
+        );
+        let again = (0..800).flat_map(|_| sends(&b.step(2 * MS, vec![]))).filter(|s| s.0 < 4).count();
+        assert_eq!(again == 0, held, "{again} tried again");
+    }
+}
