--- a/crates/admission/tests/admission.rs
+++ b/crates/admission/tests/admission.rs
@@ -61,6 +61,20 @@
     assert_eq!(age.taken(Some(0), false, 4 * S + MS), MS);
 }
 
+#[test]
+fn after_a_stop_silence_tells_nothing_until_the_broker_answered() {
+    let mut age = Age::default();
+    age.empty(0);
+    age.doubt();
+    // Stopped for two seconds; what came meanwhile is read in two parts.
+    assert_eq!(age.taken(Some(100 * MS), false, 2 * S), 1_900 * MS);
+    age.dry(2 * S);
+    assert_eq!(age.taken(Some(500 * MS), false, 2 * S + 5 * MS), 1_505 * MS);
+    age.depth(0, 1, 2 * S + 10 * MS);
+    assert!(!age.is_doubted());
+    assert_eq!(age.taken(Some(500 * MS), false, 2 * S + 20 * MS), 10 * MS);
+}
+
 #[test]
 fn several_consumers_of_one_queue_count_for_each_other() {
     let mut age = Age::default();
--- a/crates/cli/tests/whole_path.rs
+++ b/crates/cli/tests/whole_path.rs
@@ -85,6 +85,42 @@
     run("ends", "at 1s front-end 0 terminate\nat 2500ms front-end 1 kill\n");
 }
 
+/// Callers send about five times what three workers can do, on two front ends; what is not served must be refused.
+fn overloaded(name: &str, text: &str) -> Ledger {
+    let head = "halls 3\nworkers 3\nfront-ends 2\nrate 300/s\nlength 4s\nreplies transaction\n\
+                at 500ms flood 7x for 2s\n";
+    let day = Day::parse(name, &format!("{head}{text}")).unwrap();
+    let ledger = play(&day, Path::new(env!("CARGO_BIN_EXE_stagehoist")), &mut |_| {}).unwrap();
+    for rule in &ledger.rules {
+        assert!(rule.kept, "{name}: {rule:#?}");
+    }
+    assert_eq!(ledger.mishaps, Vec::<String>::new(), "{name}");
+    assert_eq!(ledger.answered_twice, 0, "{name}");
+    assert_eq!(ledger.unanswered, ledger.not_owed, "{name}");
+    assert!(ledger.sent > 1500 && ledger.refused > 200 && ledger.served > 200, "{name}: {ledger:?}");
+    ledger
+}
+
+#[test]
+fn five_times_the_capacity_with_and_without_stamps_is_answered_to_the_last_message() {
+    for stamps in ["yes", "no"] {
+        let ledger = overloaded("flood", &format!("stamps {stamps}\n"));
+        assert_eq!(ledger.unanswered, 0, "stamps {stamps}");
+    }
+}
+
+#[test]
+fn five_times_the_capacity_while_a_hall_vanishes_and_the_broker_restarts() {
+    overloaded("flood-hall", "at 1s hall hall-b vanish for 1s\n");
+    overloaded("flood-restart", "at 1500ms broker restart\n");
+}
+
+#[test]
+fn five_times_the_capacity_while_a_front_end_is_killed_or_stopped() {
+    overloaded("flood-kill", "at 1500ms front-end 1 kill\n");
+    overloaded("flood-stop", "at 800ms front-end 1 stop for 2s\n");
+}
+
 #[test]
 fn the_day_of_trouble_in_a_shorter_time() {
     let text = include_str!("../../../days/trouble.day");
--- a/crates/gateway/src/amqp/front.rs
+++ b/crates/gateway/src/amqp/front.rs
@@ -93,6 +93,8 @@
     window: Option<Window>,
     ages: Vec<Age>,
     asked_depth: Micros,
+    /// This process did not run from then on; ends for a queue once the broker answered a question about it.
+    blind_from: Micros,
     intake: Intake,
     advice: Advice,
     pub counters: FrontCounters,
@@ -109,6 +111,7 @@
             window: None,
             ages: vec![Age::default(); config.consume.len()],
             asked_depth: 0,
+            blind_from: 0,
             intake: Intake::new(bounds),
             advice: Advice::new(config.retry_after_most, seed, now),
             memory: Memory::new(most as usize, keep, config.resend_doubtful),
@@ -273,24 +276,36 @@
                 client.close(200, "no confirms in time");
             }
         }
-        self.events(now, 0);
+        self.events(now);
     }
 
     /// Bytes came. `blind` is how long this process may have been unable to read them, in microseconds.
+    ///
+    /// What it was sent meanwhile may come in many parts. The answer to a question about a queue comes after all of them.
     pub fn receive(&mut self, bytes: &[u8], now: Micros, blind: Micros) {
+        if blind > 0 && self.phase == Phase::Ready {
+            if !self.ages.iter().any(Age::is_doubted) {
+                self.blind_from = now - blind;
+            }
+            self.asked_depth = now;
+            for index in 0..self.ages.len() {
+                self.ages[index].doubt();
+                self.declare(index, true, false);
+            }
+        }
         if let Some(client) = self.client.as_mut() {
             client.receive(bytes, now);
         }
-        self.events(now, blind);
+        self.events(now);
         self.look(now);
     }
 
-    fn events(&mut self, now: Micros, blind: Micros) {
+    fn events(&mut self, now: Micros) {
         while let Some(event) = self.client.as_mut().and_then(Client::event) {
             match event {
                 ClientEvent::Open => self.open_channel(),
                 ClientEvent::Method(_, method) => self.take_method(method, now),
-                ClientEvent::Delivered(_, message) => self.take_delivery(*message, now, blind),
+                ClientEvent::Delivered(_, message) => self.take_delivery(*message, now),
                 ClientEvent::Returned(_, message) => {
                     self.counters.unroutable += 1;
                     let correlation =
@@ -440,7 +455,7 @@
         self.basic(basic::AMQPMethod::Ack(basic::Ack { delivery_tag: tag, multiple: false }));
     }
 
-    fn take_delivery(&mut self, message: Message, now: Micros, blind: Micros) {
+    fn take_delivery(&mut self, message: Message, now: Micros) {
         let AMQPClass::Basic(basic::AMQPMethod::Deliver(deliver)) = message.method else { return };
         self.counters.delivered += 1;
         self.out += 1;
@@ -450,7 +465,10 @@
         let index = deliver.consumer_tag.as_str().rsplit('-').next().and_then(|n| n.parse::<usize>().ok());
         let queue = index.unwrap_or(0);
         let stamp = stamp(&message.properties);
-        let waited = self.ages.get_mut(queue).map_or(0, |a| a.taken(stamp, deliver.redelivered, now));
+        let mut waited = self.ages.get_mut(queue).map_or(0, |a| a.taken(stamp, deliver.redelivered, now));
+        if stamp.is_none() && self.ages.get(queue).is_some_and(Age::is_doubted) {
+            waited = waited.max(now - self.blind_from);
+        }
         self.counters.redelivered += u64::from(deliver.redelivered);
         let properties = &message.properties;
         let text = |value: &Option<stagehoist_amqp::ShortString>| {
@@ -485,7 +503,7 @@
             held: None,
         };
         let routing_key = deliver.routing_key.as_str();
-        let asked = self.reader.read(properties, routing_key, message.size, waited.max(blind));
+        let asked = self.reader.read(properties, routing_key, message.size, waited);
         let effect = asked.as_ref().map_or(Effect::Safe, |a| self.effect(&a.function));
         let verdict = match &asked {
             // Too late is a matter of this delivery; what is known of the message still counts.
--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -212,15 +212,15 @@
                 match stream.try_read(&mut buffer) {
                     Ok(0) => return Ended::Lost("closed by the broker".into()),
                     Ok(n) => {
-                        front.receive(&buffer[..n], now, blind);
+                        front.receive(&buffer[..n], now, std::mem::take(&mut blind));
                         if n < buffer.len() {
-                            blind = 0;
                             front.dry(now);
                         }
                     }
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                        blind = 0;
-                        front.dry(now);
+                        if blind == 0 {
+                            front.dry(now);
+                        }
                     }
                     Err(e) => return Ended::Lost(e.to_string()),
                 }
--- a/crates/stage/src/day.rs
+++ b/crates/stage/src/day.rs
@@ -151,6 +151,8 @@
     pub load_on_miss: bool,
     /// Replies and acknowledgements in transactions, in place of publisher confirms.
     pub transactions: bool,
+    /// The broker stamps messages with the time at which it takes them.
+    pub stamps: bool,
     pub troubles: Vec<(Duration, Trouble)>,
 }
 
@@ -165,6 +167,7 @@
             seed: 7,
             load_on_miss: true,
             transactions: false,
+            stamps: true,
             troubles: Vec::new(),
         }
     }
@@ -299,13 +302,23 @@
                     _ => return w.wrong("confirm or transaction"),
                 };
             }
+            "stamps" => {
+                self.stamps = match w.word("yes or no")? {
+                    "yes" => true,
+                    "no" => false,
+                    _ => return w.wrong("yes or no"),
+                };
+            }
             "length" => self.length = w.duration()?,
             "at" => {
                 let at = w.duration()?;
                 let trouble = trouble(w)?;
                 self.troubles.push((at, trouble));
             }
-            _ => return w.wrong("halls, workers, front-ends, seed, rate, on-miss, replies, length or at"),
+            _ => {
+                return w
+                    .wrong("halls, workers, front-ends, seed, rate, on-miss, replies, stamps, length or at")
+            }
         }
         Ok(())
     }
--- a/crates/stage/src/stack.rs
+++ b/crates/stage/src/stack.rs
@@ -146,10 +146,12 @@
         };
 
         let (broker_handle, commands) = broker::Handle::new();
+        let stamps = day.stamps;
         let (listener, broker_address) = listen()?;
         hosts.push(host(move || async move {
             let Ok(listener) = TcpListener::from_std(listener) else { return };
-            let options = BrokerOptions { stamp_from: Some(unix_ms() * 1000), ..BrokerOptions::default() };
+            let stamp_from = stamps.then(|| unix_ms() * 1000);
+            let options = BrokerOptions { stamp_from, ..BrokerOptions::default() };
             let ended = broker::serve(listener, Broker::new(options), commands).await;
             tracing::warn!(?ended, "broker ended");
         })?);
