Module: a call past its aim is refused while others that can be in time are held

Change: such a call is settled at once while any held call can still be in time. The module's tests pass (24).

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -692,9 +692,10 @@
     /// A call can't be in time: answered now if behind more than drains. Could harm where the pace rises.
     fn pass(&mut self, id: RequestId, now: Micros, out: &mut Vec<Action>) {
         let p = &self.pending[&id];
-        let behind = self.drain().is_some_and(|d| now as f64 + d > p.deadline as f64 - p.base);
-        let worthless = self.settings.classes[p.request.class as usize].late_worth <= 0.0;
-        if (behind || worthless) && p.attempts.iter().all(|a| a.2 != Run::Out) {
+        let others = self.queue.first().is_some_and(|q| !q.0 && q.2 != id);
+        let behind = others || self.drain().is_some_and(|d| now as f64 + d > p.deadline as f64 - p.base);
+        let late_worth = self.settings.classes[p.request.class as usize].late_worth;
+        if (behind || late_worth <= 0.0) && p.attempts.iter().all(|a| a.2 != Run::Out) {
             self.settle(id, out);
         } else {
             self.unhold(id);
@@ -729,7 +730,6 @@
         false
     }
 
-    /// Kinds whose turn it is to be weighed though nothing was heard.
     fn sweep(&mut self, now: Micros) -> BTreeSet<Kind> {
         let (from, since) = self.swept;
         let part = (now - since) as f64 / (self.shortest_aim / SWEEP.1).max(1) as f64;
