--- a/crates/admission/src/advice.rs
+++ b/crates/admission/src/advice.rs
@@ -1,8 +1,8 @@
 //! When a caller that is turned away at the door had better return: once what is held is predicted to have drained, spread
 //! so that those turned away together do not come back together.
 
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rand_core::{Rng, SeedableRng};
 use stagehoist::Micros;
 
 /// Weight of a new second in the pace.
@@ -43,7 +43,7 @@
             Some(pace) if pace > 0.0 => held as f64 / pace,
             _ => self.most as f64,
         };
-        let part = (self.random.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+        let part: f64 = self.random.random();
         let drain = drain.min(self.most as f64 / 1.5);
         (drain * (0.5 + part)) as Micros
     }
--- a/crates/cli/tests/whole_path.rs
+++ b/crates/cli/tests/whole_path.rs
@@ -4,16 +4,21 @@
 use stagehoist_stage::{play, Day, Ledger};
 use std::path::Path;
 
-fn run(name: &str, text: &str) -> Ledger {
-    let head = "halls 3\nworkers 6\nfront-ends 2\nrate 100/s\nlength 4s\nreplies transaction\n";
-    let day = Day::parse(name, &format!("{head}{text}")).unwrap();
-    let ledger = play(&day, Path::new(env!("CARGO_BIN_EXE_stagehoist")), &mut |_| {}).unwrap();
+/// Plays a day; every rule must be kept, no message answered twice, and none that was owed an answer left without.
+fn judged(name: &str, day: &Day) -> Ledger {
+    let ledger = play(day, Path::new(env!("CARGO_BIN_EXE_stagehoist")), &mut |_| {}).unwrap();
     for rule in &ledger.rules {
         assert!(rule.kept, "{name}: {rule:#?}");
     }
     assert_eq!(ledger.mishaps, Vec::<String>::new(), "{name}");
     assert_eq!(ledger.answered_twice, 0, "{name}");
     assert_eq!(ledger.unanswered, ledger.not_owed, "{name}");
+    ledger
+}
+
+fn run(name: &str, text: &str) -> Ledger {
+    let head = "halls 3\nworkers 6\nfront-ends 2\nrate 100/s\nlength 4s\nreplies transaction\n";
+    let ledger = judged(name, &Day::parse(name, &format!("{head}{text}")).unwrap());
     assert!(ledger.sent > 200 && ledger.served * 2 > ledger.sent, "{name}: {ledger:?}");
     ledger
 }
@@ -89,14 +94,7 @@
 fn overloaded(name: &str, text: &str) -> Ledger {
     let head = "halls 3\nworkers 3\nfront-ends 2\nrate 300/s\nlength 4s\nreplies transaction\n\
                 at 500ms flood 7x for 2s\n";
-    let day = Day::parse(name, &format!("{head}{text}")).unwrap();
-    let ledger = play(&day, Path::new(env!("CARGO_BIN_EXE_stagehoist")), &mut |_| {}).unwrap();
-    for rule in &ledger.rules {
-        assert!(rule.kept, "{name}: {rule:#?}");
-    }
-    assert_eq!(ledger.mishaps, Vec::<String>::new(), "{name}");
-    assert_eq!(ledger.answered_twice, 0, "{name}");
-    assert_eq!(ledger.unanswered, ledger.not_owed, "{name}");
+    let ledger = judged(name, &Day::parse(name, &format!("{head}{text}")).unwrap());
     assert!(ledger.sent > 1500 && ledger.refused > 200 && ledger.served > 200, "{name}: {ledger:?}");
     ledger
 }
@@ -125,11 +123,5 @@
 fn the_day_of_trouble_in_a_shorter_time() {
     let text = include_str!("../../../days/trouble.day");
     let day = Day::parse("trouble.day", text).unwrap().shortened(std::time::Duration::from_secs(24));
-    let ledger = play(&day, Path::new(env!("CARGO_BIN_EXE_stagehoist")), &mut |_| {}).unwrap();
-    for rule in &ledger.rules {
-        assert!(rule.kept, "{rule:#?}");
-    }
-    assert_eq!(ledger.mishaps, Vec::<String>::new());
-    assert_eq!(ledger.answered_twice, 0);
-    assert_eq!(ledger.unanswered, ledger.not_owed);
+    judged("trouble", &day);
 }
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -675,9 +675,9 @@
             let tried = blocked.entry(kind).or_default();
             *tried += refused as u32;
             if *tried < 2 {
-                let mut rest =
-                    self.held.get(&kind).into_iter().flat_map(|x| x.range((Excluded(place), Unbounded)));
-                tries.extend(rest.next().map(|&next| (next, kind)));
+                let of_kind = self.held.get(&kind);
+                let next = of_kind.and_then(|x| x.range((Excluded(place), Unbounded)).next());
+                tries.extend(next.map(|&next| (next, kind)));
             }
         }
         let over = self.queue.range((true, Micros::MIN, 0)..=(true, now, RequestId::MAX));
@@ -1022,10 +1022,7 @@
     /// Orders a load: to ready workers only (rule 3), one at a time on each, inside the ration (rule 5).
     fn load(&mut self, i: usize, function: FunctionId, now: Micros, out: &mut Vec<Action>) {
         let (s, w) = (&self.settings, &self.workers[i]);
-        if !s.may_order || !w.ready || !w.believed.loads.is_empty() {
-            return;
-        }
-        if !self.ration(now) {
+        if !s.may_order || !w.ready || !w.believed.loads.is_empty() || !self.ration(now) {
             return;
         }
         let memory = s.memory_mb.get(w.row.kind as usize).copied().unwrap_or(f64::INFINITY);
--- a/crates/gateway/src/amqp/front.rs
+++ b/crates/gateway/src/amqp/front.rs
@@ -15,6 +15,8 @@
 
 /// Times that a reply is published again after the broker said it can't take it (`basic.nack`).
 const NACKS_MOST: u32 = 3;
+/// Begins the tags of this front's consumers.
+const TAG: &str = "stagehoist-";
 /// How often the depth of a queue is asked for while it was not seen empty.
 const LOOK: Micros = 250_000;
 
@@ -395,8 +397,7 @@
             AMQPClass::Basic(basic::AMQPMethod::Cancel(cancel)) => {
                 // The queue went away under us; it may be declared again.
                 tracing::warn!(consumer = cancel.consumer_tag.as_str(), "consumer cancelled by the broker");
-                let tag = cancel.consumer_tag.as_str();
-                let index = (0..self.config.consume.len()).find(|i| self.tag(*i) == tag);
+                let index = self.queue_of(cancel.consumer_tag.as_str());
                 if let Some(index) = index.filter(|_| !self.draining) {
                     self.consuming = self.consuming.saturating_sub(1);
                     let pause = self.backoff.pause();
@@ -408,7 +409,12 @@
     }
 
     fn tag(&self, index: usize) -> String {
-        format!("stagehoist-{index}")
+        format!("{TAG}{index}")
+    }
+
+    /// The place of the queue whose consumer has this tag.
+    fn queue_of(&self, tag: &str) -> Option<usize> {
+        tag.strip_prefix(TAG)?.parse().ok().filter(|index| *index < self.config.consume.len())
     }
 
     /// Declares a queue, or only asks for its depth.
@@ -462,8 +468,7 @@
         if let Some(window) = self.window.as_mut() {
             window.delivered();
         }
-        let index = deliver.consumer_tag.as_str().rsplit('-').next().and_then(|n| n.parse::<usize>().ok());
-        let queue = index.unwrap_or(0);
+        let queue = self.queue_of(deliver.consumer_tag.as_str()).unwrap_or(0);
         let stamp = stamp(&message.properties);
         let mut waited = self.ages.get_mut(queue).map_or(0, |a| a.taken(stamp, deliver.redelivered, now));
         if stamp.is_none() && self.ages.get(queue).is_some_and(Age::is_doubted) {
--- a/crates/gateway/src/amqp/message.rs
+++ b/crates/gateway/src/amqp/message.rs
@@ -2,8 +2,8 @@
 //!
 //! Of a call: the function is the header `function`, else the routing key; the tenant the header `tenant`; the budget
 //! `expiration` in milliseconds where that is less than the class's give-up time, less the time that the message waited: by
-//! the broker's header `timestamp_in_ms`, else the publisher's `timestamp`, else by its place in the queue. Of a reply: the headers `outcome` (`served`, `refused`, `failed`),
-//! `reason`, and `retry-after-ms` with a refusal.
+//! the broker's header `timestamp_in_ms`, else the publisher's `timestamp`, else by its place in the queue. Of a reply: the
+//! headers `outcome` (`served`, `refused`, `failed`), `reason`, and `retry-after-ms` with a refusal.
 
 use crate::state::Answer;
 use bytes::Bytes;
--- a/crates/load/src/amqp.rs
+++ b/crates/load/src/amqp.rs
@@ -2,13 +2,15 @@
 
 use crate::{Ledger, LoadError, Outcome, Plan, Report};
 use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use stagehoist::Micros;
 use stagehoist_amqp::{
     basic, header_int, header_text, long, queue, short, AMQPClass, BasicProperties, Client, ClientEvent,
     ClientOptions, FieldTable,
 };
 use stagehoist_config::Broker;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -126,17 +128,9 @@
     let mut kinds: BTreeMap<(String, Option<String>, usize), u32> = BTreeMap::new();
     let mut ledger = Ledger::new(target.aim, target.give_up);
     let mut plan = plan.peekable();
-    let mut manners = Plan::new(
-        crate::Shape::Constant,
-        1.0,
-        0,
-        crate::Mix::parse(&[])?,
-        crate::Mix::parse(&[])?,
-        (0, 0),
-        seed_of_manners,
-    )?;
+    let mut manners = ChaCha8Rng::seed_from_u64(seed_of_manners);
     // Repeats that wait: when, and of which message.
-    let mut again: BTreeMap<(Micros, u64), ()> = BTreeMap::new();
+    let mut again: BTreeSet<(Micros, u64)> = BTreeSet::new();
     let mut zero: Option<Micros> = None;
     let (mut last, mut shown) = (0, 0);
     let mut buffer = vec![0u8; 256 << 10];
@@ -184,11 +178,11 @@
                     if let (Outcome::Refused { retry_after, .. }, true) =
                         (&outcome, repeats < target.manners.most)
                     {
-                        let drawn = manners.part();
+                        let drawn: f64 = manners.random();
                         if drawn < target.manners.at_once {
-                            again.insert((now - zero, number), ());
+                            again.insert((now - zero, number));
                         } else if drawn < target.manners.at_once + target.manners.honour {
-                            again.insert((now - zero + retry_after, number), ());
+                            again.insert((now - zero + retry_after, number));
                         }
                     }
                 }
@@ -217,7 +211,7 @@
                 sender.publish(target, number, function);
                 last = clock() - zero;
             }
-            while let Some((&(at, message), ())) = again.first_key_value() {
+            while let Some(&(at, message)) = again.first() {
                 if at + zero > clock() {
                     break;
                 }
@@ -227,7 +221,7 @@
                     sender.publish(target, number, function);
                 }
             }
-            let due = plan.peek().map(|s| s.at).into_iter().chain(again.keys().next().map(|k| k.0)).min();
+            let due = plan.peek().map(|s| s.at).into_iter().chain(again.first().map(|a| a.0)).min();
             next = due.map_or(next, |at| next.min(at + zero));
             let over = plan.peek().is_none() && again.is_empty();
             let settled = over && (ledger.unanswered() == 0 || now - zero > last + target.settle);
--- a/crates/load/src/baseline.rs
+++ b/crates/load/src/baseline.rs
@@ -6,7 +6,7 @@
     WorkerId,
 };
 use stagehoist_gateway::state::Decide;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Choice {
@@ -26,7 +26,7 @@
 pub struct Textbook {
     choice: Choice,
     settings: Settings,
-    ready: BTreeMap<WorkerId, u32>,
+    ready: BTreeSet<WorkerId>,
     in_flight: HashMap<WorkerId, u32>,
     turn: usize,
     calls: HashMap<RequestId, Call>,
@@ -50,7 +50,7 @@
         Textbook {
             choice,
             settings,
-            ready: BTreeMap::new(),
+            ready: BTreeSet::new(),
             in_flight: HashMap::new(),
             turn: 0,
             calls: HashMap::new(),
@@ -91,11 +91,11 @@
         match self.choice {
             Choice::InTurn => {
                 self.turn = (self.turn + 1) % self.ready.len().max(1);
-                self.ready.keys().nth(self.turn).copied()
+                self.ready.iter().nth(self.turn).copied()
             }
             Choice::LeastInFlight => {
                 let load = |w: &&WorkerId| self.in_flight.get(w).copied().unwrap_or(0);
-                self.ready.keys().min_by_key(load).copied()
+                self.ready.iter().min_by_key(load).copied()
             }
         }
     }
@@ -111,9 +111,9 @@
                     }
                     for row in rows.iter() {
                         match row.lifecycle {
-                            Lifecycle::Ready => drop(self.ready.insert(row.worker, 0)),
-                            _ => drop(self.ready.remove(&row.worker)),
-                        }
+                            Lifecycle::Ready => self.ready.insert(row.worker),
+                            _ => self.ready.remove(&row.worker),
+                        };
                     }
                 }
                 Event::Request(r) => {
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -1,7 +1,7 @@
 //! What is sent when: arrivals by shape, calls by mix, both from one seed.
 
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rand_core::{Rng, SeedableRng};
 use stagehoist::Micros;
 use std::str::FromStr;
 
@@ -182,9 +182,8 @@
         (sizes.0 <= sizes.1 && sizes.1 <= 64 << 20).then_some(sizes).ok_or_else(wrong)
     }
 
-    /// A number drawn evenly from 0 to 1.
-    pub fn part(&mut self) -> f64 {
-        (self.random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    fn part(&mut self) -> f64 {
+        self.random.random()
     }
 
     fn due(&mut self) -> Option<(Micros, Option<String>, usize)> {
--- a/crates/load/src/sweep.rs
+++ b/crates/load/src/sweep.rs
@@ -5,6 +5,7 @@
 use crate::{LoadError, Mix, Plan, Report, Shape};
 use serde::Serialize;
 use stagehoist::Micros;
+use stagehoist_stage::process::{cpu_us, metrics, sum};
 use std::io::{BufRead, BufReader};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -103,33 +104,6 @@
     }
 }
 
-fn cpu_us(pid: u32) -> f64 {
-    // utime and stime of proc(5), 100 ticks a second.
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    let rest = stat.rsplit_once(')').map_or("", |r| r.1);
-    let field = |n: usize| rest.split_whitespace().nth(n).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
-    (field(11) + field(12)) * 10_000.0
-}
-
-/// A page of metrics over HTTP/1.0; nothing where it can't be had.
-fn metrics(address: &str) -> String {
-    use std::io::{Read, Write};
-    let Ok(address) = address.parse() else { return String::new() };
-    let Ok(mut stream) = std::net::TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
-        return String::new();
-    };
-    let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
-    let _ = stream.write_all(b"GET /metrics HTTP/1.1\r\nhost: gateway\r\nconnection: close\r\n\r\n");
-    let mut page = String::new();
-    let _ = stream.read_to_string(&mut page);
-    page
-}
-
-fn sum(page: &str, name: &str) -> f64 {
-    let lines = page.lines().filter(|l| l.starts_with(name));
-    lines.filter_map(|l| l.rsplit_once(' ')?.1.parse::<f64>().ok()).sum()
-}
-
 fn free_port() -> Result<String, LoadError> {
     let fail = |source| LoadError::Start { what: "a port".into(), source };
     let listener = std::net::TcpListener::bind("127.0.0.1:0").map_err(fail)?;
--- a/crates/recovery/src/backoff.rs
+++ b/crates/recovery/src/backoff.rs
@@ -1,8 +1,8 @@
 //! Pauses between attempts to connect: doubling from the first to the longest, each drawn from its upper half, so that
 //! clients that lost one broker together come back spread out.
 
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rand_core::{Rng, SeedableRng};
 use stagehoist::Micros;
 
 /// A sequence of pauses.
@@ -22,7 +22,7 @@
 
     /// A number drawn evenly from 0 to 1.
     pub fn part(&mut self) -> f64 {
-        (self.random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+        self.random.random()
     }
 
     /// The pause before the next attempt.
--- a/crates/stage/src/callers.rs
+++ b/crates/stage/src/callers.rs
@@ -2,8 +2,8 @@
 
 use crate::layout::{Layout, GIVE_UP, QUEUE};
 use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rand_core::{Rng, SeedableRng};
 use stagehoist_amqp::{
     basic, long, queue, short, AMQPClass, BasicProperties, Client, ClientEvent, ClientOptions, FieldTable,
 };
@@ -33,10 +33,6 @@
     pub stop: bool,
 }
 
-fn draw(random: &mut ChaCha8Rng) -> f64 {
-    (random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
-}
-
 /// One caller process: sends at the told pace until told to stop.
 pub async fn run(
     broker: String,
@@ -138,7 +134,7 @@
                 *sent += 1;
                 counts.sent.fetch_add(1, Ordering::Relaxed);
                 publish(&mut client, channel, number, *sent, &replies, layout, random);
-                next += (-(1.0 - draw(random)).ln() / told.rate * 1e6) as i64;
+                next += (-(1.0 - random.random::<f64>()).ln() / told.rate * 1e6) as i64;
             }
         }
         let output = client.output().split();
@@ -184,7 +180,7 @@
     layout: &Layout,
     random: &mut ChaCha8Rng,
 ) {
-    let function = layout.function(draw(random), draw(random));
+    let function = layout.function(random.random(), random.random());
     let id = format!("c{caller}-{n}");
     let body = format!("{{\"id\":\"{id}\",\"inputs\":[{{\"name\":\"day\",\"shape\":[1],\"datatype\":\"INT32\",\"data\":[{n}]}}]}}");
     let mut headers = FieldTable::default();
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -8,6 +8,7 @@
 mod layout;
 mod measure;
 mod play;
+pub mod process;
 mod stack;
 
 pub use day::{Day, DayFault, Trouble};
--- a/crates/stage/src/measure.rs
+++ b/crates/stage/src/measure.rs
@@ -4,6 +4,7 @@
 use crate::callers::Pace;
 use crate::day::Day;
 use crate::layout::Layout;
+use crate::process::{self, cpu_us};
 use crate::stack::{Stack, StageError};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -14,7 +15,7 @@
 use stagehoist_judge::streams::{connections, http};
 use stagehoist_judge::{tap, Story};
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -50,14 +51,6 @@
         .collect()
 }
 
-/// Processor time of a process so far, in microseconds, from /proc (100 ticks a second, as Linux shows it).
-fn cpu_us(pid: u32) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    let rest = stat.rsplit_once(')').map_or("", |r| r.1);
-    let field = |n: usize| rest.split_whitespace().nth(n).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
-    (field(11) + field(12)) * 10_000.0
-}
-
 /// Resident memory of a process in bytes.
 fn resident(pid: u32) -> f64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
@@ -178,18 +171,10 @@
 
 /// Time in the module so far, from the metrics page.
 fn module_us(stack: &Stack) -> f64 {
-    let page = || {
-        // The page is brought up to date four times a second.
-        std::thread::sleep(Duration::from_millis(300));
-        let mut stream = std::net::TcpStream::connect(stack.metrics_address(0)?).ok()?;
-        stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
-        stream.write_all(b"GET / HTTP/1.1\r\nhost: m\r\nconnection: close\r\n\r\n").ok()?;
-        let mut text = String::new();
-        stream.read_to_string(&mut text).ok()?;
-        let line = text.lines().find(|l| l.starts_with("stagehoist_module_microseconds_total{"))?;
-        line.rsplit(' ').next()?.parse().ok()
-    };
-    page().unwrap_or(0.0)
+    // The page is brought up to date four times a second.
+    std::thread::sleep(Duration::from_millis(300));
+    let page = stack.metrics_address(0).map(|address| process::metrics(&address)).unwrap_or_default();
+    process::sum(&page, "stagehoist_module_microseconds_total")
 }
 
 /// Memory of a held call: with no worker left, calls wait until their time is over.
