Module: early refusal sees the other held calls, not only the first in the queue

It looked at the first held call, which mostly is the very call in hand. Change: the first two are looked at, so that any other held call in time counts.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -692,7 +692,7 @@
     /// A call can't be in time: answered now if behind more than drains. Could harm where the pace rises.
     fn pass(&mut self, id: RequestId, now: Micros, out: &mut Vec<Action>) {
         let p = &self.pending[&id];
-        let others = self.queue.first().is_some_and(|q| !q.0 && q.2 != id);
+        let others = self.queue.iter().take(2).any(|q| !q.0 && q.2 != id);
         let behind = others || self.drain().is_some_and(|d| now as f64 + d > p.deadline as f64 - p.base);
         let late_worth = self.settings.classes[p.request.class as usize].late_worth;
         if (behind || late_worth <= 0.0) && p.attempts.iter().all(|a| a.2 != Run::Out) {
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -711,3 +711,17 @@
     }
     assert!(first.iter().any(|s| s.0 >= 30), "{first:?}");
 }
+
+/// Found by hand at twice the capacity: refusals came at 2.36 s, as the call about to be late was itself the first held, and
+/// those behind it that could be in time were not seen.
+#[test]
+fn a_late_call_is_refused_at_once_while_others_can_be_in_time() {
+    for others in [false, true] {
+        let mut b = Bench::new("classes.0.late_worth=0.1\n", &[]);
+        b.step(0, vec![request(1, 0, 9)]);
+        b.step(500 * MS, if others { vec![request(2, 0, 9)] } else { vec![] });
+        let out: Vec<Action> = (0..200).flat_map(|_| b.step(2 * MS, vec![])).collect();
+        assert_eq!(refused(&out, 1), others);
+        assert!(!refused(&out, 2));
+    }
+}
