Judge: a front end's new process is asked only for what it was told itself

The charter now tells when processes began, and a breach shows the last words of list and worker. One unused field of the charter goes.

--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -50,8 +50,8 @@
     pub starts: Vec<WorkerStart>,
     /// Front ends that were stopped: from, to.
     pub frozen: Vec<(u32, Micros, Micros)>,
-    /// Front ends that were killed: when.
-    pub killed: Vec<(u32, Micros)>,
+    /// Front ends whose process started anew: when. A new process knows nothing of what the old one was told.
+    pub begun: Vec<(u32, Micros)>,
 }
 
 /// One rule's verdict.
@@ -91,6 +91,9 @@
 /// Time for a process, or a line of replies, to get going again.
 const WAKE: Micros = 250_000;
 
+/// Words of a list or worker shown with a breach, the last ones.
+const TOLD_SHOWN: usize = 12;
+
 struct Tally(Rule);
 
 impl Tally {
@@ -125,7 +128,11 @@
     /// Whether a front end ran at a time and a little before.
     fn ran(&self, front_end: u32, at: Micros) -> bool {
         !self.frozen.iter().any(|f| f.0 == front_end && f.1 <= at && at <= f.2 + WAKE)
-            && !self.killed.iter().any(|k| k.0 == front_end && k.1 <= at)
+    }
+
+    /// When the process that a front end had at a time started; nought for the first.
+    fn process_began(&self, front_end: u32, at: Micros) -> Micros {
+        self.begun.iter().filter(|b| b.0 == front_end && b.1 <= at).map(|b| b.1).max().unwrap_or(0)
     }
 
     /// When a front end could know what reached it at a time.
@@ -309,12 +316,17 @@
     let calls = story.attempts.iter().map(|a| (a.front_end, &a.worker, a.asked, "call"));
     let loads = story.loads.iter().map(|l| (l.front_end, &l.worker, l.at, "load"));
     for (front_end, worker, at, what) in calls.chain(loads) {
+        let began = charter.process_began(front_end, at);
         let told = story.told.get(&(front_end, worker.clone()));
+        let told = told.map(|t| &t[t.partition_point(|t| t.at < began)..]);
         let shut = told.and_then(|t| shut_since(t, at)).map(|t| charter.knew(front_end, t));
         let kept = shut.is_none_or(|t| at - t <= charter.drain_grace);
         tally.check(kept, || {
             let since = shut.map_or(0.0, ms);
-            format!("front end {front_end}: {what} to {worker} at {} ms, told at {since} ms", ms(at))
+            let words: Vec<String> =
+                told.into_iter().flatten().filter(|t| t.at <= at).map(Told::to_string).collect();
+            let last = words.get(words.len().saturating_sub(TOLD_SHOWN)..).unwrap_or_default().join(", ");
+            format!("front end {front_end}: {what} to {worker} at {} ms, told at {since} ms ({last})", ms(at))
         });
     }
     tally.0
--- a/crates/judge/src/story.rs
+++ b/crates/judge/src/story.rs
@@ -73,6 +73,14 @@
     pub started: i64,
 }
 
+impl std::fmt::Display for Told {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let who = if self.by_list { "list" } else { "worker" };
+        let what = if self.ready { "ready" } else { "shut" };
+        write!(f, "{who} {what} {:.1} ms", self.at as f64 / 1000.0)
+    }
+}
+
 /// All of it.
 #[derive(Clone, Debug, Default)]
 pub struct Story {
--- a/crates/judge/tests/doctored.rs
+++ b/crates/judge/tests/doctored.rs
@@ -341,6 +341,25 @@
     }
 }
 
+/// A process that started after a worker's word does not know it; one whose predecessor only began before it does.
+#[test]
+fn rule_3_asks_of_a_new_process_only_what_that_process_was_told() {
+    for (began, kept) in [(None, false), (Some(900 * MS), false), (Some(2 * S), true)] {
+        let mut s = Scene::new();
+        s.list(0, ["ready", "ready"]);
+        s.list(950 * MS, ["ready", "ready"]);
+        s.call(S, "a", "safe");
+        s.attempt(S + MS, W1, "a", Some((200, "stagehoist-worker: draining\r\n")), MS);
+        s.answer(S + 9 * MS, "a", "served");
+        s.list(2 * S + 100 * MS, ["ready", "ready"]);
+        s.call(3 * S, "b", "safe");
+        s.attempt(3 * S + MS, W1, "b", Some((200, "")), MS);
+        s.answer(3 * S + 9 * MS, "b", "served");
+        let verdict = s.judge(|c| c.begun.extend(began.map(|at| (0, at))));
+        assert_eq!(broken(&verdict).is_empty(), kept, "{began:?}: {:?}", verdict.rules[2]);
+    }
+}
+
 #[test]
 fn rule_4_broken_by_a_burst_at_a_cold_worker_of_which_the_front_end_was_told() {
     for (calls, kept) in [(6, true), (40, false)] {
--- a/crates/stage/src/layout.rs
+++ b/crates/stage/src/layout.rs
@@ -139,7 +139,7 @@
             cold: Some((S, 2.5, 0.25, 6 * S)),
             starts: Vec::new(),
             frozen: Vec::new(),
-            killed: Vec::new(),
+            begun: Vec::new(),
         }
     }
 
--- a/crates/stage/src/play.rs
+++ b/crates/stage/src/play.rs
@@ -293,7 +293,7 @@
                 // What it held is the broker's again; from here on the new process is judged.
                 let now = self.stack.recorder.now();
                 self.charter.frozen.push((*front_end, now - 2_500_000, now));
-                self.stack.restart_front_end(*front_end)?;
+                self.begin_anew(*front_end)?;
             }
         }
         Ok(())
@@ -386,6 +386,11 @@
                 .disorderly
                 .push(format!("front end {front_end} did not end in order: {code:?}\n{log}"));
         }
+        self.begin_anew(front_end)
+    }
+
+    fn begin_anew(&mut self, front_end: u32) -> Result<(), StageError> {
+        self.charter.begun.push((front_end, self.stack.recorder.now()));
         self.stack.restart_front_end(front_end)
     }
 }
