Module: further attempts within a told budget of first ones, by function and worker

A function or worker whose attempts all fail had each of its calls tried up to 'attempts' times, and second copies besides, so that trouble multiplied load. The budget (window, free, share) counts first and further attempts in a sliding window for each function and each worker; in place, a call whose function has spent it waits, a worker that has taken its share is passed over. Told by 'retry-budget', usual where workers load on a miss; /metrics counts further attempts.

--- a/crates/config/src/build.rs
+++ b/crates/config/src/build.rs
@@ -3,7 +3,7 @@
 use crate::lexer::Line;
 use crate::value::Value;
 use crate::{Fault, Position};
-use stagehoist::{ClassSettings, Effect, Group, OnMiss, ReportField, ReportVia, Settings};
+use stagehoist::{ClassSettings, Effect, Group, OnMiss, ReportField, ReportVia, RetryBudget, Settings};
 
 const MS: i64 = 1000;
 const S: i64 = 1_000_000;
@@ -156,6 +156,8 @@
     pub load_timeout: i64,
     /// Window, free loads and loads for each call taken; None: no ration.
     pub load_ration: Option<(i64, f64, f64)>,
+    /// Further attempts beside first ones, by function and by worker.
+    pub retry_budget: RetryBudget,
     pub price_memory: f64,
     pub price_probe: f64,
     pub price_cross_zone: f64,
@@ -208,6 +210,7 @@
             load_window,
             load_free,
             load_share,
+            retry_budget: self.retry_budget,
             memory_mb: self.kinds.iter().map(|k| k.memory as f64 / 1e6).collect(),
             memory_price: self.price_memory,
             price_probe: self.price_probe,
@@ -486,6 +489,16 @@
     let load_ration = s
         .one("load-ration")
         .and_then(|l| Some((l.duration("window")?, l.number("free")?, l.number("share")?)));
+    let miss = s.text("on-miss", "what").as_deref() == Some("miss");
+    let on_miss = if miss { OnMiss::Miss } else { OnMiss::Load };
+    // After a miss the next attempt is the usual course and no sign of trouble, so that a budget must be told for it.
+    let usual = if miss { 0 } else { 10 * S };
+    let retry_budget = RetryBudget { window: usual, free: 10.0, share: 0.2 };
+    let retry_budget = s.one("retry-budget").map_or(retry_budget, |l| RetryBudget {
+        window: l.duration("window").unwrap_or(retry_budget.window),
+        free: l.number("free").unwrap_or(retry_budget.free),
+        share: l.number("share").unwrap_or(retry_budget.share),
+    });
     for (name, missing) in [
         ("class", classes.is_empty()),
         ("function", functions.is_empty()),
@@ -552,13 +565,10 @@
         idle_most: s.count("idle-connections", "most", 64),
         retry_after_most: s.duration("retry-after-most", 500 * MS),
         idle_keep: s.duration("idle-keep", 10 * S),
-        on_miss: if s.text("on-miss", "what").as_deref() == Some("miss") {
-            OnMiss::Miss
-        } else {
-            OnMiss::Load
-        },
+        on_miss,
         load_timeout: s.duration("load-timeout", 10 * S),
         load_ration,
+        retry_budget,
         price_memory: s.number("price", "memory", 0.0),
         price_probe: s.number("price", "probe", 0.0),
         price_cross_zone: s.number("price", "cross-zone", 0.0),
--- a/crates/config/src/grammar.rs
+++ b/crates/config/src/grammar.rs
@@ -182,6 +182,16 @@
     one("idle-keep", ANY_DURATION),
     one("on-miss", &[must("what", Kind::Word(&["load", "miss"]))]),
     one("load-timeout", &[must("value", Kind::Duration(MS, H))]),
+    Directive {
+        name: "retry-budget",
+        places: &[],
+        keys: &[
+            must("window", Kind::Duration(0, H)),
+            must("free", Kind::Number(0.0, 1e6)),
+            must("share", Kind::Number(0.0, 1e3)),
+        ],
+        often: Often::Once,
+    },
     Directive {
         name: "load-ration",
         places: &[],
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -145,6 +145,9 @@
         if let Some((window, free, share)) = self.load_ration {
             line(format!("load-ration window {} free {free} share {share}", d(window)));
         }
+        let budget = &self.retry_budget;
+        let window = d(budget.window);
+        line(format!("retry-budget window {window} free {} share {}", budget.free, budget.share));
         line(format!(
             "price memory {} probe {} cross-zone {} fetch {}",
             self.price_memory, self.price_probe, self.price_cross_zone, self.price_fetch
--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -40,6 +40,18 @@
     assert_eq!(parse("again.conf", &config.render()).unwrap(), config);
 }
 
+#[test]
+fn a_retry_budget_is_usual_where_workers_load_and_told_where_they_answer_misses() {
+    let budget = |text: &str| parse("budget.conf", text).unwrap().settings().retry_budget;
+    assert_eq!(budget(GOOD).window, 0);
+    let loads = GOOD.replace("on-miss miss", "on-miss load");
+    assert_eq!((budget(&loads).window, budget(&loads).share), (10_000_000, 0.2));
+    let told = format!("{GOOD}retry-budget window 5s free 3 share 0.5\n");
+    assert_eq!((budget(&told).window, budget(&told).free, budget(&told).share), (5_000_000, 3.0, 0.5));
+    let off = format!("{loads}retry-budget window 0s free 0 share 0\n");
+    assert_eq!(budget(&off).window, 0);
+}
+
 #[test]
 fn all_faults_are_told_at_once_with_their_places() {
     let bad = "\
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -105,6 +105,7 @@
     pub load_window: Micros,
     pub load_free: f64,
     pub load_share: f64,
+    pub retry_budget: crate::tries::RetryBudget,
     pub memory_mb: Vec<f64>,
     pub memory_price: f64,
     pub price_probe: f64,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,7 +18,9 @@
 pub mod interface;
 mod numbers;
 pub mod rules;
+mod tries;
 pub mod wire;
 
 pub use interface::*;
 pub use rules::FrontEnd;
+pub use tries::RetryBudget;
--- a/crates/core/src/numbers.rs
+++ b/crates/core/src/numbers.rs
@@ -1,6 +1,7 @@
-//! Arithmetic without judgement: a hash, a number from 0 to 1 drawn by it, exponential decay.
+//! Arithmetic without judgement: a hash, a number from 0 to 1 drawn by it, exponential decay, a percentile of few.
 
 use crate::interface::Micros;
+use std::collections::VecDeque;
 
 /// A hash of two numbers (the finaliser of SplitMix64).
 pub fn mix(a: u64, b: u64) -> u64 {
@@ -19,3 +20,10 @@
 pub fn fade(passed: Micros, over: Micros) -> f64 {
     (-(passed as f64) / over.max(1) as f64).exp()
 }
+
+/// The 99th percentile of so few runs (the greatest), where there are so many, unless a long tail makes it tell of one
+/// heavy request more than of the next.
+pub fn p99(runs: &VecDeque<f64>, many: usize) -> Option<f64> {
+    let (top, sum) = runs.iter().fold((0.0, 0.0), |(top, sum), &x| (f64::max(top, x), sum + x));
+    (runs.len() == many && top * many as f64 <= 1.5 * sum).then_some(top)
+}
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -4,7 +4,8 @@
 
 use crate::interface::Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, Moot, Reset, Timeout};
 use crate::interface::*;
-use crate::numbers::{fade, mix, rank};
+use crate::numbers::{fade, mix, p99, rank};
+use crate::tries::Tries;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::{cell::Cell, ops::Bound::Excluded, ops::Bound::Unbounded};
 
@@ -31,13 +32,6 @@
 /// Kinds of held calls weighed again in each batch, and all of them so often within the shortest aim.
 const SWEEP: (usize, Micros) = (2, 16);
 
-/// The 99th percentile of ten runs (the greatest), unless a long tail makes it tell of one heavy request more
-/// than of the next; then the mean of `base_run` stands in.
-fn p99(runs: &VecDeque<f64>) -> Option<f64> {
-    let (top, sum) = runs.iter().fold((0.0, 0.0), |(top, sum), &x| (f64::max(top, x), sum + x));
-    (runs.len() == RUNS && top * RUNS as f64 <= 1.5 * sum).then_some(top)
-}
-
 /// A belief that a worker holds loaded copies of a function, from `ready` (a load under way) to `until`.
 struct Warm {
     ready: Micros,
@@ -73,6 +67,7 @@
     probed: Micros,
     /// Mean in-flight work of this front end here, fading over half the keep-alive, and when it was so.
     carried: (f64, Micros),
+    tries: Tries,
     believed: Beliefs,
 }
 
@@ -105,6 +100,7 @@
     runs: VecDeque<f64>,
     /// Calls seen here, fading over twice the keep-alive, and when it was so.
     calls: (f64, Micros),
+    tries: Tries,
     order: Vec<usize>,
     demand: f64,
     /// As last weighed: how many of `order` were homes, and whether a further copy was wanted.
@@ -536,7 +532,7 @@
             start = start.max(ends[count - slots]);
         }
         let mean = p.base * w.believed.pace * factor;
-        let p99 = function.and_then(|f| p99(&f.runs)).map(|x| x * w.believed.pace * factor);
+        let p99 = function.and_then(|f| p99(&f.runs, RUNS)).map(|x| x * w.believed.pace * factor);
         let finish = start + p99.unwrap_or(mean) as Micros;
         let abroad = (w.row.zone as u32 != self.settings.zone) as u8 as f64;
         let mut cost = finish as f64 + mean * ((held - others + guess) / size / factor - 1.0).max(0.0);
@@ -566,6 +562,12 @@
         let again = !p.attempts.is_empty();
         let mut found: [[Option<Prediction>; 2]; 2] = Default::default();
         let Some(f) = self.functions.get(&function) else { return Err(now) };
+        // Further attempts stay a told share of first ones, so that trouble does not multiply load; a call whose
+        // function has spent it waits. Could harm where one worker's trouble is most of a function's traffic.
+        let spare = |t: &Tries| !again || t.allow(now, &self.settings.retry_budget);
+        if !spare(&f.tries) {
+            return Err(p.aim_at);
+        }
         let (mut need, chance) = (self.demand(f, now), self.hits.unwrap_or(0.5));
         f.homes.set(0);
         for (at, &i) in f.order.iter().enumerate() {
@@ -574,7 +576,7 @@
             let warm = known.is_some_and(|x| x.until > now);
             // An unsafe call that may have run ends in failure: not where errors were seen of late.
             let well = self.healthy(w, now) && !(unsafe_call && w.believed.errors > GAIN / 2.0);
-            if !w.ready || !(well || doubt) {
+            if !w.ready || !(well || doubt) || !spare(&w.tries) {
                 continue;
             }
             let home = need > 0.0;
@@ -830,10 +832,8 @@
 
     /// The top functions by the design's priority, where above nought, get one more instance each.
     fn order_loads(&mut self, now: Micros, out: &mut Vec<Action>) {
-        if self.wanted.is_empty()
-            || !self.ration(now)
-            || !self.workers.iter().any(|w| self.takes_load(w, now))
-        {
+        let able = || self.ration(now) && self.workers.iter().any(|w| self.takes_load(w, now));
+        if self.wanted.is_empty() || !able() {
             return;
         }
         let mut ranked: Vec<_> = self.wanted.iter().map(|(&f, &(priority, id))| (priority, f, id)).collect();
@@ -994,9 +994,11 @@
         let likely = self.hits.is_none_or(|x| x > RISK);
         self.unhold(id);
         let (p, w) = (self.pending.get_mut(&id).expect("looked up above"), &mut self.workers[x.index]);
-        let number = p.attempts.len() as u16;
+        let (number, budget) = (p.attempts.len() as u16, &self.settings.retry_budget);
+        self.functions.entry(p.request.function).and_modify(|f| f.tries.add(number > 0, now, budget));
         p.attempts.push((w.row.worker, now, Run::Out));
         w.carried = (carried + 2.0 * x.base / keep.max(1) as f64, now);
+        w.tries.add(number > 0, now, budget);
         w.spent = (slot, if w.spent.0 == slot { w.spent.1 + weight } else { weight });
         if let Some(warm) = w.believed.warm.get_mut(&p.request.function).filter(|_| x.warm) {
             (warm.used, warm.until) = (now, warm.until.max(now + keep));
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -414,6 +414,7 @@
         load_window: span("specifics.loads_within", 0.0)?,
         load_free: number("specifics.load_free", 0.0)?,
         load_share: number("specifics.load_part", 0.0)?,
+        retry_budget: Default::default(),
         memory_mb,
         memory_price: number("specifics.memory_price", 0.0)?,
         price_probe: number("tariffs.probe", 0.0)?,
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -381,6 +381,7 @@
 
 struct Open {
     class: usize,
+    function: FunctionId,
     deadline: Micros,
     /// Worker, when sent, still out, may have run.
     attempts: Vec<(WorkerId, Micros, bool, bool)>,
@@ -399,6 +400,8 @@
     let mut timers: Vec<(Micros, u32)> = Vec::new();
     let mut answers: Vec<Event> = Vec::new();
     let (mut orders, mut calls): (Vec<Micros>, Vec<Micros>) = Default::default();
+    // By function (0) or worker (1): when attempts were sent, and whether they were further ones.
+    let mut tries: BTreeMap<(u8, u64), Vec<(Micros, bool)>> = BTreeMap::new();
     let mut events =
         vec![roster(RosterForm::Cached, ready.keys().map(|&w| row(w, Lifecycle::Ready, 0)).collect())];
     for n in 0..steps as u32 {
@@ -411,7 +414,8 @@
             q.budget = budget;
             q.lanes = r.below(4) as f64;
             q.work = (r.below(2) == 0).then_some(r.below(300_000) as Micros);
-            open.insert(n, Open { class: class as usize, deadline: now + budget, attempts: Vec::new() });
+            let (deadline, attempts, function) = (now + budget, Vec::new(), q.function);
+            open.insert(n, Open { class: class as usize, function, deadline, attempts });
             calls.push(now);
             events.push(Event::Request(q));
         }
@@ -494,6 +498,20 @@
                             }
                         }
                     }
+                    let further = !o.attempts.is_empty();
+                    for key in [(0, o.function), (1, u64::from(*worker))] {
+                        let list = tries.entry(key).or_default();
+                        list.push((now, further));
+                        // The window moves by parts: one at its far end counts whole or not at all.
+                        let b = &s.retry_budget;
+                        let within = |what, span| {
+                            list.iter().rev().take_while(|t| t.0 > now - span).filter(|t| t.1 == what).count()
+                                as f64
+                        };
+                        let most = b.free + b.share * within(false, b.window);
+                        let spent = within(true, b.window * 7 / 8);
+                        assert!(!further || b.window == 0 || spent <= most, "retry budget of {key:?}");
+                    }
                     outstanding.push((*request, o.attempts.len() as u16, *worker));
                     o.attempts.push((*worker, now, true, false));
                 }
@@ -579,9 +597,56 @@
     ]
     .iter()
     .map(|more| settings(more))
+    .chain([0.05, 0.5].map(|share| {
+        let retry_budget = RetryBudget { window: 2_000 * MS, free: 2.0, share };
+        Settings { retry_budget, ..settings("specifics.placement_calls=true\n") }
+    }))
     .collect()
 }
 
+/// Guards against trouble that multiplies load: a function whose calls all fail goes on with first attempts and a told share
+/// of further ones; what it may not try again waits and is answered by its aim. Also covers a worker that all turn to.
+#[test]
+fn further_attempts_stay_inside_the_told_budget_of_function_and_worker() {
+    let run = |window| {
+        let mut b = Bench::new("limits.second_copies=false\n", &[1, 2, 3]);
+        let (free, share) = (2.0, 0.25);
+        let budget = RetryBudget { window, free, share };
+        let with = Settings { retry_budget: budget, ..settings("limits.second_copies=false\n") };
+        b.front_end = FrontEnd::new(with, 7, b.now);
+        let rows = [1, 2, 3].map(|w| row(w, Lifecycle::Ready, 0)).to_vec();
+        b.step(0, vec![roster(RosterForm::Cached, rows)]);
+        let (mut firsts, mut further, mut answered) = (0, 0, 0);
+        let mut numbers: BTreeMap<RequestId, u16> = BTreeMap::new();
+        let mut coming: Vec<Event> = Vec::new();
+        for step in 0..400u32 {
+            let mut events = std::mem::take(&mut coming);
+            if step < 200 {
+                events.push(request(step + 1, 0, 5));
+            }
+            let out = b.step(20 * MS, events);
+            answered +=
+                out.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })).count();
+            for (id, worker) in sends(&out) {
+                let number = numbers.entry(id).or_insert(0);
+                if *number == 0 {
+                    firsts += 1
+                } else {
+                    further += 1
+                }
+                coming.push(ended(id, *number, worker, Outcome::Full));
+                *number += 1;
+            }
+        }
+        assert_eq!(answered, 200, "each is answered");
+        (firsts, further)
+    };
+    let (firsts, further) = run(10_000 * MS);
+    assert!(firsts >= 20 && further as f64 <= 2.0 + 0.25 * firsts as f64, "{firsts} {further}");
+    let (firsts, further) = run(0);
+    assert!(further > firsts / 2, "without a budget: {firsts} {further}");
+}
+
 #[test]
 fn the_rules_hold_under_drawn_events() {
     for (i, s) in table().iter().enumerate() {
--- a/crates/gateway/src/metrics_page.rs
+++ b/crates/gateway/src/metrics_page.rs
@@ -96,6 +96,7 @@
             ("stagehoist_calls_failed_total", c.failed),
             ("stagehoist_calls_turned_away_total", c.turned_away),
             ("stagehoist_attempts_total", c.attempts),
+            ("stagehoist_further_attempts_total", c.further_attempts),
             ("stagehoist_loads_ordered_total", c.loads),
             ("stagehoist_unloads_ordered_total", c.unloads),
             ("stagehoist_probes_total", c.probes),
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -22,6 +22,8 @@
     pub turned_away: u64,
     pub gone: u64,
     pub attempts: u64,
+    /// Of these, those after the first for their call.
+    pub further_attempts: u64,
     pub loads: u64,
     pub unloads: u64,
     pub probes: u64,
@@ -444,6 +446,7 @@
         call.attempts.push(Some(Flight { worker, sent: now, due }));
         self.cuts.insert((due, request, attempt));
         self.counters.attempts += 1;
+        self.counters.further_attempts += u64::from(attempt > 0);
         let name = self.members.name(worker).unwrap_or("?");
         call.span.in_scope(|| tracing::debug!(attempt, worker = name, held_us = now - call.taken, "attempt"));
         out.push(Command::Attempt(Attempt {
