Floods by an operator's processes: two gateways, 1 MB bodies, backlog, two queues, repeats

The hard cases of overload that no test had: five times the capacity with three front ends in two processes, one of them stopped for 2 s; bodies of a megabyte beyond the byte bound; one function's flood beside another's steady calls on one queue and on two; 10,000 messages of unknown age left by an outage; callers of whom 84% repeat each refusal at once.

--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -4,6 +4,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use stagehoist_gateway::state::{module, Decider};
 use stagehoist_load::amqp::{Manners, Target};
+use stagehoist_load::stand::StandOptions;
 use stagehoist_load::sweep::{Point, SweepOptions};
 use stagehoist_load::{baseline, plot, sweep, LoadError, Mix, Plan, Report, Shape};
 use std::path::PathBuf;
@@ -133,8 +134,9 @@
     lanes: u32,
     #[arg(long, default_value_t = 20)]
     run_ms: u32,
-    #[arg(long, default_value_t = 1)]
-    front_ends: u32,
+    /// Front ends of each gateway process, as in 2,1.
+    #[arg(long = "front-ends", default_value = "1", value_delimiter = ',')]
+    processes: Vec<u32>,
     /// The broker stamps messages.
     #[arg(long)]
     stamp: bool,
@@ -269,22 +271,26 @@
 }
 
 fn all(args: &SweepArgs) -> Result<bool, LoadError> {
-    let options = SweepOptions {
+    let stand = StandOptions {
         workers: args.workers,
         lanes: args.lanes,
         run_ms: args.run_ms,
-        front_ends: args.front_ends,
+        processes: args.processes.clone(),
+        aim: args.pace.aim,
+        give_up: args.pace.give_up,
+        stamp: args.stamp,
+        more: args.more.replace(';', "\n"),
+        ..StandOptions::default()
+    };
+    let options = SweepOptions {
+        stand,
         multiples: args.multiples.clone(),
         seeds: (1..=args.seeds).collect(),
         policies: args.policies.clone(),
         seconds: args.pace.seconds,
-        aim: args.pace.aim,
-        give_up: args.pace.give_up,
         expiration_ms: (args.pace.expiration_ms > 0).then_some(args.pace.expiration_ms),
-        stamp: args.stamp,
         shape: args.pace.shape.clone(),
         manners: args.pace.manners(),
-        more: args.more.replace(';', "\n"),
     };
     let binary =
         std::env::current_exe().map_err(|source| LoadError::Start { what: "itself".into(), source })?;
--- /dev/null
+++ b/crates/cli/tests/overload.rs
@@ -0,0 +1,157 @@
+//! Floods against the gateway as it is served: processes of their own for broker, store, workers and gateways, and an
+//! open-loop caller that accounts for every message. Verdicts are counts; what a machine's pace moves has wide bounds.
+
+use stagehoist_load::amqp::{self, Manners, Target};
+use stagehoist_load::stand::{Stand, StandOptions};
+use stagehoist_load::{Mix, Plan, Report, Shape};
+use std::path::Path;
+use std::process::Command;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+const S: i64 = 1_000_000;
+
+/// A load on a stack; what is not told is as most tests want it.
+#[derive(Clone)]
+struct Load {
+    name: &'static str,
+    queue: &'static str,
+    function: &'static str,
+    rate: f64,
+    seconds: f64,
+    size: usize,
+    shape: Shape,
+    expires: bool,
+    settle: i64,
+    manners: Manners,
+}
+
+impl Load {
+    fn new(name: &'static str, rate: f64, seconds: f64) -> Load {
+        let manners = Manners { at_once: 0.0, honour: 0.0, most: 2 };
+        let (queue, function, shape) = ("calls", "f", Shape::Poisson);
+        Load { name, queue, function, rate, seconds, size: 64, shape, expires: true, settle: 5 * S, manners }
+    }
+
+    /// Runs on a thread of its own.
+    fn start(&self, stack: &Stand) -> JoinHandle<Report> {
+        let load = self.clone();
+        let target = Target {
+            broker: stack.broker_url().unwrap(),
+            queue: load.queue.into(),
+            expiration_ms: load.expires.then_some(2500),
+            timestamp: false,
+            settle: load.settle,
+            aim: 800_000,
+            give_up: 2_500_000,
+            manners: load.manners,
+            name: load.name.into(),
+        };
+        std::thread::spawn(move || {
+            let (mix, tenants) = (Mix::parse(&[load.function.to_string()]), Mix::parse(&[]));
+            let span = (load.seconds * 1e6) as i64;
+            let size = (load.size, load.size);
+            let plan = Plan::new(load.shape, load.rate, span, mix.unwrap(), tenants.unwrap(), size, 11);
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(amqp::run(&target, plan.unwrap(), 11, &mut |_, _| {})).unwrap()
+        })
+    }
+
+    fn run(&self, stack: &Stand) -> Report {
+        accounted(self.name, self.start(stack))
+    }
+}
+
+/// Every message has one answer.
+fn accounted(name: &str, load: JoinHandle<Report>) -> Report {
+    let report = load.join().unwrap();
+    eprintln!("{name}: {report:?}");
+    assert_eq!((report.no_answer, report.answered_twice, report.unasked), (0, 0, 0), "{name}: {report:#?}");
+    report
+}
+
+/// Workers for 400 calls a second; copies stand.
+fn warm(options: &StandOptions) -> Stand {
+    let mut stack = Stand::start(Path::new(env!("CARGO_BIN_EXE_stagehoist")), options).unwrap();
+    stack.serve().unwrap();
+    Load { settle: 3 * S, ..Load::new("warm", 150.0, 1.5) }.run(&stack);
+    stack
+}
+
+fn refused(report: &Report) -> u64 {
+    report.refused.values().sum()
+}
+
+fn signal(pid: u32, name: &str) {
+    assert!(Command::new("kill").args([name, &pid.to_string()]).status().unwrap().success());
+}
+
+#[test]
+fn three_front_ends_in_two_processes_at_five_times_the_capacity_one_of_them_stopped() {
+    let stack = warm(&StandOptions { processes: vec![2, 1], ..StandOptions::default() });
+    let load = Load::new("flood", 2000.0, 4.0).start(&stack);
+    std::thread::sleep(Duration::from_millis(700));
+    signal(stack.gateways()[1], "-STOP");
+    std::thread::sleep(Duration::from_secs(2));
+    signal(stack.gateways()[1], "-CONT");
+    let report = accounted("flood", load);
+    assert!(report.messages > 7000 && refused(&report) > 3000 && report.served_in_aim > 500);
+    // What came after: at half the capacity nothing of the flood is left.
+    let report = Load::new("after", 200.0, 2.0).run(&stack);
+    assert!(report.served_in_aim * 10 > report.messages * 7, "{report:#?}");
+}
+
+#[test]
+fn bodies_of_a_megabyte_up_to_the_bound_on_bytes() {
+    let more = "held-bytes-most 8MB\nbody-most 2MB\n".to_string();
+    let stack = warm(&StandOptions { more, run_ms: 100, ..StandOptions::default() });
+    let report = Load { size: 1 << 20, ..Load::new("large", 120.0, 2.0) }.run(&stack);
+    assert!(report.refused.contains_key("too-many-bytes-held"), "{:?}", report.refused);
+    assert!(report.served_in_aim > 20, "{report:#?}");
+}
+
+#[test]
+fn one_functions_flood_beside_anothers_steady_calls_on_one_queue_and_on_two() {
+    for queue in ["calls", "steady"] {
+        let more = "consume steady declare durable\n".to_string();
+        let stack = warm(&StandOptions { more, ..StandOptions::default() });
+        let flood = Load { function: "loud", ..Load::new("loud", 2000.0, 3.0) }.start(&stack);
+        let steady = Load { function: "quiet", queue, ..Load::new("quiet", 40.0, 3.0) }.start(&stack);
+        let (flood, steady) = (accounted("loud", flood), accounted("quiet", steady));
+        assert!(refused(&flood) > 1000 && flood.served_in_aim > 300, "{queue}: {flood:#?}");
+        assert!(steady.served_in_aim * 2 > steady.messages, "{queue}: {steady:#?}");
+    }
+}
+
+#[test]
+fn a_backlog_of_unknown_age_is_answered_without_running_what_is_too_late() {
+    let options = StandOptions { processes: vec![2], ..StandOptions::default() };
+    let mut stack = Stand::start(Path::new(env!("CARGO_BIN_EXE_stagehoist")), &options).unwrap();
+    // The queue must stand before callers publish to it: the gateway declares it, and goes.
+    stack.serve().unwrap();
+    stack.end_gateways();
+    let old = Load { expires: false, settle: 20 * S, ..Load::new("old", 10_000.0, 1.0) }.start(&stack);
+    std::thread::sleep(Duration::from_secs(4));
+    stack.serve().unwrap();
+    std::thread::sleep(Duration::from_millis(500));
+    let new = Load::new("new", 200.0, 6.0).start(&stack);
+    let (old, new) = (accounted("old", old), accounted("new", new));
+    assert!(old.messages > 9000, "{old:#?}");
+    // Callers of the old ones left before the gateway came; few of them ran.
+    let ran = old.served_in_aim + old.served_late;
+    assert!(ran * 10 < old.messages && refused(&old) * 10 > old.messages * 5, "{old:#?}");
+    let (late, many) = (new.in_aim_by_second.get(5).copied().unwrap_or(0), new.messages / 6);
+    assert!(late * 10 > many * 7, "in aim for new calls 5 s later: {new:#?}");
+}
+
+#[test]
+fn callers_that_repeat_every_refusal_at_once_leave_no_state_that_lasts() {
+    let stack = warm(&StandOptions { processes: vec![2], ..StandOptions::default() });
+    let manners = Manners { at_once: 0.84, honour: 0.0, most: 10 };
+    let shape = Shape::Burst { times: 6.0, at: 1.0, span: 2.0 };
+    let report = Load { manners, shape, ..Load::new("burst", 250.0, 10.0) }.run(&stack);
+    assert!(report.messages > report.calls * 12 / 10 && refused(&report) > 500, "{report:#?}");
+    // The burst ends at 3 s; from 8 s on the calls are served as before.
+    let after: u64 = report.in_aim_by_second.iter().skip(8).take(2).sum();
+    assert!(after * 10 > 2 * 250 * 7, "{report:#?}");
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -2,7 +2,7 @@
 //! meant to be sent, and a ledger of what became of every one.
 //!
 //! [`Plan`] (what is sent when) and [`Ledger`] (what came of it) do no I/O; [`amqp::run`] carries them over AMQP 0-9-1.
-//! [`sweep`] starts the whole stack at several loads, beside the policies of [`baseline`].
+//! [`stand`] is a whole stack of processes; [`sweep`] runs it at several loads, beside the policies of [`baseline`].
 #![forbid(unsafe_code)]
 
 pub mod amqp;
@@ -10,6 +10,7 @@
 mod ledger;
 mod plan;
 pub mod plot;
+pub mod stand;
 pub mod sweep;
 
 pub use ledger::{Ledger, Outcome, Report, Times};
