Acknowledgements in runs with 'multiple', and timers kept over turns

Each confirmed reply sent an acknowledgement of its own, and each turn of driver and link made a new timer.

--- a/crates/amqp/src/lib.rs
+++ b/crates/amqp/src/lib.rs
@@ -2,17 +2,20 @@
 //!
 //! - [`codec`]: a byte stream cut into frames, with the specification's reply code for whatever is wrong with it.
 //! - [`content`]: method, header and body frames put together to messages.
+//! - [`acks`]: deliveries that are not acknowledged, and the fewest acknowledgements for those that may be.
 //! - [`client`]: the client half of a connection, from the protocol header to publisher confirms.
 //!
 //! Types and the coding of methods and tables are those of the `amq-protocol` crate, generated from the
 //! specification. Section numbers in comments are of the AMQP 0-9-1 specification (amqp0-9-1.pdf).
 #![forbid(unsafe_code)]
 
+pub mod acks;
 pub mod client;
 pub mod codec;
 pub mod content;
 pub mod error;
 
+pub use acks::Acks;
 pub use amq_protocol::protocol::{
     basic, channel, confirm, connection, exchange, queue, tx, AMQPClass, BasicProperties,
 };
--- a/crates/gateway/src/amqp/front.rs
+++ b/crates/gateway/src/amqp/front.rs
@@ -7,7 +7,7 @@
 use stagehoist::{Effect, Micros};
 use stagehoist_admission::{Advice, Age, Bounds, Held, Intake, Window};
 use stagehoist_amqp::{basic, channel, confirm, queue, short, tx};
-use stagehoist_amqp::{AMQPClass, Client, ClientEvent, ClientOptions, FieldTable, Message};
+use stagehoist_amqp::{AMQPClass, Acks, Client, ClientEvent, ClientOptions, FieldTable, Message};
 use stagehoist_config::{Broker, Config};
 use stagehoist_recovery::{Backoff, Key, Memory, Sent, Verdict};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -32,6 +32,8 @@
     /// Changes of the window that the broker was asked for.
     pub windows: u64,
     pub replies: u64,
+    /// Acknowledgements sent; one may stand for many messages.
+    pub acks: u64,
     pub confirmed: u64,
     pub unroutable: u64,
     pub from_memory: u64,
@@ -91,6 +93,8 @@
     draining: bool,
     /// Deliveries of the present channel that were neither acknowledged nor rejected.
     out: usize,
+    /// Acknowledgements that go out together, with the next replies.
+    acks: Acks,
     /// Of the present channel, where a queue is consumed without a told prefetch.
     window: Option<Window>,
     ages: Vec<Age>,
@@ -110,6 +114,7 @@
         Front {
             reader: Reader::new(config.clone()),
             out: 0,
+            acks: Acks::default(),
             window: None,
             ages: vec![Age::default(); config.consume.len()],
             asked_depth: 0,
@@ -241,13 +246,20 @@
         reply.map(|r| r.1).or(self.committing.front().map(|c| c.0))
     }
 
-    /// Ends the open transaction, if it holds anything: what was put into it since the last call takes effect together.
+    /// Sends the acknowledgements that wait, and ends the open transaction, if it holds anything: what was put into it since
+    /// the last call takes effect together.
     ///
-    /// Not while replies are held back by the broker: a commit would overtake them and acknowledge without a reply.
+    /// No transaction ends while replies are held back by the broker: a commit would overtake them and acknowledge without
+    /// a reply.
     pub fn flush(&mut self, now: Micros) {
-        if self.client.as_ref().is_some_and(|c| c.is_held_back(self.channel)) {
+        let held_back = self.client.as_ref().is_some_and(|c| c.is_held_back(self.channel));
+        if held_back && self.config.transactions {
             return;
         }
+        for (delivery_tag, multiple) in self.acks.take() {
+            self.counters.acks += 1;
+            self.basic(basic::AMQPMethod::Ack(basic::Ack { delivery_tag, multiple }));
+        }
         if std::mem::take(&mut self.open.1) {
             let tickets = std::mem::take(&mut self.open.0);
             self.committing.push_back((now, tickets));
@@ -451,6 +463,7 @@
     fn reject(&mut self, tag: u64) {
         self.counters.rejected += 1;
         self.out = self.out.saturating_sub(1);
+        self.acks.remove(tag);
         self.open.1 |= self.config.transactions;
         self.basic(basic::AMQPMethod::Reject(basic::Reject { delivery_tag: tag, requeue: false }));
     }
@@ -458,13 +471,14 @@
     fn ack(&mut self, tag: u64) {
         self.out = self.out.saturating_sub(1);
         self.open.1 |= self.config.transactions;
-        self.basic(basic::AMQPMethod::Ack(basic::Ack { delivery_tag: tag, multiple: false }));
+        self.acks.settle(tag);
     }
 
     fn take_delivery(&mut self, message: Message, now: Micros) {
         let AMQPClass::Basic(basic::AMQPMethod::Deliver(deliver)) = message.method else { return };
         self.counters.delivered += 1;
         self.out += 1;
+        self.acks.delivered(deliver.delivery_tag);
         if let Some(window) = self.window.as_mut() {
             window.delivered();
         }
@@ -669,6 +683,8 @@
             let unsent = self.client.as_ref().is_some_and(|c| c.surely_unsent(channel, seq));
             self.memory.sent(key, if unsent { Sent::Never } else { Sent::Doubtful });
         }
+        // Tags mean nothing on another channel.
+        self.acks = Acks::default();
         let open = std::mem::take(&mut self.open).0;
         for ticket in std::mem::take(&mut self.committing).into_iter().flat_map(|c| c.1).chain(open) {
             self.deliveries.remove(&ticket);
@@ -709,7 +725,8 @@
     }
 
     /// Ends the connection in order.
-    pub fn close(&mut self) {
+    pub fn close(&mut self, now: Micros) {
+        self.flush(now);
         if let Some(client) = self.client.as_mut() {
             client.close(200, "drained");
         }
--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -1,7 +1,7 @@
 //! The socket of a front: brokers tried in turn, with seeded pauses between attempts.
 
 use super::{Front, FrontCounters};
-use crate::clock::Clock;
+use crate::clock::{Alarm, Clock};
 use crate::state::{Answer, News, Ticket};
 use stagehoist::Micros;
 use stagehoist_config::Config;
@@ -132,6 +132,7 @@
     let mut shown = 0;
     let mut blind = 0;
     let mut stuck_since: Option<Micros> = None;
+    let mut alarm = Alarm::new(clock);
     loop {
         for arrival in front.take_arrivals() {
             // A driver that is behind holds back reading, and so the broker.
@@ -145,7 +146,7 @@
             publish_state(front, state, false);
         }
         if *draining && !closing && front.is_drained() {
-            front.close();
+            front.close(clock.now());
             closing = true;
         }
         // Write what there is, as far as the socket takes it.
@@ -175,6 +176,7 @@
             return if closing { Ended::Over } else { Ended::Lost("closed".into()) };
         }
         let due = front.due().unwrap_or(Micros::MAX).min(looked + LOOK);
+        alarm.set(due);
         let waits_from = clock.now();
         tokio::select! {
             biased;
@@ -226,7 +228,7 @@
                 }
             }
             _ = stream.writable(), if wants_write => {}
-            _ = tokio::time::sleep_until(clock.instant(due)) => {
+            () = alarm.rings() => {
                 let now = clock.now();
                 if now - looked > LOOK + BLIND {
                     blind = now - looked;
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -2,7 +2,7 @@
 //! carries out the choices. It holds the only reference to the module; sockets talk to it by channels.
 
 use crate::amqp::link::{self, LinkState, ToLink};
-use crate::clock::Clock;
+use crate::clock::{Alarm, Clock};
 use crate::list::{self, ToList};
 use crate::metrics_page::Gauges;
 use crate::state::{Command, Core, Decider, News};
@@ -52,9 +52,10 @@
     let mut commands: Vec<Command> = Vec::new();
     let mut housekeeping = tokio::time::interval(Duration::from_millis(250));
     let mut drain_by: Option<Micros> = None;
+    let mut alarm = Alarm::new(clock);
     loop {
         let due = core.due();
-        let until = clock.instant(due.unwrap_or(Micros::MAX / 2).max(0).min(clock.now() + 60_000_000));
+        alarm.set(due.unwrap_or(Micros::MAX / 2).max(0).min(clock.now() + 60_000_000));
         let mut turn = false;
         tokio::select! {
             biased;
@@ -76,7 +77,7 @@
                 }
                 turn = true;
             }
-            _ = tokio::time::sleep_until(until), if due.is_some() => turn = true,
+            () = alarm.rings(), if due.is_some() => turn = true,
             _ = housekeeping.tick() => {
                 workers.sweep();
                 let link = *link_seen.borrow_and_update();
--- a/crates/gateway/src/metrics_page.rs
+++ b/crates/gateway/src/metrics_page.rs
@@ -106,6 +106,7 @@
             ("stagehoist_amqp_redelivered_total", f.redelivered),
             ("stagehoist_amqp_rejected_total", f.rejected),
             ("stagehoist_amqp_replies_total", f.replies),
+            ("stagehoist_amqp_acks_total", f.acks),
             ("stagehoist_amqp_confirmed_total", f.confirmed),
             ("stagehoist_amqp_unroutable_total", f.unroutable),
             ("stagehoist_amqp_from_memory_total", f.from_memory),
