Module: under overload, calls worth less for their work than refused ones go behind

Calls were shed by their aim alone, whatever they were worth, and a tenant's surge took the place of others. A price rises to the worth for work of calls refused and fades within the shortest aim; a call below it is held behind those in time. Worth is the class's, less beyond the tenant's told rate, by the call or by its work as told (worth.rs: state and arithmetic).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod rules;
 mod tries;
 pub mod wire;
+mod worth;
 
 pub use interface::*;
 pub use rules::FrontEnd;
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -6,6 +6,7 @@
 use crate::interface::*;
 use crate::numbers::{fade, mix, p99, rank};
 use crate::tries::Tries;
+use crate::worth::{Price, Shares};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::{cell::Cell, ops::Bound::Excluded, ops::Bound::Unbounded};
 
@@ -116,6 +117,7 @@
 struct Pending {
     request: Request,
     base: f64,
+    worth: f64,
     deadline: Micros,
     aim_at: Micros,
     /// By attempt number: the worker, when sent, and what is known of its execution.
@@ -168,6 +170,8 @@
     /// Functions of held calls with a priority above nought, as last weighed.
     wanted: BTreeMap<FunctionId, (f64, RequestId)>,
     deadlines: BTreeSet<(Micros, RequestId)>,
+    shares: Shares,
+    price: Price,
     class_run: Vec<Option<f64>>,
     class_work: Vec<Option<f64>>,
     /// Class work that established workers serve for this front end, for each unit of capacity in a window.
@@ -218,9 +222,8 @@
         let classes = settings.classes.len();
         let shortest_aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
         let (class_run, class_work) = (vec![None; classes], vec![None; classes]);
-        let blank =
-            FrontEnd { class_run, class_work, shortest_aim, usual_at: now, born: now, ..Default::default() };
-        FrontEnd { settings, seed, ..blank }
+        let blank = FrontEnd { class_run, class_work, usual_at: now, born: now, ..Default::default() };
+        FrontEnd { settings, seed, shortest_aim, ..blank }
     }
 
     pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
@@ -239,9 +242,8 @@
                     (Some(&i), Outcome::ConnectFailed | Outcome::Reset) => self.strike(i, now, true, out),
                     _ => {}
                 },
-                Event::Began { request, .. } => {
-                    let deadline = self.pending.get(request).map(|p| (p.deadline, *request));
-                    deadline.map(|d| self.deadlines.remove(&d));
+                Event::Began { request: id, .. } => {
+                    self.pending.get(id).map(|p| self.deadlines.remove(&(p.deadline, *id)));
                 }
                 Event::Timer { .. } | Event::Peer { .. } => {}
             }
@@ -301,7 +303,9 @@
         let deadline = now + r.budget.max(0) - (2 * self.settings.tick).min(r.budget.max(0) / 4);
         let aim_at = (now + class.aim + stretch as Micros).min(deadline);
         let base = self.base_run(r);
-        let p = Pending { request: r.clone(), base, deadline, aim_at, attempts: Vec::new(), held: None };
+        let worth = self.shares.worth(&self.settings, r, base, now);
+        let (request, attempts) = (r.clone(), Vec::new());
+        let p = Pending { request, base, worth, deadline, aim_at, attempts, held: None };
         self.functions.entry(r.function).and_modify(|f| f.demand += base);
         let over = 2 * self.settings.keep.max(1);
         self.seen = (self.seen.0 * fade(now - self.seen.1, over) + base, now);
@@ -316,7 +320,8 @@
     fn hold(&mut self, id: RequestId, now: Micros, (fresh, late): (bool, bool)) {
         let Some(p) = self.pending.get_mut(&id) else { return };
         let start = p.aim_at - p.base as Micros;
-        let late = late || start < now;
+        // Worth less for its work than calls refused of late: behind the others. Covers surges of a tenant.
+        let late = late || start < now || p.worth < self.price.now(now, self.shortest_aim);
         let (start, kind) = (if late { start - p.aim_at + p.deadline } else { start }, p.kind());
         p.held = Some((late, start));
         self.queue.insert((late, start, id));
@@ -328,11 +333,10 @@
         let Some(p) = self.pending.get_mut(&id) else { return };
         let (Some((late, start)), kind) = (p.held.take(), p.kind()) else { return };
         self.queue.remove(&(late, start, id));
-        if let Some(of_kind) = self.held.get_mut(&kind) {
-            of_kind.remove(&(late, start, id));
-            if of_kind.is_empty() {
-                self.held.remove(&kind);
-            }
+        let of_kind = self.held.entry(kind).or_default();
+        of_kind.remove(&(late, start, id));
+        if of_kind.is_empty() {
+            self.held.remove(&kind);
         }
     }
 
@@ -365,11 +369,9 @@
             slot.2 = if never { Run::Never } else { Run::Perhaps };
         }
         if p.attempts.iter().all(|a| a.2 != Run::Out) && p.held.is_none() {
-            let again = self.may_resend(e.request, now);
-            if again {
-                self.hold(e.request, now, (true, false))
-            } else {
-                self.settle(e.request, out)
+            match self.may_resend(e.request, now) {
+                true => self.hold(e.request, now, (true, false)),
+                false => self.settle(e.request, out),
             }
         }
     }
@@ -562,8 +564,8 @@
         let again = !p.attempts.is_empty();
         let mut found: [[Option<Prediction>; 2]; 2] = Default::default();
         let Some(f) = self.functions.get(&function) else { return Err(now) };
-        // Further attempts stay a told share of first ones, so that trouble does not multiply load; a call whose
-        // function has spent it waits. Could harm where one worker's trouble is most of a function's traffic.
+        // Further attempts stay a told share of first ones, so that trouble does not multiply load; a call of
+        // a function that spent it waits. Could harm where one worker's trouble is most of its traffic.
         let spare = |t: &Tries| !again || t.allow(now, &self.settings.retry_budget);
         if !spare(&f.tries) {
             return Err(p.aim_at);
@@ -697,6 +699,7 @@
         let others = self.queue.iter().take(2).any(|q| !q.0 && q.2 != id);
         let behind = others || self.drain().is_some_and(|d| now as f64 + d > p.deadline as f64 - p.base);
         let late_worth = self.settings.classes[p.request.class as usize].late_worth;
+        self.price.refused(p.worth, now, self.shortest_aim);
         if (behind || late_worth <= 0.0) && p.attempts.iter().all(|a| a.2 != Run::Out) {
             self.settle(id, out);
         } else {
@@ -877,11 +880,8 @@
                 inverse += 1.0 / load;
             }
         }
-        if inverse > 0.0 {
-            f.demand * (1.0 - served / inverse)
-        } else {
-            f.demand
-        }
+        let share = if inverse > 0.0 { served / inverse } else { 0.0 };
+        f.demand * (1.0 - share)
     }
 
     /// Probes the workers in turn, where reports come that way, within what probes may cost.
@@ -906,9 +906,8 @@
         let late = self.queue.range((true, Micros::MIN, 0)..).next();
         next = self.queue.first().into_iter().chain(late).fold(next, |next, q| next.min(q.1));
         next = if self.held.is_empty() { next } else { next.min(now + self.shortest_aim / SWEEP.1) };
-        let busy = self.workers.iter().any(|w| w.flights.len() > 1);
-        next =
-            if busy { next.min(now + self.settings.tick * 50) } else { next }.max(now + self.settings.tick);
+        let (busy, tick) = (self.workers.iter().any(|w| w.flights.len() > 1), self.settings.tick);
+        next = if busy { next.min(now + tick * 50) } else { next }.max(now + tick);
         if self.timer_at.is_none_or(|at| next < at || at <= now) {
             self.token = self.token.wrapping_add(1);
             self.timer_at = Some(next);
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -604,6 +604,52 @@
     .collect()
 }
 
+/// Guards against a surge that takes the place of calls worth more: with more held than workers can do, those that are worth
+/// more for their work are served, of tenants within their told rates first. Also covers mixes of long and short runs. Could
+/// harm a class that is always worth least.
+#[test]
+fn with_more_than_can_be_done_calls_worth_more_for_their_work_are_served() {
+    for by_tenant in [false, true] {
+        let mut b = Bench::new("", &[1]);
+        let mut with = settings("limits.second_copies=false\n");
+        with.front_ends = 1;
+        with.classes[0].effect = Effect::Safe;
+        with.classes[1].effect = Effect::Safe;
+        for (class, worth) in with.classes.iter_mut().zip([1.0, 4.0]) {
+            (class.worth, class.late_worth) = (if by_tenant { 1.0 } else { worth }, 0.0);
+        }
+        if by_tenant {
+            (with.tenant_quota, with.over_share_worth) = (vec![5.0, 1000.0], 0.1);
+        }
+        b.front_end = FrontEnd::new(with, 7, b.now);
+        b.step(0, vec![roster(RosterForm::Cached, vec![row(1, Lifecycle::Ready, 0)])]);
+        // One worker for about forty calls a second; of each kind forty come.
+        let mut coming: Vec<(Micros, Event)> = Vec::new();
+        let mut served = [0, 0];
+        for step in 0..2400u32 {
+            let now = b.now + 5 * MS;
+            let (due, rest) = coming.into_iter().partition(|c| c.0 <= now);
+            coming = rest;
+            let mut events: Vec<Event> = due.into_iter().map(|c: (Micros, Event)| c.1).collect();
+            if step % 5 == 0 && step < 2000 {
+                for kind in [0, 1u32] {
+                    let Event::Request(mut q) = request(2 * step + kind, kind as u16, 5) else {
+                        unreachable!()
+                    };
+                    q.tenant = kind;
+                    events.push(Event::Request(q));
+                }
+            }
+            for (id, worker) in sends(&b.step(5 * MS, events)) {
+                served[id as usize % 2] += u32::from(id > 2 * 500);
+                coming.push((now + 100 * MS, ended(id, 0, worker, Outcome::Ok)));
+            }
+        }
+        let [less, more] = served;
+        assert!(more > 2 * less, "by tenant {by_tenant}: {less} of less worth, {more} of more");
+    }
+}
+
 /// Guards against trouble that multiplies load: a function whose calls all fail goes on with first attempts and a told share
 /// of further ones; what it may not try again waits and is answered by its aim. Also covers a worker that all turn to.
 #[test]
