--- a/crates/core/benches/held.rs
+++ b/crates/core/benches/held.rs
@@ -174,7 +174,7 @@
 fn held(c: &mut Criterion) {
     let mut group = c.benchmark_group("held");
     group.sample_size(10).measurement_time(Duration::from_secs(2)).warm_up_time(Duration::from_millis(500));
-    for held in [10, 100, 1000, 10_000] {
+    for held in [10, 100, 1000, 2000, 10_000] {
         // Two events a batch.
         group.throughput(Throughput::Elements(2));
         group.bench_with_input(BenchmarkId::new("in-time", held), &held, |b, &held| {
