--- a/crates/amqp/src/acks.rs
+++ b/crates/amqp/src/acks.rs
@@ -29,6 +29,11 @@
         self.waiting -= usize::from(self.open.remove(&tag) == Some(true));
     }
 
+    /// Tags that are neither settled nor removed.
+    pub fn unsettled(&self) -> usize {
+        self.open.len() - self.waiting
+    }
+
     /// Tags that wait for [`Acks::take`].
     pub fn waiting(&self) -> usize {
         self.waiting
--- a/crates/amqp/src/lib.rs
+++ b/crates/amqp/src/lib.rs
@@ -60,6 +60,32 @@
     ShortString::try_new(&text[..end]).unwrap_or_default()
 }
 
+/// `queue.declare` of a queue with every flag off; what differs is set on it.
+pub fn declare(name: &str) -> queue::Declare {
+    queue::Declare {
+        queue: short(name),
+        passive: false,
+        durable: false,
+        exclusive: false,
+        auto_delete: false,
+        nowait: false,
+        arguments: FieldTable::default(),
+    }
+}
+
+/// `basic.consume` of a queue with every flag off; what differs is set on it.
+pub fn consume(queue: &str, tag: &str) -> basic::Consume {
+    basic::Consume {
+        queue: short(queue),
+        consumer_tag: short(tag),
+        no_local: false,
+        no_ack: false,
+        exclusive: false,
+        nowait: false,
+        arguments: FieldTable::default(),
+    }
+}
+
 /// A long-string header value.
 pub fn long(text: impl Into<String>) -> AMQPValue {
     AMQPValue::LongString(text.into().into_bytes().into())
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -166,15 +166,15 @@
             Err(e) => return fail(&e),
         }
     } else {
-        let l = ledger;
+        let (l, v) = (ledger, &ledger.verdict);
         println!(
             "sent {}  served {}  refused {}  failed {}  unanswered {} (not owed {})",
-            l.sent, l.served, l.refused, l.failed, l.unanswered, l.not_owed
+            v.sent, v.served, v.refused, v.failed, v.unanswered, v.not_owed
         );
-        println!("answered twice {}  late {}  store fetches {}", l.answered_twice, l.late, l.store_fetches);
+        println!("answered twice {}  late {}  store fetches {}", v.answered_twice, v.late, l.store_fetches);
         let times: Vec<String> = l.latency_ms.iter().map(|(k, v)| format!("{k} {v:.1}")).collect();
         println!("served, ms from publish to reply: {}", times.join("  "));
-        for rule in &l.rules {
+        for rule in &v.rules {
             let word = if rule.kept { "kept" } else { "BROKEN" };
             println!("rule {}  {word:<6}  {:>7} checks  {}", rule.rule, rule.checks, rule.name);
             rule.breaches.iter().for_each(|breach| println!("    {breach}"));
--- a/crates/cli/tests/whole_path.rs
+++ b/crates/cli/tests/whole_path.rs
@@ -7,19 +7,22 @@
 /// Plays a day; every rule must be kept, no message answered twice, and none that was owed an answer left without.
 fn judged(name: &str, day: &Day) -> Ledger {
     let ledger = play(day, Path::new(env!("CARGO_BIN_EXE_stagehoist")), &mut |_| {}).unwrap();
-    for rule in &ledger.rules {
+    for rule in &ledger.verdict.rules {
         assert!(rule.kept, "{name}: {rule:#?}");
     }
     assert_eq!(ledger.mishaps, Vec::<String>::new(), "{name}");
-    assert_eq!(ledger.answered_twice, 0, "{name}");
-    assert_eq!(ledger.unanswered, ledger.not_owed, "{name}");
+    assert_eq!(ledger.verdict.answered_twice, 0, "{name}");
+    assert_eq!(ledger.verdict.unanswered, ledger.verdict.not_owed, "{name}");
     ledger
 }
 
 fn run(name: &str, text: &str) -> Ledger {
     let head = "halls 3\nworkers 6\nfront-ends 2\nrate 100/s\nlength 4s\nreplies transaction\n";
     let ledger = judged(name, &Day::parse(name, &format!("{head}{text}")).unwrap());
-    assert!(ledger.sent > 200 && ledger.served * 2 > ledger.sent, "{name}: {ledger:?}");
+    assert!(
+        ledger.verdict.sent > 200 && ledger.verdict.served * 2 > ledger.verdict.sent,
+        "{name}: {ledger:?}"
+    );
     ledger
 }
 
@@ -27,8 +30,12 @@
 fn a_quiet_day_answers_every_message_once() {
     for (miss, replies) in [("load", "confirm"), ("miss", "transaction")] {
         let ledger = run("quiet", &format!("on-miss {miss}\nreplies {replies}\n"));
-        assert_eq!((ledger.unanswered, ledger.late, ledger.failed), (0, 0, 0), "{miss}");
-        assert!(ledger.rules[1].checks > 200);
+        assert_eq!(
+            (ledger.verdict.unanswered, ledger.verdict.late, ledger.verdict.failed),
+            (0, 0, 0),
+            "{miss}"
+        );
+        assert!(ledger.verdict.rules[1].checks > 200);
     }
 }
 
@@ -39,7 +46,7 @@
     // In a transaction the reply and the acknowledgement take effect together, whoever gets the message again. What confirms
     // leave in doubt at each cut is decided without sockets, where it is known which bytes left (the gateway's front tests).
     let ledger = run("cuts", cuts);
-    assert!(ledger.rules[0].checks >= ledger.sent - 10);
+    assert!(ledger.verdict.rules[0].checks >= ledger.verdict.sent - 10);
 }
 
 #[test]
@@ -58,7 +65,11 @@
         "on-miss miss\nat 500ms worker w0 drain for 2s list-lag 1500ms\nat 1s hall hall-b vanish for 1s\n\
          at 2500ms list flaps w4 for 600ms\n",
     );
-    assert!(ledger.rules[2].checks > 200 && ledger.rules[3].checks > 0 && ledger.rules[4].checks > 0);
+    assert!(
+        ledger.verdict.rules[2].checks > 200
+            && ledger.verdict.rules[3].checks > 0
+            && ledger.verdict.rules[4].checks > 0
+    );
 }
 
 #[test]
@@ -95,7 +106,10 @@
     let head = "halls 3\nworkers 3\nfront-ends 2\nrate 300/s\nlength 4s\nreplies transaction\n\
                 at 500ms flood 7x for 2s\n";
     let ledger = judged(name, &Day::parse(name, &format!("{head}{text}")).unwrap());
-    assert!(ledger.sent > 1500 && ledger.refused > 200 && ledger.served > 200, "{name}: {ledger:?}");
+    assert!(
+        ledger.verdict.sent > 1500 && ledger.verdict.refused > 200 && ledger.verdict.served > 200,
+        "{name}: {ledger:?}"
+    );
     ledger
 }
 
@@ -103,7 +117,7 @@
 fn five_times_the_capacity_with_and_without_stamps_is_answered_to_the_last_message() {
     for stamps in ["yes", "no"] {
         let ledger = overloaded("flood", &format!("stamps {stamps}\n"));
-        assert_eq!(ledger.unanswered, 0, "stamps {stamps}");
+        assert_eq!(ledger.verdict.unanswered, 0, "stamps {stamps}");
     }
 }
 
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -53,11 +53,36 @@
 
 impl Bench {
     fn new(more: &str, workers: &[WorkerId]) -> Bench {
-        let mut bench = Bench { front_end: FrontEnd::new(settings(more), 7, 1000 * MS), now: 1000 * MS };
+        Bench::with(settings(more), workers)
+    }
+    fn with(settings: Settings, workers: &[WorkerId]) -> Bench {
+        let mut bench = Bench { front_end: FrontEnd::new(settings, 7, 1000 * MS), now: 1000 * MS };
         let rows = workers.iter().map(|&w| row(w, Lifecycle::Ready, 0)).collect();
         bench.step(0, vec![roster(RosterForm::Cached, rows)]);
         bench
     }
+    /// Steps of 5 ms: the calls of each, and the end of each attempt after the time its run takes. Tells `sent` each send, by
+    /// its step.
+    fn flow(
+        &mut self,
+        steps: u32,
+        calls: impl Fn(u32) -> Vec<Event>,
+        run: impl Fn(RequestId) -> Micros,
+        mut sent: impl FnMut(u32, RequestId),
+    ) {
+        let mut coming: Vec<(Micros, Event)> = Vec::new();
+        for step in 0..steps {
+            let now = self.now + 5 * MS;
+            let (due, rest): (Vec<_>, Vec<_>) = coming.into_iter().partition(|c| c.0 <= now);
+            coming = rest;
+            let events = due.into_iter().map(|c| c.1).chain(calls(step)).collect();
+            for (id, worker) in sends(&self.step(5 * MS, events)) {
+                let Event::Ended(e) = ended(id, 0, worker, Outcome::Ok) else { unreachable!() };
+                coming.push((now + run(id), Event::Ended(Ended { took: run(id), ..e })));
+                sent(step, id);
+            }
+        }
+    }
     fn step(&mut self, after: Micros, events: Vec<Event>) -> Vec<Action> {
         self.now += after;
         let mut out = Vec::new();
@@ -610,7 +635,6 @@
 #[test]
 fn with_more_than_can_be_done_calls_worth_more_for_their_work_are_served() {
     for by_tenant in [false, true] {
-        let mut b = Bench::new("", &[1]);
         let mut with = settings("limits.second_copies=false\n");
         with.front_ends = 1;
         with.classes[0].effect = Effect::Safe;
@@ -621,30 +645,22 @@
         if by_tenant {
             (with.tenant_quota, with.over_share_worth) = (vec![5.0, 1000.0], 0.1);
         }
-        b.front_end = FrontEnd::new(with, 7, b.now);
-        b.step(0, vec![roster(RosterForm::Cached, vec![row(1, Lifecycle::Ready, 0)])]);
         // One worker for about forty calls a second; of each kind forty come.
-        let mut coming: Vec<(Micros, Event)> = Vec::new();
         let mut served = [0, 0];
-        for step in 0..2400u32 {
-            let now = b.now + 5 * MS;
-            let (due, rest) = coming.into_iter().partition(|c| c.0 <= now);
-            coming = rest;
-            let mut events: Vec<Event> = due.into_iter().map(|c: (Micros, Event)| c.1).collect();
-            if step % 5 == 0 && step < 2000 {
-                for kind in [0, 1u32] {
-                    let Event::Request(mut q) = request(2 * step + kind, kind as u16, 5) else {
-                        unreachable!()
-                    };
-                    q.tenant = kind;
-                    events.push(Event::Request(q));
-                }
-            }
-            for (id, worker) in sends(&b.step(5 * MS, events)) {
-                served[id as usize % 2] += u32::from(id > 2 * 500);
-                coming.push((now + 100 * MS, ended(id, 0, worker, Outcome::Ok)));
-            }
-        }
+        let calls = |step: u32| {
+            let kinds = if step.is_multiple_of(5) && step < 2000 { 0..2 } else { 0..0 };
+            let call = |kind: u32| {
+                let Event::Request(q) = request(2 * step + kind, kind as u16, 5) else { unreachable!() };
+                Event::Request(Request { tenant: kind, ..q })
+            };
+            kinds.map(call).collect()
+        };
+        Bench::with(with, &[1]).flow(
+            2400,
+            calls,
+            |_| 100 * MS,
+            |_, id| served[id as usize % 2] += u32::from(id > 2 * 500),
+        );
         let [less, more] = served;
         assert!(more > 2 * less, "by tenant {by_tenant}: {less} of less worth, {more} of more");
     }
@@ -654,32 +670,21 @@
 /// would be served late, 10 to 14% of messages on sockets. Also covers functions of one class that differ a little.
 #[test]
 fn calls_of_about_equal_worth_are_not_turned_aside() {
-    let mut b = Bench::new("", &[1]);
     let mut with = settings("limits.second_copies=false\n");
     (with.front_ends, with.classes[0].late_worth) = (1, 0.1);
-    b.front_end = FrontEnd::new(with, 7, b.now);
-    b.step(0, vec![roster(RosterForm::Cached, vec![row(1, Lifecycle::Ready, 0)])]);
-    let mut coming: Vec<(Micros, Event)> = Vec::new();
     let (mut sent, mut late) = (0, 0);
-    for step in 0..4000u32 {
-        let now = b.now + 5 * MS;
-        let (due, rest) = coming.into_iter().partition(|c| c.0 <= now);
-        coming = rest;
-        let mut events: Vec<Event> = due.into_iter().map(|c: (Micros, Event)| c.1).collect();
+    Bench::with(with, &[1]).flow(
+        4000,
         // About three times what two lanes can do.
-        if step % 3 == 0 {
-            events.push(request(step, 0, 5));
-        }
-        for (id, worker) in sends(&b.step(5 * MS, events)) {
-            // Runs differ by a third either way.
-            let took = 70 * MS + (id as Micros * 7919) % 61 * MS;
-            let Event::Ended(e) = ended(id, 0, worker, Outcome::Ok) else { unreachable!() };
-            coming.push((now + took, Event::Ended(Ended { took, ..e })));
+        |step| if step.is_multiple_of(3) { vec![request(step, 0, 5)] } else { Vec::new() },
+        // Runs differ by a third either way.
+        |id| 70 * MS + (id as Micros * 7919) % 61 * MS,
+        |step, id| {
             sent += 1;
             // At first nothing is known of run times.
             late += u32::from(id > 1000 && Micros::from(step - id) * 5 * MS > 800 * MS);
-        }
-    }
+        },
+    );
     assert!(sent > 300 && late * 33 < sent, "{late} of {sent} sent past their aim");
 }
 
@@ -688,13 +693,9 @@
 #[test]
 fn further_attempts_stay_inside_the_told_budget_of_function_and_worker() {
     let run = |window| {
-        let mut b = Bench::new("limits.second_copies=false\n", &[1, 2, 3]);
-        let (free, share) = (2.0, 0.25);
-        let budget = RetryBudget { window, free, share };
-        let with = Settings { retry_budget: budget, ..settings("limits.second_copies=false\n") };
-        b.front_end = FrontEnd::new(with, 7, b.now);
-        let rows = [1, 2, 3].map(|w| row(w, Lifecycle::Ready, 0)).to_vec();
-        b.step(0, vec![roster(RosterForm::Cached, rows)]);
+        let retry_budget = RetryBudget { window, free: 2.0, share: 0.25 };
+        let with = Settings { retry_budget, ..settings("limits.second_copies=false\n") };
+        let mut b = Bench::with(with, &[1, 2, 3]);
         let (mut firsts, mut further, mut answered) = (0, 0, 0);
         let mut numbers: BTreeMap<RequestId, u16> = BTreeMap::new();
         let mut coming: Vec<Event> = Vec::new();
--- a/crates/gateway/src/amqp/front.rs
+++ b/crates/gateway/src/amqp/front.rs
@@ -7,7 +7,7 @@
 use stagehoist::{Effect, Micros};
 use stagehoist_admission::{Advice, Age, Bounds, Held, Intake, Window};
 use stagehoist_amqp::{basic, channel, confirm, queue, short, tx};
-use stagehoist_amqp::{AMQPClass, Acks, Client, ClientEvent, ClientOptions, FieldTable, Message};
+use stagehoist_amqp::{AMQPClass, Acks, Client, ClientEvent, ClientOptions, Message};
 use stagehoist_config::{Broker, Config};
 use stagehoist_recovery::{Backoff, Key, Memory, Sent, Verdict};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -91,9 +91,7 @@
     next_ticket: Ticket,
     arrivals: Vec<Arrival>,
     draining: bool,
-    /// Deliveries of the present channel that were neither acknowledged nor rejected.
-    out: usize,
-    /// Acknowledgements that go out together, with the next replies.
+    /// Deliveries of the present channel; their acknowledgements go out together, with the next replies.
     acks: Acks,
     /// Of the present channel, where a queue is consumed without a told prefetch.
     window: Option<Window>,
@@ -113,7 +111,6 @@
         let bounds = Bounds { calls: config.held_most, bytes: config.held_bytes_most };
         Front {
             reader: Reader::new(config.clone()),
-            out: 0,
             acks: Acks::default(),
             window: None,
             ages: vec![Age::default(); config.consume.len()],
@@ -206,11 +203,13 @@
 
     /// The socket holds nothing more: where the broker may send, its queues are empty.
     pub fn dry(&mut self, now: Micros) {
-        if self.phase != Phase::Ready || self.window.as_ref().is_some_and(|w| !w.is_open(self.out)) {
+        if self.phase != Phase::Ready
+            || self.window.as_ref().is_some_and(|w| !w.is_open(self.acks.unsettled()))
+        {
             return;
         }
         for (age, from) in self.ages.iter_mut().zip(&self.config.consume) {
-            if from.prefetch.is_none_or(|most| self.out < usize::from(most)) {
+            if from.prefetch.is_none_or(|most| self.acks.unsettled() < usize::from(most)) {
                 age.dry(now);
             }
         }
@@ -229,7 +228,7 @@
                 }
             }
         }
-        if let Some(count) = self.window.as_mut().and_then(|w| w.ask(self.out, now)) {
+        if let Some(count) = self.window.as_mut().and_then(|w| w.ask(self.acks.unsettled(), now)) {
             self.counters.windows += 1;
             self.qos(count, true);
         }
@@ -369,7 +368,6 @@
                     self.send(AMQPClass::Confirm(confirm::AMQPMethod::Select(select)));
                 }
                 self.consuming = 0;
-                self.out = 0;
                 self.ages.iter_mut().for_each(Age::restart);
                 if !self.draining {
                     // A window over the whole channel, as one consumer's can't be changed while it stands.
@@ -432,13 +430,9 @@
     /// Declares a queue, or only asks for its depth.
     fn declare(&mut self, index: usize, passive: bool, durable: bool) {
         let declare = queue::Declare {
-            queue: short(&self.config.consume[index].queue),
             passive,
             durable,
-            exclusive: false,
-            auto_delete: false,
-            nowait: false,
-            arguments: FieldTable::default(),
+            ..stagehoist_amqp::declare(&self.config.consume[index].queue)
         };
         self.send(AMQPClass::Queue(queue::AMQPMethod::Declare(declare)));
     }
@@ -448,28 +442,18 @@
         self.asked_depth = now;
         self.declare(index, from.declare.is_none(), from.declare.unwrap_or(false));
         self.qos(from.prefetch.unwrap_or(0), false);
-        let consume = basic::Consume {
-            queue: short(&from.queue),
-            consumer_tag: short(&self.tag(index)),
-            no_local: false,
-            no_ack: false,
-            exclusive: false,
-            nowait: false,
-            arguments: FieldTable::default(),
-        };
+        let consume = stagehoist_amqp::consume(&from.queue, &self.tag(index));
         self.basic(basic::AMQPMethod::Consume(consume));
     }
 
     fn reject(&mut self, tag: u64) {
         self.counters.rejected += 1;
-        self.out = self.out.saturating_sub(1);
         self.acks.remove(tag);
         self.open.1 |= self.config.transactions;
         self.basic(basic::AMQPMethod::Reject(basic::Reject { delivery_tag: tag, requeue: false }));
     }
 
     fn ack(&mut self, tag: u64) {
-        self.out = self.out.saturating_sub(1);
         self.open.1 |= self.config.transactions;
         self.acks.settle(tag);
     }
@@ -477,7 +461,6 @@
     fn take_delivery(&mut self, message: Message, now: Micros) {
         let AMQPClass::Basic(basic::AMQPMethod::Deliver(deliver)) = message.method else { return };
         self.counters.delivered += 1;
-        self.out += 1;
         self.acks.delivered(deliver.delivery_tag);
         if let Some(window) = self.window.as_mut() {
             window.delivered();
--- a/crates/gateway/tests/front.rs
+++ b/crates/gateway/tests/front.rs
@@ -57,24 +57,8 @@
             now: 1_000_000,
         };
         world.settle();
-        let declare = queue::Declare {
-            queue: short("replies"),
-            passive: false,
-            durable: false,
-            exclusive: false,
-            auto_delete: false,
-            nowait: false,
-            arguments: FieldTable::default(),
-        };
-        let consume = basic::Consume {
-            queue: short("replies"),
-            consumer_tag: short("r"),
-            no_local: false,
-            no_ack: true,
-            exclusive: false,
-            nowait: false,
-            arguments: FieldTable::default(),
-        };
+        let declare = stagehoist_amqp::declare("replies");
+        let consume = basic::Consume { no_ack: true, ..stagehoist_amqp::consume("replies", "r") };
         let channel = world.caller.client.open_channel().unwrap();
         world.caller.channel = channel;
         world.caller.client.send(channel, AMQPClass::Queue(queue::AMQPMethod::Declare(declare)));
--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -67,7 +67,7 @@
 }
 
 /// All verdicts, and the calls counted as callers saw them.
-#[derive(Clone, Debug, Serialize, PartialEq)]
+#[derive(Clone, Debug, Default, Serialize, PartialEq)]
 pub struct Verdict {
     pub rules: Vec<Rule>,
     pub sent: u64,
@@ -148,17 +148,7 @@
 
 /// Judges a story by a charter.
 pub fn judge(story: &Story, charter: &Charter) -> Verdict {
-    let mut verdict = Verdict {
-        rules: Vec::new(),
-        sent: 0,
-        served: 0,
-        refused: 0,
-        failed: 0,
-        unanswered: 0,
-        answered_twice: 0,
-        late: 0,
-        not_owed: 0,
-    };
+    let mut verdict = Verdict::default();
     let answers = one_answer(story, charter, &mut verdict);
     verdict.rules.push(answers);
     verdict.rules.push(no_effect_twice(story, charter));
--- a/crates/load/src/amqp.rs
+++ b/crates/load/src/amqp.rs
@@ -141,23 +141,11 @@
             match event {
                 ClientEvent::Open => {
                     sender.channel = sender.client.open_channel().unwrap_or(0);
-                    let declare = queue::Declare {
-                        queue: short(&sender.replies),
-                        passive: false,
-                        durable: false,
-                        exclusive: false,
-                        auto_delete: true,
-                        nowait: false,
-                        arguments: FieldTable::default(),
-                    };
+                    let declare =
+                        queue::Declare { auto_delete: true, ..stagehoist_amqp::declare(&sender.replies) };
                     let consume = basic::Consume {
-                        queue: short(&sender.replies),
-                        consumer_tag: short("answers"),
-                        no_local: false,
                         no_ack: true,
-                        exclusive: false,
-                        nowait: false,
-                        arguments: FieldTable::default(),
+                        ..stagehoist_amqp::consume(&sender.replies, "answers")
                     };
                     sender.client.send(sender.channel, AMQPClass::Queue(queue::AMQPMethod::Declare(declare)));
                     sender.client.send(sender.channel, AMQPClass::Basic(basic::AMQPMethod::Consume(consume)));
--- a/crates/load/src/stand.rs
+++ b/crates/load/src/stand.rs
@@ -3,8 +3,8 @@
 use crate::LoadError;
 use stagehoist::Micros;
 use stagehoist_config::Broker;
-use stagehoist_stage::process::{cpu_us, metrics, sum};
-use std::io::{BufRead, BufReader};
+use stagehoist_stage::process::{cpu_us, metrics, metrics_told, sum};
+use std::io::{BufRead, BufReader, Read};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
@@ -55,6 +55,9 @@
     }
 }
 
+/// Lines of a process that are kept until somebody waits for one.
+const LINES: usize = 64;
+
 /// A process of the stack, ended with it.
 struct Part {
     child: Child,
@@ -73,39 +76,39 @@
         let what = arguments.join(" ");
         let fail = |source| LoadError::Start { what: what.clone(), source };
         let mut command = Command::new(binary);
-        command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null());
+        command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(fail)?;
-        let stdout = child.stdout.take();
-        let (told, lines) = mpsc::channel();
-        if let Some(stdout) = stdout {
-            // Ends with the child's output.
+        let (told, lines) = mpsc::sync_channel(LINES);
+        let (out, log) = (child.stdout.take(), child.stderr.take());
+        let outputs: [Option<Box<dyn Read + Send>>; 2] =
+            [out.map(|x| Box::new(x) as _), log.map(|x| Box::new(x) as _)];
+        for output in outputs.into_iter().flatten() {
+            let told = told.clone();
+            // Ends with the child's output; what nobody waits for is read and let go.
             std::thread::spawn(move || {
-                for line in BufReader::new(stdout).lines().map_while(Result::ok) {
-                    if told.send(line).is_err() {
-                        break;
-                    }
+                for line in BufReader::new(output).lines().map_while(Result::ok) {
+                    let _ = told.try_send(line);
                 }
             });
         }
         Ok(Part { child, lines })
     }
 
-    /// The address that a line beginning with `name` tells.
-    fn address(&self, name: &str) -> Result<String, LoadError> {
+    /// What the first line tells in which `pick` finds something.
+    fn told(&self, what: &str, pick: impl Fn(&str) -> Option<String>) -> Result<String, LoadError> {
         let until = Instant::now() + Duration::from_secs(10);
         while let Ok(line) = self.lines.recv_timeout(until.saturating_duration_since(Instant::now())) {
-            if let Some(address) = line.strip_prefix(name).and_then(|l| l.strip_prefix(' ')) {
-                return Ok(address.to_string());
+            if let Some(found) = pick(&line) {
+                return Ok(found);
             }
         }
-        Err(LoadError::NotUp(name.to_string()))
+        Err(LoadError::NotUp(what.to_string()))
     }
-}
 
-fn free_port() -> Result<String, LoadError> {
-    let fail = |source| LoadError::Start { what: "a port".into(), source };
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").map_err(fail)?;
-    Ok(listener.local_addr().map_err(fail)?.to_string())
+    /// The address that a line beginning with `name` tells.
+    fn address(&self, name: &str) -> Result<String, LoadError> {
+        self.told(name, |line| Some(line.strip_prefix(name)?.strip_prefix(' ')?.to_string()))
+    }
 }
 
 /// A stack that stands; its processes end with it.
@@ -155,14 +158,13 @@
     pub fn serve(&mut self) -> Result<(), LoadError> {
         let o = &self.options;
         for (number, fronts) in o.processes.iter().enumerate() {
-            let metrics_at = free_port()?;
             let conf = format!(
                 "front-ends {fronts}\nfleet-front-ends {fleet}\nseed {seed}\n\
                  class usual aim {aim}us give-up {give_up}us effect safe late-worth 0.1\n\
                  function * class usual memory 64MB lanes {lanes} load 200ms\n\
                  broker amqp://guest:guest@{broker}/\nconsume calls declare durable\n\
                  worker-list consul http://{list} service workers wait 5s\nworker-kind usual memory 2GB\n\
-                 on-miss load\nattempts 3\nlisten metrics {metrics_at}\n{more}\n",
+                 on-miss load\nattempts 3\nlisten metrics 127.0.0.1:0\n{more}\n",
                 fleet = o.processes.iter().sum::<u32>(),
                 seed = o.seed + 1000 * number as u64,
                 aim = o.aim,
@@ -176,7 +178,10 @@
             std::fs::write(&path, conf)
                 .map_err(|source| LoadError::Start { what: "gateway.conf".into(), source })?;
             let path = path.display().to_string();
-            let part = Part::start(&self.binary, &["load", "gateway", "--policy", &o.policy, &path])?;
+            let log = ["--log", "warn,stagehoist::serve=info"];
+            let gateway = [&log[..], &["load", "gateway", "--policy", &o.policy, &path]].concat();
+            let part = Part::start(&self.binary, &gateway)?;
+            let metrics_at = part.told("gateway", metrics_told)?;
             self.gateways.push((part, metrics_at));
         }
         let until = Instant::now() + Duration::from_secs(15);
--- a/crates/stage/src/callers.rs
+++ b/crates/stage/src/callers.rs
@@ -85,15 +85,7 @@
                         channel,
                         AMQPClass::Queue(queue::AMQPMethod::Declare(declare(&replies, false))),
                     );
-                    let consume = basic::Consume {
-                        queue: short(&replies),
-                        consumer_tag: short("r"),
-                        no_local: false,
-                        no_ack: true,
-                        exclusive: false,
-                        nowait: false,
-                        arguments: FieldTable::default(),
-                    };
+                    let consume = basic::Consume { no_ack: true, ..stagehoist_amqp::consume(&replies, "r") };
                     client.send(channel, AMQPClass::Basic(basic::AMQPMethod::Consume(consume)));
                 }
                 ClientEvent::Method(_, AMQPClass::Basic(basic::AMQPMethod::ConsumeOk(_))) => ready = true,
@@ -160,15 +152,7 @@
 }
 
 fn declare(name: &str, passive: bool) -> queue::Declare {
-    queue::Declare {
-        queue: short(name),
-        passive,
-        durable: true,
-        exclusive: false,
-        auto_delete: false,
-        nowait: false,
-        arguments: FieldTable::default(),
-    }
+    queue::Declare { passive, durable: true, ..stagehoist_amqp::declare(name) }
 }
 
 fn publish(
--- a/crates/stage/src/play.rs
+++ b/crates/stage/src/play.rs
@@ -5,7 +5,7 @@
 use crate::stack::{Stack, StageError};
 use rustix::process::Signal;
 use serde::Serialize;
-use stagehoist_judge::rules::{judge, served_times, Charter, Rule, WorkerStart};
+use stagehoist_judge::rules::{judge, served_times, Charter, Verdict, WorkerStart};
 use stagehoist_judge::tap::Trouble as Tapped;
 use stagehoist_judge::Story;
 use stagehoist_standin::broker::{Cut as BrokerCut, Faults};
@@ -20,16 +20,9 @@
 /// What happened on a day, as callers and sockets saw it.
 #[derive(Clone, Debug, Serialize)]
 pub struct Ledger {
-    pub sent: u64,
-    pub served: u64,
-    pub refused: u64,
-    pub failed: u64,
-    pub unanswered: u64,
-    pub answered_twice: u64,
-    pub late: u64,
-    /// Unanswered calls that no front end held when their time ended, or whose reply was lost with its connection.
-    pub not_owed: u64,
-    pub rules: Vec<Rule>,
+    /// Its fields stand beside the others in JSON.
+    #[serde(flatten)]
+    pub verdict: Verdict,
     /// Milliseconds from publish to answer, of served calls.
     pub latency_ms: BTreeMap<String, f64>,
     /// Workers that fell over cold, front ends that did not end in order.
@@ -41,7 +34,8 @@
 impl Ledger {
     /// Whether every rule was kept and nothing ended out of order.
     pub fn good(&self) -> bool {
-        self.rules.iter().all(|r| r.kept) && self.mishaps.is_empty() && self.sent > 0 && self.served > 0
+        let verdict = &self.verdict;
+        verdict.kept() && self.mishaps.is_empty() && verdict.sent > 0 && verdict.served > 0
     }
 }
 
@@ -135,15 +129,7 @@
     let story = Story::read(&capture);
     let verdict = judge(&story, &charter);
     Ok(Ledger {
-        sent: verdict.sent,
-        served: verdict.served,
-        refused: verdict.refused,
-        failed: verdict.failed,
-        unanswered: verdict.unanswered,
-        answered_twice: verdict.answered_twice,
-        late: verdict.late,
-        not_owed: verdict.not_owed,
-        rules: verdict.rules,
+        verdict,
         latency_ms: percentiles(&served_times(&story)),
         mishaps,
         store_fetches: stack.store.fetches(),
--- a/crates/stage/src/process.rs
+++ b/crates/stage/src/process.rs
@@ -25,6 +25,12 @@
     page
 }
 
+/// Where a gateway's metrics stand, as its log told last.
+pub fn metrics_told(log: &str) -> Option<String> {
+    let at = log.rfind("Some(127.")? + "Some(".len();
+    Some(log[at..].split(')').next()?.to_string())
+}
+
 /// The sum of a metric over its labels.
 pub fn sum(page: &str, name: &str) -> f64 {
     let lines = page.lines().filter(|l| l.starts_with(name));
--- a/crates/stage/src/stack.rs
+++ b/crates/stage/src/stack.rs
@@ -317,9 +317,7 @@
     /// Where a front end's metrics stand, as its log tells.
     pub fn metrics_address(&self, front_end: u32) -> Option<String> {
         let path = self.folder.path().join(format!("front-end-{front_end}.log"));
-        let text = std::fs::read_to_string(path).ok()?;
-        let at = text.rfind("Some(127.")? + "Some(".len();
-        Some(text[at..].split(')').next()?.to_string())
+        crate::process::metrics_told(&std::fs::read_to_string(path).ok()?)
     }
 
     /// Waits until every front end consumes.
--- a/crates/standin/tests/split.rs
+++ b/crates/standin/tests/split.rs
@@ -2,7 +2,7 @@
 
 use bytes::BytesMut;
 use proptest::prelude::*;
-use stagehoist_amqp::{basic, queue, short, AMQPClass, BasicProperties, Client, ClientOptions, FieldTable};
+use stagehoist_amqp::{basic, queue, short, AMQPClass, BasicProperties, Client, ClientOptions};
 use stagehoist_standin::broker::{Broker, BrokerOptions};
 
 /// What an ordinary client says while it declares, publishes, consumes and acknowledges, and what it hears.
@@ -23,15 +23,7 @@
     };
     carry(&mut client);
     let channel = client.open_channel().unwrap();
-    let declare = queue::Declare {
-        queue: short("calls"),
-        passive: false,
-        durable: true,
-        exclusive: false,
-        auto_delete: false,
-        nowait: false,
-        arguments: FieldTable::default(),
-    };
+    let declare = queue::Declare { durable: true, ..stagehoist_amqp::declare("calls") };
     client.send(channel, AMQPClass::Queue(queue::AMQPMethod::Declare(declare)));
     for n in 0..5u8 {
         let publish = basic::Publish {
@@ -43,15 +35,7 @@
         let body = vec![n; usize::from(n) * 70_000].into();
         client.publish(channel, publish, &BasicProperties::default(), &body);
     }
-    let consume = basic::Consume {
-        queue: short("calls"),
-        consumer_tag: short("c"),
-        no_local: false,
-        no_ack: false,
-        exclusive: false,
-        nowait: false,
-        arguments: FieldTable::default(),
-    };
+    let consume = stagehoist_amqp::consume("calls", "c");
     client.send(channel, AMQPClass::Basic(basic::AMQPMethod::Consume(consume)));
     carry(&mut client);
     let ack = basic::Ack { delivery_tag: 5, multiple: true };
