Module: calls behind by price are refused by their aim, not kept to their deadline

Floods with five stacks at a time on a small machine gave answers up to 400 ms past the callers' time: calls that the price of work put behind others were held to the end of their time and answered together. They keep the start that their aim requires and are passed then, as others are.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -219,9 +219,9 @@
 impl FrontEnd {
     pub fn new(mut settings: Settings, seed: u64, now: Micros) -> FrontEnd {
         settings.tick = settings.tick.max(1000);
-        let classes = settings.classes.len();
         let shortest_aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
-        let (class_run, class_work) = (vec![None; classes], vec![None; classes]);
+        let (class_run, class_work) =
+            (vec![None; settings.classes.len()], vec![None; settings.classes.len()]);
         let blank = FrontEnd { class_run, class_work, usual_at: now, born: now, ..Default::default() };
         FrontEnd { settings, seed, shortest_aim, ..blank }
     }
@@ -321,8 +321,9 @@
         let Some(p) = self.pending.get_mut(&id) else { return };
         let start = p.aim_at - p.base as Micros;
         // Worth much less for its work than calls refused of late: behind others. Covers a tenant's surge.
-        let late = late || start < now || p.worth < MARGIN * self.price.now(now, self.shortest_aim);
+        let late = late || start < now;
         let (start, kind) = (if late { start - p.aim_at + p.deadline } else { start }, p.kind());
+        let late = late || p.worth < MARGIN * self.price.now(now, self.shortest_aim);
         p.held = Some((late, start));
         self.queue.insert((late, start, id));
         self.held.entry(kind).or_default().insert((late, start, id));
@@ -712,7 +713,8 @@
     /// way: else those about to be late keep back others of their kind until they are late too.
     fn try_place(&mut self, id: RequestId, at: (usize, bool), now: Micros, out: &mut Vec<Action>) -> bool {
         let Some(p) = self.pending.get(&id) else { return false };
-        let (function, aim_at, late) = (p.request.function, p.aim_at, p.held.is_some_and(|h| h.0));
+        let (function, aim_at, base) = (p.request.function, p.aim_at, p.base as Micros);
+        let late = p.held.is_some_and(|h| h.1 > aim_at - base);
         let placed = self.place(id, at, now);
         let short = match &placed {
             Ok(x) => x.warm && x.finish > aim_at,
