--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -5,8 +5,7 @@
 use crate::interface::Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, Moot, Reset, Timeout};
 use crate::interface::*;
 use crate::numbers::{fade, mix, p99, rank};
-use crate::tries::Tries;
-use crate::worth::{Price, Shares};
+use crate::{tries::Tries, worth::Price, worth::Shares};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::{cell::Cell, ops::Bound::Excluded, ops::Bound::Unbounded};
 
