Module: after a miss the next in rank is tried, the last attempt kept for a believed copy

Checked: misses come back in 0.5 ms, nothing waits in the process or on the line. Wrong: `place` let a home that is known to lack a copy use up the demand, and barred every call that had been tried once (`barred = absent || again`), so that each waited a whole load beside a copy.

Change: where a miss only answers, a home known to lack the copy passes its turn to the next in rank, and a call may try until one attempt is left; that one waits for a believed copy. Could harm where misses are dear, which they are not told to be.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -561,7 +561,7 @@
         let (miss, load) = (self.settings.on_miss == OnMiss::Miss, self.load_time(function));
         let class = &self.settings.classes[p.request.class as usize];
         let (unsafe_call, late_worth) = (class.effect == Effect::Unsafe, class.late_worth);
-        let again = !p.attempts.is_empty();
+        let (again, tried) = (!p.attempts.is_empty(), p.attempts.len() as u32);
         let mut found: [[Option<Prediction>; 2]; 2] = Default::default();
         let Some(f) = self.functions.get(&function) else { return Err(now) };
         // Further attempts stay a told share of first ones, so that trouble does not multiply load; a call of
@@ -581,13 +581,13 @@
             if !w.ready || !(well || doubt) || !spare(&w.tries) {
                 continue;
             }
-            let home = need > 0.0;
-            need -= self.home_size(f, w, now);
-            f.homes.set(if home { at + 1 } else { f.homes.get() });
+            let (home, last) = (need > 0.0, again && tried + 1 >= self.settings.max_attempts);
             let absent = known.map_or(w.cold_from.is_some(), |x| x.copies == 0 && x.ready > now);
-            // Where a miss only answers: to a believed copy, at first also to a home. Else a load: one at a
-            // time on a worker, and beyond the homes at the first with room.
-            let barred = miss && (absent || again) || !home && (miss || found[0][1].is_some());
+            need -= if miss && absent { 0.0 } else { self.home_size(f, w, now) };
+            f.homes.set(if home { at + 1 } else { f.homes.get() });
+            // Where a miss only answers: to a believed copy or a home, the next in rank if one lacks it; at
+            // last to a copy. Else a load: one at a time, beyond the homes at the first with room.
+            let barred = miss && (absent || last) || !home && (miss || found[0][1].is_some());
             if !warm && (barred || w.believed.loading_until > now) {
                 continue;
             }
@@ -763,7 +763,7 @@
                 w.flights.len() < slots || w.flights.iter().filter(|a| a.function == kind.0).count() < slots
             }
             None if w.believed.loading_until > now => false,
-            None if self.settings.on_miss == OnMiss::Miss => !kind.2 && home(),
+            None if self.settings.on_miss == OnMiss::Miss => home(),
             None => f.spread.get() || home(),
         }
     }
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -755,7 +755,7 @@
     let mut b = Bench::new("specifics.if_cold=miss\nspecifics.placement_calls=true\n", &[1, 2, 3, 4, 5, 6]);
     let first = sends(&b.step(0, vec![request(1, 0, 9)]));
     let mut out = b.step(5 * MS, vec![ended(1, 0, first[0].1, Outcome::Miss)]);
-    let mut loads = Vec::new();
+    let (mut loads, mut tries) = (Vec::new(), 1);
     for _ in 0..50 {
         loads.extend(out.iter().filter_map(|a| match a {
             Action::Load { worker, function: 9, .. } => Some(*worker),
@@ -764,7 +764,9 @@
         if !loads.is_empty() {
             break;
         }
-        out = b.step(10 * MS, vec![]);
+        tries += sends(&out).len() as u16;
+        let missed = sends(&out).iter().map(|s| ended(1, tries - 1, s.1, Outcome::Miss)).collect();
+        out = b.step(10 * MS, missed);
     }
     assert_eq!(loads, [first[0].1]);
     let (worker, function, took) = (loads[0], 9, 300 * MS);
@@ -870,3 +872,28 @@
         assert!(!refused(&out, 2));
     }
 }
+
+/// Found on sockets: a front end that just started refused calls whose copies stood at workers it had not tried. A miss costs
+/// a way there and back, so the next in rank is tried; the last attempt is kept for a copy that is believed to stand.
+#[test]
+fn after_a_miss_the_next_in_rank_is_tried_and_the_last_attempt_waits_for_a_copy() {
+    let mut b = Bench::new("specifics.if_cold=miss\nspecifics.placement_calls=true\n", &[1, 2, 3, 4]);
+    let (_, first) = sends(&b.step(0, vec![request(1, 0, 9)]))[0];
+    let out = b.step(MS, vec![ended(1, 0, first, Outcome::Miss)]);
+    let [(1, second)] = sends(&out)[..] else { panic!("not tried elsewhere: {out:?}") };
+    assert_ne!(first, second);
+    let out = b.step(MS, vec![ended(1, 1, second, Outcome::Miss)]);
+    assert!(sends(&out).is_empty(), "the last attempt is for a copy");
+    let order = out.iter().find_map(|a| match a {
+        Action::Load { worker, function: 9, .. } => Some(*worker),
+        _ => None,
+    });
+    let worker = order.expect("the copy is ordered");
+    // Another call goes on where the first left off, and what it finds serves both.
+    let [(2, third)] = sends(&b.step(MS, vec![request(2, 0, 9)]))[..] else {
+        panic!("the second call waits")
+    };
+    assert!(![first, second].contains(&third));
+    let loaded = Event::Loaded { worker, function: 9, outcome: Outcome::Ok, took: 300 * MS, copies: 1 };
+    assert_eq!(sends(&b.step(300 * MS, vec![loaded])), [(1, worker)]);
+}
