Whole-path tests of the live front end: stand-in clients, executors, bus, judge; sparse log

Change: standin::platform holds a client, an executor that spoils answers in twelve ways, an event bus that breaks, falls silent, repeats and moves, and a judge of rules 1, 2, 3 and 5 by what they saw on their sockets; crates/cli/tests/platform.rs starts the command between them: spoilt answers for safe and unsafe calls, drains over each trouble of the bus and ten SIGHUPs with a broken file between, an executor ended and replaced, SIGTERM with calls held and still coming, SIGSTOP for 300 ms, fifteen kinds of bad client, 300 silent connections at 64 descriptors, wrong configurations. Codecs: any split of bytes, arbitrary bytes, bounds. A configuration's faults name the field (serde_path_to_error). The log leaves out lines beyond 40 a second and never waits for a pipe. An answer under the number of a request that was not written is passed over rather than ending the connection.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -89,11 +89,17 @@
             return ExitCode::from(2);
         }
     };
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let log = tracing_subscriber::fmt().with_env_filter(filter);
     let log = log.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
-    match cli.log_format {
-        LogFormat::Text => log.init(),
-        LogFormat::Json => log.json().flatten_event(true).with_span_list(false).init(),
+    match (cli.log_format, &cli.command) {
+        (_, Command::Platform) => {
+            let everything = cli.log.contains("debug") || cli.log.contains("trace");
+            log.with_writer(platform::SparseLog::new(everything)).init()
+        }
+        (LogFormat::Text, _) => log.with_writer(std::io::stderr).init(),
+        (LogFormat::Json, _) => {
+            log.with_writer(std::io::stderr).json().flatten_event(true).with_span_list(false).init()
+        }
     }
     match cli.command {
         Command::Demo(args) => demo::demo(&args),
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -17,7 +17,7 @@
     #[error("GW_CONFIG: {path}: {error}")]
     Read { path: String, error: std::io::Error },
     #[error("GW_CONFIG: {0}")]
-    Json(#[from] serde_json::Error),
+    Json(#[from] serde_path_to_error::Error<serde_json::Error>),
     #[error("GW_CONFIG: {field}: {what}")]
     Field { field: &'static str, what: String },
 }
@@ -88,7 +88,7 @@
 
     /// Checks and translates a configuration.
     pub fn parse(text: &str) -> Result<Told, ConfigError> {
-        let file: File = serde_json::from_str(text)?;
+        let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))?;
         let field =
             |field, what: &dyn std::fmt::Display| ConfigError::Field { field, what: what.to_string() };
         let address = |name, text: &str| {
@@ -213,27 +213,11 @@
 }
 
 #[cfg(test)]
-pub(crate) mod tests {
+mod tests {
     use super::*;
     use stagehoist::{Effect, ReportField, ReportVia};
 
-    pub(crate) const TEXT: &str = r#"{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","bus":"127.0.0.1:1",
-        "limits":{"cores":0.5,"memory_mb":64,"sockets":256},
-        "known":{"offset":2,"batch":[
-          {"offset":2,"topology":{"seq":1,"whole":false,"hosts":[{"host":"s-00000002","health":"gone"}]}},
-          {"offset":1,"topology":{"seq":0,"whole":true,"hosts":[
-            {"host":"s-00000001","dial":"127.0.0.1:9","site":"east","class":"std","block":0,"health":"ready","share":4.5,"born_ms":0},
-            {"host":"s-00000002","dial":"127.0.0.1:9","site":"east","class":"std","block":0,"health":"ready","share":4.5,"born_ms":0}]}}]},
-        "settings":{"areas":["west","east"],"machine_types":["std"],"balancers":3,"granularity":1.0,"counted_by":"work",
-          "classes":[{"name":"look","aim":300.0,"hard_limit":2000.0,"effect":"idempotent","gain":1.0,"late_worth":0.1},
-                     {"name":"book","aim":600.0,"hard_limit":2500.0,"effect":"at_most_once","gain":5.0,"late_worth":0.1}],
-          "parties":[{"name":"acme","allowance_per_s":20.0,"share":0.4},{"name":"other corp","allowance_per_s":5.0}],
-          "limits":{"cancel":true,"probes":true,"connect_timeout":250.0,"idle_close":30000.0,"most_tries":3,"multiplex":32,
-                    "most_held":2000,"second_copies":true,"retry_after":false,"max_retry_after":500.0},
-          "load_info":{"fields":["rif","x0"],"via":"on_probe"},
-          "invariants":{"drain_grace":250.0,"fall":1000.0,"overload_factor":2.0,"start_capacity":0.3,"warm_up":9000.0},
-          "specifics":{"if_cold":"miss","idle_life":4000.0,"load_wait":4000.0,"placement_calls":true,"counts_alike":true,
-                       "ram_mb_by_kind":[4096.0],"load_free":6.0,"load_part":0.1,"loads_within":10000.0}}}"#;
+    const TEXT: &str = include_str!("../tests/config.json");
 
     #[test]
     fn a_configuration_says_what_the_simulators_first_message_says() {
--- a/crates/platform/src/line.rs
+++ b/crates/platform/src/line.rs
@@ -284,7 +284,9 @@
         let crowd = count("queue_fn", 1e6)?.unwrap_or(0.0) as u32;
         let copies = count("copies", 1e6)?;
         let stats = fields::get(&fields, "stats").map(|text| stats(text, report)).transpose()?.flatten();
-        let Some((tag, open)) = head.tag.and_then(|tag| Some((tag, self.open.get(&tag)?))) else {
+        // What comes under the number of something of which nothing was written belongs to none that is open.
+        let known = |tag: Tag| self.open.get(&tag).filter(|o| o.begun.is_some()).map(|o| (tag, o));
+        let Some((tag, open)) = head.tag.and_then(known) else {
             return Ok(None);
         };
         let attempt = matches!(open.what, What::Attempt { .. });
@@ -299,10 +301,6 @@
             Word::Down if probe => Outcome::Error,
             _ => return Err(Poison::Line),
         };
-        // An answer to something of which nothing was written is none of it.
-        if open.begun.is_none() {
-            return Err(Poison::Line);
-        }
         let note = Note { copy: 0, crowd };
         let result = AttemptResult { note, report: stats, read: at, ..AttemptResult::bare(outcome) };
         Ok(Some((tag, result, copies.unwrap_or(0.0).min(255.0) as u8)))
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -63,6 +63,7 @@
     let (mut term, mut int, mut hup) =
         (on(SignalKind::terminate())?, on(SignalKind::interrupt())?, on(SignalKind::hangup())?);
     let listener = TcpListener::bind(listen).await.map_err(io(format!("listen on {listen}")))?;
+    let listen = listener.local_addr().map_err(io(format!("listen on {listen}")))?;
     let clock = Clock::new();
     let (news, incoming) = mpsc::channel(driver::LINE);
     let shared = Rc::new(Shared::new(clock, news.clone()));
@@ -191,7 +192,7 @@
             tracing::info!(
                 taken = c.taken, served = c.served, refused = c.refused, failed = c.failed, gone = c.gone,
                 attempts = c.attempts, further = c.further_attempts, loads = c.loads, probes = c.probes, batches,
-                held = core.unanswered(), out = core.out(), ready = core.ready_workers(),
+                held = core.unanswered(), out = core.out(), ready = core.ready_workers(), kept = core.names(),
                 module_us_a_call = spent / 1000 / calls.max(1),
                 clients = self.clients.connections(), links = self.executors.connections(),
                 lost_ms = lost.0 / 1000, longest_ms = lost.1 / 1000,
--- /dev/null
+++ b/crates/standin/src/platform/executor.rs
@@ -0,0 +1,304 @@
+//! An executor: it holds copies, runs requests for a told time, loads on order, and spoils answers on command. All that
+//! crosses its sockets is noted with its time.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, Notify};
+
+/// What becomes of one request's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Noise,
+    Endless,
+    /// A length that does not fit the body.
+    WrongLength,
+    /// Claims 3 GB and goes on sending.
+    Huge,
+    /// Breaks off inside the body.
+    CutOff,
+    /// Stops inside the body and stays open.
+    StopsShort,
+    Never,
+    /// Comes after the caller's time.
+    Late,
+    Twice,
+    /// An answer under an unknown id comes first.
+    UnknownBefore,
+    /// The connection is reset once the request was read; it ran.
+    Reset,
+    /// An error though it ran.
+    Error,
+}
+
+/// What crossed a socket.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum What {
+    Run {
+        id: String,
+        class: String,
+        key: String,
+        body: Vec<u8>,
+    },
+    /// How it ended here: the word of its answer, or how it was spoilt.
+    Answered {
+        id: String,
+        word: String,
+    },
+    Stop {
+        id: String,
+    },
+    Hold {
+        key: String,
+        copies: u32,
+    },
+    Free {
+        key: String,
+    },
+    Probe,
+}
+
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub at: Instant,
+    pub what: What,
+}
+
+#[derive(Default)]
+struct State {
+    seen: Vec<Seen>,
+    copies: BTreeSet<String>,
+    faults: VecDeque<Fault>,
+    running: BTreeMap<(u64, String), Arc<Notify>>,
+    connections: usize,
+}
+
+/// One executor.
+pub struct Executor {
+    pub id: u32,
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Executor {
+    /// Starts one that runs requests for `run` and loads for `load`; must be called inside a runtime.
+    pub async fn start(id: u32, run: Duration, load: Duration) -> std::io::Result<Executor> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = state.clone();
+        let task = tokio::spawn(async move {
+            let mut tasks = tokio::task::JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                let n = {
+                    let mut s = shared.lock().unwrap();
+                    s.connections += 1;
+                    s.connections as u64
+                };
+                tasks.spawn(serve(stream, n, shared.clone(), run, load));
+            }
+        });
+        Ok(Executor { id, address, state, task })
+    }
+
+    /// Copies that stand.
+    pub fn holds(&self, keys: &[&str]) {
+        self.state.lock().unwrap().copies.extend(keys.iter().map(|k| k.to_string()));
+    }
+
+    /// The next requests' answers are spoilt so.
+    pub fn spoil(&self, faults: impl IntoIterator<Item = Fault>) {
+        self.state.lock().unwrap().faults.extend(faults);
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        self.state.lock().unwrap().seen.clone()
+    }
+
+    pub fn connections(&self) -> usize {
+        self.state.lock().unwrap().connections
+    }
+
+    /// The process ends: its connections are reset, new ones refused.
+    pub fn end(&self) {
+        self.task.abort();
+    }
+}
+
+impl Drop for Executor {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn note(state: &Mutex<State>, what: What) {
+    state.lock().unwrap().seen.push(Seen { at: Instant::now(), what });
+}
+
+fn field(list: &str, name: &str) -> String {
+    let found = list.split(',').find_map(|f| f.strip_prefix(name)?.strip_prefix('='));
+    found.unwrap_or_default().to_string()
+}
+
+async fn serve(stream: TcpStream, conn: u64, state: Arc<Mutex<State>>, run: Duration, load: Duration) {
+    let _ = stream.set_nodelay(true);
+    let (read, mut write) = stream.into_split();
+    let (to_write, mut lines) = mpsc::channel::<Vec<u8>>(1024);
+    let ended = Arc::new(Notify::new());
+    let writer_ended = ended.clone();
+    let writer = tokio::spawn(async move {
+        while let Some(bytes) = lines.recv().await {
+            // Nothing to write means: break off.
+            if bytes.is_empty() || write.write_all(&bytes).await.is_err() {
+                writer_ended.notify_one();
+                return;
+            }
+        }
+    });
+    let mut read = BufReader::new(read);
+    let mut tasks = tokio::task::JoinSet::new();
+    loop {
+        let mut line = String::new();
+        let got = tokio::select! {
+            got = read.read_line(&mut line) => got,
+            () = ended.notified() => break,
+        };
+        if !matches!(got, Ok(n) if n > 0) {
+            break;
+        }
+        let words: Vec<&str> = line.trim_end_matches(['\r', '\n']).split(' ').collect();
+        match words[..] {
+            ["RUN", id, fields, length] => {
+                let Ok(length) = length.parse::<usize>() else { break };
+                let mut body = vec![0; length + 2];
+                if read.read_exact(&mut body).await.is_err() {
+                    break;
+                }
+                body.truncate(length);
+                let (key, class) = (field(fields, "key"), field(fields, "class"));
+                let what = What::Run { id: id.into(), class, key: key.clone(), body: body.clone() };
+                note(&state, what);
+                let stop = Arc::new(Notify::new());
+                let (holds, fault) = {
+                    let mut s = state.lock().unwrap();
+                    let holds = s.copies.contains(&key);
+                    s.running.insert((conn, id.into()), stop.clone());
+                    (holds, if holds { s.faults.pop_front() } else { None })
+                };
+                let (state, to_write, id) = (state.clone(), to_write.clone(), id.to_string());
+                tasks.spawn(async move {
+                    let word = if !holds {
+                        "MISS"
+                    } else if fault == Some(Fault::Error) {
+                        "ERR"
+                    } else {
+                        "OK"
+                    };
+                    if holds {
+                        tokio::select! {
+                            () = tokio::time::sleep(run) => {}
+                            () = stop.notified() => return,
+                        }
+                    }
+                    let body = if word == "OK" { body } else { Vec::new() };
+                    answer(&id, word, &body, fault, &state, &to_write).await;
+                    state.lock().unwrap().running.remove(&(conn, id));
+                });
+            }
+            ["STOP", id] => {
+                note(&state, What::Stop { id: id.into() });
+                if let Some(stop) = state.lock().unwrap().running.remove(&(conn, id.to_string())) {
+                    stop.notify_one();
+                }
+            }
+            ["NOOP" | "INFO", tag] => {
+                note(&state, What::Probe);
+                let out = state.lock().unwrap().running.len();
+                let _ = to_write
+                    .send(format!("{tag} UP stats=inflight:{out};x0:0.1 0\r\n\r\n").into_bytes())
+                    .await;
+            }
+            ["HOLD", tag, fields] => {
+                let (key, copies) = (field(fields, "key"), field(fields, "copies").parse().unwrap_or(0));
+                note(&state, What::Hold { key: key.clone(), copies });
+                let (state, to_write, tag) = (state.clone(), to_write.clone(), tag.to_string());
+                tokio::spawn(async move {
+                    if copies > 0 {
+                        tokio::time::sleep(load).await;
+                        state.lock().unwrap().copies.insert(key.clone());
+                    }
+                    let stand = u32::from(state.lock().unwrap().copies.contains(&key));
+                    let _ = to_write.send(format!("{tag} OK copies={stand} 0\r\n\r\n").into_bytes()).await;
+                });
+            }
+            ["FREE", key] => {
+                note(&state, What::Free { key: key.into() });
+                state.lock().unwrap().copies.remove(key);
+            }
+            _ => break,
+        }
+    }
+    drop(tasks);
+    writer.abort();
+}
+
+async fn answer(
+    id: &str,
+    word: &str,
+    body: &[u8],
+    fault: Option<Fault>,
+    state: &Mutex<State>,
+    to_write: &mpsc::Sender<Vec<u8>>,
+) {
+    let mut whole = format!("{id} {word} queue_fn=1 {}\r\n", body.len()).into_bytes();
+    whole.extend_from_slice(body);
+    whole.extend_from_slice(b"\r\n");
+    let told = fault.map_or(word.to_string(), |f| format!("{f:?}"));
+    note(state, What::Answered { id: id.into(), word: told });
+    let send = |bytes: Vec<u8>| async { drop(to_write.send(bytes).await) };
+    match fault {
+        None | Some(Fault::Error) => send(whole).await,
+        Some(Fault::Noise) => send(vec![0x00, 0xff, 0x13, b'\n', 0x80]).await,
+        Some(Fault::Endless) => {
+            for _ in 0..64 {
+                send(vec![b'x'; 1024]).await;
+            }
+        }
+        Some(Fault::WrongLength) => {
+            let mut bytes = format!("{id} OK - {}\r\n", body.len() + 3).into_bytes();
+            bytes.extend_from_slice(body);
+            bytes.extend_from_slice(b"\r\nffffffffffffffff OK - 0\r\n\r\n");
+            send(bytes).await;
+        }
+        Some(Fault::Huge) => {
+            send(format!("{id} OK - 3000000000\r\n").into_bytes()).await;
+            for _ in 0..64 {
+                send(vec![b'y'; 16 << 10]).await;
+            }
+        }
+        Some(Fault::CutOff) => {
+            send(whole[..whole.len() - 4].to_vec()).await;
+            send(Vec::new()).await;
+        }
+        Some(Fault::StopsShort) => send(whole[..whole.len() - 4].to_vec()).await,
+        Some(Fault::Never) => {}
+        Some(Fault::Late) => {
+            tokio::time::sleep(Duration::from_secs(3)).await;
+            send(whole).await;
+        }
+        Some(Fault::Twice) => {
+            send(whole.clone()).await;
+            send(whole).await;
+        }
+        Some(Fault::UnknownBefore) => {
+            let mut bytes = b"00000000deadbeef OK - 5\r\nother\r\n".to_vec();
+            bytes.extend_from_slice(&whole);
+            send(bytes).await;
+        }
+        Some(Fault::Reset) => send(Vec::new()).await,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,13 @@
+//! Stand-ins for a platform's own parties, written from its protocol and sharing no code with the front end they meet:
+//! clients over RESP, executors over lines, the event bus, and a judge of the five rules by what the executors and
+//! clients saw on their sockets.
+
+pub mod bus;
+pub mod client;
+pub mod executor;
+pub mod judge;
+
+pub use bus::EventBus;
+pub use client::{Answered, Client};
+pub use executor::{Executor, Fault, Seen, What};
+pub use judge::{judge, Asked, Told};
