--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -36,6 +36,12 @@
     /// Whether callers are being served.
     fn is_serving(&mut self) -> bool;
 
+    /// Whether sockets are read before attempts are cut when this process did not run for a while: only where what is read
+    /// carries its age, which a link that dates messages by its queue does not give.
+    fn reads_first(&self) -> bool {
+        false
+    }
+
     /// Returns when [`Ways::is_drained`] may have changed; may wait for ever, as it is looked at in each turn too.
     fn changed(&mut self) -> impl Future<Output = ()>;
 }
@@ -62,7 +68,6 @@
     let mut batch: Vec<News> = Vec::new();
     let mut commands: Vec<Command> = Vec::new();
     let mut housekeeping = tokio::time::interval(Duration::from_millis(250));
-    housekeeping.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut drain_by: Option<Micros> = None;
     let mut alarm = Alarm::new(clock);
     loop {
@@ -84,7 +89,7 @@
                 turn = true;
             }
             () = alarm.rings(), if due.is_some() => {
-                if due.is_some_and(|d| d > 0 && clock.now() - d > OVERSLEPT) {
+                if ways.reads_first() && due.is_some_and(|d| d > 0 && clock.now() - d > OVERSLEPT) {
                     // Yielding lets the sockets be read: answers that came meanwhile are no time-outs.
                     tokio::task::yield_now().await;
                     gather(&mut incoming, &mut batch);
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -189,10 +189,11 @@
             let (calls, spent) = (c.taken - self.seen.0, c.module_ns - self.seen.1);
             self.seen = (c.taken, c.module_ns);
             let lost = self.shared.pulse.borrow().lost;
+            let on_lines: usize = self.executors.in_flight().iter().map(|e| e.1).sum();
             tracing::info!(
                 taken = c.taken, served = c.served, refused = c.refused, failed = c.failed, gone = c.gone,
                 attempts = c.attempts, further = c.further_attempts, loads = c.loads, probes = c.probes, batches,
-                held = core.unanswered(), out = core.out(), ready = core.ready_workers(), kept = core.names(),
+                held = core.unanswered(), out = core.out(), on_lines, ready = core.ready_workers(), kept = core.names(),
                 module_us_a_call = spent / 1000 / calls.max(1),
                 clients = self.clients.connections(), links = self.executors.connections(),
                 lost_ms = lost.0 / 1000, longest_ms = lost.1 / 1000,
@@ -220,6 +221,10 @@
         self.clients.unfinished() == (0, 0)
     }
 
+    fn reads_first(&self) -> bool {
+        true
+    }
+
     fn is_serving(&mut self) -> bool {
         self.clients.is_serving()
     }
