One way to stop an attempt, one look-up of a message's function, dead code out

Reading the change again: `Core` ended an attempt in two places that did the same (a cancel by the module, a caller that left); AMQP's front looked a message's function up in the configuration twice; the platform's line decoder matched on a bool, an ignored argument went with `unreadable`, a time-out was bounded twice, the log counted in-flight attempts twice, `Members::len` served no one, and the whole-path tests wrote one loop three times. Behaviour and assertions are as before.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -111,6 +111,14 @@
         self.asked.push(Asked { at, id, tag, allow, is_unsafe, body, left });
     }
 
+    /// Writes calls of these numbers, one after each pause.
+    async fn calls(&mut self, client: &mut Client, numbers: std::ops::RangeInclusive<u64>, pause: Duration) {
+        for n in numbers {
+            self.call(client, n).await;
+            tokio::time::sleep(pause).await;
+        }
+    }
+
     fn signal(&self, signal: Signal) {
         kill_process(Pid::from_raw(self.child.id() as i32).unwrap(), signal).unwrap();
     }
@@ -166,10 +174,7 @@
 async fn calls_are_served_whole_and_in_any_order_and_misses_are_loaded() {
     let mut stage = Stage::start(3, 256).await;
     let mut client = stage.client().await;
-    for n in 1..=30 {
-        stage.call(&mut client, n).await;
-        tokio::time::sleep(ms(10)).await;
-    }
+    stage.calls(&mut client, 1..=30, ms(10)).await;
     let answers = client.wait(30, ms(4000)).await;
     assert_eq!(served(&answers), 30);
     // A function that no one holds is loaded by order.
@@ -275,11 +280,8 @@
             tokio::time::sleep(ms(20)).await;
         }
         let before = stage.runs(step);
-        for _ in 0..20 {
-            n += 1;
-            stage.call(&mut client, n).await;
-            tokio::time::sleep(ms(10)).await;
-        }
+        stage.calls(&mut client, n + 1..=n + 20, ms(10)).await;
+        n += 20;
         assert_eq!(stage.runs(step), before, "step {step}: sent to a drained executor");
     }
     let answers = client.wait(n as usize, ms(4000)).await;
@@ -414,10 +416,7 @@
             assert!(answers.iter().all(|a| a.word != "200"), "{name} was served");
         });
     }
-    for n in 1..=60 {
-        stage.call(&mut usual, n).await;
-        tokio::time::sleep(ms(20)).await;
-    }
+    stage.calls(&mut usual, 1..=60, ms(20)).await;
     while let Some(done) = tasks.join_next().await {
         done.unwrap();
     }
--- a/crates/gateway/src/amqp/front.rs
+++ b/crates/gateway/src/amqp/front.rs
@@ -506,7 +506,8 @@
         };
         let routing_key = deliver.routing_key.as_str();
         let asked = self.reader.read(properties, routing_key, message.size, waited);
-        let effect = asked.as_ref().map_or(Effect::Safe, |a| self.effect(&a.function));
+        let known = asked.as_ref().ok().and_then(|a| CallFigures::configured(&self.config, &a.function));
+        let effect = known.map_or(Effect::Safe, |k| self.config.classes[usize::from(k.0.class)].effect);
         let verdict = match &asked {
             // Too late is a matter of this delivery; what is known of the message still counts.
             Ok(_) | Err(Unusable::TooLate) => {
@@ -562,7 +563,6 @@
                             }
                         }
                         let content_type = properties.content_type().as_ref().map(|c| c.as_str().to_string());
-                        let known = CallFigures::configured(&self.config, &asked.function);
                         self.arrivals.push(Arrival {
                             ticket,
                             function: asked.function,
@@ -581,11 +581,6 @@
         }
     }
 
-    fn effect(&self, function: &str) -> Effect {
-        let class = self.config.function(function).and_then(|f| self.config.class_index(&f.class));
-        class.map_or(Effect::Safe, |class| self.config.classes[class].effect)
-    }
-
     /// A call has its final answer.
     pub fn answer(&mut self, ticket: Ticket, answer: Answer, now: Micros) {
         let Some(delivery) = self.deliveries.get_mut(&ticket) else { return };
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -302,19 +302,19 @@
         }
     }
 
+    /// Stops one attempt, if it is out; its end is told as cancelled.
+    fn stop(&mut self, now: Micros, request: RequestId, attempt: u16, out: &mut Vec<Command>) {
+        let call = self.calls.get(&request);
+        if call.is_some_and(|c| c.attempts.get(attempt as usize).is_some_and(Option::is_some)) {
+            out.push(Command::Abort { request, attempt });
+            self.end_attempt(now, request, attempt, AttemptResult::bare(Outcome::Cancelled), out);
+        }
+    }
+
     /// Stops the attempts of a call whose caller left: no one waits for them.
     fn stop_all(&mut self, now: Micros, request: RequestId, out: &mut Vec<Command>) {
         let many = self.calls.get(&request).map_or(0, |c| c.attempts.len());
-        for attempt in 0..many as u16 {
-            let flies = self
-                .calls
-                .get(&request)
-                .is_some_and(|c| c.attempts.get(attempt as usize).is_some_and(Option::is_some));
-            if flies {
-                out.push(Command::Abort { request, attempt });
-                self.end_attempt(now, request, attempt, AttemptResult::bare(Outcome::Cancelled), out);
-            }
-        }
+        (0..many as u16).for_each(|attempt| self.stop(now, request, attempt, out));
     }
 
     fn end_attempt(
@@ -400,16 +400,7 @@
                 let reason = self.reason(request, now);
                 self.answer(request, Answer::Failed { reason }, now, out);
             }
-            Action::Cancel { request, attempt } => {
-                let out_there = self
-                    .calls
-                    .get(&request)
-                    .is_some_and(|c| c.attempts.get(attempt as usize).is_some_and(Option::is_some));
-                if out_there {
-                    out.push(Command::Abort { request, attempt });
-                    self.end_attempt(now, request, attempt, AttemptResult::bare(Outcome::Cancelled), out);
-                }
-            }
+            Action::Cancel { request, attempt } => self.stop(now, request, attempt, out),
             Action::Timer { after, token } => {
                 self.timers.insert((now + after.max(1), token));
             }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -237,15 +237,6 @@
         Update { form, rows }
     }
 
-    /// Workers kept, the gone of late too.
-    pub fn len(&self) -> usize {
-        self.known.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.known.is_empty()
-    }
-
     /// A worker said in an answer whether it drains. Gives what the module must be told, if that is news.
     pub fn announced(&mut self, worker: WorkerId, draining: bool, now: Micros) -> Option<Update> {
         let known = self.known.get_mut(&worker)?;
--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -383,7 +383,7 @@
     }
 
     async fn talk(self: Rc<Self>, link: Rc<Link>, address: Rc<str>) {
-        let limit = Duration::from_micros(self.limits.connect_timeout.max(10_000) as u64);
+        let limit = Duration::from_micros(self.limits.connect_timeout as u64);
         let connecting = tokio::time::timeout(limit, TcpStream::connect(&*address));
         tokio::pin!(connecting);
         let stream = loop {
--- a/crates/platform/src/line.rs
+++ b/crates/platform/src/line.rs
@@ -227,16 +227,17 @@
         self.buffer.extend_from_slice(bytes);
         loop {
             let Some(end) = self.buffer.iter().take(LINE_MOST).position(|&b| b == b'\n') else {
-                return match self.buffer.len() >= LINE_MOST || self.buffer.iter().any(|b| !is_plain(*b)) {
-                    true if self.buffer.len() >= LINE_MOST => Err(Poison::Endless),
-                    true => Err(Poison::Line),
-                    false => {
-                        if self.buffer.is_empty() {
-                            self.buffer = BytesMut::new();
-                        }
-                        Ok(())
-                    }
-                };
+                if self.buffer.len() >= LINE_MOST {
+                    return Err(Poison::Endless);
+                }
+                if !self.buffer.iter().all(|b| is_plain(*b)) {
+                    return Err(Poison::Line);
+                }
+                if self.buffer.is_empty() {
+                    // Idle connections hold nothing.
+                    self.buffer = BytesMut::new();
+                }
+                return Ok(());
             };
             let line = &self.buffer[..end];
             let Some(line) = line.strip_suffix(b"\r") else { return Err(Poison::Line) };
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -40,6 +40,11 @@
     Io { what: String, error: std::io::Error },
 }
 
+/// Names what failed.
+fn io(what: String) -> impl FnOnce(std::io::Error) -> RunError {
+    move |error| RunError::Io { what, error }
+}
+
 /// Runs until SIGTERM or SIGINT and all that was taken is answered.
 pub fn run() -> Result<(), RunError> {
     let told = Told::read()?;
@@ -47,18 +52,13 @@
         Ok(text) => text.parse().map_err(|_| RunError::Listen(text))?,
         Err(_) => told.listen,
     };
-    let io = |what: &str| {
-        let what = what.to_string();
-        move |error| RunError::Io { what, error }
-    };
     let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(io("runtime"))?;
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(io("runtime".into()))?;
     let local = LocalSet::new();
     local.block_on(&runtime, serve(told, listen))
 }
 
 async fn serve(told: Told, listen: SocketAddr) -> Result<(), RunError> {
-    let io = |what: String| move |error| RunError::Io { what, error };
     let on = |kind: SignalKind| signal(kind).map_err(io("signals".into()));
     let (mut term, mut int, mut hup) =
         (on(SignalKind::terminate())?, on(SignalKind::interrupt())?, on(SignalKind::hangup())?);
@@ -189,7 +189,8 @@
             let (calls, spent) = (c.taken - self.seen.0, c.module_ns - self.seen.1);
             self.seen = (c.taken, c.module_ns);
             let lost = self.shared.pulse.borrow().lost;
-            let on_lines: usize = self.executors.in_flight().iter().map(|e| e.1).sum();
+            let in_flight = self.executors.in_flight();
+            let on_lines: usize = in_flight.iter().map(|e| e.1).sum();
             tracing::info!(
                 taken = c.taken, served = c.served, refused = c.refused, failed = c.failed, gone = c.gone,
                 attempts = c.attempts, further = c.further_attempts, loads = c.loads, probes = c.probes, batches,
@@ -200,7 +201,7 @@
                 client = ?self.clients.counters.get(), executor = ?self.executors.counters.get(),
                 "state"
             );
-            tracing::debug!(in_flight = ?self.executors.in_flight(), "executors");
+            tracing::debug!(?in_flight, "executors");
         }
     }
 
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -3,7 +3,7 @@
 use crate::bounds::Seen;
 use crate::config::{Class, Told};
 use crate::fields;
-use crate::resp::{decimal, encode, Decoder, RespError};
+use crate::resp::{decimal, encode, Decoder};
 use bytes::{Bytes, BytesMut};
 use stagehoist::Micros;
 use stagehoist_gateway::state::{Answer, CallFigures, Ticket};
@@ -137,12 +137,12 @@
                     self.partial_since = partial.then(|| self.partial_since.unwrap_or(now));
                     return;
                 }
-                Err(error) => return self.unreadable(error, said),
+                Err(_) => return self.unreadable(said),
             }
         }
     }
 
-    fn unreadable(&mut self, _: RespError, said: &mut Vec<Said>) {
+    fn unreadable(&mut self, said: &mut Vec<Said>) {
         self.error(b"0");
         self.close(said);
     }
@@ -172,7 +172,7 @@
         let known = matches!(word(0), b"REQ" | b"ABORT" | b"HEALTH");
         let Some(number) = number.filter(|_| known) else {
             // Without a verb and a number nothing can be said of this request alone.
-            return self.unreadable(RespError::Form, said);
+            return self.unreadable(said);
         };
         match word(0) {
             b"HEALTH" => {
