Ration of loads holds whenever orders arrive and counts only callers that were served

At fault: `self.arrivals.push_back(now)` in `take_request` counted every request, and `ration` took that count; it also compared at the time of decision alone, so an order that arrives late could meet a window in which fewer calls lie.

Change: `ration.rs` keeps orders as out until they are answered or known never to arrive, and allows one more only if it fits now and in every window in which it can still arrive, by the told `order_delay`. A call counts when its client is known, that is was served before, else when it is served itself. The driver tells when a call was read. Orders expire after one order time-out, and a connection on which nothing came since is reset with what lies in its buffer, so that the bound on the delay is true at the socket. In the simulator, where no order is late, as before.

Tests: `core/tests/ration.rs` draws settings, delays, losses, refusals and withdrawn floods on 60 seeds against a count of its own, with two doctored cases; two tests of codecs; units of ration.

--- a/crates/config/src/build.rs
+++ b/crates/config/src/build.rs
@@ -207,6 +207,7 @@
             keep: self.idle_keep,
             on_miss: self.on_miss,
             order_timeout: self.load_timeout,
+            order_delay: self.load_timeout,
             load_window,
             load_free,
             load_share,
--- a/crates/core/benches/held.rs
+++ b/crates/core/benches/held.rs
@@ -120,6 +120,8 @@
             lanes: 4.0,
             load: 500 * MS,
             repeat: false,
+            came: 0,
+            known: true,
         })
     }
 
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -102,6 +102,8 @@
     pub keep: Micros,
     pub on_miss: OnMiss,
     pub order_timeout: Micros,
+    /// An order to load may arrive so much later than it was given; 0: it counts when it is given.
+    pub order_delay: Micros,
     pub load_window: Micros,
     pub load_free: f64,
     pub load_share: f64,
@@ -158,6 +160,10 @@
     /// Usual time of a load; 0 where not told.
     pub load: Micros,
     pub repeat: bool,
+    /// When it was taken; 0: with this batch.
+    pub came: Micros,
+    /// Something speaks for its caller: a worker served an earlier call of the same connection, or callers need none.
+    pub known: bool,
 }
 
 /// How an attempt, a probe or an order ended.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub mod interface;
 mod numbers;
+mod ration;
 pub mod rules;
 mod state;
 mod tries;
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -6,7 +6,7 @@
 use crate::interface::*;
 use crate::numbers::{blend, fade, mix, p99, rank};
 use crate::state::{Attempt, Beliefs, Prediction, Run, Warm};
-use crate::{tries::Tries, worth::Price, worth::Shares};
+use crate::{ration::Ration, tries::Tries, worth::Price, worth::Shares};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::{cell::Cell, ops::Bound::Excluded, ops::Bound::Unbounded};
 
@@ -124,7 +124,8 @@
     usual_at: Micros,
     served: f64,
     arrivals: VecDeque<Micros>,
-    orders: VecDeque<Micros>,
+    /// Orders to load and the calls that count for their ration.
+    ration: Ration,
     timer_at: Option<Micros>,
     /// Seen load time over the usual, of late, at the store that all workers share.
     load_pace: Option<f64>,
@@ -268,7 +269,10 @@
         let aim_at = (now + class.aim + stretch as Micros).min(deadline);
         let base = self.base_run(r);
         let worth = self.shares.worth(&self.settings, r, base, now);
-        let (request, attempts) = (r.clone(), Vec::new());
+        let came = if r.came > 0 { r.came.min(now) } else { now } - self.settings.tick;
+        let (request, attempts) = (Request { came, ..r.clone() }, Vec::new());
+        // Rule 5: of one whose caller nothing speaks for it is not known whether it counts.
+        r.known.then(|| self.ration.took(came));
         let p = Pending { request, base, worth, deadline, aim_at, attempts, held: None };
         self.functions.entry(r.function).and_modify(|f| f.demand += base);
         let over = 2 * self.settings.keep.max(1);
@@ -325,10 +329,13 @@
             self.served += if counts { self.weight(class) } else { 0.0 };
             self.learn(i, now, e, &attempt, out);
         }
+        let Some(p) = self.pending.get_mut(&e.request) else { return };
+        if e.outcome == Outcome::Ok && !std::mem::replace(&mut p.request.known, true) {
+            self.ration.took(p.request.came);
+        }
         if e.concluded {
             return self.forget(e.request);
         }
-        let Some(p) = self.pending.get_mut(&e.request) else { return };
         if let Some(slot) = p.attempts.get_mut(e.attempt as usize) {
             let never = matches!(e.outcome, Full | ConnectFailed | Moot | Miss);
             slot.2 = if never { Run::Never } else { Run::Perhaps };
@@ -433,6 +440,7 @@
     fn take_loaded(&mut self, now: Micros, at: (WorkerId, FunctionId), got: (Outcome, Micros, u8)) {
         let ((worker, function), (outcome, took, copies)) = (at, got);
         let keep = self.settings.keep;
+        self.ration.ended(at, outcome == ConnectFailed, now);
         let Some(&i) = self.index.get(&worker) else { return };
         let b = &mut self.workers[i].believed;
         b.loads.remove(&function);
@@ -747,11 +755,9 @@
         let due: Vec<RequestId> = self.deadlines.iter().take_while(|d| d.0 <= now).map(|d| d.1).collect();
         due.into_iter().for_each(|id| self.settle(id, out));
         let s = &self.settings;
-        let (load_window, seen_window) = (s.load_window.max(1), s.load_window.max(s.keep).max(1));
-        // Both are in order of time: what is over lies in front.
-        while self.orders.front().is_some_and(|&t| t <= now - load_window) {
-            self.orders.pop_front();
-        }
+        let seen_window = s.load_window.max(s.keep).max(1);
+        self.ration.forget(now, s);
+        // In order of time: what is over lies in front.
         while self.arrivals.front().is_some_and(|&t| t <= now - seen_window) {
             self.arrivals.pop_front();
         }
@@ -814,7 +820,9 @@
 
     /// The top functions by the design's priority, where above nought, get one more instance each.
     fn order_loads(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let able = || self.ration(now) && self.workers.iter().any(|w| self.takes_load(w, now));
+        let able = || {
+            self.ration.allows(now, &self.settings) && self.workers.iter().any(|w| self.takes_load(w, now))
+        };
         if self.wanted.is_empty() || !able() {
             return;
         }
@@ -826,7 +834,10 @@
                 self.wanted.remove(&function);
                 continue;
             };
-            let cold = |w: &Worker| w.believed.warm.get(&function).is_none_or(|x| x.until <= now);
+            let cold = |w: &Worker| {
+                let stands = w.believed.warm.get(&function).is_some_and(|x| x.until > now);
+                !stands && !self.ration.is_out((w.row.worker, function))
+            };
             let may = |i: &usize| cold(&self.workers[*i]) && self.takes_load(&self.workers[*i], now);
             let found = (0..self.workers.len()).filter(may).map(|i| self.predict(i, p, load, -1.0, now));
             if let Some(x) = found.min_by(|a, b| a.cost.total_cmp(&b.cost)) {
@@ -992,18 +1003,10 @@
         w.flights.push(Attempt { request: id, number, function, sent: now, predicted: x, noticed: false });
     }
 
-    /// Rule 5: whether one more order to load is inside the ration.
-    fn ration(&self, now: Micros) -> bool {
-        let s = &self.settings;
-        let taken = self.arrivals.len() - self.arrivals.partition_point(|t| *t <= now - s.load_window);
-        let ration = (s.load_free + s.load_share * taken as f64 - 1.0).max(1.0_f64.min(s.load_free));
-        s.load_window <= 0 || self.orders.len() as f64 + 1.0 <= ration
-    }
-
     /// Orders a load: to ready workers only (rule 3), one at a time on each, inside the ration (rule 5).
     fn load(&mut self, i: usize, function: FunctionId, now: Micros, out: &mut Vec<Action>) {
         let (s, w) = (&self.settings, &self.workers[i]);
-        if !s.may_order || !w.ready || !w.believed.loads.is_empty() || !self.ration(now) {
+        if !s.may_order || !w.ready || !w.believed.loads.is_empty() || !self.ration.allows(now, s) {
             return;
         }
         let memory = s.memory_mb.get(w.row.kind as usize).copied().unwrap_or(f64::INFINITY);
@@ -1017,8 +1020,9 @@
             }
         }
         self.workers[i].believed.loads.insert(function, now);
-        self.orders.push_back(now);
-        out.push(Action::Load { worker: self.workers[i].row.worker, function, copies: 1 });
+        let worker = self.workers[i].row.worker;
+        self.ration.gave((worker, function), now, &self.settings);
+        out.push(Action::Load { worker, function, copies: 1 });
     }
 
     /// Time in which what is held here will have drained, at the pace at which calls are served.
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -172,6 +172,8 @@
                 lanes: f32_at(b, 41),
                 load: micros(f32_at(b, 45)),
                 repeat: b[49] & 2 != 0,
+                came: 0,
+                known: true,
             }),
             40 => Event::Began { request: u32_at(b, 3), attempt: u16_at(b, 7) },
             50 => {
@@ -411,6 +413,7 @@
         keep: span("specifics.idle_life", 0.0)?,
         on_miss: if get("specifics.if_cold") == Some("miss") { OnMiss::Miss } else { OnMiss::Load },
         order_timeout: span("specifics.load_wait", 0.0)?,
+        order_delay: 0,
         load_window: span("specifics.loads_within", 0.0)?,
         load_free: number("specifics.load_free", 0.0)?,
         load_share: number("specifics.load_part", 0.0)?,
--- /dev/null
+++ b/crates/core/tests/ration.rs
@@ -0,0 +1,221 @@
+//! Rule 5 where it counts: orders to load arrive late by any time up to their time-out, and the count is made when they
+//! arrive, apart from the module. Settings, calls, callers nothing speaks for, drains and outcomes are drawn.
+
+use stagehoist::*;
+use std::rc::Rc;
+
+const MS: Micros = 1000;
+const STEP: Micros = 5 * MS;
+
+struct Draw(u64);
+
+impl Draw {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % n.max(1)
+    }
+    fn one_of<T: Copy>(&mut self, list: &[T]) -> T {
+        list[self.below(list.len() as u64) as usize]
+    }
+}
+
+struct Order {
+    worker: WorkerId,
+    function: FunctionId,
+    given: Micros,
+    /// None: it never arrives.
+    arrives: Option<Micros>,
+    told: Micros,
+    outcome: Outcome,
+    judged: bool,
+}
+
+/// What a day showed: orders given, arrivals, the most that one arrival used of its ration.
+#[derive(Default, Debug)]
+struct Seen {
+    given: usize,
+    arrived: usize,
+    most: f64,
+    after_drain: usize,
+}
+
+/// Plays a day; `doctor` changes what the module is told, `vouched` tells it that every caller counts: what the judge must
+/// find.
+fn play(seed: u64, vouched: bool, doctor: impl Fn(&mut Settings)) -> Seen {
+    let mut r = Draw(seed);
+    let text = format!(
+        "balancers={}\nclasses.count=1\nclasses.0.aim=800\nclasses.0.effect=idempotent\nlimits.most_tries=3\n\
+         limits.connect_timeout=250\nspecifics.idle_life=9000\nspecifics.if_cold={}\nspecifics.load_wait={}\n\
+         specifics.placement_calls=true\nspecifics.loads_within={}\nspecifics.load_free={}\nspecifics.load_part={}\n\
+         specifics.ram_mb_by_kind=4000\ngranularity=2\ninvariants.drain_grace=250\n",
+        r.one_of(&[1, 40, 350]),
+        r.one_of(&["miss", "load"]),
+        r.one_of(&[1000, 4000, 10000]),
+        r.one_of(&[2000, 5000, 10000]),
+        r.one_of(&["1", "2.5", "6"]),
+        r.one_of(&["0", "0.1", "0.3"]),
+    );
+    let told = wire::parse_settings(&text).unwrap();
+    let told = Settings { order_delay: told.order_timeout, ..told };
+    let mut s = told.clone();
+    doctor(&mut s);
+    let (mut now, mut id) = (1_000_000 * MS, 0);
+    let mut front_end = FrontEnd::new(s, seed, now);
+    let workers = 4 + r.below(40) as WorkerId;
+    let row = |worker, lifecycle| RosterRow { worker, lifecycle, capacity: 4.0, ..Default::default() };
+    let rows: Vec<_> = (0..workers).map(|w| row(w, Lifecycle::Ready)).collect();
+    let mut events = vec![Event::Roster { form: RosterForm::Full, rows: Rc::from(rows) }];
+    let (mut orders, mut taken, mut arrived): (Vec<Order>, Vec<Micros>, Vec<Micros>) = Default::default();
+    let mut answers: Vec<(Micros, Event)> = Vec::new();
+    let mut ready = vec![true; workers as usize];
+    let mut withdrawn: Vec<RequestId> = Vec::new();
+    let mut seen = Seen::default();
+    // Links are cut for a while, and what waits behind them comes at once.
+    let (mut cut_until, mut rate) = (0, 2);
+    for step in 0..5000 {
+        if step % 300 == 0 {
+            rate = r.one_of(&[0, 1, 5, 30]);
+            cut_until = now + r.one_of(&[0, 0, 1, 4]) * 1000 * MS;
+        }
+        // A usual caller's call; or hundreds at once of one that nothing speaks for, withdrawn at once.
+        let crowd = r.below(150) == 0;
+        let many = if crowd { 200 } else { u64::from(r.below(100) < rate) };
+        for _ in 0..many {
+            id += 1;
+            let known = !crowd && r.below(4) > 0;
+            events.push(Event::Request(Request {
+                id,
+                class: 0,
+                tenant: 0,
+                function: 1 + r.below(60),
+                budget: 2500 * MS,
+                work: None,
+                memory_mb: 500.0,
+                lanes: 2.0,
+                load: 500 * MS,
+                repeat: false,
+                came: now,
+                known: known || vouched,
+            }));
+            if crowd {
+                withdrawn.push(id);
+            } else {
+                taken.push(now);
+            }
+        }
+        if step % 2 == 0 {
+            events.extend(withdrawn.drain(..).map(|request| Event::Gone { request }));
+        }
+        if r.below(100) == 0 {
+            let w = r.below(workers.into()) as WorkerId;
+            ready[w as usize] = !ready[w as usize];
+            let lifecycle = if ready[w as usize] { Lifecycle::Ready } else { Lifecycle::Draining };
+            events.push(Event::Roster { form: RosterForm::Delta, rows: Rc::from(vec![row(w, lifecycle)]) });
+        }
+        // The judge: an order counts once it has arrived, against the orders and the calls of the window.
+        for o in orders.iter_mut().filter(|o| !o.judged && o.arrives.is_some_and(|at| at <= now)) {
+            o.judged = true;
+            let at = o.arrives.unwrap();
+            arrived.push(at);
+            let within =
+                |list: &[Micros]| list.iter().filter(|t| **t > at - told.load_window && **t <= at).count();
+            let (many, calls) = (within(&arrived) as f64, within(&taken) as f64);
+            // The widening that the protocol tells covers a part of an order.
+            let ration = (told.load_free + told.load_share * calls).max(1.0);
+            seen.arrived += 1;
+            seen.most = seen.most.max(many / ration);
+        }
+        orders.retain(|o| {
+            if o.told <= now {
+                let (worker, function, outcome) = (o.worker, o.function, o.outcome);
+                let (took, copies) = (now - o.given, u8::from(outcome == Outcome::Ok));
+                events.push(Event::Loaded { worker, function, outcome, took, copies });
+            }
+            o.told > now
+        });
+        answers.retain(|(at, event)| {
+            if *at <= now {
+                events.push(event.clone());
+            }
+            *at > now
+        });
+        let mut out = Vec::new();
+        front_end.handle(now, &events, &mut out);
+        events.clear();
+        for action in out {
+            match action {
+                Action::Send { request, worker, .. } => {
+                    let outcome =
+                        r.one_of(&[Outcome::Ok, Outcome::Ok, Outcome::Miss, Outcome::Full, Outcome::Error]);
+                    let concluded = outcome == Outcome::Ok;
+                    let attempt = answers
+                        .iter()
+                        .filter(|(_, e)| matches!(e, Event::Ended(e) if e.request == request))
+                        .count() as u16;
+                    let note = Note::default();
+                    let took = (20 + r.below(300) as Micros) * MS;
+                    let end =
+                        Ended { request, attempt, worker, concluded, outcome, note, took, report: None };
+                    answers.push((now + took, Event::Ended(end)));
+                }
+                Action::Load { worker, function, .. } => {
+                    seen.given += 1;
+                    seen.after_drain += usize::from(!ready[worker as usize]);
+                    let span = told.order_timeout;
+                    let late = if cut_until > now { cut_until - now } else { 0 };
+                    let spread = r.one_of(&[2, 300, (span / MS) as u64]);
+                    let late = (late + r.below(spread) as Micros * MS).min(span);
+                    let (arrives, told_at, outcome) = match r.below(8) {
+                        0 => (None, now + late, Outcome::ConnectFailed),
+                        1 => (None, now + span, Outcome::Timeout),
+                        2 => (Some(now + late), now + span, Outcome::Timeout),
+                        3 => (Some(now + late), now + late, Outcome::Full),
+                        4 => (Some(now + late), (now + late + 300 * MS).min(now + span), Outcome::Reset),
+                        _ => (Some(now + late), (now + late + 900 * MS).min(now + span), Outcome::Ok),
+                    };
+                    orders.push(Order {
+                        worker,
+                        function,
+                        given: now,
+                        arrives,
+                        told: told_at.max(now + STEP),
+                        outcome,
+                        judged: false,
+                    });
+                }
+                _ => {}
+            }
+        }
+        now += STEP;
+    }
+    seen
+}
+
+#[test]
+fn however_late_orders_arrive_they_are_inside_the_ration() {
+    let (mut given, mut near) = (0, 0);
+    for seed in 0..60 {
+        let seen = play(seed, false, |_| {});
+        assert!(seen.most <= 1.0, "seed {seed}: {seen:?}");
+        assert_eq!(seen.after_drain, 0, "seed {seed}");
+        given += seen.given;
+        near += usize::from(seen.most > 0.5);
+    }
+    // The ration is used, not just never reached.
+    assert!(given > 600 && near > 10, "{given} given, {near} near");
+}
+
+/// The judge does find it where orders count when they are given.
+#[test]
+fn orders_counted_when_given_break_the_ration() {
+    let broken = (0..60).filter(|&seed| play(seed, false, |s| s.order_delay = 0).most > 1.0).count();
+    assert!(broken >= 3, "{broken}");
+}
+
+/// And where requests count that came by hundreds and were withdrawn.
+#[test]
+fn requests_that_nothing_speaks_for_would_break_the_ration() {
+    let broken = (0..60).filter(|&seed| play(seed, true, |s| s.order_delay = 0).most > 1.2).count();
+    let apart = (0..60).filter(|&seed| play(seed, false, |s| s.order_delay = 0).most > 1.2).count();
+    assert!(broken > apart, "{broken} {apart}");
+}
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -36,8 +36,10 @@
 
 fn request(id: RequestId, class: u16, function: FunctionId) -> Event {
     let (work, load, budget) = (None, 500 * MS, 2500 * MS);
-    let (tenant, memory_mb, lanes, repeat) = (0, 500.0, 2.0, false);
-    Event::Request(Request { id, class, tenant, function, budget, work, memory_mb, lanes, load, repeat })
+    let (tenant, memory_mb, lanes, repeat, came, known) = (0, 500.0, 2.0, false, 0, true);
+    let asked =
+        Request { id, class, tenant, function, budget, work, memory_mb, lanes, load, repeat, came, known };
+    Event::Request(asked)
 }
 
 fn ended(request: RequestId, attempt: u16, worker: WorkerId, outcome: Outcome) -> Event {
--- a/crates/gateway/src/amqp/front.rs
+++ b/crates/gateway/src/amqp/front.rs
@@ -571,6 +571,8 @@
                             budget: known.map_or(asked.budget, |k| asked.budget.min(k.1)),
                             read: 0,
                             repeat: deliver.redelivered,
+                            // Whoever may publish to the queue is a caller.
+                            known: true,
                             body: message.body,
                             content_type,
                             correlation,
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -263,6 +263,8 @@
             lanes: f.lanes,
             load: f.load,
             repeat: arrival.repeat,
+            came: taken,
+            known: arrival.known,
         };
         let id = request.id;
         self.fresh.push(id);
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -90,6 +90,8 @@
     pub read: Micros,
     /// The caller marked it as a repeat, or the broker delivers it again.
     pub repeat: bool,
+    /// Something speaks for its caller: see [`stagehoist::Request::known`].
+    pub known: bool,
     pub body: Bytes,
     pub content_type: Option<String>,
     /// The caller's own number of the call, for logs and for workers.
--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -54,6 +54,7 @@
                 budget: 2500 * MS,
                 read: 0,
                 repeat: false,
+                known: true,
                 body: Bytes::from_static(b"{}"),
                 content_type: None,
                 correlation: "c".into(),
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -304,9 +304,11 @@
             function: asked.function,
             figures: Some(asked.figures),
             tenant: asked.tenant,
-            budget: (asked.budget - late).min(ends),
-            read: now,
+            // What it may have waited in its socket is taken off with its age.
+            budget: asked.budget.min(ends.saturating_add(late)),
+            read: now - late,
             repeat: false,
+            known: conn.session.borrow().is_known(),
             body: asked.body,
             content_type: None,
             correlation: asked.id,
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -46,6 +46,9 @@
     1.0
 }
 
+/// An order to load counts as lost after this time at least.
+const ORDER_LEAST: Micros = 1_000_000;
+
 /// A class as clients name it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -94,7 +97,10 @@
         let address = |name, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| field(name, &format!("'{text}' is no address and port")))
         };
-        let settings = wire::parse_settings(&flatten(&file.settings)).map_err(|e| field("settings", &e))?;
+        let mut settings =
+            wire::parse_settings(&flatten(&file.settings)).map_err(|e| field("settings", &e))?;
+        // Here an order counts when it has arrived whole, at the latest when it counts as lost.
+        settings.order_delay = settings.order_timeout.max(ORDER_LEAST);
         let list = |key: &str| -> Vec<String> {
             let items = file.settings.get(key).and_then(Value::as_array);
             items.into_iter().flatten().map(name_of).collect()
@@ -152,7 +158,7 @@
             announcement_keep: 0,
             held_most: self.held_most,
             retry_after_most: self.settings.max_retry_after,
-            load_timeout: self.settings.order_timeout.max(1_000_000),
+            load_timeout: self.settings.order_timeout.max(ORDER_LEAST),
             // The module forgets functions after eight times the keep-alive.
             names: (50_000, (10 * self.settings.keep).max(30_000_000)),
             stop_when_gone: true,
--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -474,6 +474,10 @@
             _ => End::Broken,
         };
         link.state.set(State::Over(how));
+        if let (End::Poisoned, Some(stream)) = (how, &*link.stream.borrow()) {
+            // What was written and not read there yet is dropped with it.
+            let _ = stream.set_zero_linger();
+        }
         *link.stream.borrow_mut() = None;
         match how {
             End::NotUp => {}
--- a/crates/platform/src/line.rs
+++ b/crates/platform/src/line.rs
@@ -25,6 +25,8 @@
     Length,
     #[error("an answer that stopped short")]
     Short,
+    #[error("nothing came since an order that counts as lost")]
+    Silent,
 }
 
 /// What a number on the line stands for: a request's id as its client gave it, or a tag of ours.
@@ -363,8 +365,13 @@
         let over = |o: &Open| match o.what {
             What::Attempt { .. } => false,
             What::Probe { sent, .. } => now - sent >= patience,
-            What::Load { sent, .. } => now - sent >= 2 * order,
+            What::Load { sent, .. } => now - sent >= order,
         };
+        // An order that counts as lost must not arrive after all: what may still lie on its way goes with the connection.
+        let lies = |o: &Open| matches!(o.what, What::Load { sent, .. } if over(o) && self.read <= sent);
+        if self.open.values().any(lies) {
+            return Err(Poison::Silent);
+        }
         let tags: Vec<Tag> = self.open.iter().filter(|(_, o)| over(o)).map(|(t, _)| *t).collect();
         for tag in tags {
             self.queue.retain(|item| item.tag != Some(tag) || item.done > 0);
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -73,7 +73,7 @@
         streams: told.streams,
         idle_close: told.idle_close,
         connect_timeout: told.settings.connect_timeout.max(50_000),
-        order_timeout: told.settings.order_timeout.max(1_000_000),
+        order_timeout: told.settings.order_delay,
         report: told.report.clone(),
         classes: told.classes.iter().map(|c| c.name.clone()).collect(),
     };
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -88,6 +88,8 @@
     /// Nothing more is read; what is written goes out, then the connection closes.
     closing: bool,
     asked: bool,
+    /// An executor served a request of this client. Bad ones send what reads well too, by hundreds; none serves them.
+    known: bool,
     born: Micros,
     active: Micros,
     partial_since: Option<Micros>,
@@ -104,6 +106,7 @@
             out: BytesMut::new(),
             closing: false,
             asked: false,
+            known: false,
             born: now,
             active: now,
             partial_since: None,
@@ -215,6 +218,7 @@
         let Some(number) = self.tag_of(ticket) else { return };
         self.open.remove(&number);
         self.active = now;
+        self.known |= matches!(answer, Answer::Served { .. });
         if self.out.is_empty() {
             self.took = now;
         }
@@ -265,6 +269,11 @@
         self.closing
     }
 
+    /// Whether an executor served a request of this client.
+    pub fn is_known(&self) -> bool {
+        self.known
+    }
+
     /// For the choice of a connection that makes way.
     pub fn seen(&self) -> Seen {
         Seen { asked: self.asked, open: self.open.len(), active: self.active }
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -257,6 +257,38 @@
     assert_eq!(line.expire(300 * MS, 250 * MS, 1000 * MS, &mut news), Err(Poison::Short));
 }
 
+#[test]
+fn an_order_that_counts_as_lost_takes_a_silent_connection_with_it() {
+    let (mut line, mut news) = line();
+    let (worker, function) = (3, 9);
+    line.hold("7f3a9c21e0b4d655", 1, What::Load { worker, function, sent: 10 * MS }, 10 * MS);
+    assert!(write_all(&mut line, 10 * MS).starts_with("HOLD "));
+    assert_eq!(line.expire(1009 * MS, 250 * MS, 1000 * MS, &mut news), Ok(()));
+    assert_eq!(line.expire(1010 * MS, 250 * MS, 1000 * MS, &mut news), Err(Poison::Silent));
+    // Where something came since, the connection is alive and goes on; the order counts as lost alone.
+    line.receive(b"0000000000000001 MISS - 0\r\n\r\n", (20 * MS, 20 * MS), &[], &mut news).unwrap();
+    assert_eq!(line.expire(1010 * MS, 250 * MS, 1000 * MS, &mut news), Ok(()));
+    let lost = |n: &News| matches!(n, News::Loaded { worker: 3, function: 9, outcome: Outcome::Timeout, .. });
+    assert!(news.iter().any(lost), "{news:?}");
+}
+
+#[test]
+fn a_client_is_known_once_it_was_served() {
+    let mut c = Client::new();
+    let answers = [
+        Answer::Refused { reason: "", retry_after: 0 },
+        Answer::Failed { reason: "" },
+        Answer::Served { body: Default::default(), content_type: None },
+    ];
+    for (n, answer) in answers.iter().enumerate() {
+        let n = n + 1;
+        c.call(&n.to_string(), &GOOD.replace("9b1f", &format!("9b1{n}")));
+        assert!(!c.session.is_known());
+        c.session.answer(n as u64, answer, MS);
+    }
+    assert!(c.session.is_known());
+}
+
 #[test]
 fn what_is_given_up_is_stopped_or_never_written() {
     let (mut line, mut news) = line();
