A home that may lack the copy is a doubt and no wait; connections to executors by need

Here a miss only answers, within a millisecond: a home without the copy costs no wait. A front end whose first call to a home missed had `hits` at exactly 0, for which no worker counts as a home, so that no later answer could raise it.

At fault: `predict`: `wait = load * (1.0 - home)` enters the finish for every unsure home, and `self.hits.unwrap_or(0.5)` in `place`, where 0 means no home.

Change: where a miss only answers the doubt weighs in the choice, not in the finish; `hits` never is nought.

Tests: `a_home_that_may_lack_the_copy_is_tried_where_a_miss_only_answers` fails without either half; `orders_are_bounded_when_many_functions_are_held` answers all tries.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -501,7 +501,10 @@
         let factor = (held / size).max(1.0);
         let slots = function.map_or(1, |f| f.lanes) * warm.map_or(1, |x| x.copies.max(1)) as usize;
         let wait = if warm.is_some() { 0 } else { (load * (1.0 - home.max(0.0))) as Micros };
-        let mut start = warm.map_or(now + wait, |x| x.ready.max(now));
+        // Where a miss only answers, a home that may lack the copy is a doubt and no wait. Guards against front
+        // ends that know little and refuse untried all that others have loaded; could harm by more misses.
+        let doubt = if self.settings.on_miss == OnMiss::Miss && home > 0.0 { wait } else { 0 };
+        let mut start = warm.map_or(now + wait - doubt, |x| x.ready.max(now));
         if count >= slots {
             let mut ends: Vec<Micros> = mine.map(|a| a.predicted.finish).collect();
             ends.sort_unstable();
@@ -511,7 +514,8 @@
         let p99 = function.and_then(|f| p99(&f.runs, RUNS)).map(|x| x * w.believed.pace * factor);
         let finish = start + p99.unwrap_or(mean) as Micros;
         let abroad = (w.row.zone as u32 != self.settings.zone) as u8 as f64;
-        let mut cost = finish as f64 + mean * ((held - others + guess) / size / factor - 1.0).max(0.0);
+        let mut cost =
+            (finish + doubt) as f64 + mean * ((held - others + guess) / size / factor - 1.0).max(0.0);
         cost += abroad * self.settings.price_cross_zone * self.settings.classes[r.class as usize].aim as f64;
         // Away from its homes a function leans to workers ranked first and to copies used of late.
         let lean = rank(r.function, w.row.worker as u64);
@@ -544,7 +548,8 @@
         if !spare(&f.tries) {
             return Err(p.aim_at);
         }
-        let (mut need, chance) = (self.demand(f, now), self.hits.unwrap_or(0.5));
+        // Never nought, else a home would be none, and no answer from one could raise it again.
+        let (mut need, chance) = (self.demand(f, now), self.hits.unwrap_or(0.5).max(f64::MIN_POSITIVE));
         f.homes.set(0);
         for (at, &i) in f.order.iter().enumerate() {
             let w = &self.workers[i];
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -380,10 +380,16 @@
     let workers: Vec<WorkerId> = (1..30).collect();
     let mut b = Bench::new(more, &workers);
     let mut out = b.step(0, (0..600).map(|id| request(id, 0, 1000 + id as u64)).collect());
-    let tried = sends(&out);
-    out.extend(b.step(2 * MS, tried.iter().map(|x| ended(x.0, 0, x.1, Outcome::Miss)).collect()));
+    let (mut tried, mut tries) = (sends(&out), BTreeMap::<RequestId, u16>::new());
     for _ in 0..1300 {
-        out.extend(b.step(2 * MS, vec![]));
+        let missed = tried.iter().map(|&(id, worker)| {
+            let number = tries.entry(id).or_default();
+            *number += 1;
+            ended(id, *number - 1, worker, Outcome::Miss)
+        });
+        let step = b.step(2 * MS, missed.collect());
+        tried = sends(&step);
+        out.extend(step);
     }
     let orders = out.iter().filter(|a| matches!(a, Action::Load { copies: 1.., .. })).count();
     assert!((1..=workers.len()).contains(&orders), "{orders}");
@@ -994,3 +1000,24 @@
     // The three that stand are used.
     assert_eq!(sends(&b.step(MS, vec![request(20_000, 0, 5)])).len(), 1);
 }
+
+#[test]
+fn a_home_that_may_lack_the_copy_is_tried_where_a_miss_only_answers() {
+    // Found on full-fleet days: while copies moved, half of the homes missed, and front ends that had seen it refused
+    // untried what others had loaded long since. The time left is enough to run, not to load first.
+    let more = "specifics.if_cold=miss\nspecifics.placement_calls=true\n";
+    let mut b = Bench::new(more, &(1..9).collect::<Vec<WorkerId>>());
+    // What was seen: nothing but misses.
+    for id in 0..40 {
+        let mut tried = sends(&b.step(MS, vec![request(id, 0, id as u64)]));
+        let mut number = 0;
+        while let Some((id, worker)) = tried.pop() {
+            tried = sends(&b.step(MS, vec![ended(id, number, worker, Outcome::Miss)]));
+            number += 1;
+        }
+        b.step(MS, vec![Event::Gone { request: id }]);
+    }
+    let Event::Request(mut short) = request(100, 0, 100) else { unreachable!() };
+    short.load = 30_000 * MS;
+    assert_eq!(sends(&b.step(MS, vec![Event::Request(short)])).len(), 1);
+}
--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -133,7 +133,6 @@
     pub fn told(self: &Rc<Self>, form: RosterForm, told: &[Told]) -> Vec<News> {
         let now = self.shared.clock.now();
         let mut news = Vec::new();
-        let mut fresh = Vec::new();
         {
             let mut executors = self.executors.borrow_mut();
             if form != RosterForm::Delta {
@@ -153,9 +152,6 @@
                     // What stands at the old address is no longer this executor.
                     entry.links.iter().filter(|l| l.line.borrow().is_idle()).for_each(|l| l.end(End::Broken));
                 }
-                if ready && entry.links.is_empty() {
-                    fresh.push(t.row.worker);
-                }
             }
             for executor in executors.values_mut().filter(|e| !e.ready) {
                 for link in &executor.links {
@@ -167,9 +163,6 @@
             }
             executors.retain(|_, e| e.ready || !e.links.is_empty());
         }
-        for worker in fresh {
-            self.open(worker);
-        }
         self.settled(&news);
         news
     }
@@ -209,7 +202,8 @@
         }
     }
 
-    /// A connection for a request: an idle one, else one with room, else one in its handshake, else a new one.
+    /// A connection for a request: an idle one, else one with room, else one in its handshake, else a new one. Connections
+    /// come by need: a further one only where none stood idle, as every front end holds some at every executor.
     fn pick(self: &Rc<Self>, worker: WorkerId, id: Option<u64>) -> Option<Rc<Link>> {
         let (chosen, spare) = {
             let executors = self.executors.borrow();
@@ -221,7 +215,6 @@
                 room && !line.is_silent() && !matches!(l.state.get(), State::Over(_))
             };
             let mut idle = None;
-            let mut idles = 0;
             for link in executor.links.iter().filter(usable) {
                 if link.state.get() != State::Up || !link.line.borrow().is_idle() {
                     continue;
@@ -231,7 +224,6 @@
                     link.end(End::Broken);
                     continue;
                 }
-                idles += 1;
                 let active = link.line.borrow().active();
                 if idle.as_ref().is_none_or(|(at, _)| active > *at) {
                     idle = Some((active, link.clone()));
@@ -241,10 +233,11 @@
                 let links = executor.links.iter().filter(usable).filter(|l| l.state.get() == state);
                 links.min_by_key(|l| l.line.borrow().attempts()).cloned()
             };
+            let none_idle = idle.is_none();
             let chosen =
                 idle.map(|(_, l)| l).or_else(|| least(State::Up)).or_else(|| least(State::Connecting));
             let connecting = executor.links.iter().filter(|l| l.state.get() == State::Connecting).count();
-            let spare = idles <= 1 && executor.links.len() < each && connecting < HANDSHAKES;
+            let spare = none_idle && executor.links.len() < each && connecting < HANDSHAKES;
             (chosen, spare && executor.ready)
         };
         if chosen.is_none() || spare {
