Loads go first to workers that calls may go to; 400 executors within 256 descriptors

At fault: `order_loads` took the least predicted finish among all workers without a believed copy; new ones are idle and so always first, and the orders of all front ends went where no call of theirs could follow.

Change: among the workers that could take a load those come first that `cold_room` lets the call go to. On sockets: want of descriptors of its own ends an attempt as `Full`, which speaks against no executor, in place of `ConnectFailed`, which ejected it.

Tests: `loads_go_first_to_workers_that_calls_may_go_to` fails without it (12 of 12 orders to cold workers); `four_hundred_executors_are_used_within_256_descriptors`, which also checks that the process is alone and listens on no Unix socket.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -462,3 +462,59 @@
         assert!(out.status.code() == Some(2) && told.contains(named), "{told}");
     }
 }
+
+/// More executors than descriptors: connections come by need and the longest idle makes way. One process all along, which
+/// starts nothing and listens nowhere but at its address.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn four_hundred_executors_are_used_within_256_descriptors() {
+    let mut stage = Stage::start(400, 256).await;
+    let pid = stage.child.id();
+    let here = format!("/proc/{pid}");
+    let descriptors = || std::fs::read_dir(format!("{here}/fd")).map_or(0, Iterator::count);
+    assert!(descriptors() < 40, "connections to executors before any call: {}", descriptors());
+    let mut client = stage.client().await;
+    let mut most = 0;
+    for n in 1..=400u64 {
+        // Each of a function that no one holds, so that it is tried at one executor after the other.
+        let fields = format!(
+            "ref={n:016x},allow={LOOK},project=acme,lookup={:016x},effort=20,extras=memory_mb:1;lanes:4",
+            1000 + n
+        );
+        client.request(n, "look", &fields, b"x").await.unwrap();
+        if n == 200 {
+            stage.signal(Signal::HUP);
+        }
+        tokio::time::sleep(ms(8)).await;
+        most = most.max(descriptors());
+    }
+    let answers = client.wait(400, ms(4000)).await;
+    let touched = |e: &&Executor| e.seen().iter().any(|s| matches!(s.what, What::Run { .. }));
+    let touched = stage.executors.iter().filter(touched).count();
+    assert_eq!(answers.len(), 400);
+    assert!(touched > 150, "{touched} executors saw a call");
+    assert!((100..=256).contains(&most), "{most} descriptors");
+    // The usual calls are served as ever.
+    stage.calls(&mut client, 1001..=1020, ms(10)).await;
+    assert_eq!(served(&client.wait(420, ms(4000)).await[400..]), 20);
+    let children = std::fs::read_to_string(format!("{here}/task/{pid}/children"));
+    assert!(children.is_ok_and(|c| c.trim().is_empty()), "it started another process");
+    let sockets: Vec<String> = std::fs::read_dir(format!("{here}/fd"))
+        .unwrap()
+        .flatten()
+        .filter_map(|f| {
+            std::fs::read_link(f.path())
+                .ok()?
+                .to_str()?
+                .strip_prefix("socket:[")?
+                .strip_suffix(']')
+                .map(str::to_string)
+        })
+        .collect();
+    let unix = std::fs::read_to_string(format!("{here}/net/unix")).unwrap();
+    // The flag of a Unix socket that listens.
+    let listens =
+        |l: &&str| l.contains(" 00010000 ") && sockets.iter().any(|s| l.split_whitespace().any(|w| w == s));
+    assert_eq!(unix.lines().filter(listens).count(), 0);
+    stage.signal(Signal::TERM);
+    assert_eq!(stage.ends(ms(3500)).await, Some(0));
+}
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -845,7 +845,10 @@
             };
             let may = |i: &usize| cold(&self.workers[*i]) && self.takes_load(&self.workers[*i], now);
             let found = (0..self.workers.len()).filter(may).map(|i| self.predict(i, p, load, -1.0, now));
-            if let Some(x) = found.min_by(|a, b| a.cost.total_cmp(&b.cost)) {
+            // Where calls may go first: a copy at a cold worker is no use to the call that it is ordered for.
+            let found = found.map(|x| (!self.cold_room(x.index, p, now), x));
+            let least = found.min_by(|a, b| a.0.cmp(&b.0).then(a.1.cost.total_cmp(&b.1.cost)));
+            if let Some((_, x)) = least {
                 self.load(x.index, function, now, out);
             }
         }
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -1021,3 +1021,42 @@
     short.load = 30_000 * MS;
     assert_eq!(sends(&b.step(MS, vec![Event::Request(short)])).len(), 1);
 }
+
+#[test]
+fn loads_go_first_to_workers_that_calls_may_go_to() {
+    // Found on full-fleet days: with six in ten workers new, nearly all orders went to new ones, of which the cold budget
+    // lets a front end with few calls use next to nothing, while the established ones had room.
+    let more = "specifics.if_cold=miss\nspecifics.placement_calls=true\nbalancers=100\n";
+    let mut b = Bench::new(more, &[1, 2, 3]);
+    let rows = (4..12).map(|w| row(w, Lifecycle::Ready, b.now)).collect();
+    b.step(0, vec![roster(RosterForm::Delta, rows)]);
+    let mut ordered = Vec::new();
+    for id in 0..12 {
+        let mut out = b.step(50 * MS, vec![request(id, 0, 100 + id as u64)]);
+        for number in 0..3 {
+            ordered.extend(out.iter().filter_map(|a| match a {
+                Action::Load { worker, function, .. } => Some((*worker, *function)),
+                _ => None,
+            }));
+            let misses = sends(&out).into_iter().map(|(id, w)| ended(id, number, w, Outcome::Miss)).collect();
+            out = b.step(MS, misses);
+        }
+        // The orders end, so that each worker takes the next.
+        let loaded = |(worker, function)| Event::Loaded {
+            worker,
+            function,
+            outcome: Outcome::Ok,
+            took: 200 * MS,
+            copies: 1,
+        };
+        b.step(MS, ordered.iter().copied().map(loaded).collect());
+    }
+    let cold = ordered.iter().filter(|o| o.0 > 3).count();
+    assert!(ordered.len() >= 6 && cold * 4 <= ordered.len(), "{ordered:?}");
+    // Where all are cold a load is ordered all the same.
+    let mut b = Bench::new(more, &[]);
+    let rows = (4..8).map(|w| row(w, Lifecycle::Ready, b.now)).collect();
+    b.step(0, vec![roster(RosterForm::Delta, rows)]);
+    let out = b.step(50 * MS, vec![request(1, 0, 100)]);
+    assert!(out.iter().any(|a| matches!(a, Action::Load { .. })), "{out:?}");
+}
--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -256,31 +256,37 @@
     /// Begins an attempt; its end comes as [`News::Attempt`].
     pub fn attempt(self: &Rc<Self>, attempt: Attempt) {
         let (request, number) = (attempt.request, attempt.attempt);
-        if !self.begin(attempt) {
-            let result = AttemptResult::bare(Outcome::ConnectFailed);
+        if let Err(outcome) = self.begin(attempt) {
+            let result = AttemptResult::bare(outcome);
             self.late_news.borrow_mut().push(News::Attempt { request, attempt: number, result });
         }
     }
 
-    fn begin(self: &Rc<Self>, attempt: Attempt) -> bool {
-        let Some(id) = fields::hex16(attempt.correlation.as_bytes()) else { return false };
-        let Some(class) = self.limits.classes.get(attempt.class as usize) else { return false };
+    /// What ends it here and now, which proves that nothing ran. For want of descriptors of its own it is `Full`: that speaks
+    /// against no executor.
+    fn begin(self: &Rc<Self>, attempt: Attempt) -> Result<(), Outcome> {
+        let Some(id) = fields::hex16(attempt.correlation.as_bytes()) else {
+            return Err(Outcome::ConnectFailed);
+        };
+        let Some(class) = self.limits.classes.get(attempt.class as usize) else {
+            return Err(Outcome::ConnectFailed);
+        };
         if !self.executors.borrow().get(&attempt.worker).is_some_and(|e| e.ready) {
-            return false;
+            return Err(Outcome::ConnectFailed);
         }
-        let Some(link) = self.pick(attempt.worker, Some(id)) else { return false };
+        let Some(link) = self.pick(attempt.worker, Some(id)) else { return Err(Outcome::Full) };
         let now = self.shared.clock.now();
         let wait = ((attempt.due - now) / 1000).max(1);
         let list = format!("class={class},key={},wait={wait}", attempt.function);
         let what = What::Attempt { request: attempt.request, attempt: attempt.attempt };
         let queued = link.line.borrow_mut().run((id, &attempt.correlation), &list, &attempt.body, what, now);
-        if queued {
-            let key = (attempt.request, attempt.attempt);
-            let flying = Flying { link: link.clone(), id: (id, attempt.correlation) };
-            self.flying.borrow_mut().insert(key, flying);
-            self.mark(link);
+        if !queued {
+            return Err(Outcome::ConnectFailed);
         }
-        queued
+        let flying = Flying { link: link.clone(), id: (id, attempt.correlation) };
+        self.flying.borrow_mut().insert((attempt.request, attempt.attempt), flying);
+        self.mark(link);
+        Ok(())
     }
 
     /// Gives up an attempt; nothing more is heard of it.
