--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -58,6 +58,11 @@
 
 impl Stage {
     async fn start(executors: u32, sockets: u64) -> Stage {
+        Stage::start_with(executors, sockets, |_| ()).await
+    }
+
+    /// With another configuration than the usual.
+    async fn start_with(executors: u32, sockets: u64, edit: impl Fn(&mut serde_json::Value)) -> Stage {
         let mut all = Vec::new();
         for id in 1..=executors {
             let executor = Executor::start(id, ms(20), ms(100)).await.unwrap();
@@ -67,7 +72,9 @@
         let bus = EventBus::start(1).await.unwrap();
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("config.json");
-        std::fs::write(&path, config(&all, bus.address, sockets).to_string()).unwrap();
+        let mut told = config(&all, bus.address, sockets);
+        edit(&mut told);
+        std::fs::write(&path, told.to_string()).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_stagehoist"))
             .args(["--log", "info", "platform"])
             .env("GW_CONFIG", &path)
@@ -518,3 +525,35 @@
     stage.signal(Signal::TERM);
     assert_eq!(stage.ends(ms(3500)).await, Some(0));
 }
+
+/// As many as are ever told: 1,500 executors, one of 1,200 front ends, and the memory of a process with few of either.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn fifteen_hundred_executors_and_twelve_hundred_front_ends_may_be_told() {
+    let many = |told: &mut serde_json::Value| {
+        told["settings"]["balancers"] = json!(1200);
+        let hosts = told["known"]["batch"][0]["topology"]["hosts"].as_array_mut().unwrap();
+        // Their addresses are those of the three that stand.
+        let three = hosts.clone();
+        hosts.extend((4..=1500).map(|id| {
+            let mut host = three[id % 3].clone();
+            host["host"] = json!(format!("s-{id:08x}"));
+            host
+        }));
+    };
+    let mut stage = Stage::start_with(3, 256, many).await;
+    let mut client = stage.client().await;
+    stage.calls(&mut client, 1..=60, ms(10)).await;
+    assert_eq!(served(&client.wait(60, ms(4000)).await), 60);
+    let status = std::fs::read_to_string(format!("/proc/{}/status", stage.child.id())).unwrap();
+    let own = status.lines().find_map(|l| l.strip_prefix("RssAnon:")).unwrap();
+    let kb: u64 = own.trim().trim_end_matches(" kB").parse().unwrap();
+    assert!(kb < 12_000, "{kb} kB");
+    // A change of all of them at once, in one frame.
+    let gone: Vec<_> = (4..=1500).map(|id| record(id, stage.executors[0].address, 2, 0)).collect();
+    stage.bus.change(&gone);
+    tokio::time::sleep(ms(300)).await;
+    stage.calls(&mut client, 61..=90, ms(10)).await;
+    assert_eq!(served(&client.wait(90, ms(4000)).await[60..]), 30);
+    stage.signal(Signal::TERM);
+    assert_eq!(stage.ends(ms(3500)).await, Some(0));
+}
