Work done twice, dead state and a quadratic out of the fleet's changes; choices as before

`place` asked the ration and looked through all workers for an order under way on each call, where only a last attempt needs it: asked there alone, once and not for each worker. `Ration` kept a time for each order out that nothing read. `Warm::gone` is back beside `Warm`. The executors' side of a whole list compared each executor with each row; it looks them up. The start copied its events into a list of their own and went over them twice. The time-out of orders was worked out in two places. A block and an `Rc` that only the connections at the start needed are gone.

--- a/crates/core/src/ration.rs
+++ b/crates/core/src/ration.rs
@@ -3,13 +3,13 @@
 //! what is ordered the module decides.
 
 use crate::interface::{FunctionId, Micros, Settings, WorkerId};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 /// Orders and calls of a window.
 #[derive(Clone, Debug, Default)]
 pub struct Ration {
     /// Given, and neither answered nor known never to arrive.
-    out: BTreeMap<(WorkerId, FunctionId), Micros>,
+    out: BTreeSet<(WorkerId, FunctionId)>,
     /// When the others had arrived at the latest, in order of time.
     arrived: VecDeque<Micros>,
     /// When calls were taken, in order of time.
@@ -26,7 +26,7 @@
     /// An order is given. Where none can be late it arrives at once.
     pub fn gave(&mut self, order: (WorkerId, FunctionId), now: Micros, s: &Settings) {
         if s.order_delay > 0 {
-            self.out.insert(order, now);
+            self.out.insert(order);
         } else {
             self.arrived.push_back(now);
         }
@@ -34,13 +34,13 @@
 
     /// An order was answered or counts as lost: it arrived by now, if it is not known never to arrive.
     pub fn ended(&mut self, order: (WorkerId, FunctionId), never: bool, now: Micros) {
-        if self.out.remove(&order).is_some() && !never {
+        if self.out.remove(&order) && !never {
             self.arrived.push_back(now);
         }
     }
 
     pub fn is_out(&self, order: (WorkerId, FunctionId)) -> bool {
-        self.out.contains_key(&order)
+        self.out.contains(&order)
     }
 
     /// Forgets what no window reaches any more.
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -33,10 +33,6 @@
 /// Kinds of held calls weighed again in each batch, and all of them so often within the shortest aim.
 const SWEEP: (usize, Micros) = (2, 16);
 
-fn gone(now: Micros, keep: Micros) -> Warm {
-    Warm { ready: now + keep / 2, until: now, used: now, copies: 0 }
-}
-
 #[derive(Default)]
 struct Worker {
     row: RosterRow,
@@ -383,7 +379,7 @@
                 }
                 self.take_report(i, now, &e.report);
             }
-            Miss => drop(b.warm.insert(a.function, gone(now, keep))),
+            Miss => drop(b.warm.insert(a.function, Warm::gone(now, keep))),
             Full => b.full_until = now + (a.predicted.base * b.pace) as Micros / 2,
             Error if e.note.copy == 4 => drop(b.warm.remove(&a.function)),
             Error => self.strike(i, now, false, out),
@@ -452,7 +448,7 @@
             let used = b.warm.get(&function).map_or(0, |x| x.used);
             b.warm.insert(function, Warm { ready: now, until, used, copies: copies as u32 });
         } else if outcome != Outcome::Timeout && b.warm.get(&function).is_none_or(|x| x.ready <= now) {
-            b.warm.insert(function, gone(now, keep));
+            b.warm.insert(function, Warm::gone(now, keep));
         }
         b.full_until = if outcome == Full { now + self.shortest_aim / 8 } else { b.full_until };
     }
@@ -550,8 +546,12 @@
         }
         // Never nought, else a home would be none, and no answer from one could raise it again.
         let (mut need, chance) = (self.demand(f, now), self.hits.unwrap_or(0.5).max(f64::MIN_POSITIVE));
+        // Where a miss only answers, the last attempt is kept for a copy while an order may still bring one.
         let ordered = |&i: &usize| self.workers[i].believed.loads.contains_key(&function);
-        let hopes = !miss || self.ration.allows(now, &self.settings) || f.order.iter().any(ordered);
+        let last = miss
+            && again
+            && tried + 1 >= self.settings.max_attempts
+            && (self.ration.allows(now, &self.settings) || f.order.iter().any(ordered));
         f.homes.set(0);
         for (at, &i) in f.order.iter().enumerate() {
             let w = &self.workers[i];
@@ -562,8 +562,6 @@
             if !w.ready || !(well || doubt) || !spare(&w.tries) {
                 continue;
             }
-            // While an order may still bring one, the last attempt is kept for a copy.
-            let last = again && tried + 1 >= self.settings.max_attempts && hopes;
             let home = need > 0.0;
             let absent = known.map_or(w.cold_from.is_some(), |x| x.copies == 0 && x.ready > now);
             need -= if miss && absent { 0.0 } else { self.home_size(f, w, now) };
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -11,6 +11,13 @@
     pub copies: u32,
 }
 
+impl Warm {
+    /// No copy stands, nor is one taken to stand for half the keep-alive.
+    pub fn gone(now: Micros, keep: Micros) -> Warm {
+        Warm { ready: now + keep / 2, until: now, used: now, copies: 0 }
+    }
+}
+
 /// An attempt in flight.
 pub(crate) struct Attempt {
     pub request: RequestId,
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -158,7 +158,7 @@
             announcement_keep: 0,
             held_most: self.held_most,
             retry_after_most: self.settings.max_retry_after,
-            load_timeout: self.settings.order_timeout.max(ORDER_LEAST),
+            load_timeout: self.settings.order_delay,
             // The module forgets functions after eight times the keep-alive.
             names: (50_000, (10 * self.settings.keep).max(30_000_000)),
             stop_when_gone: true,
--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -10,7 +10,7 @@
 use stagehoist_gateway::state::{Attempt, AttemptResult, News};
 use stagehoist_membership::Told;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::mem::MaybeUninit;
 use std::rc::Rc;
@@ -130,39 +130,35 @@
     }
 
     /// What the event bus told. What waits for an executor that takes nothing new is withdrawn at once.
-    pub fn told(self: &Rc<Self>, form: RosterForm, told: &[Told]) -> Vec<News> {
+    pub fn told(&self, form: RosterForm, told: &[Told]) -> Vec<News> {
         let now = self.shared.clock.now();
         let mut news = Vec::new();
-        {
-            let mut executors = self.executors.borrow_mut();
-            if form != RosterForm::Delta {
-                let listed = |w: &WorkerId| told.iter().any(|t| t.row.worker == *w);
-                executors.iter_mut().filter(|(w, _)| !listed(w)).for_each(|(_, e)| e.ready = false);
-            }
-            for t in told {
-                let ready = t.row.lifecycle == Lifecycle::Ready;
-                let entry = executors.entry(t.row.worker).or_insert_with(|| Executor {
-                    address: "".into(),
-                    ready,
-                    links: Vec::new(),
-                });
-                entry.ready = ready;
-                if ready && *entry.address != *t.address {
-                    entry.address = t.address.as_str().into();
-                    // What stands at the old address is no longer this executor.
-                    entry.links.iter().filter(|l| l.line.borrow().is_idle()).for_each(|l| l.end(End::Broken));
-                }
+        let mut executors = self.executors.borrow_mut();
+        if form != RosterForm::Delta {
+            let listed: HashSet<WorkerId> = told.iter().map(|t| t.row.worker).collect();
+            executors.iter_mut().filter(|(w, _)| !listed.contains(w)).for_each(|(_, e)| e.ready = false);
+        }
+        for t in told {
+            let ready = t.row.lifecycle == Lifecycle::Ready;
+            let entry = executors.entry(t.row.worker).or_insert_with(|| Executor {
+                address: "".into(),
+                ready,
+                links: Vec::new(),
+            });
+            entry.ready = ready;
+            if ready && *entry.address != *t.address {
+                entry.address = t.address.as_str().into();
+                // What stands at the old address is no longer this executor.
+                entry.links.iter().filter(|l| l.line.borrow().is_idle()).for_each(|l| l.end(End::Broken));
             }
-            for executor in executors.values_mut().filter(|e| !e.ready) {
-                for link in &executor.links {
-                    link.line.borrow_mut().withdraw(now, &mut news);
-                    if link.line.borrow().is_idle() {
-                        link.end(End::Broken);
-                    }
-                }
+        }
+        for link in executors.values().filter(|e| !e.ready).flat_map(|e| &e.links) {
+            link.line.borrow_mut().withdraw(now, &mut news);
+            if link.line.borrow().is_idle() {
+                link.end(End::Broken);
             }
-            executors.retain(|_, e| e.ready || !e.links.is_empty());
         }
+        executors.retain(|_, e| e.ready || !e.links.is_empty());
         self.settled(&news);
         news
     }
@@ -233,11 +229,10 @@
                 let links = executor.links.iter().filter(usable).filter(|l| l.state.get() == state);
                 links.min_by_key(|l| l.line.borrow().attempts()).cloned()
             };
-            let none_idle = idle.is_none();
+            let connecting = executor.links.iter().filter(|l| l.state.get() == State::Connecting).count();
+            let spare = idle.is_none() && executor.links.len() < each && connecting < HANDSHAKES;
             let chosen =
                 idle.map(|(_, l)| l).or_else(|| least(State::Up)).or_else(|| least(State::Connecting));
-            let connecting = executor.links.iter().filter(|l| l.state.get() == State::Connecting).count();
-            let spare = none_idle && executor.links.len() < each && connecting < HANDSHAKES;
             (chosen, spare && executor.ready)
         };
         if chosen.is_none() || spare {
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -80,14 +80,10 @@
     let executors = Rc::new(Executors::new(shared.clone(), limits, bounds));
     // The events of the start come first in the line, so that the module has them before any call.
     let (events, last) = &told.known;
-    let first = News::Roster { form: RosterForm::Full, told: Vec::new() };
-    let known = events.iter().map(|e| News::Roster { form: e.form, told: e.told.clone() });
-    let tell = std::iter::once(first).chain(known).collect::<Vec<_>>();
+    let _ = news.send(News::Roster { form: RosterForm::Full, told: Vec::new() }).await;
     for event in events {
         executors.told(event.form, &event.told);
-    }
-    for item in tell {
-        let _ = news.send(item).await;
+        let _ = news.send(News::Roster { form: event.form, told: event.told.clone() }).await;
     }
     drop(news);
     let mut tasks = JoinSet::new();
