Types of the record that processes share: members, tombstones, pools, leases, sessions

Need: retirement that no process forgets, reserved lanes and the return from a power loss all rest on one small record that several processes agree on. Nothing uses them yet; run and serve are unchanged.

--- /dev/null
+++ b/crates/keeper/src/lib.rs
@@ -0,0 +1,54 @@
+//! Agreement on the record between processes, and a front end's session with the keeper that leads.
+//!
+//! Three or five processes keep the record: openraft over a log and snapshots in redb. Tasks own their sockets and state and
+//! talk by messages, on a thread of their own ([`start`]); a front end's driver reads [`Session::standing`] and never waits.
+#![forbid(unsafe_code)]
+
+use stagehoist_registry::{Demand, Micros, Pool, Retirement, Standing, Terms, Version};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::Arc;
+use tokio::sync::{mpsc, watch};
+
+/// The process's monotonic clock, the one its front ends go by.
+pub type Now = Arc<dyn Fn() -> Micros + Send + Sync>;
+
+/// What a process is told of the fleet.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Every keeper by its number, as this process reaches it.
+    pub keepers: BTreeMap<u64, String>,
+    /// Where this process is a keeper itself: its number, the address it listens on, the folder of its store.
+    pub keep: Option<Keep>,
+    pub terms: Terms,
+    pub edition: u64,
+    pub pools: Vec<Pool>,
+    /// Front ends of this process by name, each a member with a session of its own.
+    pub members: Vec<String>,
+    /// Folder in which the last incarnation of each member is kept; none: it is asked of the keepers alone.
+    pub incarnations: Option<PathBuf>,
+    pub seed: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Keep {
+    pub number: u64,
+    pub listen: String,
+    pub store: PathBuf,
+}
+
+/// What a front end's driver tells its session; the newest counts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Told {
+    pub confirmed: Version,
+    pub ready_lanes: u32,
+    pub demand: Vec<Demand>,
+}
+
+/// One front end's ends of its session.
+pub struct Session {
+    pub standing: watch::Receiver<Standing>,
+    pub told: watch::Sender<Told>,
+    /// Retirements asked for; one that is known already changes nothing.
+    pub retire: mpsc::Sender<Retirement>,
+}
--- /dev/null
+++ b/crates/registry/src/lib.rs
@@ -0,0 +1,64 @@
+//! The record that the processes of one fleet share, and the decisions around it, without I/O.
+//!
+//! - [`record`]: what keepers agree on ([`Command`]) and what it comes to ([`Record`]): members with incarnations, tombstones
+//!   of retired functions, pools with reservations.
+//! - [`lead`]: what only the keeper that leads knows and decides: sessions, leases, when a retirement is in force.
+//! - [`wire`]: what a front end and the leading keeper say to each other.
+//! - [`holder`]: a front end's side of its session: what it holds, and until when by its own clock.
+//!
+//! Times are microseconds of the monotonic clock of whoever is called. Two processes' clocks never agree: a promise is
+//! counted by its holder from when it asked, and by its giver from when it gave, with [`Terms::drift`] between.
+#![forbid(unsafe_code)]
+
+pub mod holder;
+pub mod lead;
+pub mod record;
+pub mod wire;
+
+pub use holder::{Holder, Standing};
+pub use lead::Lead;
+pub use record::{
+    Command, Done, Member, Mode, Pool, Record, Reservation, Retirement, Size, State, Tombstone, View,
+};
+pub use wire::{Demand, Grant, Report, ToKeeper, ToMember, PROTOCOL};
+
+/// Microseconds of somebody's monotonic clock, or of a span.
+pub type Micros = i64;
+
+/// A position in the record: the number of the change that was last applied.
+pub type Version = u64;
+
+/// What all processes of a fleet are told alike about promises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Terms {
+    /// How long a view and the lanes dealt with it may be relied on without word from the leader.
+    pub lease: Micros,
+    /// Most that two clocks differ in rate, in parts of a million.
+    pub drift_ppm: u32,
+    /// Longest time since a majority last answered a leader in which it still gives promises.
+    pub quorum: Micros,
+    /// How long a tombstone is kept once every member confirmed it: no message may be older.
+    pub remember: Micros,
+}
+
+impl Terms {
+    /// How long the holder relies on a promise, from when it asked for it.
+    pub fn held(&self) -> Micros {
+        self.lease - self.drift(self.lease)
+    }
+
+    /// How long the giver counts a promise as standing, from when it gave it.
+    pub fn given(&self) -> Micros {
+        self.lease + self.drift(self.lease)
+    }
+
+    /// How long a new leader counts promises of earlier leaders as standing: the last one gave none later than `quorum` after
+    /// a majority answered it, and that majority elected the new one after that answer.
+    pub fn silence(&self) -> Micros {
+        self.given() + self.quorum + self.drift(self.quorum)
+    }
+
+    fn drift(&self, span: Micros) -> Micros {
+        span * Micros::from(self.drift_ppm) / 1_000_000 + 1
+    }
+}
--- /dev/null
+++ b/crates/registry/src/wire.rs
@@ -0,0 +1,82 @@
+//! What a front end and the leading keeper say to each other, one message a frame.
+
+use crate::{Member, Micros, Pool, Retirement, Terms, Version, View};
+use serde::{Deserialize, Serialize};
+
+/// Of the messages below; a process that speaks another is turned away.
+pub const PROTOCOL: u16 = 1;
+
+/// From a front end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToKeeper {
+    /// First on a connection. `member` is set where this run has joined before.
+    Hello {
+        protocol: u16,
+        name: String,
+        member: Option<Member>,
+        at_least: u64,
+        edition: u64,
+        pools: Vec<Pool>,
+    },
+    Report(Report),
+    Retire(Retirement),
+    /// This run ends in order; it serves nothing any more.
+    Leave,
+}
+
+/// Sent a few times in each lease, and at once when something changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Counts up on a connection; the answer names it.
+    pub number: u64,
+    /// The view that this front end has applied: it serves nothing that the view's tombstones name, nor is such a call at
+    /// work here.
+    pub confirmed: Version,
+    /// Ready lanes of workers that it knows, for pools sized by workers.
+    pub ready_lanes: u32,
+    pub demand: Vec<Demand>,
+}
+
+/// Lanes asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    pub pool: String,
+    /// Empty: all who have no reservation there.
+    pub tenant: String,
+    /// Lanes in use now, of whatever lease.
+    pub in_use: u32,
+    /// Calls that wait for a lane.
+    pub waiting: u32,
+}
+
+/// From the leading keeper, or from one that does not lead.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToMember {
+    /// The number of the keeper that leads, where it is known.
+    Elsewhere {
+        leader: Option<u64>,
+    },
+    Welcome {
+        member: Member,
+        terms: Terms,
+    },
+    /// The whole view, whenever it changed.
+    View(View),
+    Grant(Grant),
+    /// The session is refused; another try would end the same way.
+    Refused {
+        why: String,
+    },
+}
+
+/// Answers a report: the view's lease, and lanes for as long.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Of the report that it answers; the lease counts from when that was sent.
+    pub number: u64,
+    /// The newest view; the lease vouches for no older one.
+    pub version: Version,
+    pub lease: Micros,
+    /// By pool and tenant (empty: those without a reservation), beside the floor.
+    pub lanes: Vec<(String, String, u32)>,
+}
