Holes in the record's promises closed: replaced runs, late joiners, bounds; Lead::next

A run in whose place another joined under its name vanished from the record, and with it the promise to it: a stopped process that woke could serve what was in force. Such runs are kept (`Record::replaced`, agreed on, so that a new leader counts them for its silence) until every promise has run out; then the leader lets them leave.

- Members that joined after a proposal are not waited for: no grant to them vouches for an older view.
- Available: at most one lease and its drift is waited from when the leader first saw the tombstone; one long call at work or a new leader's silence held it up for longer.
`but_for` only shrinks, names go from it together.
- A confirmation of more than the record holds counts as all that it holds.
- Names, tombstones, pools, replaced runs are bounded; a command beyond is `Done::Refused`.
Beyond 4096 names the longest-left is forgotten; names that come back count on above all forgotten ones.
- `due` looks at each run and tombstone once, only when something changed or `next` is reached; `report` looks up one run instead of all.
A command handed out is not handed out again within a quarter of a lease.
- A shorter lease told with a grant has its own drift taken off.

--- a/crates/registry/src/holder.rs
+++ b/crates/registry/src/holder.rs
@@ -8,7 +8,7 @@
 const REPORTS_MOST: usize = 64;
 
 /// What the driver of a front end reads; it never waits for it.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Standing {
     /// The newest view that came.
     pub view: Arc<View>,
@@ -27,7 +27,7 @@
 }
 
 /// Counts promises from when they were asked for.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Holder {
     terms: Terms,
     sent: VecDeque<(u64, Micros)>,
@@ -41,7 +41,8 @@
         Holder { terms, sent: VecDeque::new(), next: 1, standing }
     }
 
-    /// A connection was lost: answers to what was sent on it will not come. What was promised stands until it runs out.
+    /// A connection was lost: answers to what was sent on it will not come. What was promised stands until it
+    /// runs out.
     pub fn lost(&mut self) {
         self.sent.clear();
     }
@@ -71,7 +72,8 @@
         let Some(place) = self.sent.iter().position(|(n, _)| *n == grant.number) else { return false };
         let asked = self.sent[place].1;
         self.sent.drain(..=place);
-        let until = asked + self.terms.held().min(grant.lease);
+        let lease = self.terms.lease.min(grant.lease);
+        let until = asked + Terms { lease, ..self.terms }.held();
         if grant.version == self.standing.view.version {
             self.standing.fresh_until = self.standing.fresh_until.max(until);
         }
--- a/crates/registry/src/lead.rs
+++ b/crates/registry/src/lead.rs
@@ -1,35 +1,56 @@
-//! What the leading keeper knows beside the record: who confirmed what, which promises stand. It is forgotten with the
-//! leadership; a new leader counts every promise that it does not know of as standing for [`Terms::silence`].
+//! What the leading keeper knows beside the record: who confirmed what, which promises stand. It is forgotten
+//! with the leadership; a new leader counts every promise that it does not know of as standing for
+//! [`Terms::silence`].
 
-use crate::{Command, Grant, Member, Micros, Mode, Record, Report, State, Terms, Version};
-use std::collections::{BTreeMap, BTreeSet};
+mod due;
 
-#[derive(Clone, Debug, Default)]
+use crate::{Grant, Member, Micros, Record, Report, Terms, Version};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Session {
     confirmed: Version,
     /// Until when a promise given to it may be relied on.
     promised: Micros,
 }
 
+/// How far a tombstone has come with this leader; by the change that proposed it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Course {
+    seen: Micros,
+    /// Since when it is in force at every member.
+    settled: Option<Micros>,
+    /// When the last command for it was handed out, and how many members that excepted.
+    written: Option<(Micros, usize)>,
+}
+
 /// The state of a leadership.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Lead {
     terms: Terms,
     began: Micros,
     sessions: BTreeMap<Member, Session>,
-    /// Tombstones in force at every member, and since when.
-    settled: BTreeMap<(String, u32), Micros>,
+    courses: BTreeMap<Version, Course>,
+    /// When runs in whose place another joined were last let leave.
+    let_leave: Option<Micros>,
+    /// The change up to which the record was judged, and when time alone may bring something.
+    judged: Option<Version>,
+    wake: Option<Micros>,
+    /// A tombstone waits for the end of promises.
+    waits: bool,
 }
 
 impl Lead {
-    /// A leadership begins.
+    /// A leadership begins. To be called once this keeper's record has come as far as the first entry of its
+    /// own term: before, a promise could vouch for a view that was overtaken under an earlier leader.
     pub fn new(terms: Terms, now: Micros) -> Lead {
-        Lead { terms, began: now, sessions: BTreeMap::new(), settled: BTreeMap::new() }
+        let (sessions, courses) = (BTreeMap::new(), BTreeMap::new());
+        Lead { terms, began: now, sessions, courses, let_leave: None, judged: None, wake: None, waits: false }
     }
 
-    /// A member reported. `acked` is when a majority is known to have followed this leader, by this keeper's clock: the time at
-    /// which the oldest of the newest answers of a majority was asked for. No promise where that is too long ago, or where the
-    /// member is not a present one.
+    /// A member reported. `acked` is when a majority is known to have followed this leader, by this keeper's
+    /// clock: the time at which the oldest of the newest answers of a majority was asked for. No promise
+    /// where that is too long ago, or where the member is not a present one.
     pub fn report(
         &mut self,
         record: &Record,
@@ -38,12 +59,17 @@
         now: Micros,
         acked: Micros,
     ) -> Option<Grant> {
-        if !record.present().any(|m| m == *member) || now - acked > self.terms.quorum {
+        if !record.is_present(member) || now.saturating_sub(acked) > self.terms.quorum {
             return None;
         }
         let given = self.terms.given();
         let session = self.sessions.entry(member.clone()).or_default();
-        session.confirmed = session.confirmed.max(report.confirmed);
+        // Nobody can have seen more than there is.
+        let confirmed = report.confirmed.min(record.view.version);
+        if confirmed > session.confirmed {
+            session.confirmed = confirmed;
+            self.judged = None;
+        }
         session.promised = session.promised.max(now + given);
         Some(Grant {
             number: report.number,
@@ -52,54 +78,4 @@
             lanes: Vec::new(),
         })
     }
-
-    /// Changes of the record that are due.
-    pub fn due(&mut self, record: &Record, now: Micros) -> Vec<Command> {
-        self.sessions
-            .retain(|member, _| record.members.get(&member.name) == Some(&(member.incarnation, false)));
-        let mut commands = Vec::new();
-        for (function, tombstone) in &record.view.tombstones {
-            let generation = tombstone.retirement.generation;
-            let open: BTreeSet<Member> =
-                record.present().filter(|m| !self.has_confirmed(m, tombstone.proposed)).collect();
-            // A strict one stops by itself once its lease has run out; an available one goes on until it confirmed.
-            let serving = |m: &Member| match tombstone.retirement.mode {
-                Mode::Strict => self.may_rely(m, now),
-                Mode::Available => false,
-            };
-            if open.iter().any(serving) {
-                continue;
-            }
-            let but_for = match tombstone.retirement.mode {
-                Mode::Strict => BTreeSet::new(),
-                // Those that a word may still reach are waited for.
-                Mode::Available
-                    if open.iter().any(|m| self.may_rely(m, now)) && tombstone.in_force.is_none() =>
-                {
-                    continue
-                }
-                Mode::Available => open.clone(),
-            };
-            let state = State::InForce { but_for: but_for.clone() };
-            if tombstone.state != state {
-                commands.push(Command::InForce { function: function.clone(), generation, but_for });
-            } else if open.is_empty() {
-                let since = *self.settled.entry((function.clone(), generation)).or_insert(now);
-                if now - since >= self.terms.remember {
-                    commands.push(Command::Forget { function: function.clone(), generation });
-                }
-            }
-        }
-        commands
-    }
-
-    fn has_confirmed(&self, member: &Member, version: Version) -> bool {
-        self.sessions.get(member).is_some_and(|s| s.confirmed >= version)
-    }
-
-    /// Whether a promise to a member, of this leader or of one before, may stand.
-    fn may_rely(&self, member: &Member, now: Micros) -> bool {
-        let own = self.sessions.get(member).map_or(Micros::MIN, |s| s.promised);
-        now < own.max(self.began + self.terms.silence())
-    }
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -1,15 +1,20 @@
 //! The record that the processes of one fleet share, and the decisions around it, without I/O.
 //!
-//! - [`record`]: what keepers agree on ([`Command`]) and what it comes to ([`Record`]): members with incarnations, tombstones
-//!   of retired functions, pools with reservations.
-//! - [`lead`]: what only the keeper that leads knows and decides: sessions, leases, when a retirement is in force.
+//! - [`record`]: what keepers agree on ([`Command`]) and what it comes to ([`Record`]): members with
+//!   incarnations, tombstones of retired functions, pools with reservations.
+//! - [`bounds`]: how much of each.
+//! - [`lead`]: what only the keeper that leads knows and decides: sessions, leases, when a retirement is in
+//!   force.
 //! - [`wire`]: what a front end and the leading keeper say to each other.
 //! - [`holder`]: a front end's side of its session: what it holds, and until when by its own clock.
 //!
-//! Times are microseconds of the monotonic clock of whoever is called. Two processes' clocks never agree: a promise is
-//! counted by its holder from when it asked, and by its giver from when it gave, with [`Terms::drift`] between.
+//! Times are microseconds of the monotonic clock of whoever is called. Two processes' clocks never agree: a
+//! promise is counted by its holder from when it asked, and by its giver from when it gave, with
+//! [`Terms::drift`] between. The clock must go on while its process is stopped.
 #![forbid(unsafe_code)]
 
+mod apply;
+pub mod bounds;
 pub mod holder;
 pub mod lead;
 pub mod record;
@@ -18,7 +23,7 @@
 pub use holder::{Holder, Standing};
 pub use lead::Lead;
 pub use record::{
-    Command, Done, Member, Mode, Pool, Record, Reservation, Retirement, Size, State, Tombstone, View,
+    Command, Done, Member, Mode, Pool, Record, Reservation, Retirement, Run, Size, State, Tombstone, View,
 };
 pub use wire::{Demand, Grant, Report, ToKeeper, ToMember, PROTOCOL};
 
@@ -29,7 +34,7 @@
 pub type Version = u64;
 
 /// What all processes of a fleet are told alike about promises.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub struct Terms {
     /// How long a view and the lanes dealt with it may be relied on without word from the leader.
     pub lease: Micros,
@@ -52,8 +57,8 @@
         self.lease + self.drift(self.lease)
     }
 
-    /// How long a new leader counts promises of earlier leaders as standing: the last one gave none later than `quorum` after
-    /// a majority answered it, and that majority elected the new one after that answer.
+    /// How long a new leader counts promises of earlier leaders as standing: the last one gave none later
+    /// than `quorum` after a majority answered it, and that majority elected the new one after that answer.
     pub fn silence(&self) -> Micros {
         self.given() + self.quorum + self.drift(self.quorum)
     }
--- a/crates/registry/src/record.rs
+++ b/crates/registry/src/record.rs
@@ -1,4 +1,5 @@
-//! What keepers agree on. Applying the same commands in the same order gives the same record everywhere: no clock, no chance.
+//! What keepers agree on. Applying the same commands in the same order gives the same record everywhere: no
+//! clock, no chance.
 
 use crate::Version;
 use serde::{Deserialize, Serialize};
@@ -13,7 +14,7 @@
 }
 
 /// What a retirement does where a front end can't know whether it still holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Mode {
     /// Calls are refused once the view's lease has run out.
     Strict,
@@ -22,7 +23,7 @@
 }
 
 /// A function taken out of service for good.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Retirement {
     pub function: String,
     /// Of the uses of a name; the first is 1. Retiring one retires all before it.
@@ -36,7 +37,7 @@
 }
 
 /// How far a retirement has come.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum State {
     Proposed,
     /// No front end can serve it any more, but for those named.
@@ -45,7 +46,7 @@
     },
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Tombstone {
     pub retirement: Retirement,
     pub state: State,
@@ -55,7 +56,7 @@
 }
 
 /// Lanes that some functions share.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Pool {
     pub name: String,
     /// Names, or beginnings of names with a closing `*`.
@@ -64,21 +65,21 @@
     pub reservations: Vec<Reservation>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Size {
     Lanes(u32),
     /// As many as the members report of their ready workers.
     ByWorkers,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Reservation {
     pub tenant: String,
     pub lanes: u32,
 }
 
 /// What a front end is told of the record.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct View {
     pub version: Version,
     /// By function; the highest generation retired of each.
@@ -89,7 +90,7 @@
 }
 
 /// A change of the record.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Command {
     /// A run of a front end begins; `at_least` is the incarnation that it remembers.
     Join {
@@ -116,91 +117,53 @@
 }
 
 /// What came of a command.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Done {
     Joined(Member),
     Changed,
     /// It held already, or something later overtook it.
     Unchanged,
+    /// It is out of bounds; another try would end the same way.
+    Refused {
+        why: String,
+    },
+}
+
+/// The last run under a name. Numbers of changes compare with a tombstone's.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Run {
+    pub incarnation: u64,
+    /// The change by which it joined, and the one by which it left.
+    pub joined: Version,
+    pub left: Option<Version>,
 }
 
 /// The record.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Record {
-    /// The present or last run under each name, and whether it has left.
-    pub members: BTreeMap<String, (u64, bool)>,
+    /// The last command that changed anything.
+    pub version: Version,
+    /// The present or last run under each name.
+    pub members: BTreeMap<String, Run>,
+    /// Runs in whose place another joined, and when they had joined. A stopped process may wake: such a run
+    /// counts as at work until every promise to it has run out, when the leader lets it leave.
+    pub replaced: BTreeMap<Member, Version>,
+    /// The highest incarnation of all names that were forgotten.
+    pub forgotten: u64,
     pub view: View,
 }
 
 impl Record {
-    /// Applies the change with this number.
-    pub fn apply(&mut self, version: Version, command: &Command) -> Done {
-        match command {
-            Command::Join { name, at_least } => {
-                let (incarnation, left) = self.members.entry(name.clone()).or_insert((0, true));
-                *incarnation = (*incarnation).max(*at_least) + 1;
-                *left = false;
-                Done::Joined(Member { name: name.clone(), incarnation: *incarnation })
-            }
-            Command::Leave(member) => match self.members.get_mut(&member.name) {
-                Some((incarnation, left)) if *incarnation == member.incarnation && !*left => {
-                    *left = true;
-                    Done::Changed
-                }
-                _ => Done::Unchanged,
-            },
-            Command::Retire(retirement) => {
-                let known = self.view.tombstones.get(&retirement.function);
-                if known.is_some_and(|t| t.retirement.generation >= retirement.generation) {
-                    return Done::Unchanged;
-                }
-                let tombstone = Tombstone {
-                    retirement: retirement.clone(),
-                    state: State::Proposed,
-                    proposed: version,
-                    in_force: None,
-                };
-                self.view.tombstones.insert(retirement.function.clone(), tombstone);
-                self.changed(version)
-            }
-            Command::InForce { function, generation, but_for } => {
-                let state = State::InForce { but_for: but_for.clone() };
-                match self.view.tombstones.get_mut(function) {
-                    Some(t) if t.retirement.generation == *generation && t.state != state => {
-                        t.state = state;
-                        t.in_force.get_or_insert(version);
-                        self.changed(version)
-                    }
-                    _ => Done::Unchanged,
-                }
-            }
-            Command::Forget { function, generation } => {
-                let known = self.view.tombstones.get(function);
-                if known.is_none_or(|t| t.retirement.generation != *generation) {
-                    return Done::Unchanged;
-                }
-                self.view.tombstones.remove(function);
-                self.changed(version)
-            }
-            Command::Pools { edition, pools } => {
-                if *edition <= self.view.edition {
-                    return Done::Unchanged;
-                }
-                (self.view.edition, self.view.pools) = (*edition, pools.clone());
-                self.changed(version)
-            }
-        }
-    }
-
-    /// The runs that may still be at work.
+    /// The last run under each name, where it has not left.
     pub fn present(&self) -> impl Iterator<Item = Member> + '_ {
-        let present = self.members.iter().filter(|(_, (_, left))| !left);
-        present.map(|(name, (incarnation, _))| Member { name: name.clone(), incarnation: *incarnation })
+        let present = self.members.iter().filter(|(_, run)| run.left.is_none());
+        present.map(|(name, run)| Member { name: name.clone(), incarnation: run.incarnation })
     }
 
-    fn changed(&mut self, version: Version) -> Done {
-        self.view.version = version;
-        Done::Changed
+    /// Whether this run is the last under its name and has not left.
+    pub fn is_present(&self, member: &Member) -> bool {
+        let run = self.members.get(&member.name);
+        run.is_some_and(|run| run.incarnation == member.incarnation && run.left.is_none())
     }
 }
 
@@ -210,3 +173,14 @@
         self.tombstones.get(function).filter(|t| generation <= t.retirement.generation)
     }
 }
+
+impl Tombstone {
+    /// The runs at which it is not in force yet, where it is at all others.
+    pub fn excepted(&self) -> impl Iterator<Item = &Member> {
+        let but_for = match &self.state {
+            State::InForce { but_for } => Some(but_for),
+            State::Proposed => None,
+        };
+        but_for.into_iter().flatten()
+    }
+}
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -7,7 +7,7 @@
 pub const PROTOCOL: u16 = 1;
 
 /// From a front end.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ToKeeper {
     /// First on a connection. `member` is set where this run has joined before.
     Hello {
@@ -25,12 +25,12 @@
 }
 
 /// Sent a few times in each lease, and at once when something changed.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Report {
     /// Counts up on a connection; the answer names it.
     pub number: u64,
-    /// The view that this front end has applied: it serves nothing that the view's tombstones name, nor is such a call at
-    /// work here.
+    /// The view that this front end has applied: it serves nothing that the view's tombstones name, nor is
+    /// such a call at work here.
     pub confirmed: Version,
     /// Ready lanes of workers that it knows, for pools sized by workers.
     pub ready_lanes: u32,
@@ -38,7 +38,7 @@
 }
 
 /// Lanes asked for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Demand {
     pub pool: String,
     /// Empty: all who have no reservation there.
@@ -50,7 +50,7 @@
 }
 
 /// From the leading keeper, or from one that does not lead.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ToMember {
     /// The number of the keeper that leads, where it is known.
     Elsewhere {
@@ -70,7 +70,7 @@
 }
 
 /// Answers a report: the view's lease, and lanes for as long.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Grant {
     /// Of the report that it answers; the lease counts from when that was sent.
     pub number: u64,
