Retirement model-checked around the real Lead, Record and Holder; each guard shown to matter

A hand-written stateright model plays the code as it is under late, lost, doubled and reordered messages, clocks at two rates (2:3), a leader that does not know it is deposed, restarts under the same name, and processes that wake at any moment.

--- /dev/null
+++ b/crates/registry/tests/fleet/step.rs
@@ -0,0 +1,147 @@
+//! What can happen in the model, and what comes of it.
+
+use super::{Action, Fleet, Guard, Keeper, Message, World, FUNCTION};
+use stagehoist_registry::{Command, Grant, Lead, Micros, Report, Retirement};
+
+impl Fleet {
+    pub fn choices(&self, world: &World, actions: &mut Vec<Action>) {
+        if world.time < self.ticks {
+            actions.push(Action::Tick);
+        }
+        for (run, process) in world.runs.iter().enumerate() {
+            if world.asks < self.asks {
+                actions.extend((0..world.keepers.len()).map(|keeper| Action::Ask { run, keeper }));
+            }
+            let last = world.committed().is_present(&process.member);
+            if last && world.restarts < self.restarts {
+                actions.push(Action::Restart { run });
+            }
+        }
+        actions.extend(world.network.iter().map(|message| Action::Deliver(*message)));
+        if world.tombstone().is_none() {
+            actions.push(Action::Retire);
+        }
+        actions.push(Action::CatchUp);
+        if world.keepers.len() <= self.elections {
+            let lags = if self.off == Some(Guard::CaughtUp) { 0..3 } else { 0..1 };
+            actions.extend(lags.map(|lag| Action::Elect { lag }));
+        }
+    }
+
+    pub fn step(&self, world: &mut World, action: Action) {
+        let newest = world.history.len() - 1;
+        let leader = world.keepers.len() - 1;
+        let caught_up = world.keepers[leader].applied == newest;
+        match action {
+            Action::Tick => {
+                world.time += 1;
+                let time = world.time;
+                let leader = world.leader();
+                // A majority answers the one that leads, to the last.
+                leader.acked = leader.rate * time;
+            }
+            Action::Ask { run, keeper } => {
+                let now = world.runs[run].now(world);
+                let process = &mut world.runs[run];
+                let (number, confirmed) = (process.holder.ask(now), process.holder.version());
+                world.asks += 1;
+                let report = Message::Report { run, keeper, number, confirmed, deliveries: 0 };
+                world.network.insert(report);
+            }
+            Action::Deliver(message) => self.deliver(world, message),
+            Action::Retire if caught_up => {
+                let retirement = Retirement {
+                    function: FUNCTION.into(),
+                    generation: 1,
+                    successor: None,
+                    reason: String::new(),
+                    mode: self.mode,
+                    asked_ms: 0,
+                };
+                self.commit(world, Command::Retire(retirement));
+            }
+            Action::Restart { run } if caught_up => {
+                world.restarts += 1;
+                let (name, rate) = (world.runs[run].member.name.clone(), world.runs[run].rate);
+                self.join(world, &name, rate);
+            }
+            Action::Elect { lag } => self.elect(world, lag),
+            Action::CatchUp => world.leader().applied = newest,
+            _ => {}
+        }
+    }
+
+    /// What is due is agreed on at once: later would only shorten the time in which it can be wrong.
+    pub fn due(&self, world: &mut World) {
+        let (time, newest) = (world.time, world.history.len() - 1);
+        let record = world.history[newest].clone();
+        let leader = world.leader();
+        if leader.applied == newest {
+            let due = leader.lead.due(&record, leader.rate * time);
+            for command in due {
+                self.commit(world, command);
+            }
+        }
+    }
+
+    /// Another keeper leads from now on; the old one does not know.
+    fn elect(&self, world: &mut World, lag: usize) {
+        let rate = world.next_rate;
+        let now = rate * world.time;
+        let terms = self.terms();
+        let began = if self.off == Some(Guard::Silence) { now - terms.silence() } else { now };
+        let applied = (world.history.len() - 1).saturating_sub(lag);
+        let lead = Lead::new(terms, began);
+        world.keepers.push(Keeper { rate, acked: now, lead, applied });
+    }
+
+    fn deliver(&self, world: &mut World, message: Message) {
+        match message {
+            Message::Report { run, keeper, number, confirmed, deliveries } => {
+                world.network.remove(&message);
+                let deliveries = deliveries + 1;
+                if deliveries < self.deliveries {
+                    world.network.insert(Message::Report { run, keeper, number, confirmed, deliveries });
+                }
+                let member = world.runs[run].member.clone();
+                let time = world.time;
+                let Keeper { rate, acked, lead, applied, .. } = &mut world.keepers[keeper];
+                let now = *rate * time;
+                let acked = if self.off == Some(Guard::Quorum) { now } else { *acked };
+                let report = Report { number, confirmed, ..Report::default() };
+                let record = &world.history[*applied];
+                let Some(grant) = lead.report(record, &member, &report, now, acked) else { return };
+                let applied = *applied;
+                world.network.insert(Message::Grant { run, number, version: grant.version });
+                world.network.insert(Message::View { run, applied });
+            }
+            Message::Grant { run, number, version } => {
+                let holder = &mut world.runs[run].holder;
+                let version = if self.off == Some(Guard::OwnVersion) { holder.version() } else { version };
+                let lease = self.terms().lease;
+                holder.grant(Grant { number, version, lease, lanes: Vec::new() });
+            }
+            Message::View { run, applied } => {
+                let view = world.history[applied].view.clone();
+                world.runs[run].holder.view(view);
+            }
+        }
+    }
+}
+
+impl World {
+    /// Messages that would change nothing wherever they come are dropped: fewer states, the same courses.
+    pub fn forget_spent(&mut self) {
+        let (runs, history, time) = (&self.runs, &self.history, self.time);
+        self.network.retain(|message| match message {
+            Message::Report { .. } => true,
+            Message::Grant { run, number, version } => {
+                let (run, lease) = (&runs[*run], Micros::MAX / 4_000_000);
+                let grant = Grant { number: *number, version: *version, lease, lanes: Vec::new() };
+                let mut holder = run.holder.clone();
+                holder.grant(grant) && holder.standing().lanes_until > 1000 + run.rate * time
+            }
+            Message::View { run, applied } => history[*applied].view.version > runs[*run].holder.version(),
+        });
+    }
+}
--- a/crates/registry/tests/holder.rs
+++ b/crates/registry/tests/holder.rs
@@ -6,7 +6,8 @@
     Command, Done, Grant, Holder, Lead, Micros, Mode, Record, Report, Retirement, State, Terms, View,
 };
 
-const TERMS: Terms = Terms { lease: 1_000_000, drift_ppm: 50_000, quorum: 500_000, remember: 60_000_000 };
+const TERMS: Terms =
+    Terms { lease: 1_000_000, drift_ppm: 50_000, quorum: 500_000, remember: 60_000_000 };
 
 /// What may happen after a wait: which of the messages under way it concerns, and whether that stays under way.
 type Step = (u8, Micros, usize, bool);
@@ -15,8 +16,8 @@
     at + at * ppm / 1_000_000
 }
 
-/// Plays the steps; false where a promise was relied on for longer than its giver counted, or where a function in force was
-/// still taken for served.
+/// Plays the steps; false where a promise was relied on for longer than its giver counted, or where a
+/// function in force was still taken for served.
 fn kept(terms: Terms, (slow, fast): (Micros, Micros), steps: &[Step]) -> bool {
     let (mut record, mut version) = (Record::default(), 1);
     let Done::Joined(member) = record.apply(1, &Command::Join { name: "m".into(), at_least: 0 }) else {
