--- a/crates/registry/tests/fleet/mod.rs
+++ b/crates/registry/tests/fleet/mod.rs
@@ -41,6 +41,8 @@
     pub deliveries: u8,
     pub restarts: u8,
     pub elections: usize,
+    /// What is due is agreed on at some later moment, under whichever leader; else at once.
+    pub late_commits: bool,
     /// The leaders' clocks are the fast ones, so that their promises end soonest; else all are drawn.
     pub hasty: bool,
     pub off: Option<Guard>,
@@ -79,6 +81,8 @@
     /// The record after each agreed change.
     pub history: Vec<Arc<Record>>,
     pub network: BTreeSet<Message>,
+    /// Handed out by a leader and not agreed on yet.
+    pub pending: Vec<Command>,
     pub restarts: u8,
     pub asks: u8,
     pub next_rate: Micros,
@@ -92,6 +96,7 @@
     Retire,
     Restart { run: usize },
     Elect { lag: usize },
+    Commit,
     CatchUp,
 }
 
@@ -115,6 +120,7 @@
             keepers: vec![first],
             history: vec![Arc::default()],
             network: BTreeSet::new(),
+            pending: Vec::new(),
             restarts: 0,
             asks: 0,
             next_rate: rates[1],
--- a/crates/registry/tests/fleet/step.rs
+++ b/crates/registry/tests/fleet/step.rs
@@ -21,7 +21,7 @@
         if world.tombstone().is_none() {
             actions.push(Action::Retire);
         }
-        actions.push(Action::CatchUp);
+        actions.extend([Action::CatchUp, Action::Commit]);
         if world.keepers.len() <= self.elections {
             let lags = if self.off == Some(Guard::CaughtUp) { 0..3 } else { 0..1 };
             actions.extend(lags.map(|lag| Action::Elect { lag }));
@@ -66,20 +66,26 @@
                 self.join(world, &name, rate);
             }
             Action::Elect { lag } => self.elect(world, lag),
+            Action::Commit if caught_up && !world.pending.is_empty() => {
+                let command = world.pending.remove(0);
+                self.commit(world, command);
+            }
             Action::CatchUp => world.leader().applied = newest,
             _ => {}
         }
     }
 
-    /// What is due is agreed on at once: later would only shorten the time in which it can be wrong.
+    /// What is due is handed out as soon as it is.
     pub fn due(&self, world: &mut World) {
         let (time, newest) = (world.time, world.history.len() - 1);
         let record = world.history[newest].clone();
         let leader = world.leader();
         if leader.applied == newest {
             let due = leader.lead.due(&record, leader.rate * time);
-            for command in due {
-                self.commit(world, command);
+            if self.late_commits {
+                world.pending.extend(due);
+            } else {
+                due.into_iter().for_each(|command| drop(self.commit(world, command)));
             }
         }
     }
--- a/crates/registry/tests/holder.rs
+++ b/crates/registry/tests/holder.rs
@@ -6,10 +6,10 @@
     Command, Done, Grant, Holder, Lead, Micros, Mode, Record, Report, Retirement, State, Terms, View,
 };
 
-const TERMS: Terms =
-    Terms { lease: 1_000_000, drift_ppm: 50_000, quorum: 500_000, remember: 60_000_000 };
+const TERMS: Terms = Terms { lease: 1_000_000, drift_ppm: 50_000, quorum: 500_000, remember: 60_000_000 };
 
-/// What may happen after a wait: which of the messages under way it concerns, and whether that stays under way.
+/// What may happen after a wait: which of the messages under way it concerns, and whether that stays under
+/// way.
 type Step = (u8, Micros, usize, bool);
 
 fn clock(at: Micros, ppm: Micros) -> Micros {
--- a/crates/registry/tests/retire_model.rs
+++ b/crates/registry/tests/retire_model.rs
@@ -17,6 +17,7 @@
     deliveries: 1,
     restarts: 0,
     elections: 0,
+    late_commits: false,
     hasty: false,
     off: None,
 };
@@ -69,6 +70,12 @@
     holds("restart and leader change", fleet);
 }
 
+#[test]
+fn a_decision_that_is_agreed_on_late_and_under_the_next_leader() {
+    let fleet = Fleet { asks: 1, elections: 1, late_commits: true, hasty: true, ..ALONE };
+    holds("late commits", Fleet { ticks: 6, ..fleet });
+}
+
 #[test]
 fn an_available_function_names_those_who_may_serve_it() {
     holds("available", Fleet { mode: Mode::Available, ..ALONE });
