--- /dev/null
+++ b/crates/judge/src/rules/charter.rs
@@ -0,0 +1,84 @@
+//! The rules' figures, and what a day's script knows that no socket shows.
+
+use super::WAKE;
+use crate::capture::Micros;
+use std::collections::BTreeMap;
+
+/// What may be done with a call that may have run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Safe,
+    Unsafe,
+    /// Repeats within the window, at workers of one group, are dropped by the workers. A worker's group is looked up in
+    /// [`Charter::groups`]; `None` groups all.
+    Keyed {
+        grouped: bool,
+        window: Micros,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct ClassRule {
+    pub effect: Effect,
+    pub give_up: Micros,
+}
+
+/// A worker's process that started cold.
+#[derive(Clone, Debug)]
+pub struct WorkerStart {
+    pub worker: String,
+    pub at: Micros,
+    /// Calls a second that it serves when warm.
+    pub capacity: f64,
+}
+
+/// The rules' figures, and the facts of a day that no socket shows.
+#[derive(Clone, Debug, Default)]
+pub struct Charter {
+    /// Function patterns (`rare-*`), each with its class.
+    pub functions: Vec<(String, ClassRule)>,
+    /// Time past a caller's patience in which an answer still counts.
+    pub answer_grace: Micros,
+    pub drain_grace: Micros,
+    pub second_copies: bool,
+    /// Window, free loads, loads for each call taken.
+    pub ration: Option<(Micros, f64, f64)>,
+    pub groups: BTreeMap<String, String>,
+    /// Window, multiple, share at the start, time until warm.
+    pub cold: Option<(Micros, f64, f64, Micros)>,
+    pub starts: Vec<WorkerStart>,
+    /// Front ends that were stopped: from, to.
+    pub frozen: Vec<(u32, Micros, Micros)>,
+    /// Front ends whose process started anew: when. A new process knows nothing of what the old one was told.
+    pub begun: Vec<(u32, Micros)>,
+}
+
+impl Charter {
+    pub(super) fn class(&self, function: &str) -> Option<&ClassRule> {
+        let takes = |pattern: &str| match pattern.strip_suffix('*') {
+            Some(prefix) => function.starts_with(prefix),
+            None => pattern == function,
+        };
+        self.functions.iter().find(|(pattern, _)| takes(pattern)).map(|(_, class)| class)
+    }
+
+    /// Whether a front end ran at a time and a little before.
+    pub(super) fn ran(&self, front_end: u32, at: Micros) -> bool {
+        !self.frozen.iter().any(|f| f.0 == front_end && f.1 <= at && at <= f.2 + WAKE)
+    }
+
+    /// When the process that a front end had at a time started; nought for the first.
+    pub(super) fn process_began(&self, front_end: u32, at: Micros) -> Micros {
+        self.begun.iter().filter(|b| b.0 == front_end && b.1 <= at).map(|b| b.1).max().unwrap_or(0)
+    }
+
+    /// When a front end could know what reached it at a time.
+    pub(super) fn knew(&self, front_end: u32, at: Micros) -> Micros {
+        self.frozen
+            .iter()
+            .filter(|f| f.0 == front_end && f.1 <= at && at <= f.2)
+            .map(|f| f.2)
+            .max()
+            .unwrap_or(at)
+    }
+}
--- a/crates/judge/src/story.rs
+++ b/crates/judge/src/story/read.rs
@@ -1,100 +1,11 @@
-//! What happened to each call, attempt, order and worker, put together from all links of a capture.
+//! Reads a story from the streams of a capture.
 
+use super::{Attempt, Delivery, Load, Reply, Story, Told};
 use crate::capture::{Capture, Micros, Peer, Way};
 use crate::streams::{amqp, connections, http, AmqpItem, Connection, Exchange};
 use serde_json::Value;
 use stagehoist_amqp::{basic, channel, connection, AMQPClass, BasicProperties};
-use std::collections::{BTreeMap, HashMap};
-
-/// A call that a caller published.
-#[derive(Clone, Debug, Default)]
-pub struct Call {
-    pub published: Micros,
-    pub function: String,
-    /// The caller's patience, in microseconds, where the message states it.
-    pub patience: Option<Micros>,
-    /// Replies as they reached the caller: when, and the header `outcome`.
-    pub answers: Vec<(Micros, String)>,
-    pub deliveries: Vec<Delivery>,
-    pub replies: Vec<Reply>,
-    /// Indices into [`Story::attempts`], in order of time.
-    pub attempts: Vec<usize>,
-}
-
-/// A message handed to a front end.
-#[derive(Clone, Debug)]
-pub struct Delivery {
-    pub at: Micros,
-    pub front_end: u32,
-    pub redelivered: bool,
-    /// When the connection that it came on ended.
-    pub lost: Option<Micros>,
-}
-
-/// A reply that left a front end whole.
-#[derive(Clone, Debug)]
-pub struct Reply {
-    pub at: Micros,
-    pub front_end: u32,
-    pub outcome: String,
-}
-
-/// A request to a worker.
-#[derive(Clone, Debug)]
-pub struct Attempt {
-    pub front_end: u32,
-    pub worker: String,
-    pub correlation: String,
-    pub function: String,
-    pub asked: Micros,
-    /// Known not to have run.
-    pub never: bool,
-    /// When its end was known to the front end; None while it was out.
-    pub ended: Option<Micros>,
-    pub status: u16,
-}
-
-/// An order to load.
-#[derive(Clone, Debug)]
-pub struct Load {
-    pub front_end: u32,
-    pub worker: String,
-    pub at: Micros,
-}
-
-/// What a front end was told of a worker.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Told {
-    pub at: Micros,
-    pub by_list: bool,
-    /// Ready; else draining or gone.
-    pub ready: bool,
-    /// Start that the list shows, in Unix milliseconds.
-    pub started: i64,
-}
-
-impl std::fmt::Display for Told {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let who = if self.by_list { "list" } else { "worker" };
-        let what = if self.ready { "ready" } else { "shut" };
-        write!(f, "{who} {what} {:.1} ms", self.at as f64 / 1000.0)
-    }
-}
-
-/// All of it.
-#[derive(Clone, Debug, Default)]
-pub struct Story {
-    pub calls: BTreeMap<String, Call>,
-    pub attempts: Vec<Attempt>,
-    pub loads: Vec<Load>,
-    /// By front end and worker, in order of time.
-    pub told: BTreeMap<(u32, String), Vec<Told>>,
-    /// Deliveries by front end: when.
-    pub taken: BTreeMap<u32, Vec<Micros>>,
-    /// Times in which the broker took no publishes from a front end, as it told it: from, to.
-    pub blocked: BTreeMap<u32, Vec<(Micros, Micros)>>,
-    pub end: Micros,
-}
+use std::collections::HashMap;
 
 fn text(value: &Option<stagehoist_amqp::ShortString>) -> String {
     value.as_ref().map_or(String::new(), |v| v.as_str().to_string())
--- /dev/null
+++ b/crates/judge/tests/scene/mod.rs
@@ -0,0 +1,189 @@
+//! Captures written by hand.
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use bytes::{Bytes, BytesMut};
+use stagehoist_amqp::codec::{put_content, put_method, PROTOCOL_HEADER};
+use stagehoist_amqp::{basic, connection, long, short, AMQPClass, BasicProperties, FieldTable};
+use stagehoist_judge::rules::{judge, Charter, ClassRule, Effect, Verdict, WorkerStart};
+use stagehoist_judge::{Capture, Link, Micros, Peer, Record, Story, Way, What};
+
+pub const MS: Micros = 1000;
+pub const S: Micros = 1_000_000;
+pub const CALLERS: usize = 0;
+pub const BROKER: usize = 1;
+pub const LIST: usize = 2;
+pub const W1: usize = 3;
+pub const W2: usize = 4;
+
+pub struct Scene {
+    pub records: Vec<Record>,
+    pub connections: u64,
+    pub callers: u64,
+    pub broker: u64,
+}
+
+pub fn properties(id: &str) -> BasicProperties {
+    BasicProperties::default().with_correlation_id(short(id))
+}
+
+pub fn publish(id: &str, outcome: Option<&str>, function: &str) -> Bytes {
+    let mut out = BytesMut::new();
+    let publish = basic::Publish {
+        exchange: short(""),
+        routing_key: short(if outcome.is_some() { "replies" } else { "calls" }),
+        mandatory: true,
+        immediate: false,
+    };
+    put_method(&mut out, 1, AMQPClass::Basic(basic::AMQPMethod::Publish(publish)));
+    let mut headers = FieldTable::default();
+    match outcome {
+        Some(outcome) => headers.insert(short("outcome"), long(outcome)),
+        None => headers.insert(short("function"), long(function)),
+    };
+    put_content(
+        &mut out,
+        1,
+        &properties(id).with_headers(headers).with_expiration(short("2500")),
+        b"{}",
+        8192,
+    );
+    out.freeze()
+}
+
+pub fn deliver(id: &str, outcome: Option<&str>, redelivered: bool) -> Bytes {
+    let mut out = BytesMut::new();
+    let deliver = basic::Deliver {
+        consumer_tag: short("c"),
+        delivery_tag: 1,
+        redelivered,
+        exchange: short(""),
+        routing_key: short("x"),
+    };
+    put_method(&mut out, 1, AMQPClass::Basic(basic::AMQPMethod::Deliver(deliver)));
+    let mut headers = FieldTable::default();
+    if let Some(outcome) = outcome {
+        headers.insert(short("outcome"), long(outcome));
+    }
+    put_content(&mut out, 1, &properties(id).with_headers(headers), b"{}", 8192);
+    out.freeze()
+}
+
+impl Scene {
+    pub fn new() -> Scene {
+        let mut scene = Scene { records: Vec::new(), connections: 0, callers: 0, broker: 0 };
+        scene.callers = scene.open(0, CALLERS);
+        scene.broker = scene.open(0, BROKER);
+        let header = Bytes::from_static(&PROTOCOL_HEADER);
+        scene.bytes(0, CALLERS, scene.callers, Way::Out, header.clone());
+        scene.bytes(0, BROKER, scene.broker, Way::Out, header);
+        scene
+    }
+    pub fn open(&mut self, at: Micros, link: usize) -> u64 {
+        self.connections += 1;
+        self.records.push(Record { at, link, connection: self.connections, what: What::Opened });
+        self.connections
+    }
+    pub fn bytes(&mut self, at: Micros, link: usize, connection: u64, way: Way, bytes: Bytes) {
+        self.records.push(Record { at, link, connection, what: What::Bytes(way, bytes) });
+    }
+    pub fn close(&mut self, at: Micros, link: usize, connection: u64) {
+        self.records.push(Record { at, link, connection, what: What::Closed });
+    }
+    /// A caller publishes a call and the front end gets it.
+    pub fn call(&mut self, at: Micros, id: &str, function: &str) -> &mut Scene {
+        self.bytes(at, CALLERS, self.callers, Way::Out, publish(id, None, function));
+        self.bytes(at + MS, BROKER, self.broker, Way::In, deliver(id, None, false));
+        self
+    }
+    /// The front end replies and the caller gets it.
+    pub fn answer(&mut self, at: Micros, id: &str, outcome: &str) -> &mut Scene {
+        self.bytes(at, BROKER, self.broker, Way::Out, publish(id, Some(outcome), ""));
+        self.bytes(at + MS, CALLERS, self.callers, Way::In, deliver(id, Some(outcome), false));
+        self
+    }
+    /// An attempt on a connection of its own; `answer` is its status and headers, None breaks the connection off.
+    pub fn attempt(
+        &mut self,
+        at: Micros,
+        worker: usize,
+        id: &str,
+        answer: Option<(u16, &str)>,
+        took: Micros,
+    ) {
+        let connection = self.open(at, worker);
+        let body = format!("{{\"id\":\"{id}\"}}");
+        let request = format!(
+            "POST /v2/models/f/infer HTTP/1.1\r\nhost: w\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        self.bytes(at, worker, connection, Way::Out, request.into());
+        if let Some((status, headers)) = answer {
+            let text = format!("HTTP/1.1 {status} X\r\n{headers}content-length: 2\r\n\r\n{{}}");
+            self.bytes(at + took, worker, connection, Way::In, text.into());
+        } else {
+            self.close(at + took, worker, connection);
+        }
+    }
+    pub fn load(&mut self, at: Micros, worker: usize) {
+        let connection = self.open(at, worker);
+        let request = "POST /v2/repository/models/f/load HTTP/1.1\r\ncontent-length: 0\r\n\r\n";
+        self.bytes(at, worker, connection, Way::Out, request.into());
+    }
+    /// The list tells of w1 and w2; `states` are `ready`, `draining` or `gone`.
+    pub fn list(&mut self, at: Micros, states: [&str; 2]) {
+        let connection = self.open(at, LIST);
+        let rows: Vec<String> = ["w1", "w2"]
+            .iter()
+            .zip(states)
+            .filter(|(_, s)| *s != "gone")
+            .map(|(name, s)| {
+                format!(
+                    "{{\"Service\":{{\"ID\":\"{name}\",\"Meta\":{{\"state\":\"{s}\",\"started\":\"5\"}}}}}}"
+                )
+            })
+            .collect();
+        let body = format!("[{}]", rows.join(","));
+        self.bytes(at, LIST, connection, Way::Out, "GET /v1/health/service/workers HTTP/1.1\r\n\r\n".into());
+        let text = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        self.bytes(at, LIST, connection, Way::In, text.into());
+    }
+    pub fn judge(mut self, edit: impl FnOnce(&mut Charter)) -> Verdict {
+        let link = |peer| Link { front_end: Some(0), peer };
+        self.records.sort_by_key(|r| r.at);
+        let last = self.records.last().map_or(0, |r| r.at);
+        // Time goes on, so that nothing is open only because the recording ended.
+        self.records.push(Record { at: last + 10 * S, link: W2, connection: 0, what: What::Closed });
+        let links = vec![
+            Link { front_end: None, peer: Peer::CallersBroker },
+            link(Peer::Broker),
+            link(Peer::List),
+            link(Peer::Worker("w1".into())),
+            link(Peer::Worker("w2".into())),
+        ];
+        let capture = Capture { links, records: self.records, cut_short: false };
+        let class = |effect| ClassRule { effect, give_up: 2500 * MS };
+        let mut charter = Charter {
+            functions: vec![
+                ("safe".into(), class(Effect::Safe)),
+                ("unsafe".into(), class(Effect::Unsafe)),
+                ("keyed".into(), class(Effect::Keyed { grouped: true, window: S })),
+            ],
+            answer_grace: 10 * MS,
+            drain_grace: S,
+            second_copies: false,
+            ration: Some((10 * S, 1.0, 0.5)),
+            cold: Some((S, 2.0, 0.25, 10 * S)),
+            groups: [("w1".to_string(), "a".to_string()), ("w2".to_string(), "b".to_string())].into(),
+            ..Charter::default()
+        };
+        edit(&mut charter);
+        judge(&Story::read(&capture), &charter)
+    }
+}
+
+pub const NOT_RUN: (u16, &str) = (503, "stagehoist-not-run: queue-full\r\n");
+
+/// The numbers of the rules that a verdict says are broken.
+pub fn broken(verdict: &Verdict) -> Vec<u8> {
+    verdict.rules.iter().filter(|r| !r.kept).map(|r| r.rule).collect()
+}
