Charter of retired functions, pools and the machine's gaps; a watch of the stage's lateness

Rules 6 and 7 and the measured lateness of the machine need facts that no socket shows. The fields are there for others to write against; nothing judges by them yet.

--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -16,5 +16,5 @@
 pub mod tap;
 
 pub use capture::{Capture, Link, Micros, Peer, Record, Way, What};
-pub use rules::{judge, Charter, ClassRule, Effect, Rule, Verdict, WorkerStart};
+pub use rules::{judge, Charter, ClassRule, Effect, PoolRule, Retired, Rule, Verdict, WorkerStart};
 pub use story::Story;
--- a/crates/judge/src/rules/charter.rs
+++ b/crates/judge/src/rules/charter.rs
@@ -32,6 +32,30 @@
     pub capacity: f64,
 }
 
+/// A function's retirement, as the script told it and the state file showed it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Retired {
+    pub function: String,
+    /// From when it counts everywhere but where `confirmed_from` says otherwise; None: never within the capture.
+    pub in_force: Option<Micros>,
+    /// Front ends that the state file named in `but for` at first: from when it counts at each. One without a time here is not
+    /// bound by it, which is said by a time after the end of the capture (`Micros::MAX`).
+    pub confirmed_from: BTreeMap<u32, Micros>,
+}
+
+/// A pool of lanes and who has lanes of it reserved.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PoolRule {
+    pub name: String,
+    /// Function patterns (`rare-*`).
+    pub functions: Vec<String>,
+    pub lanes: u32,
+    /// Tenant and its lanes.
+    pub reservations: Vec<(String, u32)>,
+    /// Time in which a reservation's lent lanes come back, in microseconds.
+    pub within: Micros,
+}
+
 /// The rules' figures, and the facts of a day that no socket shows.
 #[derive(Clone, Debug, Default)]
 pub struct Charter {
@@ -51,6 +75,10 @@
     pub frozen: Vec<(u32, Micros, Micros)>,
     /// Front ends whose process started anew: when. A new process knows nothing of what the old one was told.
     pub begun: Vec<(u32, Micros)>,
+    pub retired: Vec<Retired>,
+    pub pools: Vec<PoolRule>,
+    /// Times in which a thread of the machine that the day was played on was not run: from, to, in order.
+    pub gaps: Vec<(Micros, Micros)>,
 }
 
 impl Charter {
--- a/crates/judge/src/rules/mod.rs
+++ b/crates/judge/src/rules/mod.rs
@@ -5,7 +5,7 @@
 mod effects;
 mod workers;
 
-pub use charter::{Charter, ClassRule, Effect, WorkerStart};
+pub use charter::{Charter, ClassRule, Effect, PoolRule, Retired, WorkerStart};
 
 use crate::capture::Micros;
 use crate::story::{Call, Story};
--- a/crates/stage/src/layout.rs
+++ b/crates/stage/src/layout.rs
@@ -3,7 +3,6 @@
 use crate::day::Day;
 use stagehoist_judge::rules::{Charter, ClassRule, Effect};
 use stagehoist_standin::worker::{Catalogue, Program, Spec};
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 const MS: i64 = 1000;
@@ -135,11 +134,8 @@
             drain_grace: S,
             second_copies: true,
             ration: Some((10 * S, 12.0, 0.2)),
-            groups: BTreeMap::new(),
             cold: Some((S, 2.5, 0.25, 6 * S)),
-            starts: Vec::new(),
-            frozen: Vec::new(),
-            begun: Vec::new(),
+            ..Charter::default()
         }
     }
 
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod callers;
 mod day;
+mod lateness;
 mod layout;
 mod measure;
 mod play;
@@ -12,6 +13,7 @@
 mod stack;
 
 pub use day::{Day, DayFault, Trouble};
+pub use lateness::Lateness;
 pub use layout::Layout;
 pub use measure::{measure, Measured};
 pub use play::{play, play_on, Ledger, Progress};
