Rules 6 and 7: retired stays retired, reservations; rule 1 excuses only gaps that were seen

Judged from captured bytes: the tenant of a call, the reason of a reply, the function of a load and how an attempt ended are read into the story. Rule 6 allows 5 ms for bytes on their way to the tap, plus what the machine was seen late. Rule 7 counts calls with an attempt out as lanes. Rule 1 excuses an answer that is late by no more than the gaps seen between the end of the caller's own time and the answer.

--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -1,4 +1,4 @@
-//! The five rules, judged from the bytes that crossed the sockets and from nothing that the gateway says of itself.
+//! The rules, judged from the bytes that crossed the sockets and from nothing that the gateway says of itself.
 //!
 //! - [`tap`]: a proxy that records what crosses a link, and breaks links on command.
 //! - [`capture`]: what was recorded.
--- a/crates/judge/src/rules/charter.rs
+++ b/crates/judge/src/rules/charter.rs
@@ -81,13 +81,39 @@
     pub gaps: Vec<(Micros, Micros)>,
 }
 
+/// Whether a function pattern takes a name.
+fn takes(pattern: &str, function: &str) -> bool {
+    match pattern.strip_suffix('*') {
+        Some(prefix) => function.starts_with(prefix),
+        None => pattern == function,
+    }
+}
+
+impl Retired {
+    /// From when the retirement counts at a front end; None: not within the capture.
+    pub(super) fn counts_from(&self, front_end: u32) -> Option<Micros> {
+        self.confirmed_from.get(&front_end).copied().or(self.in_force)
+    }
+}
+
+impl PoolRule {
+    pub(super) fn takes(&self, function: &str) -> bool {
+        self.functions.iter().any(|pattern| takes(pattern, function))
+    }
+    /// Lanes reserved for a tenant.
+    pub(super) fn reserved(&self, tenant: &str) -> usize {
+        self.reservations.iter().filter(|r| r.0 == tenant).map(|r| r.1 as usize).sum()
+    }
+}
+
 impl Charter {
     pub(super) fn class(&self, function: &str) -> Option<&ClassRule> {
-        let takes = |pattern: &str| match pattern.strip_suffix('*') {
-            Some(prefix) => function.starts_with(prefix),
-            None => pattern == function,
-        };
-        self.functions.iter().find(|(pattern, _)| takes(pattern)).map(|(_, class)| class)
+        self.functions.iter().find(|(pattern, _)| takes(pattern, function)).map(|(_, class)| class)
+    }
+
+    /// Time in a span that the machine was seen not to run a thread.
+    pub(super) fn seen(&self, from: Micros, to: Micros) -> Micros {
+        self.gaps.iter().map(|gap| (gap.1.min(to) - gap.0.max(from)).max(0)).sum()
     }
 
     /// Whether a front end ran at a time and a little before.
--- a/crates/judge/src/rules/mod.rs
+++ b/crates/judge/src/rules/mod.rs
@@ -1,8 +1,10 @@
-//! The verdict on the five rules.
+//! The verdict on the rules: five always, two more where the charter tells of retired functions or of pools.
 
 mod answers;
 mod charter;
 mod effects;
+mod pools;
+mod retired;
 mod workers;
 
 pub use charter::{Charter, ClassRule, Effect, PoolRule, Retired, WorkerStart};
@@ -11,6 +13,8 @@
 use crate::story::{Call, Story};
 use answers::one_answer;
 use effects::no_effect_twice;
+use pools::reservations;
+use retired::retired_stays;
 use serde::Serialize;
 use workers::{drains_kept, loads_rationed, no_cold_worker_pushed_over};
 
@@ -51,6 +55,10 @@
 /// Time for a process, or a line of replies, to get going again.
 const WAKE: Micros = 250_000;
 
+/// A byte that a front end wrote in time, or a connection that it ended, is seen by its tap a little later; what the machine was
+/// seen late is added.
+const ON_THE_WAY: Micros = 5_000;
+
 struct Tally(Rule);
 
 impl Tally {
@@ -82,6 +90,12 @@
     verdict.rules.push(drains_kept(story, charter));
     verdict.rules.push(no_cold_worker_pushed_over(story, charter));
     verdict.rules.push(loads_rationed(story, charter));
+    if !charter.retired.is_empty() {
+        verdict.rules.push(retired_stays(story, charter));
+    }
+    if !charter.pools.is_empty() {
+        verdict.rules.push(reservations(story, charter));
+    }
     verdict
 }
 
--- a/crates/judge/src/story/mod.rs
+++ b/crates/judge/src/story/mod.rs
@@ -10,6 +10,8 @@
 pub struct Call {
     pub published: Micros,
     pub function: String,
+    /// The header `tenant`; empty where the message has none.
+    pub tenant: String,
     /// The caller's patience, in microseconds, where the message states it.
     pub patience: Option<Micros>,
     /// Replies as they reached the caller: when, and the header `outcome`.
@@ -36,6 +38,8 @@
     pub at: Micros,
     pub front_end: u32,
     pub outcome: String,
+    /// The header `reason`; empty where the reply has none.
+    pub reason: String,
 }
 
 /// A request to a worker.
@@ -50,6 +54,8 @@
     pub never: bool,
     /// When its end was known to the front end; None while it was out.
     pub ended: Option<Micros>,
+    /// It ended with its connection and not with an answer.
+    pub broke: bool,
     pub status: u16,
 }
 
@@ -58,6 +64,7 @@
 pub struct Load {
     pub front_end: u32,
     pub worker: String,
+    pub function: String,
     pub at: Micros,
 }
 
--- a/crates/judge/src/story/read.rs
+++ b/crates/judge/src/story/read.rs
@@ -15,8 +15,9 @@
     text(properties.correlation_id())
 }
 
-fn outcome(properties: &BasicProperties) -> String {
-    properties.headers().as_ref().and_then(|h| stagehoist_amqp::header_text(h, "outcome")).unwrap_or_default()
+/// A header's text; empty where there is none.
+fn header(properties: &BasicProperties, name: &str) -> String {
+    properties.headers().as_ref().and_then(|h| stagehoist_amqp::header_text(h, name)).unwrap_or_default()
 }
 
 impl Story {
@@ -60,11 +61,12 @@
                     let call = self.calls.entry(id).or_default();
                     call.published = item.at;
                     call.function = function.unwrap_or_else(|| publish.routing_key.as_str().to_string());
+                    call.tenant = header(properties, "tenant");
                     let patience = text(properties.expiration()).parse::<i64>().ok();
                     call.patience = patience.map(|ms| ms * 1000);
                 }
                 (AMQPClass::Basic(basic::AMQPMethod::Deliver(_)), Way::In) => {
-                    let answer = (item.at, outcome(properties));
+                    let answer = (item.at, header(properties, "outcome"));
                     self.calls.entry(id).or_default().answers.push(answer);
                 }
                 _ => {}
@@ -106,8 +108,10 @@
                     });
                 }
                 (AMQPClass::Basic(basic::AMQPMethod::Publish(_)), Way::Out) => {
-                    let outcome = outcome(&message.properties);
-                    self.calls.entry(id).or_default().replies.push(Reply { at: item.at, front_end, outcome });
+                    let said = |name| header(&message.properties, name);
+                    let reply =
+                        Reply { at: item.at, front_end, outcome: said("outcome"), reason: said("reason") };
+                    self.calls.entry(id).or_default().replies.push(reply);
                 }
                 _ => {}
             }
@@ -135,12 +139,16 @@
                         asked: exchange.asked,
                         never: said || exchange.asked_whole.is_none() || !connection.reached,
                         ended: exchange.answered.or(exchange.broken),
+                        broke: exchange.answered.is_none(),
                         status: exchange.status,
                     });
                 }
-                ["", "v2", "repository", "models", _, "load"] => {
-                    self.loads.push(Load { front_end, worker: worker.to_string(), at: exchange.asked });
-                }
+                ["", "v2", "repository", "models", function, "load"] => self.loads.push(Load {
+                    front_end,
+                    worker: worker.to_string(),
+                    function: function.to_string(),
+                    at: exchange.asked,
+                }),
                 _ => {}
             }
         }
--- a/crates/judge/tests/doctored.rs
+++ b/crates/judge/tests/doctored.rs
@@ -3,8 +3,8 @@
 mod scene;
 
 use bytes::BytesMut;
-use scene::{broken, Scene, BROKER, MS, NOT_RUN, S, W1, W2};
-use stagehoist_amqp::codec::put_method;
+use scene::{broken, Scene, BROKER, MS, NOT_RUN, S, W1, W1_B, W2};
+use stagehoist_amqp::codec::{put_method, PROTOCOL_HEADER};
 use stagehoist_amqp::{connection, short, AMQPClass};
 use stagehoist_judge::Way;
 
@@ -119,3 +119,48 @@
     s.answer(S + 60 * MS, "a", "served");
     assert_eq!(broken(&s.judge(|_| {})), [2]);
 }
+
+/// Late without a gap, late by less than the gap seen, by more, and with a gap that was over before the caller's time was.
+#[test]
+fn rule_1_holds_against_the_machine_what_was_seen_of_it_and_no_more() {
+    let by = S + 2500 * MS + 10 * MS;
+    for (late, gap, kept) in [
+        (60 * MS, None, false),
+        (60 * MS, Some((by - 5 * MS, by + 60 * MS)), true),
+        (60 * MS, Some((by + 10 * MS, by + 60 * MS)), false),
+        (60 * MS, Some((by - 400 * MS, by - 15 * MS)), false),
+        (60 * MS, Some((by + 90 * MS, by + 400 * MS)), false),
+    ] {
+        let mut s = Scene::new();
+        s.call(S, "a", "safe").answer(by + late - MS, "a", "served");
+        let v = s.judge(|c| c.gaps.extend(gap));
+        assert_eq!((broken(&v).is_empty(), v.late), (kept, 1), "{late} {gap:?}");
+    }
+}
+
+/// The old process of a front end, or another front end, sent it; marks or not, it must not go out again.
+#[test]
+fn rule_2_sees_an_unsafe_call_again_after_a_restart_and_at_another_front_end() {
+    for (second, first, kept) in
+        [(W1_B, None, false), (W1, None, false), (W2, Some((200, "")), false), (W1_B, Some(NOT_RUN), true)]
+    {
+        let mut s = Scene::new();
+        s.call(S, "a", "unsafe");
+        s.attempt(S + 2 * MS, W1, "a", first, 5 * MS);
+        s.close(S + 8 * MS, BROKER, s.broker);
+        if second == W1_B {
+            s.by_b = true;
+        } else {
+            s.broker = s.open(S + 400 * MS, BROKER);
+            s.bytes(S + 400 * MS, BROKER, s.broker, Way::Out, PROTOCOL_HEADER[..].into());
+        }
+        s.deliver(S + 500 * MS, "a", true);
+        s.attempt(S + 510 * MS, second, "a", Some((200, "")), 5 * MS);
+        s.answer(S + 520 * MS, "a", "served");
+        let v = s.judge(|c| {
+            c.begun.push((0, S + 300 * MS));
+            c.frozen.push((0, 0, S + 10 * MS));
+        });
+        assert_eq!(broken(&v), if kept { vec![] } else { vec![2] }, "{second} {first:?}");
+    }
+}
