--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -1,4 +1,4 @@
-//! The five rules, judged from the bytes that crossed the sockets and from nothing that the gateway says of itself.
+//! The rules, judged from the bytes that crossed the sockets and from nothing that the gateway says of itself.
 //!
 //! - [`tap`]: a proxy that records what crosses a link, and breaks links on command.
 //! - [`capture`]: what was recorded.
@@ -16,5 +16,5 @@
 pub mod tap;
 
 pub use capture::{Capture, Link, Micros, Peer, Record, Way, What};
-pub use rules::{judge, Charter, ClassRule, Effect, Rule, Verdict, WorkerStart};
+pub use rules::{judge, Charter, ClassRule, Effect, PoolRule, Retired, Rule, Verdict, WorkerStart};
 pub use story::Story;
