--- /dev/null
+++ b/crates/stage/src/day/mod.rs
@@ -0,0 +1,167 @@
+//! A scripted day of trouble, as a text file: what stands, what callers send, and what goes wrong when.
+//!
+//! ```text
+//! halls 3
+//! workers 12
+//! front-ends 3
+//! rate 150/s
+//! length 60s
+//! at 5s worker w3 drain for 6s list-lag 2s
+//! at 9s hall hall-b vanish for 5s
+//! at 12s store slow 600% for 6s
+//! ```
+
+mod grammar;
+mod trouble;
+mod words;
+
+pub use trouble::{Cut, Trouble};
+
+use grammar::trouble;
+use stagehoist_config::Position;
+use std::time::Duration;
+use words::{Step, Words};
+
+/// A day.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Day {
+    pub halls: u32,
+    pub workers: u32,
+    pub front_ends: u32,
+    /// Calls a second.
+    pub rate: f64,
+    pub length: Duration,
+    pub seed: u64,
+    /// Workers load a missing function when a call finds it so; else only a front end's order brings it.
+    pub load_on_miss: bool,
+    /// Replies and acknowledgements in transactions, in place of publisher confirms.
+    pub transactions: bool,
+    /// The broker stamps messages with the time at which it takes them.
+    pub stamps: bool,
+    pub troubles: Vec<(Duration, Trouble)>,
+}
+
+impl Default for Day {
+    fn default() -> Day {
+        Day {
+            halls: 3,
+            workers: 12,
+            front_ends: 3,
+            rate: 150.0,
+            length: Duration::from_secs(60),
+            seed: 7,
+            load_on_miss: true,
+            transactions: false,
+            stamps: true,
+            troubles: Vec::new(),
+        }
+    }
+}
+
+/// What is wrong with a day file.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{at}: {what}; expected {expected}")]
+pub struct DayFault {
+    pub at: Position,
+    pub what: String,
+    pub expected: String,
+}
+
+impl Day {
+    /// Reads a day file; all faults at once.
+    pub fn parse(file: &str, text: &str) -> Result<Day, Vec<DayFault>> {
+        let mut day = Day::default();
+        let mut faults = Vec::new();
+        for (number, line) in text.lines().enumerate() {
+            let mut words = Words::new(line);
+            if words.words.is_empty() {
+                continue;
+            }
+            if let Err((column, what, expected)) = day.line(&mut words).and_then(|()| words.end()) {
+                let at = Position { file: file.into(), line: number + 1, column };
+                faults.push(DayFault { at, what, expected: expected.into() });
+            }
+        }
+        day.troubles.sort_by_key(|t| t.0);
+        for (at, trouble) in &day.troubles {
+            let names_front_end = match trouble {
+                Trouble::Stop { front_end, .. }
+                | Trouble::Terminate { front_end }
+                | Trouble::Kill { front_end } => Some(*front_end),
+                _ => None,
+            };
+            if names_front_end.is_some_and(|f| f >= day.front_ends) {
+                let at = Position { file: file.into(), line: 1, column: 1 };
+                let what = format!("{trouble:?} names a front end that does not stand");
+                faults.push(DayFault { at, what, expected: format!("0 to {}", day.front_ends - 1) });
+            }
+            if *at >= day.length {
+                let at = Position { file: file.into(), line: 1, column: 1 };
+                let what = format!("{trouble:?} comes after the end of the day");
+                faults.push(DayFault { at, what, expected: format!("a time before {:?}", day.length) });
+            }
+        }
+        if faults.is_empty() {
+            Ok(day)
+        } else {
+            Err(faults)
+        }
+    }
+
+    fn line(&mut self, w: &mut Words<'_>) -> Step<()> {
+        match w.word("a directive")? {
+            "halls" => self.halls = w.number("", "a number of halls")?,
+            "workers" => self.workers = w.number("", "a number of workers")?,
+            "front-ends" => self.front_ends = w.number("", "a number of front ends")?,
+            "seed" => self.seed = w.number("", "a whole number")?,
+            "rate" => self.rate = w.number("/s", "a rate such as 150/s")?,
+            "on-miss" => {
+                self.load_on_miss = match w.word("load or miss")? {
+                    "load" => true,
+                    "miss" => false,
+                    _ => return w.wrong("load or miss"),
+                };
+            }
+            "replies" => {
+                self.transactions = match w.word("confirm or transaction")? {
+                    "confirm" => false,
+                    "transaction" => true,
+                    _ => return w.wrong("confirm or transaction"),
+                };
+            }
+            "stamps" => {
+                self.stamps = match w.word("yes or no")? {
+                    "yes" => true,
+                    "no" => false,
+                    _ => return w.wrong("yes or no"),
+                };
+            }
+            "length" => self.length = w.duration()?,
+            "at" => {
+                let at = w.duration()?;
+                let trouble = trouble(w)?;
+                self.troubles.push((at, trouble));
+            }
+            _ => {
+                return w
+                    .wrong("halls, workers, front-ends, seed, rate, on-miss, replies, stamps, length or at")
+            }
+        }
+        Ok(())
+    }
+
+    /// The same day in a fraction of its time: moments and spans shrink alike, but no span under 400 ms, as shorter ones
+    /// would pass between two calls.
+    pub fn shortened(mut self, to: Duration) -> Day {
+        const LEAST: Duration = Duration::from_millis(400);
+        let part = to.as_secs_f64() / self.length.as_secs_f64();
+        self.length = to;
+        for (at, trouble) in &mut self.troubles {
+            *at = at.mul_f64(part);
+            if let Some(span) = trouble.span_mut() {
+                *span = span.mul_f64(part.min(1.0)).max(LEAST.min(*span));
+            }
+        }
+        self
+    }
+}
--- /dev/null
+++ b/crates/stage/src/play/mod.rs
@@ -0,0 +1,168 @@
+//! A day played: troubles at their times, callers throughout, and the ledger at the end.
+
+mod begin;
+mod end;
+
+use crate::callers::Pace;
+use crate::day::Day;
+use crate::stack::{Stack, StageError};
+use serde::Serialize;
+use stagehoist_judge::rules::{judge, served_times, Charter, Verdict};
+use stagehoist_judge::tap::Trouble as Tapped;
+use stagehoist_judge::Story;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Longest time for the stack to stand, and for the last answers after the last call.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What happened on a day, as callers and sockets saw it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Ledger {
+    /// Its fields stand beside the others in JSON.
+    #[serde(flatten)]
+    pub verdict: Verdict,
+    /// Milliseconds from publish to answer, of served calls.
+    pub latency_ms: BTreeMap<String, f64>,
+    /// Workers that fell over cold, front ends that did not end in order.
+    pub mishaps: Vec<String>,
+    pub store_fetches: u64,
+    pub seconds: f64,
+}
+
+impl Ledger {
+    /// Whether every rule was kept and nothing ended out of order.
+    pub fn good(&self) -> bool {
+        let verdict = &self.verdict;
+        verdict.kept() && self.mishaps.is_empty() && verdict.sent > 0 && verdict.served > 0
+    }
+}
+
+/// What is shown while a day runs.
+pub enum Progress<'a> {
+    Ready,
+    Trouble(&'a str),
+    Second { at: Duration, length: Duration, sent: u64, served: u64, refused: u64, failed: u64 },
+    Judging,
+}
+
+enum Undo {
+    Worker(String),
+    Workers(Vec<String>),
+    Undrain(String),
+    ListDrain(String),
+    Taps(Vec<String>),
+    Delay(String),
+    SlowWorker(String),
+    Store,
+    BrokerDelay,
+    Unblock,
+    FlowOn,
+    ListWell,
+    ListLag,
+    Flap(String, bool, Instant),
+    Pace,
+    Continue(u32),
+    /// By then the process must have ended.
+    Reap(u32, Instant),
+}
+
+struct Player<'a> {
+    stack: &'a mut Stack,
+    charter: Charter,
+    start: Instant,
+    undo: Vec<(Instant, Undo)>,
+}
+
+/// Plays a day on a new stack. `binary` is the project's own binary.
+pub fn play(day: &Day, binary: &Path, show: &mut dyn FnMut(Progress<'_>)) -> Result<Ledger, StageError> {
+    let mut stack = Stack::start(day.clone(), binary)?;
+    stack.wait_ready(PATIENCE)?;
+    show(Progress::Ready);
+    play_on(&mut stack, show)
+}
+
+/// Plays the stack's day and judges it. The stack has ended after it.
+pub fn play_on(stack: &mut Stack, show: &mut dyn FnMut(Progress<'_>)) -> Result<Ledger, StageError> {
+    let day = stack.day.clone();
+    let charter = stack.layout.charter();
+    let start = Instant::now();
+    stack.pace.send_replace(Pace { rate: day.rate, stop: false });
+    let mut player = Player { stack, charter, start, undo: Vec::new() };
+    let mut troubles = day.troubles.iter().peekable();
+    let mut shown = Duration::ZERO;
+    while start.elapsed() < day.length {
+        while let Some((_, trouble)) = troubles.next_if(|t| t.0 <= start.elapsed()) {
+            show(Progress::Trouble(&format!("{trouble:?}")));
+            player.begin(trouble)?;
+        }
+        player.end_due()?;
+        if start.elapsed() >= shown + Duration::from_secs(1) {
+            shown = start.elapsed();
+            let c = &player.stack.counts;
+            let count = |a: &std::sync::atomic::AtomicU64| a.load(Ordering::Relaxed);
+            let (sent, served) = (count(&c.sent), count(&c.served));
+            let (refused, failed) = (count(&c.refused), count(&c.failed));
+            show(Progress::Second { at: shown, length: day.length, sent, served, refused, failed });
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    // No more calls; the last ones get their time, and what still is wrong is mended.
+    player.stack.pace.send_replace(Pace { rate: 0.0, stop: false });
+    let by = Instant::now() + Duration::from_millis(3500);
+    while Instant::now() < by || !player.undo.is_empty() {
+        player.end_due()?;
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let Player { charter, .. } = player;
+    show(Progress::Judging);
+    let mut mishaps = std::mem::take(&mut stack.disorderly);
+    mishaps.extend(stack.fallen().into_iter().map(|w| format!("worker {w} fell over cold")));
+    if let Err(error) = stack.end(PATIENCE) {
+        mishaps.push(error.to_string());
+    }
+    let capture = stack.recorder.finish(stack.links.clone());
+    if capture.cut_short {
+        mishaps.push("the recording was cut short; its verdict proves nothing".into());
+    }
+    let story = Story::read(&capture);
+    let verdict = judge(&story, &charter);
+    Ok(Ledger {
+        verdict,
+        latency_ms: percentiles(&served_times(&story)),
+        mishaps,
+        store_fetches: stack.store.fetches(),
+        seconds: start.elapsed().as_secs_f64(),
+    })
+}
+
+fn percentiles(times: &[i64]) -> BTreeMap<String, f64> {
+    let Ok(mut histogram) = hdrhistogram::Histogram::<u64>::new(3) else { return BTreeMap::new() };
+    for time in times {
+        // The histogram grows by itself; only a count overflow could fail.
+        let _ = histogram.record((*time).max(1) as u64);
+    }
+    let of = |q: f64| histogram.value_at_quantile(q) as f64 / 1000.0;
+    [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("p99.9", 0.999), ("max", 1.0)]
+        .into_iter()
+        .map(|(name, q)| (name.to_string(), of(q)))
+        .collect()
+}
+
+impl Player<'_> {
+    fn later(&mut self, after: Duration, undo: Undo) {
+        self.undo.push((Instant::now() + after, undo));
+    }
+
+    fn taps(&self, worker: Option<&str>, with: impl Fn(&stagehoist_judge::tap::Controls)) {
+        let own = |name: &String| worker.is_none_or(|w| w == name);
+        self.stack.worker_taps.iter().filter(|((_, n), _)| own(n)).for_each(|(_, controls)| with(controls));
+    }
+
+    fn befall(&mut self, worker: &str, trouble: Tapped, percent: u32, span: Duration) {
+        self.taps(Some(worker), |c| c.trouble(trouble, percent));
+        self.later(span, Undo::Taps(vec![worker.to_string()]));
+    }
+}
--- /dev/null
+++ b/crates/stage/src/stack/front_ends.rs
@@ -0,0 +1,101 @@
+//! The front ends' processes.
+
+use super::{Stack, StageError};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+impl Stack {
+    pub(super) fn spawn(&self, config: &Path) -> Result<Child, StageError> {
+        let log = config.with_extension("log");
+        let log =
+            std::fs::OpenOptions::new().create(true).append(true).open(log).map_err(StageError::Config)?;
+        Command::new(&self.binary)
+            .args(["--log", &self.layout.log, "--log-format", "json", "serve"])
+            .arg(config)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(|source| StageError::Process { binary: self.binary.clone(), source })
+    }
+
+    /// What a front end's process wrote last.
+    pub fn log(&self, front_end: u32) -> String {
+        let path = self.folder.path().join(format!("front-end-{front_end}.log"));
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        lines[lines.len().saturating_sub(20)..].join("\n")
+    }
+
+    /// Where a front end's metrics stand, as its log tells.
+    pub fn metrics_address(&self, front_end: u32) -> Option<String> {
+        let path = self.folder.path().join(format!("front-end-{front_end}.log"));
+        crate::process::metrics_told(&std::fs::read_to_string(path).ok()?)
+    }
+
+    /// Waits until every front end consumes.
+    pub fn wait_ready(&mut self, most: Duration) -> Result<(), StageError> {
+        use std::sync::atomic::Ordering;
+        let by = Instant::now() + most;
+        while Instant::now() < by {
+            for number in 0..self.front_ends.len() {
+                let ended = self.front_ends[number].process.try_wait();
+                if let Ok(Some(status)) = ended {
+                    let log = self.log(number as u32);
+                    return Err(StageError::Ended(number as u32, format!("{status}\n{log}")));
+                }
+            }
+            if self.counts.consumers.load(Ordering::Relaxed) >= u64::from(self.day.front_ends) {
+                // Each has its list by then, or gets it within a query's time on loopback.
+                std::thread::sleep(Duration::from_millis(200));
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        Err(StageError::NotReady(most))
+    }
+
+    /// Sends a signal to a front end's process.
+    pub fn signal(&self, front_end: u32, signal: rustix::process::Signal) {
+        let Some(f) = self.front_ends.get(front_end as usize) else { return };
+        if let Some(pid) = rustix::process::Pid::from_raw(f.process.id() as i32) {
+            let _ = rustix::process::kill_process(pid, signal);
+        }
+    }
+
+    /// Starts a front end's process anew after the old one ended.
+    pub fn restart_front_end(&mut self, front_end: u32) -> Result<(), StageError> {
+        let config = self.front_ends[front_end as usize].config.clone();
+        let process = self.spawn(&config)?;
+        self.front_ends[front_end as usize].process = process;
+        Ok(())
+    }
+
+    /// Waits for a front end's process to end; its exit code, or None where it was ended by a signal or is still there.
+    pub fn wait_end(&mut self, front_end: u32, most: Duration) -> Option<i32> {
+        let by = Instant::now() + most;
+        while Instant::now() < by {
+            if let Ok(Some(status)) = self.front_ends[front_end as usize].process.try_wait() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+
+    /// Tells every front end to end in order, and sees that each does so with exit code 0.
+    pub fn end(&mut self, most: Duration) -> Result<(), StageError> {
+        for front_end in 0..self.front_ends.len() as u32 {
+            self.signal(front_end, rustix::process::Signal::TERM);
+        }
+        for front_end in 0..self.front_ends.len() as u32 {
+            let code = self.wait_end(front_end, most);
+            if code != Some(0) {
+                let log = self.log(front_end);
+                return Err(StageError::NoOrderlyEnd(front_end, most, format!("exit code {code:?}\n{log}")));
+            }
+        }
+        Ok(())
+    }
+}
