--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -1,9 +1,11 @@
 //! `demo` and `play`: a day on the whole stack, shown and accounted for.
 
+mod shown;
+
 use clap::Args;
-use indicatif::{ProgressBar, ProgressStyle};
-use stagehoist_stage::{measure, play_on, Day, Ledger, Progress, Stack, StageError};
-use std::path::PathBuf;
+use shown::{account, shower};
+use stagehoist_stage::{measure, play_on, Day, Stack, StageError};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -30,6 +32,12 @@
     /// Shorten or lengthen the day to so many seconds.
     #[arg(long)]
     seconds: Option<u64>,
+    /// Draw anew what the day leaves open (ranges of moments, `any`, `any-of`); the file's own seed draws otherwise.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Keep the processes' configurations, logs and stores, and the day as drawn, in this folder: new, or empty.
+    #[arg(long)]
+    keep: Option<PathBuf>,
     /// One JSON object on standard output in place of the ledger.
     #[arg(long)]
     json: bool,
@@ -61,12 +69,43 @@
         Ok(day) => day,
         Err(code) => return code,
     };
-    played(day, args.json)
+    let day = day.drawn(args.seed.unwrap_or(day.seed));
+    if args.seed.is_some() {
+        eprint!("{}", day.drawn_text());
+    }
+    let Some(folder) = &args.keep else { return played(day, args.json, None) };
+    let kept = keep(folder, &text, args.seconds, &day);
+    match kept {
+        Ok(()) => played(day, args.json, Some(folder)),
+        Err(e) => {
+            eprintln!("stagehoist: --keep {}: {e}", folder.display());
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Makes the folder for what a day leaves behind, and writes the day there as it was drawn.
+fn keep(folder: &Path, text: &str, seconds: Option<u64>, day: &Day) -> std::io::Result<()> {
+    std::fs::create_dir_all(folder)?;
+    if std::fs::read_dir(folder)?.next().is_some() {
+        return Err(std::io::Error::other("the folder is not empty"));
+    }
+    let first = |line: &str| line.split_whitespace().next().map(str::to_string);
+    let open = |line: &&str| !matches!(first(line).as_deref(), Some("at" | "seed"));
+    let mut lines: Vec<&str> = text.lines().filter(open).collect();
+    let shortened = seconds.map(|s| format!("# Played with --seconds {s}, which also shortened spans."));
+    lines.extend(shortened.as_deref());
+    std::fs::write(folder.join("drawn.day"), format!("{}\n{}", lines.join("\n"), day.drawn_text()))
 }
 
 /// Plays a day on a new stack and accounts for it.
-fn played(day: Day, json: bool) -> ExitCode {
-    match stage(day).and_then(|mut stack| play_on(&mut stack, &mut shower())) {
+fn played(day: Day, json: bool, keep: Option<&Path>) -> ExitCode {
+    let ledger = stage(day).and_then(|mut stack| {
+        let ledger = play_on(&mut stack, &mut shower());
+        let kept = keep.map_or(Ok(()), |folder| stack.keep(folder));
+        kept.map_err(StageError::Config).and(ledger)
+    });
+    match ledger {
         Ok(ledger) => account(&ledger, json),
         Err(e) => fail(&e),
     }
@@ -79,10 +118,10 @@
         Err(code) => return code,
     };
     if !args.stay {
-        return played(day, args.json);
+        return played(day, args.json, None);
     }
     if args.seconds.is_some() {
-        let code = played(day.clone(), args.json);
+        let code = played(day.clone(), args.json, None);
         if code != ExitCode::SUCCESS {
             return code;
         }
@@ -127,67 +166,6 @@
     Ok(stack)
 }
 
-/// Shows progress on standard error: a bar on a terminal, lines elsewhere.
-fn shower() -> impl FnMut(Progress<'_>) {
-    let bar = ProgressBar::new(0);
-    let style = "{bar:30} {pos}/{len} s  {msg}";
-    bar.set_style(ProgressStyle::with_template(style).unwrap_or_else(|_| ProgressStyle::default_bar()));
-    let hidden = bar.is_hidden();
-    let line = move |bar: &ProgressBar, text: String| {
-        if hidden {
-            eprintln!("{text}");
-        } else {
-            bar.println(text);
-        }
-    };
-    move |progress| match progress {
-        Progress::Ready => line(&bar, "front ends consume".into()),
-        Progress::Trouble(text) => line(&bar, format!("  trouble: {text}")),
-        Progress::Second { at, length, sent, served, refused, failed } => {
-            bar.set_length(length.as_secs());
-            bar.set_position(at.as_secs());
-            let text = format!("sent {sent}  served {served}  refused {refused}  failed {failed}");
-            bar.set_message(text.clone());
-            if hidden && at.as_secs() % 5 == 0 {
-                eprintln!("{:>4} s  {text}", at.as_secs());
-            }
-        }
-        Progress::Judging => {
-            bar.finish_and_clear();
-            eprintln!("judging what crossed the sockets");
-        }
-    }
-}
-
-fn account(ledger: &Ledger, json: bool) -> ExitCode {
-    if json {
-        match serde_json::to_string(ledger) {
-            Ok(text) => println!("{text}"),
-            Err(e) => return fail(&e),
-        }
-    } else {
-        let (l, v) = (ledger, &ledger.verdict);
-        println!(
-            "sent {}  served {}  refused {}  failed {}  unanswered {} (not owed {})",
-            v.sent, v.served, v.refused, v.failed, v.unanswered, v.not_owed
-        );
-        println!("answered twice {}  late {}  store fetches {}", v.answered_twice, v.late, l.store_fetches);
-        let times: Vec<String> = l.latency_ms.iter().map(|(k, v)| format!("{k} {v:.1}")).collect();
-        println!("served, ms from publish to reply: {}", times.join("  "));
-        for rule in &v.rules {
-            let word = if rule.kept { "kept" } else { "BROKEN" };
-            println!("rule {}  {word:<6}  {:>7} checks  {}", rule.rule, rule.checks, rule.name);
-            rule.breaches.iter().for_each(|breach| println!("    {breach}"));
-        }
-        l.mishaps.iter().for_each(|mishap| println!("mishap: {mishap}"));
-    }
-    if ledger.good() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    }
-}
-
 /// Measures and prints one line for each way of calling.
 pub fn measured(rate: f64, seconds: u64, workers: &[u32], json: bool) -> ExitCode {
     let binary = match std::env::current_exe() {
--- a/crates/stage/src/callers.rs
+++ b/crates/stage/src/callers.rs
@@ -7,8 +7,9 @@
 use stagehoist_amqp::{
     basic, long, queue, short, AMQPClass, BasicProperties, Client, ClientEvent, ClientOptions, FieldTable,
 };
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -23,6 +24,28 @@
     pub failed: AtomicU64,
     /// Consumers of the queue of calls, as the broker last told.
     pub consumers: AtomicU64,
+    /// Answers by outcome and reason.
+    pub answers: Mutex<BTreeMap<String, u64>>,
+}
+
+/// Different reasons that are counted; more count as one.
+const REASONS_MOST: usize = 64;
+
+impl Counts {
+    fn answer(&self, outcome: &str, reason: Option<&str>) {
+        let count = match outcome {
+            "served" => &self.served,
+            "refused" => &self.refused,
+            _ => &self.failed,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut name = reason.map_or(outcome.to_string(), |reason| format!("{outcome}: {reason}"));
+        if answers.len() >= REASONS_MOST && !answers.contains_key(&name) {
+            name = "others".into();
+        }
+        *answers.entry(name).or_default() += 1;
+    }
 }
 
 /// What callers are told.
@@ -33,6 +56,36 @@
     pub stop: bool,
 }
 
+/// What callers listen to.
+pub struct Told {
+    pub pace: watch::Receiver<Pace>,
+    /// Tenants that calls name, each with its part of them; at one for each they come at the told rate, at more so much
+    /// faster. Empty: calls name none.
+    pub tenants: watch::Receiver<Vec<(String, f64)>>,
+}
+
+impl Told {
+    /// Calls a second of all tenants together.
+    fn rate(&self) -> f64 {
+        let tenants = self.tenants.borrow();
+        let parts: f64 = tenants.iter().map(|t| t.1).sum();
+        self.pace.borrow().rate * if tenants.is_empty() { 1.0 } else { parts / tenants.len() as f64 }
+    }
+
+    fn tenant(&self, random: &mut ChaCha8Rng) -> Option<String> {
+        let tenants = self.tenants.borrow();
+        let parts: f64 = tenants.iter().map(|t| t.1).sum();
+        // Without tenants nothing is drawn, so that days of before send what they sent.
+        let last = tenants.last()?;
+        let mut left = random.random::<f64>() * parts;
+        let drawn = tenants.iter().find(|t| {
+            left -= t.1;
+            left < 0.0
+        });
+        Some(drawn.unwrap_or(last).0.clone())
+    }
+}
+
 /// One caller process: sends at the told pace until told to stop.
 pub async fn run(
     broker: String,
@@ -40,15 +93,15 @@
     layout: Layout,
     seed: u64,
     counts: Arc<Counts>,
-    mut pace: watch::Receiver<Pace>,
+    mut told: Told,
 ) {
     let start = Instant::now();
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut sent = 0u64;
-    while !pace.borrow_and_update().stop {
+    while !told.pace.borrow_and_update().stop {
         if let Ok(stream) = TcpStream::connect(&broker).await {
             // A lost connection is made anew; what was under way is the broker's and the gateway's matter.
-            let _ = talk(stream, start, number, &layout, &mut random, &mut sent, &counts, &mut pace).await;
+            let _ = talk(stream, start, number, &layout, &mut random, &mut sent, &counts, &mut told).await;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
@@ -63,7 +116,7 @@
     random: &mut ChaCha8Rng,
     sent: &mut u64,
     counts: &Counts,
-    pace: &mut watch::Receiver<Pace>,
+    told: &mut Told,
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let now = || start.elapsed().as_micros() as i64;
@@ -97,36 +150,34 @@
                 ClientEvent::Delivered(_, message) => {
                     let headers = message.properties.headers().clone().unwrap_or_default();
                     let outcome = stagehoist_amqp::header_text(&headers, "outcome").unwrap_or_default();
-                    let count = match outcome.as_str() {
-                        "served" => &counts.served,
-                        "refused" => &counts.refused,
-                        _ => &counts.failed,
-                    };
-                    count.fetch_add(1, Ordering::Relaxed);
+                    let reason = stagehoist_amqp::header_text(&headers, "reason");
+                    counts.answer(&outcome, reason.as_deref());
                 }
                 ClientEvent::ChannelClosed { .. } => return Ok(()),
                 ClientEvent::Closed { .. } | ClientEvent::Failed(_) => return Ok(()),
                 _ => {}
             }
         }
-        let told = *pace.borrow_and_update();
-        if told.stop {
+        let stop = told.pace.borrow_and_update().stop;
+        let rate = told.rate();
+        if stop {
             client.close(200, "done");
         }
-        if ready && !told.stop {
+        if ready && !stop {
             if now() - looked > 100_000 {
                 // Who consumes is asked in the protocol's own way: a passive declaration.
                 looked = now();
                 client.send(channel, AMQPClass::Queue(queue::AMQPMethod::Declare(declare(QUEUE, true))));
             }
-            if told.rate <= 0.0 {
+            if rate <= 0.0 {
                 next = now();
             }
-            while told.rate > 0.0 && next <= now() {
+            while rate > 0.0 && next <= now() {
                 *sent += 1;
                 counts.sent.fetch_add(1, Ordering::Relaxed);
-                publish(&mut client, channel, number, *sent, &replies, layout, random);
-                next += (-(1.0 - random.random::<f64>()).ln() / told.rate * 1e6) as i64;
+                let tenant = told.tenant(random);
+                publish(&mut client, channel, (number, *sent), &replies, layout, tenant, random);
+                next += (-(1.0 - random.random::<f64>()).ln() / rate * 1e6) as i64;
             }
         }
         let output = client.output().split();
@@ -158,10 +209,10 @@
 fn publish(
     client: &mut Client,
     channel: u16,
-    caller: u32,
-    n: u64,
+    (caller, n): (u32, u64),
     replies: &str,
     layout: &Layout,
+    tenant: Option<String>,
     random: &mut ChaCha8Rng,
 ) {
     let function = layout.function(random.random(), random.random());
@@ -169,6 +220,9 @@
     let body = format!("{{\"id\":\"{id}\",\"inputs\":[{{\"name\":\"day\",\"shape\":[1],\"datatype\":\"INT32\",\"data\":[{n}]}}]}}");
     let mut headers = FieldTable::default();
     headers.insert(short("function"), long(function));
+    if let Some(tenant) = tenant {
+        headers.insert(short("tenant"), long(tenant));
+    }
     let properties = BasicProperties::default()
         .with_content_type(short("application/json"))
         .with_correlation_id(short(&id))
--- /dev/null
+++ b/crates/stage/src/day/check.rs
@@ -0,0 +1,60 @@
+//! What only the whole day shows to be wrong.
+
+use super::{Day, DayFault, Pick, StoreFault, Trouble};
+use stagehoist_config::Position;
+
+/// Front ends of a day with keepers, at most.
+const FRONT_ENDS_MOST: u32 = 9;
+
+impl Day {
+    pub(super) fn check(&self, file: &str, faults: &mut Vec<DayFault>) {
+        let mut fault = |line: usize, what: String, expected: String| {
+            let at = Position { file: file.into(), line, column: 1 };
+            faults.push(DayFault { at, what, expected });
+        };
+        let fleet = &self.fleet;
+        let last = self.front_ends.saturating_sub(1);
+        if fleet.keepers > 0 && (self.front_ends > FRONT_ENDS_MOST || fleet.keepers > self.front_ends) {
+            let what = format!("{} keepers of {} front ends", fleet.keepers, self.front_ends);
+            fault(1, what, format!("at most {FRONT_ENDS_MOST} front ends, and no more keepers than these"));
+        }
+        let shared = !fleet.pools.is_empty() || !fleet.reserves.is_empty() || fleet.marks;
+        if fleet.keepers == 0 && shared {
+            fault(1, "pools, reservations or marks without keepers".into(), "keepers and a number".into());
+        }
+        for reserve in &fleet.reserves {
+            if !fleet.pools.iter().any(|p| p.name == reserve.pool) {
+                fault(1, format!("lanes reserved in no pool {:?}", reserve.pool), "a pool of the day".into());
+            }
+        }
+        for planned in &self.troubles {
+            let (trouble, line) = (&planned.trouble, planned.line);
+            let named = trouble.clone().pick_mut().copied();
+            if matches!(named, Some(Pick::Number(n)) if n >= self.front_ends) {
+                let what = format!("{trouble:?} names a front end that does not stand");
+                fault(line, what, format!("0 to {last}"));
+            }
+            if planned.to >= self.length {
+                let what = format!("{trouble:?} comes after the end of the day");
+                fault(line, what, format!("a time before {:?}", self.length));
+            }
+            if trouble.needs_keepers() && fleet.keepers == 0 {
+                fault(line, format!("{trouble:?} without keepers"), "keepers and a number".into());
+            }
+            let damage = matches!(trouble, Trouble::Store { how: StoreFault::Damage, .. });
+            if damage && matches!(named, Some(Pick::Number(n)) if n >= fleet.keepers) {
+                fault(
+                    line,
+                    format!("{trouble:?} names no keeper"),
+                    "a front end that keeps the record".into(),
+                );
+            }
+            if let Trouble::Surge { tenant, .. } = trouble {
+                if !fleet.callers().iter().any(|c| c.0 == *tenant) {
+                    let expected = "other, or a tenant with a reservation, on a day with pools";
+                    fault(line, format!("no calls come from tenant {tenant:?}"), expected.into());
+                }
+            }
+        }
+    }
+}
--- a/crates/stage/src/day/grammar.rs
+++ b/crates/stage/src/day/grammar.rs
@@ -1,10 +1,14 @@
 //! The words of a trouble.
 
-use super::trouble::{Cut, Trouble};
+use super::trouble::{Cut, Pick, StoreFault, Trouble};
 use super::words::{Step, Words};
+use crate::relay::Fault;
 
 pub(super) fn trouble(w: &mut Words<'_>) -> Step<Trouble> {
-    match w.word("worker, hall, store, answers, broker, list, flood or front-end")? {
+    const EXPECTED: &str =
+        "worker, hall, store, answers, broker, list, flood, surge, front-end, link, leader, retire or \
+                            everything";
+    match w.word(EXPECTED)? {
         "worker" => {
             let worker = w.word("a worker's name")?.to_string();
             let what = w.word("drain, die, reset, stall, garbage, truncate, late, slow or fail")?;
@@ -30,10 +34,7 @@
             w.is("vanish", "vanish")?;
             Ok(Trouble::Vanish { hall, span: w.span()? })
         }
-        "store" => {
-            w.is("slow", "slow and a share such as 600%")?;
-            Ok(Trouble::StoreSlow { percent: w.percent()?, span: w.span()? })
-        }
+        "store" => store(w),
         "answers" => {
             w.is("lost", "lost and a share")?;
             Ok(Trouble::LoseAnswers { percent: w.percent()?, span: w.span()? })
@@ -66,14 +67,75 @@
         }),
         "flood" => Ok(Trouble::Flood { times: w.number("x", "a multiple such as 5x")?, span: w.span()? }),
         "front-end" => {
-            let front_end = w.number("", "a front end's number")?;
+            let front_end = w.pick()?;
             Ok(match w.word("stop, terminate or kill")? {
                 "stop" => Trouble::Stop { front_end, span: w.span()? },
                 "terminate" => Trouble::Terminate { front_end },
-                "kill" => Trouble::Kill { front_end },
+                "kill" => Trouble::Kill { front_end, span: w.maybe_span()? },
                 _ => return w.wrong("stop, terminate or kill"),
             })
         }
-        _ => w.wrong("worker, hall, store, answers, broker, list, flood or front-end"),
+        "link" => {
+            let front_end = w.pick()?;
+            let fault = match w.word("cut, stall, half-out, half-in or delay")? {
+                "cut" => Fault::Cut,
+                "stall" => Fault::Stall,
+                "half-out" => Fault::HalfOut,
+                "half-in" => Fault::HalfIn,
+                "delay" => Fault::Delay(w.duration()?),
+                _ => return w.wrong("cut, stall, half-out, half-in or delay"),
+            };
+            Ok(Trouble::Link { front_end, fault, span: w.span()? })
+        }
+        "leader" => Ok(match w.word("kill or stop")? {
+            "kill" => Trouble::LeaderKill { span: w.maybe_span()? },
+            "stop" => Trouble::LeaderStop { span: w.span()? },
+            _ => return w.wrong("kill or stop"),
+        }),
+        "retire" => retire(w),
+        "everything" => {
+            w.is("kill", "kill")?;
+            Ok(Trouble::Everything { span: w.span()? })
+        }
+        "surge" => {
+            let tenant = w.word("a tenant's name")?.to_string();
+            Ok(Trouble::Surge { tenant, times: w.number("x", "a multiple such as 10x")?, span: w.span()? })
+        }
+        _ => w.wrong(EXPECTED),
     }
 }
+
+/// The program store's slowness, or a keeper's own store.
+fn store(w: &mut Words<'_>) -> Step<Trouble> {
+    let expected = "slow and a share such as 600%, or a front end's number or any";
+    let front_end = match w.word(expected)? {
+        "slow" => return Ok(Trouble::StoreSlow { percent: w.percent()?, span: w.span()? }),
+        "any" => Pick::Any,
+        number => match number.parse() {
+            Ok(number) => Pick::Number(number),
+            Err(_) => return w.wrong(expected),
+        },
+    };
+    let how = match w.word("copy, set-back or damage")? {
+        "copy" => StoreFault::Copy,
+        "set-back" => StoreFault::SetBack,
+        "damage" => StoreFault::Damage,
+        _ => return w.wrong("copy, set-back or damage"),
+    };
+    Ok(Trouble::Store { front_end, how })
+}
+
+fn retire(w: &mut Words<'_>) -> Step<Trouble> {
+    let functions = match w.word("a function's name, or any-of and names separated by commas")? {
+        "any-of" => w.names("functions' names separated by commas")?,
+        name => vec![name.to_string()],
+    };
+    let successor = match w.rest().is_empty() {
+        true => None,
+        false => {
+            w.is("successor", "successor or the end of the line")?;
+            Some(w.word("the successor's name")?.to_string())
+        }
+    };
+    Ok(Trouble::Retire { functions, successor })
+}
--- a/crates/stage/src/day/mod.rs
+++ b/crates/stage/src/day/mod.rs
@@ -11,11 +11,16 @@
 //! at 12s store slow 600% for 6s
 //! ```
 
+mod check;
+mod draw;
+mod fleet;
 mod grammar;
 mod trouble;
 mod words;
 
-pub use trouble::{Cut, Trouble};
+pub use draw::Planned;
+pub use fleet::{Fleet, Pool, Reserve};
+pub use trouble::{Cut, Pick, StoreFault, Trouble};
 
 use grammar::trouble;
 use stagehoist_config::Position;
@@ -38,7 +43,10 @@
     pub transactions: bool,
     /// The broker stamps messages with the time at which it takes them.
     pub stamps: bool,
-    pub troubles: Vec<(Duration, Trouble)>,
+    /// What the processes share.
+    pub fleet: Fleet,
+    /// In the order of the moments from which they may come.
+    pub troubles: Vec<Planned>,
 }
 
 impl Default for Day {
@@ -53,6 +61,7 @@
             load_on_miss: true,
             transactions: false,
             stamps: true,
+            fleet: Fleet::default(),
             troubles: Vec::new(),
         }
     }
@@ -77,30 +86,14 @@
             if words.words.is_empty() {
                 continue;
             }
-            if let Err((column, what, expected)) = day.line(&mut words).and_then(|()| words.end()) {
+            if let Err((column, what, expected)) = day.line(number + 1, &mut words).and_then(|()| words.end())
+            {
                 let at = Position { file: file.into(), line: number + 1, column };
                 faults.push(DayFault { at, what, expected: expected.into() });
             }
         }
-        day.troubles.sort_by_key(|t| t.0);
-        for (at, trouble) in &day.troubles {
-            let names_front_end = match trouble {
-                Trouble::Stop { front_end, .. }
-                | Trouble::Terminate { front_end }
-                | Trouble::Kill { front_end } => Some(*front_end),
-                _ => None,
-            };
-            if names_front_end.is_some_and(|f| f >= day.front_ends) {
-                let at = Position { file: file.into(), line: 1, column: 1 };
-                let what = format!("{trouble:?} names a front end that does not stand");
-                faults.push(DayFault { at, what, expected: format!("0 to {}", day.front_ends - 1) });
-            }
-            if *at >= day.length {
-                let at = Position { file: file.into(), line: 1, column: 1 };
-                let what = format!("{trouble:?} comes after the end of the day");
-                faults.push(DayFault { at, what, expected: format!("a time before {:?}", day.length) });
-            }
-        }
+        day.troubles.sort_by_key(|t| t.from);
+        day.check(file, &mut faults);
         if faults.is_empty() {
             Ok(day)
         } else {
@@ -108,7 +101,7 @@
         }
     }
 
-    fn line(&mut self, w: &mut Words<'_>) -> Step<()> {
+    fn line(&mut self, number: usize, w: &mut Words<'_>) -> Step<()> {
         match w.word("a directive")? {
             "halls" => self.halls = w.number("", "a number of halls")?,
             "workers" => self.workers = w.number("", "a number of workers")?,
@@ -138,13 +131,16 @@
             }
             "length" => self.length = w.duration()?,
             "at" => {
-                let at = w.duration()?;
-                let trouble = trouble(w)?;
-                self.troubles.push((at, trouble));
+                let (from, to) = w.moments()?;
+                let text = w.rest();
+                self.troubles.push(Planned { from, to, trouble: trouble(w)?, text, line: number });
             }
+            _ if self.fleet.line(w)? => {}
             _ => {
-                return w
-                    .wrong("halls, workers, front-ends, seed, rate, on-miss, replies, stamps, length or at")
+                return w.wrong(
+                    "halls, workers, front-ends, seed, rate, on-miss, replies, stamps, length, keepers, view-lease, \
+                     remember, retire-mode, pool, reserve, tenant, marks or at",
+                )
             }
         }
         Ok(())
@@ -156,12 +152,16 @@
         const LEAST: Duration = Duration::from_millis(400);
         let part = to.as_secs_f64() / self.length.as_secs_f64();
         self.length = to;
-        for (at, trouble) in &mut self.troubles {
-            *at = at.mul_f64(part);
-            if let Some(span) = trouble.span_mut() {
+        for planned in &mut self.troubles {
+            planned.from = planned.from.mul_f64(part);
+            planned.to = planned.to.mul_f64(part);
+            if let Some(span) = planned.trouble.span_mut() {
                 *span = span.mul_f64(part.min(1.0)).max(LEAST.min(*span));
             }
         }
         self
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/stage/src/day/trouble.rs
+++ b/crates/stage/src/day/trouble.rs
@@ -1,5 +1,6 @@
 //! What can go wrong on a day.
 
+use crate::relay::Fault;
 use std::time::Duration;
 
 /// What goes wrong.
@@ -104,17 +105,77 @@
     },
     /// A front end's process is stopped and goes on.
     Stop {
-        front_end: u32,
+        front_end: Pick,
         span: Duration,
     },
     /// A front end's process is told to end in order, and a new one starts.
     Terminate {
-        front_end: u32,
+        front_end: Pick,
     },
-    /// A front end's process is killed, and a new one starts.
+    /// A front end's process is killed, and a new one starts: at once, or after the span.
     Kill {
-        front_end: u32,
+        front_end: Pick,
+        span: Option<Duration>,
     },
+    /// The links between a front end and the keepers; where it is a keeper itself, also those of all others to it.
+    Link {
+        front_end: Pick,
+        fault: Fault,
+        span: Duration,
+    },
+    /// The process of the keeper that leads is killed, or stopped and goes on.
+    LeaderKill {
+        span: Option<Duration>,
+    },
+    LeaderStop {
+        span: Duration,
+    },
+    /// A function is retired; of several one is drawn.
+    Retire {
+        functions: Vec<String>,
+        successor: Option<String>,
+    },
+    /// All front ends' processes and all workers die at once, and all start again after the span.
+    Everything {
+        span: Duration,
+    },
+    /// A front end's store and what it remembers are copied, set back to the last copy, or damaged.
+    Store {
+        front_end: Pick,
+        how: StoreFault,
+    },
+    /// Callers of one tenant send so many times as much.
+    Surge {
+        tenant: String,
+        times: f64,
+        span: Duration,
+    },
+}
+
+/// Which front end something befalls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    Number(u32),
+    /// Drawn by the seed.
+    Any,
+}
+
+impl Pick {
+    /// The front end's number. A day that was drawn names each; before that `any` counts as the first.
+    pub fn number(self) -> u32 {
+        match self {
+            Pick::Number(number) => number,
+            Pick::Any => 0,
+        }
+    }
+}
+
+/// What becomes of a store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFault {
+    Copy,
+    SetBack,
+    Damage,
 }
 
 /// Where the broker cuts a connection.
@@ -148,12 +209,42 @@
             | Trouble::ListLags { span, .. }
             | Trouble::ListFlaps { span, .. }
             | Trouble::Flood { span, .. }
+            | Trouble::Link { span, .. }
+            | Trouble::LeaderStop { span }
+            | Trouble::Everything { span }
+            | Trouble::Surge { span, .. }
             | Trouble::Stop { span, .. } => Some(span),
+            Trouble::Kill { span, .. } | Trouble::LeaderKill { span } => span.as_mut(),
             Trouble::BrokerCut { .. }
             | Trouble::BrokerRestart
             | Trouble::ListIndexResets
-            | Trouble::Terminate { .. }
-            | Trouble::Kill { .. } => None,
+            | Trouble::Retire { .. }
+            | Trouble::Store { .. }
+            | Trouble::Terminate { .. } => None,
         }
     }
+
+    /// The front end that it befalls, where it names one.
+    pub(super) fn pick_mut(&mut self) -> Option<&mut Pick> {
+        match self {
+            Trouble::Stop { front_end, .. }
+            | Trouble::Terminate { front_end }
+            | Trouble::Kill { front_end, .. }
+            | Trouble::Link { front_end, .. }
+            | Trouble::Store { front_end, .. } => Some(front_end),
+            _ => None,
+        }
+    }
+
+    /// Whether it means something only where processes keep a record.
+    pub(super) fn needs_keepers(&self) -> bool {
+        matches!(
+            self,
+            Trouble::Link { .. }
+                | Trouble::LeaderKill { .. }
+                | Trouble::LeaderStop { .. }
+                | Trouble::Retire { .. }
+                | Trouble::Store { .. }
+        )
+    }
 }
--- a/crates/stage/src/day/words.rs
+++ b/crates/stage/src/day/words.rs
@@ -1,5 +1,6 @@
 //! One line of a day file, word by word.
 
+use super::trouble::Pick;
 use stagehoist_config::parse_duration;
 use std::time::Duration;
 
@@ -22,6 +23,10 @@
         self.next += 1;
         word.map(|w| w.1).ok_or((self.line.len() + 1, "the line ends".into(), expected))
     }
+    /// The word that was read last.
+    pub(super) fn last(&self) -> &'a str {
+        self.next.checked_sub(1).and_then(|n| self.words.get(n)).map_or("", |w| w.1)
+    }
     pub(super) fn wrong<T>(&self, expected: &'static str) -> Step<T> {
         let (column, word) = self.words.get(self.next - 1).copied().unwrap_or((1, ""));
         Err((column, format!("found {word:?}"), expected))
@@ -43,6 +48,48 @@
         self.is("for", "for and a duration")?;
         self.duration()
     }
+    /// A span where the line goes on with one.
+    pub(super) fn maybe_span(&mut self) -> Step<Option<Duration>> {
+        if self.words.get(self.next).is_none() {
+            return Ok(None);
+        }
+        self.span().map(Some)
+    }
+    /// A moment, or a range of moments such as `3s..6s`.
+    pub(super) fn moments(&mut self) -> Step<(Duration, Duration)> {
+        let expected = "a time such as 2s, or a range of them such as 2s..4s";
+        let word = self.word(expected)?;
+        let (from, to) = word.split_once("..").unwrap_or((word, word));
+        let moment = |word| parse_duration(word).map(|micros| Duration::from_micros(micros as u64));
+        match (moment(from), moment(to)) {
+            (Some(from), Some(to)) if from <= to => Ok((from, to)),
+            _ => self.wrong(expected),
+        }
+    }
+    /// A front end's number, or `any`.
+    pub(super) fn pick(&mut self) -> Step<Pick> {
+        let expected = "a front end's number or any";
+        match self.word(expected)? {
+            "any" => Ok(Pick::Any),
+            number => match number.parse() {
+                Ok(number) => Ok(Pick::Number(number)),
+                Err(_) => self.wrong(expected),
+            },
+        }
+    }
+    /// Names separated by commas.
+    pub(super) fn names(&mut self, expected: &'static str) -> Step<Vec<String>> {
+        let names: Vec<String> = self.word(expected)?.split(',').map(str::to_string).collect();
+        if names.iter().any(String::is_empty) {
+            return self.wrong(expected);
+        }
+        Ok(names)
+    }
+    /// What is still to be read, without the comment.
+    pub(super) fn rest(&self) -> String {
+        let words = self.words.get(self.next..).unwrap_or_default();
+        words.iter().map(|w| w.1).collect::<Vec<_>>().join(" ")
+    }
     pub(super) fn number<T: std::str::FromStr>(&mut self, suffix: &str, expected: &'static str) -> Step<T> {
         let word = self.word(expected)?;
         match word.strip_suffix(suffix).and_then(|n| n.parse().ok()) {
--- /dev/null
+++ b/crates/stage/src/fleet/tests.rs
@@ -0,0 +1,60 @@
+use super::*;
+use crate::day::Day;
+
+fn fleet(text: &str) -> Fleet {
+    Day::parse("day", text).unwrap().fleet
+}
+
+#[test]
+fn a_front_end_without_keepers_is_told_nothing() {
+    let files = Files::of(Path::new("/f"), 0);
+    assert_eq!(lines(&Fleet::default(), 0, &[], "", &files), "");
+}
+
+#[test]
+fn a_keeper_is_told_where_it_listens_and_a_member_only_where_keepers_are() {
+    let fleet = fleet(
+        "front-ends 5\nkeepers 3\nview-lease 800ms\nmarks yes\ntenant clinic quota 1000/s\n\
+         pool lanes functions clashes,rare-* lanes 40\nreserve clinic pool lanes lanes 16\n",
+    );
+    let keepers = ["127.0.0.1:1".to_string(), "127.0.0.1:2".to_string(), "127.0.0.1:3".to_string()];
+    let first = lines(&fleet, 0, &keepers, "127.0.0.1:9", &Files::of(Path::new("/f"), 0));
+    let shared = "tenant clinic quota 1000/s\npool lanes functions clashes,rare-* lanes 40\n\
+                  reserve clinic pool lanes lanes 16\n";
+    let told = "keeper 1 127.0.0.1:1\nkeeper 2 127.0.0.1:2\nkeeper 3 127.0.0.1:3\n";
+    let terms = "view-lease 800ms\nremember 600000ms\n";
+    assert_eq!(
+        first,
+        format!(
+            "member fe-0\n{told}keep 1 listen 127.0.0.1:9 store /f/store-0\nfleet-folder /f/fleet-0\n\
+             {terms}retirements /f/retirements\n{shared}marks /f/marks-0\n"
+        )
+    );
+    let fourth = lines(&fleet, 3, &keepers, "", &Files::of(Path::new("/f"), 3));
+    assert_eq!(
+        fourth,
+        format!("member fe-3\n{told}fleet-folder /f/fleet-3\n{terms}{shared}marks /f/marks-3\n")
+    );
+}
+
+fn word(at: u32, message: &str, keeper: u32, target: &str) -> String {
+    format!(
+        "{{\"timestamp\":\"2026-01-01T00:00:00.{at:06}Z\",\"level\":\"INFO\",\"message\":\"{message}\",\
+         \"keeper\":{keeper},\"target\":\"{target}\"}}\n"
+    )
+}
+
+#[test]
+fn the_leader_is_whoever_said_last_that_it_leads_and_took_nothing_back() {
+    let ours = "stagehoist_keeper::node";
+    let find = |logs: &[&str]| leader(logs.iter().enumerate().map(|(n, log)| (n as u32, *log)));
+    let one = word(1, "leading", 1, ours) + &word(5, "following", 1, ours);
+    let two = word(2, "following", 2, ours) + &word(4, "leading", 2, ours) + "not json\n";
+    let three = word(3, "leading", 3, ours);
+    assert_eq!(find(&[&one, &two, &three]), Some(1));
+    assert_eq!(find(&[&one, "", &three]), Some(2));
+    assert_eq!(find(&[&one]), None);
+    // Words of others, and of another keeper, count for nothing.
+    let strange = word(9, "leading", 1, "elsewhere") + &word(9, "leading", 2, ours);
+    assert_eq!(find(&[&strange]), None);
+}
--- a/crates/stage/src/layout.rs
+++ b/crates/stage/src/layout.rs
@@ -14,6 +14,9 @@
 /// Queue that calls are published to.
 pub const QUEUE: &str = "calls";
 
+/// What the front ends' processes log; the leader of keepers is found in it.
+const LOG: &str = "info";
+
 /// Workers and functions of a stage.
 #[derive(Clone, Debug)]
 pub struct Layout {
@@ -68,7 +71,7 @@
             workers: (0..day.workers).map(plan).collect(),
             catalogue: Arc::new(catalogue),
             spec,
-            log: "info".into(),
+            log: LOG.into(),
             metrics: true,
         }
     }
@@ -94,10 +97,10 @@
              class lookup aim 800ms give-up 2500ms effect safe worth 1 late-worth 0.1\n\
              class check aim 800ms give-up 2500ms effect keyed group all window 5s worth 1 late-worth 0.1\n\
              class record aim 1500ms give-up 2500ms effect unsafe worth 3 late-worth 0.1\n\
-             function free-times class lookup memory 64MB lanes 4 load 200ms\n\
-             function clashes class check memory 96MB lanes 4 load 200ms\n\
-             function recurring class record memory 128MB lanes 2 load 250ms\n\
-             function rare-* class lookup memory 48MB lanes 1 load 180ms\n\
+             function free-times class lookup memory 64MB lanes 4 load 200ms{retire}\n\
+             function clashes class check memory 96MB lanes 4 load 200ms{retire}\n\
+             function recurring class record memory 128MB lanes 2 load 250ms{retire}\n\
+             function rare-* class lookup memory 48MB lanes 1 load 180ms{retire}\n\
              broker amqp://guest:guest@{broker}/\n\
              consume {QUEUE} declare durable\n\
              reconnect first 50ms most 1s\n\
@@ -111,6 +114,11 @@
              idle-keep 10s\non-miss {miss}\nload-timeout 10s\n\
              load-ration window 10s free 12 share 0.2\n\
              reports answers fields busy,inflight\n",
+            retire = match (day.fleet.keepers, day.fleet.strict) {
+                (0, _) => "",
+                (_, true) => " retire strict",
+                (_, false) => " retire available",
+            },
             miss = if day.load_on_miss { "load" } else { "miss" },
             metrics = if self.metrics { "listen metrics 127.0.0.1:0\n" } else { "" },
             replies = if day.transactions { "transaction" } else { "confirm" },
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -5,14 +5,18 @@
 
 mod callers;
 mod day;
+mod fleet;
 mod layout;
 mod measure;
 mod play;
 pub mod process;
+pub mod relay;
+mod retired;
 mod stack;
 
-pub use day::{Day, DayFault, Trouble};
+pub use day::{Day, DayFault, Fleet, Pick, Planned, Pool, Reserve, StoreFault, Trouble};
 pub use layout::Layout;
 pub use measure::{measure, Measured};
 pub use play::{play, play_on, Ledger, Progress};
+pub use retired::Seen;
 pub use stack::{Stack, StageError};
--- a/crates/stage/src/play/begin.rs
+++ b/crates/stage/src/play/begin.rs
@@ -1,10 +1,9 @@
 //! Troubles as they begin.
 
-use super::{Player, Undo, PATIENCE};
+use super::{Player, Undo};
 use crate::callers::Pace;
 use crate::day::{Cut, Trouble};
 use crate::stack::StageError;
-use rustix::process::Signal;
 use stagehoist_judge::tap::Trouble as Tapped;
 use stagehoist_standin::broker::{Cut as BrokerCut, Faults};
 use std::time::{Duration, Instant};
@@ -105,27 +104,17 @@
                 self.stack.pace.send_replace(Pace { rate, stop: false });
                 self.later(*span, Undo::Pace);
             }
-            Trouble::Stop { front_end, span } => {
-                self.stack.signal(*front_end, Signal::STOP);
-                let now = self.stack.recorder.now();
-                self.charter.frozen.push((*front_end, now, now + span.as_micros() as i64));
-                self.later(*span, Undo::Continue(*front_end));
-            }
-            Trouble::Terminate { front_end } => {
-                self.stack.signal(*front_end, Signal::TERM);
-                self.later(
-                    Duration::from_millis(50),
-                    Undo::Reap(*front_end, Instant::now() + Duration::from_secs(3)),
-                );
-            }
-            Trouble::Kill { front_end } => {
-                self.stack.signal(*front_end, Signal::KILL);
-                self.stack.wait_end(*front_end, PATIENCE);
-                // What it held is the broker's again; from here on the new process is judged.
-                let now = self.stack.recorder.now();
-                self.charter.frozen.push((*front_end, now - 2_500_000, now));
-                self.begin_anew(*front_end)?;
-            }
+            Trouble::Stop { front_end, span } => self.stop(front_end.number(), *span),
+            Trouble::Terminate { front_end } => self.terminate(front_end.number()),
+            Trouble::Kill { front_end, span: None } => self.kill(front_end.number())?,
+            Trouble::Kill { front_end, span: Some(span) } => self.kill_for(front_end.number(), *span),
+            Trouble::Link { .. }
+            | Trouble::LeaderKill { .. }
+            | Trouble::LeaderStop { .. }
+            | Trouble::Retire { .. }
+            | Trouble::Everything { .. }
+            | Trouble::Store { .. }
+            | Trouble::Surge { .. } => self.begin_fleet(trouble)?,
         }
         Ok(())
     }
--- a/crates/stage/src/play/end.rs
+++ b/crates/stage/src/play/end.rs
@@ -55,6 +55,8 @@
                         if self.start.elapsed() < self.stack.day.length { self.stack.day.rate } else { 0.0 };
                     self.stack.pace.send_replace(Pace { rate, stop: false });
                 }
+                // A process that was killed meanwhile has nothing to go on with.
+                Undo::Continue(front_end) if self.down.contains_key(&front_end) => {}
                 Undo::Continue(front_end) => {
                     self.stack.signal(front_end, Signal::CONT);
                     let at = self.stack.recorder.now();
@@ -62,6 +64,13 @@
                         frozen.2 = frozen.2.max(at);
                     }
                 }
+                Undo::Heal(ticket) => self.stack.between.heal(ticket),
+                Undo::Start(front_end) => self.start_again(front_end)?,
+                Undo::Leader(trouble, by) => self.leader(&trouble, by)?,
+                Undo::Surge(number) => {
+                    self.surges.retain(|s| s.0 != number);
+                    self.tell_surges();
+                }
                 Undo::Reap(front_end, by) => self.reap(front_end, by)?,
             }
         }
--- a/crates/stage/src/play/mod.rs
+++ b/crates/stage/src/play/mod.rs
@@ -2,9 +2,11 @@
 
 mod begin;
 mod end;
+mod fleet;
 
 use crate::callers::Pace;
-use crate::day::Day;
+use crate::day::{Day, Trouble};
+use crate::retired::Retirements;
 use crate::stack::{Stack, StageError};
 use serde::Serialize;
 use stagehoist_judge::rules::{judge, served_times, Charter, Verdict};
@@ -13,6 +15,7 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::atomic::Ordering;
+use std::sync::PoisonError;
 use std::time::{Duration, Instant};
 
 /// Longest time for the stack to stand, and for the last answers after the last call.
@@ -30,6 +33,13 @@
     pub mishaps: Vec<String>,
     pub store_fetches: u64,
     pub seconds: f64,
+    /// Answers by outcome and reason, as callers got them.
+    pub answers: BTreeMap<String, u64>,
+    /// Milliseconds from when the day asked for a function's retirement until it was in force; none where it never was.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub in_force_after_ms: BTreeMap<String, Option<f64>>,
+    /// Lines of a day file with what was drawn, which play the same again.
+    pub drawn: Vec<String>,
 }
 
 impl Ledger {
@@ -65,6 +75,13 @@
     Flap(String, bool, Instant),
     Pace,
     Continue(u32),
+    /// A link's fault, by its ticket.
+    Heal(u64),
+    /// A front end that was killed starts again.
+    Start(u32),
+    /// Nobody led when it was to begin; it is tried again until then.
+    Leader(Trouble, Instant),
+    Surge(u64),
     /// By then the process must have ended.
     Reap(u32, Instant),
 }
@@ -74,6 +91,11 @@
     charter: Charter,
     start: Instant,
     undo: Vec<(Instant, Undo)>,
+    /// Front ends whose process is dead, and until when.
+    down: BTreeMap<u32, Instant>,
+    retirements: Retirements,
+    /// Tenants that send more than usual, and how many times as much.
+    surges: Vec<(u64, String, f64)>,
 }
 
 /// Plays a day on a new stack. `binary` is the project's own binary.
@@ -86,19 +108,29 @@
 
 /// Plays the stack's day and judges it. The stack has ended after it.
 pub fn play_on(stack: &mut Stack, show: &mut dyn FnMut(Progress<'_>)) -> Result<Ledger, StageError> {
-    let day = stack.day.clone();
+    let day = stack.day.drawn(stack.day.seed);
+    let drawn = day.drawn_text().lines().map(str::to_string).collect();
     let charter = stack.layout.charter();
     let start = Instant::now();
     stack.pace.send_replace(Pace { rate: day.rate, stop: false });
-    let mut player = Player { stack, charter, start, undo: Vec::new() };
+    let mut player = Player {
+        stack,
+        charter,
+        start,
+        undo: Vec::new(),
+        down: BTreeMap::new(),
+        retirements: Retirements::default(),
+        surges: Vec::new(),
+    };
     let mut troubles = day.troubles.iter().peekable();
     let mut shown = Duration::ZERO;
     while start.elapsed() < day.length {
-        while let Some((_, trouble)) = troubles.next_if(|t| t.0 <= start.elapsed()) {
-            show(Progress::Trouble(&format!("{trouble:?}")));
-            player.begin(trouble)?;
+        while let Some(planned) = troubles.next_if(|t| t.from <= start.elapsed()) {
+            show(Progress::Trouble(&planned.text));
+            player.begin(&planned.trouble)?;
         }
         player.end_due()?;
+        player.watch();
         if start.elapsed() >= shown + Duration::from_secs(1) {
             shown = start.elapsed();
             let c = &player.stack.counts;
@@ -114,11 +146,15 @@
     let by = Instant::now() + Duration::from_millis(3500);
     while Instant::now() < by || !player.undo.is_empty() {
         player.end_due()?;
+        player.watch();
         std::thread::sleep(Duration::from_millis(5));
     }
-    let Player { charter, .. } = player;
+    let Player { charter, retirements, .. } = player;
     show(Progress::Judging);
     let mut mishaps = std::mem::take(&mut stack.disorderly);
+    let in_force_after_ms = retirements.after_ms();
+    let never = in_force_after_ms.iter().filter(|r| r.1.is_none());
+    mishaps.extend(never.map(|(function, _)| format!("the retirement of {function} never came in force")));
     mishaps.extend(stack.fallen().into_iter().map(|w| format!("worker {w} fell over cold")));
     if let Err(error) = stack.end(PATIENCE) {
         mishaps.push(error.to_string());
@@ -135,6 +171,9 @@
         mishaps,
         store_fetches: stack.store.fetches(),
         seconds: start.elapsed().as_secs_f64(),
+        answers: stack.counts.answers.lock().unwrap_or_else(PoisonError::into_inner).clone(),
+        in_force_after_ms,
+        drawn,
     })
 }
 
--- a/crates/stage/src/stack/front_ends.rs
+++ b/crates/stage/src/stack/front_ends.rs
@@ -22,12 +22,17 @@
 
     /// What a front end's process wrote last.
     pub fn log(&self, front_end: u32) -> String {
-        let path = self.folder.path().join(format!("front-end-{front_end}.log"));
-        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let text = self.whole_log(front_end);
         let lines: Vec<&str> = text.lines().collect();
         lines[lines.len().saturating_sub(20)..].join("\n")
     }
 
+    /// All that a front end's processes wrote.
+    pub(super) fn whole_log(&self, front_end: u32) -> String {
+        let path = self.folder.path().join(format!("front-end-{front_end}.log"));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Where a front end's metrics stand, as its log tells.
     pub fn metrics_address(&self, front_end: u32) -> Option<String> {
         let path = self.folder.path().join(format!("front-end-{front_end}.log"));
--- a/crates/stage/src/stack/mod.rs
+++ b/crates/stage/src/stack/mod.rs
@@ -1,5 +1,6 @@
 //! Everything that stands: threads for the stand-ins and taps, processes for the front ends.
 
+mod fleet;
 mod front_ends;
 mod host;
 mod start;
@@ -8,6 +9,7 @@
 use crate::callers::{Counts, Pace};
 use crate::day::Day;
 use crate::layout::Layout;
+pub use fleet::Between;
 use host::{Host, StartWorker};
 use stagehoist_judge::capture::{Link, Recorder};
 use stagehoist_judge::tap;
@@ -65,6 +67,10 @@
     pub list_address: String,
     pub counts: Arc<Counts>,
     pub pace: watch::Sender<Pace>,
+    /// Tenants that callers name, each with its part of the calls.
+    pub tenants: watch::Sender<Vec<(String, f64)>>,
+    /// Links between the processes.
+    pub between: Between,
     /// By front end and worker.
     pub worker_taps: BTreeMap<(u32, String), Arc<tap::Controls>>,
     pub front_ends: Vec<FrontEnd>,
--- a/crates/stage/src/stack/start.rs
+++ b/crates/stage/src/stack/start.rs
@@ -1,10 +1,12 @@
 //! How a stack comes to stand.
 
+use super::fleet::Between;
 use super::host::{host, listen, run_worker, StartWorker};
 use super::{unix_ms, FrontEnd, Stack, StageError, WorkerStand};
-use crate::callers::{self, Counts, Pace};
+use crate::callers::{self, Counts, Pace, Told};
 use crate::day::Day;
 use crate::layout::Layout;
+use crate::relay;
 use stagehoist_judge::capture::{Link, Peer, Recorder};
 use stagehoist_judge::tap;
 use stagehoist_standin::broker::{self, Broker, BrokerOptions};
@@ -99,6 +101,18 @@
         let mut worker_taps = BTreeMap::new();
         let mut lists = Vec::new();
         let mut configs = Vec::new();
+        let (between, relays) = Between::new(&day, folder.path())?;
+        if !relays.is_empty() {
+            hosts.push(host(move || async move {
+                let mut tasks = tokio::task::JoinSet::new();
+                for (port, far, fault) in relays {
+                    tasks.spawn_local(relay::serve(port, far, fault));
+                }
+                while let Some(ended) = tasks.join_next().await {
+                    tracing::warn!(?ended, "relay ended");
+                }
+            })?);
+        }
         for front_end in 0..day.front_ends {
             let mut addresses = BTreeMap::new();
             for (name, stand) in &workers {
@@ -112,7 +126,8 @@
             let (list, _) = tap(Some(front_end), Peer::List, &far)?;
             let (broker, _) = tap(Some(front_end), Peer::Broker, &broker_address)?;
             let path = folder.path().join(format!("front-end-{front_end}.conf"));
-            let text = layout.config(&day, front_end, &broker, &list);
+            let shared = &between.lines[front_end as usize];
+            let text = layout.config(&day, front_end, &broker, &list) + shared;
             std::fs::write(&path, text).map_err(StageError::Config)?;
             configs.push(path);
         }
@@ -153,7 +168,9 @@
 
         let counts = Arc::new(Counts::default());
         let (pace, told) = watch::channel(Pace { rate: 0.0, stop: false });
+        let (tenants, weights) = watch::channel(day.fleet.callers());
         let (count, seed, plan) = (counts.clone(), day.seed, layout.clone());
+        let told = Told { pace: told, tenants: weights };
         hosts.push(host(move || callers::run(callers_broker, 0, plan, seed, count, told))?);
 
         let mut stack = Stack {
@@ -169,6 +186,8 @@
             list_address,
             counts,
             pace,
+            tenants,
+            between,
             worker_taps,
             front_ends: Vec::new(),
             disorderly: Vec::new(),
