--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod day;
 mod fleet;
+mod lateness;
 mod layout;
 mod measure;
 mod play;
@@ -15,6 +16,7 @@
 mod stack;
 
 pub use day::{Day, DayFault, Fleet, Pick, Planned, Pool, Reserve, StoreFault, Trouble};
+pub use lateness::Lateness;
 pub use layout::Layout;
 pub use measure::{measure, Measured};
 pub use play::{play, play_on, Ledger, Progress};
