--- a/crates/stage/src/play/mod.rs
+++ b/crates/stage/src/play/mod.rs
@@ -5,11 +5,12 @@
 mod fleet;
 
 use crate::callers::Pace;
-use crate::day::{Day, Trouble};
+use crate::day::{Day, Fleet, Pool, Trouble};
+use crate::lateness::Lateness;
 use crate::retired::Retirements;
 use crate::stack::{Stack, StageError};
 use serde::Serialize;
-use stagehoist_judge::rules::{judge, served_times, Charter, Verdict};
+use stagehoist_judge::rules::{judge, served_times, Charter, PoolRule, Verdict};
 use stagehoist_judge::tap::Trouble as Tapped;
 use stagehoist_judge::Story;
 use std::collections::BTreeMap;
@@ -21,6 +22,10 @@
 /// Longest time for the stack to stand, and for the last answers after the last call.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Longest time until a tenant has the lanes reserved for it after its surge began: a view lease of the usual length, in
+/// which what was lent runs out, and a round of dealing.
+const LENT_BACK: Duration = Duration::from_millis(1500);
+
 /// What happened on a day, as callers and sockets saw it.
 #[derive(Clone, Debug, Serialize)]
 pub struct Ledger {
@@ -111,6 +116,7 @@
     let day = stack.day.drawn(stack.day.seed);
     let drawn = day.drawn_text().lines().map(str::to_string).collect();
     let charter = stack.layout.charter();
+    let lateness = Lateness::start(stack.recorder.clone());
     let start = Instant::now();
     stack.pace.send_replace(Pace { rate: day.rate, stop: false });
     let mut player = Player {
@@ -149,7 +155,10 @@
         player.watch();
         std::thread::sleep(Duration::from_millis(5));
     }
-    let Player { charter, retirements, .. } = player;
+    let Player { mut charter, retirements, .. } = player;
+    charter.gaps = lateness.finish();
+    charter.retired = retirements.charter();
+    charter.pools = pools(&day.fleet);
     show(Progress::Judging);
     let mut mishaps = std::mem::take(&mut stack.disorderly);
     let in_force_after_ms = retirements.after_ms();
@@ -177,6 +186,22 @@
     })
 }
 
+/// The pools of a day as the judge is told of them.
+fn pools(fleet: &Fleet) -> Vec<PoolRule> {
+    let reserved = |pool: &str| {
+        let own = fleet.reserves.iter().filter(|r| r.pool == pool);
+        own.map(|r| (r.tenant.clone(), r.lanes)).collect()
+    };
+    let rule = |pool: &Pool| PoolRule {
+        name: pool.name.clone(),
+        functions: pool.functions.clone(),
+        lanes: pool.lanes,
+        reservations: reserved(&pool.name),
+        within: LENT_BACK.as_micros() as i64,
+    };
+    fleet.pools.iter().map(rule).collect()
+}
+
 fn percentiles(times: &[i64]) -> BTreeMap<String, f64> {
     let Ok(mut histogram) = hdrhistogram::Histogram::<u64>::new(3) else { return BTreeMap::new() };
     for time in times {
--- a/crates/stage/src/retired.rs
+++ b/crates/stage/src/retired.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet::front_end;
 use serde::Serialize;
+use stagehoist_judge::rules::Retired;
 use stagehoist_judge::Micros;
 use std::collections::BTreeMap;
 
@@ -66,6 +67,16 @@
         }
     }
 
+    /// What the judge is told: one that is not in force is held against nobody.
+    pub fn charter(&self) -> Vec<Retired> {
+        let retired = |(function, seen): (&String, &Seen)| Retired {
+            function: function.clone(),
+            in_force: seen.in_force,
+            confirmed_from: seen.confirmed_from.clone(),
+        };
+        self.seen.iter().map(retired).collect()
+    }
+
     /// When each came in force after it was asked for, in milliseconds; none where it did not.
     pub fn after_ms(&self) -> BTreeMap<String, Option<f64>> {
         let after = |seen: &Seen| Some((seen.in_force? - seen.asked?) as f64 / 1000.0);
@@ -106,6 +117,9 @@
         let seen = &retirements.seen["clashes"];
         assert_eq!(seen.in_force, Some(5_000));
         assert_eq!(seen.confirmed_from, BTreeMap::from([(2, 7_000), (4, 9_000)]));
+        let told = &retirements.charter()[0];
+        assert_eq!((told.function.as_str(), told.in_force), ("clashes", Some(5_000)));
+        assert_eq!(told.confirmed_from, seen.confirmed_from);
         assert_eq!(retirements.after_ms(), BTreeMap::from([("clashes".to_string(), Some(4.0))]));
     }
 
