--- /dev/null
+++ b/crates/stage/src/day/grammar.rs
@@ -0,0 +1,141 @@
+//! The words of a trouble.
+
+use super::trouble::{Cut, Pick, StoreFault, Trouble};
+use super::words::{Step, Words};
+use crate::relay::Fault;
+
+pub(super) fn trouble(w: &mut Words<'_>) -> Step<Trouble> {
+    const EXPECTED: &str =
+        "worker, hall, store, answers, broker, list, flood, surge, front-end, link, leader, retire or \
+                            everything";
+    match w.word(EXPECTED)? {
+        "worker" => {
+            let worker = w.word("a worker's name")?.to_string();
+            let what = w.word("drain, die, reset, stall, garbage, truncate, late, slow or fail")?;
+            Ok(match what {
+                "drain" => {
+                    let span = w.span()?;
+                    w.is("list-lag", "list-lag and a duration")?;
+                    Trouble::Drain { worker, span, lag: w.duration()? }
+                }
+                "die" => Trouble::Die { worker, span: w.span()? },
+                "reset" => Trouble::Reset { worker, percent: w.percent()?, span: w.span()? },
+                "stall" => Trouble::Stall { worker, span: w.span()? },
+                "garbage" => Trouble::Garbage { worker, percent: w.percent()?, span: w.span()? },
+                "truncate" => Trouble::Truncate { worker, percent: w.percent()?, span: w.span()? },
+                "late" => Trouble::Late { worker, by: w.duration()?, span: w.span()? },
+                "slow" => Trouble::Slow { worker, percent: w.percent()?, span: w.span()? },
+                "fail" => Trouble::Fail { worker, percent: w.percent()?, span: w.span()? },
+                _ => return w.wrong("drain, die, reset, stall, garbage, truncate, late, slow or fail"),
+            })
+        }
+        "hall" => {
+            let hall = w.word("a hall's name")?.to_string();
+            w.is("vanish", "vanish")?;
+            Ok(Trouble::Vanish { hall, span: w.span()? })
+        }
+        "store" => store(w),
+        "answers" => {
+            w.is("lost", "lost and a share")?;
+            Ok(Trouble::LoseAnswers { percent: w.percent()?, span: w.span()? })
+        }
+        "broker" => Ok(
+            match w.word("cut-reply, cut-confirm, cut-delivery, delay, deaf, blocked, flow or restart")? {
+                "cut-reply" => Trouble::BrokerCut { how: Cut::BeforeRouting },
+                "cut-confirm" => Trouble::BrokerCut { how: Cut::BeforeConfirm },
+                "cut-delivery" => Trouble::BrokerCut { how: Cut::MidDelivery },
+                "delay" => Trouble::BrokerDelay { by: w.duration()?, span: w.span()? },
+                "deaf" => Trouble::BrokerDeaf { span: w.span()? },
+                "blocked" => Trouble::BrokerBlocked { span: w.span()? },
+                "flow" => Trouble::BrokerFlow { span: w.span()? },
+                "restart" => Trouble::BrokerRestart,
+                _ => {
+                    return w
+                        .wrong("cut-reply, cut-confirm, cut-delivery, delay, deaf, blocked, flow or restart")
+                }
+            },
+        ),
+        "list" => Ok(match w.word("fails, lags, flaps or index-resets")? {
+            "fails" => Trouble::ListFails { span: w.span()? },
+            "lags" => Trouble::ListLags { by: w.duration()?, span: w.span()? },
+            "flaps" => {
+                let worker = w.word("a worker's name")?.to_string();
+                Trouble::ListFlaps { worker, span: w.span()? }
+            }
+            "index-resets" => Trouble::ListIndexResets,
+            _ => return w.wrong("fails, lags, flaps or index-resets"),
+        }),
+        "flood" => Ok(Trouble::Flood { times: w.number("x", "a multiple such as 5x")?, span: w.span()? }),
+        "front-end" => {
+            let front_end = w.pick()?;
+            Ok(match w.word("stop, terminate or kill")? {
+                "stop" => Trouble::Stop { front_end, span: w.span()? },
+                "terminate" => Trouble::Terminate { front_end },
+                "kill" => Trouble::Kill { front_end, span: w.maybe_span()? },
+                _ => return w.wrong("stop, terminate or kill"),
+            })
+        }
+        "link" => {
+            let front_end = w.pick()?;
+            let fault = match w.word("cut, stall, half-out, half-in or delay")? {
+                "cut" => Fault::Cut,
+                "stall" => Fault::Stall,
+                "half-out" => Fault::HalfOut,
+                "half-in" => Fault::HalfIn,
+                "delay" => Fault::Delay(w.duration()?),
+                _ => return w.wrong("cut, stall, half-out, half-in or delay"),
+            };
+            Ok(Trouble::Link { front_end, fault, span: w.span()? })
+        }
+        "leader" => Ok(match w.word("kill or stop")? {
+            "kill" => Trouble::LeaderKill { span: w.maybe_span()? },
+            "stop" => Trouble::LeaderStop { span: w.span()? },
+            _ => return w.wrong("kill or stop"),
+        }),
+        "retire" => retire(w),
+        "everything" => {
+            w.is("kill", "kill")?;
+            Ok(Trouble::Everything { span: w.span()? })
+        }
+        "surge" => {
+            let tenant = w.word("a tenant's name")?.to_string();
+            Ok(Trouble::Surge { tenant, times: w.number("x", "a multiple such as 10x")?, span: w.span()? })
+        }
+        _ => w.wrong(EXPECTED),
+    }
+}
+
+/// The program store's slowness, or a keeper's own store.
+fn store(w: &mut Words<'_>) -> Step<Trouble> {
+    let expected = "slow and a share such as 600%, or a front end's number or any";
+    let front_end = match w.word(expected)? {
+        "slow" => return Ok(Trouble::StoreSlow { percent: w.percent()?, span: w.span()? }),
+        "any" => Pick::Any,
+        number => match number.parse() {
+            Ok(number) => Pick::Number(number),
+            Err(_) => return w.wrong(expected),
+        },
+    };
+    let how = match w.word("copy, set-back or damage")? {
+        "copy" => StoreFault::Copy,
+        "set-back" => StoreFault::SetBack,
+        "damage" => StoreFault::Damage,
+        _ => return w.wrong("copy, set-back or damage"),
+    };
+    Ok(Trouble::Store { front_end, how })
+}
+
+fn retire(w: &mut Words<'_>) -> Step<Trouble> {
+    let functions = match w.word("a function's name, or any-of and names separated by commas")? {
+        "any-of" => w.names("functions' names separated by commas")?,
+        name => vec![name.to_string()],
+    };
+    let successor = match w.rest().is_empty() {
+        true => None,
+        false => {
+            w.is("successor", "successor or the end of the line")?;
+            Some(w.word("the successor's name")?.to_string())
+        }
+    };
+    Ok(Trouble::Retire { functions, successor })
+}
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -5,16 +5,20 @@
 
 mod callers;
 mod day;
+mod fleet;
 mod lateness;
 mod layout;
 mod measure;
 mod play;
 pub mod process;
+pub mod relay;
+mod retired;
 mod stack;
 
-pub use day::{Day, DayFault, Trouble};
+pub use day::{Day, DayFault, Fleet, Pick, Planned, Pool, Reserve, StoreFault, Trouble};
 pub use lateness::Lateness;
 pub use layout::Layout;
 pub use measure::{measure, Measured};
 pub use play::{play, play_on, Ledger, Progress};
+pub use retired::Seen;
 pub use stack::{Stack, StageError};
