Directives of a fleet: member, keepers, promises, retirements, pools, generations

Front ends that share a record are told of it by the configuration: member, keeper, keep, fleet-folder, view-lease, drift, remember, asking-most, retirements, pool, reserve, pools-edition, marks, and with a function its generation and how it is retired. Without them Config.fleet is None and the text written back is as before. What does not agree (keepers 1, 3 or 5, member with keepers, keep among them, reservations within their pool, patterns in one pool, names like NAME@2) is told at once with its place.

--- a/crates/config/src/build.rs
+++ b/crates/config/src/build.rs
@@ -1,5 +1,6 @@
 //! Directives to a configuration: defaults, and what must agree between directives.
 
+use crate::fleet::fleet;
 use crate::lexer::Line;
 use crate::model::{Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
 use crate::parts::{broker, effect};
@@ -7,8 +8,8 @@
 use crate::{Fault, Position};
 use stagehoist::{OnMiss, ReportVia, RetryBudget};
 
-const MS: i64 = 1000;
-const S: i64 = 1_000_000;
+pub const MS: i64 = 1000;
+pub const S: i64 = 1_000_000;
 
 /// Puts a configuration together; faults are added to those found so far.
 pub fn build(lines: &[Line], faults: &mut Vec<Fault>, start: &Position) -> Option<Config> {
@@ -51,7 +52,9 @@
         }
         let (lanes, load) = (line.count("lanes").unwrap_or(1), line.duration("load").unwrap_or(0));
         let work = line.duration("work").unwrap_or(0);
-        functions.push(Function { pattern, class, memory, lanes, load, work });
+        let generation = line.count("generation").unwrap_or(1) as u32;
+        let strict = line.text("retire").as_deref() == Some("strict");
+        functions.push(Function { pattern, class, memory, lanes, load, work, generation, strict });
     }
     let mut brokers = Vec::new();
     for line in s.all("broker") {
@@ -153,6 +156,11 @@
             stray.push((start.clone(), format!("no {name} directive"), "one at least".into()));
         }
     }
+    let tenants: Vec<Tenant> = s
+        .all("tenant")
+        .filter_map(|l| Some(Tenant { name: l.text("name")?, quota: l.number("quota")? }))
+        .collect();
+    let fleet = fleet(&s, &tenants, &mut stray);
     stray.into_iter().for_each(|(at, what, expected)| s.fault(at, what, expected));
     let front_ends = s.count("front-ends", "count", 1) as u32;
     let cold = |key| s.one("cold-start").and_then(|l| l.duration(key)).unwrap_or(0);
@@ -187,10 +195,7 @@
             .all("worker-kind")
             .filter_map(|l| Some(Kind { name: l.text("name")?, memory: l.count("memory")? }))
             .collect(),
-        tenants: s
-            .all("tenant")
-            .filter_map(|l| Some(Tenant { name: l.text("name")?, quota: l.number("quota")? }))
-            .collect(),
+        tenants,
         drain_grace: s.duration("drain-grace", S),
         cold_window: cold("window"),
         cold_multiple: s.number("cold-start", "multiple", 2.0),
@@ -225,5 +230,6 @@
         zone,
         report_via,
         report_fields,
+        fleet,
     })
 }
--- /dev/null
+++ b/crates/config/src/fleet_grammar.rs
@@ -0,0 +1,43 @@
+//! The directives of a process that is part of a fleet.
+
+use crate::grammar::{must, one, Directive, Often, H, MS, S};
+use crate::value::Kind;
+
+const NUMBER: Kind = Kind::Count(1, u64::MAX);
+
+/// Taken together with those of [`crate::grammar::DIRECTIVES`].
+pub const FLEET: &[Directive] = &[
+    one("member", &[must("name", Kind::Text)]),
+    Directive {
+        name: "keeper",
+        places: &[must("number", NUMBER), must("address", Kind::Address)],
+        keys: &[],
+        often: Often::OncePerName,
+    },
+    Directive {
+        name: "keep",
+        places: &[must("number", NUMBER)],
+        keys: &[must("listen", Kind::Address), must("store", Kind::Text)],
+        often: Often::Once,
+    },
+    one("fleet-folder", &[must("folder", Kind::Text)]),
+    one("view-lease", &[must("value", Kind::Duration(100 * MS, 60 * S))]),
+    one("drift", &[must("share", Kind::Number(0.0, 0.2))]),
+    one("remember", &[must("value", Kind::Duration(S, 1000 * H))]),
+    one("asking-most", &[must("value", Kind::Duration(0, 60 * S))]),
+    one("retirements", &[must("file", Kind::Text)]),
+    Directive {
+        name: "pool",
+        places: &[must("name", Kind::Text)],
+        keys: &[must("functions", Kind::Text), must("lanes", Kind::Text)],
+        often: Often::OncePerName,
+    },
+    Directive {
+        name: "reserve",
+        places: &[must("tenant", Kind::Text)],
+        keys: &[must("pool", Kind::Text), must("lanes", Kind::Count(1, 1_000_000))],
+        often: Often::Any,
+    },
+    one("pools-edition", &[must("number", NUMBER)]),
+    one("marks", &[must("folder", Kind::Text)]),
+];
--- a/crates/config/src/grammar.rs
+++ b/crates/config/src/grammar.rs
@@ -1,10 +1,11 @@
 //! The directives: their arguments by place and by key, with kinds and ranges.
 
+use crate::fleet_grammar::FLEET;
 use crate::value::Kind;
 
-const MS: i64 = 1000;
-const S: i64 = 1_000_000;
-const H: i64 = 3600 * S;
+pub const MS: i64 = 1000;
+pub const S: i64 = 1_000_000;
+pub const H: i64 = 3600 * S;
 
 /// An argument: by place where it comes before the keys, else named by its key.
 pub struct Argument {
@@ -19,6 +20,7 @@
     Once,
     /// Once for each value of its first argument.
     OncePerName,
+    Any,
 }
 
 /// A directive.
@@ -29,7 +31,7 @@
     pub often: Often,
 }
 
-const fn must(key: &'static str, kind: Kind) -> Argument {
+pub const fn must(key: &'static str, kind: Kind) -> Argument {
     Argument { key, kind, required: true }
 }
 
@@ -37,7 +39,7 @@
     Argument { key, kind, required: false }
 }
 
-const fn one(name: &'static str, places: &'static [Argument]) -> Directive {
+pub const fn one(name: &'static str, places: &'static [Argument]) -> Directive {
     Directive { name, places, keys: &[], often: Often::Once }
 }
 
@@ -45,7 +47,7 @@
 const ANY_DURATION: &[Argument] = &[must("value", Kind::Duration(0, H))];
 const SHARE: &[Argument] = &[must("value", Kind::Number(0.0, 1.0))];
 
-/// Every directive of a configuration.
+/// Every directive but those of a fleet.
 pub const DIRECTIVES: &[Directive] = &[
     // This process.
     one("front-ends", &[must("count", Kind::Count(1, 1024))]),
@@ -88,6 +90,8 @@
             may("lanes", Kind::Count(1, 10_000)),
             may("load", Kind::Duration(0, H)),
             may("work", Kind::Duration(0, H)),
+            may("generation", Kind::Count(1, u32::MAX as u64)),
+            may("retire", Kind::Word(&["strict", "available"])),
         ],
         often: Often::OncePerName,
     },
@@ -223,25 +227,10 @@
 
 /// The directive of that name.
 pub fn directive(name: &str) -> Option<&'static Directive> {
-    DIRECTIVES.iter().find(|d| d.name == name)
+    directives().find(|d| d.name == name)
 }
 
-/// The known word nearest to a misspelt one, where one is near.
-pub fn nearest<'a>(word: &str, known: impl Iterator<Item = &'a str>) -> Option<&'a str> {
-    known.map(|k| (distance(word, k), k)).filter(|(d, k)| *d <= 1 + k.len() / 4).min().map(|(_, k)| k)
-}
-
-fn distance(a: &str, b: &str) -> usize {
-    let b: Vec<char> = b.chars().collect();
-    let mut row: Vec<usize> = (0..=b.len()).collect();
-    for (i, x) in a.chars().enumerate() {
-        let mut before = row[0];
-        row[0] = i + 1;
-        for (j, y) in b.iter().enumerate() {
-            let change = before + usize::from(x != *y);
-            before = row[j + 1];
-            row[j + 1] = change.min(row[j] + 1).min(before + 1);
-        }
-    }
-    row[b.len()]
+/// All directives.
+pub fn directives() -> impl Iterator<Item = &'static Directive> {
+    DIRECTIVES.iter().chain(FLEET)
 }
--- a/crates/config/src/lexer.rs
+++ b/crates/config/src/lexer.rs
@@ -1,8 +1,9 @@
 //! Files to lines, lines to words with their places, words to directives with typed values.
 
 use crate::build::build;
-use crate::grammar::{directive, nearest, Directive, Often, DIRECTIVES};
+use crate::grammar::{directive, directives, Directive, Often};
 use crate::model::Config;
+use crate::nearest::nearest;
 use crate::value::Value;
 use crate::words::{read, words, Word, FILE_MOST};
 use crate::{Fault, Faults, Position};
@@ -118,7 +119,7 @@
             };
         }
         let Some(directive) = directive(&first.text) else {
-            let near = nearest(&first.text, DIRECTIVES.iter().map(|d| d.name));
+            let near = nearest(&first.text, directives().map(|d| d.name));
             let expected = near.map_or("a directive".into(), |n| format!("a directive, perhaps {n}"));
             return self.fault(&at(first.column), format!("unknown directive {}", first.text), expected);
         };
@@ -193,6 +194,7 @@
         let mut faults = Vec::new();
         for line in &self.lines {
             let name = match line.directive.often {
+                Often::Any => continue,
                 Often::Once => String::new(),
                 Often::OncePerName => {
                     match line.directive.places.first().and_then(|p| line.values.get(p.key)) {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,9 +13,12 @@
 #![forbid(unsafe_code)]
 
 mod build;
+mod fleet;
+mod fleet_grammar;
 mod grammar;
 mod lexer;
 mod model;
+mod nearest;
 mod parts;
 mod render;
 mod settings;
@@ -23,6 +26,7 @@
 mod value;
 mod words;
 
+pub use fleet::{ends_numbered, Fleet, Keep, Pool};
 pub use lexer::{load, parse};
 pub use model::{Broker, Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
 pub use parts::broker;
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -1,5 +1,6 @@
 //! What a configuration says, as values.
 
+use crate::fleet::Fleet;
 use stagehoist::{Effect, OnMiss, ReportVia, RetryBudget};
 
 /// A class of calls.
@@ -29,6 +30,10 @@
     pub load: i64,
     /// Usual work of a call, in microseconds; 0: not known.
     pub work: i64,
+    /// Which use of its name this is, counted from 1.
+    pub generation: u32,
+    /// Its calls are refused where it can't be known whether it is retired.
+    pub strict: bool,
 }
 
 impl Function {
@@ -158,4 +163,6 @@
     pub price_fetch: f64,
     pub report_via: ReportVia,
     pub report_fields: Vec<String>,
+    /// None: front ends share nothing.
+    pub fleet: Option<Fleet>,
 }
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -1,6 +1,7 @@
 //! A configuration written back, one directive a line; reading it gives the same configuration.
 
-use crate::model::{Config, ListSource};
+use crate::fleet::{Fleet, Keep};
+use crate::model::{Config, Function, ListSource};
 use crate::value::{show_duration as d, show_size};
 use stagehoist::{Effect, Group, OnMiss, ReportVia};
 use std::fmt::Write;
@@ -65,13 +66,14 @@
         }
         for f in &self.functions {
             line(format!(
-                "function {} class {} memory {} lanes {} load {} work {}",
+                "function {} class {} memory {} lanes {} load {} work {}{}",
                 word(&f.pattern),
                 word(&f.class),
                 show_size(f.memory),
                 f.lanes,
                 d(f.load),
-                d(f.work)
+                d(f.work),
+                if self.fleet.is_some() { generation(f) } else { String::new() }
             ));
         }
         for t in &self.tenants {
@@ -159,6 +161,39 @@
             }
             ReportVia::Probe => line(format!("reports probe fields {}", word(&self.report_fields.join(",")))),
         }
+        if let Some(fleet) = &self.fleet {
+            fleet.lines().into_iter().for_each(line);
+        }
+        out
+    }
+}
+
+fn generation(f: &Function) -> String {
+    format!(" generation {} retire {}", f.generation, if f.strict { "strict" } else { "available" })
+}
+
+impl Fleet {
+    fn lines(&self) -> Vec<String> {
+        let mut out = vec![format!("member {}", word(&self.member))];
+        out.extend(self.keepers.iter().map(|(number, address)| format!("keeper {number} {address}")));
+        let keep = |k: &Keep| format!("keep {} listen {} store {}", k.number, k.listen, word(&k.store));
+        out.extend(self.keep.as_ref().map(keep));
+        out.extend(self.folder.as_ref().map(|f| format!("fleet-folder {}", word(f))));
+        out.push(format!("view-lease {}", d(self.view_lease)));
+        out.push(format!("drift {}", self.drift));
+        out.push(format!("remember {}", d(self.remember)));
+        out.push(format!("asking-most {}", d(self.asking_most)));
+        out.extend(self.retirements.as_ref().map(|f| format!("retirements {}", word(f))));
+        for pool in &self.pools {
+            let lanes = pool.lanes.map_or("by-workers".to_string(), |n| n.to_string());
+            let functions = word(&pool.functions.join(","));
+            out.push(format!("pool {} functions {functions} lanes {lanes}", word(&pool.name)));
+            for (tenant, lanes) in &pool.reservations {
+                out.push(format!("reserve {} pool {} lanes {lanes}", word(tenant), word(&pool.name)));
+            }
+        }
+        out.push(format!("pools-edition {}", self.pools_edition));
+        out.extend(self.marks.as_ref().map(|f| format!("marks {}", word(f))));
         out
     }
 }
--- /dev/null
+++ b/crates/config/tests/fleet.rs
@@ -0,0 +1,112 @@
+//! The directives of a process that is part of a fleet.
+
+use stagehoist_config::{parse, Config};
+
+const ALONE: &str = "\
+class lookup aim 800ms give-up 2.5s
+function free-times class lookup memory 64MB
+function recurring class lookup memory 64MB
+tenant clinics quota 50/s
+broker amqp://127.0.0.1:5672/
+consume calls
+worker-list file workers.list
+";
+
+const FLEET: &str = "\
+member a
+keeper 1 127.0.0.1:7001
+keeper 2 127.0.0.1:7002
+keeper 3 127.0.0.1:7003
+keep 2 listen 127.0.0.1:7002 store keeper-two
+fleet-folder \"of a\"
+view-lease 500ms
+retirements retired.list
+function later class lookup memory 64MB generation 3 retire strict
+pool calls functions free-times,later* lanes 100
+pool rest functions recurring lanes by-workers
+reserve clinics pool calls lanes 40
+reserve clinics pool rest lanes 4
+marks marks
+";
+
+fn faults(text: &str) -> Vec<String> {
+    parse("fleet.conf", text).unwrap_err().0.iter().map(|f| f.to_string()).collect()
+}
+
+fn read(more: &str) -> Config {
+    parse("fleet.conf", &format!("{ALONE}{more}")).unwrap()
+}
+
+#[test]
+fn a_fleet_is_read_with_its_defaults_and_written_back() {
+    let config = read(FLEET);
+    let fleet = config.fleet.as_ref().unwrap();
+    assert_eq!((fleet.member.as_str(), fleet.keepers.len(), fleet.view_lease), ("a", 3, 500_000));
+    assert_eq!((fleet.drift, fleet.remember, fleet.asking_most), (0.01, 3_600_000_000, 2_000_000));
+    let keep = fleet.keep.as_ref().unwrap();
+    assert_eq!((keep.number, keep.store.as_str()), (2, "keeper-two"));
+    assert_eq!(fleet.pools[0].functions, ["free-times", "later*"]);
+    assert_eq!((fleet.pools[0].lanes, fleet.pools[1].lanes), (Some(100), None));
+    assert_eq!(fleet.pools[0].reservations, [("clinics".to_string(), 40)]);
+    let later = config.function("later").unwrap();
+    assert_eq!((later.generation, later.strict), (3, true));
+    assert!(!config.is_strict("free-times") && config.is_strict("later"));
+    assert_eq!(parse("again.conf", &config.render()).unwrap(), config);
+}
+
+#[test]
+fn without_its_directives_there_is_no_fleet() {
+    let config = read("");
+    assert_eq!(config.fleet, None);
+    assert!(!config.render().contains("generation"));
+    assert_eq!(parse("again.conf", &config.render()).unwrap(), config);
+}
+
+#[test]
+fn what_does_not_agree_is_told_with_its_place_and_what_was_expected() {
+    let lines = ALONE.lines().count();
+    let told = |more: &str, line: usize, rest: &str| {
+        let expected = format!("fleet.conf:{}:{rest}", lines + line);
+        let told = faults(&format!("{ALONE}{more}"));
+        assert!(told.iter().any(|t| t.contains(&expected)), "{expected}\nnot in\n{}", told.join("\n"));
+    };
+    let with = |more: &str| format!("member a\nkeeper 1 127.0.0.1:7001\n{more}");
+    told("member a\n", 1, "1: member without keepers; expected 1, 3 or 5 keeper lines");
+    told("keeper 1 127.0.0.1:1\n", 1, "1: keeper without a member; expected a member line");
+    told("keeper 0 127.0.0.1:1\n", 1, "8: number is \"0\"; expected a whole number from 1");
+    told(&with("keeper 2 127.0.0.1:2\n"), 3, "1: 2 keepers; expected 1, 3 or 5 keeper lines");
+    told(&with("keeper 1 127.0.0.1:2\n"), 3, "1: keeper stands a second time");
+    told(&with("keep 4 listen 127.0.0.1:4 store s\n"), 3, "6: keep names keeper 4; expected the number of");
+    told(
+        &with("view-lease 50ms\n"),
+        3,
+        "12: value is \"50ms\"; expected a duration with its unit (us, ms, s, m, h) from 100ms to 1m",
+    );
+    told(&with("drift 2%\n"), 3, "7: share is \"2%\"; expected a number from 0 to 0.2");
+    told("retirements f\n", 1, "1: retirements without keepers; expected member and keeper lines");
+    told("function x class lookup memory 1MB retire strict\n", 1, "43: retire without keepers");
+    told(&with("function x@2 class lookup memory 1MB\n"), 3, "10: function x@2; expected a name without @");
+    told(
+        &with("pool p functions f lanes many\n"),
+        3,
+        "30: lanes is \"many\"; expected a whole number from 1, or by-workers",
+    );
+    told(
+        &with("pool p functions f,g lanes 1\npool q functions g lanes 1\n"),
+        4,
+        "18: pool q takes g, as does pool p",
+    );
+    let pool = with("pool p functions f lanes 10\nreserve clinics pool p lanes 6\n");
+    told(
+        &format!("{pool}reserve clinics pool p lanes 1\n"),
+        5,
+        "1: reserve clinics stands a second time for pool p",
+    );
+    told(&format!("{pool}reserve clinics pool q lanes 1\n"), 5, "22: reserve names pool q");
+    told(
+        &with("pool p functions f lanes 5\nreserve clinics pool p lanes 6\n"),
+        4,
+        "30: 6 lanes of pool p are reserved; expected at most its 5",
+    );
+    told(&format!("{pool}reserve nobody pool p lanes 1\n"), 5, "9: reserve names tenant nobody");
+}
