Retired functions at a front end: late calls fail, nothing of them is sent or loaded, views confirmed

Where the configuration has a fleet, a front end keeps a gate by the keepers' word. A call under a tombstone fails with what retired it in headers; a strict function is refused once the view's lease ran out; a generation that is not the configured one is refused. The gate is asked again when an attempt or an order to load leaves the state, when its bytes go to a worker, and when an answer becomes a frame, so that a stopped process lets nothing late out. A view is confirmed once no call that was at work under it is left and its answers are settled with the broker: a pass goes with each answer and is dropped with it. The retirements file and the file of states beside it are followed by a task. Without a fleet nothing of it exists.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,6 +1,7 @@
 //! `serve` and `check`.
 
 use stagehoist_config::load;
+use stagehoist_gateway::clock::Clock;
 use stagehoist_gateway::state::{module, Decider};
 use stagehoist_gateway::{metrics_page, serve_with as start};
 use std::path::Path;
@@ -65,7 +66,7 @@
         Ok(signals) => signals,
         Err(e) => return fail(&e),
     };
-    let running = match start(decider, &config, metrics) {
+    let running = match start(decider, &config, metrics, Clock::new(), Vec::new()) {
         Ok(running) => running,
         Err(e) => return fail(&e),
     };
--- a/crates/gateway/src/amqp/front.rs
+++ b/crates/gateway/src/amqp/front.rs
@@ -576,6 +576,7 @@
                             body: message.body,
                             content_type,
                             correlation,
+                            generation: asked.generation,
                         });
                     }
                 }
--- a/crates/gateway/src/amqp/message.rs
+++ b/crates/gateway/src/amqp/message.rs
@@ -3,13 +3,16 @@
 //! Of a call: the function is the header `function`, else the routing key; the tenant the header `tenant`; the budget
 //! `expiration` in milliseconds where that is less than the class's give-up time, less the time that the message waited: by
 //! the broker's header `timestamp_in_ms`, else the publisher's `timestamp`, else by its place in the queue. Of a reply: the
-//! headers `outcome` (`served`, `refused`, `failed`), `reason`, and `retry-after-ms` with a refusal.
+//! headers `outcome` (`served`, `refused`, `failed`), `reason`, and `retry-after-ms` with a refusal. Where there is a fleet, the
+//! header `generation` tells which use of a function's name a call is for, and what is retired is answered with
+//! `retired-generation`, `retired-at` (milliseconds since 1970), `retired-reason` and, where told, `successor`.
 
+use crate::fleet::Closed;
 use crate::state::Answer;
 use bytes::Bytes;
 use stagehoist::Micros;
 use stagehoist_amqp::{header_int, header_text, long, short, AMQPValue, BasicProperties, FieldTable};
-use stagehoist_config::Config;
+use stagehoist_config::{ends_numbered, Config};
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -22,6 +25,8 @@
     pub function: Rc<str>,
     pub tenant: u32,
     pub budget: Micros,
+    /// The use of the function's name, where the message names one.
+    pub generation: Option<u32>,
 }
 
 /// Why a message is no call; the word goes into the reply's `reason`.
@@ -29,6 +34,8 @@
 pub enum Unusable {
     #[error("header function is no text")]
     MalformedFunction,
+    #[error("header generation is no whole number from 1")]
+    MalformedGeneration,
     #[error("header tenant is no text")]
     MalformedTenant,
     #[error("header tenant names no tenant of this configuration")]
@@ -48,6 +55,7 @@
     pub fn reason(self) -> &'static str {
         match self {
             Unusable::MalformedFunction => "malformed-function",
+            Unusable::MalformedGeneration => "malformed-generation",
             Unusable::MalformedTenant => "malformed-tenant",
             Unusable::UnknownTenant => "unknown-tenant",
             Unusable::MalformedExpiration => "malformed-expiration",
@@ -101,6 +109,18 @@
         if function.is_empty() {
             return Err(Unusable::NoFunction);
         }
+        let fleet = self.config.fleet.is_some();
+        if fleet && ends_numbered(&function) {
+            // Later generations are known inside by such names.
+            return Err(Unusable::MalformedFunction);
+        }
+        let generation = match text("generation", Unusable::MalformedGeneration)? {
+            Some(text) if fleet => {
+                let number = text.parse::<u32>().ok().filter(|n| *n > 0);
+                Some(number.ok_or(Unusable::MalformedGeneration)?)
+            }
+            _ => None,
+        };
         let tenant = match text("tenant", Unusable::MalformedTenant)? {
             Some(name) if !self.tenants.is_empty() => {
                 *self.tenants.get(&name).ok_or(Unusable::UnknownTenant)?
@@ -123,7 +143,7 @@
         if budget <= 0 {
             return Err(Unusable::TooLate);
         }
-        Ok(Asked { function: function.into(), tenant, budget })
+        Ok(Asked { function: function.into(), tenant, budget, generation })
     }
 }
 
@@ -134,7 +154,32 @@
         headers.insert(short(key), value);
     };
     let mut properties = BasicProperties::default();
-    let body = match answer {
+    let closed = match answer {
+        Answer::Gated(gated) => gated.pass.closed().map(|closed| match closed {
+            Closed::Retired(retired) => Answer::Retired(retired),
+            _ => Answer::Failed { reason: "view-not-current" },
+        }),
+        _ => None,
+    };
+    let body = match closed.as_ref().unwrap_or(answer) {
+        Answer::Gated(gated) => {
+            put("outcome", long("served"));
+            if let Some(kind) = &gated.content_type {
+                properties = properties.with_content_type(short(kind));
+            }
+            gated.body.clone()
+        }
+        Answer::Retired(retired) => {
+            put("outcome", long("failed"));
+            put("reason", long("retired"));
+            put("retired-generation", AMQPValue::LongLongInt(retired.generation.into()));
+            put("retired-at", AMQPValue::LongLongInt(retired.at_ms));
+            put("retired-reason", long(&retired.reason));
+            if let Some(successor) = &retired.successor {
+                put("successor", long(successor));
+            }
+            Bytes::new()
+        }
         Answer::Served { body, content_type } => {
             put("outcome", long("served"));
             if let Some(kind) = content_type {
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -3,8 +3,10 @@
 //! speak is behind [`Ways`].
 
 use crate::clock::{Alarm, Clock};
+use crate::fleet::{tell, Link};
 use crate::state::{Command, Core, News};
 use stagehoist::Micros;
+use stagehoist_registry::Standing;
 use std::future::Future;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -64,12 +66,19 @@
     (clock, drain_most): (Clock, Micros),
     mut drain: watch::Receiver<bool>,
     state: watch::Sender<FrontEndState>,
+    link: Option<Link>,
 ) {
     let mut batch: Vec<News> = Vec::new();
     let mut commands: Vec<Command> = Vec::new();
     let mut housekeeping = tokio::time::interval(Duration::from_millis(250));
     let mut drain_by: Option<Micros> = None;
     let mut alarm = Alarm::new(clock);
+    let (mut told, mut keepers) = (None, link);
+    if let Some(link) = keepers.as_mut() {
+        // What is known already is news to the front end.
+        link.standing.mark_changed();
+        told = Some(link.told.clone());
+    }
     loop {
         let due = core.due();
         alarm.set(due.unwrap_or(Micros::MAX / 2).max(0).min(clock.now() + 60_000_000));
@@ -83,6 +92,15 @@
                     ways.drain();
                 }
             }
+            standing = next_standing(&mut keepers), if keepers.is_some() => {
+                // Before calls that came with it: what is retired is not taken any more.
+                if standing.is_none() {
+                    tracing::warn!("the session with the keepers ended");
+                    keepers = None;
+                }
+                batch.extend(standing.map(News::Standing));
+                turn = true;
+            }
             first = incoming.recv() => {
                 batch.extend(first);
                 gather(&mut incoming, &mut batch);
@@ -113,6 +131,9 @@
                 ways.carry_out(command);
             }
             ways.turned();
+            if let (Some(sender), Some(news)) = (&told, core.told()) {
+                tell(sender, news);
+            }
         }
         if let Some(by) = drain_by {
             let done = ways.is_drained() && core.unanswered() == 0;
@@ -128,6 +149,10 @@
     }
 }
 
+async fn next_standing(link: &mut Option<Link>) -> Option<Standing> {
+    link.as_mut()?.next().await
+}
+
 fn gather(incoming: &mut mpsc::Receiver<News>, batch: &mut Vec<News>) {
     while batch.len() < BATCH {
         match incoming.try_recv() {
--- /dev/null
+++ b/crates/gateway/src/fleet/desk.rs
@@ -0,0 +1,127 @@
+//! The gate where things leave. Between a choice and the moment at which its bytes go to a socket lie queues, and this
+//! process may have been stopped for long: what may not be late is looked at once more there, by the clock of that moment.
+
+use super::gate::{Closed, Gate};
+use bytes::Bytes;
+use stagehoist::Micros;
+use std::cell::{Ref, RefCell, RefMut};
+use std::collections::{BTreeSet, HashMap};
+use std::fmt;
+use std::rc::Rc;
+
+/// One front end's gate, shared by its tasks; all of them run on one thread.
+#[derive(Clone)]
+pub struct Desk(Rc<Inner>);
+
+struct Inner {
+    gate: RefCell<Gate>,
+    now: Box<dyn Fn() -> Micros>,
+    /// Answers on their way to callers, by inner name.
+    leaving: RefCell<HashMap<Rc<str>, usize>>,
+}
+
+impl Desk {
+    /// `now` is the clock that the standing's times are on.
+    pub fn new(gate: Gate, now: impl Fn() -> Micros + 'static) -> Desk {
+        Desk(Rc::new(Inner { gate: RefCell::new(gate), now: Box::new(now), leaving: RefCell::default() }))
+    }
+
+    pub fn gate(&self) -> Ref<'_, Gate> {
+        self.0.gate.borrow()
+    }
+
+    pub fn gate_mut(&self) -> RefMut<'_, Gate> {
+        self.0.gate.borrow_mut()
+    }
+
+    /// Whether nothing may go to a worker for an inner name at this very moment.
+    pub fn is_closed(&self, inner: &str) -> bool {
+        self.gate().closed(inner, (self.0.now)()).is_some()
+    }
+
+    /// The view's version, and whether it is known to be the newest.
+    pub fn shows(&self) -> (u64, bool) {
+        let gate = self.gate();
+        (gate.view().version, gate.is_fresh((self.0.now)()))
+    }
+
+    /// Whether an answer for an inner name was given and is not settled with the broker.
+    pub fn is_leaving(&self, inner: &str) -> bool {
+        self.0.leaving.borrow().contains_key(inner)
+    }
+
+    /// The same of any of these.
+    pub fn is_any_leaving_of(&self, inner: &BTreeSet<Rc<str>>) -> bool {
+        inner.iter().any(|name| self.is_leaving(name))
+    }
+
+    /// Inner names of which answers are on their way.
+    pub fn leaving(&self) -> Vec<Rc<str>> {
+        self.0.leaving.borrow().keys().cloned().collect()
+    }
+
+    /// Lets an answer go.
+    pub fn pass(&self, inner: &Rc<str>) -> Pass {
+        *self.0.leaving.borrow_mut().entry(inner.clone()).or_default() += 1;
+        Pass { desk: self.clone(), inner: inner.clone(), first: true }
+    }
+}
+
+/// Goes with an answer until the broker has it, or it is known that it will not. As long as it is held, no view under whose
+/// tombstones its function falls is confirmed. A copy, such as the one kept for a message that comes again, holds nothing
+/// up, and so it may not leave once the function is retired.
+pub struct Pass {
+    desk: Desk,
+    inner: Rc<str>,
+    first: bool,
+}
+
+impl Pass {
+    /// Why the answer may not leave at this very moment.
+    pub fn closed(&self) -> Option<Closed> {
+        let gate = self.desk.gate();
+        let retired = if self.first { None } else { gate.retired(&self.inner) };
+        retired.or_else(|| gate.in_doubt(&self.inner, (self.desk.0.now)()).then_some(Closed::NotCurrent))
+    }
+}
+
+impl Clone for Pass {
+    fn clone(&self) -> Pass {
+        Pass { desk: self.desk.clone(), inner: self.inner.clone(), first: false }
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        if !self.first {
+            return;
+        }
+        let mut leaving = self.desk.0.leaving.borrow_mut();
+        if let Some(count) = leaving.get_mut(&self.inner) {
+            *count -= 1;
+            if *count == 0 {
+                leaving.remove(&self.inner);
+            }
+        }
+    }
+}
+
+/// A worker's answer that is looked at once more when it becomes a frame.
+#[derive(Clone)]
+pub struct Gated {
+    pub body: Bytes,
+    pub content_type: Option<String>,
+    pub pass: Pass,
+}
+
+impl fmt::Debug for Gated {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Gated").field("function", &self.pass.inner).field("bytes", &self.body.len()).finish()
+    }
+}
+
+impl PartialEq for Gated {
+    fn eq(&self, other: &Gated) -> bool {
+        (&self.body, &self.content_type) == (&other.body, &other.content_type)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/fleet/states.rs
@@ -0,0 +1,112 @@
+//! The file beside the retirements, `FILE.state`, which tells how far each has come:
+//!
+//! ```text
+//! free-times 1 in-force 1700000000123
+//! recurring 2 in-force 1700000000456 but-for b/0,b/1
+//! offers 1 proposed 1700000000789
+//! # version 17
+//! ```
+//!
+//! The time is when a process that wrote the file first saw that state, in milliseconds since 1970. Several processes may
+//! keep one file: what is there is replaced only by a later view, or where it is lost or damaged.
+
+use stagehoist_registry::{State, Tombstone, View};
+use std::collections::BTreeMap;
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// What a file of states holds: by function its state's words and time, and the view that they are of.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct States {
+    pub version: u64,
+    pub lines: BTreeMap<String, (String, i64)>,
+}
+
+/// The words of a state, as they stand before and after its time.
+fn words(tombstone: &Tombstone) -> (String, String) {
+    let generation = tombstone.retirement.generation;
+    match &tombstone.state {
+        State::Proposed => (format!("{generation} proposed"), String::new()),
+        State::InForce { but_for } if but_for.is_empty() => (format!("{generation} in-force"), String::new()),
+        State::InForce { but_for } => {
+            let names: Vec<&str> = but_for.iter().map(|m| m.name.as_str()).collect();
+            (format!("{generation} in-force"), format!(" but-for {}", names.join(",")))
+        }
+    }
+}
+
+/// Reads a file; None where it is damaged.
+pub fn parse(text: &str) -> Option<States> {
+    let mut states = States::default();
+    let mut lines = text.strip_suffix('\n')?.split('\n').rev();
+    states.version = lines.next()?.strip_prefix("# version ")?.parse().ok()?;
+    for line in lines {
+        let mut parts = line.split(' ');
+        let (name, generation, state) = (parts.next()?, parts.next()?, parts.next()?);
+        let ms: i64 = parts.next()?.parse().ok()?;
+        let rest: Vec<&str> = parts.collect();
+        generation.parse::<u32>().ok()?;
+        let known = match (state, &rest[..]) {
+            ("proposed" | "in-force", []) => format!("{generation} {state}"),
+            ("in-force", ["but-for", names]) => format!("{generation} {state} but-for {names}"),
+            _ => return None,
+        };
+        states.lines.insert(name.into(), (known, ms));
+    }
+    Some(states)
+}
+
+/// The file of a view; a state that stood before keeps its time.
+pub fn render(view: &View, before: &States, now_ms: i64) -> String {
+    let mut text = String::new();
+    for (name, tombstone) in &view.tombstones {
+        let (state, rest) = words(tombstone);
+        let since = before.lines.get(name).filter(|(known, _)| *known == format!("{state}{rest}"));
+        let ms = since.map_or(now_ms, |(_, ms)| *ms);
+        text.push_str(&format!("{name} {state} {ms}{rest}\n"));
+    }
+    text.push_str(&format!("# version {}\n", view.version));
+    text
+}
+
+/// Brings the file up to date, if its view is older or it is lost or damaged. Nothing is written before any view came.
+pub async fn keep(retirements: &Path, view: &View, now_ms: i64) -> io::Result<()> {
+    if view.version == 0 {
+        return Ok(());
+    }
+    let path = beside(retirements, ".state");
+    let known = match tokio::fs::read(&path).await {
+        Ok(bytes) => String::from_utf8(bytes).ok().and_then(|text| parse(&text)),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => None,
+        Err(e) => return Err(e),
+    };
+    if known.as_ref().is_some_and(|k| k.version >= view.version) {
+        return Ok(());
+    }
+    let text = render(view, &known.unwrap_or_default(), now_ms);
+    let temp = beside(retirements, &format!(".state.{}.new", std::process::id()));
+    let written = write(&temp, &path, text.as_bytes()).await;
+    if written.is_err() {
+        // What is left of it is of no use; the file itself still stands.
+        let _ = tokio::fs::remove_file(&temp).await;
+    }
+    written
+}
+
+async fn write(temp: &Path, path: &Path, bytes: &[u8]) -> io::Result<()> {
+    use tokio::io::AsyncWriteExt;
+    let mut file = tokio::fs::File::create(temp).await?;
+    file.write_all(bytes).await?;
+    file.sync_all().await?;
+    drop(file);
+    tokio::fs::rename(temp, path).await?;
+    // The new name lasts only once its folder is on disk.
+    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    tokio::fs::File::open(folder).await?.sync_all().await
+}
+
+fn beside(path: &Path, ending: &str) -> PathBuf {
+    let mut name = path.as_os_str().to_os_string();
+    name.push(ending);
+    name.into()
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`ways`]: AMQP, KServe workers and lists as what the driver carries its choices out with.
 //! - [`driver`]: the loop that gathers what sockets bring, lets the module choose once a batch, and carries out its choices.
 //! - [`amqp`], [`workers`], [`list`]: the protocols to callers, to workers and to the worker list.
+//! - [`fleet`]: what a front end knows of retired functions, where its configuration has a fleet.
 //! - [`serve`]: front ends started, watched and drained.
 //!
 //! Nothing here decides about a call: that is the module's, in the `stagehoist` package.
@@ -14,6 +15,7 @@
 pub mod clock;
 pub mod driver;
 pub mod error;
+pub mod fleet;
 pub mod list;
 pub mod metrics_page;
 pub mod serve;
--- a/crates/gateway/src/metrics_page.rs
+++ b/crates/gateway/src/metrics_page.rs
@@ -78,9 +78,9 @@
     /// Notes an answer and the time since its call was taken.
     pub fn answered(&self, answer: &Answer, took: Micros) {
         let histogram = match answer {
-            Answer::Served { .. } => &self.served,
+            Answer::Served { .. } | Answer::Gated(_) => &self.served,
             Answer::Refused { .. } => &self.refused,
-            Answer::Failed { .. } => &self.failed,
+            Answer::Failed { .. } | Answer::Retired(_) => &self.failed,
         };
         histogram.record(took as f64 / 1e6);
     }
@@ -127,5 +127,11 @@
         ] {
             gauge!(name, "front_end" => self.label.clone()).set(value);
         }
+        if let Some((version, fresh, retired)) = core.fleet_shows() {
+            let label = || self.label.clone();
+            gauge!("stagehoist_view_version", "front_end" => label()).set(version as f64);
+            gauge!("stagehoist_view_fresh", "front_end" => label()).set(f64::from(u8::from(fresh)));
+            counter!("stagehoist_retired_calls_total", "front_end" => label()).absolute(retired);
+        }
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::driver::{self, FrontEndState};
 use crate::error::GatewayError;
+use crate::fleet::{Desk, Gate, Link};
 use crate::metrics_page;
 use crate::state::{module, Core, Decider, Figures};
 use crate::ways::AmqpWays;
@@ -24,20 +25,23 @@
 
 /// Starts all front ends of a configuration. `metrics` is the recorder's handle where the process has one.
 pub fn serve(config: &Config, metrics: Option<PrometheusHandle>) -> Result<Running, GatewayError> {
-    serve_with(module, config, metrics)
+    serve_with(module, config, metrics, Clock::new(), Vec::new())
 }
 
-/// The same with another policy than the module, to measure against.
+/// The same with another policy than the module, to measure against, and with each front end's link to the keepers, whose
+/// times are on `clock`; without a link, one that is part of a fleet knows nothing of the record.
 pub fn serve_with(
     decider: Decider,
     config: &Config,
     metrics: Option<PrometheusHandle>,
+    clock: Clock,
+    links: Vec<Option<Link>>,
 ) -> Result<Running, GatewayError> {
     let (drain, drained) = watch::channel(false);
     let mut running = Running { drain, threads: Vec::new(), states: Vec::new(), metrics: None };
-    let clock = Clock::new();
+    let mut links = links.into_iter();
     for number in 0..config.front_ends {
-        let (config, drained) = (config.clone(), drained.clone());
+        let (config, drained, link) = (config.clone(), drained.clone(), links.next().flatten());
         let (state, seen) = watch::channel(FrontEndState::default());
         let thread = std::thread::Builder::new().name(format!("front-end-{number}"));
         let spawned = thread.spawn(move || {
@@ -48,10 +52,16 @@
                 let seed = config.seed.wrapping_add(u64::from(number).wrapping_mul(0x9E37_79B9_7F4A_7C15));
                 let (news, incoming) = mpsc::channel(driver::LINE);
                 let config = Rc::new(config);
-                let ways = AmqpWays::start(&config, number, seed, clock, news);
-                let core = Core::with(decider, Figures::from(&*config), seed, clock.now());
+                let mut core = Core::with(decider, Figures::from(&*config), seed, clock.now());
+                let gate = config.fleet.as_ref().map(|_| Gate::new(config.clone()));
+                let fleet = gate.map(|gate| {
+                    let desk = Desk::new(gate, move || clock.now());
+                    core.join(desk.clone());
+                    (desk, link.as_ref().map(|l| l.standing.clone()))
+                });
+                let ways = AmqpWays::start(&config, number, seed, clock, news, fleet);
                 let times = (clock, config.drain_most);
-                driver::run(core, ways, incoming, times, drained, state).await;
+                driver::run(core, ways, incoming, times, drained, state, link).await;
             });
         });
         running.threads.push(spawned.map_err(GatewayError::Start)?);
--- a/crates/gateway/src/state/core/acts.rs
+++ b/crates/gateway/src/state/core/acts.rs
@@ -28,7 +28,9 @@
             Action::Refuse { request, retry_after } => {
                 let reason = self.reason(request, now);
                 let retry_after = retry_after.min(self.figures.retry_after_most);
-                self.answer(request, Answer::Refused { reason, retry_after }, now, out);
+                let closing = self.closing_answer(request, now);
+                let answer = closing.unwrap_or(Answer::Refused { reason, retry_after });
+                self.answer(request, answer, now, out);
             }
             Action::Fail { request } => {
                 let reason = self.reason(request, now);
@@ -49,6 +51,11 @@
                     let (outcome, took, copies) = (Outcome::Timeout, 0, 0);
                     return self.events.push(Event::Loaded { worker, function, outcome, took, copies });
                 };
+                if self.closed(&name, now).is_some() {
+                    // It never leaves, and counts as lost when its time is over: an end at once would only bring the next.
+                    self.orders.insert((worker, function), (now, now + self.figures.load_timeout));
+                    return;
+                }
                 self.counters.loads += 1;
                 tracing::debug!(worker = self.members.name(worker), function = &*name, copies, "load");
                 self.orders.insert((worker, function), (now, now + self.figures.load_timeout));
@@ -81,20 +88,26 @@
         timeout: Micros,
         out: &mut Vec<Command>,
     ) {
+        let closed = self.is_closed_call(request, now);
         let address = self.address(worker);
         let Some(call) = self.calls.get_mut(&request) else { return };
         let attempt = call.attempts.len() as u16;
-        let over =
-            call.answered || now >= call.deadline || u32::from(attempt) >= self.figures.settings.max_attempts;
+        let late = now >= call.deadline || u32::from(attempt) >= self.figures.settings.max_attempts;
+        let over = call.answered || late || closed;
         if over || address.is_empty() {
             // The interface's `Moot`: not sent, and said so in the next batch.
             call.attempts.push(None);
+            let mut concluded = call.answered;
+            if closed && !concluded && call.is_idle() {
+                self.give_up(now, request, out);
+                concluded = true;
+            }
             let outcome = if over { Outcome::Moot } else { Outcome::ConnectFailed };
             self.events.push(Event::Ended(Ended {
                 request,
                 attempt,
                 worker,
-                concluded: call.answered,
+                concluded,
                 outcome,
                 note: Default::default(),
                 took: 0,
--- a/crates/gateway/src/state/core/calls.rs
+++ b/crates/gateway/src/state/core/calls.rs
@@ -5,7 +5,10 @@
 use stagehoist::{Ended, Event, Micros, Outcome, Request, RequestId};
 
 impl Core {
-    pub(super) fn take_call(&mut self, now: Micros, arrival: Arrival, out: &mut Vec<Command>) {
+    pub(super) fn take_call(&mut self, now: Micros, mut arrival: Arrival, out: &mut Vec<Command>) {
+        if !self.admit(now, &mut arrival, out) {
+            return;
+        }
         let ticket = arrival.ticket;
         let known = arrival.figures.filter(|f| self.names.called(f.id, &arrival.function, now));
         let reason = if self.calls.len() as u64 >= self.figures.held_most {
@@ -68,8 +71,9 @@
         self.events.push(Event::Request(request));
         self.by_ticket.insert(ticket, id);
         let deadline = now + budget;
-        let (attempts, last, answered) = (Vec::new(), None, false);
-        let call = Call { ticket, arrival, class: f.class, taken, deadline, attempts, last, answered, span };
+        let (attempts, last, answered, ran) = (Vec::new(), None, false, false);
+        let call =
+            Call { ticket, arrival, class: f.class, taken, deadline, attempts, last, answered, ran, span };
         self.calls.insert(id, call);
     }
 
@@ -79,7 +83,7 @@
         call.answered = true;
         self.by_ticket.remove(&call.ticket);
         call.arrival.body = bytes::Bytes::new();
-        if call.attempts.iter().all(Option::is_none) {
+        if call.is_idle() {
             self.calls.remove(&request);
         }
     }
@@ -126,16 +130,24 @@
             );
         });
         call.last = Some(outcome);
-        let serves = outcome == Outcome::Ok && !call.answered;
+        call.ran |=
+            !matches!(outcome, Outcome::ConnectFailed | Outcome::Miss | Outcome::Full | Outcome::Moot);
+        let (ticket, taken, function) = (call.ticket, call.taken, call.arrival.function.clone());
+        let mut concluded = call.answered;
+        if !concluded && self.part.is_some() && self.ends_closed(request, outcome, now) {
+            self.give_up(now, request, out);
+            concluded = true;
+        }
+        let serves = outcome == Outcome::Ok && !concluded;
         if serves {
-            call.span.in_scope(|| {
-                tracing::debug!(outcome = "served", took_us = now - call.taken, "answered");
-            });
+            if let Some(call) = self.calls.get(&request) {
+                call.span.in_scope(|| tracing::debug!(outcome = "served", took_us = now - taken, "answered"));
+            }
             self.counters.served += 1;
-            let answer = Answer::Served { body: result.body, content_type: result.content_type };
-            out.push(Command::Answer { ticket: call.ticket, answer, took: now - call.taken });
+            let answer = self.served((&function, flight.worker), result.body, result.content_type);
+            out.push(Command::Answer { ticket, answer, took: now - taken });
         }
-        let concluded = call.answered || serves;
+        concluded |= serves;
         let ended = Ended {
             request,
             attempt,
@@ -178,13 +190,9 @@
         if call.answered {
             return;
         }
-        let (word, reason) = match &answer {
-            Answer::Refused { reason, .. } => ("refused", *reason),
-            Answer::Failed { reason } => ("failed", *reason),
-            Answer::Served { .. } => ("served", ""),
-        };
+        let (word, reason) = (answer.outcome(), answer.reason());
         match answer {
-            Answer::Failed { .. } => self.counters.failed += 1,
+            Answer::Failed { .. } | Answer::Retired(_) => self.counters.failed += 1,
             _ => self.counters.refused += 1,
         }
         call.span.in_scope(|| {
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -3,8 +3,10 @@
 
 mod acts;
 mod calls;
+mod fleet;
 
 use super::{module, Arrival, AttemptResult, Command, Decide, Decider, Figures, Names, News, Ticket};
+use crate::fleet::Part;
 use stagehoist::{Action, Event, Micros, Outcome, RequestId, RosterForm, WorkerId};
 use stagehoist_membership::{Members, Update};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -42,9 +44,18 @@
     /// How the last attempt ended, for the reason told with a refusal or failure.
     last: Option<Outcome>,
     answered: bool,
+    /// An attempt ended that may have run.
+    ran: bool,
     span: Span,
 }
 
+impl Call {
+    /// Nothing is out for it.
+    fn is_idle(&self) -> bool {
+        self.attempts.iter().all(Option::is_none)
+    }
+}
+
 struct Flight {
     worker: WorkerId,
     sent: Micros,
@@ -69,6 +80,8 @@
     actions: Vec<Action>,
     /// Calls taken in this turn, to tell which of them the module holds.
     fresh: Vec<RequestId>,
+    /// None: it shares nothing with other front ends.
+    part: Option<Box<Part>>,
     pub counters: Counters,
 }
 
@@ -95,6 +108,7 @@
             events: Vec::new(),
             actions: Vec::new(),
             fresh: Vec::new(),
+            part: None,
             counters: Counters::default(),
         }
     }
@@ -128,7 +142,8 @@
         let timer = self.timers.first().map(|t| t.0);
         let cut = self.cuts.first().map(|c| c.0);
         let order = self.orders.values().map(|o| o.1).min();
-        [timer, cut, order].into_iter().flatten().min()
+        let part = self.part.as_ref().and_then(|p| p.due());
+        [timer, cut, order, part].into_iter().flatten().min()
     }
 
     /// One batch: all news since the last, the module's choices, and what they mean for sockets.
@@ -162,6 +177,7 @@
             self.act(now, action, out);
         }
         self.actions = actions;
+        self.confirm(now);
         for request in std::mem::take(&mut self.fresh) {
             let Some(call) = self.calls.get(&request).filter(|c| c.attempts.is_empty() && !c.answered) else {
                 continue;
@@ -194,6 +210,9 @@
             News::Loaded { worker, function, sent, outcome, copies } => {
                 // What counted as lost is not told twice.
                 if self.orders.remove(&(worker, function)).is_some() {
+                    if copies > 0 {
+                        self.has_copy(function, worker);
+                    }
                     self.events.push(Event::Loaded { worker, function, outcome, took: now - sent, copies });
                 }
             }
@@ -205,6 +224,7 @@
                 let update = self.members.told(form, told, now);
                 self.tell(update);
             }
+            News::Standing(standing) => self.take_standing(now, standing, out),
             News::ListFailed => {
                 let update = self.members.failed();
                 self.tell(update);
--- a/crates/gateway/src/state/functions.rs
+++ b/crates/gateway/src/state/functions.rs
@@ -39,7 +39,10 @@
         let function = config.function(name)?;
         let class = config.class_index(&function.class)?;
         let figures = CallFigures {
-            id: number(name),
+            id: match function.generation {
+                1 => number(name),
+                n => number(&format!("{name}@{n}")),
+            },
             class: class as u16,
             memory_mb: function.memory as f64 / 1e6,
             lanes: function.lanes as f64,
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -1,9 +1,11 @@
 //! A front end's state between sockets and the decision module, without I/O: news and the time go in, commands come out.
 //! Tests and models drive it as the driver does.
 
+mod answer;
 mod core;
 mod functions;
 
+pub use answer::Answer;
 pub use core::{Core, Counters};
 pub use functions::{CallFigures, Names};
 
@@ -14,6 +16,7 @@
 };
 use stagehoist_config::Config;
 use stagehoist_membership::Told;
+use stagehoist_registry::Standing;
 use std::rc::Rc;
 
 /// What chooses for a front end: the module, or a policy to measure it against on the same stack.
@@ -96,24 +99,8 @@
     pub content_type: Option<String>,
     /// The caller's own number of the call, for logs and for workers.
     pub correlation: Rc<str>,
-}
-
-/// A final answer.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Answer {
-    Served {
-        body: Bytes,
-        content_type: Option<String>,
-    },
-    /// It never ran, or may be repeated without harm.
-    Refused {
-        reason: &'static str,
-        retry_after: Micros,
-    },
-    /// Nothing is promised about whether it ran.
-    Failed {
-        reason: &'static str,
-    },
+    /// The use of the function's name that the call is for; None: the configured one.
+    pub generation: Option<u32>,
 }
 
 /// What came of an attempt.
@@ -178,6 +165,8 @@
         form: RosterForm,
         told: Vec<Told>,
     },
+    /// Word of the keepers.
+    Standing(Standing),
 }
 
 /// What is to be done on sockets.
--- a/crates/gateway/src/ways.rs
+++ b/crates/gateway/src/ways.rs
@@ -3,11 +3,13 @@
 use crate::amqp::link::{self, LinkState, ToLink};
 use crate::clock::Clock;
 use crate::driver::Ways;
+use crate::fleet::{first_word, Desk};
 use crate::list::{self, ToList};
 use crate::metrics_page::Gauges;
 use crate::state::{Command, Core, News};
 use crate::workers::Workers;
 use stagehoist_config::Config;
+use stagehoist_registry::Standing;
 use std::rc::Rc;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -30,13 +32,22 @@
         seed: u64,
         clock: Clock,
         news: mpsc::Sender<News>,
+        fleet: Option<(Desk, Option<watch::Receiver<Standing>>)>,
     ) -> AmqpWays {
         let (to_link, from_driver) = mpsc::unbounded_channel();
         let (link_state, link_seen) = watch::channel(LinkState::default());
         let (to_list, asks) = mpsc::unbounded_channel();
-        let workers = Workers::new(config.clone(), clock, news.clone());
+        let desk = fleet.as_ref().map(|(desk, _)| desk.clone());
+        let workers = Workers::new(config.clone(), clock, news.clone(), desk);
         let mut tasks = JoinSet::new();
-        tasks.spawn_local(link::run(config.clone(), seed, clock, news.clone(), from_driver, link_state));
+        let link = link::run(config.clone(), seed, clock, news.clone(), from_driver, link_state);
+        let asking_most = config.fleet.as_ref().map_or(0, |f| f.asking_most);
+        tasks.spawn_local(async move {
+            if let Some((_, standing)) = fleet {
+                first_word(standing, clock, asking_most).await;
+            }
+            link.await;
+        });
         tasks.spawn_local(list::follow(config.clone(), seed, clock, news, asks));
         AmqpWays { workers, to_link, to_list, link_seen, gauges: Gauges::new(number), _tasks: tasks }
     }
--- a/crates/gateway/src/workers/exchange.rs
+++ b/crates/gateway/src/workers/exchange.rs
@@ -36,6 +36,8 @@
     Reset,
     /// What came is no answer.
     Garbage,
+    /// Its function was closed before anything was written.
+    Closed,
 }
 
 pub(super) fn get(path: String, address: &str) -> Request<Full<Bytes>> {
@@ -97,11 +99,11 @@
 /// One request and its whole answer. A kept connection that the worker closed before anything was written is replaced by a
 /// new one; that is no second request, as the first never left.
 pub(super) async fn exchange(
-    config: &Config,
-    pools: &Pools,
+    (config, pools): (&Config, &Pools),
     address: &str,
     request: Request<Full<Bytes>>,
     most: u64,
+    may: &dyn Fn() -> bool,
 ) -> Result<Whole, Broken> {
     let close = Duration::from_micros(config.idle_close as u64);
     let mut request = request;
@@ -112,6 +114,9 @@
             Some(connection) => connection,
             None => connect(config, address).await.ok_or(Broken::Unsent)?,
         };
+        if !may() {
+            return Err(Broken::Closed);
+        }
         match connection.sender.try_send_request(request).await {
             Ok(response) => break (response, connection),
             Err(mut e) => match e.take_message() {
--- /dev/null
+++ b/crates/gateway/src/workers/paths.rs
@@ -0,0 +1,41 @@
+//! Paths of functions at a worker: a later generation is a version of its model.
+
+use crate::fleet::names::outer_name;
+use percent_encoding::{utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
+
+/// What stays as it is in a path segment.
+const SEGMENT: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+
+/// A function's name and version, the latter for later generations; only in a fleet do names tell them.
+fn named(function: &str, fleet: bool) -> (&str, Option<u32>) {
+    match outer_name(function) {
+        (name, generation) if fleet && generation > 1 => (name, Some(generation)),
+        _ => (function, None),
+    }
+}
+
+/// Before `/infer` and `/ready`.
+pub(super) fn model(function: &str, fleet: bool) -> String {
+    let (name, version) = named(function, fleet);
+    let version = version.map_or(String::new(), |n| format!("/versions/{n}"));
+    format!("/v2/models/{}{version}", utf8_percent_encode(name, SEGMENT))
+}
+
+/// Before `/load` and `/unload`, and the version that their parameters name.
+pub(super) fn repository(function: &str, fleet: bool) -> (String, Option<u32>) {
+    let (name, version) = named(function, fleet);
+    (format!("/v2/repository/models/{}", utf8_percent_encode(name, SEGMENT)), version)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_later_generation_is_a_version_and_only_in_a_fleet() {
+        assert_eq!(model("free times", true), "/v2/models/free%20times");
+        assert_eq!(model("free@2", true), "/v2/models/free/versions/2");
+        assert_eq!(model("free@2", false), "/v2/models/free%402");
+        assert_eq!(repository("free@3", true), ("/v2/repository/models/free".into(), Some(3)));
+    }
+}
--- a/crates/gateway/src/workers/pool.rs
+++ b/crates/gateway/src/workers/pool.rs
@@ -3,13 +3,14 @@
 
 use super::exchange::{exchange, get, post, put_back, Broken, Pools};
 use super::meaning;
+use super::paths::{model, repository};
 use crate::clock::Clock;
+use crate::fleet::Desk;
 use crate::state::{Attempt, AttemptResult, News};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
-use percent_encoding::{utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
 use stagehoist::{FunctionId, Outcome, RequestId, WorkerId};
 use stagehoist_config::Config;
 use std::cell::RefCell;
@@ -19,9 +20,6 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-/// What stays as it is in a path segment.
-const SEGMENT: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
-
 type Running = Rc<RefCell<HashMap<(RequestId, u16), AbortHandle>>>;
 
 /// One front end's connections to its workers.
@@ -31,23 +29,25 @@
     pools: Pools,
     addresses: RefCell<HashMap<WorkerId, Rc<str>>>,
     running: Running,
+    desk: Option<Desk>,
     news: mpsc::Sender<News>,
 }
 
 impl Workers {
-    pub fn new(config: Rc<Config>, clock: Clock, news: mpsc::Sender<News>) -> Workers {
+    /// `desk` is looked at at the moment when something goes to a worker.
+    pub fn new(config: Rc<Config>, clock: Clock, news: mpsc::Sender<News>, desk: Option<Desk>) -> Workers {
         let (pools, addresses, running) = Default::default();
-        Workers { config, clock, pools, addresses, running, news }
+        Workers { config, clock, pools, addresses, running, desk, news }
     }
 
     /// Begins an attempt; its end comes as [`News::Attempt`].
     pub fn attempt(&self, attempt: Attempt) {
         self.addresses.borrow_mut().insert(attempt.worker, attempt.address.clone());
         let key = (attempt.request, attempt.attempt);
-        let path = format!("/v2/models/{}/infer", utf8_percent_encode(&attempt.function, SEGMENT));
+        let path = format!("{}/infer", model(&attempt.function, self.desk.is_some()));
         let mut request = Request::builder()
             .method(Method::POST)
-            .uri(path)
+            .uri(&*path)
             .header(HOST, &*attempt.address)
             .header(meaning::LOAD_METRICS_FORMAT, "TEXT");
         if let Some(kind) = &attempt.content_type {
@@ -58,7 +58,6 @@
         }
         // A caller's text that can't stand in a header is left out; the call goes on.
         let request = request.body(Full::new(attempt.body.clone())).unwrap_or_else(|_| {
-            let path = format!("/v2/models/{}/infer", utf8_percent_encode(&attempt.function, SEGMENT));
             let mut plain = Request::new(Full::new(attempt.body.clone()));
             *plain.method_mut() = Method::POST;
             if let Ok(uri) = path.parse() {
@@ -67,9 +66,10 @@
             plain
         });
         let (config, pools, news) = (self.config.clone(), self.pools.clone(), self.news.clone());
-        let running = self.running.clone();
+        let (running, may) = (self.running.clone(), self.may(&attempt.function));
         let task = tokio::task::spawn_local(async move {
-            let exchanged = exchange(&config, &pools, &attempt.address, request, config.body_most).await;
+            let exchanged =
+                exchange((&config, &pools), &attempt.address, request, config.body_most, &may).await;
             let (result, back) = match exchanged {
                 Ok((status, headers, body, connection)) => {
                     (meaning::result(status, &headers, body, &config.report_fields), Some(connection))
@@ -79,6 +79,7 @@
                         Broken::Unsent => Outcome::ConnectFailed,
                         Broken::Reset => Outcome::Reset,
                         Broken::Garbage => Outcome::Error,
+                        Broken::Closed => Outcome::Moot,
                     };
                     (AttemptResult::bare(outcome), None)
                 }
@@ -95,6 +96,12 @@
         }
     }
 
+    /// Whether something may go to a worker for a function, asked when it goes.
+    fn may(&self, function: &Rc<str>) -> impl Fn() -> bool + 'static {
+        let desk = self.desk.clone().map(|desk| (desk, function.clone()));
+        move || desk.as_ref().is_none_or(|(desk, function)| !desk.is_closed(function))
+    }
+
     /// Ends an attempt by closing its connection.
     pub fn abort(&self, request: RequestId, attempt: u16) {
         if let Some(task) = self.running.borrow_mut().remove(&(request, attempt)) {
@@ -102,14 +109,16 @@
         }
     }
 
-    fn order<F>(&self, address: Rc<str>, request: Request<Full<Bytes>>, limit: Duration, tell: F)
+    fn order<F, M>(&self, address: Rc<str>, request: Request<Full<Bytes>>, limit: Duration, may: M, tell: F)
     where
+        M: Fn() -> bool + 'static,
         F: FnOnce(Result<(StatusCode, hyper::HeaderMap, Bytes), Outcome>) -> Option<News> + 'static,
     {
         let (config, pools, news) = (self.config.clone(), self.pools.clone(), self.news.clone());
         tokio::task::spawn_local(async move {
             let exchanged =
-                tokio::time::timeout(limit, exchange(&config, &pools, &address, request, 1 << 16)).await;
+                tokio::time::timeout(limit, exchange((&config, &pools), &address, request, 1 << 16, &may))
+                    .await;
             let (told, back) = match exchanged {
                 Err(_) => (Err(Outcome::Timeout), None),
                 Ok(Ok((status, headers, body, connection))) => {
@@ -118,6 +127,8 @@
                 Ok(Err(Broken::Unsent)) => (Err(Outcome::ConnectFailed), None),
                 Ok(Err(Broken::Reset)) => (Err(Outcome::Reset), None),
                 Ok(Err(Broken::Garbage)) => (Err(Outcome::Error), None),
+                // As if nothing had been heard.
+                Ok(Err(Broken::Closed)) => (Err(Outcome::Timeout), None),
             };
             if let Some(item) = tell(told) {
                 let _ = news.send(item).await;
@@ -136,18 +147,24 @@
         request.headers_mut().insert(meaning::LOAD_METRICS_FORMAT, json);
         let fields = self.config.report_fields.clone();
         let limit = Duration::from_micros(self.config.connect_timeout as u64) + Duration::from_secs(1);
-        self.order(address, request, limit, move |told| {
-            Some(match told {
-                Ok((status, headers, _)) => News::Probed {
-                    worker,
-                    sent,
-                    outcome: meaning::outcome(status, &headers),
-                    report: meaning::report(&headers, &fields),
-                    draining: meaning::draining(&headers),
-                },
-                Err(outcome) => News::Probed { worker, sent, outcome, report: None, draining: None },
-            })
-        });
+        self.order(
+            address,
+            request,
+            limit,
+            || true,
+            move |told| {
+                Some(match told {
+                    Ok((status, headers, _)) => News::Probed {
+                        worker,
+                        sent,
+                        outcome: meaning::outcome(status, &headers),
+                        report: meaning::report(&headers, &fields),
+                        draining: meaning::draining(&headers),
+                    },
+                    Err(outcome) => News::Probed { worker, sent, outcome, report: None, draining: None },
+                })
+            },
+        );
     }
 
     /// Orders copies of a function, or with none asks how many stand; the answer comes as [`News::Loaded`].
@@ -158,15 +175,17 @@
         copies: u8,
     ) {
         let sent = self.clock.now();
-        let name = utf8_percent_encode(name, SEGMENT).to_string();
         let request = if copies == 0 {
-            get(format!("/v2/models/{name}/ready"), &address)
+            get(format!("{}/ready", model(name, self.desk.is_some())), &address)
         } else {
-            let body = format!("{{\"parameters\":{{\"copies\":{copies}}}}}");
-            post(format!("/v2/repository/models/{name}/load"), &address, body)
+            let (path, version) = repository(name, self.desk.is_some());
+            let version = version.map_or(String::new(), |n| format!(",\"version\":\"{n}\""));
+            let body = format!("{{\"parameters\":{{\"copies\":{copies}{version}}}}}");
+            post(format!("{path}/load"), &address, body)
         };
+        let may = self.may(&Rc::from(name));
         let limit = Duration::from_micros(self.config.load_timeout as u64);
-        self.order(address, request, limit, move |told| {
+        self.order(address, request, limit, may, move |told| {
             let (outcome, copies) = match told {
                 Ok((status, headers, body)) => {
                     let json: Option<serde_json::Value> = serde_json::from_slice(&body).ok();
@@ -186,10 +205,11 @@
 
     /// Has idle copies unloaded; nothing is heard of it.
     pub fn unload(&self, address: Rc<str>, function: &str) {
-        let name = utf8_percent_encode(function, SEGMENT).to_string();
-        let request = post(format!("/v2/repository/models/{name}/unload"), &address, "{}".into());
+        let (path, version) = repository(function, self.desk.is_some());
+        let body = version.map_or("{}".into(), |n| format!("{{\"parameters\":{{\"version\":\"{n}\"}}}}"));
+        let request = post(format!("{path}/unload"), &address, body);
         let limit = Duration::from_micros(self.config.load_timeout as u64);
-        self.order(address, request, limit, |_| None);
+        self.order(address, request, limit, || true, |_| None);
     }
 
     /// Closes idle connections to a worker.
--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,189 @@
+//! A front end of a fleet without sockets: its keepers' word, its calls and its workers' answers are told by the test.
+
+use bytes::Bytes;
+use stagehoist::{Micros, Note, Outcome};
+use stagehoist_config::{parse, Config};
+use stagehoist_gateway::amqp::message::reply;
+use stagehoist_gateway::fleet::{Desk, Gate};
+use stagehoist_gateway::state::{
+    module, Answer, Arrival, Attempt, AttemptResult, CallFigures, Command, Core, Decider, Figures, News,
+};
+use stagehoist_membership::Entry;
+use stagehoist_registry::{self as registry, Mode, Record, Retirement, Standing, View};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+pub const MS: Micros = 1000;
+
+pub struct Stage {
+    pub core: Core,
+    config: Rc<Config>,
+    pub now: Micros,
+    /// What the desk reads as the time, where something leaves.
+    pub clock: Rc<Cell<Micros>>,
+    standing: Standing,
+}
+
+impl Stage {
+    /// Part of a fleet, with fresh word for ten seconds.
+    pub fn new() -> Stage {
+        Stage::deciding(module)
+    }
+
+    /// The same with decisions told.
+    pub fn deciding(decider: Decider) -> Stage {
+        let fleet =
+            "member a\nkeeper 1 127.0.0.1:1\nfunction later class lookup memory 64MB lanes 4 generation 3\n\
+                     function strict class lookup memory 64MB lanes 4 load 200ms retire strict\n";
+        let mut stage = Stage::with(decider, fleet);
+        let clock = stage.clock.clone();
+        stage.core.join(Desk::new(Gate::new(stage.config.clone()), move || clock.get()));
+        stage.fresh(10_000 * MS);
+        stage
+    }
+
+    pub fn alone() -> Stage {
+        Stage::with(module, "")
+    }
+
+    fn with(decider: Decider, more: &str) -> Stage {
+        let text = format!(
+            "class lookup aim 800ms give-up 2500ms\nclass record aim 800ms give-up 2500ms effect unsafe\n\
+             function free-times class lookup memory 64MB lanes 4 load 200ms\n\
+             function recurring class record memory 64MB lanes 4 load 200ms\n\
+             broker amqp://127.0.0.1:1/\nconsume calls\nworker-list file none\n{more}"
+        );
+        let config = Rc::new(parse("fleet.conf", &text).unwrap());
+        let now = 1_700_000_000_000_000;
+        let core = Core::with(decider, Figures::from(&*config), 3, now);
+        let standing = Standing { fresh_until: Micros::MIN, ..Standing::default() };
+        let mut stage = Stage { core, config, now, clock: Rc::new(Cell::new(now)), standing };
+        stage.list(&["w1", "w2", "w3"]);
+        stage
+    }
+
+    pub fn turn(&mut self, after: Micros, mut news: Vec<News>) -> Vec<Command> {
+        self.now += after;
+        self.clock.set(self.now);
+        let mut out = Vec::new();
+        self.core.turn(self.now, &mut news, &mut out);
+        while self.core.due().is_some_and(|d| d <= self.now) {
+            self.core.turn(self.now, &mut Vec::new(), &mut out);
+        }
+        out
+    }
+
+    pub fn list(&mut self, names: &[&str]) -> Vec<Command> {
+        self.turn(0, vec![News::List(entries(names))])
+    }
+
+    pub fn call(&mut self, ticket: u64, function: &str) -> Vec<Command> {
+        self.call_of(ticket, function, None)
+    }
+
+    pub fn call_of(&mut self, ticket: u64, function: &str, generation: Option<u32>) -> Vec<Command> {
+        let arrival = Arrival {
+            ticket,
+            function: function.into(),
+            figures: CallFigures::configured(&self.config, function).map(|f| f.0),
+            tenant: 0,
+            budget: 2500 * MS,
+            read: 0,
+            repeat: false,
+            known: true,
+            body: Bytes::from_static(b"{}"),
+            content_type: None,
+            correlation: "c".into(),
+            generation,
+        };
+        self.turn(MS, vec![News::Call(arrival)])
+    }
+
+    /// The keepers tell the view that these commands come to.
+    pub fn view(&mut self, commands: &[registry::Command]) -> Vec<Command> {
+        let mut record = Record::default();
+        for (i, command) in commands.iter().enumerate() {
+            record.apply(i as u64 + 1, command);
+        }
+        self.standing.view = Arc::new(record.view);
+        self.turn(0, vec![News::Standing(self.standing.clone())])
+    }
+
+    /// Word of a view that was overtaken comes late.
+    pub fn older(&mut self, version: u64) {
+        let view = Arc::new(View { version, ..View::default() });
+        self.turn(0, vec![News::Standing(Standing { view, ..self.standing.clone() })]);
+    }
+
+    /// The view is known to be the newest for so long from now.
+    pub fn fresh(&mut self, span: Micros) {
+        self.standing.fresh_until = self.now + span;
+        self.turn(0, vec![News::Standing(self.standing.clone())]);
+    }
+
+    pub fn fresh_until(&self) -> Micros {
+        self.standing.fresh_until
+    }
+
+    pub fn confirmed(&self) -> u64 {
+        self.core.told().unwrap().confirmed
+    }
+}
+
+pub fn entries(names: &[&str]) -> Vec<Entry> {
+    names.iter().map(|n| Entry { capacity: 4.0, ..Entry::new(*n, format!("{n}:1")) }).collect()
+}
+
+pub fn retire(function: &str, generation: u32) -> registry::Command {
+    registry::Command::Retire(Retirement {
+        function: function.into(),
+        generation,
+        successor: Some("next".into()),
+        reason: "old".into(),
+        mode: Mode::Available,
+        asked_ms: 7,
+    })
+}
+
+pub fn in_force(function: &str, generation: u32) -> registry::Command {
+    registry::Command::InForce { function: function.into(), generation, but_for: Default::default() }
+}
+
+pub fn attempts(commands: &[Command]) -> Vec<Attempt> {
+    let attempt = |c: &Command| match c {
+        Command::Attempt(a) => Some(a.clone()),
+        _ => None,
+    };
+    commands.iter().filter_map(attempt).collect()
+}
+
+pub fn loads(commands: &[Command]) -> usize {
+    commands.iter().filter(|c| matches!(c, Command::Load { .. })).count()
+}
+
+pub fn unloads(commands: &[Command]) -> usize {
+    commands.iter().filter(|c| matches!(c, Command::Unload { .. })).count()
+}
+
+pub fn answers(commands: &[Command]) -> Vec<(u64, &'static str, &'static str)> {
+    let answer = |c: &Command| match c {
+        Command::Answer { ticket, answer, .. } => Some((*ticket, answer.outcome(), answer.reason())),
+        _ => None,
+    };
+    commands.iter().filter_map(answer).collect()
+}
+
+pub fn ended(a: &Attempt, outcome: Outcome) -> News {
+    let note = Note { copy: 1, crowd: 0 };
+    let result = AttemptResult { note, ..AttemptResult::bare(outcome) };
+    News::Attempt { request: a.request, attempt: a.attempt, result }
+}
+
+/// Outcome and reason as a reply's headers have them.
+pub fn frame(answer: &Answer) -> String {
+    let (properties, _) = reply(answer, "c");
+    let headers = properties.headers().clone().unwrap_or_default();
+    let text = |key: &str| stagehoist_amqp::header_text(&headers, key);
+    [text("outcome"), text("reason")].into_iter().flatten().collect::<Vec<_>>().join(" ")
+}
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -130,7 +130,7 @@
         seen: Default::default(),
     };
     let (state, _) = watch::channel(FrontEndState::default());
-    driver::run(core, ways, incoming, (clock, drain_most), draining, state).await;
+    driver::run(core, ways, incoming, (clock, drain_most), draining, state, None).await;
     tasks.shutdown().await;
     tracing::info!("front end ended");
     Ok(())
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -226,12 +226,13 @@
         let tag = decimal(number, &mut digits);
         match answer {
             Answer::Served { body, .. } => encode(&mut self.out, &[tag, SERVED, b"", body]),
+            Answer::Gated(gated) => encode(&mut self.out, &[tag, SERVED, b"", &gated.body]),
             Answer::Refused { retry_after, .. } if *retry_after > 0 => {
                 let cooldown = format!("cooldown={}", retry_after / 1000);
                 encode(&mut self.out, &[tag, REFUSED, cooldown.as_bytes(), b""]);
             }
             Answer::Refused { .. } => encode(&mut self.out, &[tag, REFUSED, b"", b""]),
-            Answer::Failed { .. } => encode(&mut self.out, &[tag, FAILED, b"", b""]),
+            Answer::Failed { .. } | Answer::Retired(_) => encode(&mut self.out, &[tag, FAILED, b"", b""]),
         }
     }
 
