--- /dev/null
+++ b/crates/keeper/src/figures.rs
@@ -0,0 +1,21 @@
+//! Figures of a process's part in the agreement, for gauges.
+
+/// Counts since the start, and how things stand.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// This process's keeper leads.
+    pub is_leader: bool,
+    /// The keeper that leads, as far as this one knows.
+    pub leader: Option<u64>,
+    pub term: u64,
+    /// Sessions at this keeper.
+    pub sessions: usize,
+    /// Promises given.
+    pub promised: u64,
+    /// Entries proposed, and the changes in them.
+    pub proposals: u64,
+    pub changes: u64,
+    /// Messages of sessions at this keeper, in and out.
+    pub messages_in: u64,
+    pub messages_out: u64,
+}
--- /dev/null
+++ b/crates/keeper/src/frames.rs
@@ -0,0 +1,58 @@
+//! Frames on a connection: a length, then one message in postcard. The first frame tells who speaks.
+
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use stagehoist_registry::ToKeeper;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Longest frames in bytes: a connection's first, what a front end says then, what it is told, between keepers.
+pub const FIRST_MOST: usize = 1 << 20;
+pub const SAID_MOST: usize = 256 << 10;
+pub const VIEW_MOST: usize = 4 << 20;
+pub const PEER_MOST: usize = 32 << 20;
+/// Longest part of a snapshot, in bytes.
+pub const PART_MOST: usize = 1 << 20;
+/// Entries that go to another keeper in one frame; none is longer than a first frame.
+pub const ENTRIES_MOST: u64 = 16;
+/// How long a connection may take to come, and a frame to leave.
+pub const CONNECT_MOST: Duration = Duration::from_secs(1);
+pub const WRITE_MOST: Duration = Duration::from_secs(2);
+
+/// Of what keepers say to each other.
+pub const PEER_PROTOCOL: u16 = 1;
+const MAGIC: [u8; 4] = *b"stk1";
+
+pub type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum First {
+    Peer { protocol: u16, from: u64, to: u64 },
+    Member(ToKeeper),
+}
+
+pub fn frames(stream: TcpStream, most: usize) -> Frames {
+    // Messages are small and waited for.
+    let _ = stream.set_nodelay(true);
+    Framed::new(stream, LengthDelimitedCodec::builder().max_frame_length(most).new_codec())
+}
+
+pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, postcard::Error> {
+    postcard::to_stdvec(message).map(Bytes::from)
+}
+
+pub fn decode<T: DeserializeOwned>(frame: &[u8]) -> Option<T> {
+    postcard::from_bytes(frame).ok()
+}
+
+pub fn encode_first(first: &First) -> Result<Bytes, postcard::Error> {
+    let mut bytes = MAGIC.to_vec();
+    bytes.extend(postcard::to_stdvec(first)?);
+    Ok(bytes.into())
+}
+
+pub fn decode_first(frame: &[u8]) -> Option<First> {
+    decode(frame.strip_prefix(&MAGIC)?)
+}
--- /dev/null
+++ b/crates/keeper/src/keep/desk.rs
@@ -0,0 +1,98 @@
+//! The desk: owner of the sessions and of what only a leader knows. Everything reaches it as notes; it says nothing while it
+//! does not lead but who does.
+
+use super::desk_state::Desk;
+use crate::figures::Figures;
+use crate::kinds::{Applied, Metrics, Raft};
+use crate::Now;
+use bytes::Bytes;
+use stagehoist_registry::{Micros, Terms, ToKeeper};
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+
+/// Notes that wait for the desk; connections wait with what they read beyond that.
+pub const NOTES_MOST: usize = 1024;
+/// How often promises are looked through, and how fine the time is known at which a majority answered.
+const TICK: Duration = Duration::from_millis(20);
+
+pub type Notes = mpsc::Sender<Note>;
+
+pub enum Note {
+    Came { conn: u64, hello: ToKeeper, out: mpsc::Sender<Bytes> },
+    Said { conn: u64, said: ToKeeper },
+    Gone { conn: u64 },
+}
+
+/// What a desk works with.
+pub struct Tools {
+    pub own: u64,
+    pub raft: Raft,
+    pub applied: watch::Receiver<Applied>,
+    pub now: Now,
+    pub terms: Terms,
+    pub figures: watch::Sender<Figures>,
+}
+
+/// Runs the desk until every sender of notes is gone.
+pub async fn desk(tools: Tools, mut notes: mpsc::Receiver<Note>) {
+    let mut applied = tools.applied.clone();
+    let mut metrics = tools.raft.metrics();
+    let mut servers = tools.raft.server_metrics();
+    let mut acks = Acks::default();
+    let mut desk = Desk::new(tools);
+    let mut batch = Vec::new();
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let mut ticked = false;
+        tokio::select! {
+            got = notes.recv_many(&mut batch, NOTES_MOST) => if got == 0 { return },
+            done = desk.agreed() => desk.settle(done),
+            changed = applied.changed() => if changed.is_err() { return },
+            changed = servers.changed() => if changed.is_err() { return },
+            _ = tick.tick() => ticked = true,
+        }
+        servers.mark_unchanged();
+        desk.now = (desk.tools.now)();
+        acks.look(&mut metrics, desk.now);
+        desk.acked = acks.acked;
+        desk.record = applied.borrow_and_update().clone();
+        desk.stand(&metrics.borrow());
+        for note in batch.drain(..) {
+            match note {
+                Note::Came { conn, hello, out } => desk.came(conn, hello, out),
+                Note::Said { conn, said } => desk.said(conn, said),
+                Note::Gone { conn } => desk.close(conn, "gone"),
+            }
+        }
+        desk.finish(ticked);
+    }
+}
+
+/// When a majority is known to have answered, by this process's clock and never too late.
+struct Acks {
+    acked: Micros,
+    looked: Micros,
+}
+
+impl Default for Acks {
+    fn default() -> Acks {
+        Acks { acked: Micros::MIN / 2, looked: Micros::MIN / 2 }
+    }
+}
+
+impl Acks {
+    /// Raft tells the age of the answer at the time of its report, in whole milliseconds. A report that is new was made after the
+    /// last look, so counting back from that look gives a time that is not after the true one.
+    fn look(&mut self, metrics: &mut watch::Receiver<Metrics>, now: Micros) {
+        if metrics.has_changed().unwrap_or(false) {
+            let age = metrics.borrow_and_update().millis_since_quorum_ack;
+            if let Some(age) = age {
+                let age = Micros::try_from(age).unwrap_or(Micros::MAX).saturating_add(1).saturating_mul(1000);
+                let at = self.looked.saturating_sub(age);
+                self.acked = self.acked.max(at);
+            }
+        }
+        self.looked = now;
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/keep/form.rs
@@ -0,0 +1,138 @@
+//! How a keeper that has nothing, or lost what it had, finds its place.
+
+use super::gate::{Gate, State};
+use super::peer::Peers;
+use super::wire::{Ask, Reply, Stand};
+use crate::kinds::{Applied, Raft};
+use crate::store::{Start, Store};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tokio::sync::watch;
+
+const ASKED_EVERY: Duration = Duration::from_millis(200);
+const RAISED_EVERY: Duration = Duration::from_secs(1);
+const ANSWER_MOST: Duration = Duration::from_millis(500);
+
+/// What a keeper without a store is to do by what the others say of themselves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Choice {
+    /// No keeper has anything: the first membership is formed.
+    Form,
+    /// The others have a membership without it: it waits to be taken in, and has nothing to lose.
+    Join,
+    /// It may have lost what it knew up to this term.
+    Return(u64),
+    /// Too few answered.
+    Ask,
+}
+
+/// `others` are all that are told, `answers` of those that answered.
+fn choose(start: Start, others: usize, answers: &BTreeMap<u64, Stand>) -> Choice {
+    if start == Start::Pristine {
+        if answers.values().all(|a| a.fresh) && 2 * (answers.len() + 1) > others + 1 {
+            return Choice::Form;
+        }
+        // It never voted there, or was taken out since: then each change that it helped with reached a majority of the others.
+        let without = answers.values().filter(|a| !a.fresh && !a.voter && a.open).count();
+        if 2 * without > others {
+            return Choice::Join;
+        }
+    }
+    // A term in which it voted for another is known to that other, so the highest of all others bounds it.
+    if answers.len() == others && others > 0 {
+        return Choice::Return(answers.values().map(|a| a.term).max().unwrap_or(0));
+    }
+    Choice::Ask
+}
+
+/// Brings a keeper to where it takes part fully; ends then.
+pub async fn form(
+    start: Start,
+    numbers: BTreeSet<u64>,
+    store: Store,
+    raft: Raft,
+    gate: Gate,
+    peers: Peers,
+    mut applied: watch::Receiver<Applied>,
+) {
+    if let Start::Known = start {
+        return;
+    }
+    while gate.state() == State::Undecided {
+        let answers = ask_all(&peers).await;
+        match choose(start, peers.numbers().len(), &answers) {
+            Choice::Form => {
+                gate.set(State::Open);
+                // All begin with the same set; Raft takes it where nothing is there yet.
+                let nodes = numbers.iter().map(|n| (*n, openraft::EmptyNode::default()));
+                if let Err(e) = raft.initialize(nodes.collect::<BTreeMap<_, _>>()).await {
+                    tracing::debug!(target: "stagehoist_keeper", why = %e, "a membership was there already");
+                }
+            }
+            Choice::Join => gate.set(State::Open),
+            Choice::Return(bound) => match store.set_bound(Some(bound)) {
+                Ok(()) => gate.set(State::Returning { bound }),
+                Err(e) => {
+                    tracing::error!(target: "stagehoist_keeper", event = "store", why = %e, "store fails");
+                }
+            },
+            Choice::Ask => tokio::time::sleep(ASKED_EVERY).await,
+        }
+    }
+    if let State::Returning { bound } = gate.state() {
+        tracing::warn!(target: "stagehoist_keeper", event = "store", bound, "returning without its log");
+        while !gate.is_back(applied.borrow_and_update().last) {
+            for number in peers.numbers() {
+                peers.call(number, Ask::Raise { above: bound }, ANSWER_MOST).await;
+            }
+            let _ = tokio::time::timeout(RAISED_EVERY, applied.wait_for(|a| gate.is_back(a.last))).await;
+        }
+        while let Err(e) = store.set_bound(None) {
+            tracing::error!(target: "stagehoist_keeper", event = "store", why = %e, "store fails");
+            tokio::time::sleep(RAISED_EVERY).await;
+        }
+        gate.set(State::Open);
+        tracing::info!(target: "stagehoist_keeper", event = "store", bound, "its log came back");
+    }
+    raft.runtime_config().elect(true);
+}
+
+async fn ask_all(peers: &Peers) -> BTreeMap<u64, Stand> {
+    let asked = peers.numbers().into_iter().map(|n| async move {
+        match peers.call(n, Ask::Stand, ANSWER_MOST).await {
+            Some(Reply::Stand(stand)) => Some((n, stand)),
+            _ => None,
+        }
+    });
+    futures_util::future::join_all(asked).await.into_iter().flatten().collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn answers(stands: &[(bool, u64, bool)]) -> BTreeMap<u64, Stand> {
+        let stand = |&(fresh, term, voter)| Stand { fresh, open: true, term, voter };
+        (2..).zip(stands.iter().map(stand)).collect()
+    }
+
+    #[test]
+    fn the_first_membership_is_formed_once_a_majority_has_nothing_and_nobody_has_something() {
+        let fresh = (true, 0, false);
+        assert_eq!(choose(Start::Pristine, 0, &answers(&[])), Choice::Form);
+        assert_eq!(choose(Start::Pristine, 2, &answers(&[])), Choice::Ask);
+        assert_eq!(choose(Start::Pristine, 2, &answers(&[fresh])), Choice::Form);
+        assert_eq!(choose(Start::Pristine, 2, &answers(&[fresh, (false, 3, true)])), Choice::Return(3));
+        assert_eq!(choose(Start::Returning(None), 2, &answers(&[fresh])), Choice::Ask);
+    }
+
+    #[test]
+    fn one_that_lost_its_disk_is_bounded_by_all_others_and_one_never_taken_in_just_joins() {
+        let voter = (false, 5, true);
+        assert_eq!(choose(Start::Pristine, 2, &answers(&[voter])), Choice::Ask);
+        assert_eq!(choose(Start::Pristine, 2, &answers(&[voter, (false, 7, true)])), Choice::Return(7));
+        let without = (false, 5, false);
+        assert_eq!(choose(Start::Pristine, 3, &answers(&[without, without])), Choice::Join);
+        assert_eq!(choose(Start::Returning(None), 2, &answers(&[without, without])), Choice::Return(5));
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/keep/gate.rs
@@ -0,0 +1,78 @@
+//! What a keeper may take part in, after it lost what it knew.
+//!
+//! A keeper may have forgotten a vote, or entries that count as agreed on because it held them. Let `bound` be the highest term it
+//! took part in. It refuses every leader of a term up to `bound` and every request for its vote, until it has applied
+//! an entry of a leader of a later term. That leader was elected without it (it does not vote, and before the loss it knew of no
+//! such term), so by a majority of the others; each entry that was agreed on with this keeper's help up to `bound` was also held
+//! by one of that majority when it voted. So that leader's log had them all, and so has this keeper's once it applied
+//! an entry of that leader's own. From then on it is a keeper like any other.
+
+use crate::kinds::LogId;
+use std::sync::{Arc, Mutex, PoisonError};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Not yet known what was lost.
+    Undecided,
+    Returning {
+        bound: u64,
+    },
+    Open,
+}
+
+/// Shared by the tasks of the keeper's one thread.
+#[derive(Clone, Debug)]
+pub struct Gate(Arc<Mutex<State>>);
+
+impl Gate {
+    pub fn new(state: State) -> Gate {
+        Gate(Arc::new(Mutex::new(state)))
+    }
+
+    pub fn state(&self) -> State {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn set(&self, state: State) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = state;
+    }
+
+    pub fn may_vote(&self) -> bool {
+        self.state() == State::Open
+    }
+
+    /// Whether a leader of this term may be followed.
+    pub fn may_follow(&self, term: u64) -> bool {
+        match self.state() {
+            State::Undecided => false,
+            State::Returning { bound } => term > bound,
+            State::Open => true,
+        }
+    }
+
+    /// Whether what was lost has come back by now.
+    pub fn is_back(&self, applied: Option<LogId>) -> bool {
+        match self.state() {
+            State::Returning { bound } => applied.is_some_and(|l| l.leader_id.term > bound),
+            _ => false,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use openraft::LeaderId;
+
+    #[test]
+    fn one_that_lost_its_log_votes_again_only_with_an_entry_of_a_later_term() {
+        let gate = Gate::new(State::Undecided);
+        assert!(!gate.may_vote() && !gate.may_follow(9));
+        gate.set(State::Returning { bound: 4 });
+        assert!(!gate.may_vote() && !gate.may_follow(4) && gate.may_follow(5));
+        let entry = |term| Some(LogId::new(LeaderId::new(term, 1), 7));
+        assert!(!gate.is_back(None) && !gate.is_back(entry(4)) && gate.is_back(entry(5)));
+        gate.set(State::Open);
+        assert!(gate.may_vote() && gate.may_follow(1));
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/keep/mod.rs
@@ -0,0 +1,14 @@
+//! A keeper: Raft over the store, its peers, and the sessions of front ends while it leads.
+
+mod desk;
+mod desk_state;
+mod form;
+mod gate;
+mod listen;
+mod peer;
+mod run;
+mod serve;
+mod tend;
+mod wire;
+
+pub use run::{run, Parts};
--- /dev/null
+++ b/crates/keeper/src/keep/peer.rs
@@ -0,0 +1,248 @@
+//! A keeper's connections to the others: one to each, kept, made anew when it breaks.
+
+use super::wire::{Answer, Ask, Call, Reply};
+use crate::frames::{
+    decode, encode, encode_first, frames, First, Frames, CONNECT_MOST, PEER_MOST, PEER_PROTOCOL, WRITE_MOST,
+};
+use crate::kinds::{Kept, Raft};
+use futures_util::{SinkExt, StreamExt};
+use openraft::error::{InstallSnapshotError, RPCError, RaftError, RemoteError, Unreachable};
+use openraft::network::{Backoff, RPCOption, RaftNetwork, RaftNetworkFactory};
+use openraft::raft::{
+    AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse, VoteRequest,
+    VoteResponse,
+};
+use openraft::EmptyNode;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::{timeout, Instant};
+
+/// Calls to one keeper that wait to be sent, and that wait for their answers.
+const WAITING_MOST: usize = 64;
+const OPEN_MOST: usize = 256;
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+
+type Waiting = (Ask, oneshot::Sender<Reply>);
+type Refusal<E> = RPCError<u64, EmptyNode, RaftError<u64, E>>;
+
+/// Ways to the other keepers.
+#[derive(Clone)]
+pub struct Peers {
+    links: BTreeMap<u64, mpsc::Sender<Waiting>>,
+    pause: Duration,
+}
+
+impl Peers {
+    /// Starts a task for each other keeper. `pause` is the time between tries of one that can't be reached.
+    pub fn start(own: u64, keepers: &BTreeMap<u64, String>, pause: Duration, tasks: &mut JoinSet<()>) -> Peers {
+        let mut links = BTreeMap::new();
+        for (number, address) in keepers.iter().filter(|(n, _)| **n != own) {
+            let (calls, waiting) = mpsc::channel(WAITING_MOST);
+            tasks.spawn(link(own, *number, address.clone(), waiting));
+            links.insert(*number, calls);
+        }
+        Peers { links, pause }
+    }
+
+    pub fn numbers(&self) -> Vec<u64> {
+        self.links.keys().copied().collect()
+    }
+
+    /// One call; none where no answer came in time.
+    pub async fn call(&self, to: u64, body: Ask, most: Duration) -> Option<Reply> {
+        let (answer, came) = oneshot::channel();
+        self.links.get(&to)?.try_send((body, answer)).ok()?;
+        timeout(most, came).await.ok()?.ok()
+    }
+}
+
+/// Owns the connection to one keeper; ends when nobody can call any more.
+async fn link(own: u64, to: u64, address: String, mut waiting: mpsc::Receiver<Waiting>) {
+    let mut backoff = BACKOFF.0;
+    let mut next_try = Instant::now();
+    while let Some(call) = waiting.recv().await {
+        // Calls that come while it can't be reached are answered at once, by the drop of their sender.
+        if Instant::now() < next_try {
+            continue;
+        }
+        match connect(own, to, &address).await {
+            Some(stream) => {
+                backoff = BACKOFF.0;
+                talk(stream, call, &mut waiting).await;
+                next_try = Instant::now() + backoff;
+            }
+            None => {
+                next_try = Instant::now() + backoff;
+                backoff = (backoff * 2).min(BACKOFF.1);
+            }
+        }
+    }
+}
+
+async fn connect(own: u64, to: u64, address: &str) -> Option<Frames> {
+    let stream = timeout(CONNECT_MOST, TcpStream::connect(address)).await.ok()?.ok()?;
+    let mut frames = frames(stream, PEER_MOST);
+    let hello = encode_first(&First::Peer { protocol: PEER_PROTOCOL, from: own, to }).ok()?;
+    timeout(WRITE_MOST, frames.send(hello)).await.ok()?.ok()?;
+    Some(frames)
+}
+
+/// Sends calls and hands out answers until the connection breaks or stalls.
+async fn talk(frames: Frames, first: Waiting, waiting: &mut mpsc::Receiver<Waiting>) {
+    let (mut sink, mut stream) = frames.split();
+    let mut open: BTreeMap<u64, oneshot::Sender<Reply>> = BTreeMap::new();
+    let mut number = 0;
+    let mut next = Some(first);
+    loop {
+        if let Some((body, answer)) = next.take() {
+            open.retain(|_, waits| !waits.is_closed());
+            if open.len() >= OPEN_MOST {
+                return;
+            }
+            number += 1;
+            let Ok(frame) = encode(&Call { number, body }) else { continue };
+            open.insert(number, answer);
+            if !matches!(timeout(WRITE_MOST, sink.send(frame)).await, Ok(Ok(()))) {
+                return;
+            }
+        }
+        tokio::select! {
+            call = waiting.recv() => match call {
+                Some(call) => next = Some(call),
+                None => return,
+            },
+            frame = stream.next() => {
+                let Some(Ok(frame)) = frame else { return };
+                let Some(answer) = decode::<Answer>(&frame) else { return };
+                if let Some(waits) = open.remove(&answer.number) {
+                    let _ = waits.send(answer.body);
+                }
+            }
+        }
+    }
+}
+
+impl RaftNetworkFactory<Kept> for Peers {
+    type Network = Peer;
+
+    async fn new_client(&mut self, target: u64, _: &EmptyNode) -> Peer {
+        Peer { peers: self.clone(), to: target }
+    }
+}
+
+/// Raft's way to one keeper.
+pub struct Peer {
+    peers: Peers,
+    to: u64,
+}
+
+impl Peer {
+    async fn ask<E: std::error::Error>(&self, ask: Ask, option: RPCOption) -> Result<Reply, Refusal<E>> {
+        let most = option.hard_ttl();
+        self.peers.call(self.to, ask, most).await.ok_or_else(|| unreachable("no answer"))
+    }
+}
+
+fn unreachable<E: std::error::Error>(why: &str) -> Refusal<E> {
+    RPCError::Unreachable(Unreachable::new(&std::io::Error::other(why.to_string())))
+}
+
+impl RaftNetwork<Kept> for Peer {
+    async fn append_entries(
+        &mut self,
+        rpc: AppendEntriesRequest<Kept>,
+        option: RPCOption,
+    ) -> Result<AppendEntriesResponse<u64>, Refusal<openraft::error::Infallible>> {
+        match self.ask(Ask::Append(rpc), option).await? {
+            Reply::Append(answer) => Ok(answer),
+            _ => Err(unreachable("it takes no part")),
+        }
+    }
+
+    async fn vote(
+        &mut self,
+        rpc: VoteRequest<u64>,
+        option: RPCOption,
+    ) -> Result<VoteResponse<u64>, Refusal<openraft::error::Infallible>> {
+        match self.ask(Ask::Vote(rpc), option).await? {
+            Reply::Vote(answer) => Ok(answer),
+            _ => Err(unreachable("it takes no part")),
+        }
+    }
+
+    async fn install_snapshot(
+        &mut self,
+        rpc: InstallSnapshotRequest<Kept>,
+        option: RPCOption,
+    ) -> Result<InstallSnapshotResponse<u64>, Refusal<InstallSnapshotError>> {
+        match self.ask(Ask::Snapshot(rpc), option).await? {
+            Reply::Snapshot(Ok(answer)) => Ok(answer),
+            Reply::Snapshot(Err(e)) => {
+                Err(RPCError::RemoteError(RemoteError::new(self.to, RaftError::APIError(e))))
+            }
+            _ => Err(unreachable("it takes no part")),
+        }
+    }
+
+    fn backoff(&self) -> Backoff {
+        Backoff::new(std::iter::repeat(self.peers.pause))
+    }
+}
+
+/// What a keeper does with the calls of another.
+pub struct Host {
+    pub raft: Raft,
+    pub gate: super::gate::Gate,
+    /// Where a leader hears that another waits for a later term.
+    pub raise: mpsc::Sender<u64>,
+}
+
+/// Longest snapshot taken, in bytes.
+const SNAPSHOT_MOST: u64 = 64 << 20;
+
+impl Host {
+    pub async fn answer(&self, from: u64, ask: Ask) -> Reply {
+        match ask {
+            Ask::Append(rpc) if self.gate.may_follow(rpc.vote.leader_id.term) => {
+                self.raft.append_entries(rpc).await.map_or(Reply::Closed, Reply::Append)
+            }
+            Ask::Vote(rpc) if self.gate.may_vote() => {
+                self.raft.vote(rpc).await.map_or(Reply::Closed, Reply::Vote)
+            }
+            Ask::Snapshot(rpc)
+                if self.gate.may_follow(rpc.vote.leader_id.term)
+                    && rpc.offset.saturating_add(rpc.data.len() as u64) <= SNAPSHOT_MOST =>
+            {
+                match self.raft.install_snapshot(rpc).await {
+                    Ok(answer) => Reply::Snapshot(Ok(answer)),
+                    Err(RaftError::APIError(e)) => Reply::Snapshot(Err(e)),
+                    Err(RaftError::Fatal(_)) => Reply::Closed,
+                }
+            }
+            Ask::Append(_) | Ask::Vote(_) | Ask::Snapshot(_) => Reply::Closed,
+            Ask::Stand => Reply::Stand(self.stand(from)),
+            Ask::Raise { above } => {
+                let _ = self.raise.try_send(above);
+                Reply::Heard
+            }
+        }
+    }
+
+    fn stand(&self, from: u64) -> super::wire::Stand {
+        let metrics = self.raft.metrics().borrow().clone();
+        let (is_returning, bound) = match self.gate.state() {
+            super::gate::State::Returning { bound } => (true, bound),
+            _ => (false, 0),
+        };
+        super::wire::Stand {
+            // The first entry is the membership that all begin with; whatever follows came from a leader.
+            fresh: metrics.last_log_index.unwrap_or(0) == 0 && !is_returning,
+            open: self.gate.may_vote(),
+            term: metrics.current_term.max(bound),
+            voter: metrics.membership_config.voter_ids().any(|v| v == from),
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/keep/serve.rs
@@ -0,0 +1,53 @@
+//! A front end's connection at a keeper: frames in to the desk, frames out from it.
+
+use super::desk::{Note, Notes};
+use crate::frames::{decode, Frames, WRITE_MOST};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use stagehoist_registry::ToKeeper;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// Frames that a front end has not taken yet; one that lets more come is cut off.
+pub const OUT_MOST: usize = 64;
+/// How long one may say nothing.
+const SILENT_MOST: Duration = Duration::from_secs(30);
+
+/// Serves one connection until either side ends it. The desk ends it by dropping its sender.
+pub async fn serve(conn: u64, frames: Frames, hello: ToKeeper, desk: Notes) {
+    let (out, mut outgoing) = mpsc::channel::<Bytes>(OUT_MOST);
+    if desk.send(Note::Came { conn, hello, out }).await.is_err() {
+        return;
+    }
+    let (mut sink, mut stream) = frames.split();
+    loop {
+        tokio::select! {
+            frame = timeout(SILENT_MOST, stream.next()) => {
+                let Ok(Some(Ok(frame))) = frame else { break };
+                let Some(said) = decode::<ToKeeper>(&frame) else {
+                    tracing::warn!(target: "stagehoist_keeper", event = "session", conn, "a frame that says nothing");
+                    break;
+                };
+                if desk.send(Note::Said { conn, said }).await.is_err() {
+                    break;
+                }
+            }
+            frame = outgoing.recv() => {
+                let Some(frame) = frame else { break };
+                let written = timeout(WRITE_MOST, async {
+                    sink.feed(frame).await?;
+                    while let Ok(frame) = outgoing.try_recv() {
+                        sink.feed(frame).await?;
+                    }
+                    sink.flush().await
+                });
+                if !matches!(written.await, Ok(Ok(()))) {
+                    tracing::warn!(target: "stagehoist_keeper", event = "session", conn, "it does not read");
+                    break;
+                }
+            }
+        }
+    }
+    let _ = desk.send(Note::Gone { conn }).await;
+}
--- /dev/null
+++ b/crates/keeper/src/kept.rs
@@ -0,0 +1,119 @@
+//! What a front end keeps of its session on disk: its incarnation and the last view it was shown.
+//!
+//! Both are there, flushed, before anyone is told of them: a tombstone that was confirmed is known again after any kill.
+
+use crate::store::sum;
+use serde::{Deserialize, Serialize};
+use stagehoist_registry::View;
+use std::fmt::Write as _;
+use std::fs::File;
+use std::io::{Error, ErrorKind, Result, Write as _};
+use std::path::{Path, PathBuf};
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Memory {
+    pub incarnation: u64,
+    pub view: View,
+}
+
+/// The file of one member; nothing is kept where there is none.
+#[derive(Clone, Debug)]
+pub struct Kept {
+    path: Option<PathBuf>,
+    pub memory: Memory,
+}
+
+impl Kept {
+    /// Reads what is kept; a damaged file is set aside by name and counts as none.
+    pub fn open(folder: Option<&Path>, member: &str) -> Result<Kept> {
+        let Some(folder) = folder else { return Ok(Kept { path: None, memory: Memory::default() }) };
+        std::fs::create_dir_all(folder)?;
+        let path = folder.join(file_name(member));
+        let memory = match std::fs::read(&path) {
+            Ok(bytes) => match parse(&bytes) {
+                Some(memory) => memory,
+                None => {
+                    let aside = set_aside(&path)?;
+                    tracing::error!(target: "stagehoist_keeper", event = "store", path = %path.display(),
+                        aside = %aside.display(), "memory of a session is damaged and set aside");
+                    Memory::default()
+                }
+            },
+            Err(e) if e.kind() == ErrorKind::NotFound => Memory::default(),
+            Err(e) => return Err(e),
+        };
+        Ok(Kept { path: Some(path), memory })
+    }
+
+    /// Writes a change; on disk once this returns. Where it fails the memory is as before.
+    pub fn change(&mut self, change: impl FnOnce(&mut Memory)) -> Result<()> {
+        let mut memory = self.memory.clone();
+        change(&mut memory);
+        if memory == self.memory {
+            return Ok(());
+        }
+        if let Some(path) = &self.path {
+            let body = postcard::to_stdvec(&memory).map_err(Error::other)?;
+            let new = path.with_extension("new");
+            let mut file = File::create(&new)?;
+            file.write_all(&sum(&body).to_le_bytes())?;
+            file.write_all(&body)?;
+            file.sync_all()?;
+            std::fs::rename(&new, path)?;
+            if let Some(folder) = path.parent() {
+                File::open(folder)?.sync_all()?;
+            }
+        }
+        self.memory = memory;
+        Ok(())
+    }
+}
+
+fn parse(bytes: &[u8]) -> Option<Memory> {
+    let (head, body) = bytes.split_first_chunk::<8>()?;
+    if u64::from_le_bytes(*head) != sum(body) {
+        return None;
+    }
+    postcard::from_bytes(body).ok()
+}
+
+fn set_aside(path: &Path) -> Result<PathBuf> {
+    let free = (1..10_000).map(|n| path.with_extension(format!("damaged-{n}"))).find(|p| !p.exists());
+    let aside = free.ok_or_else(|| Error::other("no name is free"))?;
+    std::fs::rename(path, &aside)?;
+    Ok(aside)
+}
+
+/// A name that is a file's wherever: what is no letter, digit or dash is told by its bytes.
+fn file_name(member: &str) -> String {
+    let mut name = String::new();
+    for byte in member.bytes() {
+        match byte {
+            b'a'..=b'z' | b'0'..=b'9' | b'-' => name.push(char::from(byte)),
+            _ => {
+                let _ = write!(name, "_{byte:02x}");
+            }
+        }
+    }
+    name + ".session"
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_kept_is_read_again_and_a_damaged_file_is_set_aside() {
+        let folder = tempfile::tempdir().unwrap();
+        let mut kept = Kept::open(Some(folder.path()), "A/1").unwrap();
+        kept.change(|m| m.incarnation = 7).unwrap();
+        assert_eq!(Kept::open(Some(folder.path()), "A/1").unwrap().memory.incarnation, 7);
+        assert_eq!(Kept::open(Some(folder.path()), "a/1").unwrap().memory.incarnation, 0);
+        let path = folder.path().join(file_name("A/1"));
+        let mut bytes = std::fs::read(&path).unwrap();
+        bytes[9] ^= 1;
+        std::fs::write(&path, bytes).unwrap();
+        assert_eq!(Kept::open(Some(folder.path()), "A/1").unwrap().memory, Memory::default());
+        assert!(path.with_extension("damaged-1").exists());
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/kinds.rs
@@ -0,0 +1,38 @@
+//! What Raft carries here.
+
+use serde::{Deserialize, Serialize};
+use stagehoist_registry::{Command, Done, Record};
+use std::sync::Arc;
+
+/// Changes that are agreed on as one entry: what came while the entry before was under way.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Batch(pub Vec<Command>);
+
+/// What came of each.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Dones(pub Vec<Done>);
+
+openraft::declare_raft_types!(
+    pub Kept:
+        D = Batch,
+        R = Dones,
+        NodeId = u64,
+        // Addresses are each process's own: it may reach a keeper at another one than others do.
+        Node = openraft::EmptyNode,
+        SnapshotData = std::io::Cursor<Vec<u8>>,
+);
+
+pub type Raft = openraft::Raft<Kept>;
+pub type Vote = openraft::Vote<u64>;
+pub type LogId = openraft::LogId<u64>;
+pub type Entry = openraft::Entry<Kept>;
+pub type Members = openraft::StoredMembership<u64, openraft::EmptyNode>;
+pub type Fault = openraft::StorageError<u64>;
+pub type Metrics = openraft::RaftMetrics<u64, openraft::EmptyNode>;
+
+/// The record as this keeper has applied it.
+#[derive(Clone, Debug, Default)]
+pub struct Applied {
+    pub last: Option<LogId>,
+    pub record: Arc<Record>,
+}
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -2,9 +2,26 @@
 //!
 //! Three or five processes keep the record: openraft over a log and snapshots in redb. Tasks own their sockets and state and
 //! talk by messages, on a thread of their own ([`start`]); a front end's driver reads [`Session::standing`] and never waits.
+//!
+//! What a keeper acknowledged is on its disk. One that lost its store, or finds it older than a file beside it tells, is
+//! brought back without a second vote in any term (`keep::gate`); how a store is judged stands in `store::open`.
 #![forbid(unsafe_code)]
 
-use stagehoist_registry::{Demand, Micros, Pool, Retirement, Standing, Terms, Version};
+mod client;
+mod error;
+mod figures;
+mod frames;
+mod keep;
+mod kept;
+mod kinds;
+mod start;
+mod store;
+
+pub use error::KeeperError;
+pub use figures::Figures;
+pub use start::{start, Running};
+
+use stagehoist_registry::{Demand, Member, Micros, Pool, Retirement, Standing, Terms, Version};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -25,9 +42,10 @@
     pub pools: Vec<Pool>,
     /// Front ends of this process by name, each a member with a session of its own.
     pub members: Vec<String>,
-    /// Folder in which the last incarnation of each member is kept; none: it is asked of the keepers alone.
+    /// Folder in which the last incarnation and view of each member are kept; none: it is asked of the keepers alone.
     pub incarnations: Option<PathBuf>,
     pub seed: u64,
+    pub pace: Pace,
 }
 
 #[derive(Clone, Debug)]
@@ -37,6 +55,20 @@
     pub store: PathBuf,
 }
 
+/// How quickly keepers notice that the leader is gone, in milliseconds; alike at all keepers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    pub heartbeat_ms: u64,
+    /// An election begins after a time drawn between these without word from the leader.
+    pub election_ms: (u64, u64),
+}
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace { heartbeat_ms: 100, election_ms: (400, 800) }
+    }
+}
+
 /// What a front end's driver tells its session; the newest counts.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Told {
@@ -48,6 +80,8 @@
 /// One front end's ends of its session.
 pub struct Session {
     pub standing: watch::Receiver<Standing>,
+    /// This run, once it has joined.
+    pub member: watch::Receiver<Option<Member>>,
     pub told: watch::Sender<Told>,
     /// Retirements asked for; one that is known already changes nothing.
     pub retire: mpsc::Sender<Retirement>,
--- /dev/null
+++ b/crates/keeper/src/store/log.rs
@@ -0,0 +1,102 @@
+//! The log as Raft asks for it.
+
+use super::{fault, key, Outcome, Store, LOG};
+use crate::kinds::{Entry, Fault, Kept, LogId, Vote};
+use openraft::storage::{LogFlushed, RaftLogStorage};
+use openraft::{LogState, OptionalSend, RaftLogReader};
+use redb::Durability;
+use std::fmt::Debug;
+use std::ops::RangeBounds;
+
+impl Store {
+    fn entries(&self, range: impl RangeBounds<u64>) -> Outcome<Vec<Entry>> {
+        let read = self.db.begin_read()?;
+        let table = read.open_table(LOG)?;
+        let mut entries = Vec::new();
+        for item in table.range(range)? {
+            entries.push(postcard::from_bytes(item?.1.value())?);
+        }
+        Ok(entries)
+    }
+
+    /// The entry before a place, or the last that was purged.
+    fn before(&self, index: u64) -> Outcome<Option<LogId>> {
+        let read = self.db.begin_read()?;
+        let table = read.open_table(LOG)?;
+        let entry = table.range(..index)?.next_back();
+        match entry {
+            Some(item) => Ok(Some(postcard::from_bytes::<Entry>(item?.1.value())?.log_id)),
+            None => self.get(key::PURGED),
+        }
+    }
+}
+
+impl RaftLogReader<Kept> for Store {
+    async fn try_get_log_entries<RB: RangeBounds<u64> + Clone + Debug + OptionalSend>(
+        &mut self,
+        range: RB,
+    ) -> Result<Vec<Entry>, Fault> {
+        self.entries(range).map_err(fault)
+    }
+}
+
+impl RaftLogStorage<Kept> for Store {
+    type LogReader = Store;
+
+    async fn get_log_state(&mut self) -> Result<LogState<Kept>, Fault> {
+        let last_purged_log_id = self.get(key::PURGED).map_err(fault)?;
+        Ok(LogState { last_purged_log_id, last_log_id: self.last().map_err(fault)? })
+    }
+
+    async fn get_log_reader(&mut self) -> Store {
+        self.clone()
+    }
+
+    async fn save_vote(&mut self, vote: &Vote) -> Result<(), Fault> {
+        self.write(Durability::Immediate, |w| w.put(key::VOTE, vote)).map_err(fault)?;
+        self.mark(self.last().map_err(fault)?).map_err(fault)
+    }
+
+    async fn read_vote(&mut self) -> Result<Option<Vote>, Fault> {
+        self.vote().map_err(fault)
+    }
+
+    async fn save_committed(&mut self, committed: Option<LogId>) -> Result<(), Fault> {
+        // For a quick start only: what was committed is told anew by the leader.
+        self.write(Durability::None, |w| w.put(key::COMMITTED, &committed)).map_err(fault)
+    }
+
+    async fn read_committed(&mut self) -> Result<Option<LogId>, Fault> {
+        Ok(self.get::<Option<LogId>>(key::COMMITTED).map_err(fault)?.flatten())
+    }
+
+    async fn append<I>(&mut self, entries: I, callback: LogFlushed<Kept>) -> Result<(), Fault>
+    where
+        I: IntoIterator<Item = Entry> + OptionalSend,
+        I::IntoIter: OptionalSend,
+    {
+        // All that is handed over together is one commit.
+        let mut last = None;
+        let written = self.write(Durability::Immediate, |w| {
+            last = w.append(entries)?;
+            Ok(())
+        });
+        written.and_then(|()| if last.is_some() { self.mark(last) } else { Ok(()) }).map_err(fault)?;
+        callback.log_io_completed(Ok(()));
+        Ok(())
+    }
+
+    async fn truncate(&mut self, log_id: LogId) -> Result<(), Fault> {
+        // The guard first: it never tells of more than the store holds.
+        self.mark(self.before(log_id.index).map_err(fault)?).map_err(fault)?;
+        self.write(Durability::Immediate, |w| w.remove(log_id.index..)).map_err(fault)
+    }
+
+    async fn purge(&mut self, log_id: LogId) -> Result<(), Fault> {
+        let purged = self.write(Durability::Immediate, |w| {
+            w.put(key::PURGED, &log_id)?;
+            w.remove(..=log_id.index)
+        });
+        purged.map_err(fault)
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/store/machine.rs
@@ -0,0 +1,126 @@
+//! The record as Raft applies it, and its snapshots.
+
+use super::{fault, key, Outcome, Store, StoreFault};
+use crate::kinds::{Applied, Dones, Entry, Fault, Kept, LogId, Members};
+use openraft::storage::RaftStateMachine;
+use openraft::{EntryPayload, OptionalSend, RaftSnapshotBuilder, Snapshot, SnapshotMeta};
+use redb::Durability;
+use serde::{Deserialize, Serialize};
+use stagehoist_registry::Record;
+use std::io::Cursor;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+type Meta = SnapshotMeta<u64, openraft::EmptyNode>;
+
+/// All that a snapshot holds.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct State {
+    last: Option<LogId>,
+    members: Members,
+    record: Record,
+}
+
+pub struct Machine {
+    store: Store,
+    state: State,
+    told: watch::Sender<Applied>,
+}
+
+impl Machine {
+    /// The record as far as the store holds it.
+    pub fn new(store: Store) -> Outcome<(Machine, watch::Receiver<Applied>)> {
+        let state: State = store.get(key::STATE)?.unwrap_or_default();
+        let (told, applied) = watch::channel(state.applied());
+        Ok((Machine { store, state, told }, applied))
+    }
+}
+
+impl State {
+    fn applied(&self) -> Applied {
+        Applied { last: self.last, record: Arc::new(self.record.clone()) }
+    }
+
+    fn apply(&mut self, entry: Entry) -> Dones {
+        self.last = Some(entry.log_id);
+        match entry.payload {
+            EntryPayload::Blank => Dones(Vec::new()),
+            // One entry is one change of the record's version; nobody sees half of it.
+            EntryPayload::Normal(batch) => {
+                Dones(batch.0.iter().map(|c| self.record.apply(entry.log_id.index, c)).collect())
+            }
+            EntryPayload::Membership(members) => {
+                self.members = Members::new(Some(entry.log_id), members);
+                Dones(Vec::new())
+            }
+        }
+    }
+
+    fn snapshot(&self) -> Outcome<Snapshot<Kept>> {
+        let snapshot_id = self.last.map_or_else(|| "0".into(), |l| format!("{}-{}", l.leader_id, l.index));
+        let meta = SnapshotMeta { last_log_id: self.last, last_membership: self.members.clone(), snapshot_id };
+        Ok(Snapshot { meta, snapshot: Box::new(Cursor::new(postcard::to_stdvec(self)?)) })
+    }
+}
+
+/// Writes a snapshot of the state that it was asked for.
+pub struct Builder {
+    store: Store,
+    state: State,
+}
+
+impl RaftSnapshotBuilder<Kept> for Builder {
+    async fn build_snapshot(&mut self) -> Result<Snapshot<Kept>, Fault> {
+        let built = self.state.snapshot().and_then(|snapshot| {
+            let kept = (&snapshot.meta, snapshot.snapshot.get_ref());
+            self.store.write(Durability::Immediate, |w| w.put(key::SNAPSHOT, &kept))?;
+            Ok(snapshot)
+        });
+        built.map_err(fault)
+    }
+}
+
+impl RaftStateMachine<Kept> for Machine {
+    type SnapshotBuilder = Builder;
+
+    async fn applied_state(&mut self) -> Result<(Option<LogId>, Members), Fault> {
+        Ok((self.state.last, self.state.members.clone()))
+    }
+
+    async fn apply<I>(&mut self, entries: I) -> Result<Vec<Dones>, Fault>
+    where
+        I: IntoIterator<Item = Entry> + OptionalSend,
+        I::IntoIter: OptionalSend,
+    {
+        let done = entries.into_iter().map(|entry| self.state.apply(entry)).collect();
+        self.store.write(Durability::None, |w| w.put(key::STATE, &self.state)).map_err(fault)?;
+        self.told.send_replace(self.state.applied());
+        Ok(done)
+    }
+
+    async fn get_snapshot_builder(&mut self) -> Builder {
+        Builder { store: self.store.clone(), state: self.state.clone() }
+    }
+
+    async fn begin_receiving_snapshot(&mut self) -> Result<Box<Cursor<Vec<u8>>>, Fault> {
+        Ok(Box::new(Cursor::new(Vec::new())))
+    }
+
+    async fn install_snapshot(&mut self, meta: &Meta, data: Box<Cursor<Vec<u8>>>) -> Result<(), Fault> {
+        let bytes = data.into_inner();
+        let state: State = postcard::from_bytes(&bytes).map_err(StoreFault::from).map_err(fault)?;
+        let written = self.store.write(Durability::Immediate, |w| {
+            w.put(key::STATE, &state)?;
+            w.put(key::SNAPSHOT, &(meta, &bytes))
+        });
+        written.map_err(fault)?;
+        self.state = state;
+        self.told.send_replace(self.state.applied());
+        Ok(())
+    }
+
+    async fn get_current_snapshot(&mut self) -> Result<Option<Snapshot<Kept>>, Fault> {
+        let kept: Option<(Meta, Vec<u8>)> = self.store.get(key::SNAPSHOT).map_err(fault)?;
+        Ok(kept.map(|(meta, bytes)| Snapshot { meta, snapshot: Box::new(Cursor::new(bytes)) }))
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/store/mod.rs
@@ -0,0 +1,150 @@
+//! A keeper's store: log, vote and applied record in one redb database, a guard beside it.
+//!
+//! What Raft acknowledges is in a commit that was flushed to disk. The applied record is written without a flush of its own:
+//! commits are one history, so a crash takes back its newest part at most as far as the last flushed one, and entries are
+//! purged by a later, flushed one.
+
+mod guard;
+mod log;
+mod machine;
+mod open;
+
+pub use guard::{sum, Guard, Mark};
+pub use machine::Machine;
+pub use open::{open, Start};
+
+use crate::kinds::{Entry, Fault, LogId, Vote};
+use openraft::{AnyError, StorageIOError};
+use redb::{Database, Durability, ReadableTable, TableDefinition};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::sync::{Arc, Mutex};
+
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+
+/// Keys of [`META`].
+mod key {
+    pub const VOTE: &str = "vote";
+    pub const PURGED: &str = "purged";
+    pub const COMMITTED: &str = "committed";
+    pub const STATE: &str = "state";
+    pub const SNAPSHOT: &str = "snapshot";
+    /// The term up to which this keeper neither votes nor follows; it lost what it knew of it.
+    pub const BOUND: &str = "bound";
+}
+
+#[derive(Clone, Debug)]
+pub struct Store {
+    db: Arc<Database>,
+    /// Held for single calls of the keeper's one thread.
+    guard: Arc<Mutex<Guard>>,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum StoreFault {
+    #[error(transparent)]
+    Db(#[from] redb::Error),
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    #[error(transparent)]
+    Form(#[from] postcard::Error),
+}
+
+macro_rules! faults {
+    ($($kind:ident),*) => { $(impl From<redb::$kind> for StoreFault {
+        fn from(fault: redb::$kind) -> StoreFault { StoreFault::Db(fault.into()) }
+    })* };
+}
+faults!(StorageError, TransactionError, TableError, CommitError);
+
+type Outcome<T> = Result<T, StoreFault>;
+
+/// For Raft, which stops at a store that fails.
+fn fault(fault: StoreFault) -> Fault {
+    StorageIOError::write(AnyError::new(&fault)).into()
+}
+
+impl Store {
+    fn get<T: DeserializeOwned>(&self, key: &str) -> Outcome<Option<T>> {
+        let read = self.db.begin_read()?;
+        let table = read.open_table(META)?;
+        let found = table.get(key)?;
+        Ok(match found {
+            Some(bytes) => Some(postcard::from_bytes(bytes.value())?),
+            None => None,
+        })
+    }
+
+    fn write(&self, durability: Durability, work: impl FnOnce(&mut Write) -> Outcome<()>) -> Outcome<()> {
+        let mut transaction = self.db.begin_write()?;
+        transaction.set_durability(durability);
+        work(&mut Write(&transaction))?;
+        Ok(transaction.commit()?)
+    }
+
+    /// The last entry of the log, or the last that was purged.
+    fn last(&self) -> Outcome<Option<LogId>> {
+        let read = self.db.begin_read()?;
+        let table = read.open_table(LOG)?;
+        let last = table.last()?;
+        match last {
+            Some((_, bytes)) => Ok(Some(postcard::from_bytes::<Entry>(bytes.value())?.log_id)),
+            None => self.get(key::PURGED),
+        }
+    }
+
+    fn vote(&self) -> Outcome<Option<Vote>> {
+        self.get(key::VOTE)
+    }
+
+    /// Writes beside the store what it now holds.
+    fn mark(&self, last: Option<LogId>) -> Outcome<()> {
+        let term = self.vote()?.map_or(0, |v| v.leader_id.term);
+        let last = last.map_or((0, 0), |l| (l.leader_id.term, l.index));
+        let mut guard = self.guard.lock().map_err(|_| std::io::Error::other("the guard's holder failed"))?;
+        Ok(guard.set(Mark { term, last })?)
+    }
+
+    /// Where this keeper lost what it knew: the term up to which it takes no part.
+    pub fn bound(&self) -> Outcome<Option<u64>> {
+        self.get(key::BOUND)
+    }
+
+    pub fn set_bound(&self, bound: Option<u64>) -> Outcome<()> {
+        self.write(Durability::Immediate, |w| match bound {
+            Some(bound) => w.put(key::BOUND, &bound),
+            None => w.clear(key::BOUND),
+        })
+    }
+}
+
+/// One commit.
+struct Write<'a>(&'a redb::WriteTransaction);
+
+impl Write<'_> {
+    fn put<T: Serialize>(&mut self, key: &str, value: &T) -> Outcome<()> {
+        let bytes = postcard::to_stdvec(value)?;
+        self.0.open_table(META)?.insert(key, bytes.as_slice())?;
+        Ok(())
+    }
+
+    fn clear(&mut self, key: &str) -> Outcome<()> {
+        self.0.open_table(META)?.remove(key)?;
+        Ok(())
+    }
+
+    fn append(&mut self, entries: impl IntoIterator<Item = Entry>) -> Outcome<Option<LogId>> {
+        let mut table = self.0.open_table(LOG)?;
+        let mut last = None;
+        for entry in entries {
+            table.insert(entry.log_id.index, postcard::to_stdvec(&entry)?.as_slice())?;
+            last = Some(entry.log_id);
+        }
+        Ok(last)
+    }
+
+    fn remove(&mut self, entries: impl std::ops::RangeBounds<u64>) -> Outcome<()> {
+        Ok(self.0.open_table(LOG)?.retain_in(entries, |_, _| false)?)
+    }
+}
--- /dev/null
+++ b/crates/keeper/tests/agree.rs
@@ -0,0 +1,101 @@
+//! Three keepers: leaders, majorities, restarts.
+
+mod common;
+
+use common::{clock, in_force, is_fresh, retirement, shown, terms, wait, Fleet};
+use stagehoist_keeper::{start, KeeperError, Options};
+use stagehoist_registry::Mode;
+use std::time::Duration;
+
+#[test]
+fn a_retirement_told_at_one_keeper_is_in_force_at_all() {
+    let fleet = Fleet::started(3);
+    fleet.until("a leader", |f| f.leader().is_some());
+    fleet.session(3).retire.try_send(retirement("f", Mode::Strict)).unwrap();
+    fleet.until("in force", |f| f.sessions().iter().all(|s| in_force(s, "f")));
+    let figures = fleet.running[&fleet.leader().unwrap()].figures().borrow().clone();
+    assert_eq!(figures.sessions, 3);
+    assert!(figures.promised > 0 && figures.proposals > 0, "{figures:?}");
+}
+
+#[test]
+fn a_leader_that_stops_is_replaced_and_what_was_in_force_stays() {
+    let mut fleet = Fleet::started(3);
+    fleet.until("a leader", |f| f.leader().is_some());
+    let first = fleet.leader().unwrap();
+    let other = if first == 1 { 2 } else { 1 };
+    fleet.session(other).retire.try_send(retirement("f", Mode::Available)).unwrap();
+    fleet.until("in force", |f| f.sessions().iter().all(|s| in_force(s, "f")));
+    fleet.stop(first);
+    fleet.until("another leader", |f| f.leader().is_some_and(|l| l != first));
+    // One that never saw it is shown it by the new leader.
+    let late = start(fleet.options(&["late".into()]), clock()).unwrap();
+    wait("the late one is shown it", || shown(&late.sessions["late"], "f").is_some());
+    late.stop();
+    fleet.session(other).retire.try_send(retirement("g", Mode::Strict)).unwrap();
+    fleet.until("the next one in force", |f| f.sessions().iter().all(|s| in_force(s, "g")));
+}
+
+#[test]
+fn without_a_majority_nothing_is_promised_and_with_one_again_it_is() {
+    let mut fleet = Fleet::new(3);
+    let now = clock();
+    fleet.start(1);
+    fleet.start(2);
+    let member = start(fleet.options(&["m".into()]), now.clone()).unwrap();
+    let session = &member.sessions["m"];
+    wait("promises", || is_fresh(session, &now));
+    fleet.stop(2);
+    wait("they run out", || !is_fresh(session, &now));
+    let until = session.standing.borrow().fresh_until;
+    session.retire.try_send(retirement("f", Mode::Strict)).unwrap();
+    std::thread::sleep(Duration::from_millis(1500));
+    assert_eq!(session.standing.borrow().fresh_until, until, "a promise without a majority");
+    assert!(shown(session, "f").is_none(), "agreed without a majority");
+    fleet.start(3);
+    wait("promises again", || is_fresh(session, &now));
+    wait("what was asked for meanwhile", || shown(session, "f").is_some());
+    member.stop();
+}
+
+#[test]
+fn tombstones_and_incarnations_outlive_a_stop_of_everything() {
+    let mut fleet = Fleet::started(3);
+    fleet.until("joined", |f| f.sessions().iter().all(|s| s.member.borrow().is_some()));
+    fleet.session(1).retire.try_send(retirement("f", Mode::Strict)).unwrap();
+    fleet.until("in force", |f| f.sessions().iter().all(|s| in_force(s, "f")));
+    let runs: Vec<u64> = fleet.sessions().iter().map(|s| s.member.borrow().clone().unwrap().incarnation).collect();
+    (1..=3).for_each(|n| fleet.stop(n));
+    fleet.start(1);
+    // What it was shown is known before any word, as stale.
+    assert!(in_force(fleet.session(1), "f"));
+    assert!(!is_fresh(fleet.session(1), &clock()));
+    fleet.start(2);
+    fleet.start(3);
+    fleet.until("joined again", |f| f.sessions().iter().all(|s| s.member.borrow().is_some()));
+    let again: Vec<u64> = fleet.sessions().iter().map(|s| s.member.borrow().clone().unwrap().incarnation).collect();
+    assert!(runs.iter().zip(&again).all(|(before, after)| after > before), "{runs:?} {again:?}");
+    // From the keepers' own stores, not from a member's memory.
+    let options = Options { incarnations: None, ..fleet.options(&["new".into()]) };
+    let new = start(options, clock()).unwrap();
+    wait("shown to a new one", || in_force(&new.sessions["new"], "f"));
+    new.stop();
+}
+
+#[test]
+fn faults_are_told_at_once() {
+    let fleet = Fleet::started(1);
+    let err = |options: Options| start(options, clock()).err().unwrap();
+    assert!(matches!(err(fleet.keeper_options(1)), KeeperError::Listen { .. }));
+    let mut options = fleet.keeper_options(1);
+    options.keep.as_mut().unwrap().listen = "127.0.0.1:0".into();
+    assert!(matches!(err(options.clone()), KeeperError::InUse { .. }));
+    options.keep.as_mut().unwrap().number = 9;
+    assert!(matches!(err(options.clone()), KeeperError::NotAKeeper { number: 9 }));
+    options.keepers.clear();
+    assert!(matches!(err(options), KeeperError::NoKeepers));
+    let mut options = fleet.options(&[]);
+    options.pace.election_ms = (100, 200);
+    assert!(matches!(err(options), KeeperError::Pace { .. }));
+    assert!(terms().held() < terms().given());
+}
--- /dev/null
+++ b/crates/keeper/tests/common/mod.rs
@@ -0,0 +1,158 @@
+//! Several keepers in one test process, with a relay before each.
+#![allow(dead_code)]
+
+pub mod relay;
+
+use relay::Relay;
+use stagehoist_keeper::{start, Keep, Now, Options, Pace, Running, Session};
+use stagehoist_registry::{Mode, Retirement, State, Terms, Tombstone};
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A limit in real time that only a fault reaches.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+pub fn terms() -> Terms {
+    Terms { lease: 1_000_000, drift_ppm: 1000, quorum: 500_000, remember: 600_000_000 }
+}
+
+pub fn clock() -> Now {
+    let began = Instant::now();
+    Arc::new(move || i64::try_from(began.elapsed().as_micros()).unwrap())
+}
+
+/// A port that nobody listens on, out of the range that connections going out take theirs from.
+fn port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let base = 12_000 + u16::try_from(std::process::id() % 200).unwrap() * 80;
+    loop {
+        let port = base + NEXT.fetch_add(1, Ordering::Relaxed);
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
+}
+
+/// Keepers 1 to n, each behind a relay; every process reaches every keeper by its relay.
+pub struct Fleet {
+    pub folder: tempfile::TempDir,
+    pub keepers: BTreeMap<u64, String>,
+    listen: BTreeMap<u64, String>,
+    pub relays: BTreeMap<u64, Relay>,
+    pub running: BTreeMap<u64, Running>,
+}
+
+impl Fleet {
+    pub fn new(keepers: u64) -> Fleet {
+        let listen: BTreeMap<u64, String> =
+            (1..=keepers).map(|n| (n, format!("127.0.0.1:{}", port()))).collect();
+        let relays: BTreeMap<u64, Relay> = listen.iter().map(|(n, to)| (*n, Relay::new(to))).collect();
+        let keepers = relays.iter().map(|(n, r)| (*n, r.address.clone())).collect();
+        Fleet { folder: tempfile::tempdir().unwrap(), keepers, listen, relays, running: BTreeMap::new() }
+    }
+
+    /// Keepers started, each with a member `mN`.
+    pub fn started(keepers: u64) -> Fleet {
+        let mut fleet = Fleet::new(keepers);
+        for number in 1..=keepers {
+            fleet.start(number);
+        }
+        fleet
+    }
+
+    pub fn store(&self, number: u64) -> PathBuf {
+        self.folder.path().join(format!("k{number}"))
+    }
+
+    pub fn listens(&self, number: u64) -> &str {
+        &self.listen[&number]
+    }
+
+    pub fn options(&self, members: &[String]) -> Options {
+        Options {
+            keepers: self.keepers.clone(),
+            keep: None,
+            terms: terms(),
+            edition: 0,
+            pools: Vec::new(),
+            members: members.to_vec(),
+            incarnations: Some(self.folder.path().join("incarnations")),
+            seed: 1,
+            pace: Pace::default(),
+        }
+    }
+
+    pub fn keeper_options(&self, number: u64) -> Options {
+        let keep = Keep { number, listen: self.listen[&number].clone(), store: self.store(number) };
+        Options { keep: Some(keep), ..self.options(&[format!("m{number}")]) }
+    }
+
+    pub fn start(&mut self, number: u64) {
+        let running = start(self.keeper_options(number), clock()).unwrap();
+        self.running.insert(number, running);
+    }
+
+    pub fn stop(&mut self, number: u64) {
+        if let Some(running) = self.running.remove(&number) {
+            running.stop();
+        }
+    }
+
+    pub fn leader(&self) -> Option<u64> {
+        let leads = |r: &Running| r.figures().borrow().is_leader;
+        self.running.iter().find(|(_, r)| leads(r)).map(|(n, _)| *n)
+    }
+
+    pub fn sessions(&self) -> Vec<&Session> {
+        self.running.values().flat_map(|r| r.sessions.values()).collect()
+    }
+
+    pub fn session(&self, number: u64) -> &Session {
+        &self.running[&number].sessions[&format!("m{number}")]
+    }
+
+    /// Waits for something while every front end confirms what it is shown.
+    pub fn until(&self, what: &str, is_so: impl Fn(&Fleet) -> bool) {
+        let sessions = self.sessions();
+        wait(what, || {
+            sessions.iter().for_each(|s| confirm(s));
+            is_so(self)
+        });
+    }
+}
+
+pub fn wait(what: &str, mut is_so: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !is_so() {
+        assert!(began.elapsed() < LIMIT, "not within {LIMIT:?}: {what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// As a front end that serves nothing of what the view names.
+pub fn confirm(session: &Session) {
+    let version = session.standing.borrow().view.version;
+    session.told.send_if_modified(|told| std::mem::replace(&mut told.confirmed, version) != version);
+}
+
+pub fn is_fresh(session: &Session, now: &Now) -> bool {
+    !session.standing.borrow().is_stale(now())
+}
+
+pub fn retirement(function: &str, mode: Mode) -> Retirement {
+    let (function, reason) = (function.to_string(), "test".to_string());
+    Retirement { function, generation: 1, successor: None, reason, mode, asked_ms: 0 }
+}
+
+pub fn shown(session: &Session, function: &str) -> Option<Tombstone> {
+    session.standing.borrow().view.retired(function, 1).cloned()
+}
+
+/// In force, with nobody left out.
+pub fn in_force(session: &Session, function: &str) -> bool {
+    shown(session, function).is_some_and(|t| matches!(t.state, State::InForce { but_for } if but_for.is_empty()))
+}
--- /dev/null
+++ b/crates/keeper/tests/hostile.rs
@@ -0,0 +1,94 @@
+//! Connections that do not keep to the protocol: closed, and nobody else is harmed.
+
+mod common;
+
+use common::{in_force, retirement, Fleet};
+use stagehoist_registry::{Mode, Retirement, ToKeeper, PROTOCOL};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+fn frame(body: &[u8]) -> Vec<u8> {
+    let mut bytes = u32::try_from(body.len()).unwrap().to_be_bytes().to_vec();
+    bytes.extend(body);
+    bytes
+}
+
+/// As `frames::First::Member` is written.
+fn first(message: &ToKeeper) -> Vec<u8> {
+    let mut body = b"stk1\x01".to_vec();
+    body.extend(postcard::to_stdvec(message).unwrap());
+    frame(&body)
+}
+
+fn hello(protocol: u16, name: &str) -> ToKeeper {
+    let name = name.into();
+    ToKeeper::Hello { protocol, name, member: None, at_least: 0, edition: 0, pools: Vec::new() }
+}
+
+/// Everything that comes until the other side closes.
+fn closed(stream: &mut TcpStream) -> Vec<u8> {
+    stream.set_read_timeout(Some(common::LIMIT)).unwrap();
+    let mut bytes = Vec::new();
+    let mut part = [0; 4096];
+    loop {
+        match stream.read(&mut part) {
+            Ok(0) => return bytes,
+            Ok(n) => bytes.extend(&part[..n]),
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return bytes,
+            Err(e) => panic!("not closed: {e}"),
+        }
+    }
+}
+
+#[test]
+fn garbage_oversized_frames_and_other_protocols_are_closed_and_harm_no_one() {
+    let fleet = Fleet::started(3);
+    fleet.until("a leader", |f| f.leader().is_some());
+    let leader = fleet.leader().unwrap();
+    let connect = || TcpStream::connect(fleet.listens(leader)).unwrap();
+    let send = |bytes: &[u8]| {
+        let mut stream = connect();
+        stream.write_all(bytes).unwrap();
+        closed(&mut stream)
+    };
+    assert!(send(&frame(b"GET / HTTP/1.1\r\n\r\n")).is_empty());
+    assert!(send(&u32::MAX.to_be_bytes()).is_empty());
+    assert!(send(&frame(b"stk1\x07nothing")).is_empty());
+    assert!(send(b"").is_empty(), "one that says nothing is closed in time");
+    let refused = send(&first(&hello(PROTOCOL + 1, "x")));
+    assert!(refused.windows(8).any(|w| w == b"protocol"), "{refused:?}");
+    // A peer of another protocol (number 9), then one that claims this keeper's own number.
+    assert!(send(&frame(b"stk1\x00\x09\x01\x02")).is_empty());
+    assert!(send(&frame(&[b"stk1\x00\x01".as_slice(), &[leader as u8, leader as u8]].concat())).is_empty());
+    // In a session: a report of garbage.
+    let mut stream = connect();
+    stream.write_all(&first(&hello(PROTOCOL, "y"))).unwrap();
+    stream.write_all(&frame(&[9; 40])).unwrap();
+    closed(&mut stream);
+    fleet.session(1).retire.try_send(retirement("f", Mode::Available)).unwrap();
+    fleet.until("the others go on", |f| f.sessions().iter().all(|s| in_force(s, "f")));
+}
+
+#[test]
+fn one_that_does_not_read_is_cut_off_and_the_others_go_on() {
+    let fleet = Fleet::started(3);
+    fleet.until("a leader", |f| f.leader().is_some());
+    let leader = fleet.leader().unwrap();
+    let mut stream = TcpStream::connect(fleet.listens(leader)).unwrap();
+    stream.write_all(&first(&hello(PROTOCOL, "deaf"))).unwrap();
+    // Views that fill whatever lies between: each is sent whole.
+    let reason = "r".repeat(60_000);
+    for turn in 0..64 {
+        let one = Retirement { reason: reason.clone(), ..retirement(&format!("f{turn}"), Mode::Available) };
+        let session = fleet.session(1);
+        session.retire.try_send(one).unwrap();
+        fleet.until("shown", |f| common::shown(f.session(1), &format!("f{turn}")).is_some());
+        if turn > 14 {
+            break;
+        }
+    }
+    fleet.until("the others go on", |f| f.sessions().iter().all(|s| common::shown(s, "f14").is_some()));
+    stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+    assert!(fleet.running[&leader].figures().borrow().sessions <= 4);
+}
--- /dev/null
+++ b/crates/keeper/tests/lost.rs
@@ -0,0 +1,129 @@
+//! Keepers whose stores are damaged, set back or gone.
+
+mod common;
+
+use common::{in_force, retirement, Fleet};
+use stagehoist_registry::Mode;
+use std::path::Path;
+
+fn copy(from: &Path, to: &Path) {
+    std::fs::create_dir_all(to).unwrap();
+    for entry in std::fs::read_dir(from).unwrap() {
+        let entry = entry.unwrap();
+        std::fs::copy(entry.path(), to.join(entry.file_name())).unwrap();
+    }
+}
+
+fn set_aside(fleet: &Fleet, number: u64) -> usize {
+    let names = std::fs::read_dir(fleet.store(number)).unwrap();
+    names.filter(|n| n.as_ref().unwrap().file_name().to_string_lossy().contains(".damaged-")).count()
+}
+
+fn retire(fleet: &Fleet, at: u64, function: &str) {
+    fleet.session(at).retire.try_send(retirement(function, Mode::Available)).unwrap();
+    fleet.until(function, |f| f.sessions().iter().all(|s| in_force(s, function)));
+}
+
+/// Keepers 1 and 2 go on, 3 is stopped, its store treated, and started again; then 1 stops, so that 3 is needed.
+fn comes_back(treat: impl Fn(&Path), is_set_aside: bool) {
+    let mut fleet = Fleet::started(3);
+    retire(&fleet, 3, "a");
+    fleet.stop(3);
+    treat(&fleet.store(3));
+    fleet.start(3);
+    assert_eq!(set_aside(&fleet, 3) > 0, is_set_aside);
+    retire(&fleet, 3, "b");
+    // It votes and holds the record once what it lost came back: with one other it is a majority.
+    fleet.until("it is back", |f| f.running[&3].figures().borrow().leader.is_some());
+    fleet.until("its store knows no bound", |_| true);
+    fleet.stop(1);
+    retire(&fleet, 3, "c");
+    assert!(["a", "b", "c"].iter().all(|f| in_force(fleet.session(3), f)));
+}
+
+#[test]
+fn a_keeper_with_a_damaged_store_is_brought_back_by_the_others() {
+    comes_back(
+        |store| {
+            let path = store.join("record.redb");
+            let mut bytes = std::fs::read(&path).unwrap();
+            bytes.iter_mut().step_by(97).for_each(|b| *b = !*b);
+            std::fs::write(&path, bytes).unwrap();
+        },
+        true,
+    );
+}
+
+#[test]
+fn a_keeper_whose_store_was_cut_short_is_brought_back_by_the_others() {
+    comes_back(
+        |store| {
+            let path = store.join("record.redb");
+            let length = std::fs::metadata(&path).unwrap().len();
+            std::fs::OpenOptions::new().write(true).open(&path).unwrap().set_len(length / 3).unwrap();
+        },
+        true,
+    );
+}
+
+#[test]
+fn a_keeper_whose_disk_is_empty_is_brought_back_by_the_others() {
+    comes_back(|store| std::fs::remove_dir_all(store).unwrap(), false);
+}
+
+#[test]
+fn a_keeper_whose_store_alone_is_gone_is_brought_back_by_the_others() {
+    comes_back(|store| std::fs::remove_file(store.join("record.redb")).unwrap(), true);
+}
+
+#[test]
+fn a_store_set_back_to_an_older_copy_is_told_by_its_guard() {
+    let mut fleet = Fleet::started(3);
+    retire(&fleet, 1, "a");
+    fleet.stop(3);
+    let old = fleet.folder.path().join("old");
+    copy(&fleet.store(3), &old);
+    fleet.start(3);
+    retire(&fleet, 3, "b");
+    fleet.stop(3);
+    // As it was: taken for whole.
+    fleet.start(3);
+    assert_eq!(set_aside(&fleet, 3), 0);
+    fleet.stop(3);
+    std::fs::copy(old.join("record.redb"), fleet.store(3).join("record.redb")).unwrap();
+    fleet.start(3);
+    assert_eq!(set_aside(&fleet, 3), 1);
+    retire(&fleet, 3, "c");
+    // Store and guard set back together can't be told: this is what the guard is for.
+    fleet.stop(3);
+    std::fs::copy(old.join("record.redb"), fleet.store(3).join("record.redb")).unwrap();
+    std::fs::copy(old.join("guard"), fleet.store(3).join("guard")).unwrap();
+    let options = fleet.keeper_options(3);
+    let running = stagehoist_keeper::start(options, common::clock()).unwrap();
+    assert_eq!(set_aside(&fleet, 3), 1);
+    running.stop();
+}
+
+#[test]
+fn keepers_are_added_and_removed_by_what_they_are_told() {
+    let mut fleet = Fleet::new(4);
+    let all = fleet.keepers.clone();
+    fleet.keepers.remove(&4);
+    (1..=3).for_each(|n| fleet.start(n));
+    retire(&fleet, 1, "a");
+    // Told of the fourth by a restart of one after the other.
+    fleet.keepers = all;
+    for number in 1..=3 {
+        fleet.stop(number);
+        fleet.start(number);
+        fleet.until("a leader", |f| f.leader().is_some());
+    }
+    fleet.start(4);
+    retire(&fleet, 4, "b");
+    // With four, two are no majority; with 1 gone and 4 in its place, three are.
+    fleet.until("a leader that knows of four", |f| f.leader().is_some());
+    std::thread::sleep(std::time::Duration::from_secs(5));
+    fleet.stop(1);
+    retire(&fleet, 4, "c");
+    assert!(in_force(fleet.session(4), "a"));
+}
