--- a/crates/keeper/src/keep/desk_state.rs
+++ b/crates/keeper/src/keep/desk_state.rs
@@ -3,7 +3,7 @@
 use super::desk::Tools;
 use crate::figures::Figures;
 use crate::frames::{encode, SAID_MOST, VIEW_MOST};
-use crate::kinds::{Applied, Batch, Dones, Metrics};
+use crate::kinds::{Applied, Batch, Dones, Metrics, CHANGES_MOST};
 use bytes::Bytes;
 use openraft::ServerState;
 use stagehoist_registry::{Command, Done, Lead, Member, Micros, Report, ToKeeper, ToMember, Version, PROTOCOL};
@@ -15,7 +15,7 @@
 
 /// Changes that wait to be proposed, and most in one entry.
 const QUEUE_MOST: usize = 4096;
-const BATCH_MOST: usize = 512;
+const BATCH_MOST: usize = CHANGES_MOST as usize / 2;
 /// Length of an entry in bytes, but for one change that is longer alone.
 const ENTRY_MOST: usize = 2 * SAID_MOST;
 const PROPOSAL_MOST: Duration = Duration::from_secs(3);
@@ -139,7 +139,7 @@
         if edition > self.record.record.view.edition {
             self.propose(For::Nobody, Command::Pools { edition, pools });
         }
-        match member.filter(|m| m.name == name && self.record.record.present().any(|p| p == *m)) {
+        match member.filter(|m| m.name == name && self.record.record.is_present(m)) {
             Some(member) => self.welcome(conn, member),
             None => self.propose(For::Join(conn), Command::Join { name, at_least }),
         }
@@ -211,6 +211,9 @@
                 (For::Join(conn), Some(Done::Joined(member))) if self.conns.contains_key(&conn) => {
                     self.welcome(conn, member.clone());
                 }
+                (For::Join(conn), Some(Done::Refused { why })) => {
+                    self.turn_away(conn, ToMember::Refused { why: why.clone() });
+                }
                 // Its front end comes again; a run that was counted in vain is not missed.
                 (For::Join(conn), None) => self.close(conn, "not agreed on"),
                 (For::Leave(conn), _) => self.close(conn, "left"),
--- a/crates/keeper/src/kinds.rs
+++ b/crates/keeper/src/kinds.rs
@@ -4,6 +4,9 @@
 use stagehoist_registry::{Command, Done, Record};
 use std::sync::Arc;
 
+/// Numbers of changes that each entry takes up, so that each change has its own: the record compares them.
+pub const CHANGES_MOST: u64 = 1024;
+
 /// Changes that are agreed on as one entry: what came while the entry before was under way.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Batch(pub Vec<Command>);
--- a/crates/keeper/src/store/machine.rs
+++ b/crates/keeper/src/store/machine.rs
@@ -1,7 +1,7 @@
 //! The record as Raft applies it, and its snapshots.
 
 use super::{fault, key, Outcome, Store, StoreFault};
-use crate::kinds::{Applied, Dones, Entry, Fault, Kept, LogId, Members};
+use crate::kinds::{Applied, Dones, Entry, Fault, Kept, LogId, Members, CHANGES_MOST};
 use openraft::storage::RaftStateMachine;
 use openraft::{EntryPayload, OptionalSend, RaftSnapshotBuilder, Snapshot, SnapshotMeta};
 use redb::Durability;
@@ -45,9 +45,10 @@
         self.last = Some(entry.log_id);
         match entry.payload {
             EntryPayload::Blank => Dones(Vec::new()),
-            // One entry is one change of the record's version; nobody sees half of it.
+            // Each change has a number of its own; nobody sees half an entry.
             EntryPayload::Normal(batch) => {
-                Dones(batch.0.iter().map(|c| self.record.apply(entry.log_id.index, c)).collect())
+                let numbers = entry.log_id.index * CHANGES_MOST..;
+                Dones(numbers.zip(&batch.0).map(|(n, c)| self.record.apply(n, c)).collect())
             }
             EntryPayload::Membership(members) => {
                 self.members = Members::new(Some(entry.log_id), members);
