--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,5 +1,8 @@
 //! A front end of a fleet without sockets: its keepers' word, its calls and its workers' answers are told by the test.
 
+// Each test target takes its part of it.
+#![allow(dead_code)]
+
 use bytes::Bytes;
 use stagehoist::{Micros, Note, Outcome};
 use stagehoist_config::{parse, Config};
--- /dev/null
+++ b/crates/gateway/tests/fleet_sockets.rs
@@ -0,0 +1,102 @@
+//! Between a choice and its bytes lies a connection: what became retired or doubtful meanwhile is not written.
+
+mod common;
+
+use bytes::Bytes;
+use common::*;
+use stagehoist::Outcome;
+use stagehoist_config::parse;
+use stagehoist_gateway::clock::Clock;
+use stagehoist_gateway::fleet::{Desk, Gate};
+use stagehoist_gateway::state::{Attempt, News};
+use stagehoist_gateway::workers::Workers;
+use stagehoist_registry::{Record, Standing};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// What comes of an attempt and of an order to load, and the bytes that the worker got; `retires` and `at` as they are once
+/// the choices were made.
+async fn sent(function: &str, retires: Option<&str>, at: i64) -> (Outcome, Outcome, usize) {
+    let text = "class lookup aim 800ms give-up 2500ms\nfunction f class lookup memory 64MB\n\
+                function strict class lookup memory 64MB retire strict\nbroker amqp://127.0.0.1:1/\nconsume calls\n\
+                worker-list file none\nmember a\nkeeper 1 127.0.0.1:1\n";
+    let config = Rc::new(parse("s.conf", text).unwrap());
+    let now = Rc::new(Cell::new(0));
+    let mut gate = Gate::new(config.clone());
+    gate.told(Standing { fresh_until: 100, ..Standing::default() });
+    let clock = now.clone();
+    let desk = Desk::new(gate, move || clock.get());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address: Rc<str> = listener.local_addr().unwrap().to_string().into();
+    let (news, mut told) = mpsc::channel(8);
+    let workers = Workers::new(config, Clock::new(), news, Some(desk.clone()));
+    workers.attempt(Attempt {
+        request: 1,
+        attempt: 0,
+        worker: 1,
+        address: address.clone(),
+        class: 0,
+        function: function.into(),
+        due: 0,
+        body: Bytes::from_static(b"{}"),
+        content_type: None,
+        correlation: "c".into(),
+    });
+    workers.load((1, address), (7, function), 1);
+    // The choices are made, and their connections not yet there.
+    now.set(at);
+    let mut record = Record::default();
+    retires.iter().for_each(|f| drop(record.apply(1, &retire(f, 1))));
+    desk.gate_mut().told(Standing { view: Arc::new(record.view), fresh_until: 100, ..Standing::default() });
+    let (mut run, mut loaded, mut bytes) = (None, None, 0);
+    let mut streams = Vec::new();
+    while run.is_none() || loaded.is_none() {
+        tokio::select! {
+            item = told.recv() => match item.unwrap() {
+                News::Attempt { result, .. } => run = Some(result.outcome),
+                News::Loaded { outcome, .. } => loaded = Some(outcome),
+                other => panic!("{other:?}"),
+            },
+            accepted = listener.accept() => {
+                let mut stream = accepted.unwrap().0;
+                let mut buffer = vec![0; 4096];
+                // A connection on which nothing is written is closed, or stays as it is.
+                let read = tokio::time::timeout(Duration::from_millis(500), stream.read(&mut buffer)).await;
+                if let Ok(Ok(n @ 1..)) = read {
+                    bytes += n;
+                    stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}").await.unwrap();
+                }
+                streams.push(stream);
+            }
+        }
+    }
+    (run.unwrap(), loaded.unwrap(), bytes)
+}
+
+#[tokio::test]
+async fn nothing_is_written_for_a_function_that_closed_while_the_connection_came_to_stand() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            for (function, retires, at) in
+                [("f", Some("f"), 50), ("strict", None, 100), ("strict", Some("strict"), 50)]
+            {
+                let nothing = (Outcome::Moot, Outcome::Timeout, 0);
+                assert_eq!(sent(function, retires, at).await, nothing, "{function} {retires:?} {at}");
+            }
+            // Open functions get through, the others' closing notwithstanding.
+            for (function, retires, at) in
+                [("f", None, 50), ("f", Some("strict"), 100), ("strict", Some("f"), 99)]
+            {
+                let (run, loaded, bytes) = sent(function, retires, at).await;
+                assert_eq!((run, loaded), (Outcome::Ok, Outcome::Ok), "{function} {retires:?} {at}");
+                assert!(bytes > 0);
+            }
+        })
+        .await;
+}
