--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,15 +13,23 @@
 #![forbid(unsafe_code)]
 
 mod build;
+mod fleet;
+mod fleet_grammar;
 mod grammar;
 mod lexer;
+mod model;
+mod nearest;
+mod parts;
 mod render;
+mod settings;
+mod source;
 mod value;
+mod words;
 
-pub use build::{
-    broker, Broker, Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant,
-};
+pub use fleet::{ends_numbered, Fleet, Keep, Pool};
 pub use lexer::{load, parse};
+pub use model::{Broker, Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
+pub use parts::broker;
 pub use value::{parse_duration, parse_size, Value};
 
 use std::fmt;
