Members as NAME/N and keepers' events by name are understood

Need: a process names its front ends NAME/0, NAME/1, ..., and a keeper tells who leads by an event's name, in other words where it stops leading; a front end left out of a retirement would not have been recognised, and a leader of before taken for the leader. Change: both forms are read.

--- a/crates/stage/src/fleet.rs
+++ b/crates/stage/src/fleet.rs
@@ -9,9 +9,9 @@
     format!("fe-{front_end}")
 }
 
-/// The front end of a member's name.
+/// The front end of a member's name. A process may tell its only front end's number after it, as `fe-2/0`.
 pub fn front_end(member: &str) -> Option<u32> {
-    member.strip_prefix("fe-")?.parse().ok()
+    member.strip_prefix("fe-")?.split('/').next()?.parse().ok()
 }
 
 /// The number of the keeper in a front end's process, where it has one.
@@ -90,10 +90,12 @@
         let last = log.lines().rev().find_map(|line| {
             let line: serde_json::Value = serde_json::from_str(line).ok()?;
             let text = |field: &str| line.get(field).and_then(|v| v.as_str());
-            let message = text("message").filter(|m| matches!(*m, "leading" | "following"))?;
+            // The event's name, or where there is none its words.
+            let known = |word: &&str| matches!(*word, "leading" | "following");
+            let event = text("event").or(text("message")).filter(known)?;
             let keeper = line.get("keeper")?.as_u64()?;
             let ours = text("target")?.starts_with("stagehoist_keeper") && keeper == u64::from(front_end) + 1;
-            ours.then(|| (message == "leading", text("timestamp").unwrap_or_default().to_string()))
+            ours.then(|| (event == "leading", text("timestamp").unwrap_or_default().to_string()))
         });
         // Time stamps are of one clock and one width, so they compare as text.
         if let Some((true, at)) = last {
--- a/crates/stage/src/fleet/tests.rs
+++ b/crates/stage/src/fleet/tests.rs
@@ -44,6 +44,26 @@
     )
 }
 
+#[test]
+fn a_member_is_known_by_its_name_with_and_without_the_number_in_its_process() {
+    assert_eq!(front_end(&member(7)), Some(7));
+    assert_eq!([front_end("fe-4/0"), front_end("fe-x"), front_end("b/1")], [Some(4), None, None]);
+}
+
+#[test]
+fn a_keeper_that_tells_of_another_leader_in_other_words_leads_no_more() {
+    let named = |event: &str, message: &str, at: u32| {
+        format!(
+            "{{\"timestamp\":\"2026-01-01T00:00:00.{at:06}Z\",\"event\":\"{event}\",\"keeper\":1,\"message\":\"{message}\",\
+             \"target\":\"stagehoist_keeper\"}}\n"
+        )
+    };
+    let leading = named("following", "who leads has changed", 1) + &named("leading", "leading", 2);
+    assert_eq!(leader([(0, leading.as_str())].into_iter()), Some(0));
+    let over = leading + &named("following", "no longer leading", 3);
+    assert_eq!(leader([(0, over.as_str())].into_iter()), None);
+}
+
 #[test]
 fn the_leader_is_whoever_said_last_that_it_leads_and_took_nothing_back() {
     let ours = "stagehoist_keeper::node";
--- a/crates/stage/src/retired.rs
+++ b/crates/stage/src/retired.rs
@@ -108,7 +108,7 @@
         retirements.asked("clashes", 1_000);
         retirements.read("clashes 1 proposed 12\n", 2_000);
         assert_eq!(retirements.seen["clashes"].in_force, None);
-        retirements.read("clashes 1 in-force 30 but-for fe-2,fe-4\n", 5_000);
+        retirements.read("clashes 1 in-force 30 but-for fe-2/0,fe-4\n# version 9\n", 5_000);
         let seen = &retirements.seen["clashes"];
         assert_eq!((seen.proposed, seen.in_force), (Some(2_000), Some(5_000)));
         assert_eq!(seen.confirmed_from, BTreeMap::from([(2, NEVER), (4, NEVER)]));
