--- a/crates/stage/src/stack/fleet.rs
+++ b/crates/stage/src/stack/fleet.rs
@@ -4,17 +4,13 @@
 use crate::day::{Day, StoreFault};
 use crate::fleet::{leader, lines, Files};
 use crate::relay::{Fault, Port};
-use rustix::process::Signal;
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::path::Path;
-use std::time::Duration;
 use tokio::sync::watch;
 
 /// Bytes overwritten in the middle of a damaged store.
 const DAMAGE: u64 = 4096;
-/// Longest time for a killed process to be gone.
-const GONE: Duration = Duration::from_secs(5);
 
 /// A relay that has yet to be served: its port, the far side, its commands.
 pub(super) type Waiting = (Port, String, watch::Receiver<Fault>);
@@ -139,12 +135,6 @@
     pub fn keep(&self, to: &Path) -> std::io::Result<()> {
         replace(self.folder.path(), &to.join("stack"))
     }
-
-    /// Kills a front end's process and waits until it is gone.
-    pub fn kill_front_end(&mut self, front_end: u32) {
-        self.signal(front_end, Signal::KILL);
-        self.wait_end(front_end, GONE);
-    }
 }
 
 /// Puts a copy of a folder in the place of another. A folder that is not there counts as empty.
