--- a/crates/keeper/src/client.rs
+++ b/crates/keeper/src/client.rs
@@ -24,7 +24,7 @@
 const REPORT_GAP: Duration = Duration::from_millis(5);
 const WELCOME_MOST: Duration = Duration::from_secs(5);
 const LEAVE_MOST: Duration = Duration::from_secs(1);
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(300));
 
 /// What a session is made with.
 pub struct Client {
@@ -59,6 +59,7 @@
     open: VecDeque<Retirement>,
     joined: Option<Member>,
     may_retire: bool,
+    welcomed: bool,
 }
 
 /// Runs a session until it is stopped.
@@ -72,7 +73,15 @@
     let first = random.random_range(0..numbers.len().max(1));
     numbers.rotate_left(first);
     let mut stop = client.stop.clone();
-    let mut state = State { client, holder, random, open: VecDeque::new(), joined: None, may_retire: true };
+    let mut state = State {
+        client,
+        holder,
+        random,
+        open: VecDeque::new(),
+        joined: None,
+        may_retire: true,
+        welcomed: false,
+    };
     let (mut turn, mut next, mut backoff) = (0, None, BACKOFF.0);
     loop {
         if *stop.borrow() || numbers.is_empty() {
@@ -82,16 +91,17 @@
             turn += 1;
             numbers[turn % numbers.len()]
         });
-        let began = Instant::now();
         let end = state.connect(number).await;
         state.holder.lost();
-        if began.elapsed() > WELCOME_MOST {
+        if std::mem::take(&mut state.welcomed) {
             backoff = BACKOFF.0;
         }
         match end {
             End::Stopped => return,
             // Told where, and not sent round in a circle.
-            End::Elsewhere(Some(leader)) if backoff < BACKOFF.1 && state.client.keepers.contains_key(&leader) => {
+            End::Elsewhere(Some(leader))
+                if backoff < BACKOFF.1 && state.client.keepers.contains_key(&leader) =>
+            {
                 next = Some(leader);
                 backoff = (backoff * 2).min(BACKOFF.1);
             }
@@ -115,7 +125,9 @@
 
     async fn connect(&mut self, number: u64) -> End {
         let Some(address) = self.client.keepers.get(&number) else { return End::Broken };
-        let Ok(Ok(stream)) = timeout(CONNECT_MOST, TcpStream::connect(address)).await else { return End::Broken };
+        let Ok(Ok(stream)) = timeout(CONNECT_MOST, TcpStream::connect(address)).await else {
+            return End::Broken;
+        };
         let mut frames = frames(stream, VIEW_MOST);
         let hello = ToKeeper::Hello {
             protocol: PROTOCOL,
@@ -167,6 +179,7 @@
         }
         self.client.member.send_replace(Some(member.clone()));
         self.joined = Some(member);
+        self.welcomed = true;
         Ok(())
     }
 
@@ -302,4 +315,3 @@
 pub fn seed(seed: u64, name: &str) -> u64 {
     seed ^ crate::store::sum(name.as_bytes())
 }
-
--- a/crates/keeper/src/frames.rs
+++ b/crates/keeper/src/frames.rs
@@ -5,8 +5,9 @@
 use serde::{Deserialize, Serialize};
 use stagehoist_registry::ToKeeper;
 use std::time::Duration;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::{Framed, FramedRead, FramedWrite, LengthDelimitedCodec};
 
 /// Longest frames in bytes: a connection's first, what a front end says then, what it is told, between keepers.
 pub const FIRST_MOST: usize = 1 << 20;
@@ -26,6 +27,8 @@
 const MAGIC: [u8; 4] = *b"stk1";
 
 pub type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+pub type Reading = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+pub type Writing = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
 
 #[derive(Debug, Serialize, Deserialize)]
 pub enum First {
@@ -39,6 +42,17 @@
     Framed::new(stream, LengthDelimitedCodec::builder().max_frame_length(most).new_codec())
 }
 
+/// A front end's connection at a keeper, in two: what it says is shorter than what it is told.
+pub fn apart(frames: Frames) -> (Reading, Writing) {
+    let parts = frames.into_parts();
+    let (read, write) = parts.io.into_split();
+    let codec = |most| LengthDelimitedCodec::builder().max_frame_length(most).new_codec();
+    let mut reading = FramedRead::new(read, codec(SAID_MOST));
+    // What came behind the first frame.
+    *reading.read_buffer_mut() = parts.read_buf;
+    (reading, FramedWrite::new(write, codec(VIEW_MOST)))
+}
+
 pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, postcard::Error> {
     postcard::to_stdvec(message).map(Bytes::from)
 }
--- a/crates/keeper/src/keep/desk_state.rs
+++ b/crates/keeper/src/keep/desk_state.rs
@@ -6,7 +6,9 @@
 use crate::kinds::{Applied, Batch, Dones, Metrics, CHANGES_MOST};
 use bytes::Bytes;
 use openraft::ServerState;
-use stagehoist_registry::{Command, Done, Lead, Member, Micros, Report, ToKeeper, ToMember, Version, PROTOCOL};
+use stagehoist_registry::{
+    Command, Done, Lead, Member, Micros, Report, ToKeeper, ToMember, Version, PROTOCOL,
+};
 use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
 use std::pin::Pin;
@@ -222,7 +224,9 @@
                 }
                 _ => {}
             }
-            if let (Command::InForce { function, generation, but_for }, Some(Done::Changed)) = (command, results.get(at)) {
+            if let (Command::InForce { function, generation, but_for }, Some(Done::Changed)) =
+                (command, results.get(at))
+            {
                 tracing::info!(target: "stagehoist_keeper", event = "retirement", %function, generation, ?but_for,
                     "in force");
             }
--- a/crates/keeper/src/keep/listen.rs
+++ b/crates/keeper/src/keep/listen.rs
@@ -5,7 +5,7 @@
 use super::serve::serve;
 use super::wire::{Answer, Call};
 use crate::frames::{
-    decode, decode_first, encode, frames, First, Frames, FIRST_MOST, PEER_MOST, PEER_PROTOCOL, SAID_MOST, WRITE_MOST,
+    decode, decode_first, encode, frames, First, Frames, FIRST_MOST, PEER_MOST, PEER_PROTOCOL, WRITE_MOST,
 };
 use futures_util::{SinkExt, StreamExt};
 use std::sync::Arc;
@@ -51,10 +51,7 @@
     let mut frames = frames(stream, FIRST_MOST);
     let Ok(Some(Ok(first))) = timeout(FIRST_WITHIN, frames.next()).await else { return };
     match decode_first(&first) {
-        Some(First::Member(hello)) => {
-            frames.codec_mut().set_max_frame_length(SAID_MOST);
-            serve(conn, frames, hello, desk).await;
-        }
+        Some(First::Member(hello)) => serve(conn, frames, hello, desk).await,
         Some(First::Peer { protocol: PEER_PROTOCOL, from, to }) if to == own && from != own => {
             frames.codec_mut().set_max_frame_length(PEER_MOST);
             peer(frames, from, &host).await;
--- a/crates/keeper/src/keep/peer.rs
+++ b/crates/keeper/src/keep/peer.rs
@@ -9,8 +9,8 @@
 use openraft::error::{InstallSnapshotError, RPCError, RaftError, RemoteError, Unreachable};
 use openraft::network::{Backoff, RPCOption, RaftNetwork, RaftNetworkFactory};
 use openraft::raft::{
-    AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse, VoteRequest,
-    VoteResponse,
+    AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse,
+    VoteRequest, VoteResponse,
 };
 use openraft::EmptyNode;
 use std::collections::BTreeMap;
@@ -37,7 +37,12 @@
 
 impl Peers {
     /// Starts a task for each other keeper. `pause` is the time between tries of one that can't be reached.
-    pub fn start(own: u64, keepers: &BTreeMap<u64, String>, pause: Duration, tasks: &mut JoinSet<()>) -> Peers {
+    pub fn start(
+        own: u64,
+        keepers: &BTreeMap<u64, String>,
+        pause: Duration,
+        tasks: &mut JoinSet<()>,
+    ) -> Peers {
         let mut links = BTreeMap::new();
         for (number, address) in keepers.iter().filter(|(n, _)| **n != own) {
             let (calls, waiting) = mpsc::channel(WAITING_MOST);
--- a/crates/keeper/src/keep/run.rs
+++ b/crates/keeper/src/keep/run.rs
@@ -71,8 +71,15 @@
     let (notes, noted) = mpsc::channel(NOTES_MOST);
     let (raise, raised) = mpsc::channel(8);
     let host = Host { raft: raft.clone(), gate: gate.clone(), raise };
-    let tools =
-        Tools { own: number, raft: raft.clone(), gate: gate.clone(), applied: applied.clone(), now, terms: options.terms, figures };
+    let tools = Tools {
+        own: number,
+        raft: raft.clone(),
+        gate: gate.clone(),
+        applied: applied.clone(),
+        now,
+        terms: options.terms,
+        figures,
+    };
     let numbers: BTreeSet<u64> = options.keepers.keys().copied().collect();
     tasks.spawn(listen(listener, number, host, notes));
     tasks.spawn(desk(tools, noted));
--- a/crates/keeper/src/keep/serve.rs
+++ b/crates/keeper/src/keep/serve.rs
@@ -1,7 +1,7 @@
 //! A front end's connection at a keeper: frames in to the desk, frames out from it.
 
 use super::desk::{Note, Notes};
-use crate::frames::{decode, Frames, WRITE_MOST};
+use crate::frames::{apart, decode, Frames, WRITE_MOST};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use stagehoist_registry::ToKeeper;
@@ -20,7 +20,7 @@
     if desk.send(Note::Came { conn, hello, out }).await.is_err() {
         return;
     }
-    let (mut sink, mut stream) = frames.split();
+    let (mut stream, mut sink) = apart(frames);
     loop {
         tokio::select! {
             frame = timeout(SILENT_MOST, stream.next()) => {
@@ -36,11 +36,11 @@
             frame = outgoing.recv() => {
                 let Some(frame) = frame else { break };
                 let written = timeout(WRITE_MOST, async {
-                    sink.feed(frame).await?;
+                    SinkExt::<Bytes>::feed(&mut sink, frame).await?;
                     while let Ok(frame) = outgoing.try_recv() {
-                        sink.feed(frame).await?;
+                        SinkExt::<Bytes>::feed(&mut sink, frame).await?;
                     }
-                    sink.flush().await
+                    SinkExt::<Bytes>::flush(&mut sink).await
                 });
                 if !matches!(written.await, Ok(Ok(()))) {
                     tracing::warn!(target: "stagehoist_keeper", event = "session", conn, "it does not read");
--- a/crates/keeper/src/keep/tend.rs
+++ b/crates/keeper/src/keep/tend.rs
@@ -38,8 +38,12 @@
         let changed = timeout(CHANGE_MOST, change(&raft, &present, &told)).await;
         match changed {
             Ok(Ok(())) => tracing::info!(target: "stagehoist_keeper", event = "membership", ?told, "changed"),
-            Ok(Err(why)) => tracing::warn!(target: "stagehoist_keeper", event = "membership", why, "not changed"),
-            Err(_) => tracing::warn!(target: "stagehoist_keeper", event = "membership", "not changed in time"),
+            Ok(Err(why)) => {
+                tracing::warn!(target: "stagehoist_keeper", event = "membership", why, "not changed")
+            }
+            Err(_) => {
+                tracing::warn!(target: "stagehoist_keeper", event = "membership", "not changed in time")
+            }
         }
     }
 }
--- a/crates/keeper/src/keep/wire.rs
+++ b/crates/keeper/src/keep/wire.rs
@@ -3,8 +3,8 @@
 use crate::kinds::Kept;
 use openraft::error::InstallSnapshotError;
 use openraft::raft::{
-    AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse, VoteRequest,
-    VoteResponse,
+    AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse,
+    VoteRequest, VoteResponse,
 };
 use serde::{Deserialize, Serialize};
 
@@ -29,7 +29,9 @@
     /// How the other stands.
     Stand,
     /// A keeper that lost what it knew up to this term waits for a later one.
-    Raise { above: u64 },
+    Raise {
+        above: u64,
+    },
 }
 
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -65,7 +65,10 @@
     if options.keepers.is_empty() {
         return Err(KeeperError::NoKeepers);
     }
-    if pace.heartbeat_ms == 0 || pace.election_ms.0 < 2 * pace.heartbeat_ms || pace.election_ms.1 <= pace.election_ms.0 {
+    if pace.heartbeat_ms == 0
+        || pace.election_ms.0 < 2 * pace.heartbeat_ms
+        || pace.election_ms.1 <= pace.election_ms.0
+    {
         return Err(KeeperError::Pace { heartbeat_ms: pace.heartbeat_ms, election_ms: pace.election_ms });
     }
     let parts = parts(&options)?;
@@ -78,15 +81,18 @@
         clients.push(client);
     }
     let (figures_in, figures) = watch::channel(Figures::default());
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(KeeperError::Thread)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(KeeperError::Thread)?;
     let (ready, readied) = std::sync::mpsc::channel();
     let work = move || {
         runtime.block_on(life(options, parts, now, clients, figures_in, stopped, ready));
         // Tasks of Raft that still wait are dropped with the runtime, and the store with them.
         runtime.shutdown_timeout(END_MOST);
     };
-    let thread =
-        std::thread::Builder::new().name("stagehoist-keeper".into()).spawn(work).map_err(KeeperError::Thread)?;
+    let thread = std::thread::Builder::new()
+        .name("stagehoist-keeper".into())
+        .spawn(work)
+        .map_err(KeeperError::Thread)?;
     let running = Running { sessions, figures, stop, thread: Some(thread) };
     match readied.recv() {
         Ok(Ok(())) => Ok(running),
@@ -180,4 +186,3 @@
     }
     tasks.shutdown().await;
 }
-
--- a/crates/keeper/src/store/machine.rs
+++ b/crates/keeper/src/store/machine.rs
@@ -59,7 +59,8 @@
 
     fn snapshot(&self) -> Outcome<Snapshot<Kept>> {
         let snapshot_id = self.last.map_or_else(|| "0".into(), |l| format!("{}-{}", l.leader_id, l.index));
-        let meta = SnapshotMeta { last_log_id: self.last, last_membership: self.members.clone(), snapshot_id };
+        let meta =
+            SnapshotMeta { last_log_id: self.last, last_membership: self.members.clone(), snapshot_id };
         Ok(Snapshot { meta, snapshot: Box::new(Cursor::new(postcard::to_stdvec(self)?)) })
     }
 }
