--- a/crates/keeper/src/frames.rs
+++ b/crates/keeper/src/frames.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
-use tokio_util::codec::{Framed, FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::codec::{Framed, FramedParts, FramedWrite, LengthDelimitedCodec};
 
 /// Longest frames in bytes: a connection's first, what a front end says then, what it is told, between keepers.
 pub const FIRST_MOST: usize = 1 << 20;
@@ -27,7 +27,7 @@
 const MAGIC: [u8; 4] = *b"stk1";
 
 pub type Frames = Framed<TcpStream, LengthDelimitedCodec>;
-pub type Reading = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+pub type Reading = Framed<OwnedReadHalf, LengthDelimitedCodec>;
 pub type Writing = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -47,10 +47,10 @@
     let parts = frames.into_parts();
     let (read, write) = parts.io.into_split();
     let codec = |most| LengthDelimitedCodec::builder().max_frame_length(most).new_codec();
-    let mut reading = FramedRead::new(read, codec(SAID_MOST));
+    let mut reading = FramedParts::new::<Bytes>(read, codec(SAID_MOST));
     // What came behind the first frame.
-    *reading.read_buffer_mut() = parts.read_buf;
-    (reading, FramedWrite::new(write, codec(VIEW_MOST)))
+    reading.read_buf = parts.read_buf;
+    (Framed::from_parts(reading), FramedWrite::new(write, codec(VIEW_MOST)))
 }
 
 pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, postcard::Error> {
--- a/crates/keeper/src/keep/desk_state.rs
+++ b/crates/keeper/src/keep/desk_state.rs
@@ -1,27 +1,21 @@
 //! What the desk does with each note.
 
+mod agree;
+mod out;
+
 use super::desk::Tools;
 use crate::figures::Figures;
-use crate::frames::{encode, SAID_MOST, VIEW_MOST};
-use crate::kinds::{Applied, Batch, Dones, Metrics, CHANGES_MOST};
+use crate::frames::VIEW_MOST;
+use crate::kinds::{Applied, Dones, Metrics};
+use agree::QUEUE_MOST;
 use bytes::Bytes;
 use openraft::ServerState;
-use stagehoist_registry::{
-    Command, Done, Lead, Member, Micros, Report, ToKeeper, ToMember, Version, PROTOCOL,
-};
+use stagehoist_registry::{Command, Lead, Member, Micros, Report, ToKeeper, ToMember, Version, PROTOCOL};
 use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
 use std::pin::Pin;
-use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// Changes that wait to be proposed, and most in one entry.
-const QUEUE_MOST: usize = 4096;
-const BATCH_MOST: usize = CHANGES_MOST as usize / 2;
-/// Length of an entry in bytes, but for one change that is longer alone.
-const ENTRY_MOST: usize = 2 * SAID_MOST;
-const PROPOSAL_MOST: Duration = Duration::from_secs(3);
-
 /// A front end's connection.
 pub struct Conn {
     out: mpsc::Sender<Bytes>,
@@ -194,45 +188,6 @@
         }
     }
 
-    fn propose(&mut self, who: For, command: Command) {
-        if self.queue.len() < QUEUE_MOST {
-            self.queue.push_back((who, command));
-        } else if let For::Join(conn) | For::Leave(conn) = who {
-            self.close(conn, "too much waits");
-        }
-    }
-
-    /// The entry under way is agreed on, or it is not known whether it will be.
-    pub fn settle(&mut self, done: Agreed) {
-        let Some((asked, _)) = self.flight.take() else { return };
-        self.record = self.tools.applied.borrow().clone();
-        self.is_due = true;
-        let results = done.map(|d| d.0).unwrap_or_default();
-        for (at, (who, command)) in asked.into_iter().enumerate() {
-            match (who, results.get(at)) {
-                (For::Join(conn), Some(Done::Joined(member))) if self.conns.contains_key(&conn) => {
-                    self.welcome(conn, member.clone());
-                }
-                (For::Join(conn), Some(Done::Refused { why })) => {
-                    self.turn_away(conn, ToMember::Refused { why: why.clone() });
-                }
-                // Its front end comes again; a run that was counted in vain is not missed.
-                (For::Join(conn), None) => self.close(conn, "not agreed on"),
-                (For::Leave(conn), _) => self.close(conn, "left"),
-                (For::Nobody, Some(Done::Refused { why })) => {
-                    tracing::warn!(target: "stagehoist_keeper", event = "retirement", why, "a change is refused");
-                }
-                _ => {}
-            }
-            if let (Command::InForce { function, generation, but_for }, Some(Done::Changed)) =
-                (command, results.get(at))
-            {
-                tracing::info!(target: "stagehoist_keeper", event = "retirement", %function, generation, ?but_for,
-                    "in force");
-            }
-        }
-    }
-
     /// What follows from all that came in this turn.
     pub fn finish(&mut self, ticked: bool) {
         if let Some(lead) = &mut self.lead {
@@ -268,71 +223,4 @@
             });
         }
     }
-
-    fn take_off(&mut self) {
-        let mut length = 0;
-        let mut fits = |(_, command): &(For, Command)| {
-            length += encode(command).map_or(0, |c| c.len());
-            length <= ENTRY_MOST
-        };
-        let fitting = self.queue.iter().take(BATCH_MOST).take_while(|c| fits(c)).count().max(1);
-        let asked: Vec<_> = self.queue.drain(..fitting.min(self.queue.len())).collect();
-        let batch = Batch(asked.iter().map(|(_, c)| c.clone()).collect());
-        self.figures.proposals += 1;
-        self.figures.changes += asked.len() as u64;
-        let raft = self.tools.raft.clone();
-        let flight = async move {
-            let written = tokio::time::timeout(PROPOSAL_MOST, raft.client_write(batch)).await;
-            Some(written.ok()?.ok()?.data)
-        };
-        self.flight = Some((asked, Box::pin(flight)));
-    }
-
-    /// Sends the newest view, where it was not sent yet.
-    fn show(&mut self, conn: u64) {
-        let view = &self.record.record.view;
-        let Some(at) = self.conns.get_mut(&conn) else { return };
-        if at.sent == Some(view.version) {
-            return;
-        }
-        at.sent = Some(view.version);
-        if self.view.0 != view.version || self.view.1.is_empty() {
-            let Ok(frame) = encode(&ToMember::View(view.clone())) else { return };
-            self.view = (view.version, frame);
-        }
-        let frame = self.view.1.clone();
-        self.hand(conn, frame);
-    }
-
-    fn say(&mut self, conn: u64, message: &ToMember) {
-        if let Ok(frame) = encode(message) {
-            self.hand(conn, frame);
-        }
-    }
-
-    fn hand(&mut self, conn: u64, frame: Bytes) {
-        let Some(at) = self.conns.get(&conn) else { return };
-        if at.out.try_send(frame).is_ok() {
-            self.figures.messages_out += 1;
-        } else {
-            self.close(conn, "it does not read");
-        }
-    }
-
-    fn turn_away(&mut self, conn: u64, message: ToMember) {
-        self.say(conn, &message);
-        self.close(conn, "turned away");
-    }
-
-    /// Ends a connection: what was handed over still goes out.
-    pub fn close(&mut self, conn: u64, why: &str) {
-        let Some(at) = self.conns.remove(&conn) else { return };
-        if let Some(member) = at.member {
-            if self.names.get(&member.name) == Some(&conn) {
-                self.names.remove(&member.name);
-            }
-            tracing::info!(target: "stagehoist_keeper", event = "session", name = %member.name,
-                incarnation = member.incarnation, why, "left");
-        }
-    }
 }
--- a/crates/keeper/src/keep/listen.rs
+++ b/crates/keeper/src/keep/listen.rs
@@ -1,7 +1,7 @@
 //! The one address of a keeper: peers and front ends come here; their first frame tells which they are.
 
 use super::desk::Notes;
-use super::peer::Host;
+use super::host::Host;
 use super::serve::serve;
 use super::wire::{Answer, Call};
 use crate::frames::{
--- a/crates/keeper/src/keep/mod.rs
+++ b/crates/keeper/src/keep/mod.rs
@@ -4,6 +4,7 @@
 mod desk_state;
 mod form;
 mod gate;
+mod host;
 mod listen;
 mod peer;
 mod run;
--- a/crates/keeper/src/keep/peer.rs
+++ b/crates/keeper/src/keep/peer.rs
@@ -4,7 +4,7 @@
 use crate::frames::{
     decode, encode, encode_first, frames, First, Frames, CONNECT_MOST, PEER_MOST, PEER_PROTOCOL, WRITE_MOST,
 };
-use crate::kinds::{Kept, Raft};
+use crate::kinds::Kept;
 use futures_util::{SinkExt, StreamExt};
 use openraft::error::{InstallSnapshotError, RPCError, RaftError, RemoteError, Unreachable};
 use openraft::network::{Backoff, RPCOption, RaftNetwork, RaftNetworkFactory};
@@ -196,58 +196,3 @@
         Backoff::new(std::iter::repeat(self.peers.pause))
     }
 }
-
-/// What a keeper does with the calls of another.
-pub struct Host {
-    pub raft: Raft,
-    pub gate: super::gate::Gate,
-    /// Where a leader hears that another waits for a later term.
-    pub raise: mpsc::Sender<u64>,
-}
-
-/// Longest snapshot taken, in bytes.
-const SNAPSHOT_MOST: u64 = 64 << 20;
-
-impl Host {
-    pub async fn answer(&self, from: u64, ask: Ask) -> Reply {
-        match ask {
-            Ask::Append(rpc) if self.gate.may_follow(rpc.vote.leader_id.term) => {
-                self.raft.append_entries(rpc).await.map_or(Reply::Closed, Reply::Append)
-            }
-            Ask::Vote(rpc) if self.gate.may_vote() => {
-                self.raft.vote(rpc).await.map_or(Reply::Closed, Reply::Vote)
-            }
-            Ask::Snapshot(rpc)
-                if self.gate.may_follow(rpc.vote.leader_id.term)
-                    && rpc.offset.saturating_add(rpc.data.len() as u64) <= SNAPSHOT_MOST =>
-            {
-                match self.raft.install_snapshot(rpc).await {
-                    Ok(answer) => Reply::Snapshot(Ok(answer)),
-                    Err(RaftError::APIError(e)) => Reply::Snapshot(Err(e)),
-                    Err(RaftError::Fatal(_)) => Reply::Closed,
-                }
-            }
-            Ask::Append(_) | Ask::Vote(_) | Ask::Snapshot(_) => Reply::Closed,
-            Ask::Stand => Reply::Stand(self.stand(from)),
-            Ask::Raise { above } => {
-                let _ = self.raise.try_send(above);
-                Reply::Heard
-            }
-        }
-    }
-
-    fn stand(&self, from: u64) -> super::wire::Stand {
-        let metrics = self.raft.metrics().borrow().clone();
-        let (is_returning, bound) = match self.gate.state() {
-            super::gate::State::Returning { bound } => (true, bound),
-            _ => (false, 0),
-        };
-        super::wire::Stand {
-            // The first entry is the membership that all begin with; whatever follows came from a leader.
-            fresh: metrics.last_log_index.unwrap_or(0) == 0 && !is_returning,
-            open: self.gate.may_vote(),
-            term: metrics.current_term.max(bound),
-            voter: metrics.membership_config.voter_ids().any(|v| v == from),
-        }
-    }
-}
--- a/crates/keeper/src/keep/run.rs
+++ b/crates/keeper/src/keep/run.rs
@@ -3,8 +3,9 @@
 use super::desk::{desk, Tools, NOTES_MOST};
 use super::form::form;
 use super::gate::{Gate, State};
+use super::host::Host;
 use super::listen::listen;
-use super::peer::{Host, Peers};
+use super::peer::Peers;
 use super::tend::{tend, yield_term};
 use crate::figures::Figures;
 use crate::frames::{ENTRIES_MOST, PART_MOST};
--- a/crates/keeper/src/store/mod.rs
+++ b/crates/keeper/src/store/mod.rs
@@ -43,8 +43,8 @@
 
 #[derive(Debug, thiserror::Error)]
 pub enum StoreFault {
-    #[error(transparent)]
-    Db(#[from] redb::Error),
+    #[error("{0}")]
+    Db(Box<redb::Error>),
     #[error(transparent)]
     Io(#[from] std::io::Error),
     #[error(transparent)]
@@ -53,7 +53,7 @@
 
 macro_rules! faults {
     ($($kind:ident),*) => { $(impl From<redb::$kind> for StoreFault {
-        fn from(fault: redb::$kind) -> StoreFault { StoreFault::Db(fault.into()) }
+        fn from(fault: redb::$kind) -> StoreFault { StoreFault::Db(Box::new(fault.into())) }
     })* };
 }
 faults!(StorageError, TransactionError, TableError, CommitError);
--- a/crates/keeper/src/store/open.rs
+++ b/crates/keeper/src/store/open.rs
@@ -115,7 +115,8 @@
 
 /// Whether a store may go on as it is; the reason why not.
 fn judge(store: &Store, mark: Option<Mark>) -> Result<Start, String> {
-    let all = (|| -> Result<(Option<Vote>, Option<LogId>, Option<u64>), StoreFault> {
+    type Ends = (Option<Vote>, Option<LogId>, Option<u64>);
+    let all = (|| -> Result<Ends, StoreFault> {
         let read = store.db.begin_read()?;
         let table = read.open_table(LOG)?;
         for item in table.iter()? {
