--- a/crates/keeper/src/frames.rs
+++ b/crates/keeper/src/frames.rs
@@ -9,7 +9,8 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, FramedParts, FramedWrite, LengthDelimitedCodec};
 
-/// Longest frames in bytes: a connection's first, what a front end says then, what it is told, between keepers.
+/// Longest frames in bytes: a connection's first, what a front end says then, what it is told, between
+/// keepers.
 pub const FIRST_MOST: usize = 1 << 20;
 pub const SAID_MOST: usize = 256 << 10;
 pub const VIEW_MOST: usize = 4 << 20;
--- a/crates/keeper/src/keep/desk.rs
+++ b/crates/keeper/src/keep/desk.rs
@@ -1,4 +1,5 @@
-//! The desk: owner of the sessions and of what only a leader knows. Everything reaches it as notes; it says nothing while it
+//! The desk: owner of the sessions and of what only a leader knows. Everything reaches it as notes; it says
+//! nothing while it
 //! does not lead but who does.
 
 use super::desk_state::Desk;
@@ -84,7 +85,8 @@
 }
 
 impl Acks {
-    /// Raft tells the age of the answer at the time of its report, in whole milliseconds. A report that is new was made after the
+    /// Raft tells the age of the answer at the time of its report, in whole milliseconds. A report that is
+    /// new was made after the
     /// last look, so counting back from that look gives a time that is not after the true one.
     fn look(&mut self, metrics: &mut watch::Receiver<Metrics>, now: Micros) {
         if metrics.has_changed().unwrap_or(false) {
--- a/crates/keeper/src/keep/form.rs
+++ b/crates/keeper/src/keep/form.rs
@@ -10,6 +10,8 @@
 use tokio::sync::watch;
 
 const ASKED_EVERY: Duration = Duration::from_millis(200);
+/// Rounds of questions between two lines in the log.
+const TOLD_EVERY: u32 = 25;
 const RAISED_EVERY: Duration = Duration::from_secs(1);
 const ANSWER_MOST: Duration = Duration::from_millis(500);
 
@@ -32,7 +34,8 @@
         if answers.values().all(|a| a.fresh) && 2 * (answers.len() + 1) > others + 1 {
             return Choice::Form;
         }
-        // It never voted there, or was taken out since: then each change that it helped with reached a majority of the others.
+        // It never voted there, or was taken out since: then each change that it helped with reached a
+        // majority of the others.
         let without = answers.values().filter(|a| !a.fresh && !a.voter && a.open).count();
         if 2 * without > others {
             return Choice::Join;
@@ -58,6 +61,7 @@
     if let Start::Known = start {
         return;
     }
+    let mut asked = 0u32;
     while gate.state() == State::Undecided {
         let answers = ask_all(&peers).await;
         match choose(start, peers.numbers().len(), &answers) {
@@ -76,7 +80,14 @@
                     tracing::error!(target: "stagehoist_keeper", event = "store", why = %e, "store fails");
                 }
             },
-            Choice::Ask => tokio::time::sleep(ASKED_EVERY).await,
+            Choice::Ask => {
+                if asked.is_multiple_of(TOLD_EVERY) {
+                    tracing::warn!(target: "stagehoist_keeper", event = "store", answered = answers.len(),
+                        of = peers.numbers().len(), "nothing in the store; waiting for the others");
+                }
+                asked += 1;
+                tokio::time::sleep(ASKED_EVERY).await;
+            }
         }
     }
     if let State::Returning { bound } = gate.state() {
--- a/crates/keeper/src/keep/gate.rs
+++ b/crates/keeper/src/keep/gate.rs
@@ -1,10 +1,15 @@
 //! What a keeper may take part in, after it lost what it knew.
 //!
-//! A keeper may have forgotten a vote, or entries that count as agreed on because it held them. Let `bound` be the highest term it
-//! took part in. It refuses every leader of a term up to `bound` and every request for its vote, until it has applied
-//! an entry of a leader of a later term. That leader was elected without it (it does not vote, and before the loss it knew of no
-//! such term), so by a majority of the others; each entry that was agreed on with this keeper's help up to `bound` was also held
-//! by one of that majority when it voted. So that leader's log had them all, and so has this keeper's once it applied
+//! A keeper may have forgotten a vote, or entries that count as agreed on because it held them. Let `bound`
+//! be the highest term it
+//! took part in. It refuses every leader of a term up to `bound` and every request for its vote, until it
+//! has applied
+//! an entry of a leader of a later term. That leader was elected without it (it does not vote, and before
+//! the loss it knew of no
+//! such term), so by a majority of the others; each entry that was agreed on with this keeper's help up to
+//! `bound` was also held
+//! by one of that majority when it voted. So that leader's log had them all, and so has this keeper's once
+//! it applied
 //! an entry of that leader's own. From then on it is a keeper like any other.
 
 use crate::kinds::LogId;
--- a/crates/keeper/src/keep/tend.rs
+++ b/crates/keeper/src/keep/tend.rs
@@ -66,7 +66,8 @@
     Ok(())
 }
 
-/// A leader falls silent for a moment, so that another is elected with a later term: a keeper that lost its log waits for one.
+/// A leader falls silent for a moment, so that another is elected with a later term: a keeper that lost its
+/// log waits for one.
 pub async fn yield_term(raft: Raft, mut raised: mpsc::Receiver<u64>) {
     let mut metrics = raft.metrics();
     while let Some(above) = raised.recv().await {
--- a/crates/keeper/src/kept.rs
+++ b/crates/keeper/src/kept.rs
@@ -1,6 +1,7 @@
 //! What a front end keeps of its session on disk: its incarnation and the last view it was shown.
 //!
-//! Both are there, flushed, before anyone is told of them: a tombstone that was confirmed is known again after any kill.
+//! Both are there, flushed, before anyone is told of them: a tombstone that was confirmed is known again
+//! after any kill.
 
 use crate::store::sum;
 use serde::{Deserialize, Serialize};
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -1,10 +1,14 @@
 //! Agreement on the record between processes, and a front end's session with the keeper that leads.
 //!
-//! Three or five processes keep the record: openraft over a log and snapshots in redb. Tasks own their sockets and state and
-//! talk by messages, on a thread of their own ([`start`]); a front end's driver reads [`Session::standing`] and never waits.
+//! Three or five processes keep the record: openraft over a log and snapshots in redb. Tasks own their
+//! sockets and state and
+//! talk by messages, on a thread of their own ([`start`]); a front end's driver reads [`Session::standing`]
+//! and never waits.
 //!
-//! What a keeper acknowledged is on its disk. One that lost its store, or finds it older than a file beside it tells, is
-//! brought back without a second vote in any term (`keep::gate`); how a store is judged stands in `store::open`.
+//! What a keeper acknowledged is on its disk. One that lost its store, or finds it older than a file beside
+//! it tells, is
+//! brought back without a second vote in any term (`keep::gate`); how a store is judged stands in
+//! `store::open`.
 #![forbid(unsafe_code)]
 
 mod client;
@@ -42,7 +46,8 @@
     pub pools: Vec<Pool>,
     /// Front ends of this process by name, each a member with a session of its own.
     pub members: Vec<String>,
-    /// Folder in which the last incarnation and view of each member are kept; none: it is asked of the keepers alone.
+    /// Folder in which the last incarnation and view of each member are kept; none: it is asked of the
+    /// keepers alone.
     pub incarnations: Option<PathBuf>,
     pub seed: u64,
     pub pace: Pace,
--- a/crates/keeper/src/store/guard.rs
+++ b/crates/keeper/src/store/guard.rs
@@ -1,9 +1,13 @@
 //! A few bytes beside the store, by which a store that was lost or set back is told.
 //!
-//! A keeper that forgot its vote or the end of its log could vote twice in a term, or let a leader be elected that lacks what
-//! was agreed on. So the highest term it knew and the end of its log are written here too, in a file of their own.
-//! The store is written first, this file next, and only then is anything answered: the file never tells more than the store
-//! held. The other way round where the log gets shorter. Two slots, written in turn, each with a sum: a torn write costs one.
+//! A keeper that forgot its vote or the end of its log could vote twice in a term, or let a leader be
+//! elected that lacks what
+//! was agreed on. So the highest term it knew and the end of its log are written here too, in a file of
+//! their own.
+//! The store is written first, this file next, and only then is anything answered: the file never tells
+//! more than the store
+//! held. The other way round where the log gets shorter. Two slots, written in turn, each with a sum: a
+//! torn write costs one.
 
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Result, Seek, SeekFrom, Write};
--- a/crates/keeper/src/store/mod.rs
+++ b/crates/keeper/src/store/mod.rs
@@ -1,7 +1,9 @@
 //! A keeper's store: log, vote and applied record in one redb database, a guard beside it.
 //!
-//! What Raft acknowledges is in a commit that was flushed to disk. The applied record is written without a flush of its own:
-//! commits are one history, so a crash takes back its newest part at most as far as the last flushed one, and entries are
+//! What Raft acknowledges is in a commit that was flushed to disk. The applied record is written without a
+//! flush of its own:
+//! commits are one history, so a crash takes back its newest part at most as far as the last flushed one,
+//! and entries are
 //! purged by a later, flushed one.
 
 mod guard;
--- a/crates/keeper/src/store/open.rs
+++ b/crates/keeper/src/store/open.rs
@@ -7,7 +7,8 @@
 //! | a store behind its guard, damaged, or gone | set aside by name; it begins empty and takes no part up to the guard's term |
 //! | a damaged store and no guard | the same, with the highest term of all others as the bound |
 //!
-//! What is not told: a store and its guard set back together to an older copy. No file of this machine can tell that.
+//! What is not told: a store and its guard set back together to an older copy. No file of this machine can
+//! tell that.
 
 use super::{key, Guard, Mark, Store, StoreFault, LOG, META};
 use crate::kinds::{Entry, LogId, Vote};
--- a/crates/keeper/tests/lost.rs
+++ b/crates/keeper/tests/lost.rs
@@ -31,7 +31,8 @@
     matches!(state, Some(State::InForce { but_for }) if but_for.iter().all(|m| m.name == "m1" || m.name == "m3"))
 }
 
-/// Keepers 1 and 2 go on, 3 is stopped, its store treated, and started again; then 1 stops, so that 3 is needed.
+/// Keepers 1 and 2 go on, 3 is stopped, its store treated, and started again; then 1 stops, so that 3 is
+/// needed.
 fn comes_back(treat: impl Fn(&Path), is_set_aside: bool) {
     let mut fleet = Fleet::started(3);
     retire(&fleet, 3, "a");
@@ -128,7 +129,8 @@
     }
     fleet.start(4);
     retire(&fleet, 4, "b");
-    // It hears of a leader once it is taken in. With four, two are no majority; with 1 gone and 4 in its place, three are.
+    // It hears of a leader once it is taken in. With four, two are no majority; with 1 gone and 4 in its
+    // place, three are.
     fleet.until("it is taken in", |f| f.votes(4) && f.running[&4].figures().borrow().leader.is_some());
     std::thread::sleep(std::time::Duration::from_secs(1));
     fleet.stop(1);
