--- a/crates/keeper/src/client.rs
+++ b/crates/keeper/src/client.rs
@@ -156,7 +156,8 @@
             Some(ToMember::Welcome { member, terms }) => self.joined(member, terms),
             Some(ToMember::Elsewhere { leader }) => Err(End::Elsewhere(leader)),
             Some(ToMember::Refused { why }) => {
-                tracing::error!(target: "stagehoist_keeper", event = "session", name = %self.client.name, why, "refused");
+                tracing::error!(target: "stagehoist_keeper", event = "session", name = %self.client.name,
+                    why, "refused");
                 Err(End::Refused)
             }
             _ => Err(End::Broken),
--- a/crates/keeper/src/client/talk.rs
+++ b/crates/keeper/src/client/talk.rs
@@ -104,7 +104,8 @@
     fn show(&mut self, view: stagehoist_registry::View) -> bool {
         if view.version > self.holder.version() {
             if let Err(e) = self.client.kept.change(|m| m.view = view.clone()) {
-                tracing::error!(target: "stagehoist_keeper", event = "store", name = %self.client.name, why = %e,
+                tracing::error!(target: "stagehoist_keeper", event = "store", name = %self.client.name,
+                    why = %e,
                     "can't keep the view");
                 return false;
             }
--- a/crates/keeper/src/keep/desk_state.rs
+++ b/crates/keeper/src/keep/desk_state.rs
@@ -102,7 +102,8 @@
         if leads && self.lead.is_none() {
             self.lead = Some(Lead::new(self.tools.terms, self.now));
             self.is_due = true;
-            tracing::info!(target: "stagehoist_keeper", event = "leading", keeper = self.tools.own, term, "leading");
+            tracing::info!(target: "stagehoist_keeper", event = "leading", keeper = self.tools.own, term,
+                "leading");
         }
     }
 
@@ -110,7 +111,8 @@
         self.lead = None;
         self.queue.clear();
         self.flight = None;
-        tracing::info!(target: "stagehoist_keeper", event = "following", keeper = self.tools.own, term = self.term,
+        tracing::info!(target: "stagehoist_keeper", event = "following", keeper = self.tools.own,
+            term = self.term,
             "no longer leading");
         for conn in self.conns.keys().copied().collect::<Vec<_>>() {
             self.turn_away(conn, ToMember::Elsewhere { leader });
@@ -163,10 +165,12 @@
             (ToKeeper::Retire(retirement), Some(_)) => {
                 let known = self.record.record.view.retired(&retirement.function, retirement.generation);
                 if self.view.1.len() > VIEW_MOST / 2 {
-                    tracing::error!(target: "stagehoist_keeper", event = "retirement", function = %retirement.function,
+                    tracing::error!(target: "stagehoist_keeper", event = "retirement",
+                        function = %retirement.function,
                         "the record is full");
                 } else if known.is_none() {
-                    tracing::info!(target: "stagehoist_keeper", event = "retirement", function = %retirement.function,
+                    tracing::info!(target: "stagehoist_keeper", event = "retirement",
+                        function = %retirement.function,
                         generation = retirement.generation, "proposed");
                     self.propose(For::Nobody, Command::Retire(retirement));
                 }
--- a/crates/keeper/src/keep/desk_state/agree.rs
+++ b/crates/keeper/src/keep/desk_state/agree.rs
@@ -40,14 +40,16 @@
                 (For::Join(conn), None) => self.close(conn, "not agreed on"),
                 (For::Leave(conn), _) => self.close(conn, "left"),
                 (For::Nobody, Some(Done::Refused { why })) => {
-                    tracing::warn!(target: "stagehoist_keeper", event = "retirement", why, "a change is refused");
+                    tracing::warn!(target: "stagehoist_keeper", event = "retirement", why,
+                        "a change is refused");
                 }
                 _ => {}
             }
             if let (Command::InForce { function, generation, but_for }, Some(Done::Changed)) =
                 (command, results.get(at))
             {
-                tracing::info!(target: "stagehoist_keeper", event = "retirement", %function, generation, ?but_for,
+                tracing::info!(target: "stagehoist_keeper", event = "retirement", %function, generation,
+                    ?but_for,
                     "in force");
             }
         }
--- a/crates/keeper/src/keep/listen.rs
+++ b/crates/keeper/src/keep/listen.rs
@@ -29,7 +29,8 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, from)) if tasks.len() >= CONNECTIONS_MOST => {
-                    tracing::warn!(target: "stagehoist_keeper", event = "session", %from, most = CONNECTIONS_MOST,
+                    tracing::warn!(target: "stagehoist_keeper", event = "session", %from,
+                        most = CONNECTIONS_MOST,
                         "too many connections");
                     drop(stream);
                 }
--- a/crates/keeper/src/keep/serve.rs
+++ b/crates/keeper/src/keep/serve.rs
@@ -26,7 +26,8 @@
             frame = timeout(SILENT_MOST, stream.next()) => {
                 let Ok(Some(Ok(frame))) = frame else { break };
                 let Some(said) = decode::<ToKeeper>(&frame) else {
-                    tracing::warn!(target: "stagehoist_keeper", event = "session", conn, "a frame that says nothing");
+                    tracing::warn!(target: "stagehoist_keeper", event = "session", conn,
+                        "a frame that says nothing");
                     break;
                 };
                 if desk.send(Note::Said { conn, said }).await.is_err() {
--- a/crates/keeper/src/keep/tend.rs
+++ b/crates/keeper/src/keep/tend.rs
@@ -34,7 +34,8 @@
             continue;
         }
         differed = 0;
-        tracing::warn!(target: "stagehoist_keeper", event = "membership", ?present, ?told, "changing the keepers");
+        tracing::warn!(target: "stagehoist_keeper", event = "membership", ?present, ?told,
+            "changing the keepers");
         let changed = timeout(CHANGE_MOST, change(&raft, &present, &told)).await;
         match changed {
             Ok(Ok(())) => tracing::info!(target: "stagehoist_keeper", event = "membership", ?told, "changed"),
