--- a/crates/keeper/src/frames.rs
+++ b/crates/keeper/src/frames.rs
@@ -5,10 +5,12 @@
 use serde::{Deserialize, Serialize};
 use stagehoist_registry::ToKeeper;
 use std::time::Duration;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::{Framed, FramedParts, FramedWrite, LengthDelimitedCodec};
 
-/// Longest frames in bytes: a connection's first, what a front end says then, what it is told, between keepers.
+/// Longest frames in bytes: a connection's first, what a front end says then, what it is told, between
+/// keepers.
 pub const FIRST_MOST: usize = 1 << 20;
 pub const SAID_MOST: usize = 256 << 10;
 pub const VIEW_MOST: usize = 4 << 20;
@@ -26,6 +28,8 @@
 const MAGIC: [u8; 4] = *b"stk1";
 
 pub type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+pub type Reading = Framed<OwnedReadHalf, LengthDelimitedCodec>;
+pub type Writing = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
 
 #[derive(Debug, Serialize, Deserialize)]
 pub enum First {
@@ -39,6 +43,17 @@
     Framed::new(stream, LengthDelimitedCodec::builder().max_frame_length(most).new_codec())
 }
 
+/// A front end's connection at a keeper, in two: what it says is shorter than what it is told.
+pub fn apart(frames: Frames) -> (Reading, Writing) {
+    let parts = frames.into_parts();
+    let (read, write) = parts.io.into_split();
+    let codec = |most| LengthDelimitedCodec::builder().max_frame_length(most).new_codec();
+    let mut reading = FramedParts::new::<Bytes>(read, codec(SAID_MOST));
+    // What came behind the first frame.
+    reading.read_buf = parts.read_buf;
+    (Framed::from_parts(reading), FramedWrite::new(write, codec(VIEW_MOST)))
+}
+
 pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, postcard::Error> {
     postcard::to_stdvec(message).map(Bytes::from)
 }
--- a/crates/keeper/src/keep/run.rs
+++ b/crates/keeper/src/keep/run.rs
@@ -3,8 +3,9 @@
 use super::desk::{desk, Tools, NOTES_MOST};
 use super::form::form;
 use super::gate::{Gate, State};
+use super::host::Host;
 use super::listen::listen;
-use super::peer::{Host, Peers};
+use super::peer::Peers;
 use super::tend::{tend, yield_term};
 use crate::figures::Figures;
 use crate::frames::{ENTRIES_MOST, PART_MOST};
@@ -71,8 +72,15 @@
     let (notes, noted) = mpsc::channel(NOTES_MOST);
     let (raise, raised) = mpsc::channel(8);
     let host = Host { raft: raft.clone(), gate: gate.clone(), raise };
-    let tools =
-        Tools { own: number, raft: raft.clone(), applied: applied.clone(), now, terms: options.terms, figures };
+    let tools = Tools {
+        own: number,
+        raft: raft.clone(),
+        gate: gate.clone(),
+        applied: applied.clone(),
+        now,
+        terms: options.terms,
+        figures,
+    };
     let numbers: BTreeSet<u64> = options.keepers.keys().copied().collect();
     tasks.spawn(listen(listener, number, host, notes));
     tasks.spawn(desk(tools, noted));
--- a/crates/keeper/src/keep/tend.rs
+++ b/crates/keeper/src/keep/tend.rs
@@ -34,12 +34,17 @@
             continue;
         }
         differed = 0;
-        tracing::warn!(target: "stagehoist_keeper", event = "membership", ?present, ?told, "changing the keepers");
+        tracing::warn!(target: "stagehoist_keeper", event = "membership", ?present, ?told,
+            "changing the keepers");
         let changed = timeout(CHANGE_MOST, change(&raft, &present, &told)).await;
         match changed {
             Ok(Ok(())) => tracing::info!(target: "stagehoist_keeper", event = "membership", ?told, "changed"),
-            Ok(Err(why)) => tracing::warn!(target: "stagehoist_keeper", event = "membership", why, "not changed"),
-            Err(_) => tracing::warn!(target: "stagehoist_keeper", event = "membership", "not changed in time"),
+            Ok(Err(why)) => {
+                tracing::warn!(target: "stagehoist_keeper", event = "membership", why, "not changed")
+            }
+            Err(_) => {
+                tracing::warn!(target: "stagehoist_keeper", event = "membership", "not changed in time")
+            }
         }
     }
 }
@@ -62,7 +67,8 @@
     Ok(())
 }
 
-/// A leader falls silent for a moment, so that another is elected with a later term: a keeper that lost its log waits for one.
+/// A leader falls silent for a moment, so that another is elected with a later term: a keeper that lost its
+/// log waits for one.
 pub async fn yield_term(raft: Raft, mut raised: mpsc::Receiver<u64>) {
     let mut metrics = raft.metrics();
     while let Some(above) = raised.recv().await {
--- a/crates/keeper/src/store/mod.rs
+++ b/crates/keeper/src/store/mod.rs
@@ -1,7 +1,9 @@
 //! A keeper's store: log, vote and applied record in one redb database, a guard beside it.
 //!
-//! What Raft acknowledges is in a commit that was flushed to disk. The applied record is written without a flush of its own:
-//! commits are one history, so a crash takes back its newest part at most as far as the last flushed one, and entries are
+//! What Raft acknowledges is in a commit that was flushed to disk. The applied record is written without a
+//! flush of its own:
+//! commits are one history, so a crash takes back its newest part at most as far as the last flushed one,
+//! and entries are
 //! purged by a later, flushed one.
 
 mod guard;
@@ -43,8 +45,8 @@
 
 #[derive(Debug, thiserror::Error)]
 pub enum StoreFault {
-    #[error(transparent)]
-    Db(#[from] redb::Error),
+    #[error("{0}")]
+    Db(Box<redb::Error>),
     #[error(transparent)]
     Io(#[from] std::io::Error),
     #[error(transparent)]
@@ -53,7 +55,7 @@
 
 macro_rules! faults {
     ($($kind:ident),*) => { $(impl From<redb::$kind> for StoreFault {
-        fn from(fault: redb::$kind) -> StoreFault { StoreFault::Db(fault.into()) }
+        fn from(fault: redb::$kind) -> StoreFault { StoreFault::Db(Box::new(fault.into())) }
     })* };
 }
 faults!(StorageError, TransactionError, TableError, CommitError);
--- a/crates/keeper/src/store/open.rs
+++ b/crates/keeper/src/store/open.rs
@@ -7,7 +7,8 @@
 //! | a store behind its guard, damaged, or gone | set aside by name; it begins empty and takes no part up to the guard's term |
 //! | a damaged store and no guard | the same, with the highest term of all others as the bound |
 //!
-//! What is not told: a store and its guard set back together to an older copy. No file of this machine can tell that.
+//! What is not told: a store and its guard set back together to an older copy. No file of this machine can
+//! tell that.
 
 use super::{key, Guard, Mark, Store, StoreFault, LOG, META};
 use crate::kinds::{Entry, LogId, Vote};
@@ -115,7 +116,8 @@
 
 /// Whether a store may go on as it is; the reason why not.
 fn judge(store: &Store, mark: Option<Mark>) -> Result<Start, String> {
-    let all = (|| -> Result<(Option<Vote>, Option<LogId>, Option<u64>), StoreFault> {
+    type Ends = (Option<Vote>, Option<LogId>, Option<u64>);
+    let all = (|| -> Result<Ends, StoreFault> {
         let read = store.db.begin_read()?;
         let table = read.open_table(LOG)?;
         for item in table.iter()? {
--- a/crates/keeper/tests/common/mod.rs
+++ b/crates/keeper/tests/common/mod.rs
@@ -48,6 +48,13 @@
 
 impl Fleet {
     pub fn new(keepers: u64) -> Fleet {
+        // Told by the usual variable; nothing otherwise.
+        let filter = tracing_subscriber::EnvFilter::from_default_env();
+        let _ = tracing_subscriber::fmt()
+            .with_env_filter(filter)
+            .with_writer(std::io::stderr)
+            .with_ansi(false)
+            .try_init();
         let listen: BTreeMap<u64, String> =
             (1..=keepers).map(|n| (n, format!("127.0.0.1:{}", port()))).collect();
         let relays: BTreeMap<u64, Relay> = listen.iter().map(|(n, to)| (*n, Relay::new(to))).collect();
@@ -61,6 +68,7 @@
         for number in 1..=keepers {
             fleet.start(number);
         }
+        fleet.until("all vote", |f| f.running.keys().all(|n| f.votes(*n)) && f.leader().is_some());
         fleet
     }
 
@@ -107,6 +115,11 @@
         self.running.iter().find(|(_, r)| leads(r)).map(|(n, _)| *n)
     }
 
+    /// Whether a keeper takes part fully: with one other of three it is a majority.
+    pub fn votes(&self, number: u64) -> bool {
+        self.running[&number].figures().borrow().votes
+    }
+
     pub fn sessions(&self) -> Vec<&Session> {
         self.running.values().flat_map(|r| r.sessions.values()).collect()
     }
@@ -154,5 +167,6 @@
 
 /// In force, with nobody left out.
 pub fn in_force(session: &Session, function: &str) -> bool {
-    shown(session, function).is_some_and(|t| matches!(t.state, State::InForce { but_for } if but_for.is_empty()))
+    shown(session, function)
+        .is_some_and(|t| matches!(t.state, State::InForce { but_for } if but_for.is_empty()))
 }
