serve joins its fleet: keeper started, a session for each front end, members leave after the drain

Where the configuration has a fleet, serve starts the keeper's part on the clock that its front ends go by, ties a session to each front end and follows the retirements. On SIGTERM front ends drain first, what they confirm is still passed on, and then members leave. Without a fleet no thread, socket or file of it exists.

--- /dev/null
+++ b/crates/cli/src/fleet.rs
@@ -0,0 +1,108 @@
+//! A process as part of a fleet: its sessions with the keepers started, tied to its front ends, and ended after them.
+
+use stagehoist_config::{Config, Fleet};
+use stagehoist_gateway::clock::Clock;
+use stagehoist_gateway::fleet::{retirements, Link, Told};
+use stagehoist_keeper::{Keep, KeeperError, Options, Pace, Running, Session};
+use stagehoist_registry::{Pool, Reservation, Size, Terms};
+use std::path::PathBuf;
+use std::sync::Arc;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// The least time in which a leader that is at ease hears of a majority, in microseconds.
+const QUORUM_LEAST: i64 = 250_000;
+
+/// The name of a front end of this process among the members.
+fn member(fleet: &Fleet, number: u32) -> String {
+    format!("{}/{number}", fleet.member)
+}
+
+/// What the keeper's part is told.
+pub fn options(config: &Config, fleet: &Fleet) -> Options {
+    let pool = |pool: &stagehoist_config::Pool| Pool {
+        name: pool.name.clone(),
+        functions: pool.functions.clone(),
+        size: pool.lanes.map_or(Size::ByWorkers, Size::Lanes),
+        reservations: pool
+            .reservations
+            .iter()
+            .map(|(tenant, lanes)| Reservation { tenant: tenant.clone(), lanes: *lanes })
+            .collect(),
+    };
+    let keep = |keep: &stagehoist_config::Keep| Keep {
+        number: keep.number,
+        listen: keep.listen.clone(),
+        store: PathBuf::from(&keep.store),
+    };
+    Options {
+        keepers: fleet.keepers.clone(),
+        keep: fleet.keep.as_ref().map(keep),
+        terms: Terms {
+            lease: fleet.view_lease,
+            drift_ppm: (fleet.drift * 1e6).round() as u32,
+            quorum: (fleet.view_lease / 4).max(QUORUM_LEAST),
+            remember: fleet.remember,
+        },
+        edition: fleet.pools_edition,
+        pools: fleet.pools.iter().map(pool).collect(),
+        members: (0..config.front_ends).map(|number| member(fleet, number)).collect(),
+        incarnations: fleet.folder.as_ref().map(PathBuf::from),
+        seed: config.seed,
+        pace: Pace::default(),
+    }
+}
+
+/// The sessions of a process, and the tasks beside them.
+pub struct Joined {
+    running: Running,
+    tasks: JoinSet<()>,
+}
+
+/// Starts the sessions and ties each to a front end; must be called inside a runtime, whose tasks do the rest.
+pub fn start(
+    config: &Config,
+    fleet: &Fleet,
+    clock: Clock,
+) -> Result<(Joined, Vec<Option<Link>>), KeeperError> {
+    let mut running = stagehoist_keeper::start(options(config, fleet), Arc::new(move || clock.now()))?;
+    let mut tasks = JoinSet::new();
+    let (mut links, mut sessions) = (Vec::new(), std::mem::take(&mut running.sessions));
+    for number in 0..config.front_ends {
+        let Some(session) = sessions.remove(&member(fleet, number)) else {
+            links.push(None);
+            continue;
+        };
+        if let (0, Some(file)) = (number, &fleet.retirements) {
+            let (standing, retire) = (session.standing.clone(), session.retire.clone());
+            tasks.spawn(retirements::follow(config.clone(), PathBuf::from(file), standing, retire));
+        }
+        let (told, news) = watch::channel(Told::default());
+        links.push(Some(Link { standing: session.standing.clone(), told }));
+        tasks.spawn(pass_on(news, session));
+    }
+    Ok((Joined { running, tasks }, links))
+}
+
+/// What a front end tells, in the keeper's words, until the front end ended.
+async fn pass_on(mut news: watch::Receiver<Told>, session: Session) {
+    while news.changed().await.is_ok() {
+        let Told { confirmed, ready_lanes, demand } = news.borrow_and_update().clone();
+        session.told.send_replace(stagehoist_keeper::Told { confirmed, ready_lanes, demand });
+    }
+    // The session's ends are kept until the members leave: what was told last stands.
+    std::future::pending::<()>().await;
+}
+
+impl Joined {
+    /// Members leave in order; after their front ends have drained.
+    pub async fn stop(mut self) {
+        let running = self.running;
+        // Ends a thread, and so waits.
+        let stopped = tokio::task::spawn_blocking(move || running.stop()).await;
+        if let Err(e) = stopped {
+            tracing::error!(error = %e, "the keeper's part failed while it ended");
+        }
+        self.tasks.shutdown().await;
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod demo;
+mod fleet;
 mod load;
 mod platform;
 mod serve;
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,9 +1,10 @@
 //! `serve` and `check`.
 
+use crate::fleet;
 use stagehoist_config::load;
 use stagehoist_gateway::clock::Clock;
 use stagehoist_gateway::state::{module, Decider};
-use stagehoist_gateway::{metrics_page, serve_with as start};
+use stagehoist_gateway::{metrics_page, serve_with as start, GatewayError};
 use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -66,7 +67,18 @@
         Ok(signals) => signals,
         Err(e) => return fail(&e),
     };
-    let running = match start(decider, &config, metrics, Clock::new(), Vec::new()) {
+    let clock = Clock::new();
+    let (joined, links) = match &config.fleet {
+        None => (None, Vec::new()),
+        Some(told) => {
+            let _tasks = runtime.enter();
+            match fleet::start(&config, told, clock) {
+                Ok((joined, links)) => (Some(joined), links),
+                Err(e) => return fail(&e),
+            }
+        }
+    };
+    let running = match start(decider, &config, metrics, clock, links) {
         Ok(running) => running,
         Err(e) => return fail(&e),
     };
@@ -84,8 +96,16 @@
         }
     });
     running.drain();
-    let joined = running.join();
-    match joined {
+    let ended = match joined {
+        None => running.join(),
+        // What front ends confirm while they drain is still passed on; members leave once nothing of theirs is at work.
+        Some(joined) => runtime.block_on(async {
+            let ended = tokio::task::spawn_blocking(move || running.join()).await;
+            joined.stop().await;
+            ended.unwrap_or_else(|e| Err(GatewayError::Start(std::io::Error::other(e))))
+        }),
+    };
+    match ended {
         Err(e) => fail(&e),
         Ok(()) if broken => fail(&"a front end ended though it was not told to"),
         Ok(()) => {
