Lanes of shared pools: dealt by lease beside floors, and the gate at a front end

Front ends need one agreed share of a pool's lanes that holds while messages are lost, leaders change and clocks drift. The dealer counts what a member may have in use from its newest account on; the gate starts a run only by lane or floor.

--- /dev/null
+++ b/crates/admission/src/lanes/class.rs
@@ -0,0 +1,215 @@
+//! One pool at one front end, and its classes: each tenant with a reservation, and all others.
+
+use super::Turns;
+use crate::Advice;
+use stagehoist::Micros;
+use std::collections::HashMap;
+
+/// For how long calls must have waited before the pace tells that another will wait in vain: lanes may be on their way.
+const SETTLED: Micros = 500_000;
+/// Weight of a new gap between two calls that left.
+const GAIN: f64 = 0.1;
+
+/// A pool as a front end is told of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolRules {
+    pub name: String,
+    /// Lanes that this front end may always use.
+    pub floor: u32,
+    /// Tenants with a reservation: number at this front end, and name.
+    pub reserved: Vec<(u32, String)>,
+}
+
+/// A line of the report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wanted<'a> {
+    pub pool: &'a str,
+    /// Empty: all who have no reservation.
+    pub tenant: &'a str,
+    pub in_use: u32,
+    pub waiting: u32,
+    /// The grant gone by.
+    pub applied: u64,
+}
+
+#[derive(Debug, Default)]
+struct Class {
+    name: String,
+    in_use: u32,
+    lanes: u32,
+    turns: Turns,
+    /// Since when calls wait.
+    since: Option<Micros>,
+    /// When the last call left, and the smoothed gap between two.
+    left: Option<Micros>,
+    gap: Option<f64>,
+    advice: Option<Advice>,
+}
+
+/// A pool. The class of those without a reservation is the first.
+#[derive(Debug)]
+pub(super) struct Pool {
+    name: String,
+    floor: u32,
+    classes: Vec<Class>,
+    tenants: HashMap<u32, usize>,
+    in_use: u32,
+    lanes: u32,
+    /// Runs beyond the lanes of their class.
+    over: u32,
+    waiting: usize,
+}
+
+impl Pool {
+    pub fn new(name: &str) -> Pool {
+        Pool {
+            name: name.to_owned(),
+            floor: 0,
+            classes: vec![Class::default()],
+            tenants: HashMap::new(),
+            in_use: 0,
+            lanes: 0,
+            over: 0,
+            waiting: 0,
+        }
+    }
+
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    pub fn close(&mut self) {
+        self.floor = 0;
+        self.tenants.clear();
+    }
+
+    pub fn told(&mut self, rules: &PoolRules, retry_most: Micros, seed: u64, now: Micros) {
+        self.floor = rules.floor;
+        for (tenant, name) in &rules.reserved {
+            let class = self.classes.iter().position(|c| c.name == *name).unwrap_or_else(|| {
+                self.classes.push(Class { name: name.clone(), ..Class::default() });
+                self.classes.len() - 1
+            });
+            self.tenants.insert(*tenant, class);
+        }
+        for (n, class) in (0..).zip(&mut self.classes) {
+            class.advice.get_or_insert_with(|| Advice::new(retry_most, seed ^ (n << 32), now));
+        }
+    }
+
+    /// No lanes any more, but those of the floor.
+    pub fn clear(&mut self) {
+        self.lanes = 0;
+        self.over = self.in_use;
+        for class in &mut self.classes {
+            class.lanes = 0;
+        }
+    }
+
+    pub fn grant(&mut self, tenant: &str, lanes: u32) {
+        if let Some(class) = self.classes.iter_mut().find(|c| c.name == tenant) {
+            self.lanes += lanes;
+            self.over -= class.in_use.saturating_sub(class.lanes);
+            class.lanes += lanes;
+            self.over += class.in_use.saturating_sub(class.lanes);
+        }
+    }
+
+    pub fn class(&self, tenant: u32) -> usize {
+        self.tenants.get(&tenant).copied().unwrap_or(0)
+    }
+
+    fn may_start(&self, class: usize, floored: bool) -> bool {
+        let (floor, of) = (if floored { self.floor } else { 0 }, &self.classes[class]);
+        self.in_use < self.lanes + floor && (of.in_use < of.lanes || self.over < floor)
+    }
+
+    /// Whether a call that comes now may start, ahead of nobody who waits for the same lane.
+    pub fn may_pass(&self, class: usize, floored: bool) -> bool {
+        let of = &self.classes[class];
+        let first = of.turns.len() == 0 && (of.in_use < of.lanes || self.waiting == 0);
+        first && self.may_start(class, floored)
+    }
+
+    pub fn start(&mut self, class: usize) {
+        let of = &mut self.classes[class];
+        self.over += u32::from(of.in_use >= of.lanes);
+        of.in_use += 1;
+        self.in_use += 1;
+    }
+
+    pub fn leave(&mut self, class: usize, now: Micros) {
+        let of = &mut self.classes[class];
+        self.over -= u32::from(of.in_use > of.lanes);
+        of.in_use = of.in_use.saturating_sub(1);
+        self.in_use = self.in_use.saturating_sub(1);
+        if let Some(left) = of.left.replace(now) {
+            let gap = (now - left) as f64;
+            of.gap = Some(of.gap.map_or(gap, |g| g + GAIN * (gap - g)));
+        }
+        if let Some(advice) = &mut of.advice {
+            advice.left(now);
+        }
+    }
+
+    pub fn wait(&mut self, class: usize, tenant: u32, place: u64, call: u64, now: Micros) {
+        let of = &mut self.classes[class];
+        of.since.get_or_insert(now);
+        of.turns.push(tenant, place, call);
+        self.waiting += 1;
+    }
+
+    pub fn unwait(&mut self, class: usize, tenant: u32, place: u64) {
+        self.classes[class].turns.remove(tenant, place);
+        self.waited(class);
+    }
+
+    /// Whether a call would wait in vain, by the pace at which calls of its class left while others waited.
+    pub fn is_hopeless(&self, class: usize, latest: Micros, now: Micros) -> bool {
+        let of = &self.classes[class];
+        let settled = of.since.is_some_and(|since| now - since >= SETTLED);
+        let waits = of.gap.map_or(0.0, |gap| gap * (of.turns.len() + 1) as f64);
+        settled && waits > (latest - now) as f64
+    }
+
+    pub fn retry_after(&mut self, class: usize) -> Micros {
+        let of = &mut self.classes[class];
+        let held = u64::from(of.in_use) + of.turns.len() as u64;
+        of.advice.as_mut().map_or(0, |a| a.retry_after(held))
+    }
+
+    /// The next call that may start, started; owners first.
+    pub fn next(&mut self, floored: bool) -> Option<(usize, u64)> {
+        if self.waiting == 0 {
+            return None;
+        }
+        let order = (1..self.classes.len()).chain([0]);
+        let class =
+            order.into_iter().find(|c| self.classes[*c].turns.len() > 0 && self.may_start(*c, floored))?;
+        let call = self.classes[class].turns.pop()?;
+        self.waited(class);
+        self.start(class);
+        Some((class, call))
+    }
+
+    pub fn wanted(&self, applied: u64) -> impl Iterator<Item = Wanted<'_>> {
+        self.classes.iter().map(move |class| Wanted {
+            pool: &self.name,
+            tenant: &class.name,
+            in_use: class.in_use,
+            waiting: u32::try_from(class.turns.len()).unwrap_or(u32::MAX),
+            applied,
+        })
+    }
+
+    fn waited(&mut self, class: usize) {
+        self.waiting -= 1;
+        if self.classes[class].turns.len() == 0 {
+            self.classes[class].since = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/registry/src/deal/mod.rs
@@ -0,0 +1,241 @@
+//! Lanes dealt by lease beside the floors, at the keeper that leads.
+//!
+//! A front end starts a run in a pool only while its runs there are fewer than its floor and the lanes it holds together.
+//! Runs go on after the lease that they began under. So from any account of itself on (`in_use`, and `applied`: the grant
+//! that it went by then) it never has more runs than the greater of `in_use` and its floor with the largest grant numbered
+//! `applied` or later. That is what the dealer counts as out, until a later account tells less, or until the lease and the
+//! longest run have passed. A member is given only what is left of the pool after all floors and what the others have out.
+
+mod account;
+mod share;
+mod size;
+
+pub use size::{floor, Limits};
+
+use crate::{Member, Micros, Pool, Record, Report, Size, Terms, Version};
+use account::Account;
+use share::Targets;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Rules that a test takes out one at a time; all stand in use.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Guards {
+    /// Promises of earlier leaders are waited for.
+    pub silence: bool,
+    /// Runs count after the lease that they began under.
+    pub runs: bool,
+    /// Floors are never dealt.
+    pub floors: bool,
+    /// A grant stands until the member says that it goes by a later one.
+    pub applied: bool,
+}
+
+impl Default for Guards {
+    fn default() -> Guards {
+        Guards { silence: true, runs: true, floors: true, applied: true }
+    }
+}
+
+/// Deals the lanes of every pool; forgotten with the leadership.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dealer {
+    terms: Terms,
+    limits: Limits,
+    guards: Guards,
+    began: Micros,
+    /// Members seen before the promises of earlier leaders had run out.
+    before: BTreeSet<Member>,
+    accounts: BTreeMap<Member, Account>,
+    pools: Vec<Pool>,
+    /// Floors by pool of earlier editions, and the change that ended each, until every member has applied that.
+    old_floors: Vec<(Version, BTreeMap<String, u32>)>,
+    /// No promise of an earlier leader stands any more.
+    open: bool,
+    round: Option<(Micros, BTreeMap<String, Round>)>,
+}
+
+/// What was reckoned of a pool; within a round only the member that reports is counted anew.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Round {
+    lanes: u32,
+    floor: u32,
+    out: u32,
+    targets: Targets,
+}
+
+impl Dealer {
+    /// A leadership begins.
+    pub fn new(terms: Terms, limits: Limits, now: Micros) -> Dealer {
+        Dealer {
+            terms,
+            limits,
+            guards: Guards::default(),
+            began: now,
+            before: BTreeSet::new(),
+            accounts: BTreeMap::new(),
+            pools: Vec::new(),
+            old_floors: Vec::new(),
+            open: false,
+            round: None,
+        }
+    }
+
+    #[doc(hidden)]
+    pub fn with(self, guards: Guards) -> Dealer {
+        Dealer { guards, ..self }
+    }
+
+    /// Whether a front end of this name may join. One beyond the told number would have no floor, and could not know it
+    /// while it is cut off; so it is turned away at its hello.
+    pub fn admits(&self, record: &Record, name: &str) -> bool {
+        record.present().filter(|m| m.name != name).count() < self.limits.fleet as usize
+    }
+
+    /// A present member reported, and promises may be given: the lanes of the grant that answers, by pool and tenant.
+    /// A report that is late or came twice changes nothing and gets none.
+    pub fn report(
+        &mut self,
+        record: &Record,
+        member: &Member,
+        report: &Report,
+        now: Micros,
+    ) -> Vec<(String, String, u32)> {
+        self.look(record, now);
+        let account = self.accounts.entry(member.clone()).or_default();
+        if !account.take(report, now, self.guards) {
+            return Vec::new();
+        }
+        self.open = self.open || self.may_deal(now);
+        self.reckon(record, now);
+        self.count(member, now);
+        let lanes = if self.open { self.deal(member) } else { Vec::new() };
+        if let Some(account) = self.accounts.get_mut(member) {
+            account.give(report.number, now, &lanes);
+        }
+        self.count(member, now);
+        lanes
+    }
+
+    /// Whether no lanes that this leader does not know of can be in use: promises of earlier ones have run out, and every
+    /// member of before was heard since, or the runs that they began have ended.
+    pub fn may_deal(&self, now: Micros) -> bool {
+        let quiet = self.began + self.terms.silence();
+        let known = |m: &Member| self.accounts.get(m).is_some_and(Account::is_known);
+        !self.guards.silence
+            || now >= quiet && (now >= quiet + self.longest() || self.before.iter().all(known))
+    }
+
+    /// Lanes of a pool that are counted as out beyond the floors, as last reckoned; and those that may be dealt.
+    pub fn out(&self, pool: &str) -> (u32, u32) {
+        let round = self.round.as_ref().and_then(|(_, pools)| pools.get(pool));
+        round.map_or((0, 0), |r| (r.out, r.lanes))
+    }
+
+    /// Follows members and pools.
+    fn look(&mut self, record: &Record, now: Micros) {
+        if now < self.began + self.terms.silence() {
+            self.before.extend(record.present());
+        }
+        if self.pools != record.view.pools {
+            let floors = self.pools.iter().map(|p| (p.name.clone(), self.floor(&p.name, now))).collect();
+            self.old_floors.push((record.view.version, floors));
+            self.pools = record.view.pools.clone();
+            self.round = None;
+        }
+    }
+
+    /// Counts and shares out anew, at most once in [`Limits::every`].
+    fn reckon(&mut self, record: &Record, now: Micros) {
+        if self.round.as_ref().is_some_and(|(at, _)| now - at < self.limits.every) {
+            return;
+        }
+        let span = self.terms.given() + self.longest();
+        self.accounts.retain(|m, a| {
+            a.forget(now - span);
+            // Runs of one that is gone may go on at workers.
+            record.members.get(&m.name) == Some(&(m.incarnation, false)) || now < a.heard() + span
+        });
+        // Floors of earlier editions end once all have applied a later one.
+        let accounts = &self.accounts;
+        let applied =
+            |v: Version| record.present().all(|m| accounts.get(&m).is_some_and(|a| a.confirmed() >= v));
+        self.old_floors.retain(|(version, _)| !applied(*version));
+        let mut pools = BTreeMap::new();
+        for pool in &self.pools {
+            let floor = self.floor(&pool.name, now);
+            let all = if self.guards.floors { self.limits.fleet.saturating_mul(floor) } else { 0 };
+            let lanes = self.size(pool, now, false).saturating_sub(all);
+            let members: Vec<_> = self.fresh(now).map(|(m, a)| (m, a.wants(&pool.name))).collect();
+            let targets = Targets::reckon(lanes, &pool.reservations, &members);
+            pools.insert(pool.name.clone(), Round { lanes, floor, out: 0, targets });
+        }
+        let (lease, longest) = (self.terms.given(), self.longest());
+        for account in self.accounts.values_mut() {
+            for (pool, round) in &mut pools {
+                round.out = round.out.saturating_add(account.count(pool, round.floor, now, lease, longest).1);
+            }
+        }
+        self.round = Some((now, pools));
+    }
+
+    /// Counts one member anew.
+    fn count(&mut self, member: &Member, now: Micros) {
+        let (lease, longest) = (self.terms.given(), self.longest());
+        let Some((account, (_, pools))) = self.accounts.get_mut(member).zip(self.round.as_mut()) else {
+            return;
+        };
+        for (pool, round) in pools {
+            let (before, after) = account.count(pool, round.floor, now, lease, longest);
+            round.out = round.out.saturating_sub(before).saturating_add(after);
+        }
+    }
+
+    fn deal(&self, member: &Member) -> Vec<(String, String, u32)> {
+        let Some((account, (_, pools))) = self.accounts.get(member).zip(self.round.as_ref()) else {
+            return Vec::new();
+        };
+        let mut lanes = Vec::new();
+        for (pool, round) in pools {
+            let others = round.out.saturating_sub(account.counted(pool));
+            let of = round.targets.of(member, round.lanes.saturating_sub(others)).into_iter();
+            lanes.extend(of.map(|(tenant, n)| (pool.clone(), tenant, n)));
+        }
+        lanes
+    }
+
+    fn longest(&self) -> Micros {
+        if self.guards.runs {
+            self.limits.longest + self.terms.drift(self.limits.longest)
+        } else {
+            0
+        }
+    }
+
+    /// Accounts that are not old.
+    fn fresh(&self, now: Micros) -> impl Iterator<Item = (&Member, &Account)> {
+        let late = now - self.terms.given();
+        self.accounts.iter().filter(move |(_, a)| a.heard() > late)
+    }
+
+    /// A pool's size. Where it goes by workers, for dealing the lower median of what members told of late: one front end
+    /// that sees no workers does not empty the pool, and one that still counts workers that are gone does not widen it. For
+    /// floors the greatest, as each member reckons its own by its own count.
+    fn size(&self, pool: &Pool, now: Micros, for_floors: bool) -> u32 {
+        if let Size::Lanes(lanes) = pool.size {
+            return lanes;
+        }
+        let mut ready: Vec<u32> = self.fresh(now).map(|(_, a)| a.ready_lanes()).collect();
+        ready.sort_unstable();
+        let place = ready.len().saturating_sub(1) / if for_floors { 1 } else { 2 };
+        ready.get(place).copied().unwrap_or(0)
+    }
+
+    /// The greatest floor in a pool that any member may go by.
+    fn floor(&self, pool: &str, now: Micros) -> u32 {
+        let of = self.pools.iter().find(|p| p.name == pool);
+        let new = of.map_or(0, |p| floor(self.size(p, now, true), &self.limits));
+        let old = self.old_floors.iter().filter_map(|(_, floors)| floors.get(pool)).copied();
+        old.fold(new, u32::max)
+    }
+}
--- /dev/null
+++ b/crates/registry/src/deal/share.rs
@@ -0,0 +1,113 @@
+//! Who should have how many lanes: reservations first, the rest max-min by demand, what nobody asks for ahead of demand.
+
+use crate::{Member, Reservation};
+use std::collections::BTreeMap;
+
+type Wants<'a> = [(&'a Member, Option<&'a BTreeMap<String, u32>>)];
+
+/// Lanes each member should have in a pool; together no more than may be dealt.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Targets {
+    /// By member: lanes inside reservations, then the rest, by tenant.
+    members: BTreeMap<Member, [BTreeMap<String, u32>; 2]>,
+}
+
+impl Targets {
+    pub fn reckon(lanes: u32, reservations: &[Reservation], members: &Wants) -> Targets {
+        let mut targets = Targets::default();
+        let Some(most) = u32::try_from(members.len()).ok().filter(|n| *n > 0) else { return targets };
+        let mut left = lanes;
+        let mut idle = Vec::new();
+        let mut beyond: Vec<(&Member, &str, u32)> = Vec::new();
+        let reserved = scaled(lanes, reservations);
+        for (reservation, lanes) in reservations.iter().zip(reserved) {
+            let wants: Vec<u32> = members.iter().map(|(_, w)| want(*w, &reservation.tenant)).collect();
+            let parts = max_min(lanes, &wants);
+            for (((member, _), part), want) in members.iter().zip(&parts).zip(&wants) {
+                targets.add(member, 0, &reservation.tenant, *part);
+                beyond.push((member, &reservation.tenant, want - part));
+            }
+            let used: u32 = parts.iter().sum();
+            left -= used;
+            idle.push((reservation.tenant.as_str(), lanes - used));
+        }
+        beyond.extend(members.iter().map(|(m, w)| (*m, "", want(*w, ""))));
+        let wants: Vec<u32> = beyond.iter().map(|(_, _, want)| *want).collect();
+        for ((member, tenant, _), part) in beyond.iter().zip(max_min(left, &wants)) {
+            targets.add(member, 1, tenant, part);
+            left -= part;
+        }
+        // Ahead of demand: what an owner may ask for, then the others' part, evenly; the first in order get the odd ones.
+        idle.push(("", u32::MAX));
+        for (tenant, lanes) in idle {
+            let lanes = lanes.min(left);
+            left -= lanes;
+            for (place, (member, _)) in (0..most).zip(members) {
+                targets.add(member, 1, tenant, lanes / most + u32::from(place < lanes % most));
+            }
+        }
+        targets
+    }
+
+    /// What a member is to get of so many that are left.
+    pub fn of(&self, member: &Member, mut left: u32) -> BTreeMap<String, u32> {
+        let mut lanes = BTreeMap::new();
+        for (tenant, n) in self.members.get(member).into_iter().flatten().flatten() {
+            let n = left.min(*n);
+            left -= n;
+            if n > 0 {
+                *lanes.entry(tenant.clone()).or_default() += n;
+            }
+        }
+        lanes
+    }
+
+    fn add(&mut self, member: &Member, part: usize, tenant: &str, lanes: u32) {
+        if lanes > 0 {
+            let of = self.members.entry(member.clone()).or_default();
+            *of[part].entry(tenant.to_owned()).or_default() += lanes;
+        }
+    }
+}
+
+fn want(wants: Option<&BTreeMap<String, u32>>, tenant: &str) -> u32 {
+    wants.and_then(|w| w.get(tenant)).copied().unwrap_or(0)
+}
+
+/// Reservations as they stand where fewer lanes are left than were reserved: in proportion, rounded down.
+fn scaled(lanes: u32, reservations: &[Reservation]) -> Vec<u32> {
+    let all: u64 = reservations.iter().map(|r| u64::from(r.lanes)).sum();
+    let part = |r: &Reservation| match all {
+        all if all <= u64::from(lanes) => r.lanes,
+        all => u32::try_from(u64::from(r.lanes) * u64::from(lanes) / all).unwrap_or(lanes),
+    };
+    reservations.iter().map(part).collect()
+}
+
+/// Max-min shares: nobody gets more than it wants, and whoever gets less gets no less than any other, but for one lane.
+fn max_min(lanes: u32, wants: &[u32]) -> Vec<u32> {
+    let mut order: Vec<usize> = (0..wants.len()).collect();
+    order.sort_by_key(|i| wants[*i]);
+    let mut parts = vec![0; wants.len()];
+    let mut left = lanes;
+    for (done, i) in order.into_iter().enumerate() {
+        let others = u32::try_from(wants.len() - done).unwrap_or(u32::MAX);
+        // Rounded up, as the odd lanes go to the first of those that want as much; the sum stays within what is left.
+        parts[i] = wants[i].min(left.div_ceil(others));
+        left -= parts[i];
+    }
+    parts
+}
+
+#[cfg(test)]
+mod tests {
+    use super::max_min;
+
+    #[test]
+    fn small_wants_are_met_and_large_ones_share_evenly() {
+        assert_eq!(max_min(10, &[1, 100, 2, 100]), [1, 4, 2, 3]);
+        assert_eq!(max_min(10, &[]), [0; 0]);
+        assert_eq!(max_min(2, &[5, 5, 5]), [1, 1, 0]);
+        assert_eq!(max_min(100, &[5, 0, 7]), [5, 0, 7]);
+    }
+}
--- a/crates/registry/src/holder.rs
+++ b/crates/registry/src/holder.rs
@@ -17,6 +17,8 @@
     /// Lanes beside the floors, by pool and tenant, and until when.
     pub lanes: Arc<BTreeMap<(String, String), u32>>,
     pub lanes_until: Micros,
+    /// Number of the grant that they came with; 0: none came.
+    pub lanes_of: u64,
 }
 
 impl Standing {
@@ -79,6 +81,7 @@
             let lanes = grant.lanes.into_iter().map(|(pool, tenant, lanes)| ((pool, tenant), lanes));
             self.standing.lanes = Arc::new(lanes.collect());
             self.standing.lanes_until = until;
+            self.standing.lanes_of = grant.number;
         }
         true
     }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -4,17 +4,20 @@
 //!   of retired functions, pools with reservations.
 //! - [`lead`]: what only the keeper that leads knows and decides: sessions, leases, when a retirement is in force.
 //! - [`wire`]: what a front end and the leading keeper say to each other.
+//! - [`deal`]: lanes dealt from reported demand, beside the floors.
 //! - [`holder`]: a front end's side of its session: what it holds, and until when by its own clock.
 //!
 //! Times are microseconds of the monotonic clock of whoever is called. Two processes' clocks never agree: a promise is
 //! counted by its holder from when it asked, and by its giver from when it gave, with [`Terms::drift`] between.
 #![forbid(unsafe_code)]
 
+pub mod deal;
 pub mod holder;
 pub mod lead;
 pub mod record;
 pub mod wire;
 
+pub use deal::{floor, Dealer, Limits};
 pub use holder::{Holder, Standing};
 pub use lead::Lead;
 pub use record::{
@@ -58,7 +61,7 @@
         self.given() + self.quorum + self.drift(self.quorum)
     }
 
-    fn drift(&self, span: Micros) -> Micros {
+    pub(crate) fn drift(&self, span: Micros) -> Micros {
         span * Micros::from(self.drift_ppm) / 1_000_000 + 1
     }
 }
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -47,6 +47,9 @@
     pub in_use: u32,
     /// Calls that wait for a lane.
     pub waiting: u32,
+    /// The grant that the front end went by when it counted these ([`crate::Standing::lanes_of`]); 0: none yet, or runs of
+    /// an earlier run under its name may go on.
+    pub applied: u64,
 }
 
 /// From the leading keeper, or from one that does not lead.
--- /dev/null
+++ b/crates/registry/tests/deal_model.rs
@@ -0,0 +1,91 @@
+//! Lanes by lease, checked over every order of what may happen, on small numbers, with the dealer and holder as they are.
+//! Each guard is shown to matter: without it some order breaks the pool.
+
+mod deal_model {
+    pub mod world;
+}
+
+use deal_model::world::{Bounds, World};
+use stagehoist_registry::deal::Guards;
+use stateright::{Checker, Model};
+
+fn explored(world: World) -> (usize, Option<String>) {
+    let name = world.name;
+    let began = std::time::Instant::now();
+    let checker = world.checker().threads(2).target_state_count(400_000).spawn_bfs().join();
+    let broken = checker.discovery("runs stay within the pool").map(|path| path.into_actions());
+    let broken = broken.map(|actions| format!("{actions:?}"));
+    println!(
+        "{name}: {} states, depth {}, {:.1} s",
+        checker.unique_state_count(),
+        checker.max_depth(),
+        began.elapsed().as_secs_f64()
+    );
+    (checker.unique_state_count(), broken)
+}
+
+fn holds(world: World) {
+    let least = world.bounds.least_states;
+    let (states, broken) = explored(world);
+    assert_eq!(broken, None);
+    // A model that can do nothing would hold as well.
+    assert!(states > least, "{states} states");
+}
+
+fn breaks(world: World) {
+    assert!(explored(world).1.is_some());
+}
+
+#[test]
+fn one_leader_keeps_the_pool_for_any_order_loss_doubling_and_drift() {
+    holds(World::new("one leader", Bounds::ONE_LEADER));
+}
+
+#[test]
+fn one_leader_keeps_the_pool_with_both_links_late() {
+    holds(World::new("both late", Bounds::BOTH_LATE));
+}
+
+#[test]
+fn a_new_leader_keeps_the_pool() {
+    holds(World::new("new leader", Bounds::NEW_LEADER));
+}
+
+#[test]
+fn a_run_that_begins_anew_under_its_name_keeps_the_pool() {
+    holds(World::new("restart", Bounds::RESTART));
+}
+
+#[test]
+fn without_silence_a_new_leader_breaks_it() {
+    let guards = Guards { silence: false, ..Guards::default() };
+    breaks(World::new("no silence", Bounds::NEW_LEADER).with(guards));
+}
+
+#[test]
+fn without_drift_between_the_clocks_it_breaks() {
+    breaks(World::new("no drift", Bounds::ONE_LEADER).without_drift());
+}
+
+#[test]
+fn without_runs_that_outlast_their_lease_it_breaks() {
+    let guards = Guards { runs: false, ..Guards::default() };
+    breaks(World::new("no runs", Bounds::ONE_LEADER).with(guards));
+}
+
+#[test]
+fn with_floors_dealt_it_breaks() {
+    let guards = Guards { floors: false, ..Guards::default() };
+    breaks(World::new("no floors", Bounds::ONE_LEADER).with(guards));
+}
+
+#[test]
+fn with_grants_taken_for_applied_it_breaks() {
+    let guards = Guards { applied: false, ..Guards::default() };
+    breaks(World::new("not applied", Bounds::ONE_LEADER).with(guards));
+}
+
+#[test]
+fn without_a_rest_after_a_restart_it_breaks() {
+    breaks(World::new("no rest", Bounds::RESTART).without_rest());
+}
