--- a/crates/registry/tests/deal_model.rs
+++ b/crates/registry/tests/deal_model.rs
@@ -9,10 +9,13 @@
 use stagehoist_registry::deal::Guards;
 use stateright::{Checker, Model};
 
+/// Steps taken at most, breadth first: the larger models are cut off there, after all orders of eight steps or more.
+const MOST: usize = 400_000;
+
 fn explored(world: World) -> (usize, Option<String>) {
     let name = world.name;
     let began = std::time::Instant::now();
-    let checker = world.checker().threads(2).target_state_count(400_000).spawn_bfs().join();
+    let checker = world.checker().threads(2).target_state_count(MOST).spawn_bfs().join();
     let broken = checker.discovery("runs stay within the pool").map(|path| path.into_actions());
     let broken = broken.map(|actions| format!("{actions:?}"));
     println!(
@@ -41,6 +44,11 @@
     holds(World::new("one leader", Bounds::ONE_LEADER));
 }
 
+#[test]
+fn one_word_each_keeps_the_pool_until_its_lease_and_runs_have_ended() {
+    holds(World::new("one word each", Bounds::ONE_WORD));
+}
+
 #[test]
 fn one_leader_keeps_the_pool_with_both_links_late() {
     holds(World::new("both late", Bounds::BOTH_LATE));
@@ -64,7 +72,7 @@
 
 #[test]
 fn without_drift_between_the_clocks_it_breaks() {
-    breaks(World::new("no drift", Bounds::ONE_LEADER).without_drift());
+    breaks(World::new("no drift", Bounds::ONE_WORD).without_drift());
 }
 
 #[test]
--- a/crates/registry/tests/deal_model/world.rs
+++ b/crates/registry/tests/deal_model/world.rs
@@ -21,7 +21,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     pub ticks: u8,
-    pub reports: u64,
+    /// Reports that each front end may send.
+    pub reports: [u64; 2],
     pub doubled: u8,
     pub elections: u8,
     pub restarts: u8,
@@ -33,14 +34,16 @@
 impl Bounds {
     pub const ONE_LEADER: Bounds = Bounds {
         ticks: 6,
-        reports: 2,
+        reports: [2, 2],
         doubled: 1,
         elections: 0,
         restarts: 0,
         prompt: true,
         least_states: 10_000,
     };
-    pub const BOTH_LATE: Bounds = Bounds { ticks: 3, doubled: 0, prompt: false, ..Bounds::ONE_LEADER };
+    pub const ONE_WORD: Bounds = Bounds { reports: [1, 1], least_states: 1_000, ..Bounds::ONE_LEADER };
+    pub const BOTH_LATE: Bounds =
+        Bounds { ticks: 3, doubled: 0, prompt: false, reports: [2, 1], ..Bounds::ONE_LEADER };
     pub const NEW_LEADER: Bounds = Bounds { ticks: 7, doubled: 0, elections: 1, ..Bounds::ONE_LEADER };
     pub const RESTART: Bounds = Bounds { restarts: 1, doubled: 0, ..Bounds::ONE_LEADER };
 }
@@ -253,7 +256,7 @@
                     }
                 }
             }
-            if front.holder.clone().ask(now) <= self.bounds.reports {
+            if front.holder.clone().ask(now) <= self.bounds.reports[n] {
                 for leader in (0..state.leaders.len() as u8).filter(|l| self.gives(state, *l)) {
                     actions.extend([true, false].map(|wants| Action::Report(n, leader, wants)));
                 }
