--- a/crates/admission/src/lanes/class.rs
+++ b/crates/admission/src/lanes/class.rs
@@ -5,7 +5,8 @@
 use stagehoist::Micros;
 use std::collections::HashMap;
 
-/// For how long calls must have waited before the pace tells that another will wait in vain: lanes may be on their way.
+/// For how long calls must have waited before the pace tells that another will wait in vain: lanes may be on
+/// their way.
 const SETTLED: Micros = 500_000;
 /// Weight of a new gap between two calls that left.
 const GAIN: f64 = 0.1;
--- a/crates/admission/src/lanes/mod.rs
+++ b/crates/admission/src/lanes/mod.rs
@@ -1,8 +1,10 @@
-//! Whether a call may start a run in a pool now: by the lanes that this front end was dealt and its floor there.
+//! Whether a call may start a run in a pool now: by the lanes that this front end was dealt and its floor
+//! there.
 //!
-//! A tenant with a reservation goes by the lanes dealt to it (of its own or borrowed), the others share those dealt to all
-//! without one, in turns by tenant. The floor is anybody's, owners first. All runs of a pool together stay within its floor and
-//! lanes when one is started; runs that are left over from larger leases keep counting until they end.
+//! A tenant with a reservation goes by the lanes dealt to it (of its own or borrowed), the others share those
+//! dealt to all without one, in turns by tenant. The floor is anybody's, owners first. All runs of a pool
+//! together stay within its floor and lanes when one is started; runs that are left over from larger leases
+//! keep counting until they end.
 
 mod class;
 mod queue;
@@ -72,8 +74,9 @@
 }
 
 impl Lanes {
-    /// A gate without pools. `most` calls may wait in each pool, advice is at most `retry_most` microseconds. `rests_until`: see
-    /// [`Lanes::demand`]; the moment of start where workers end a run with its connection, else the longest run after it.
+    /// A gate without pools. `most` calls may wait in each pool, advice is at most `retry_most` microseconds.
+    /// `rests_until`: see [`Lanes::demand`]; the moment of start where workers end a run with its connection,
+    /// else the longest run after it.
     pub fn new(most: usize, retry_most: Micros, rests_until: Micros, seed: u64) -> Lanes {
         Lanes {
             most,
@@ -89,8 +92,8 @@
         }
     }
 
-    /// The pools as they stand now, each with this front end's floor. One that is not told any more keeps its place, without a
-    /// floor, for the runs under way. Whoever is not seated in the fleet tells floors of 0.
+    /// The pools as they stand now, each with this front end's floor. One that is not told any more keeps its
+    /// place, without a floor, for the runs under way. Whoever is not seated in the fleet tells floors of 0.
     pub fn told(&mut self, pools: &[PoolRules], now: Micros) {
         for pool in &mut self.pools {
             pool.close();
@@ -105,8 +108,8 @@
         }
     }
 
-    /// Lanes dealt by grant `number`, by names of pool and tenant (empty: those without a reservation), until that time; they
-    /// take the place of all dealt before.
+    /// Lanes dealt by grant `number`, by names of pool and tenant (empty: those without a reservation), until
+    /// that time; they take the place of all dealt before.
     pub fn granted<'a>(
         &mut self,
         number: u64,
@@ -167,7 +170,8 @@
         }
     }
 
-    /// Calls that need wait no longer, in order, appended to `woken`. To be asked after any change and at [`Lanes::next`].
+    /// Calls that need wait no longer, in order, appended to `woken`. To be asked after any change and at
+    /// [`Lanes::next`].
     pub fn ready(&mut self, now: Micros, woken: &mut Vec<Woken>) {
         self.expire(now);
         while let Some((_, call)) = self.deadlines.first().copied().filter(|(latest, _)| *latest <= now) {
@@ -194,8 +198,8 @@
         deadline.into_iter().chain(rested).min()
     }
 
-    /// What to report. While runs of an earlier run may go on the grant in force is not named, so that a leader that deals
-    /// anew counts on nothing yet.
+    /// What to report. While runs of an earlier run may go on the grant in force is not named, so that a
+    /// leader that deals anew counts on nothing yet.
     pub fn demand(&self, now: Micros) -> impl Iterator<Item = Wanted<'_>> {
         let applied = if now < self.rests_until { 0 } else { self.applied };
         self.pools.iter().flat_map(move |pool| pool.wanted(applied))
--- a/crates/admission/src/lanes/queue.rs
+++ b/crates/admission/src/lanes/queue.rs
@@ -5,7 +5,8 @@
 /// Turns that are void before they are swept out.
 const VOID_MOST: usize = 16;
 
-/// Calls in order of their places, tenants in turn. Each step takes O(log n), sweeping apart, which each step pays a part of.
+/// Calls in order of their places, tenants in turn. Each step takes O(log n), sweeping apart, which each step
+/// pays a part of.
 #[derive(Debug, Default)]
 pub(super) struct Turns {
     /// A tenant's stamp tells its turn from those that it left before.
--- a/crates/registry/src/deal/account.rs
+++ b/crates/registry/src/deal/account.rs
@@ -7,7 +7,7 @@
 /// Grants whose end is not yet known; beyond them the two oldest are counted as one.
 const GIVEN_MOST: usize = 64;
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Given {
     number: u64,
     at: Micros,
@@ -16,7 +16,7 @@
 }
 
 /// An account of a member, from its newest report.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(super) struct Account {
     number: u64,
     heard: Micros,
@@ -24,8 +24,8 @@
     known: bool,
     ready_lanes: u32,
     in_use: BTreeMap<String, u32>,
-    /// Lanes wanted by pool and tenant: the newest word where it is more, else a quarter of the way down to it, so that a
-    /// short dip moves no lanes.
+    /// Lanes wanted by pool and tenant: the newest word where it is more, else a quarter of the way down to
+    /// it, so that a short dip moves no lanes.
     wants: BTreeMap<String, BTreeMap<String, u32>>,
     given: Vec<Given>,
     counted: BTreeMap<String, u32>,
@@ -52,7 +52,8 @@
             let of = self.wants.entry(demand.pool.clone()).or_default();
             let want = of.entry(demand.tenant.clone()).or_default();
             let told = demand.in_use.saturating_add(demand.waiting);
-            // What is left of the word before, and a quarter of the new one: falls in steps, ends at what is told.
+            // What is left of the word before, and a quarter of the new one: falls in steps, ends at what is
+            // told.
             *want = told.max(want.saturating_add(told / 4));
         }
         for of in self.wants.values_mut() {
@@ -82,8 +83,8 @@
         self.given.retain(|g| g.at > before);
     }
 
-    /// Counts the lanes of a pool that it may have in use beyond its floor, now or later, with what it was given so far:
-    /// as counted before, and now. What is counted only falls by itself, with time.
+    /// Counts the lanes of a pool that it may have in use beyond its floor, now or later, with what it was
+    /// given so far: as counted before, and now. What is counted only falls by itself, with time.
     pub fn count(
         &mut self,
         pool: &str,
--- a/crates/registry/src/deal/mod.rs
+++ b/crates/registry/src/deal/mod.rs
@@ -1,10 +1,11 @@
 //! Lanes dealt by lease beside the floors, at the keeper that leads.
 //!
-//! A front end starts a run in a pool only while its runs there are fewer than its floor and the lanes it holds together.
-//! Runs go on after the lease that they began under. So from any account of itself on (`in_use`, and `applied`: the grant
-//! that it went by then) it never has more runs than the greater of `in_use` and its floor with the largest grant numbered
-//! `applied` or later. That is what the dealer counts as out, until a later account tells less, or until the lease and the
-//! longest run have passed. A member is given only what is left of the pool after all floors and what the others have out.
+//! A front end starts a run in a pool only while its runs there are fewer than its floor and the lanes it
+//! holds together. Runs go on after the lease that they began under. So from any account of itself on
+//! (`in_use`, and `applied`: the grant that it went by then) it never has more runs than the greater of
+//! `in_use` and its floor with the largest grant numbered `applied` or later. That is what the dealer counts
+//! as out, until a later account tells less, or until the lease and the longest run have passed. A member is
+//! given only what is left of the pool after all floors and what the others have out.
 
 mod account;
 mod share;
@@ -19,7 +20,7 @@
 
 /// Rules that a test takes out one at a time; all stand in use.
 #[doc(hidden)]
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Guards {
     /// Promises of earlier leaders are waited for.
     pub silence: bool,
@@ -38,7 +39,7 @@
 }
 
 /// Deals the lanes of every pool; forgotten with the leadership.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Dealer {
     terms: Terms,
     limits: Limits,
@@ -48,7 +49,8 @@
     before: BTreeSet<Member>,
     accounts: BTreeMap<Member, Account>,
     pools: Vec<Pool>,
-    /// Floors by pool of earlier editions, and the change that ended each, until every member has applied that.
+    /// Floors by pool of earlier editions, and the change that ended each, until every member has applied
+    /// that.
     old_floors: Vec<(Version, BTreeMap<String, u32>)>,
     /// No promise of an earlier leader stands any more.
     open: bool,
@@ -56,7 +58,7 @@
 }
 
 /// What was reckoned of a pool; within a round only the member that reports is counted anew.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Round {
     lanes: u32,
     floor: u32,
@@ -86,14 +88,14 @@
         Dealer { guards, ..self }
     }
 
-    /// Whether a front end of this name may join. One beyond the told number would have no floor, and could not know it
-    /// while it is cut off; so it is turned away at its hello.
+    /// Whether a front end of this name may join. One beyond the told number would have no floor, and could
+    /// not know it while it is cut off; so it is turned away at its hello.
     pub fn admits(&self, record: &Record, name: &str) -> bool {
         record.present().filter(|m| m.name != name).count() < self.limits.fleet as usize
     }
 
-    /// A present member reported, and promises may be given: the lanes of the grant that answers, by pool and tenant.
-    /// A report that is late or came twice changes nothing and gets none.
+    /// A present member reported, and promises may be given: the lanes of the grant that answers, by pool and
+    /// tenant. A report that is late or came twice changes nothing and gets none.
     pub fn report(
         &mut self,
         record: &Record,
@@ -117,8 +119,8 @@
         lanes
     }
 
-    /// Whether no lanes that this leader does not know of can be in use: promises of earlier ones have run out, and every
-    /// member of before was heard since, or the runs that they began have ended.
+    /// Whether no lanes that this leader does not know of can be in use: promises of earlier ones have run
+    /// out, and every member of before was heard since, or the runs that they began have ended.
     pub fn may_deal(&self, now: Micros) -> bool {
         let quiet = self.began + self.terms.silence();
         let known = |m: &Member| self.accounts.get(m).is_some_and(Account::is_known);
@@ -126,7 +128,8 @@
             || now >= quiet && (now >= quiet + self.longest() || self.before.iter().all(known))
     }
 
-    /// Lanes of a pool that are counted as out beyond the floors, as last reckoned; and those that may be dealt.
+    /// Lanes of a pool that are counted as out beyond the floors, as last reckoned; and those that may be
+    /// dealt.
     pub fn out(&self, pool: &str) -> (u32, u32) {
         let round = self.round.as_ref().and_then(|(_, pools)| pools.get(pool));
         round.map_or((0, 0), |r| (r.out, r.lanes))
@@ -154,7 +157,7 @@
         self.accounts.retain(|m, a| {
             a.forget(now - span);
             // Runs of one that is gone may go on at workers.
-            record.members.get(&m.name) == Some(&(m.incarnation, false)) || now < a.heard() + span
+            record.is_present(m) || now < a.heard() + span
         });
         // Floors of earlier editions end once all have applied a later one.
         let accounts = &self.accounts;
@@ -218,9 +221,9 @@
         self.accounts.iter().filter(move |(_, a)| a.heard() > late)
     }
 
-    /// A pool's size. Where it goes by workers, for dealing the lower median of what members told of late: one front end
-    /// that sees no workers does not empty the pool, and one that still counts workers that are gone does not widen it. For
-    /// floors the greatest, as each member reckons its own by its own count.
+    /// A pool's size. Where it goes by workers, for dealing the lower median of what members told of late:
+    /// one front end that sees no workers does not empty the pool, and one that still counts workers that are
+    /// gone does not widen it. For floors the greatest, as each member reckons its own by its own count.
     fn size(&self, pool: &Pool, now: Micros, for_floors: bool) -> u32 {
         if let Size::Lanes(lanes) = pool.size {
             return lanes;
--- a/crates/registry/src/deal/share.rs
+++ b/crates/registry/src/deal/share.rs
@@ -1,4 +1,5 @@
-//! Who should have how many lanes: reservations first, the rest max-min by demand, what nobody asks for ahead of demand.
+//! Who should have how many lanes: reservations first, the rest max-min by demand, what nobody asks for ahead
+//! of demand.
 
 use crate::{Member, Reservation};
 use std::collections::BTreeMap;
@@ -6,7 +7,7 @@
 type Wants<'a> = [(&'a Member, Option<&'a BTreeMap<String, u32>>)];
 
 /// Lanes each member should have in a pool; together no more than may be dealt.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(super) struct Targets {
     /// By member: lanes inside reservations, then the rest, by tenant.
     members: BTreeMap<Member, [BTreeMap<String, u32>; 2]>,
@@ -37,7 +38,8 @@
             targets.add(member, 1, tenant, part);
             left -= part;
         }
-        // Ahead of demand: what an owner may ask for, then the others' part, evenly; the first in order get the odd ones.
+        // Ahead of demand: what an owner may ask for, then the others' part, evenly; the first in order get
+        // the odd ones.
         idle.push(("", u32::MAX));
         for (tenant, lanes) in idle {
             let lanes = lanes.min(left);
@@ -84,7 +86,8 @@
     reservations.iter().map(part).collect()
 }
 
-/// Max-min shares: nobody gets more than it wants, and whoever gets less gets no less than any other, but for one lane.
+/// Max-min shares: nobody gets more than it wants, and whoever gets less gets no less than any other, but for
+/// one lane.
 fn max_min(lanes: u32, wants: &[u32]) -> Vec<u32> {
     let mut order: Vec<usize> = (0..wants.len()).collect();
     order.sort_by_key(|i| wants[*i]);
@@ -92,7 +95,8 @@
     let mut left = lanes;
     for (done, i) in order.into_iter().enumerate() {
         let others = u32::try_from(wants.len() - done).unwrap_or(u32::MAX);
-        // Rounded up, as the odd lanes go to the first of those that want as much; the sum stays within what is left.
+        // Rounded up, as the odd lanes go to the first of those that want as much; the sum stays within what
+        // is left.
         parts[i] = wants[i].min(left.div_ceil(others));
         left -= parts[i];
     }
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -7,7 +7,7 @@
 pub const PROTOCOL: u16 = 1;
 
 /// From a front end.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ToKeeper {
     /// First on a connection. `member` is set where this run has joined before.
     Hello {
@@ -25,12 +25,12 @@
 }
 
 /// Sent a few times in each lease, and at once when something changed.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Report {
     /// Counts up on a connection; the answer names it.
     pub number: u64,
-    /// The view that this front end has applied: it serves nothing that the view's tombstones name, nor is such a call at
-    /// work here.
+    /// The view that this front end has applied: it serves nothing that the view's tombstones name, nor is
+    /// such a call at work here.
     pub confirmed: Version,
     /// Ready lanes of workers that it knows, for pools sized by workers.
     pub ready_lanes: u32,
@@ -38,7 +38,7 @@
 }
 
 /// Lanes asked for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Demand {
     pub pool: String,
     /// Empty: all who have no reservation there.
@@ -47,13 +47,13 @@
     pub in_use: u32,
     /// Calls that wait for a lane.
     pub waiting: u32,
-    /// The grant that the front end went by when it counted these ([`crate::Standing::lanes_of`]); 0: none yet, or runs of
-    /// an earlier run under its name may go on.
+    /// The grant that the front end went by when it counted these ([`crate::Standing::lanes_of`]); 0: none
+    /// yet, or runs of an earlier run under its name may go on.
     pub applied: u64,
 }
 
 /// From the leading keeper, or from one that does not lead.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ToMember {
     /// The number of the keeper that leads, where it is known.
     Elsewhere {
@@ -73,7 +73,7 @@
 }
 
 /// Answers a report: the view's lease, and lanes for as long.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Grant {
     /// Of the report that it answers; the lease counts from when that was sent.
     pub number: u64,
--- a/crates/registry/tests/deal.rs
+++ b/crates/registry/tests/deal.rs
@@ -1,5 +1,5 @@
-//! Dealing in a simulated fleet: never more runs than the pool has lanes, owners get their lanes back in the stated time, and
-//! what nobody reserved or uses is lent.
+//! Dealing in a simulated fleet: never more runs than the pool has lanes, owners get their lanes back in the
+//! stated time, and what nobody reserved or uses is lent.
 
 mod deal_world;
 
@@ -8,8 +8,8 @@
 
 const LANES: u32 = 100;
 const RESERVED: u32 = 40;
-/// Four rounds of report and answer (the owner asks, borrowers are told less, their runs end and they tell so, the owner is
-/// told more), and the longest run.
+/// Four rounds of report and answer (the owner asks, borrowers are told less, their runs end and they tell
+/// so, the owner is told more), and the longest run.
 const BACK: i64 = 4 * (50 + 12 + 10) * MS + LIMITS.longest;
 
 fn trouble() -> impl Strategy<Value = Trouble> {
@@ -41,7 +41,8 @@
             most = most.max(world.runs());
             prop_assert!(world.runs() <= lanes as usize, "{} runs in step {step}", world.runs());
         }
-        // More than the floors came into use at some time, unless leaders followed each other too fast for it.
+        // More than the floors came into use at some time, unless leaders followed each other too fast for
+        // it.
         prop_assert!(most > 0 || lanes < 25, "{most} of {lanes}");
     }
 
--- a/crates/registry/tests/deal_model.rs
+++ b/crates/registry/tests/deal_model.rs
@@ -1,5 +1,5 @@
-//! Lanes by lease, checked over every order of what may happen, on small numbers, with the dealer and holder as they are.
-//! Each guard is shown to matter: without it some order breaks the pool.
+//! Lanes by lease, checked over every order of what may happen, on small numbers, with the dealer and holder
+//! as they are. Each guard is shown to matter: without it some order breaks the pool.
 
 mod deal_model {
     pub mod world;
@@ -9,7 +9,8 @@
 use stagehoist_registry::deal::Guards;
 use stateright::{Checker, Model};
 
-/// Steps taken at most, breadth first: the larger models are cut off there, after all orders of eight steps or more.
+/// Steps taken at most, breadth first: the larger models are cut off there, after all orders of eight steps
+/// or more.
 const MOST: usize = 400_000;
 
 fn explored(world: World) -> (usize, Option<String>) {
--- a/crates/registry/tests/deal_model/world.rs
+++ b/crates/registry/tests/deal_model/world.rs
@@ -5,8 +5,6 @@
     floor, Command, Demand, Grant, Holder, Member, Micros, Pool, Record, Report, Size, Terms,
 };
 use stateright::{Model, Property};
-use std::fmt::Write;
-use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 const POOL: &str = "p";
@@ -41,7 +39,7 @@
         prompt: true,
         least_states: 10_000,
     };
-    pub const ONE_WORD: Bounds = Bounds { reports: [1, 1], least_states: 1_000, ..Bounds::ONE_LEADER };
+    pub const ONE_WORD: Bounds = Bounds { reports: [1, 1], least_states: 10_000, ..Bounds::ONE_LEADER };
     pub const BOTH_LATE: Bounds =
         Bounds { ticks: 3, doubled: 0, prompt: false, reports: [2, 1], ..Bounds::ONE_LEADER };
     pub const NEW_LEADER: Bounds = Bounds { ticks: 7, doubled: 0, elections: 1, ..Bounds::ONE_LEADER };
@@ -57,7 +55,7 @@
     rest: bool,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Front {
     slow: bool,
     member: Member,
@@ -70,7 +68,7 @@
     grant: Option<Grant>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct State {
     tick: u8,
     fronts: [Front; 2],
@@ -83,11 +81,11 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Action {
-    /// Before the clocks go on each front end has as many runs as it may, each begun as late as it can be; what may not be
-    /// begun anew goes on. So no other choice of runs has more of them later.
+    /// Before the clocks go on each front end has as many runs as it may, each begun as late as it can be;
+    /// what may not be begun anew goes on. So no other choice of runs has more of them later.
     Tick,
-    /// Asks for all lanes with all runs at work, or ends them and asks for nothing. A report that was under way still is
-    /// lost, as is an answer when the next one is given.
+    /// Asks for all lanes with all runs at work, or ends them and asks for nothing. A report that was under
+    /// way still is lost, as is an answer when the next one is given.
     Report(usize, u8, bool),
     ReportArrives(usize, bool),
     GrantArrives(usize),
@@ -95,28 +93,6 @@
     Restart(usize),
 }
 
-impl PartialEq for State {
-    fn eq(&self, other: &State) -> bool {
-        format!("{self:?}") == format!("{other:?}")
-    }
-}
-
-impl Hash for State {
-    fn hash<H: Hasher>(&self, state: &mut H) {
-        struct To<'a, H>(&'a mut H);
-        impl<H: Hasher> Write for To<'_, H> {
-            fn write_str(&mut self, s: &str) -> std::fmt::Result {
-                self.0.write(s.as_bytes());
-                Ok(())
-            }
-        }
-        let mut to = To(state);
-        // The record is that of the restarts.
-        let _ = write!(to, "{} {:?} {} ", self.tick, self.fronts, self.slow_leader);
-        let _ = write!(to, "{:?} {} {}", self.leaders, self.doubled, self.restarts);
-    }
-}
-
 fn clock(slow: bool, tick: u8) -> Micros {
     Micros::from(tick) * if slow { SLOW } else { TICK }
 }
@@ -157,6 +133,11 @@
         self.runs.sort_unstable();
     }
 
+    fn granted(&mut self, grant: Grant, now: Micros) {
+        self.holder.grant(grant);
+        self.fill(now);
+    }
+
     fn report(&mut self, leader: u8, wants: bool, now: Micros) {
         let number = self.holder.ask(now);
         let applied = if now < self.rests_until { 0 } else { self.holder.standing().lanes_of };
@@ -298,13 +279,14 @@
                 if n == 1 && self.bounds.prompt {
                     self.arrive(&mut state, n, false)?;
                     let grant = state.fronts[n].grant.take()?;
-                    state.fronts[n].holder.grant(grant);
+                    state.fronts[n].granted(grant, now);
                 }
             }
             Action::ReportArrives(n, doubled) => self.arrive(&mut state, n, doubled)?,
             Action::GrantArrives(n) => {
                 let grant = state.fronts[n].grant.take()?;
-                state.fronts[n].holder.grant(grant);
+                let front = &mut state.fronts[n];
+                front.granted(grant, clock(front.slow, last.tick));
             }
             Action::Elect => self.lead(&mut state),
             Action::Restart(n) => {
--- a/crates/registry/tests/deal_world/mod.rs
+++ b/crates/registry/tests/deal_world/mod.rs
@@ -1,5 +1,6 @@
-//! A fleet in simulated time: front ends with the gate and holder as they are, links that lose, double and delay, clocks
-//! that run apart, leaders that follow each other, runs that end at workers after their front end is gone.
+//! A fleet in simulated time: front ends with the gate and holder as they are, links that lose, double and
+//! delay, clocks that run apart, leaders that follow each other, runs that end at workers after their front
+//! end is gone.
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
