A new leader's first look counts whoever is there, however late it comes

The model found it: without a report before silence ended, nobody was taken for a holder of earlier lanes, and runs under them passed the pool (elected at tick 0, old grant at tick 1, dealt anew at tick 4).

--- a/crates/registry/src/deal/mod.rs
+++ b/crates/registry/src/deal/mod.rs
@@ -45,13 +45,14 @@
     limits: Limits,
     guards: Guards,
     began: Micros,
-    /// Members seen before the promises of earlier leaders had run out.
+    /// Members that an earlier leader may have promised something.
     before: BTreeSet<Member>,
     accounts: BTreeMap<Member, Account>,
     pools: Vec<Pool>,
     /// Floors by pool of earlier editions, and the change that ended each, until every member has applied
     /// that.
     old_floors: Vec<(Version, BTreeMap<String, u32>)>,
+    looked: bool,
     /// No promise of an earlier leader stands any more.
     open: bool,
     round: Option<(Micros, BTreeMap<String, Round>)>,
@@ -78,6 +79,7 @@
             accounts: BTreeMap::new(),
             pools: Vec::new(),
             old_floors: Vec::new(),
+            looked: false,
             open: false,
             round: None,
         }
@@ -137,8 +139,12 @@
 
     /// Follows members and pools.
     fn look(&mut self, record: &Record, now: Micros) {
-        if now < self.began + self.terms.silence() {
+        // The first look may come late: who is there then may have been given lanes by an earlier leader, and
+        // so may a run in whose place another joined.
+        if !self.looked || now < self.began + self.terms.silence() {
+            self.looked = true;
             self.before.extend(record.present());
+            self.before.extend(record.replaced.keys().cloned());
         }
         if self.pools != record.view.pools {
             let floors = self.pools.iter().map(|p| (p.name.clone(), self.floor(&p.name, now))).collect();
--- a/crates/registry/tests/deal.rs
+++ b/crates/registry/tests/deal.rs
@@ -47,7 +47,9 @@
     }
 
     #[test]
-    fn a_pool_that_shrinks_is_kept_to_once_what_was_given_has_ended(seed: u64, to in 5..60u32, lost in 0..300u32) {
+    fn a_pool_that_shrinks_is_kept_to_once_what_was_given_has_ended(
+        seed: u64, to in 5..60u32, lost in 0..300u32,
+    ) {
         let mut world = World::new(seed, 5, 60, 20, Trouble { lost, ..Trouble::default() });
         for n in 0..5 {
             world.load(n, 60, 20);
--- a/crates/registry/tests/deal_model.rs
+++ b/crates/registry/tests/deal_model.rs
@@ -20,8 +20,9 @@
     let broken = checker.discovery("runs stay within the pool").map(|path| path.into_actions());
     let broken = broken.map(|actions| format!("{actions:?}"));
     println!(
-        "{name}: {} states, depth {}, {:.1} s",
+        "{name}: {} states of {} steps, depth {}, {:.1} s",
         checker.unique_state_count(),
+        checker.state_count(),
         checker.max_depth(),
         began.elapsed().as_secs_f64()
     );
@@ -50,6 +51,11 @@
     holds(World::new("one word each", Bounds::ONE_WORD));
 }
 
+#[test]
+fn one_word_each_and_a_new_leader_keep_the_pool() {
+    holds(World::new("one word each, new leader", Bounds::ONE_WORD_NEW_LEADER));
+}
+
 #[test]
 fn one_leader_keeps_the_pool_with_both_links_late() {
     holds(World::new("both late", Bounds::BOTH_LATE));
--- a/crates/registry/tests/deal_model/world.rs
+++ b/crates/registry/tests/deal_model/world.rs
@@ -40,6 +40,7 @@
         least_states: 10_000,
     };
     pub const ONE_WORD: Bounds = Bounds { reports: [1, 1], least_states: 10_000, ..Bounds::ONE_LEADER };
+    pub const ONE_WORD_NEW_LEADER: Bounds = Bounds { ticks: 7, doubled: 0, elections: 1, ..Bounds::ONE_WORD };
     pub const BOTH_LATE: Bounds =
         Bounds { ticks: 3, doubled: 0, prompt: false, reports: [2, 1], ..Bounds::ONE_LEADER };
     pub const NEW_LEADER: Bounds = Bounds { ticks: 7, doubled: 0, elections: 1, ..Bounds::ONE_LEADER };
