--- a/crates/registry/tests/deal_model.rs
+++ b/crates/registry/tests/deal_model.rs
@@ -9,8 +9,8 @@
 use stagehoist_registry::deal::Guards;
 use stateright::{Checker, Model};
 
-/// Steps taken at most, breadth first. The models of one word each end before it, explored whole; the larger ones
-/// are cut off there, at a depth of eight or more.
+/// Steps taken at most, breadth first. The models of one word each end before it, explored whole; the
+/// larger ones are cut off there, at a depth of eight or more.
 const MOST: usize = 400_000;
 
 fn explored(world: World) -> (usize, Option<String>) {
