--- a/crates/registry/src/lead.rs
+++ b/crates/registry/src/lead.rs
@@ -4,7 +4,7 @@
 
 mod due;
 
-use crate::{Grant, Member, Micros, Record, Report, Terms, Version};
+use crate::{Dealer, Grant, Limits, Member, Micros, Record, Report, Terms, Version};
 use std::collections::BTreeMap;
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -38,6 +38,7 @@
     wake: Option<Micros>,
     /// A tombstone waits for the end of promises.
     waits: bool,
+    dealer: Option<Dealer>,
 }
 
 impl Lead {
@@ -45,7 +46,19 @@
     /// own term: before, a promise could vouch for a view that was overtaken under an earlier leader.
     pub fn new(terms: Terms, now: Micros) -> Lead {
         let (sessions, courses) = (BTreeMap::new(), BTreeMap::new());
-        Lead { terms, began: now, sessions, courses, let_leave: None, judged: None, wake: None, waits: false }
+        let (let_leave, judged, wake, dealer) = (None, None, None, None);
+        Lead { terms, began: now, sessions, courses, let_leave, judged, wake, waits: false, dealer }
+    }
+
+    /// Deals lanes of the record's pools too; without it none are dealt.
+    pub fn dealing(mut self, limits: Limits) -> Lead {
+        self.dealer = Some(Dealer::new(self.terms, limits, self.began));
+        self
+    }
+
+    /// Who deals the lanes.
+    pub fn dealer(&self) -> Option<&Dealer> {
+        self.dealer.as_ref()
     }
 
     /// A member reported. `acked` is when a majority is known to have followed this leader, by this keeper's
@@ -75,7 +88,7 @@
             number: report.number,
             version: record.view.version,
             lease: self.terms.lease,
-            lanes: Vec::new(),
+            lanes: self.dealer.as_mut().map_or_else(Vec::new, |d| d.report(record, member, report, now)),
         })
     }
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`lead`]: what only the keeper that leads knows and decides: sessions, leases, when a retirement is in
 //!   force.
 //! - [`wire`]: what a front end and the leading keeper say to each other.
+//! - [`deal`]: lanes dealt from reported demand, beside the floors.
 //! - [`holder`]: a front end's side of its session: what it holds, and until when by its own clock.
 //!
 //! Times are microseconds of the monotonic clock of whoever is called. Two processes' clocks never agree: a
@@ -15,11 +16,13 @@
 
 mod apply;
 pub mod bounds;
+pub mod deal;
 pub mod holder;
 pub mod lead;
 pub mod record;
 pub mod wire;
 
+pub use deal::{floor, Dealer, Limits};
 pub use holder::{Holder, Standing};
 pub use lead::Lead;
 pub use record::{
@@ -63,7 +66,7 @@
         self.given() + self.quorum + self.drift(self.quorum)
     }
 
-    fn drift(&self, span: Micros) -> Micros {
+    pub(crate) fn drift(&self, span: Micros) -> Micros {
         span * Micros::from(self.drift_ppm) / 1_000_000 + 1
     }
 }
