--- /dev/null
+++ b/crates/gateway/src/amqp/front/asking.rs
@@ -0,0 +1,96 @@
+//! Messages delivered again of which nothing is known here: they wait while whoever may have held them is asked.
+
+use super::*;
+use stagehoist_recovery::inquiry::{Inquiries, Outcome, Patience, Told};
+use stagehoist_recovery::Identity;
+
+/// A question to one who may have held a message: the number of the answer, the message, who is asked.
+pub type Question = (Ticket, Identity, Rc<str>);
+
+/// What a front with marks keeps.
+pub(super) struct Asking {
+    /// Who may have held a message that comes again: this member, by its marks, and others.
+    members: Vec<Rc<str>>,
+    inquiries: Inquiries<Rc<str>>,
+    waiting: HashMap<Ticket, (Micros, Arrival)>,
+    questions: Vec<Question>,
+}
+
+impl Asking {
+    pub(super) fn due(&self) -> Option<Micros> {
+        self.inquiries.due()
+    }
+}
+
+impl Front {
+    /// From now on attempts are marked on disk, and messages delivered again of which nothing is known wait for the word of
+    /// these members, this one's marks among them. Questions are to be asked from [`Front::take_questions`].
+    pub fn ask(&mut self, members: Vec<Rc<str>>, patience: Patience) {
+        self.memory.asks(true);
+        let inquiries = Inquiries::new(patience);
+        let (waiting, questions) = (HashMap::new(), Vec::new());
+        self.asking = Some(Asking { members, inquiries, waiting, questions });
+    }
+
+    /// Others are to be asked from now on.
+    pub fn ask_these(&mut self, members: Vec<Rc<str>>) {
+        if let Some(asking) = self.asking.as_mut() {
+            asking.members = members;
+        }
+    }
+
+    /// Questions to be asked now; few and seldom, beside a restart none.
+    pub fn take_questions(&mut self) -> Vec<Question> {
+        self.asking.as_mut().map(|a| std::mem::take(&mut a.questions)).unwrap_or_default()
+    }
+
+    pub(super) fn ask_about(&mut self, arrival: Arrival, now: Micros) {
+        let ticket = arrival.ticket;
+        let Some((asking, identity)) = self.asking.as_mut().zip(arrival.identity) else {
+            return self.fail_unknown(ticket, now);
+        };
+        self.counters.asked += 1;
+        match asking.inquiries.ask(ticket, identity, asking.members.clone(), arrival.budget, now) {
+            Ok(()) => {
+                let questions = asking.members.iter().map(|m| (ticket, identity, m.clone()));
+                asking.questions.extend(questions);
+                asking.waiting.insert(ticket, (now, arrival));
+            }
+            Err(why) => {
+                tracing::info!(correlation = &*arrival.correlation, ?why, "not asked about");
+                self.fail_unknown(ticket, now);
+            }
+        }
+    }
+
+    /// A member answered; None: it could not be asked.
+    pub fn told(&mut self, ticket: Ticket, member: &Rc<str>, told: Option<Told>, now: Micros) {
+        let told = told.unwrap_or(Told::NotKnown);
+        let Some(asking) = self.asking.as_mut() else { return };
+        match asking.inquiries.told(ticket, member, told) {
+            None => {}
+            Some(Outcome::Fail) => self.fail_unknown(ticket, now),
+            Some(Outcome::Run) => {
+                let Some((since, arrival)) = asking.waiting.remove(&ticket) else { return };
+                self.counters.run_by_marks += 1;
+                // What it waited is gone from its time.
+                let budget = arrival.budget - (now - since);
+                self.arrivals.push(Arrival { budget, ..arrival });
+            }
+        }
+    }
+
+    /// Questions whose time is over.
+    pub(super) fn give_up_asking(&mut self, now: Micros) {
+        let over = self.asking.as_mut().map(|a| a.inquiries.expired(now)).unwrap_or_default();
+        over.into_iter().for_each(|ticket| self.fail_unknown(ticket, now));
+    }
+
+    pub(super) fn fail_unknown(&mut self, ticket: Ticket, now: Micros) {
+        if let Some(asking) = self.asking.as_mut() {
+            asking.waiting.remove(&ticket);
+        }
+        self.counters.failed_unknown += 1;
+        self.answer(ticket, Answer::Failed { reason: "delivered-before" }, now);
+    }
+}
--- a/crates/gateway/src/amqp/front/consuming.rs
+++ b/crates/gateway/src/amqp/front/consuming.rs
@@ -54,6 +54,7 @@
             self.consume(index, now);
         }
         self.look(now);
+        self.give_up_asking(now);
         if self.oldest_unconfirmed().is_some_and(|at| now - at >= self.config.confirm_timeout) {
             tracing::warn!("the broker confirms no replies; connection given up");
             if self.replies.pop_first().is_none() {
--- /dev/null
+++ b/crates/gateway/src/amqp/front/counters.rs
@@ -0,0 +1,28 @@
+//! What a front counts.
+
+/// What a front has done, for metrics and tests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FrontCounters {
+    pub delivered: u64,
+    pub redelivered: u64,
+    pub rejected: u64,
+    pub answered_unusable: u64,
+    /// Refused at intake: the bounds on held calls or bytes are reached.
+    pub turned_away: u64,
+    /// Changes of the window that the broker was asked for.
+    pub windows: u64,
+    pub replies: u64,
+    /// Acknowledgements sent; one may stand for many messages.
+    pub acks: u64,
+    pub confirmed: u64,
+    pub unroutable: u64,
+    pub from_memory: u64,
+    pub joined: u64,
+    pub withheld: u64,
+    pub failed_unknown: u64,
+    /// Delivered again, not known here, and asked about; and those of them that ran by the word of all marks.
+    pub asked: u64,
+    pub run_by_marks: u64,
+    pub connections_lost: u64,
+    pub channels_lost: u64,
+}
--- a/crates/gateway/src/amqp/front/deliveries.rs
+++ b/crates/gateway/src/amqp/front/deliveries.rs
@@ -98,43 +98,49 @@
                 self.deliveries.insert(ticket, delivery);
                 self.answer(ticket, Answer::Failed { reason: "delivered-before" }, now);
             }
-            Verdict::Run => {
+            Verdict::Run | Verdict::Ask => {
                 let correlation = delivery.correlation.clone();
                 self.deliveries.insert(ticket, delivery);
-                match asked {
+                let asked = match asked {
+                    Ok(asked) => asked,
                     Err(wrong) => {
                         self.counters.answered_unusable += 1;
                         tracing::info!(correlation = &*correlation, reason = wrong.reason(), %wrong, "not taken");
-                        self.answer(ticket, Answer::Refused { reason: wrong.reason(), retry_after: 0 }, now);
+                        let answer = Answer::Refused { reason: wrong.reason(), retry_after: 0 };
+                        return self.answer(ticket, answer, now);
                     }
-                    Ok(asked) => {
-                        match self.intake.admit((queue as u32, asked.tenant), message.size) {
-                            Ok(held) => {
-                                self.deliveries.entry(ticket).and_modify(|d| d.held = Some(held));
-                            }
-                            Err(why) => {
-                                self.counters.turned_away += 1;
-                                let retry_after = self.advice.retry_after(self.intake.calls());
-                                let reason = why.reason();
-                                return self.answer(ticket, Answer::Refused { reason, retry_after }, now);
-                            }
-                        }
-                        let content_type = properties.content_type().as_ref().map(|c| c.as_str().to_string());
-                        self.arrivals.push(Arrival {
-                            ticket,
-                            function: asked.function,
-                            figures: known.map(|k| k.0),
-                            tenant: asked.tenant,
-                            budget: known.map_or(asked.budget, |k| asked.budget.min(k.1)),
-                            read: 0,
-                            repeat: deliver.redelivered,
-                            // Whoever may publish to the queue is a caller.
-                            known: true,
-                            body: message.body,
-                            content_type,
-                            correlation,
-                        });
+                };
+                match self.intake.admit((queue as u32, asked.tenant), message.size) {
+                    Ok(held) => {
+                        self.deliveries.entry(ticket).and_modify(|d| d.held = Some(held));
                     }
+                    Err(why) => {
+                        self.counters.turned_away += 1;
+                        let retry_after = self.advice.retry_after(self.intake.calls());
+                        let reason = why.reason();
+                        return self.answer(ticket, Answer::Refused { reason, retry_after }, now);
+                    }
+                }
+                let content_type = properties.content_type().as_ref().map(|c| c.as_str().to_string());
+                let identity = self.asking.as_ref().and_then(|_| Some(key.as_ref()?.identity()));
+                let arrival = Arrival {
+                    ticket,
+                    function: asked.function,
+                    figures: known.map(|k| k.0),
+                    tenant: asked.tenant,
+                    budget: known.map_or(asked.budget, |k| asked.budget.min(k.1)),
+                    read: 0,
+                    repeat: deliver.redelivered,
+                    // Whoever may publish to the queue is a caller.
+                    known: true,
+                    body: message.body,
+                    content_type,
+                    correlation,
+                    identity,
+                };
+                match verdict {
+                    Verdict::Ask => self.ask_about(arrival, now),
+                    _ => self.arrivals.push(arrival),
                 }
             }
         }
--- a/crates/gateway/src/amqp/front/mod.rs
+++ b/crates/gateway/src/amqp/front/mod.rs
@@ -2,10 +2,15 @@
 //! acknowledged only once its reply is confirmed or known to be impossible. What a lost connection leaves behind is kept:
 //! calls at work go on, and their messages are answered from memory when they are delivered again.
 
+mod asking;
 mod consuming;
+mod counters;
 mod deliveries;
 mod replies;
 
+pub use asking::Question;
+pub use counters::FrontCounters;
+
 use super::message::{reply, stamp, Reader, Unusable};
 use crate::state::{Answer, Arrival, CallFigures, Ticket};
 use stagehoist::{Effect, Micros};
@@ -24,30 +29,6 @@
 /// How often the depth of a queue is asked for while it was not seen empty.
 const LOOK: Micros = 250_000;
 
-/// What a front has done, for metrics and tests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct FrontCounters {
-    pub delivered: u64,
-    pub redelivered: u64,
-    pub rejected: u64,
-    pub answered_unusable: u64,
-    /// Refused at intake: the bounds on held calls or bytes are reached.
-    pub turned_away: u64,
-    /// Changes of the window that the broker was asked for.
-    pub windows: u64,
-    pub replies: u64,
-    /// Acknowledgements sent; one may stand for many messages.
-    pub acks: u64,
-    pub confirmed: u64,
-    pub unroutable: u64,
-    pub from_memory: u64,
-    pub joined: u64,
-    pub withheld: u64,
-    pub failed_unknown: u64,
-    pub connections_lost: u64,
-    pub channels_lost: u64,
-}
-
 struct Delivery {
     /// Which connection and channel it came on; its tag means something there only.
     generation: u64,
@@ -79,6 +60,8 @@
     config: Rc<Config>,
     reader: Reader,
     memory: Memory<Answer>,
+    /// Where attempts are marked on disk.
+    asking: Option<asking::Asking>,
     backoff: Backoff,
     client: Option<Client>,
     phase: Phase,
@@ -123,6 +106,7 @@
             intake: Intake::new(bounds),
             advice: Advice::new(config.retry_after_most, seed, now),
             memory: Memory::new(most as usize, keep, config.resend_doubtful),
+            asking: None,
             backoff: Backoff::new(config.reconnect.0, config.reconnect.1, seed),
             config,
             client: None,
@@ -202,7 +186,8 @@
         let confirm = self.oldest_unconfirmed().map(|at| at + self.config.confirm_timeout);
         let look = self.ages.iter().any(|a| a.is_unsure(self.asked_depth + LOOK, LOOK));
         let look = (look && self.phase == Phase::Ready).then_some(self.asked_depth + LOOK);
-        [client, waiting, again, confirm, look].into_iter().flatten().min()
+        let asking = self.asking.as_ref().and_then(asking::Asking::due);
+        [client, waiting, again, confirm, look, asking].into_iter().flatten().min()
     }
 
     /// The connection is gone.
--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -1,10 +1,14 @@
 //! The socket of a front: brokers tried in turn, with seeded pauses between attempts.
 
-use super::{Front, FrontCounters};
+use super::asks::Asks;
+pub use super::told::{LinkState, ToLink};
+use super::Front;
 use crate::clock::{Alarm, Clock};
-use crate::state::{Answer, News, Ticket};
+use crate::state::News;
 use stagehoist::Micros;
 use stagehoist_config::Config;
+use stagehoist_marks::Marks;
+use stagehoist_recovery::inquiry::Patience;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,36 +22,26 @@
 const BLIND: Micros = 200_000;
 /// A socket that was waited on for longer had nothing to read until then.
 const AWAITED: Micros = 1000;
+/// Names this member among those that are asked, where it is the only one.
+const ALONE: &str = "";
 /// Longest time for a connection to stand, and for a broker to take bytes.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// What the driver says to its link.
-#[derive(Debug)]
-pub enum ToLink {
-    Answer(Ticket, Answer),
-    /// Take no more messages.
-    Drain,
-}
-
-/// What a link shows of itself.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct LinkState {
-    pub ready: bool,
-    pub drained: bool,
-    pub at_work: usize,
-    pub counters: FrontCounters,
-}
-
-/// Runs until the driver lets go of its sender, or until all is answered after [`ToLink::Drain`].
+/// Runs until the driver lets go of its sender, or until all is answered after [`ToLink::Drain`]. `marks` are this
+/// member's, where attempts are marked; it is then the only member of its fleet.
 pub async fn run(
     config: Rc<Config>,
-    seed: u64,
-    clock: Clock,
+    (seed, clock): (u64, Clock),
+    marks: Option<Marks>,
     news: mpsc::Sender<News>,
     mut from_driver: mpsc::UnboundedReceiver<ToLink>,
     state: watch::Sender<LinkState>,
 ) {
     let mut front = Front::new(config.clone(), seed, clock.now());
+    if marks.is_some() {
+        front.ask(vec![ALONE.into()], Patience::default());
+    }
+    let mut asks = Asks::new(marks, ALONE);
     let mut turn = 0usize;
     let mut draining = false;
     loop {
@@ -75,8 +69,16 @@
                 if draining {
                     front.drain();
                 }
-                let ended =
-                    talk(&mut front, stream, clock, &news, &mut from_driver, &state, &mut draining).await;
+                let ended = talk(
+                    &mut front,
+                    stream,
+                    (clock, &mut asks),
+                    &news,
+                    &mut from_driver,
+                    &state,
+                    &mut draining,
+                )
+                .await;
                 front.lost(clock.now());
                 match ended {
                     Ended::Over => return publish_state(&front, &state, true),
@@ -117,7 +119,7 @@
 async fn talk(
     front: &mut Front,
     mut stream: TcpStream,
-    clock: Clock,
+    (clock, asks): (Clock, &mut Asks),
     news: &mpsc::Sender<News>,
     from_driver: &mut mpsc::UnboundedReceiver<ToLink>,
     state: &watch::Sender<LinkState>,
@@ -134,6 +136,9 @@
     let mut stuck_since: Option<Micros> = None;
     let mut alarm = Alarm::new(clock);
     loop {
+        if asks.are_on() {
+            asks.put(front, clock);
+        }
         for arrival in front.take_arrivals() {
             // A driver that is behind holds back reading, and so the broker.
             if news.send(News::Call(arrival)).await.is_err() {
@@ -228,6 +233,7 @@
                 }
             }
             _ = stream.writable(), if wants_write => {}
+            done = asks.next(), if asks.are_on() => asks.take(done, front, clock),
             () = alarm.rings() => {
                 let now = clock.now();
                 if now - looked > LOOK + BLIND {
--- a/crates/gateway/src/amqp/mod.rs
+++ b/crates/gateway/src/amqp/mod.rs
@@ -4,8 +4,10 @@
 //! - [`front`]: deliveries, replies, confirms and what a lost connection leaves behind, without I/O.
 //! - [`link`]: the socket, brokers tried in turn.
 
+mod asks;
 pub mod front;
 pub mod link;
 pub mod message;
+mod told;
 
 pub use front::{Front, FrontCounters};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`ways`]: AMQP, KServe workers and lists as what the driver carries its choices out with.
 //! - [`driver`]: the loop that gathers what sockets bring, lets the module choose once a batch, and carries out its choices.
 //! - [`amqp`], [`workers`], [`list`]: the protocols to callers, to workers and to the worker list.
+//! - [`marked`]: attempts that wait for their call's mark on disk.
 //! - [`serve`]: front ends started, watched and drained.
 //!
 //! Nothing here decides about a call: that is the module's, in the `stagehoist` package.
@@ -15,6 +16,7 @@
 pub mod driver;
 pub mod error;
 pub mod list;
+pub mod marked;
 pub mod metrics_page;
 pub mod serve;
 pub mod state;
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -14,6 +14,7 @@
 };
 use stagehoist_config::Config;
 use stagehoist_membership::Told;
+use stagehoist_recovery::Identity;
 use std::rc::Rc;
 
 /// What chooses for a front end: the module, or a policy to measure it against on the same stack.
@@ -96,6 +97,8 @@
     pub content_type: Option<String>,
     /// The caller's own number of the call, for logs and for workers.
     pub correlation: Rc<str>,
+    /// The message's, where attempts are marked on disk.
+    pub identity: Option<Identity>,
 }
 
 /// A final answer.
@@ -234,4 +237,6 @@
     pub body: Bytes,
     pub content_type: Option<String>,
     pub correlation: Rc<str>,
+    /// What its call's mark is written under, where attempts are marked on disk.
+    pub mark: Option<(Identity, Ticket)>,
 }
--- a/crates/gateway/src/ways.rs
+++ b/crates/gateway/src/ways.rs
@@ -36,7 +36,14 @@
         let (to_list, asks) = mpsc::unbounded_channel();
         let workers = Workers::new(config.clone(), clock, news.clone());
         let mut tasks = JoinSet::new();
-        tasks.spawn_local(link::run(config.clone(), seed, clock, news.clone(), from_driver, link_state));
+        tasks.spawn_local(link::run(
+            config.clone(),
+            (seed, clock),
+            None,
+            news.clone(),
+            from_driver,
+            link_state,
+        ));
         tasks.spawn_local(list::follow(config.clone(), seed, clock, news, asks));
         AmqpWays { workers, to_link, to_list, link_seen, gauges: Gauges::new(number), _tasks: tasks }
     }
--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -58,6 +58,7 @@
                 body: Bytes::from_static(b"{}"),
                 content_type: None,
                 correlation: "c".into(),
+                identity: None,
             })],
         )
     }
--- /dev/null
+++ b/crates/marks/src/store.rs
@@ -0,0 +1,250 @@
+//! One member's marks: written, asked for, and dropped once they are no longer needed.
+
+use crate::commit::Former;
+use crate::file::checked;
+use crate::MarksError;
+use redb::{Database, Durability, ReadableTable, ReadableTableMetadata, TableDefinition, WriteTransaction};
+use stagehoist_recovery::{Identity, Told};
+use std::collections::VecDeque;
+
+pub(crate) type Micros = i64;
+
+/// By identity, run and number: a message whose id is used twice has two marks.
+pub(crate) const MARKS: TableDefinition<(Identity, u64, u64), ()> = TableDefinition::new("marks");
+/// Runs that began, with the commits of each.
+pub(crate) const RUNS: TableDefinition<u64, u64> = TableDefinition::new("runs");
+/// [`BLIND`]: marks are missing that may be asked for, until `keep` has passed in one run.
+pub(crate) const STATE: TableDefinition<&str, u64> = TableDefinition::new("state");
+pub(crate) const BLIND: &str = "blind";
+/// Runs that are remembered.
+const RUNS_MOST: u64 = 1024;
+/// A mark: the message, and the number of its call, unique within the run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Mark {
+    pub identity: Identity,
+    pub number: u64,
+}
+
+/// What is known elsewhere of the run before the present one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Witness {
+    pub run: u64,
+    /// Commits that it is known to have made at least.
+    pub commits: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// How long a mark is kept, in microseconds; to exceed the age of any message that may still be delivered again.
+    pub keep: Micros,
+    /// How long a mark is kept that is told to have ended.
+    pub keep_ended: Micros,
+    /// Marks held; the oldest go before their time where there are more, and nothing is proven for `keep` after that. A
+    /// mark takes some 70 bytes on disk.
+    pub most: u64,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options { keep: 3_600_000_000, keep_ended: 60_000_000, most: 1_000_000 }
+    }
+}
+
+/// What goes into one commit.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    pub marks: Vec<Mark>,
+    /// Marks of this run whose message can't come again.
+    pub ended: Vec<Mark>,
+}
+
+/// Opens the database; called anew after an error that it does not recover from.
+pub type Opener = Box<dyn FnMut() -> Result<Database, MarksError> + Send>;
+
+/// A store of marks.
+pub struct Store {
+    opener: Opener,
+    pub(crate) database: Option<Database>,
+    pub(crate) options: Options,
+    pub(crate) run: Option<u64>,
+    /// The number that this run last began under; its marks go by the first one.
+    pub(crate) told: u64,
+    pub(crate) commits: u64,
+    /// The last run before this one in the file, and its commits.
+    before: Option<(u64, u64)>,
+    /// The run before is whole in the file.
+    whole: bool,
+    /// None: they are gone.
+    pub(crate) former: Option<Former>,
+    pub(crate) blind_until: Option<Micros>,
+    /// Marks of this run by when they go. What ended goes by a shorter line and is then missing in the longer one.
+    pub(crate) kept: VecDeque<(Micros, Mark)>,
+    pub(crate) ended: VecDeque<(Micros, Mark)>,
+}
+
+impl Store {
+    /// Opens a store. No mark is taken before [`Store::begin`].
+    pub fn open(mut opener: Opener, options: Options, now: Micros) -> Result<Store, MarksError> {
+        let database = checked(&mut opener)?;
+        let mut store = Store {
+            opener,
+            database: None,
+            options,
+            run: None,
+            told: 0,
+            commits: 0,
+            before: None,
+            whole: false,
+            former: Some(Former { due: now + options.keep, from: (0, 0, 0) }),
+            blind_until: None,
+            kept: VecDeque::new(),
+            ended: VecDeque::new(),
+        };
+        store.adopt(database, now)?;
+        Ok(store)
+    }
+
+    /// Takes a database that was just opened. One without our tables is new: what came before it is not known.
+    fn adopt(&mut self, database: Database, now: Micros) -> Result<(), MarksError> {
+        let transaction = write(&database)?;
+        let new = {
+            transaction.open_table(MARKS)?;
+            let runs = transaction.open_table(RUNS)?;
+            let mut state = transaction.open_table(STATE)?;
+            let new = runs.is_empty()?;
+            if new {
+                state.insert(BLIND, 1)?;
+            }
+            new || state.get(BLIND)?.is_some()
+        };
+        transaction.commit()?;
+        if new {
+            self.whole = false;
+            self.blind_until = Some(now + self.options.keep);
+        }
+        self.database = Some(database);
+        Ok(())
+    }
+
+    /// The last run in the file.
+    pub fn last_run(&self) -> Result<Option<u64>, MarksError> {
+        let Some(database) = &self.database else { return Ok(None) };
+        let runs = database.begin_read()?.open_table(RUNS)?;
+        let last = runs.last()?.map(|(run, _)| run.value());
+        Ok(last)
+    }
+
+    /// A run begins under this number, which is on disk when this returns; it may be told a higher one later. `witness` is what is known from elsewhere of the
+    /// run before; without one nothing of former runs is proven.
+    ///
+    /// # Errors
+    /// [`MarksError::RunGone`] where the file knows this run or a later one: an older count than the store's.
+    pub fn begin(&mut self, run: u64, witness: Option<Witness>, now: Micros) -> Result<(), MarksError> {
+        self.reopen(now)?;
+        let database = self.database.as_ref().ok_or(MarksError::NotBegun)?;
+        let transaction = write(database)?;
+        let before = {
+            let mut runs = transaction.open_table(RUNS)?;
+            let last = runs.last()?.map(|(run, commits)| (run.value(), commits.value()));
+            if let Some((last, _)) = last.filter(|(last, _)| *last >= run) {
+                return Err(MarksError::RunGone { asked: run, last });
+            }
+            runs.insert(run, self.commits)?;
+            while runs.len()? > RUNS_MOST {
+                runs.pop_first()?;
+            }
+            // What this run began under before is no run before it.
+            self.run.map_or(last, |_| self.before)
+        };
+        transaction.commit()?;
+        self.whole = matches!((before, witness), (Some((r, c)), Some(w)) if r == w.run && c >= w.commits);
+        (self.before, self.told) = (before, run);
+        self.run.get_or_insert(run);
+        Ok(())
+    }
+
+    /// Commits of this run so far, for a witness.
+    pub fn commits(&self) -> Option<Witness> {
+        self.run.map(|_| Witness { run: self.told, commits: self.commits })
+    }
+
+    /// Whether a commit would only drop what is no longer needed.
+    pub fn is_due(&self, now: Micros) -> bool {
+        let first = |line: &VecDeque<(Micros, Mark)>| line.front().is_some_and(|(at, _)| *at <= now);
+        self.database.is_none()
+            || first(&self.kept)
+            || first(&self.ended)
+            || self.former.is_some_and(|f| f.due <= now)
+            || self.blind_until.is_some_and(|at| at <= now)
+    }
+
+    /// Writes marks; all of them are on disk when this returns.
+    ///
+    /// # Errors
+    /// None of them counts as written, though some may be. The database is opened anew with the next call.
+    pub fn commit(&mut self, batch: &Batch, now: Micros) -> Result<(), MarksError> {
+        self.reopen(now)?;
+        let written = self.write(batch, now);
+        if written.is_err() && !matches!(written, Err(MarksError::NotBegun)) {
+            // After a failed write redb takes no more.
+            self.database = None;
+        }
+        written
+    }
+
+    /// Opens the database anew if it failed.
+    fn reopen(&mut self, now: Micros) -> Result<(), MarksError> {
+        if self.database.is_some() {
+            return Ok(());
+        }
+        let database = checked(&mut self.opener)?;
+        let fresh = self.adopt(database, now).and_then(|()| self.resume());
+        if fresh.is_err() {
+            self.database = None;
+        }
+        fresh
+    }
+
+    /// The same run goes on in a database that was opened anew. In a new file it is the first.
+    fn resume(&mut self) -> Result<(), MarksError> {
+        let (Some(_), Some(database)) = (self.run, &self.database) else { return Ok(()) };
+        let transaction = write(database)?;
+        {
+            let mut runs = transaction.open_table(RUNS)?;
+            if runs.get(self.told)?.is_none() {
+                self.whole = false;
+                runs.insert(self.told, self.commits)?;
+            }
+        }
+        transaction.commit()?;
+        Ok(())
+    }
+
+    /// What this member can say about a message: that an attempt may have left it, that none did, or that it can't tell.
+    pub fn ask(&self, identity: Identity, now: Micros) -> Told {
+        match self.look(identity) {
+            Ok(true) => Told::MayHaveRun,
+            Ok(false) if self.proves(now) => Told::None,
+            _ => Told::NotKnown,
+        }
+    }
+
+    /// Whether a missing mark means that no attempt left, in this run or the one before or any earlier one.
+    pub fn proves(&self, now: Micros) -> bool {
+        self.run.is_some() && self.whole && self.blind_until.is_none_or(|at| at <= now)
+    }
+
+    fn look(&self, identity: Identity) -> Result<bool, MarksError> {
+        let database = self.database.as_ref().ok_or(MarksError::NotBegun)?;
+        let marks = database.begin_read()?.open_table(MARKS)?;
+        let found =
+            marks.range((identity, 0, 0)..=(identity, u64::MAX, u64::MAX))?.next().transpose()?.is_some();
+        Ok(found)
+    }
+}
+
+pub(crate) fn write(database: &Database) -> Result<WriteTransaction, MarksError> {
+    let mut transaction = database.begin_write()?;
+    transaction.set_durability(Durability::Immediate);
+    Ok(transaction)
+}
--- /dev/null
+++ b/crates/marks/tests/store.rs
@@ -0,0 +1,250 @@
+//! What was acknowledged is there after any loss of power, and a store that may lack something proves nothing.
+
+mod disk;
+
+use disk::{Disk, Draw};
+use redb::Database;
+use stagehoist_marks::{start, witness, Batch, Done, Mark, MarksError, Options, Place, Store, Witness};
+use stagehoist_recovery::Told;
+
+const KEEP: i64 = 1_000_000;
+const OPTIONS: Options = Options { keep: KEEP, keep_ended: KEEP / 10, most: 1000 };
+
+fn open(disk: &Disk, now: i64) -> Result<Store, MarksError> {
+    open_with(disk, OPTIONS, now)
+}
+
+fn open_with(disk: &Disk, options: Options, now: i64) -> Result<Store, MarksError> {
+    let disk = disk.clone();
+    Store::open(Box::new(move || Ok(Database::builder().create_with_backend(disk.clone())?)), options, now)
+}
+
+fn mark(n: u64) -> Mark {
+    Mark { identity: u128::from(n) << 64 | 7, number: n }
+}
+
+fn marks(numbers: impl IntoIterator<Item = u64>) -> Batch {
+    Batch { marks: numbers.into_iter().map(mark).collect(), ended: Vec::new() }
+}
+
+/// A store whose first run has seen its time of knowing nothing pass, and which is then at work in its second.
+fn grown(disk: &Disk) -> Store {
+    let mut first = open(disk, 0).unwrap();
+    first.begin(1, None, 0).unwrap();
+    first.commit(&marks([1]), KEEP + 1).unwrap();
+    let witness = first.commits();
+    drop(first);
+    let mut store = open(disk, 0).unwrap();
+    store.begin(2, witness, 0).unwrap();
+    store
+}
+
+/// Commits until the disk dies; the numbers that were acknowledged.
+fn work(disk: &Disk, draw: &mut Draw) -> Vec<u64> {
+    let mut acknowledged = Vec::new();
+    let Ok(mut store) = open(disk, 0) else { return acknowledged };
+    if store.begin(1, None, 0).is_err() {
+        return acknowledged;
+    }
+    let mut next = 0;
+    for _ in 0..10 {
+        let batch: Vec<u64> = (next..next + 1 + draw.below(40)).collect();
+        next += batch.len() as u64;
+        if store.commit(&marks(batch.iter().copied()), 0).is_err() {
+            break;
+        }
+        acknowledged.extend(batch);
+    }
+    // The process is killed: nothing is closed in order.
+    disk.state().left = Some(0);
+    acknowledged
+}
+
+/// Marks lost, and kept, over drawn moments of death.
+fn lost(lies: bool, seeds: u64) -> (u64, u64) {
+    let whole = Disk::default();
+    work(&whole, &mut Draw(0));
+    let operations = whole.state().done;
+    assert!(operations > 100, "{operations}");
+    let (mut lost, mut kept) = (0, 0);
+    for seed in 0..seeds {
+        let mut draw = Draw(seed);
+        let disk = Disk::default();
+        disk.state().left = Some(draw.below(operations));
+        disk.state().lies = lies;
+        let acknowledged = work(&disk, &mut draw);
+        let after = disk.after_power_loss(&mut draw);
+        let Ok(mut store) = open(&after, 0) else {
+            lost += acknowledged.len() as u64;
+            continue;
+        };
+        for n in acknowledged {
+            match store.ask(mark(n).identity, 0) {
+                Told::MayHaveRun => kept += 1,
+                _ => lost += 1,
+            }
+        }
+        store.begin(9, None, 0).unwrap();
+        store.commit(&marks([100_000]), 0).unwrap();
+    }
+    (lost, kept)
+}
+
+#[test]
+fn nothing_acknowledged_is_lost_wherever_the_power_goes() {
+    let (lost, kept) = lost(false, 200);
+    assert_eq!(lost, 0);
+    assert!(kept > 3000, "{kept}");
+}
+
+#[test]
+fn a_disk_that_lies_about_syncs_is_seen_to_lose_marks() {
+    assert!(lost(true, 20).0 > 0);
+}
+
+#[test]
+fn a_missing_mark_proves_something_only_in_a_store_that_is_whole() {
+    let disk = Disk::default();
+    let store = grown(&disk);
+    assert_eq!(store.ask(mark(1).identity, 0), Told::MayHaveRun);
+    assert_eq!(store.ask(mark(2).identity, 0), Told::None);
+    let last = store.commits();
+    drop(store);
+    let told = |before: Option<Witness>| {
+        let mut store = open(&disk.set_back(), 0).unwrap();
+        assert_eq!(store.ask(mark(2).identity, 0), Told::NotKnown, "no run has begun");
+        store.begin(9, before, 0).unwrap();
+        store.ask(mark(2).identity, 0)
+    };
+    assert_eq!(told(last), Told::None);
+    assert_eq!(told(None), Told::NotKnown);
+    // The record knows a later run, or later commits, than the file does: it was set back.
+    assert_eq!(told(Some(Witness { run: 3, commits: 0 })), Told::NotKnown);
+    assert_eq!(told(last.map(|w| Witness { commits: w.commits + 1, ..w })), Told::NotKnown);
+}
+
+#[test]
+fn a_new_file_proves_nothing_until_its_time_has_passed() {
+    let disk = Disk::default();
+    let mut store = open(&disk, 0).unwrap();
+    store.begin(1, None, 0).unwrap();
+    store.commit(&marks([1]), KEEP / 2).unwrap();
+    let last = store.commits();
+    drop(store);
+    let mut store = open(&disk, 0).unwrap();
+    store.begin(2, last, 0).unwrap();
+    assert_eq!(store.ask(mark(2).identity, KEEP / 2), Told::NotKnown);
+    store.commit(&marks([3]), KEEP).unwrap();
+    assert_eq!(store.ask(mark(2).identity, KEEP), Told::None);
+}
+
+#[test]
+fn a_run_that_is_told_a_higher_number_goes_on_with_its_marks() {
+    let disk = Disk::default();
+    let mut store = grown(&disk);
+    store.commit(&marks([5]), 0).unwrap();
+    store.begin(7, Some(Witness { run: 1, commits: 1 }), 0).unwrap();
+    assert_eq!(store.ask(mark(2).identity, 0), Told::None);
+    assert_eq!(store.commits(), Some(Witness { run: 7, commits: 1 }));
+    assert!(matches!(store.begin(7, None, 0), Err(MarksError::RunGone { asked: 7, last: 7 })));
+    store.commit(&marks([6]), KEEP).unwrap();
+    assert_eq!(store.ask(mark(5).identity, KEEP), Told::None, "dropped by its age, under the number it had");
+}
+
+#[test]
+fn marks_go_by_age_once_ended_sooner_and_of_former_runs_too() {
+    let disk = Disk::default();
+    let mut store = grown(&disk);
+    store.commit(&marks([5, 6]), 10).unwrap();
+    store.commit(&Batch { marks: Vec::new(), ended: vec![mark(5)] }, 20).unwrap();
+    assert!(!store.is_due(KEEP / 10));
+    store.commit(&Batch::default(), 20 + KEEP / 10).unwrap();
+    assert_eq!(store.ask(mark(5).identity, KEEP / 5), Told::None);
+    assert_eq!(store.ask(mark(6).identity, KEEP / 5), Told::MayHaveRun);
+    assert_eq!(store.ask(mark(1).identity, KEEP / 5), Told::MayHaveRun, "of the run before");
+    store.commit(&Batch::default(), KEEP + 10).unwrap();
+    assert_eq!(store.ask(mark(6).identity, KEEP + 10), Told::None);
+    assert_eq!(store.ask(mark(1).identity, KEEP + 10), Told::None);
+}
+
+#[test]
+fn one_id_used_twice_keeps_the_mark_of_the_second_when_the_first_ends() {
+    let disk = Disk::default();
+    let mut store = grown(&disk);
+    let [first, second] = [1, 2].map(|number| Mark { identity: 77, number });
+    store.commit(&Batch { marks: vec![first, second], ended: vec![first] }, 0).unwrap();
+    store.commit(&Batch::default(), KEEP / 2).unwrap();
+    assert_eq!(store.ask(77, KEEP / 2), Told::MayHaveRun);
+}
+
+#[test]
+fn more_marks_than_fit_push_out_old_ones_and_then_nothing_is_proven() {
+    let disk = Disk::default();
+    let mut store = grown(&disk);
+    for n in 0..30 {
+        store.commit(&marks(10 + n * 100..110 + n * 100), 5).unwrap();
+    }
+    assert_eq!(store.ask(mark(11).identity, 5), Told::NotKnown, "pushed out");
+    assert_eq!(store.ask(mark(3000).identity, 5), Told::MayHaveRun);
+    let last = store.commits();
+    drop(store);
+    let mut store = open(&disk, 0).unwrap();
+    store.begin(3, last, 0).unwrap();
+    assert_eq!(store.ask(mark(11).identity, 0), Told::NotKnown, "the file says that it lacks something");
+    store.commit(&Batch::default(), KEEP).unwrap();
+    assert_eq!(store.ask(mark(11).identity, KEEP), Told::None);
+}
+
+#[test]
+fn a_disk_that_fails_for_a_while_loses_nothing_and_goes_on() {
+    let disk = Disk::default();
+    let mut store = grown(&disk);
+    store.commit(&marks([5]), 0).unwrap();
+    disk.state().left = Some(1);
+    assert!(store.commit(&marks([6]), 0).is_err());
+    assert!(store.commit(&marks([7]), 0).is_err());
+    assert_eq!(store.ask(mark(8).identity, 0), Told::NotKnown);
+    disk.state().left = None;
+    store.commit(&marks([8]), 0).unwrap();
+    assert_eq!(store.ask(mark(5).identity, 0), Told::MayHaveRun);
+    assert_eq!(store.ask(mark(8).identity, 0), Told::MayHaveRun);
+}
+
+#[test]
+fn a_spoiled_file_is_told_as_damaged() {
+    let disk = Disk::default();
+    drop(grown(&disk));
+    disk.spoil();
+    assert!(matches!(open(&disk, 0), Err(MarksError::Damaged(_))));
+}
+
+/// Starts, marks, and ends a run; what it could tell of another message.
+fn run(place: &Place, n: u64) -> Told {
+    let (marks, thread) = start(place, Options { keep: 0, ..OPTIONS }).unwrap();
+    let (reply, mut done) = tokio::sync::mpsc::unbounded_channel();
+    assert!(marks.ask(1, 999, &reply));
+    let Some(Done::Told(1, told)) = done.blocking_recv() else { panic!("no answer") };
+    assert!(marks.mark(mark(n), &reply));
+    assert_eq!(done.blocking_recv(), Some(Done::Marked(mark(n), true)));
+    drop(marks);
+    thread.join().unwrap();
+    told
+}
+
+#[test]
+fn a_member_alone_counts_its_runs_and_sets_a_damaged_store_aside() {
+    let folder = tempfile::tempdir().unwrap();
+    let place = Place { folder: folder.path().into(), name: "front/0".into(), alone: true };
+    let store = folder.path().join("marks-front_0.redb");
+    assert_eq!(run(&place, 1), Told::NotKnown, "the first");
+    let old = std::fs::read(&store).unwrap();
+    assert_eq!(run(&place, 2), Told::None);
+    assert_eq!(witness(folder.path(), "front_0").unwrap().map(|w| w.run), Some(2));
+    std::fs::write(&store, &old).unwrap();
+    assert_eq!(run(&place, 3), Told::NotKnown, "a store set back");
+    let whole = std::fs::read(&store).unwrap();
+    std::fs::write(&store, &whole[..whole.len() / 3]).unwrap();
+    assert_eq!(run(&place, 4), Told::NotKnown, "a store torn in the middle");
+    assert!(folder.path().join("marks-front_0.damaged-1").exists());
+    assert_eq!(run(&place, 5), Told::None);
+}
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -312,6 +312,7 @@
             body: asked.body,
             content_type: None,
             correlation: asked.id,
+            identity: None,
         }))
     }
 
--- a/crates/recovery/src/memory.rs
+++ b/crates/recovery/src/memory.rs
@@ -1,28 +1,10 @@
 //! The memory of messages: which are at work, which are answered, and what is known of their replies. It answers a message
 //! that is delivered again without running it again.
 
+use crate::{Key, Told};
 use stagehoist::{Effect, Micros};
 use std::collections::{HashMap, VecDeque};
 
-/// What identifies a message over deliveries: its reply queue, correlation id and message id.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Key {
-    pub reply_to: String,
-    pub correlation: String,
-    pub message: String,
-}
-
-impl Key {
-    /// None where nothing tells one message of a caller from its next.
-    pub fn new(reply_to: &str, correlation: &str, message: &str) -> Option<Key> {
-        (!correlation.is_empty() || !message.is_empty()).then(|| Key {
-            reply_to: reply_to.into(),
-            correlation: correlation.into(),
-            message: message.into(),
-        })
-    }
-}
-
 /// What is known of a reply that was made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sent {
@@ -45,6 +27,9 @@
     Resend(A),
     /// Its answer arrived, or may have: acknowledge it, send nothing, run nothing.
     Settle { doubtful: bool },
+    /// It was delivered before and nothing is known of it here: whoever may have held it is asked, and until then it waits
+    /// as if it were at work under its number. Given only after [`Memory::asks`].
+    Ask,
     /// It was delivered before and nothing is known of it: answer `failed`, run nothing.
     Fail,
 }
@@ -53,6 +38,8 @@
 enum Known<A> {
     Running(u64),
     Answered(A, Sent),
+    /// Another member was told that no attempt leaves from here.
+    Ceded,
 }
 
 #[derive(Clone, Debug)]
@@ -70,13 +57,30 @@
     entries: HashMap<Key, Entry<A>>,
     /// Birth order; an entry that was replaced leaves a stale line, told by its time.
     order: VecDeque<(Micros, Key)>,
+    asks: bool,
+    /// A message at work was forgotten: what is not known may be at work here, until then.
+    blind_until: Micros,
 }
 
 impl<A: Clone> Memory<A> {
     /// At most `most` messages, each for `keep`. Where `resend_doubtful`, a reply in doubt is sent again on redelivery,
     /// which may give a caller two answers; else it is withheld, which may give it none.
     pub fn new(most: usize, keep: Micros, resend_doubtful: bool) -> Memory<A> {
-        Memory { most, keep, resend_doubtful, entries: HashMap::new(), order: VecDeque::new() }
+        Memory {
+            most,
+            keep,
+            resend_doubtful,
+            entries: HashMap::new(),
+            order: VecDeque::new(),
+            asks: false,
+            blind_until: 0,
+        }
+    }
+
+    /// Messages of which nothing is known are asked about from now on: attempts of calls that may not simply be repeated
+    /// are marked on disk, and somebody can tell.
+    pub fn asks(&mut self, asks: bool) {
+        self.asks = asks;
     }
 
     /// Messages held.
@@ -103,8 +107,9 @@
         now: Micros,
     ) -> Verdict<A> {
         self.expire(now);
-        let entry = key.filter(|_| redelivered).and_then(|key| self.entries.get_mut(key));
-        let verdict = match entry {
+        let entry = key.and_then(|key| self.entries.get_mut(key));
+        let ceded = matches!(entry, Some(Entry { known: Known::Ceded, .. }));
+        match entry.filter(|_| redelivered) {
             Some(Entry { known: Known::Running(at_work), .. }) => return Verdict::Join(*at_work),
             Some(Entry { known: Known::Answered(answer, sent), .. }) => {
                 let again = match sent {
@@ -119,21 +124,49 @@
                 *sent = Sent::Doubtful;
                 return Verdict::Resend(answer.clone());
             }
-            None if redelivered && effect != Effect::Safe => Verdict::Fail,
-            None => Verdict::Run,
+            _ => {}
+        }
+        let verdict = if effect == Effect::Safe {
+            Verdict::Run
+        } else if redelivered {
+            let asks = self.asks && key.is_some() && now >= self.blind_until;
+            if asks {
+                Verdict::Ask
+            } else {
+                Verdict::Fail
+            }
+        } else if ceded {
+            // It lay in the socket while another member was told that nothing leaves from here.
+            Verdict::Fail
+        } else {
+            Verdict::Run
         };
-        if let (Some(key), Verdict::Run) = (key, &verdict) {
+        if let (Some(key), Verdict::Run | Verdict::Ask) = (key, &verdict) {
             self.insert(key, Known::Running(ticket), now);
         }
         verdict
     }
 
+    /// Another member asks about a message that was delivered to it. `marks` is what this one's marks tell, asked before.
+    ///
+    /// After [`Told::None`] no first delivery of the message is taken up here while this is remembered.
+    pub fn asked(&mut self, key: &Key, marks: Told, now: Micros) -> Told {
+        self.expire(now);
+        match self.entries.get(key).map(|e| &e.known) {
+            Some(Known::Running(_) | Known::Answered(..)) => Told::MayHaveRun,
+            _ if marks != Told::None => marks,
+            _ if now < self.blind_until => Told::NotKnown,
+            _ => {
+                self.insert(key, Known::Ceded, now);
+                Told::None
+            }
+        }
+    }
+
     fn insert(&mut self, key: &Key, known: Known<A>, now: Micros) {
         while self.entries.len() >= self.most.max(1) {
             let Some((born, old)) = self.order.pop_front() else { break };
-            if self.entries.get(&old).is_some_and(|e| e.born == born) {
-                self.entries.remove(&old);
-            }
+            self.forget(born, &old, now);
         }
         self.order.push_back((now, key.clone()));
         self.entries.insert(key.clone(), Entry { known, born: now });
@@ -142,8 +175,16 @@
     fn expire(&mut self, now: Micros) {
         while self.order.front().is_some_and(|(born, _)| now - born > self.keep) {
             let Some((born, key)) = self.order.pop_front() else { break };
-            if self.entries.get(&key).is_some_and(|e| e.born == born) {
-                self.entries.remove(&key);
+            self.forget(born, &key, now);
+        }
+    }
+
+    fn forget(&mut self, born: Micros, key: &Key, now: Micros) {
+        if self.entries.get(key).is_some_and(|e| e.born == born) {
+            let gone = self.entries.remove(key);
+            if gone.is_some_and(|e| matches!(e.known, Known::Running(_))) {
+                // It may still have its first attempt before it, and no mark yet.
+                self.blind_until = now + self.keep;
             }
         }
     }
--- /dev/null
+++ b/crates/recovery/src/stages.rs
@@ -0,0 +1,236 @@
+//! The way back to service after a start, by stages. Each ends by itself: a limit that passes is a stated way on.
+//!
+//! | after a start | trusted | why |
+//! | --- | --- | --- |
+//! | incarnation | as the record tells; its own file until then, as "at least" | every run has a number of its own |
+//! | the record | as far as keepers agreed, through a session of this run | a view kept on disk may be old |
+//! | marks of attempts | where the store shows that it is whole | see the `marks` package |
+//! | leases on views and lanes | never | they count from a clock that is gone |
+//! | beliefs about copies, loads, lateness of workers | never | the workers may have started anew too |
+//! | clock readings of before | never | a monotonic clock begins anew |
+//!
+//! | stage | waits for | when its limit passes |
+//! | --- | --- | --- |
+//! | waking | own store opened, or set aside | goes on without marks: messages delivered again fail, calls that need a mark are held back by the mark's own limit |
+//! | asking | a session with the record, and answers of former members | goes on without: strict functions and borrowed lanes stay shut by their own rules; messages asked about fail |
+//! | reserved | evidence that the fleet is warm | opens by steps, as much each as the evidence allows, at least the floor of it |
+//! | open | - | - |
+//!
+//! In waking and asking calls wait, as far as their time allows, and are refused with a time to come back where it does not.
+//! A lone survivor, whose keepers and former members are all out of reach, goes by the limits: it serves with its floors,
+//! calls inside reservations (counted by its floors) first.
+
+use crate::Backoff;
+use stagehoist::Micros;
+
+/// How far this front end has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    Waking,
+    Asking,
+    Reserved,
+    Open,
+}
+
+impl Stage {
+    /// The word for logs and reasons.
+    pub fn word(self) -> &'static str {
+        match self {
+            Stage::Waking => "waking",
+            Stage::Asking => "asking",
+            Stage::Reserved => "reserved",
+            Stage::Open => "open",
+        }
+    }
+}
+
+/// Times and shares, told.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub waking: Micros,
+    pub asking: Micros,
+    /// After this long in `reserved` the part let in grows by time too, over as long again.
+    pub reserved: Micros,
+    /// Time that a call needs beside its wait, to be let wait at all.
+    pub room: Micros,
+    /// Share of calls served in time at which the fleet counts as warm.
+    pub served: f64,
+    /// Part of the others' calls that is let in at least, so that there is evidence to see.
+    pub least: f64,
+    /// Fewest calls that make evidence.
+    pub calls: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            waking: 2_000_000,
+            asking: 3_000_000,
+            reserved: 20_000_000,
+            room: 300_000,
+            served: 0.9,
+            least: 0.05,
+            calls: 20,
+        }
+    }
+}
+
+/// What is seen, whenever it changes. Counts are of the last second or so.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Seen {
+    /// Own store: opened, or set aside and begun anew. Where no marks are told, true.
+    pub store: bool,
+    /// A session with the record stands and its view came. Where no keepers are told, true.
+    pub record: bool,
+    /// Former members that are still to say what they know of messages delivered again.
+    pub unheard: u32,
+    /// Calls let in that ended, and those of them served in time.
+    pub ended: u32,
+    pub in_time: u32,
+    /// Workers that are ready, and those of them with a warm copy of something.
+    pub workers: u32,
+    pub warm: u32,
+    /// Room for cold workers, loads under the ration, that stands unused, as a part of all of it; 1 where nothing is cold.
+    pub unused: f64,
+}
+
+impl Seen {
+    /// How warm the fleet shows itself, from 0 to 1: the least of what each sign allows.
+    fn warmth(&self, limits: &Limits) -> f64 {
+        if self.workers == 0 {
+            return 0.0;
+        }
+        let copies = f64::from(self.warm) / f64::from(self.workers);
+        let served = match self.ended {
+            n if n < limits.calls => 0.0,
+            n => (f64::from(self.in_time) / f64::from(n) / limits.served).min(1.0),
+        };
+        // Half of the allowance unused is as good as all of it.
+        copies.min(served).min((2.0 * self.unused).min(1.0)).clamp(0.0, 1.0)
+    }
+}
+
+/// What is decided about a call that comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    Enter,
+    /// It waits for a change of stage, and is asked for again then, or at this time.
+    Wait {
+        until: Micros,
+    },
+    Refuse {
+        reason: &'static str,
+        retry_after: Micros,
+    },
+}
+
+/// The stages of one front end.
+#[derive(Clone, Debug)]
+pub struct Stages {
+    limits: Limits,
+    stage: Stage,
+    since: Micros,
+    /// Part of the calls outside reservations that is let in.
+    part: f64,
+    told: Micros,
+    random: Backoff,
+}
+
+/// Time in which the part let in may double.
+const STEP: Micros = 500_000;
+
+impl Stages {
+    /// A front end starts. One that is told no fleet at all is open from the start.
+    pub fn new(limits: Limits, seed: u64, now: Micros) -> Stages {
+        let random = Backoff::new(1, 1, seed);
+        Stages { limits, stage: Stage::Waking, since: now, part: limits.least, told: now, random }
+    }
+
+    /// Without stages: everyone is let in.
+    pub fn open(now: Micros) -> Stages {
+        Stages { stage: Stage::Open, ..Stages::new(Limits::default(), 0, now) }
+    }
+
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Part of the calls outside reservations that is let in now.
+    pub fn part(&self) -> f64 {
+        match self.stage {
+            Stage::Waking | Stage::Asking => 0.0,
+            Stage::Reserved => self.part,
+            Stage::Open => 1.0,
+        }
+    }
+
+    /// When [`Stages::see`] is due though nothing changed.
+    pub fn due(&self) -> Option<Micros> {
+        match self.stage {
+            Stage::Waking => Some(self.since + self.limits.waking),
+            Stage::Asking => Some(self.since + self.limits.asking),
+            Stage::Reserved => Some(self.told + STEP),
+            Stage::Open => None,
+        }
+    }
+
+    /// What is seen now. True where the stage changed: calls that wait are asked for again.
+    pub fn see(&mut self, seen: &Seen, now: Micros) -> bool {
+        let before = self.stage;
+        let passed = |limit: Micros| now - self.since >= limit;
+        match self.stage {
+            Stage::Waking if seen.store || passed(self.limits.waking) => self.enter(Stage::Asking, now),
+            Stage::Asking if (seen.record && seen.unheard == 0) || passed(self.limits.asking) => {
+                self.enter(Stage::Reserved, now);
+            }
+            Stage::Reserved => self.grow(seen, now),
+            _ => {}
+        }
+        // A stage that has nothing to wait for is passed at once.
+        if self.stage != before && self.stage < Stage::Reserved {
+            self.see(seen, now);
+        }
+        self.stage != before
+    }
+
+    fn enter(&mut self, stage: Stage, now: Micros) {
+        (self.stage, self.since, self.told) = (stage, now, now);
+    }
+
+    /// The part let in doubles at most in each step, up to what the evidence allows; it falls at once where that falls.
+    fn grow(&mut self, seen: &Seen, now: Micros) {
+        let limits = self.limits;
+        let late = (now - self.since - limits.reserved) as f64 / limits.reserved.max(1) as f64;
+        // Evidence may never come: nobody calls, or nothing gets warm. Then time opens, slowly.
+        let allowed = seen.warmth(&limits).max(late).max(limits.least);
+        let steps = (now - self.told).max(0) as f64 / STEP as f64;
+        self.part = allowed.min(self.part * 2f64.powf(steps.min(8.0))).min(1.0);
+        self.told = now;
+        if self.part >= 1.0 {
+            self.enter(Stage::Open, now);
+        }
+    }
+
+    /// A call comes. `reserved`: its tenant has a lane by its reservation. `budget` is what is left of the caller's time.
+    pub fn admit(&mut self, reserved: bool, budget: Micros, now: Micros) -> Admission {
+        let (ends, reason) = match self.stage {
+            Stage::Open => return Admission::Enter,
+            Stage::Reserved if reserved || self.random.part() < self.part => return Admission::Enter,
+            Stage::Reserved => (now + STEP, "fleet-warming"),
+            Stage::Waking => (self.since + self.limits.waking + self.limits.asking, "waking"),
+            Stage::Asking => (self.since + self.limits.asking, "asking"),
+        };
+        // Waiting is for calls that can still be served after the longest wait.
+        let wait = (ends - now).max(1);
+        if budget >= wait + self.limits.room {
+            return Admission::Wait { until: now + wait };
+        }
+        let spread = (wait as f64 * (1.0 + self.random.part())) as Micros;
+        let retry_after = match self.stage {
+            // As many as are let in a step come back within a step.
+            Stage::Reserved => (spread as f64 / self.part.max(0.05)).min(30.0 * STEP as f64) as Micros,
+            _ => spread,
+        };
+        Admission::Refuse { reason, retry_after: retry_after.max(1) }
+    }
+}
--- /dev/null
+++ b/crates/recovery/tests/inquiry.rs
@@ -0,0 +1,46 @@
+//! Questions about messages: bounds, silence, and what a memory may promise.
+
+use stagehoist::Effect;
+use stagehoist_recovery::inquiry::{Inquiries, Outcome, Patience};
+use stagehoist_recovery::{Key, Memory, Told, Verdict};
+
+#[test]
+fn silence_and_doubt_and_nobody_to_ask_fail() {
+    let patience = Patience { most: 2, longest: 100, share: 0.5 };
+    let mut i = Inquiries::new(patience);
+    assert_eq!(i.ask(1, 7, [1, 2], 1000, 0), Ok(()));
+    assert_eq!(i.ask(2, 8, [1, 2], 100, 0), Ok(()));
+    assert!(i.ask(3, 9, [1], 1000, 0).is_err(), "full");
+    assert_eq!(i.told(1, &1, Told::None), None);
+    assert_eq!(i.told(1, &1, Told::None), None, "one word twice is not two");
+    assert_eq!(i.of(&2).count(), 2);
+    assert_eq!(i.told(2, &2, Told::NotKnown), Some(Outcome::Fail));
+    assert_eq!((i.due(), i.expired(99), i.expired(100)), (Some(100), vec![], vec![1]));
+    assert_eq!(i.told(1, &2, Told::None), None, "too late");
+    assert!(i.ask(4, 9, [0; 0], 1000, 0).is_err(), "nobody to ask");
+    assert!(i.ask(4, 9, [1], 0, 0).is_err(), "no time");
+    assert!(i.is_empty());
+}
+
+#[test]
+fn a_memory_that_forgot_a_message_at_work_asks_and_promises_nothing() {
+    let mut m: Memory<()> = Memory::new(2, 1000, false);
+    m.asks(true);
+    let other = |n: u32| Key::new("replies", &n.to_string(), "").unwrap();
+    assert_eq!(m.delivered(Some(&other(0)), true, Effect::Unsafe, 1, 0), Verdict::Ask);
+    for n in 1..4 {
+        m.delivered(Some(&other(n)), false, Effect::Unsafe, 9, 1);
+    }
+    assert_eq!(m.delivered(Some(&other(0)), true, Effect::Unsafe, 2, 2), Verdict::Fail);
+    assert_eq!(m.asked(&other(0), Told::None, 2), Told::NotKnown);
+    assert_eq!(m.delivered(Some(&other(0)), true, Effect::Safe, 2, 2), Verdict::Run);
+}
+
+#[test]
+fn identities_are_the_same_for_ever_and_tell_fields_apart() {
+    let key = Key::new("replies", "c1", "m1").unwrap();
+    let told =
+        [Key::new("replies", "c1m", "1"), Key::new("repliesc", "1", "m1"), Key::new("replies", "c1", "")];
+    assert!(told.iter().flatten().all(|k| k.identity() != key.identity()));
+    assert_eq!(format!("{:032x}", key.identity()), "2287a40dd9a3593833f67b1ea6053653");
+}
