--- a/crates/marks/tests/store.rs
+++ b/crates/marks/tests/store.rs
@@ -47,7 +47,7 @@
         return acknowledged;
     }
     let mut next = 0;
-    for _ in 0..10 {
+    for _ in 0..20 {
         let batch: Vec<u64> = (next..next + 1 + draw.below(40)).collect();
         next += batch.len() as u64;
         if store.commit(&marks(batch.iter().copied()), 0).is_err() {
