--- /dev/null
+++ b/crates/cli/tests/fleet_days.rs
@@ -0,0 +1,31 @@
+//! Days of a fleet: five processes of the program, three of which keep the record, with faults between them; judged from what
+//! crossed the sockets. Verdicts rest on the rules and on counts, never on times of this machine.
+
+mod alone;
+
+use alone::alone;
+use stagehoist_stage::{play, Day, Ledger};
+use std::path::Path;
+use std::time::Duration;
+
+/// Plays a day as a seed draws it; every rule must be kept.
+fn judged(name: &str, text: &str, seed: u64, seconds: u64) -> Ledger {
+    let _alone = alone();
+    let mut day = Day::parse(name, text).unwrap().shortened(Duration::from_secs(seconds));
+    day.seed = seed;
+    let ledger = play(&day, Path::new(env!("CARGO_BIN_EXE_stagehoist")), &mut |_| {}).unwrap();
+    for rule in &ledger.verdict.rules {
+        assert!(rule.kept, "{name}: {rule:#?}");
+    }
+    assert_eq!(ledger.mishaps, Vec::<String>::new(), "{name}");
+    assert_eq!(ledger.verdict.unanswered, ledger.verdict.not_owed, "{name}");
+    ledger
+}
+
+#[test]
+fn what_is_retired_stays_so_while_processes_are_cut_off_stopped_and_killed() {
+    let ledger = judged("retire", include_str!("../../../days/retire.day"), 3, 12);
+    let rule = ledger.verdict.rules.iter().find(|r| r.name == "retired stays retired").unwrap();
+    assert!(rule.checks > 100, "{rule:?}");
+    assert_eq!(ledger.in_force_after_ms.len(), 2, "{ledger:?}");
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`driver`]: the loop that gathers what sockets bring, lets the module choose once a batch, and carries out its choices.
 //! - [`amqp`], [`workers`], [`list`]: the protocols to callers, to workers and to the worker list.
 //! - [`fleet`]: what a front end knows of retired functions, where its configuration has a fleet.
+//! - [`marked`]: attempts that wait for their call's mark on disk.
 //! - [`serve`]: front ends started, watched and drained.
 //!
 //! Nothing here decides about a call: that is the module's, in the `stagehoist` package.
@@ -17,6 +18,7 @@
 pub mod error;
 pub mod fleet;
 pub mod list;
+pub mod marked;
 pub mod metrics_page;
 pub mod serve;
 pub mod state;
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -16,6 +16,7 @@
 };
 use stagehoist_config::Config;
 use stagehoist_membership::Told;
+use stagehoist_recovery::Identity;
 use stagehoist_registry::Standing;
 use std::rc::Rc;
 
@@ -101,6 +102,8 @@
     pub correlation: Rc<str>,
     /// The use of the function's name that the call is for; None: the configured one.
     pub generation: Option<u32>,
+    /// The message's, where attempts are marked on disk.
+    pub identity: Option<Identity>,
 }
 
 /// What came of an attempt.
@@ -223,4 +226,6 @@
     pub body: Bytes,
     pub content_type: Option<String>,
     pub correlation: Rc<str>,
+    /// What its call's mark is written under, where attempts are marked on disk.
+    pub mark: Option<(Identity, Ticket)>,
 }
--- a/crates/gateway/src/ways.rs
+++ b/crates/gateway/src/ways.rs
@@ -40,7 +40,7 @@
         let desk = fleet.as_ref().map(|(desk, _)| desk.clone());
         let workers = Workers::new(config.clone(), clock, news.clone(), desk);
         let mut tasks = JoinSet::new();
-        let link = link::run(config.clone(), seed, clock, news.clone(), from_driver, link_state);
+        let link = link::run(config.clone(), (seed, clock), None, news.clone(), from_driver, link_state);
         let asking_most = config.fleet.as_ref().map_or(0, |f| f.asking_most);
         tasks.spawn_local(async move {
             if let Some((_, standing)) = fleet {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -99,6 +99,7 @@
             content_type: None,
             correlation: "c".into(),
             generation,
+            identity: None,
         };
         self.turn(MS, vec![News::Call(arrival)])
     }
--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -59,6 +59,7 @@
                 content_type: None,
                 correlation: "c".into(),
                 generation: None,
+                identity: None,
             })],
         )
     }
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -313,6 +313,7 @@
             content_type: None,
             correlation: asked.id,
             generation: None,
+            identity: None,
         }))
     }
 
--- a/crates/stage/src/fleet/tests.rs
+++ b/crates/stage/src/fleet/tests.rs
@@ -78,3 +78,24 @@
     let strange = word(9, "leading", 1, "elsewhere") + &word(9, "leading", 2, ours);
     assert_eq!(find(&[&strange]), None);
 }
+
+#[test]
+fn every_configuration_of_the_days_passes_the_check() {
+    use crate::layout::Layout;
+    for name in ["retire", "fleet-trouble", "power-loss"] {
+        let file = format!("{}/../../days/{name}.day", env!("CARGO_MANIFEST_DIR"));
+        let day = Day::parse(name, &std::fs::read_to_string(&file).unwrap()).unwrap();
+        let keepers: Vec<String> = (1..=day.fleet.keepers).map(|n| format!("127.0.0.1:{n}")).collect();
+        let folder = tempfile::tempdir().unwrap();
+        for front_end in 0..day.front_ends {
+            let files = Files::of(folder.path(), front_end);
+            let text = Layout::of(&day).config(&day, front_end, "127.0.0.1:8", "127.0.0.1:9")
+                + &lines(&day.fleet, front_end, &keepers, "127.0.0.1:1", &files);
+            let path = folder.path().join("conf");
+            std::fs::write(&path, &text).unwrap();
+            if let Err(faults) = stagehoist_config::load(&path) {
+                panic!("{name} {front_end}: {faults:#?}\n{text}");
+            }
+        }
+    }
+}
