A front end that was stopped past its view's lease asks before it takes calls again

The issue asks that a member that was stopped confirms before it serves again. An available function at a process that did not run for long went on by the old view on waking, until word came. Its driver now tells the gate at each look at the clock (four times a second at least) that it runs; a gap of over 350 ms in which the view ran out means that it was stopped. Then nothing is taken, sent or answered from memory without fresh word, for asking-most at most, as at a start; what comes meanwhile is refused with view-not-current and a time to come back. A call at work is finished: its view is not confirmed before.

Without a fleet the driver looks at no clock for it.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -125,6 +125,9 @@
             }
             () = ways.changed(), if drain_by.is_some() => {}
         }
+        if told.is_some() {
+            core.runs(clock.now());
+        }
         if turn {
             core.turn(clock.now(), &mut batch, &mut commands);
             for command in commands.drain(..) {
--- a/crates/gateway/src/fleet/desk.rs
+++ b/crates/gateway/src/fleet/desk.rs
@@ -80,8 +80,11 @@
     /// Why the answer may not leave at this very moment.
     pub fn closed(&self) -> Option<Closed> {
         let gate = self.desk.gate();
-        let retired = if self.first { None } else { gate.retired(&self.inner) };
-        retired.or_else(|| gate.in_doubt(&self.inner, (self.desk.0.now)()).then_some(Closed::NotCurrent))
+        let now = (self.desk.0.now)();
+        if !self.first {
+            return gate.closed(&self.inner, now);
+        }
+        gate.in_doubt(&self.inner, now).then_some(Closed::NotCurrent)
     }
 }
 
--- a/crates/gateway/src/fleet/gate.rs
+++ b/crates/gateway/src/fleet/gate.rs
@@ -6,6 +6,9 @@
 use stagehoist_registry::{Standing, Tombstone, View};
 use std::rc::Rc;
 
+/// A front end looks at the clock four times a second, and a turn is short: after a longer gap it did not run.
+const SLEPT: Micros = 350_000;
+
 /// What a caller is told of a retired function.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Retired {
@@ -34,7 +37,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Closed {
     Retired(Box<Retired>),
-    /// The function is strict, and it can't be known here whether it is retired by now.
+    /// It can't be known here whether the function is retired by now, and it is strict or this front end did not run.
     NotCurrent,
     /// A generation that is neither retired nor the configured one.
     UnknownGeneration,
@@ -45,13 +48,40 @@
 pub struct Gate {
     config: Rc<Config>,
     standing: Standing,
+    /// When the front end last looked at the clock; none before it first did.
+    awake: Option<Micros>,
+    /// It did not run while its view ran out: until then it goes on only with fresh word.
+    asks_until: Micros,
 }
 
 impl Gate {
     /// Before any word of the keepers.
     pub fn new(config: Rc<Config>) -> Gate {
         let standing = Standing { fresh_until: Micros::MIN, lanes_until: Micros::MIN, ..Standing::default() };
-        Gate { config, standing }
+        Gate { config, standing, awake: None, asks_until: Micros::MIN }
+    }
+
+    /// The front end runs at this moment. One that did not for long, and whose view ran out meanwhile, was stopped: it asks
+    /// before it goes on, as at its start. One that is cut off has run all the time.
+    pub fn runs(&mut self, now: Micros) {
+        if self.slept(now) {
+            let most = self.config.fleet.as_ref().map_or(0, |f| f.asking_most);
+            self.asks_until = now.saturating_add(most);
+            tracing::warn!(
+                most_ms = most / 1000,
+                "did not run while its view ran out; asks before it goes on"
+            );
+        }
+        self.awake = Some(now);
+    }
+
+    fn slept(&self, now: Micros) -> bool {
+        !self.is_fresh(now) && self.awake.is_some_and(|awake| now - awake > SLEPT)
+    }
+
+    /// Whether this front end was stopped and has no word since, whatever a function's mode is.
+    pub fn asks(&self, now: Micros) -> bool {
+        !self.is_fresh(now) && (now < self.asks_until || self.slept(now))
     }
 
     /// The keepers' newest word; whether its view is another. A view older than the one that is known counts for nothing.
@@ -83,7 +113,7 @@
         if generation != configured {
             return Err(Closed::UnknownGeneration);
         }
-        if function.is_some_and(|f| f.strict) && !self.is_fresh(now) {
+        if function.is_some_and(|f| f.strict) && !self.is_fresh(now) || self.asks(now) {
             return Err(Closed::NotCurrent);
         }
         Ok(inner_name(name, generation))
@@ -106,6 +136,7 @@
 
     /// Why nothing may go to a worker for an inner name at this moment.
     pub fn closed(&self, inner: &str, now: Micros) -> Option<Closed> {
-        self.retired(inner).or_else(|| self.in_doubt(inner, now).then_some(Closed::NotCurrent))
+        let unknown = || (self.in_doubt(inner, now) || self.asks(now)).then_some(Closed::NotCurrent);
+        self.retired(inner).or_else(unknown)
     }
 }
--- a/crates/gateway/src/state/core/fleet.rs
+++ b/crates/gateway/src/state/core/fleet.rs
@@ -14,6 +14,13 @@
         self.part = Some(Box::new(Part::new(desk)));
     }
 
+    /// Told at least four times a second while the front end runs, before what came is looked at.
+    pub fn runs(&mut self, now: Micros) {
+        if let Some(part) = &self.part {
+            part.desk.gate_mut().runs(now);
+        }
+    }
+
     /// What the keepers are to be told; None where there is no fleet.
     pub fn told(&self) -> Option<Told> {
         let part = self.part.as_ref()?;
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -169,6 +169,43 @@
     assert_eq!(answers(&s.turn(0, vec![ended(&sent[0], Outcome::Ok)])), [(1, "served", "")]);
 }
 
+/// A front end at work with a call of a function that is not strict, whose view runs out; whether it ran all the time, or
+/// was stopped. What becomes of the call at work, of one held and of one that comes.
+fn after_the_lease(stopped: bool) -> (Stage, Vec<(u64, &'static str, &'static str)>) {
+    let mut s = Stage::new();
+    s.fresh(200 * MS);
+    s.core.runs(s.now);
+    let sent = attempts(&s.call(1, "free-times"));
+    let gap = if stopped { 600 * MS } else { 250 * MS };
+    while s.now < s.fresh_until() + 600 * MS {
+        s.now += gap;
+        s.core.runs(s.now);
+    }
+    let out = s.turn(0, vec![ended(&sent[0], Outcome::Ok)]);
+    let mut got = answers(&out);
+    let out = s.call(2, "free-times");
+    got.extend(answers(&out));
+    assert_eq!(attempts(&out).len(), usize::from(!stopped));
+    (s, got)
+}
+
+#[test]
+fn a_front_end_that_was_stopped_asks_before_it_takes_calls_and_one_cut_off_goes_on() {
+    assert_eq!(after_the_lease(false).1, [(1, "served", "")]);
+    let (mut s, got) = after_the_lease(true);
+    // The call that was at work is finished.
+    assert_eq!(got, [(1, "served", ""), (2, "refused", "view-not-current")]);
+    s.fresh(1000 * MS);
+    assert_eq!(attempts(&s.call(3, "free-times")).len(), 1, "word came");
+    // Without word it goes on by what is known after the time for asking.
+    let (mut s, _) = after_the_lease(true);
+    for _ in 0..20 {
+        s.now += 100 * MS;
+        s.core.runs(s.now);
+    }
+    assert_eq!(attempts(&s.call(3, "free-times")).len(), 1);
+}
+
 #[test]
 fn an_answer_on_its_way_is_looked_at_once_more_where_it_leaves() {
     let mut s = Stage::new();
