The stand-in worker holds versions of a model apart

A later generation of a function is asked for as a version of its model (/v2/models/NAME/versions/2/infer, and the load's and unload's parameter version); the stand-in answered 404 to the first and loaded the first version for the second. A version is now held under a name of its own, with its own copies, and needs what the model needs. Tests: one of the names, one at the socket (a version loaded, asked and unloaded apart from the first); both fail without the routes.

--- a/crates/standin/src/worker/mod.rs
+++ b/crates/standin/src/worker/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod model;
 mod server;
+mod versions;
 
 pub use model::{Program, Spec};
 pub use server::{run, Catalogue, Controls, WorkerOptions};
--- a/crates/standin/src/worker/server.rs
+++ b/crates/standin/src/worker/server.rs
@@ -1,6 +1,7 @@
 //! A worker on a listening socket.
 
 use super::model::{CallId, Found, Micros, Model, Program, Refusal, Spec, Step};
+use super::versions::{held, model, ordered};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -26,8 +27,9 @@
 pub struct Catalogue(pub Vec<(String, Program)>);
 
 impl Catalogue {
-    /// The program of that name.
+    /// The program of that name; versions of a model are alike.
     pub fn get(&self, name: &str) -> Option<&Program> {
+        let name = model(name);
         let takes = |pattern: &str| match pattern.strip_suffix('*') {
             Some(prefix) => name.starts_with(prefix),
             None => pattern == name,
@@ -175,6 +177,10 @@
     response
 }
 
+fn no_such(what: &str) -> Response<Full<Bytes>> {
+    plain(StatusCode::NOT_FOUND, format!("{{\"error\":\"no such {what}\"}}"))
+}
+
 fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = value.parse() {
         headers.insert(name, value);
@@ -219,15 +225,30 @@
             }
             (&Method::GET, ["v2", "models", name, "ready"]) => self.model_ready(name),
             (&Method::POST, ["v2", "models", name, "infer"]) => self.clone().infer(name, body).await,
-            (&Method::POST, ["v2", "repository", "index"]) => self.index(),
-            (&Method::POST, ["v2", "repository", "models", name, "load"]) => {
-                self.clone().load(name, &body).await
-            }
-            (&Method::POST, ["v2", "repository", "models", name, "unload"]) => {
-                self.model.borrow_mut().unload(name);
-                plain(StatusCode::OK, "{}".into())
+            (&Method::GET, ["v2", "models", name, "versions", version, "ready"]) => match held(name, version)
+            {
+                Some(name) => self.model_ready(&name),
+                None => no_such("version"),
+            },
+            (&Method::POST, ["v2", "models", name, "versions", version, "infer"]) => {
+                match held(name, version) {
+                    Some(name) => self.clone().infer(&name, body).await,
+                    None => no_such("version"),
+                }
             }
-            _ => plain(StatusCode::NOT_FOUND, "{\"error\":\"no such resource\"}".into()),
+            (&Method::POST, ["v2", "repository", "index"]) => self.index(),
+            (&Method::POST, ["v2", "repository", "models", name, "load"]) => match ordered(name, &body) {
+                Some(name) => self.clone().load(&name, &body).await,
+                None => no_such("version"),
+            },
+            (&Method::POST, ["v2", "repository", "models", name, "unload"]) => match ordered(name, &body) {
+                Some(name) => {
+                    self.model.borrow_mut().unload(&name);
+                    plain(StatusCode::OK, "{}".into())
+                }
+                None => no_such("version"),
+            },
+            _ => no_such("resource"),
         };
         let state = if self.model.borrow().is_draining() { "draining" } else { "serving" };
         put(response.headers_mut(), "stagehoist-worker", state);
