The retirements file is looked at every 25 ms, and read when it changed

The file was read whole at each poll, and the state beside it too. Now its size, time and number are looked at each 25 ms, and both files are read only when these changed, when the keepers have word, when lines wait for the session, and at each eighth look whatever they say, as two changes within a tick of the file system's clock may look alike.

--- a/crates/gateway/src/fleet/retirements.rs
+++ b/crates/gateway/src/fleet/retirements.rs
@@ -16,7 +16,10 @@
 use std::time::{Duration, SystemTime};
 use tokio::sync::{mpsc, watch};
 
-const POLL: Duration = Duration::from_millis(200);
+/// How often the file's size, time and number are looked at. It is read when they changed, and once in so many looks
+/// whatever they say: two changes within a tick of the file system's clock may look alike.
+const LOOK: Duration = Duration::from_millis(25);
+const LOOKS: u32 = 8;
 /// Largest file, in bytes, and most lines that are taken of it.
 const FILE_MOST: u64 = 4 << 20;
 const LINES_MOST: usize = 20_000;
@@ -124,6 +127,13 @@
     i64::try_from(since.as_millis()).unwrap_or(i64::MAX)
 }
 
+/// What tells one state of a file from another without reading it.
+async fn stamp(path: &PathBuf) -> Option<(u64, u64, SystemTime)> {
+    use std::os::unix::fs::MetadataExt;
+    let found = tokio::fs::metadata(path).await.ok()?;
+    Some((found.ino(), found.len(), found.modified().ok()?))
+}
+
 async fn read(path: &PathBuf) -> std::io::Result<String> {
     use tokio::io::AsyncReadExt;
     let mut bytes = Vec::new();
@@ -143,16 +153,27 @@
     retire: mpsc::Sender<Retirement>,
 ) {
     let mut proposer = Proposer::default();
-    let mut failing = false;
-    let mut poll = tokio::time::interval(POLL);
-    poll.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let (mut failing, mut seen, mut looks) = (false, None, 0);
+    let mut look = tokio::time::interval(LOOK);
+    look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        tokio::select! {
-            _ = poll.tick() => {}
-            changed = standing.changed() => if changed.is_err() {
-                return;
-            },
+        let told = tokio::select! {
+            _ = look.tick() => false,
+            changed = standing.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                true
+            }
+        };
+        let newest = stamp(&path).await;
+        let waits = retire.capacity() > 0 && proposer.open().next().is_some();
+        let idle = !told && !waits && newest == seen && looks % LOOKS != 0;
+        looks = if told { looks } else { (looks + 1) % LOOKS };
+        if idle {
+            continue;
         }
+        seen = newest;
         match read(&path).await {
             Ok(text) => {
                 failing = false;
--- a/crates/gateway/tests/retirements.rs
+++ b/crates/gateway/tests/retirements.rs
@@ -135,3 +135,19 @@
     tokio::time::timeout(Duration::from_secs(20), task).await.expect("ends with the session").unwrap();
     assert_eq!(std::fs::read_dir(folder.path()).unwrap().count(), 2, "nothing is left beside");
 }
+
+#[tokio::test]
+async fn a_change_that_shows_in_neither_size_nor_time_is_found_too() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("retired");
+    std::fs::write(&path, "free 1\n").unwrap();
+    let (_standing, seen) = watch::channel(Standing::default());
+    let (retire, mut asked) = mpsc::channel(4);
+    let _task = tokio::spawn(follow(config(), path.clone(), seen, retire));
+    assert_eq!(asked.recv().await.unwrap().function, "free");
+    let at = std::fs::metadata(&path).unwrap().modified().unwrap();
+    std::fs::write(&path, "gone 1\n").unwrap();
+    std::fs::File::options().write(true).open(&path).unwrap().set_modified(at).unwrap();
+    let next = tokio::time::timeout(Duration::from_secs(20), asked.recv()).await.expect("found");
+    assert_eq!(next.unwrap().function, "gone");
+}
