A keeper that leads on after a restart waits for what its log had before it gives promises

That it leads only once an entry of its own term is in its record was no guard: entries of before the kill are of that term. With the tombstone among these entries it could promise a front end that had been cut off that a view without it is the newest, for a strict function already in force.

Now it leads once the record holds an entry of its term and all that the log held when Raft first counted it as leader. Ruled out as cause: a lost entry (the log had it each time), and promises of the run before (they end before silence does).

--- a/crates/keeper/src/keep/desk_state.rs
+++ b/crates/keeper/src/keep/desk_state.rs
@@ -4,6 +4,7 @@
 mod out;
 
 use super::desk::Tools;
+use super::leading::Leading;
 use crate::figures::Figures;
 use crate::frames::VIEW_MOST;
 use crate::kinds::{Applied, Dones, Metrics};
@@ -41,6 +42,7 @@
     pub acked: Micros,
     pub record: Applied,
     term: u64,
+    leading: Leading,
     lead: Option<Lead>,
     leader: Option<u64>,
     conns: BTreeMap<u64, Conn>,
@@ -62,6 +64,7 @@
             acked: Micros::MIN / 2,
             record: Applied::default(),
             term: 0,
+            leading: Leading::default(),
             lead: None,
             leader: None,
             conns: BTreeMap::new(),
@@ -82,14 +85,15 @@
         }
     }
 
-    /// How this keeper stands by Raft's account. It leads once an entry of its own term is in its record.
+    /// How this keeper stands by Raft's account. It leads once its record has come far enough ([`Leading`]).
     pub fn stand(&mut self, metrics: &Metrics) {
         let term = metrics.current_term;
-        let is_own = |l: openraft::LogId<u64>| l.leader_id == metrics.vote.leader_id;
-        let leads = metrics.state == ServerState::Leader
+        let elected = metrics.state == ServerState::Leader
             && metrics.vote.committed
-            && metrics.vote.leader_id.node_id == self.tools.own
-            && self.record.last.is_some_and(is_own);
+            && metrics.vote.leader_id.node_id == self.tools.own;
+        // In one term there is one leader, so that the term tells whose an entry is.
+        let applied = self.record.last.map(|l| (l.leader_id.term, l.index));
+        let leads = self.leading.may(elected, metrics.vote.leader_id.term, metrics.last_log_index, applied);
         if self.lead.is_some() && (!leads || term != self.term) {
             self.follow(metrics.current_leader);
         }
--- a/crates/keeper/src/keep/mod.rs
+++ b/crates/keeper/src/keep/mod.rs
@@ -5,6 +5,7 @@
 mod form;
 mod gate;
 mod host;
+mod leading;
 mod listen;
 mod peer;
 mod run;
