Keeper's commits wait for the disk on a thread of their own; a refused retirement is told

A sync on the keeper's one thread held up heartbeats and every session of the process. Commits of the store, the guard's and those of a session's memory now run as blocking tasks; whoever asked waits for the end before the next, so order and promise stay. The desk wakes by Lead::next and by Raft's word in place of a look each 20 ms, and sends a view round only when it changed. A retirement out of bounds is told to its asker once (ToMember::NotRetired) and not asked for twice a second.

Store killed at 200 drawn disk operations: vote, log, applied record there; 20 on a disk that lies: more than 5 lose something.

--- a/crates/keeper/src/client.rs
+++ b/crates/keeper/src/client.rs
@@ -3,7 +3,7 @@
 mod talk;
 
 use crate::frames::{decode, encode_first, frames, First, Frames, CONNECT_MOST, VIEW_MOST, WRITE_MOST};
-use crate::kept::Kept;
+use crate::kept::{Kept, Memory};
 use crate::{Now, Told};
 use futures_util::{SinkExt, StreamExt};
 use rand::{RngExt, SeedableRng};
@@ -153,7 +153,7 @@
             () = stopped(&mut stop) => return Err(End::Stopped),
         };
         match frame.and_then(Result::ok).and_then(|f| decode(&f)) {
-            Some(ToMember::Welcome { member, terms }) => self.joined(member, terms),
+            Some(ToMember::Welcome { member, terms }) => self.joined(member, terms).await,
             Some(ToMember::Elsewhere { leader }) => Err(End::Elsewhere(leader)),
             Some(ToMember::Refused { why }) => {
                 tracing::error!(target: "stagehoist_keeper", event = "session", name = %self.client.name,
@@ -164,16 +164,14 @@
         }
     }
 
-    fn joined(&mut self, member: Member, terms: Terms) -> Result<(), End> {
+    async fn joined(&mut self, member: Member, terms: Terms) -> Result<(), End> {
         if terms != self.client.terms {
             tracing::error!(target: "stagehoist_keeper", event = "session", name = %self.client.name, ?terms,
                 own = ?self.client.terms, "the keepers are told other terms");
             return Err(End::Refused);
         }
-        let kept = self.client.kept.change(|m| m.incarnation = m.incarnation.max(member.incarnation));
-        if let Err(e) = kept {
-            tracing::error!(target: "stagehoist_keeper", event = "store", name = %self.client.name, why = %e,
-                "can't keep the incarnation");
+        let incarnation = member.incarnation;
+        if !self.keep(move |m| m.incarnation = m.incarnation.max(incarnation)).await {
             return Err(End::Broken);
         }
         self.client.member.send_replace(Some(member.clone()));
@@ -183,6 +181,26 @@
     }
 }
 
+impl State {
+    /// Writes what is to be known after a kill, on a thread that may wait for the disk: sessions beside this one go
+    /// on. Whether it is there.
+    async fn keep(&mut self, change: impl FnOnce(&mut Memory) + Send + 'static) -> bool {
+        let mut kept = self.client.kept.clone();
+        let written = tokio::task::spawn_blocking(move || kept.change(change).map(|()| kept)).await;
+        match written.map_err(std::io::Error::other).and_then(|kept| kept) {
+            Ok(kept) => {
+                self.client.kept = kept;
+                true
+            }
+            Err(e) => {
+                tracing::error!(target: "stagehoist_keeper", event = "store", name = %self.client.name,
+                    why = %e, "can't keep the session's memory");
+                false
+            }
+        }
+    }
+}
+
 /// Without the guard that a watch hands out, which no task may hold while it waits.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|s| *s).await;
--- a/crates/keeper/src/client/talk.rs
+++ b/crates/keeper/src/client/talk.rs
@@ -42,10 +42,15 @@
                             self.publish();
                         }
                         Some(ToMember::View(view)) => {
-                            if !self.show(view) {
+                            if !self.show(view).await {
                                 return End::Broken;
                             }
                         }
+                        Some(ToMember::NotRetired { function, generation, why }) => {
+                            self.open.retain(|r| r.function != function || r.generation != generation);
+                            tracing::error!(target: "stagehoist_keeper", event = "retirement",
+                                name = %self.client.name, function, generation, why, "refused by the record");
+                        }
                         Some(ToMember::Elsewhere { leader }) => return End::Elsewhere(leader),
                         Some(ToMember::Refused { .. }) => return End::Refused,
                         Some(ToMember::Welcome { .. }) | None => return End::Broken,
@@ -101,15 +106,13 @@
     }
 
     /// A view came: kept on disk first, then shown.
-    fn show(&mut self, view: stagehoist_registry::View) -> bool {
+    async fn show(&mut self, view: stagehoist_registry::View) -> bool {
         if view.version > self.holder.version() {
-            if let Err(e) = self.client.kept.change(|m| m.view = view.clone()) {
-                tracing::error!(target: "stagehoist_keeper", event = "store", name = %self.client.name,
-                    why = %e,
-                    "can't keep the view");
+            let shown = view.clone();
+            if !self.keep(move |m| m.view = view).await {
                 return false;
             }
-            self.holder.view(view);
+            self.holder.view(shown);
             self.publish();
         }
         let view = self.holder.standing().view.clone();
--- a/crates/keeper/src/figures.rs
+++ b/crates/keeper/src/figures.rs
@@ -10,6 +10,9 @@
     /// The keeper that leads, as far as this one knows.
     pub leader: Option<u64>,
     pub term: u64,
+    /// Numbers of the last entry of this keeper's log, and of the last that a snapshot took the place of.
+    pub last_entry: u64,
+    pub purged: u64,
     /// Sessions at this keeper.
     pub sessions: usize,
     /// Promises given.
--- a/crates/keeper/src/keep/desk.rs
+++ b/crates/keeper/src/keep/desk.rs
@@ -14,8 +14,9 @@
 
 /// Notes that wait for the desk; connections wait with what they read beyond that.
 pub const NOTES_MOST: usize = 1024;
-/// How often promises are looked through, and how fine the time is known at which a majority answered.
-const TICK: Duration = Duration::from_millis(20);
+/// How often figures are told; and least time until time alone brings something.
+const TICK: Duration = Duration::from_millis(100);
+const PAUSE_LEAST: Micros = 1000;
 
 pub type Notes = mpsc::Sender<Note>;
 
@@ -40,7 +41,7 @@
 pub async fn desk(tools: Tools, mut notes: mpsc::Receiver<Note>) {
     let mut applied = tools.applied.clone();
     let mut metrics = tools.raft.metrics();
-    let mut servers = tools.raft.server_metrics();
+    let mut fresh = metrics.clone();
     let mut acks = Acks::default();
     let mut desk = Desk::new(tools);
     let mut batch = Vec::new();
@@ -48,14 +49,17 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let mut ticked = false;
+        let pause = desk.next().map(|at| at.saturating_sub(desk.now).max(PAUSE_LEAST).unsigned_abs());
         tokio::select! {
             got = notes.recv_many(&mut batch, NOTES_MOST) => if got == 0 { return },
             done = desk.agreed() => desk.settle(done),
             changed = applied.changed() => if changed.is_err() { return },
-            changed = servers.changed() => if changed.is_err() { return },
+            // Each answer of a majority shows here; how fine its time is known hangs on the looks between.
+            changed = fresh.changed() => if changed.is_err() { return },
+            () = passed(pause) => {}
             _ = tick.tick() => ticked = true,
         }
-        servers.mark_unchanged();
+        fresh.mark_unchanged();
         desk.now = (desk.tools.now)();
         acks.look(&mut metrics, desk.now);
         desk.acked = acks.acked;
@@ -72,6 +76,14 @@
     }
 }
 
+/// So many microseconds; never, where none are told.
+async fn passed(pause: Option<u64>) {
+    match pause {
+        Some(pause) => tokio::time::sleep(Duration::from_micros(pause)).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// When a majority is known to have answered, by this process's clock and never too late.
 struct Acks {
     acked: Micros,
--- a/crates/keeper/src/keep/desk_state.rs
+++ b/crates/keeper/src/keep/desk_state.rs
@@ -29,6 +29,8 @@
     Nobody,
     Join(u64),
     Leave(u64),
+    /// Told if it is refused.
+    Retire(u64),
 }
 
 /// The entry under way: for whom its changes are, and what came of them; none where that is not known.
@@ -47,10 +49,9 @@
     names: BTreeMap<String, u64>,
     queue: VecDeque<(For, Command)>,
     flight: Option<(Vec<(For, Command)>, Flight)>,
-    /// Something changed that promises or confirmations hang on.
-    is_due: bool,
-    /// The newest view as it goes out.
+    /// The newest view as it goes out, and the one that all were handed.
     view: (Version, Bytes),
+    shown: Version,
     figures: Figures,
 }
 
@@ -68,8 +69,8 @@
             names: BTreeMap::new(),
             queue: VecDeque::new(),
             flight: None,
-            is_due: false,
             view: (0, Bytes::new()),
+            shown: 0,
             figures: Figures::default(),
         }
     }
@@ -99,9 +100,10 @@
                 leader = self.leader, "who leads has changed");
         }
         self.term = term;
+        self.figures.last_entry = metrics.last_log_index.unwrap_or(0);
+        self.figures.purged = metrics.purged.map_or(0, |l| l.index);
         if leads && self.lead.is_none() {
             self.lead = Some(Lead::new(self.tools.terms, self.now));
-            self.is_due = true;
             tracing::info!(target: "stagehoist_keeper", event = "leading", keeper = self.tools.own, term,
                 "leading");
         }
@@ -152,7 +154,6 @@
         if let Some(at) = self.conns.get_mut(&conn) {
             at.member = Some(member.clone());
         }
-        self.is_due = true;
         self.say(conn, &ToMember::Welcome { member, terms: self.tools.terms });
         self.show(conn);
     }
@@ -165,14 +166,12 @@
             (ToKeeper::Retire(retirement), Some(_)) => {
                 let known = self.record.record.view.retired(&retirement.function, retirement.generation);
                 if self.view.1.len() > VIEW_MOST / 2 {
-                    tracing::error!(target: "stagehoist_keeper", event = "retirement",
-                        function = %retirement.function,
-                        "the record is full");
+                    self.not_retired(conn, retirement, "the record is full".into());
                 } else if known.is_none() {
                     tracing::info!(target: "stagehoist_keeper", event = "retirement",
                         function = %retirement.function,
                         generation = retirement.generation, "proposed");
-                    self.propose(For::Nobody, Command::Retire(retirement));
+                    self.propose(For::Retire(conn), Command::Retire(retirement));
                 }
             }
             (ToKeeper::Leave, Some(member)) => self.propose(For::Leave(conn), Command::Leave(member)),
@@ -185,31 +184,30 @@
         self.show(conn);
         let Some(lead) = &mut self.lead else { return };
         let granted = lead.report(&self.record.record, member, report, self.now, self.acked);
-        self.is_due = true;
         if let Some(grant) = granted {
             self.figures.promised += 1;
             self.say(conn, &ToMember::Grant(grant));
         }
     }
 
+    /// When time alone may bring something; never, while changes are under way: what is due would be proposed
+    /// again.
+    pub fn next(&self) -> Option<Micros> {
+        let is_open = self.flight.is_none() && self.queue.is_empty();
+        self.lead.as_ref().filter(|_| is_open)?.next(&self.record.record, self.now)
+    }
+
     /// What follows from all that came in this turn.
     pub fn finish(&mut self, ticked: bool) {
         if let Some(lead) = &mut self.lead {
-            // None of its own changes is under way: it would propose them again.
-            if (self.is_due || ticked) && self.flight.is_none() && self.queue.is_empty() {
-                self.is_due = false;
+            if self.flight.is_none() && self.queue.is_empty() {
                 let due = lead.due(&self.record.record, self.now);
                 self.queue.extend(due.into_iter().map(|c| (For::Nobody, c)).take(QUEUE_MOST));
             }
             if self.flight.is_none() && !self.queue.is_empty() {
                 self.take_off();
             }
-            let newest = self.record.record.view.version;
-            let behind = |c: &Conn| c.member.is_some() && c.sent != Some(newest);
-            let behind: Vec<u64> = self.conns.iter().filter(|(_, c)| behind(c)).map(|(n, _)| *n).collect();
-            for conn in behind {
-                self.show(conn);
-            }
+            self.show_all();
         }
         self.figures.is_leader = self.lead.is_some();
         self.figures.votes = self.tools.gate.may_vote();
--- a/crates/keeper/src/keep/desk_state/agree.rs
+++ b/crates/keeper/src/keep/desk_state/agree.rs
@@ -26,10 +26,14 @@
     pub fn settle(&mut self, done: Agreed) {
         let Some((asked, _)) = self.flight.take() else { return };
         self.record = self.tools.applied.borrow().clone();
-        self.is_due = true;
         let results = done.map(|d| d.0).unwrap_or_default();
         for (at, (who, command)) in asked.into_iter().enumerate() {
             match (who, results.get(at)) {
+                (For::Retire(conn), Some(Done::Refused { why })) => {
+                    if let Command::Retire(asked) = &command {
+                        self.not_retired(conn, asked.clone(), why.clone());
+                    }
+                }
                 (For::Join(conn), Some(Done::Joined(member))) if self.conns.contains_key(&conn) => {
                     self.welcome(conn, member.clone());
                 }
--- a/crates/keeper/src/keep/desk_state/out.rs
+++ b/crates/keeper/src/keep/desk_state/out.rs
@@ -3,7 +3,7 @@
 use super::Desk;
 use crate::frames::encode;
 use bytes::Bytes;
-use stagehoist_registry::ToMember;
+use stagehoist_registry::{Retirement, ToMember};
 
 impl Desk {
     /// Sends the newest view, where it was not sent yet.
@@ -22,6 +22,28 @@
         self.hand(conn, frame);
     }
 
+    /// Sends a view that changed to whoever has joined; who joins later is shown it then.
+    pub(super) fn show_all(&mut self) {
+        let newest = self.record.record.view.version;
+        if self.shown == newest {
+            return;
+        }
+        self.shown = newest;
+        let joined: Vec<u64> =
+            self.conns.iter().filter(|(_, c)| c.member.is_some()).map(|(conn, _)| *conn).collect();
+        for conn in joined {
+            self.show(conn);
+        }
+    }
+
+    /// Tells who asked for a retirement that it can't be taken.
+    pub(super) fn not_retired(&mut self, conn: u64, asked: Retirement, why: String) {
+        tracing::warn!(target: "stagehoist_keeper", event = "retirement", function = %asked.function,
+            generation = asked.generation, why, "refused");
+        let (function, generation) = (asked.function, asked.generation);
+        self.say(conn, &ToMember::NotRetired { function, generation, why });
+    }
+
     pub(super) fn say(&mut self, conn: u64, message: &ToMember) {
         if let Ok(frame) = encode(message) {
             self.hand(conn, frame);
--- a/crates/keeper/src/keep/form.rs
+++ b/crates/keeper/src/keep/form.rs
@@ -74,7 +74,7 @@
                 }
             }
             Choice::Join => gate.set(State::Open),
-            Choice::Return(bound) => match store.set_bound(Some(bound)) {
+            Choice::Return(bound) => match store.keep_bound(Some(bound)).await {
                 Ok(()) => gate.set(State::Returning { bound }),
                 Err(e) => {
                     tracing::error!(target: "stagehoist_keeper", event = "store", why = %e, "store fails");
@@ -98,7 +98,7 @@
             }
             let _ = tokio::time::timeout(RAISED_EVERY, applied.wait_for(|a| gate.is_back(a.last))).await;
         }
-        while let Err(e) = store.set_bound(None) {
+        while let Err(e) = store.keep_bound(None).await {
             tracing::error!(target: "stagehoist_keeper", event = "store", why = %e, "store fails");
             tokio::time::sleep(RAISED_EVERY).await;
         }
--- a/crates/keeper/src/keep/run.rs
+++ b/crates/keeper/src/keep/run.rs
@@ -19,10 +19,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
-/// Entries between two snapshots, and those kept behind the last for a keeper that is a little late.
-const SNAPSHOT_EVERY: u64 = 2000;
-const KEPT_BEHIND: u64 = 500;
-
 /// What was opened before the keeper's thread began.
 pub struct Parts {
     pub number: u64,
@@ -55,9 +51,9 @@
         install_snapshot_timeout: 5000,
         snapshot_max_chunk_size: PART_MOST as u64,
         max_payload_entries: ENTRIES_MOST,
-        snapshot_policy: SnapshotPolicy::LogsSinceLast(SNAPSHOT_EVERY),
-        max_in_snapshot_log_to_keep: KEPT_BEHIND,
-        replication_lag_threshold: 2 * SNAPSHOT_EVERY,
+        snapshot_policy: SnapshotPolicy::LogsSinceLast(pace.log.0),
+        max_in_snapshot_log_to_keep: pace.log.1,
+        replication_lag_threshold: 2 * pace.log.0,
         enable_elect: start == Start::Known,
         ..Config::default()
     };
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -60,17 +60,20 @@
     pub store: PathBuf,
 }
 
-/// How quickly keepers notice that the leader is gone, in milliseconds; alike at all keepers.
+/// How quickly keepers notice that the leader is gone, in milliseconds, and how long their logs grow; alike at all
+/// keepers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pace {
     pub heartbeat_ms: u64,
     /// An election begins after a time drawn between these without word from the leader.
     pub election_ms: (u64, u64),
+    /// Entries between two snapshots, and those kept behind the last for a keeper that is a little late.
+    pub log: (u64, u64),
 }
 
 impl Default for Pace {
     fn default() -> Pace {
-        Pace { heartbeat_ms: 100, election_ms: (400, 800) }
+        Pace { heartbeat_ms: 100, election_ms: (400, 800), log: (2000, 500) }
     }
 }
 
--- a/crates/keeper/src/store/log.rs
+++ b/crates/keeper/src/store/log.rs
@@ -9,7 +9,7 @@
 use std::ops::RangeBounds;
 
 impl Store {
-    fn entries(&self, range: impl RangeBounds<u64>) -> Outcome<Vec<Entry>> {
+    pub(super) fn entries(&self, range: impl RangeBounds<u64>) -> Outcome<Vec<Entry>> {
         let read = self.db.begin_read()?;
         let table = read.open_table(LOG)?;
         let mut entries = Vec::new();
@@ -31,6 +31,41 @@
     }
 }
 
+/// Writes; on disk once they return.
+impl Store {
+    pub(super) fn set_vote(&self, vote: &Vote) -> Outcome<()> {
+        self.write(Durability::Immediate, |w| w.put(key::VOTE, vote))?;
+        self.mark(self.last()?)
+    }
+
+    /// All that is handed over together is one commit.
+    pub(super) fn add(&self, entries: Vec<Entry>) -> Outcome<()> {
+        let mut last = None;
+        self.write(Durability::Immediate, |w| {
+            last = w.append(entries)?;
+            Ok(())
+        })?;
+        if last.is_some() {
+            self.mark(last)?;
+        }
+        Ok(())
+    }
+
+    /// Takes off the end, from this entry on. The guard first: it never tells of more than the store holds.
+    pub(super) fn cut(&self, from: LogId) -> Outcome<()> {
+        self.mark(self.before(from.index)?)?;
+        self.write(Durability::Immediate, |w| w.remove(from.index..))
+    }
+
+    /// Takes off the beginning, up to this entry.
+    pub(super) fn forget(&self, upto: LogId) -> Outcome<()> {
+        self.write(Durability::Immediate, |w| {
+            w.put(key::PURGED, &upto)?;
+            w.remove(..=upto.index)
+        })
+    }
+}
+
 impl RaftLogReader<Kept> for Store {
     async fn try_get_log_entries<RB: RangeBounds<u64> + Clone + Debug + OptionalSend>(
         &mut self,
@@ -53,8 +88,8 @@
     }
 
     async fn save_vote(&mut self, vote: &Vote) -> Result<(), Fault> {
-        self.write(Durability::Immediate, |w| w.put(key::VOTE, vote)).map_err(fault)?;
-        self.mark(self.last().map_err(fault)?).map_err(fault)
+        let vote = *vote;
+        self.apart(move |store| store.set_vote(&vote)).await
     }
 
     async fn read_vote(&mut self) -> Result<Option<Vote>, Fault> {
@@ -63,7 +98,7 @@
 
     async fn save_committed(&mut self, committed: Option<LogId>) -> Result<(), Fault> {
         // For a quick start only: what was committed is told anew by the leader.
-        self.write(Durability::None, |w| w.put(key::COMMITTED, &committed)).map_err(fault)
+        self.apart(move |store| store.write(Durability::None, |w| w.put(key::COMMITTED, &committed))).await
     }
 
     async fn read_committed(&mut self) -> Result<Option<LogId>, Fault> {
@@ -75,28 +110,17 @@
         I: IntoIterator<Item = Entry> + OptionalSend,
         I::IntoIter: OptionalSend,
     {
-        // All that is handed over together is one commit.
-        let mut last = None;
-        let written = self.write(Durability::Immediate, |w| {
-            last = w.append(entries)?;
-            Ok(())
-        });
-        written.and_then(|()| if last.is_some() { self.mark(last) } else { Ok(()) }).map_err(fault)?;
+        let entries: Vec<Entry> = entries.into_iter().collect();
+        self.apart(move |store| store.add(entries)).await?;
         callback.log_io_completed(Ok(()));
         Ok(())
     }
 
     async fn truncate(&mut self, log_id: LogId) -> Result<(), Fault> {
-        // The guard first: it never tells of more than the store holds.
-        self.mark(self.before(log_id.index).map_err(fault)?).map_err(fault)?;
-        self.write(Durability::Immediate, |w| w.remove(log_id.index..)).map_err(fault)
+        self.apart(move |store| store.cut(log_id)).await
     }
 
     async fn purge(&mut self, log_id: LogId) -> Result<(), Fault> {
-        let purged = self.write(Durability::Immediate, |w| {
-            w.put(key::PURGED, &log_id)?;
-            w.remove(..=log_id.index)
-        });
-        purged.map_err(fault)
+        self.apart(move |store| store.forget(log_id)).await
     }
 }
--- a/crates/keeper/src/store/machine.rs
+++ b/crates/keeper/src/store/machine.rs
@@ -15,10 +15,10 @@
 
 /// All that a snapshot holds.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct State {
-    last: Option<LogId>,
+pub(super) struct State {
+    pub(super) last: Option<LogId>,
     members: Members,
-    record: Record,
+    pub(super) record: Record,
 }
 
 pub struct Machine {
@@ -41,7 +41,7 @@
         Applied { last: self.last, record: Arc::new(self.record.clone()) }
     }
 
-    fn apply(&mut self, entry: Entry) -> Dones {
+    pub(super) fn apply(&mut self, entry: Entry) -> Dones {
         self.last = Some(entry.log_id);
         match entry.payload {
             EntryPayload::Blank => Dones(Vec::new()),
@@ -73,12 +73,15 @@
 
 impl RaftSnapshotBuilder<Kept> for Builder {
     async fn build_snapshot(&mut self) -> Result<Snapshot<Kept>, Fault> {
-        let built = self.state.snapshot().and_then(|snapshot| {
-            let kept = (&snapshot.meta, snapshot.snapshot.get_ref());
-            self.store.write(Durability::Immediate, |w| w.put(key::SNAPSHOT, &kept))?;
-            Ok(snapshot)
-        });
-        built.map_err(fault)
+        let state = self.state.clone();
+        self.store
+            .apart(move |store| {
+                let snapshot = state.snapshot()?;
+                let kept = (&snapshot.meta, snapshot.snapshot.get_ref());
+                store.write(Durability::Immediate, |w| w.put(key::SNAPSHOT, &kept))?;
+                Ok(snapshot)
+            })
+            .await
     }
 }
 
@@ -95,7 +98,8 @@
         I::IntoIter: OptionalSend,
     {
         let done = entries.into_iter().map(|entry| self.state.apply(entry)).collect();
-        self.store.write(Durability::None, |w| w.put(key::STATE, &self.state)).map_err(fault)?;
+        let state = postcard::to_stdvec(&self.state).map_err(StoreFault::from).map_err(fault)?;
+        self.store.apart(move |s| s.write(Durability::None, |w| w.put_bytes(key::STATE, &state))).await?;
         self.told.send_replace(self.state.applied());
         Ok(done)
     }
@@ -109,14 +113,16 @@
     }
 
     async fn install_snapshot(&mut self, meta: &Meta, data: Box<Cursor<Vec<u8>>>) -> Result<(), Fault> {
-        let bytes = data.into_inner();
-        let state: State = postcard::from_bytes(&bytes).map_err(StoreFault::from).map_err(fault)?;
-        let written = self.store.write(Durability::Immediate, |w| {
-            w.put(key::STATE, &state)?;
-            w.put(key::SNAPSHOT, &(meta, &bytes))
+        let (meta, bytes) = (meta.clone(), data.into_inner());
+        let written = self.store.apart(move |store| {
+            let state: State = postcard::from_bytes(&bytes)?;
+            store.write(Durability::Immediate, |w| {
+                w.put_bytes(key::STATE, &bytes)?;
+                w.put(key::SNAPSHOT, &(meta, &bytes))
+            })?;
+            Ok(state)
         });
-        written.map_err(fault)?;
-        self.state = state;
+        self.state = written.await?;
         self.told.send_replace(self.state.applied());
         Ok(())
     }
--- a/crates/keeper/src/store/mod.rs
+++ b/crates/keeper/src/store/mod.rs
@@ -10,6 +10,8 @@
 mod log;
 mod machine;
 mod open;
+#[cfg(test)]
+mod tests;
 
 pub use guard::{sum, Guard, Mark};
 pub use machine::Machine;
@@ -39,7 +41,7 @@
 #[derive(Clone, Debug)]
 pub struct Store {
     db: Arc<Database>,
-    /// Held for single calls of the keeper's one thread.
+    /// Held for single writes, one at a time.
     guard: Arc<Mutex<Guard>>,
 }
 
@@ -85,6 +87,20 @@
         Ok(transaction.commit()?)
     }
 
+    /// Does what may wait for the disk on a thread for such work: heartbeats and sessions go on meanwhile, on the
+    /// keeper's own. Whoever asks waits for the end before the next, so the order is theirs; redb takes one commit
+    /// at a time.
+    async fn apart<T: Send + 'static>(
+        &self,
+        work: impl FnOnce(&Store) -> Outcome<T> + Send + 'static,
+    ) -> Result<T, Fault> {
+        let store = self.clone();
+        match tokio::task::spawn_blocking(move || work(&store)).await {
+            Ok(done) => done.map_err(fault),
+            Err(e) => Err(fault(std::io::Error::other(e).into())),
+        }
+    }
+
     /// The last entry of the log, or the last that was purged.
     fn last(&self) -> Outcome<Option<LogId>> {
         let read = self.db.begin_read()?;
@@ -113,12 +129,17 @@
         self.get(key::BOUND)
     }
 
-    pub fn set_bound(&self, bound: Option<u64>) -> Outcome<()> {
+    /// Written by whoever may wait for the disk.
+    fn set_bound(&self, bound: Option<u64>) -> Outcome<()> {
         self.write(Durability::Immediate, |w| match bound {
             Some(bound) => w.put(key::BOUND, &bound),
             None => w.clear(key::BOUND),
         })
     }
+
+    pub async fn keep_bound(&self, bound: Option<u64>) -> Result<(), Fault> {
+        self.apart(move |store| store.set_bound(bound)).await
+    }
 }
 
 /// One commit.
@@ -126,8 +147,11 @@
 
 impl Write<'_> {
     fn put<T: Serialize>(&mut self, key: &str, value: &T) -> Outcome<()> {
-        let bytes = postcard::to_stdvec(value)?;
-        self.0.open_table(META)?.insert(key, bytes.as_slice())?;
+        self.put_bytes(key, &postcard::to_stdvec(value)?)
+    }
+
+    fn put_bytes(&mut self, key: &str, bytes: &[u8]) -> Outcome<()> {
+        self.0.open_table(META)?.insert(key, bytes)?;
         Ok(())
     }
 
--- a/crates/keeper/src/store/open.rs
+++ b/crates/keeper/src/store/open.rs
@@ -115,7 +115,7 @@
 }
 
 /// Whether a store may go on as it is; the reason why not.
-fn judge(store: &Store, mark: Option<Mark>) -> Result<Start, String> {
+pub(super) fn judge(store: &Store, mark: Option<Mark>) -> Result<Start, String> {
     type Ends = (Option<Vote>, Option<LogId>, Option<u64>);
     let all = (|| -> Result<Ends, StoreFault> {
         let read = store.db.begin_read()?;
--- /dev/null
+++ b/crates/keeper/src/store/tests/mod.rs
@@ -0,0 +1,204 @@
+//! What was acknowledged is there after any loss of power, and a disk that stalls holds up its own writes only.
+
+mod disk;
+
+use super::machine::State;
+use super::open::judge;
+use super::{key, Guard, Machine, Start, Store};
+use crate::kinds::{Batch, Entry, LogId, Vote};
+use disk::{Disk, Draw};
+use openraft::storage::{RaftLogStorage, RaftStateMachine};
+use openraft::{EntryPayload, LeaderId, RaftSnapshotBuilder};
+use redb::Database;
+use stagehoist_registry::{Command, Mode, Retirement};
+use std::collections::BTreeMap;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+fn open(disk: &Disk, guard: &Path) -> Option<Store> {
+    let db = Database::builder().create_with_backend(disk.clone()).ok()?;
+    let write = db.begin_write().ok()?;
+    write.open_table(super::LOG).ok()?;
+    write.open_table(super::META).ok()?;
+    write.commit().ok()?;
+    let guard = Arc::new(Mutex::new(Guard::open(guard).unwrap()));
+    Some(Store { db: Arc::new(db), guard })
+}
+
+/// What was acknowledged, and what was under way when the disk died.
+#[derive(Default)]
+struct Model {
+    term: u64,
+    vote: Option<Vote>,
+    entries: BTreeMap<u64, Entry>,
+    applied: u64,
+    purged: u64,
+    /// From here on the end of the log may be gone.
+    cutting: Option<u64>,
+}
+
+impl Model {
+    fn entry(&self, index: u64) -> Entry {
+        let retirement = Retirement {
+            function: format!("f{}", index % 7),
+            generation: u32::try_from(index).unwrap(),
+            successor: None,
+            reason: format!("{}", self.term),
+            mode: Mode::Strict,
+            asked_ms: 0,
+        };
+        let payload = EntryPayload::Normal(Batch(vec![Command::Retire(retirement)]));
+        Entry { log_id: LogId::new(LeaderId::new(self.term, 1), index), payload }
+    }
+
+    fn end(&self) -> u64 {
+        self.entries.keys().next_back().copied().unwrap_or(0)
+    }
+}
+
+/// Works until the disk dies, as Raft does.
+async fn work(disk: &Disk, guard: &Path, draw: &mut Draw) -> Model {
+    let mut model = Model { term: 1, ..Model::default() };
+    let Some(mut store) = open(disk, guard) else { return model };
+    let Ok((mut machine, _told)) = Machine::new(store.clone()) else { return model };
+    for _ in 0..30 {
+        let (end, applied) = (model.end(), model.applied);
+        let went = match draw.below(8) {
+            0 | 1 => {
+                let vote = Vote::new(model.term + 1, draw.below(3));
+                let went = store.save_vote(&vote).await.is_ok();
+                // It may be there without a word.
+                model.term += 1;
+                model.vote = if went { Some(vote) } else { model.vote };
+                went
+            }
+            2..=4 => {
+                let new: Vec<Entry> = (end + 1..end + 2 + draw.below(3)).map(|i| model.entry(i)).collect();
+                let went = store.add(new.clone()).is_ok();
+                model.entries.extend(went.then_some(new).into_iter().flatten().map(|e| (e.log_id.index, e)));
+                went
+            }
+            5 => {
+                let new: Vec<Entry> = model.entries.range(applied + 1..).map(|(_, e)| e.clone()).collect();
+                let went = new.is_empty() || machine.apply(new).await.is_ok();
+                model.applied = if went { end } else { applied };
+                went
+            }
+            6 if end > applied => {
+                model.cutting = Some(end);
+                let went = store.truncate(model.entries[&end].log_id).await.is_ok();
+                if went {
+                    model.cutting = None;
+                    model.entries.remove(&end);
+                }
+                went
+            }
+            7 if applied > model.purged => {
+                let built = machine.get_snapshot_builder().await.build_snapshot().await.is_ok();
+                model.purged = if built { applied } else { model.purged };
+                built && store.purge(model.entries[&applied].log_id).await.is_ok()
+            }
+            _ => true,
+        };
+        if !went {
+            break;
+        }
+    }
+    disk.state().left = Some(0);
+    model
+}
+
+/// What is missing of what was acknowledged.
+fn missing(model: &Model, disk: &Disk, guard: &Path) -> Option<String> {
+    let Some(store) = open(disk, guard) else {
+        // It died while it was made: nothing was acknowledged yet.
+        let nothing = model.vote.is_none() && model.end() == 0;
+        return (!nothing).then(|| "it does not open".into());
+    };
+    let mark = store.guard.lock().unwrap().mark();
+    match judge(&store, mark) {
+        Ok(Start::Known | Start::Pristine) => {}
+        other => return Some(format!("judged as {other:?}")),
+    }
+    let vote = store.vote().unwrap();
+    if model.vote.is_some_and(|known| vote.is_none_or(|v| v.leader_id.term < known.leader_id.term)) {
+        return Some(format!("vote {vote:?}, was {:?}", model.vote));
+    }
+    let mut state: State = store.get(key::STATE).unwrap().unwrap_or_default();
+    let from = state.last.map_or(0, |l| l.index);
+    let entries: BTreeMap<u64, Entry> =
+        store.entries(..).unwrap().into_iter().map(|e| (e.log_id.index, e)).collect();
+    let needed = from + 1..model.cutting.unwrap_or(u64::MAX);
+    let gone = model.entries.keys().find(|&i| needed.contains(i) && !entries.contains_key(i));
+    if let Some(gone) = gone {
+        return Some(format!("entry {gone}, applied up to {from}"));
+    }
+    // Applied again from there on, the record is what it would be from the first entry on.
+    let mut whole = State::default();
+    for entry in model.entries.values().filter(|e| e.log_id.index <= from.max(model.end())) {
+        whole.apply(entry.clone());
+    }
+    for entry in entries.values().filter(|e| (from + 1..=model.end()).contains(&e.log_id.index)) {
+        state.apply(entry.clone());
+    }
+    (model.cutting.is_none() && state.record != whole.record).then(|| "the record differs".into())
+}
+
+/// Deaths after which something was missing, over drawn moments.
+fn lost(lies: bool, seeds: u64) -> Vec<String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    // The guard's own syncs are not what is tested here.
+    let folder = tempfile::tempdir_in("/dev/shm").or_else(|_| tempfile::tempdir()).unwrap();
+    let deaths = (0..seeds).filter_map(|seed| {
+        let mut draw = Draw(seed);
+        let guard = folder.path().join(format!("{seed}"));
+        let disk = Disk::default();
+        disk.state().left = Some(draw.below(180));
+        disk.state().lies = lies;
+        let model = runtime.block_on(work(&disk, &guard, &mut draw));
+        let after = disk.after_power_loss(&mut draw);
+        // Where the store can't be read at all redb may panic; `open` takes that for damage.
+        let missing = catch_unwind(AssertUnwindSafe(|| missing(&model, &after, &guard)));
+        missing.unwrap_or_else(|_| Some("it can't be read".into())).map(|what| format!("seed {seed}: {what}"))
+    });
+    deaths.collect()
+}
+
+#[test]
+fn vote_log_and_applied_record_are_there_after_200_losses_of_power() {
+    assert_eq!(lost(false, 200), Vec::<String>::new());
+}
+
+#[test]
+fn a_disk_that_lies_about_syncs_is_seen_to_lose_something() {
+    assert!(lost(true, 20).len() > 5);
+}
+
+#[test]
+fn a_stalled_disk_holds_up_its_writes_and_not_the_thread() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let disk = Disk::default();
+    let mut store = open(&disk, &folder.path().join("guard")).unwrap();
+    disk.state().stalls = Duration::from_millis(300);
+    runtime.block_on(async {
+        let (turns, counted) = tokio::sync::watch::channel(0u32);
+        let others = tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                turns.send_modify(|n| *n += 1);
+            }
+        });
+        store.save_vote(&Vote::new(1, 1)).await.unwrap();
+        let apart = *counted.borrow();
+        store.set_vote(&Vote::new(2, 1)).unwrap();
+        let inline = *counted.borrow() - apart;
+        assert!(
+            apart >= 3 && inline == 0,
+            "{apart} turns of others meanwhile; {inline} where it is written inline"
+        );
+        others.abort();
+    });
+}
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -70,6 +70,12 @@
     Refused {
         why: String,
     },
+    /// A retirement that was asked for can't be taken; another try would end the same way.
+    NotRetired {
+        function: String,
+        generation: u32,
+        why: String,
+    },
 }
 
 /// Answers a report: the view's lease, and lanes for as long.
