--- /dev/null
+++ b/crates/keeper/tests/away.rs
@@ -0,0 +1,34 @@
+//! A keeper that was away for longer than the others keep their logs.
+
+mod common;
+
+use common::{clock, in_force, retirement, shown, wait, Fleet};
+use stagehoist_keeper::{start, Options};
+use stagehoist_registry::Mode;
+
+#[test]
+fn a_keeper_that_was_away_for_long_is_brought_back_by_a_snapshot() {
+    let mut fleet = Fleet::new(3);
+    fleet.pace.log = (20, 5);
+    fleet.start_all();
+    let figures = |f: &Fleet, n: u64| f.running[&n].figures().borrow().clone();
+    fleet.until("joined", |f| f.sessions().iter().all(|s| s.member.borrow().is_some()));
+    fleet.stop(3);
+    let last = figures(&fleet, 1).last_entry;
+    for n in 0..40 {
+        let function = format!("f{n}");
+        fleet.session(1).retire.try_send(retirement(&function, Mode::Strict)).unwrap();
+        fleet.until(&function, |f| f.sessions().iter().all(|s| in_force(s, &function)));
+    }
+    // What it lacks is in no log any more.
+    fleet.until("logs are short", |f| (1..=2).all(|n| figures(f, n).purged > last));
+    fleet.start(3);
+    fleet.until("it follows", |f| f.votes(3) && figures(f, 3).purged > last);
+    // Now it is needed.
+    fleet.stop(1);
+    fleet.session(3).retire.try_send(retirement("g", Mode::Available)).unwrap();
+    fleet.until("agreed", |f| shown(f.session(2), "g").is_some());
+    let new = start(Options { incarnations: None, ..fleet.options(&["new".into()]) }, clock()).unwrap();
+    wait("all is shown to a new one", || (0..40).all(|n| in_force(&new.sessions["new"], &format!("f{n}"))));
+    new.stop();
+}
