Marks of attempts at work: asked for before unsafe calls leave, asked about by others

A message delivered again after a restart failed though nothing of it had left: the marks stood in crates without being joined to the running program.

- `marks FOLDER [keep T] [most N]`: stands without keepers only for one front end; keep exceeds the longest give-up.
- Each front end opens its store; attempts wait for their marks and messages are asked about, both or neither.
- Core tells whoever holds attempts which workers drain or are gone, so that a mark that came late sends nothing there.
- With keepers: the run and the one before it come with the welcome (protocol 2).
Front ends ask each other by way of the leader, who only passes on and tells who has to say: every name in the record.
Silence, doubt and forgotten names fail the message as without marks.
Until its run is known a front end refuses new calls that may not be repeated.
- A message that is asked about and can't be taken now is failed, not refused: it may have run.
- The record holds no commits of a run: a store set back to a copy from within its last run is not noticed.
- A column in a test of the pools' faults was wrong (26, not 30); it failed before this change.

Tests: config fleet 4, gateway core 7, fleet 12, front_marks 4, leaving 3, registry marks 4.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -2,12 +2,12 @@
 
 use stagehoist_config::{Config, Fleet};
 use stagehoist_gateway::clock::Clock;
-use stagehoist_gateway::fleet::{retirements, Link, Told};
+use stagehoist_gateway::fleet::{retirements, Link, Others, Told};
 use stagehoist_keeper::{Keep, KeeperError, Options, Pace, Running, Session};
 use stagehoist_registry::{Pool, Reservation, Size, Terms};
 use std::path::PathBuf;
 use std::sync::Arc;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
 /// The least time in which a leader that is at ease hears of a majority, in microseconds.
@@ -69,7 +69,7 @@
     let mut tasks = JoinSet::new();
     let (mut links, mut sessions) = (Vec::new(), std::mem::take(&mut running.sessions));
     for number in 0..config.front_ends {
-        let Some(session) = sessions.remove(&member(fleet, number)) else {
+        let Some(mut session) = sessions.remove(&member(fleet, number)) else {
             links.push(None);
             continue;
         };
@@ -78,7 +78,12 @@
             tasks.spawn(retirements::follow(config.clone(), PathBuf::from(file), standing, retire));
         }
         let (told, news) = watch::channel(Told::default());
-        links.push(Some(Link { standing: session.standing.clone(), told }));
+        let others = config.marks.as_ref().map(|_| {
+            // Nobody says anything by the end that stays with the session.
+            let heard = std::mem::replace(&mut session.heard, mpsc::channel(1).1);
+            Others { said: session.said.clone(), heard }
+        });
+        links.push(Some(Link { standing: session.standing.clone(), told, others }));
         tasks.spawn(pass_on(news, session));
     }
     Ok((Joined { running, tasks }, links))
--- a/crates/config/src/build.rs
+++ b/crates/config/src/build.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::fleet;
 use crate::lexer::Line;
+use crate::marks::marks;
 use crate::model::{Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
 use crate::parts::{broker, effect};
 use crate::source::Source;
@@ -161,6 +162,7 @@
         .filter_map(|l| Some(Tenant { name: l.text("name")?, quota: l.number("quota")? }))
         .collect();
     let fleet = fleet(&s, &tenants, &mut stray);
+    let marks = marks(&s, &classes, fleet.is_some(), &mut stray);
     stray.into_iter().for_each(|(at, what, expected)| s.fault(at, what, expected));
     let front_ends = s.count("front-ends", "count", 1) as u32;
     let cold = |key| s.one("cold-start").and_then(|l| l.duration(key)).unwrap_or(0);
@@ -230,6 +232,7 @@
         zone,
         report_via,
         report_fields,
+        marks,
         fleet,
     })
 }
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -1,4 +1,4 @@
-//! What a process is told of the fleet that it is part of: the keepers of the record, promises, retirements, pools, marks.
+//! What a process is told of the fleet that it is part of: the keepers of the record, promises, retirements, pools.
 
 use crate::build::{MS, S};
 use crate::model::{Config, Tenant};
@@ -28,7 +28,6 @@
     pub retirements: Option<String>,
     pub pools: Vec<Pool>,
     pub pools_edition: u64,
-    pub marks: Option<String>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -62,7 +61,6 @@
     "pool",
     "reserve",
     "pools-edition",
-    "marks",
 ];
 
 type Stray = Vec<(Position, String, String)>;
@@ -123,7 +121,6 @@
         retirements: s.text("retirements", "file"),
         pools: pools(s, tenants, stray),
         pools_edition: s.count("pools-edition", "number", 1),
-        marks: s.text("marks", "folder"),
     })
 }
 
--- a/crates/config/src/fleet_grammar.rs
+++ b/crates/config/src/fleet_grammar.rs
@@ -1,6 +1,6 @@
 //! The directives of a process that is part of a fleet.
 
-use crate::grammar::{must, one, Directive, Often, H, MS, S};
+use crate::grammar::{may, must, one, Directive, Often, H, MS, S};
 use crate::value::Kind;
 
 const NUMBER: Kind = Kind::Count(1, u64::MAX);
@@ -39,5 +39,10 @@
         often: Often::Any,
     },
     one("pools-edition", &[must("number", NUMBER)]),
-    one("marks", &[must("folder", Kind::Text)]),
+    Directive {
+        name: "marks",
+        places: &[must("folder", Kind::Text)],
+        keys: &[may("keep", Kind::Duration(S, 1000 * H)), may("most", Kind::Count(1000, 100_000_000))],
+        often: Often::Once,
+    },
 ];
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -17,6 +17,7 @@
 mod fleet_grammar;
 mod grammar;
 mod lexer;
+mod marks;
 mod model;
 mod nearest;
 mod parts;
@@ -28,6 +29,7 @@
 
 pub use fleet::{ends_numbered, Fleet, Keep, Pool};
 pub use lexer::{load, parse};
+pub use marks::Marks;
 pub use model::{Broker, Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
 pub use parts::broker;
 pub use value::{parse_duration, parse_size, Value};
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -1,6 +1,7 @@
 //! What a configuration says, as values.
 
 use crate::fleet::Fleet;
+use crate::marks::Marks;
 use stagehoist::{Effect, OnMiss, ReportVia, RetryBudget};
 
 /// A class of calls.
@@ -163,6 +164,8 @@
     pub price_fetch: f64,
     pub report_via: ReportVia,
     pub report_fields: Vec<String>,
+    /// None: attempts are not marked on disk.
+    pub marks: Option<Marks>,
     /// None: front ends share nothing.
     pub fleet: Option<Fleet>,
 }
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -161,6 +161,9 @@
             }
             ReportVia::Probe => line(format!("reports probe fields {}", word(&self.report_fields.join(",")))),
         }
+        if let Some(marks) = &self.marks {
+            line(format!("marks {} keep {} most {}", word(&marks.folder), d(marks.keep), marks.most));
+        }
         if let Some(fleet) = &self.fleet {
             fleet.lines().into_iter().for_each(line);
         }
@@ -193,7 +196,6 @@
             }
         }
         out.push(format!("pools-edition {}", self.pools_edition));
-        out.extend(self.marks.as_ref().map(|f| format!("marks {}", word(f))));
         out
     }
 }
--- a/crates/config/tests/fleet.rs
+++ b/crates/config/tests/fleet.rs
@@ -89,7 +89,7 @@
     told(
         &with("pool p functions f lanes many\n"),
         3,
-        "30: lanes is \"many\"; expected a whole number from 1, or by-workers",
+        "26: lanes is \"many\"; expected a whole number from 1, or by-workers",
     );
     told(
         &with("pool p functions f,g lanes 1\npool q functions g lanes 1\n"),
@@ -110,3 +110,20 @@
     );
     told(&format!("{pool}reserve nobody pool p lanes 1\n"), 5, "9: reserve names tenant nobody");
 }
+
+#[test]
+fn marks_stand_alone_only_for_one_front_end_and_outlast_every_call() {
+    let lines = ALONE.lines().count();
+    let config = read("marks \"of a\" keep 30s most 5000\n");
+    let marks = config.marks.as_ref().unwrap();
+    assert_eq!((marks.folder.as_str(), marks.keep, marks.most), ("of a", 30_000_000, 5000));
+    assert_eq!(parse("again.conf", &config.render()).unwrap(), config);
+    assert_eq!(read("").marks, None);
+    let short = faults(&format!("{ALONE}marks m keep 2.5s\n"));
+    let at = format!("fleet.conf:{}:14: marks are kept no longer than the longest give-up", lines + 1);
+    assert!(short[0].contains(&at), "{short:?}");
+    for two in ["front-ends 2\n", "fleet-front-ends 2\n"] {
+        let faults = faults(&format!("{ALONE}{two}marks m\n"));
+        assert!(faults[0].contains("marks without keepers for 2 front ends"), "{faults:?}");
+    }
+}
--- a/crates/gateway/src/amqp/front/asking.rs
+++ b/crates/gateway/src/amqp/front/asking.rs
@@ -14,6 +14,9 @@
     inquiries: Inquiries<Rc<str>>,
     waiting: HashMap<Ticket, (Micros, Arrival)>,
     questions: Vec<Question>,
+    /// This run is known to those who may be asked about it. Until then nothing is taken that may not simply be repeated:
+    /// nobody could ask here what became of it.
+    known: bool,
 }
 
 impl Asking {
@@ -29,7 +32,7 @@
         self.memory.asks(true);
         let inquiries = Inquiries::new(patience);
         let (waiting, questions) = (HashMap::new(), Vec::new());
-        self.asking = Some(Asking { members, inquiries, waiting, questions });
+        self.asking = Some(Asking { members, inquiries, waiting, questions, known: true });
     }
 
     /// Others are to be asked from now on.
@@ -39,6 +42,27 @@
         }
     }
 
+    /// Whether this run is known to others who may ask it.
+    pub fn known(&mut self, known: bool) {
+        if let Some(asking) = self.asking.as_mut() {
+            asking.known = known;
+        }
+    }
+
+    pub(super) fn is_unknown(&self) -> bool {
+        self.asking.as_ref().is_some_and(|a| !a.known)
+    }
+
+    /// What a message that is asked about is known by.
+    pub fn key_of(&self, ticket: Ticket) -> Option<&Key> {
+        self.deliveries.get(&ticket)?.key.as_ref()
+    }
+
+    /// Another member asks; see [`Memory::asked`].
+    pub fn asked(&mut self, key: &Key, marks: Told, now: Micros) -> Told {
+        self.memory.asked(key, marks, now)
+    }
+
     /// Questions to be asked now; few and seldom, beside a restart none.
     pub fn take_questions(&mut self) -> Vec<Question> {
         self.asking.as_mut().map(|a| std::mem::take(&mut a.questions)).unwrap_or_default()
--- a/crates/gateway/src/amqp/front/deliveries.rs
+++ b/crates/gateway/src/amqp/front/deliveries.rs
@@ -99,10 +99,18 @@
                 self.answer(ticket, Answer::Failed { reason: "delivered-before" }, now);
             }
             Verdict::Run | Verdict::Ask => {
+                let asks = matches!(verdict, Verdict::Ask);
                 let correlation = delivery.correlation.clone();
                 self.deliveries.insert(ticket, delivery);
                 let asked = match asked {
+                    Ok(_) if !asks && effect != Effect::Safe && self.is_unknown() => {
+                        let retry_after = self.config.retry_after_most;
+                        let answer = Answer::Refused { reason: "marks-not-ready", retry_after };
+                        return self.answer(ticket, answer, now);
+                    }
                     Ok(asked) => asked,
+                    // It may have run before, which is what its caller has to know.
+                    Err(_) if asks => return self.fail_unknown(ticket, now),
                     Err(wrong) => {
                         self.counters.answered_unusable += 1;
                         tracing::info!(correlation = &*correlation, reason = wrong.reason(), %wrong, "not taken");
@@ -114,6 +122,7 @@
                     Ok(held) => {
                         self.deliveries.entry(ticket).and_modify(|d| d.held = Some(held));
                     }
+                    Err(_) if asks => return self.fail_unknown(ticket, now),
                     Err(why) => {
                         self.counters.turned_away += 1;
                         let retry_after = self.advice.retry_after(self.intake.calls());
--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -1,14 +1,12 @@
 //! The socket of a front: brokers tried in turn, with seeded pauses between attempts.
 
-use super::asks::Asks;
+use super::asks::{Asks, Marking};
 pub use super::told::{LinkState, ToLink};
 use super::Front;
 use crate::clock::{Alarm, Clock};
 use crate::state::News;
 use stagehoist::Micros;
 use stagehoist_config::Config;
-use stagehoist_marks::Marks;
-use stagehoist_recovery::inquiry::Patience;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,26 +20,21 @@
 const BLIND: Micros = 200_000;
 /// A socket that was waited on for longer had nothing to read until then.
 const AWAITED: Micros = 1000;
-/// Names this member among those that are asked, where it is the only one.
-const ALONE: &str = "";
 /// Longest time for a connection to stand, and for a broker to take bytes.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// Runs until the driver lets go of its sender, or until all is answered after [`ToLink::Drain`]. `marks` are this
-/// member's, where attempts are marked; it is then the only member of its fleet.
+/// Runs until the driver lets go of its sender, or until all is answered after [`ToLink::Drain`]. `marking` is there
+/// where attempts are marked.
 pub async fn run(
     config: Rc<Config>,
     (seed, clock): (u64, Clock),
-    marks: Option<Marks>,
+    marking: Option<Marking>,
     news: mpsc::Sender<News>,
     mut from_driver: mpsc::UnboundedReceiver<ToLink>,
     state: watch::Sender<LinkState>,
 ) {
     let mut front = Front::new(config.clone(), seed, clock.now());
-    if marks.is_some() {
-        front.ask(vec![ALONE.into()], Patience::default());
-    }
-    let mut asks = Asks::new(marks, ALONE);
+    let mut asks = Asks::new(marking, &mut front);
     let mut turn = 0usize;
     let mut draining = false;
     loop {
@@ -54,6 +47,7 @@
         tokio::pin!(connecting);
         let stream = loop {
             tokio::select! {
+                came = asks.next(), if asks.are_on() => asks.take(came, &mut front, clock),
                 done = &mut connecting => break done.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())),
                 said = from_driver.recv() => match said {
                     None => return,
@@ -92,6 +86,7 @@
         loop {
             tokio::select! {
                 _ = tokio::time::sleep_until(until) => break,
+                came = asks.next(), if asks.are_on() => asks.take(came, &mut front, clock),
                 said = from_driver.recv() => match said {
                     None => return,
                     Some(ToLink::Answer(ticket, answer)) => front.answer(ticket, answer, clock.now()),
@@ -233,7 +228,7 @@
                 }
             }
             _ = stream.writable(), if wants_write => {}
-            done = asks.next(), if asks.are_on() => asks.take(done, front, clock),
+            came = asks.next(), if asks.are_on() => asks.take(came, front, clock),
             () = alarm.rings() => {
                 let now = clock.now();
                 if now - looked > LOOK + BLIND {
--- a/crates/gateway/src/amqp/mod.rs
+++ b/crates/gateway/src/amqp/mod.rs
@@ -10,4 +10,5 @@
 pub mod message;
 mod told;
 
+pub use asks::Marking;
 pub use front::{Front, FrontCounters};
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -19,9 +19,9 @@
 
 use crate::clock::Clock;
 use stagehoist::Micros;
-use stagehoist_registry::{Demand, Standing, Version};
+use stagehoist_registry::{Demand, Heard, Said, Standing, Version};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 /// What a front end tells its session with the keepers; the newest counts.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -36,6 +36,14 @@
 pub struct Link {
     pub standing: watch::Receiver<Standing>,
     pub told: watch::Sender<Told>,
+    /// Where attempts are marked.
+    pub others: Option<Others>,
+}
+
+/// A front end's way to ask others about messages, and to be asked.
+pub struct Others {
+    pub said: mpsc::Sender<Said>,
+    pub heard: mpsc::Receiver<Heard>,
 }
 
 impl Link {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,5 +1,6 @@
 //! Front ends started on threads of their own, watched, and drained.
 
+use crate::amqp::Marking;
 use crate::clock::Clock;
 use crate::driver::{self, FrontEndState};
 use crate::error::GatewayError;
@@ -9,7 +10,9 @@
 use crate::ways::AmqpWays;
 use metrics_exporter_prometheus::PrometheusHandle;
 use stagehoist_config::Config;
+use stagehoist_marks::{Marks, Options, Place};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::thread::JoinHandle;
 use tokio::sync::{mpsc, watch};
@@ -18,6 +21,8 @@
 pub struct Running {
     drain: watch::Sender<bool>,
     threads: Vec<JoinHandle<()>>,
+    /// Of the front ends' marks; each ends after its front end.
+    stores: Vec<JoinHandle<()>>,
     states: Vec<watch::Receiver<FrontEndState>>,
     /// Where the metrics page stands.
     pub metrics: Option<SocketAddr>,
@@ -38,10 +43,16 @@
     links: Vec<Option<Link>>,
 ) -> Result<Running, GatewayError> {
     let (drain, drained) = watch::channel(false);
-    let mut running = Running { drain, threads: Vec::new(), states: Vec::new(), metrics: None };
+    let mut running =
+        Running { drain, threads: Vec::new(), stores: Vec::new(), states: Vec::new(), metrics: None };
     let mut links = links.into_iter();
     for number in 0..config.front_ends {
-        let (config, drained, link) = (config.clone(), drained.clone(), links.next().flatten());
+        let (config, drained, mut link) = (config.clone(), drained.clone(), links.next().flatten());
+        let others = link.as_mut().and_then(|l| l.others.take());
+        let marks = marks(&config, number)?.map(|(marks, store)| {
+            running.stores.push(store);
+            marks
+        });
         let (state, seen) = watch::channel(FrontEndState::default());
         let thread = std::thread::Builder::new().name(format!("front-end-{number}"));
         let spawned = thread.spawn(move || {
@@ -59,7 +70,11 @@
                     core.join(desk.clone());
                     (desk, link.as_ref().map(|l| l.standing.clone()))
                 });
-                let ways = AmqpWays::start(&config, number, seed, clock, news, fleet);
+                let marking = marks.map(|marks| Marking { marks, others });
+                if marking.is_some() {
+                    core.tells_leaving();
+                }
+                let ways = AmqpWays::start(&config, number, seed, clock, news, fleet, marking);
                 let times = (clock, config.drain_most);
                 driver::run(core, ways, incoming, times, drained, state, link).await;
             });
@@ -90,6 +105,17 @@
     Ok(running)
 }
 
+/// Opens a front end's marks, where attempts are to be marked. With keepers the run is told by its session.
+fn marks(config: &Config, number: u32) -> Result<Option<(Marks, JoinHandle<()>)>, GatewayError> {
+    let Some(told) = &config.marks else { return Ok(None) };
+    let fleet = config.fleet.as_ref();
+    let name = fleet.map_or(format!("front-end-{number}"), |f| format!("{}/{number}", f.member));
+    let place = Place { folder: PathBuf::from(&told.folder), name, alone: fleet.is_none() };
+    let options = Options { keep: told.keep, most: told.most, ..Options::default() };
+    let opened = stagehoist_marks::start(&place, options);
+    opened.map(Some).map_err(|source| GatewayError::Marks { folder: told.folder.clone(), source })
+}
+
 impl Running {
     /// The present state of each front end.
     pub fn states(&self) -> Vec<FrontEndState> {
@@ -116,6 +142,11 @@
         for (number, thread) in self.threads.into_iter().enumerate() {
             thread.join().map_err(|_| GatewayError::FrontEnd(number as u32))?;
         }
+        for store in self.stores {
+            if store.join().is_err() {
+                tracing::error!("the thread of a front end's marks failed");
+            }
+        }
         Ok(())
     }
 }
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -4,14 +4,15 @@
 mod acts;
 mod calls;
 mod fleet;
+mod workers;
 
 use super::{module, Arrival, AttemptResult, Command, Decide, Decider, Figures, Names, News, Ticket};
 use crate::fleet::Part;
-use stagehoist::{Action, Event, Micros, Outcome, RequestId, RosterForm, WorkerId};
-use stagehoist_membership::{Members, Update};
+use stagehoist::{Action, Event, Micros, Outcome, RequestId, WorkerId};
+use stagehoist_membership::Members;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::rc::Rc;
 use tracing::Span;
+use workers::Leaving;
 
 /// What a front end has done, for metrics and tests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -80,6 +81,8 @@
     actions: Vec<Action>,
     /// Calls taken in this turn, to tell which of them the module holds.
     fresh: Vec<RequestId>,
+    /// Where attempts wait for marks: which workers leave.
+    leaving: Option<Leaving>,
     /// None: it shares nothing with other front ends.
     part: Option<Box<Part>>,
     pub counters: Counters,
@@ -108,6 +111,7 @@
             events: Vec::new(),
             actions: Vec::new(),
             fresh: Vec::new(),
+            leaving: None,
             part: None,
             counters: Counters::default(),
         }
@@ -172,6 +176,7 @@
         self.counters.module_ns += start.elapsed().as_nanos() as u64;
         self.counters.batches += 1;
         self.events.clear();
+        self.tell_leaving(now, out);
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
             self.act(now, action, out);
@@ -231,18 +236,4 @@
             }
         }
     }
-
-    fn tell(&mut self, update: Update) {
-        if update.form != RosterForm::Failed {
-            tracing::debug!(rows = update.rows.len(), form = ?update.form, "workers");
-        }
-        self.events.push(Event::Roster { form: update.form, rows: Rc::from(update.rows) });
-    }
-
-    fn announce(&mut self, now: Micros, worker: WorkerId, draining: Option<bool>) {
-        if let Some(update) = draining.and_then(|d| self.members.announced(worker, d, now)) {
-            tracing::info!(worker = self.members.name(worker), ?draining, "worker announced");
-            self.tell(update);
-        }
-    }
 }
--- /dev/null
+++ b/crates/gateway/src/state/core/workers.rs
@@ -0,0 +1,104 @@
+//! What is heard of workers: told to the module, and where attempts wait for marks, to those who hold them.
+
+use super::super::Command;
+use super::Core;
+use stagehoist::{Event, Lifecycle, Micros, RosterForm, WorkerId};
+use stagehoist_membership::Update;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// How long one that is gone is remembered: far longer than an attempt may wait.
+const GONE_KEEP: Micros = 30_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Serves,
+    Drains,
+    Gone,
+}
+
+/// Which workers drain or are gone, as far as was told, and what of it is news.
+#[derive(Debug, Default)]
+pub(super) struct Leaving {
+    told: BTreeMap<WorkerId, State>,
+    news: Vec<(WorkerId, State)>,
+    gone: VecDeque<(Micros, WorkerId)>,
+}
+
+impl Leaving {
+    fn saw(&mut self, update: &Update) {
+        if update.form == RosterForm::Full {
+            let listed: std::collections::BTreeSet<WorkerId> = update.rows.iter().map(|r| r.worker).collect();
+            let left = self.told.iter().filter(|(id, state)| **state != State::Gone && !listed.contains(id));
+            let left: Vec<WorkerId> = left.map(|(id, _)| *id).collect();
+            left.into_iter().for_each(|id| self.set(id, State::Gone));
+        }
+        for row in &update.rows {
+            let state = match row.lifecycle {
+                Lifecycle::Ready => State::Serves,
+                Lifecycle::Gone => State::Gone,
+                _ => State::Drains,
+            };
+            self.set(row.worker, state);
+        }
+    }
+
+    fn set(&mut self, worker: WorkerId, state: State) {
+        let before = self.told.insert(worker, state);
+        // One that is met as it serves is no news.
+        if before != Some(state) && !(before.is_none() && state == State::Serves) {
+            self.news.push((worker, state));
+        }
+    }
+
+    fn tell(&mut self, now: Micros, out: &mut Vec<Command>) {
+        for (worker, state) in std::mem::take(&mut self.news) {
+            let since = match state {
+                State::Serves => None,
+                State::Drains => Some(now),
+                State::Gone => Some(Micros::MIN),
+            };
+            if state == State::Gone {
+                self.gone.push_back((now, worker));
+            }
+            out.push(Command::Leaving { worker, since });
+        }
+        while self.gone.front().is_some_and(|(at, _)| now - at > GONE_KEEP) {
+            let Some((_, worker)) = self.gone.pop_front() else { return };
+            if self.told.get(&worker) == Some(&State::Gone) {
+                self.told.remove(&worker);
+                out.push(Command::Leaving { worker, since: None });
+            }
+        }
+    }
+}
+
+impl Core {
+    /// Attempts may wait for marks: who holds them is told which workers leave. Before the first list.
+    pub fn tells_leaving(&mut self) {
+        self.leaving = Some(Leaving::default());
+    }
+
+    pub(super) fn tell_leaving(&mut self, now: Micros, out: &mut Vec<Command>) {
+        if let Some(leaving) = self.leaving.as_mut() {
+            leaving.tell(now, out);
+        }
+    }
+
+    pub(super) fn tell(&mut self, update: Update) {
+        if update.form != RosterForm::Failed {
+            tracing::debug!(rows = update.rows.len(), form = ?update.form, "workers");
+        }
+        if let Some(leaving) = self.leaving.as_mut() {
+            leaving.saw(&update);
+        }
+        self.events.push(Event::Roster { form: update.form, rows: Rc::from(update.rows) });
+    }
+
+    pub(super) fn announce(&mut self, now: Micros, worker: WorkerId, draining: Option<bool>) {
+        if let Some(update) = draining.and_then(|d| self.members.announced(worker, d, now)) {
+            tracing::info!(worker = self.members.name(worker), ?draining, "worker announced");
+            self.tell(update);
+        }
+    }
+}
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -206,6 +206,11 @@
     CloseIdle {
         worker: WorkerId,
     },
+    /// Only where attempts wait for marks: a worker drains since then, is gone (`Micros::MIN`), or serves.
+    Leaving {
+        worker: WorkerId,
+        since: Option<Micros>,
+    },
     /// Follow the list, or stop.
     Watch(bool),
     /// Get the list once.
--- a/crates/gateway/src/ways.rs
+++ b/crates/gateway/src/ways.rs
@@ -1,14 +1,17 @@
 //! Callers over AMQP, workers over KServe v2 and a followed list, as one front end's [`Ways`].
 
 use crate::amqp::link::{self, LinkState, ToLink};
+use crate::amqp::Marking;
 use crate::clock::Clock;
 use crate::driver::Ways;
 use crate::fleet::{first_word, Desk};
 use crate::list::{self, ToList};
+use crate::marked::Marker;
 use crate::metrics_page::Gauges;
 use crate::state::{Command, Core, News};
 use crate::workers::Workers;
 use stagehoist_config::Config;
+use stagehoist_recovery::marked::Limits;
 use stagehoist_registry::Standing;
 use std::rc::Rc;
 use tokio::sync::{mpsc, watch};
@@ -16,7 +19,9 @@
 
 /// The sockets of one front end and the tasks that own them.
 pub struct AmqpWays {
-    workers: Workers,
+    workers: Rc<Workers>,
+    /// Where attempts are marked on disk; its task ends with it.
+    marker: Option<Marker>,
     to_link: mpsc::UnboundedSender<ToLink>,
     to_list: mpsc::UnboundedSender<ToList>,
     link_seen: watch::Receiver<LinkState>,
@@ -33,14 +38,23 @@
         clock: Clock,
         news: mpsc::Sender<News>,
         fleet: Option<(Desk, Option<watch::Receiver<Standing>>)>,
+        marking: Option<Marking>,
     ) -> AmqpWays {
         let (to_link, from_driver) = mpsc::unbounded_channel();
         let (link_state, link_seen) = watch::channel(LinkState::default());
         let (to_list, asks) = mpsc::unbounded_channel();
         let desk = fleet.as_ref().map(|(desk, _)| desk.clone());
-        let workers = Workers::new(config.clone(), clock, news.clone(), desk);
+        let workers = Rc::new(Workers::new(config.clone(), clock, news.clone(), desk));
         let mut tasks = JoinSet::new();
-        let link = link::run(config.clone(), (seed, clock), None, news.clone(), from_driver, link_state);
+        // Attempts wait for marks where messages are asked about, and only there: one without the other proves nothing.
+        let marker = marking.as_ref().map(|marking| {
+            let (marks, workers, news) = (marking.marks.clone(), workers.clone(), news.clone());
+            let limits = Limits::default();
+            let (marker, task) = Marker::start(config.clone(), clock, marks, workers, news, limits);
+            tasks.spawn_local(async move { drop(task.await) });
+            marker
+        });
+        let link = link::run(config.clone(), (seed, clock), marking, news.clone(), from_driver, link_state);
         let asking_most = config.fleet.as_ref().map_or(0, |f| f.asking_most);
         tasks.spawn_local(async move {
             if let Some((_, standing)) = fleet {
@@ -49,7 +63,7 @@
             link.await;
         });
         tasks.spawn_local(list::follow(config.clone(), seed, clock, news, asks));
-        AmqpWays { workers, to_link, to_list, link_seen, gauges: Gauges::new(number), _tasks: tasks }
+        AmqpWays { workers, marker, to_link, to_list, link_seen, gauges: Gauges::new(number), _tasks: tasks }
     }
 }
 
@@ -59,10 +73,31 @@
         match command {
             Command::Answer { ticket, answer, took } => {
                 self.gauges.answered(&answer, took);
+                if let Some(marker) = self.marker.as_mut() {
+                    marker.answered(ticket);
+                }
                 let _ = self.to_link.send(ToLink::Answer(ticket, answer));
             }
-            Command::Attempt(attempt) => self.workers.attempt(attempt),
-            Command::Abort { request, attempt } => self.workers.abort(request, attempt),
+            Command::Attempt(attempt) => {
+                let now = match self.marker.as_mut() {
+                    Some(marker) => marker.attempt(attempt),
+                    None => Some(attempt),
+                };
+                if let Some(attempt) = now {
+                    self.workers.attempt(attempt);
+                }
+            }
+            Command::Abort { request, attempt } => {
+                if let Some(marker) = self.marker.as_mut() {
+                    marker.abort(request, attempt);
+                }
+                self.workers.abort(request, attempt);
+            }
+            Command::Leaving { worker, since } => {
+                if let Some(marker) = self.marker.as_mut() {
+                    marker.worker(worker, since);
+                }
+            }
             Command::Probe { worker, address } => self.workers.probe(worker, address),
             Command::Load { worker, address, function, name, copies } => {
                 self.workers.load((worker, address), (function, &name), copies)
--- a/crates/keeper/src/client.rs
+++ b/crates/keeper/src/client.rs
@@ -8,7 +8,9 @@
 use futures_util::{SinkExt, StreamExt};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use stagehoist_registry::{Holder, Member, Pool, Retirement, Standing, Terms, ToKeeper, ToMember, PROTOCOL};
+use stagehoist_registry::{
+    Heard, Holder, Member, Pool, Retirement, Rounds, Said, Standing, Terms, ToKeeper, ToMember, PROTOCOL,
+};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -38,6 +40,8 @@
     pub member: watch::Sender<Option<Member>>,
     pub told: watch::Receiver<Told>,
     pub retire: mpsc::Receiver<Retirement>,
+    pub said: mpsc::Receiver<Said>,
+    pub heard: mpsc::Sender<Heard>,
     pub stop: watch::Receiver<bool>,
 }
 
@@ -57,6 +61,10 @@
     open: VecDeque<Retirement>,
     joined: Option<Member>,
     may_retire: bool,
+    may_say: bool,
+    rounds: Rounds,
+    /// The last run under the name before this process's first, where that is still what came before.
+    before: Option<u64>,
     welcomed: bool,
 }
 
@@ -78,6 +86,9 @@
         open: VecDeque::new(),
         joined: None,
         may_retire: true,
+        may_say: true,
+        rounds: Rounds::default(),
+        before: None,
         welcomed: false,
     };
     let (mut turn, mut next, mut backoff) = (0, None, BACKOFF.0);
@@ -153,7 +164,7 @@
             () = stopped(&mut stop) => return Err(End::Stopped),
         };
         match frame.and_then(Result::ok).and_then(|f| decode(&f)) {
-            Some(ToMember::Welcome { member, terms }) => self.joined(member, terms),
+            Some(ToMember::Welcome { member, terms, before }) => self.joined(member, terms, before),
             Some(ToMember::Elsewhere { leader }) => Err(End::Elsewhere(leader)),
             Some(ToMember::Refused { why }) => {
                 tracing::error!(target: "stagehoist_keeper", event = "session", name = %self.client.name,
@@ -164,7 +175,7 @@
         }
     }
 
-    fn joined(&mut self, member: Member, terms: Terms) -> Result<(), End> {
+    fn joined(&mut self, member: Member, terms: Terms, before: Option<u64>) -> Result<(), End> {
         if terms != self.client.terms {
             tracing::error!(target: "stagehoist_keeper", event = "session", name = %self.client.name, ?terms,
                 own = ?self.client.terms, "the keepers are told other terms");
@@ -176,6 +187,16 @@
                 "can't keep the incarnation");
             return Err(End::Broken);
         }
+        if self.joined.as_ref() != Some(&member) {
+            self.before = match &self.joined {
+                None => before,
+                // Another run under the name between two of this process: what it did is not known.
+                Some(last) => self.before.filter(|_| before == Some(last.incarnation)),
+            };
+            let heard = Heard::Joined { run: member.incarnation, before: self.before };
+            // A front end without marks does not listen.
+            let _ = self.client.heard.try_send(heard);
+        }
         self.client.member.send_replace(Some(member.clone()));
         self.joined = Some(member);
         self.welcomed = true;
--- a/crates/keeper/src/client/talk.rs
+++ b/crates/keeper/src/client/talk.rs
@@ -4,9 +4,9 @@
 use crate::frames::{decode, encode, Frames, WRITE_MOST};
 use futures_util::{SinkExt, StreamExt};
 use rand::RngExt;
-use stagehoist_registry::{Report, Retirement, ToKeeper, ToMember};
+use stagehoist_registry::{Heard, Known, Report, Retirement, Said, ToKeeper, ToMember};
 use std::time::Duration;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 impl State {
     /// Reports and hears until the connection is over.
@@ -20,6 +20,7 @@
         let mut stop = self.client.stop.clone();
         loop {
             let mut message = None;
+            let (until_asked, asks) = (self.until_asked(), self.rounds.due().is_some());
             tokio::select! {
                 () = stopped(&mut stop) => {
                     if let Ok(leave) = encode(&ToKeeper::Leave) {
@@ -48,6 +49,17 @@
                         }
                         Some(ToMember::Elsewhere { leader }) => return End::Elsewhere(leader),
                         Some(ToMember::Refused { .. }) => return End::Refused,
+                        Some(ToMember::Asked { number, turn, of }) => {
+                            let heard = self.rounds.of(number, turn, of, (self.client.now)());
+                            self.hear(heard);
+                        }
+                        Some(ToMember::Answer { from, number, known }) => {
+                            let heard = self.rounds.told(number, from, &known);
+                            self.hear(heard);
+                        }
+                        Some(ToMember::Ask { from, number, keys }) => {
+                            self.hear(Some(Heard::Asked { from, number, keys }));
+                        }
                         Some(ToMember::Welcome { .. }) | None => return End::Broken,
                     }
                 }
@@ -67,6 +79,24 @@
                     }
                     None => self.may_retire = false,
                 },
+                said = self.client.said.recv(), if self.may_say => match said {
+                    Some(Said::Answer { to, number, known }) => {
+                        message = Some(ToKeeper::Answer { to, number, known });
+                    }
+                    Some(Said::Ask { number, keys }) => {
+                        let now = (self.client.now)();
+                        let unknown = vec![Some(Known::NotKnown); keys.len()];
+                        if self.rounds.ask(number, keys, now) {
+                            message = self.rounds.next(now);
+                        } else {
+                            self.hear(Some(Heard::Told { number, known: unknown }));
+                        }
+                    }
+                    None => self.may_say = false,
+                },
+                () = sleep(until_asked), if asks => {
+                    message = self.rounds.next((self.client.now)());
+                }
                 () = sleep_until(retire_at), if !self.open.is_empty() => {
                     retire_at = Instant::now() + RETIRE_EVERY;
                     // One after the other: the queue turns.
@@ -94,6 +124,18 @@
         }
     }
 
+    fn until_asked(&self) -> Duration {
+        let due = self.rounds.due().unwrap_or(0).saturating_sub((self.client.now)());
+        Duration::from_micros(due.max(0) as u64)
+    }
+
+    /// A front end that does not listen misses it: whoever asked gives up in time.
+    fn hear(&self, heard: Option<Heard>) {
+        if let Some(heard) = heard {
+            let _ = self.client.heard.try_send(heard);
+        }
+    }
+
     fn report(&mut self) -> Report {
         let told = self.client.told.borrow_and_update().clone();
         let number = self.holder.ask((self.client.now)());
--- a/crates/keeper/src/keep/desk_state.rs
+++ b/crates/keeper/src/keep/desk_state.rs
@@ -1,6 +1,7 @@
 //! What the desk does with each note.
 
 mod agree;
+mod asks;
 mod out;
 
 use super::desk::Tools;
@@ -20,6 +21,8 @@
 pub struct Conn {
     out: mpsc::Sender<Bytes>,
     member: Option<Member>,
+    /// The last run under its name, when it came.
+    before: Option<u64>,
     /// The view that was sent last.
     sent: Option<Version>,
 }
@@ -122,7 +125,7 @@
     /// A connection's first message.
     pub fn came(&mut self, conn: u64, hello: ToKeeper, out: mpsc::Sender<Bytes>) {
         self.figures.messages_in += 1;
-        self.conns.insert(conn, Conn { out, member: None, sent: None });
+        self.conns.insert(conn, Conn { out, member: None, before: None, sent: None });
         let ToKeeper::Hello { protocol, name, member, at_least, edition, pools } = hello else {
             return self.close(conn, "no hello");
         };
@@ -137,6 +140,9 @@
         if edition > self.record.record.view.edition {
             self.propose(For::Nobody, Command::Pools { edition, pools });
         }
+        if let Some(at) = self.conns.get_mut(&conn) {
+            at.before = self.record.record.members.get(&name).map(|run| run.incarnation);
+        }
         match member.filter(|m| m.name == name && self.record.record.is_present(m)) {
             Some(member) => self.welcome(conn, member),
             None => self.propose(For::Join(conn), Command::Join { name, at_least }),
@@ -149,11 +155,13 @@
         }
         tracing::info!(target: "stagehoist_keeper", event = "session", name = %member.name,
             incarnation = member.incarnation, "joined");
+        let mut before = None;
         if let Some(at) = self.conns.get_mut(&conn) {
             at.member = Some(member.clone());
+            before = at.before;
         }
         self.is_due = true;
-        self.say(conn, &ToMember::Welcome { member, terms: self.tools.terms });
+        self.say(conn, &ToMember::Welcome { member, terms: self.tools.terms, before });
         self.show(conn);
     }
 
@@ -176,6 +184,10 @@
                 }
             }
             (ToKeeper::Leave, Some(member)) => self.propose(For::Leave(conn), Command::Leave(member)),
+            (ToKeeper::Ask { number, turn, to, keys }, Some(member)) => {
+                self.ask(conn, member, (number, turn), &to, keys);
+            }
+            (ToKeeper::Answer { to, number, known }, Some(member)) => self.pass(member, &to, number, known),
             (ToKeeper::Hello { .. }, _) | (_, None) => self.close(conn, "out of order"),
         }
     }
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -25,7 +25,7 @@
 pub use figures::Figures;
 pub use start::{start, Running};
 
-use stagehoist_registry::{Demand, Member, Micros, Pool, Retirement, Standing, Terms, Version};
+use stagehoist_registry::{Demand, Heard, Member, Micros, Pool, Retirement, Said, Standing, Terms, Version};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -90,4 +90,7 @@
     pub told: watch::Sender<Told>,
     /// Retirements asked for; one that is known already changes nothing.
     pub retire: mpsc::Sender<Retirement>,
+    /// Questions about messages that are delivered again, and answers to others'.
+    pub said: mpsc::Sender<Said>,
+    pub heard: mpsc::Receiver<Heard>,
 }
--- a/crates/keeper/src/start.rs
+++ b/crates/keeper/src/start.rs
@@ -16,6 +16,8 @@
 
 /// Retirements that a session has not taken yet.
 const RETIRES_MOST: usize = 64;
+/// Words about marks that wait on either side; what finds no room is asked again or not known.
+const WORDS_MOST: usize = 256;
 /// How long sessions may take to leave, and Raft to end.
 const LEAVE_MOST: Duration = Duration::from_secs(2);
 const END_MOST: Duration = Duration::from_secs(2);
@@ -131,6 +133,8 @@
     let (member_in, member) = watch::channel(None);
     let (told, told_out) = watch::channel(Told::default());
     let (retire, retire_out) = mpsc::channel::<Retirement>(RETIRES_MOST);
+    let (said, said_out) = mpsc::channel(WORDS_MOST);
+    let (heard_in, heard) = mpsc::channel(WORDS_MOST);
     let client = Client {
         name: name.into(),
         keepers: options.keepers.clone(),
@@ -144,9 +148,11 @@
         member: member_in,
         told: told_out,
         retire: retire_out,
+        said: said_out,
+        heard: heard_in,
         stop: stop.clone(),
     };
-    Ok((Session { standing, member, told, retire }, client))
+    Ok((Session { standing, member, told, retire, said, heard }, client))
 }
 
 type Ready = std::sync::mpsc::Sender<Result<(), KeeperError>>;
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -164,6 +164,8 @@
             Command::CloseIdle { worker } => self.executors.close_idle(worker),
             // The bus is always followed.
             Command::Watch(_) | Command::Fetch => {}
+            // No attempt waits for a mark here.
+            Command::Leaving { .. } => {}
         }
     }
 
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`bounds`]: how much of each.
 //! - [`lead`]: what only the keeper that leads knows and decides: sessions, leases, when a retirement is in
 //!   force.
+//! - [`marks`]: what front ends ask each other about messages that are delivered again.
 //! - [`wire`]: what a front end and the leading keeper say to each other.
 //! - [`deal`]: lanes dealt from reported demand, beside the floors.
 //! - [`holder`]: a front end's side of its session: what it holds, and until when by its own clock.
@@ -19,12 +20,14 @@
 pub mod deal;
 pub mod holder;
 pub mod lead;
+pub mod marks;
 pub mod record;
 pub mod wire;
 
 pub use deal::{floor, Dealer, Limits};
 pub use holder::{Holder, Standing};
 pub use lead::Lead;
+pub use marks::{Heard, Known, MessageKey, Rounds, Said};
 pub use record::{
     Command, Done, Member, Mode, Pool, Record, Reservation, Retirement, Run, Size, State, Tombstone, View,
 };
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -1,10 +1,10 @@
 //! What a front end and the leading keeper say to each other, one message a frame.
 
-use crate::{Member, Micros, Pool, Retirement, Terms, Version, View};
+use crate::{Known, Member, MessageKey, Micros, Pool, Retirement, Terms, Version, View};
 use serde::{Deserialize, Serialize};
 
 /// Of the messages below; a process that speaks another is turned away.
-pub const PROTOCOL: u16 = 1;
+pub const PROTOCOL: u16 = 2;
 
 /// From a front end.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -22,6 +22,18 @@
     Retire(Retirement),
     /// This run ends in order; it serves nothing any more.
     Leave,
+    /// What do others know of these messages? `to`: those who have not said yet; empty: all. `turn` counts askings.
+    Ask {
+        number: u64,
+        turn: u32,
+        to: Vec<String>,
+        keys: Vec<MessageKey>,
+    },
+    Answer {
+        to: Member,
+        number: u64,
+        known: Vec<Known>,
+    },
 }
 
 /// Sent a few times in each lease, and at once when something changed.
@@ -62,6 +74,8 @@
     Welcome {
         member: Member,
         terms: Terms,
+        /// The last run under the name as the record knew it before this one joined.
+        before: Option<u64>,
     },
     /// The whole view, whenever it changed.
     View(View),
@@ -70,6 +84,22 @@
     Refused {
         why: String,
     },
+    /// Who has to say, at this asking.
+    Asked {
+        number: u64,
+        turn: u32,
+        of: Vec<String>,
+    },
+    Ask {
+        from: Member,
+        number: u64,
+        keys: Vec<MessageKey>,
+    },
+    Answer {
+        from: String,
+        number: u64,
+        known: Vec<Known>,
+    },
 }
 
 /// Answers a report: the view's lease, and lanes for as long.
--- a/crates/stage/src/fleet.rs
+++ b/crates/stage/src/fleet.rs
@@ -77,7 +77,7 @@
         let _ = writeln!(text, "reserve {} pool {} lanes {}", reserve.tenant, reserve.pool, reserve.lanes);
     }
     if fleet.marks {
-        let _ = writeln!(text, "marks {}", files.marks.display());
+        let _ = writeln!(text, "marks {} keep 4s", files.marks.display());
     }
     text
 }
--- a/crates/stage/src/fleet/tests.rs
+++ b/crates/stage/src/fleet/tests.rs
@@ -27,13 +27,13 @@
         first,
         format!(
             "member fe-0\n{told}keep 1 listen 127.0.0.1:9 store /f/store-0\nfleet-folder /f/fleet-0\n\
-             {terms}retirements /f/retirements\n{shared}marks /f/marks-0\n"
+             {terms}retirements /f/retirements\n{shared}marks /f/marks-0 keep 4s\n"
         )
     );
     let fourth = lines(&fleet, 3, &keepers, "", &Files::of(Path::new("/f"), 3));
     assert_eq!(
         fourth,
-        format!("member fe-3\n{told}fleet-folder /f/fleet-3\n{terms}{shared}marks /f/marks-3\n")
+        format!("member fe-3\n{told}fleet-folder /f/fleet-3\n{terms}{shared}marks /f/marks-3 keep 4s\n")
     );
 }
 
