--- a/crates/gateway/src/amqp/front/asking.rs
+++ b/crates/gateway/src/amqp/front/asking.rs
@@ -14,6 +14,9 @@
     inquiries: Inquiries<Rc<str>>,
     waiting: HashMap<Ticket, (Micros, Arrival)>,
     questions: Vec<Question>,
+    /// This run is known to those who may be asked about it. Until then nothing is taken that may not simply be repeated:
+    /// nobody could ask here what became of it.
+    known: bool,
 }
 
 impl Asking {
@@ -29,7 +32,7 @@
         self.memory.asks(true);
         let inquiries = Inquiries::new(patience);
         let (waiting, questions) = (HashMap::new(), Vec::new());
-        self.asking = Some(Asking { members, inquiries, waiting, questions });
+        self.asking = Some(Asking { members, inquiries, waiting, questions, known: true });
     }
 
     /// Others are to be asked from now on.
@@ -39,6 +42,27 @@
         }
     }
 
+    /// Whether this run is known to others who may ask it.
+    pub fn known(&mut self, known: bool) {
+        if let Some(asking) = self.asking.as_mut() {
+            asking.known = known;
+        }
+    }
+
+    pub(super) fn is_unknown(&self) -> bool {
+        self.asking.as_ref().is_some_and(|a| !a.known)
+    }
+
+    /// What a message that is asked about is known by.
+    pub fn key_of(&self, ticket: Ticket) -> Option<&Key> {
+        self.deliveries.get(&ticket)?.key.as_ref()
+    }
+
+    /// Another member asks; see [`Memory::asked`].
+    pub fn asked(&mut self, key: &Key, marks: Told, now: Micros) -> Told {
+        self.memory.asked(key, marks, now)
+    }
+
     /// Questions to be asked now; few and seldom, beside a restart none.
     pub fn take_questions(&mut self) -> Vec<Question> {
         self.asking.as_mut().map(|a| std::mem::take(&mut a.questions)).unwrap_or_default()
@@ -69,10 +93,14 @@
         let Some(asking) = self.asking.as_mut() else { return };
         match asking.inquiries.told(ticket, member, told) {
             None => {}
-            Some(Outcome::Fail) => self.fail_unknown(ticket, now),
+            Some(Outcome::Fail) => {
+                tracing::info!(ticket, ?told, member = &**member, "asked about; it may have run");
+                self.fail_unknown(ticket, now);
+            }
             Some(Outcome::Run) => {
                 let Some((since, arrival)) = asking.waiting.remove(&ticket) else { return };
                 self.counters.run_by_marks += 1;
+                tracing::info!(ticket, waited_us = now - since, "asked about; it runs");
                 // What it waited is gone from its time.
                 let budget = arrival.budget - (now - since);
                 self.arrivals.push(Arrival { budget, ..arrival });
@@ -83,7 +111,10 @@
     /// Questions whose time is over.
     pub(super) fn give_up_asking(&mut self, now: Micros) {
         let over = self.asking.as_mut().map(|a| a.inquiries.expired(now)).unwrap_or_default();
-        over.into_iter().for_each(|ticket| self.fail_unknown(ticket, now));
+        for ticket in over {
+            tracing::info!(ticket, "asked about; not all have said in time");
+            self.fail_unknown(ticket, now);
+        }
     }
 
     pub(super) fn fail_unknown(&mut self, ticket: Ticket, now: Micros) {
