Front ends come back by stages after a loss of everything

Need: after a power loss all front ends start all calls at once on cold workers. The stages were decided (crates/recovery) but nothing asked them.

Change: directive 'recover' (needs a fleet-folder; off by default, then nothing of it exists). A start counts as one after a loss where the file of the last run still stands and the list names no worker older than this start by more than 'new'. Then Core asks the stages at one place before the module: in, waiting outside (held.rs, order kept), or refused as fleet-starting. Waiting calls are answered for leaving callers, tombstones and deadlines. Evidence is what Core sees anyway. Gauge stagehoist_recovery_stage.

--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -29,6 +29,20 @@
     pub pools: Vec<Pool>,
     pub pools_edition: u64,
     pub marks: Option<String>,
+    /// The way back to service by stages after a loss of everything; None: calls go in as they come.
+    pub recover: Option<Recover>,
+}
+
+/// Limits of the stages after a loss, in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Recover {
+    pub waking: i64,
+    pub asking: i64,
+    pub reserved: i64,
+    /// Part of the calls outside reservations that is let in at least.
+    pub share: f64,
+    /// A worker that started less than this before the front end did, or later, is new.
+    pub new: i64,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -63,6 +77,7 @@
     "reserve",
     "pools-edition",
     "marks",
+    "recover",
 ];
 
 type Stray = Vec<(Position, String, String)>;
@@ -124,6 +139,23 @@
         pools: pools(s, tenants, stray),
         pools_edition: s.count("pools-edition", "number", 1),
         marks: s.text("marks", "folder"),
+        recover: recover(s, stray),
+    })
+}
+
+fn recover(s: &Source<'_>, stray: &mut Stray) -> Option<Recover> {
+    let line = s.one("recover")?;
+    if s.one("fleet-folder").is_none() {
+        // There it is noted whether the last run left in order.
+        let expected = "a fleet-folder line".to_string();
+        stray.push((line.at.clone(), "recover without a fleet-folder".into(), expected));
+    }
+    Some(Recover {
+        waking: line.duration("waking").unwrap_or(2 * S),
+        asking: line.duration("asking").unwrap_or(3 * S),
+        reserved: line.duration("reserved").unwrap_or(20 * S),
+        share: line.number("share").unwrap_or(0.05),
+        new: line.duration("new").unwrap_or(60 * S),
     })
 }
 
--- a/crates/config/src/fleet_grammar.rs
+++ b/crates/config/src/fleet_grammar.rs
@@ -1,6 +1,6 @@
 //! The directives of a process that is part of a fleet.
 
-use crate::grammar::{must, one, Directive, Often, H, MS, S};
+use crate::grammar::{may, must, one, Directive, Often, H, MS, S};
 use crate::value::Kind;
 
 const NUMBER: Kind = Kind::Count(1, u64::MAX);
@@ -40,4 +40,16 @@
     },
     one("pools-edition", &[must("number", NUMBER)]),
     one("marks", &[must("folder", Kind::Text)]),
+    Directive {
+        name: "recover",
+        places: &[],
+        keys: &[
+            may("waking", Kind::Duration(0, 60 * S)),
+            may("asking", Kind::Duration(0, 60 * S)),
+            may("reserved", Kind::Duration(S, H)),
+            may("share", Kind::Number(0.01, 1.0)),
+            may("new", Kind::Duration(S, H)),
+        ],
+        often: Often::Once,
+    },
 ];
--- a/crates/config/src/grammar.rs
+++ b/crates/config/src/grammar.rs
@@ -35,7 +35,7 @@
     Argument { key, kind, required: true }
 }
 
-const fn may(key: &'static str, kind: Kind) -> Argument {
+pub const fn may(key: &'static str, kind: Kind) -> Argument {
     Argument { key, kind, required: false }
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -26,7 +26,7 @@
 mod value;
 mod words;
 
-pub use fleet::{ends_numbered, Fleet, Keep, Pool};
+pub use fleet::{ends_numbered, Fleet, Keep, Pool, Recover};
 pub use lexer::{load, parse};
 pub use model::{Broker, Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
 pub use parts::broker;
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -194,6 +194,11 @@
         }
         out.push(format!("pools-edition {}", self.pools_edition));
         out.extend(self.marks.as_ref().map(|f| format!("marks {}", word(f))));
+        out.extend(self.recover.as_ref().map(|r| {
+            let (waking, asking, reserved) = (d(r.waking), d(r.asking), d(r.reserved));
+            let limits = format!("waking {waking} asking {asking} reserved {reserved}");
+            format!("recover {limits} share {} new {}", r.share, d(r.new))
+        }));
         out
     }
 }
--- a/crates/config/tests/fleet.rs
+++ b/crates/config/tests/fleet.rs
@@ -89,7 +89,7 @@
     told(
         &with("pool p functions f lanes many\n"),
         3,
-        "30: lanes is \"many\"; expected a whole number from 1, or by-workers",
+        "26: lanes is \"many\"; expected a whole number from 1, or by-workers",
     );
     told(
         &with("pool p functions f,g lanes 1\npool q functions g lanes 1\n"),
@@ -110,3 +110,20 @@
     );
     told(&format!("{pool}reserve nobody pool p lanes 1\n"), 5, "9: reserve names tenant nobody");
 }
+
+#[test]
+fn the_way_back_is_told_with_its_defaults_and_only_with_a_folder() {
+    let recover = |line: &str| read(&format!("{FLEET}{line}")).fleet.unwrap().recover;
+    assert_eq!(recover(""), None);
+    let all = recover("recover\n").unwrap();
+    assert_eq!((all.waking, all.asking, all.reserved), (2_000_000, 3_000_000, 20_000_000));
+    assert_eq!((all.share, all.new), (0.05, 60_000_000));
+    let some = recover("recover asking 1s share 0.5\n").unwrap();
+    assert_eq!((some.waking, some.asking, some.share), (2_000_000, 1_000_000, 0.5));
+    let config = read(&format!("{FLEET}recover reserved 10s new 5s\n"));
+    assert_eq!(parse("again.conf", &config.render()).unwrap(), config);
+    let without = format!("{ALONE}{FLEET}recover\n").replace("fleet-folder \"of a\"\n", "");
+    assert!(faults(&without)[0].contains("recover without a fleet-folder"), "{:?}", faults(&without));
+    assert!(faults(&format!("{ALONE}recover\n"))[0].contains("recover without keepers"));
+    assert_eq!(faults(&format!("{ALONE}{FLEET}recover share 0\n")).len(), 1);
+}
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! - [`gate`]: what may be taken, sent and answered, without I/O; [`names`]: generations by inner names.
 //! - [`desk`]: the gate at the sockets, and answers on their way out.
 //! - [`part`]: which view is confirmed, and which workers may have copies.
+//! - [`starting`]: the stages after a loss of everything; [`witness`]: whether the last run left in order.
 //! - [`retirements`], [`states`]: the watched file of retired functions, and the file beside it.
 
 pub mod desk;
@@ -11,11 +12,15 @@
 pub mod names;
 pub mod part;
 pub mod retirements;
+pub mod starting;
 pub mod states;
+pub mod witness;
 
 pub use desk::{Desk, Gated, Pass};
 pub use gate::{Closed, Gate, Retired};
 pub use part::Part;
+pub use starting::Starting;
+pub use witness::Witness;
 
 use crate::clock::Clock;
 use stagehoist::Micros;
--- a/crates/gateway/src/metrics_page.rs
+++ b/crates/gateway/src/metrics_page.rs
@@ -127,6 +127,9 @@
         ] {
             gauge!(name, "front_end" => self.label.clone()).set(value);
         }
+        if let Some(stage) = core.recovery_stage() {
+            gauge!("stagehoist_recovery_stage", "front_end" => self.label.clone()).set(stage as u8 as f64);
+        }
         if let Some((version, fresh, retired)) = core.fleet_shows() {
             let label = || self.label.clone();
             gauge!("stagehoist_view_version", "front_end" => label()).set(version as f64);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use crate::driver::{self, FrontEndState};
 use crate::error::GatewayError;
-use crate::fleet::{Desk, Gate, Link};
+use crate::fleet::{Desk, Gate, Link, Starting, Witness};
 use crate::metrics_page;
 use crate::state::{module, Core, Decider, Figures};
 use crate::ways::AmqpWays;
@@ -59,9 +59,18 @@
                     core.join(desk.clone());
                     (desk, link.as_ref().map(|l| l.standing.clone()))
                 });
+                let witness = Witness::begin(&config, number);
+                let recover = config.fleet.as_ref().and_then(|f| f.recover);
+                if let (Some(recover), Some(witness)) = (recover, &witness) {
+                    let lost = witness.is_unordered();
+                    core.recover(Starting::new(&config, &recover, lost, seed, clock.now()));
+                }
                 let ways = AmqpWays::start(&config, number, seed, clock, news, fleet);
                 let times = (clock, config.drain_most);
                 driver::run(core, ways, incoming, times, drained, state, link).await;
+                if let Some(witness) = witness {
+                    witness.end();
+                }
             });
         });
         running.threads.push(spawned.map_err(GatewayError::Start)?);
--- a/crates/gateway/src/state/core/acts.rs
+++ b/crates/gateway/src/state/core/acts.rs
@@ -2,7 +2,8 @@
 
 use super::super::{Answer, Attempt, Command};
 use super::{Core, Flight};
-use stagehoist::{Action, Ended, Event, Micros, Outcome, RequestId, WorkerId};
+use stagehoist::{Action, Ended, Event, Micros, Outcome, RequestId, RosterForm, WorkerId};
+use stagehoist_membership::Update;
 use std::rc::Rc;
 
 impl Core {
@@ -136,4 +137,23 @@
             mark: call.arrival.identity.map(|identity| (identity, call.ticket)),
         }));
     }
+
+    /// Tells the module of workers.
+    pub(super) fn tell(&mut self, update: Update) {
+        if let Some(starting) = self.starting.as_mut() {
+            starting.roster(&update);
+        }
+        if update.form != RosterForm::Failed {
+            tracing::debug!(rows = update.rows.len(), form = ?update.form, "workers");
+        }
+        self.events.push(Event::Roster { form: update.form, rows: Rc::from(update.rows) });
+    }
+
+    /// A worker said of itself whether it drains.
+    pub(super) fn announce(&mut self, now: Micros, worker: WorkerId, draining: Option<bool>) {
+        if let Some(update) = draining.and_then(|d| self.members.announced(worker, d, now)) {
+            tracing::info!(worker = self.members.name(worker), ?draining, "worker announced");
+            self.tell(update);
+        }
+    }
 }
--- a/crates/gateway/src/state/core/calls.rs
+++ b/crates/gateway/src/state/core/calls.rs
@@ -1,8 +1,9 @@
 //! A call from its arrival to its answer, and the ends of its attempts.
 
-use super::super::{Answer, Arrival, AttemptResult, Command};
+use super::super::{Answer, Arrival, AttemptResult, CallFigures, Command};
 use super::{Call, Core};
 use stagehoist::{Ended, Event, Micros, Outcome, Request, RequestId};
+use stagehoist_recovery::stages::Admission;
 
 impl Core {
     pub(super) fn take_call(&mut self, now: Micros, mut arrival: Arrival, out: &mut Vec<Command>) {
@@ -11,7 +12,7 @@
         }
         let ticket = arrival.ticket;
         let known = arrival.figures.filter(|f| self.names.called(f.id, &arrival.function, now));
-        let reason = if self.calls.len() as u64 >= self.figures.held_most {
+        let reason = if (self.calls.len() + self.outside.len()) as u64 >= self.figures.held_most {
             Some("too-many-held")
         } else if known.is_none() {
             Some("unknown-function")
@@ -32,6 +33,19 @@
             return out.push(Command::Answer { ticket, answer, took: 0 });
         }
         let Some(f) = known else { return };
+        if arrival.read == 0 {
+            arrival.read = now;
+        }
+        match self.stage_word(now, &arrival) {
+            Admission::Enter => self.enter(now, arrival, f),
+            Admission::Wait { until } => self.outside.put(until, arrival, f),
+            Admission::Refuse { retry_after, .. } => self.turn_from_start(now, arrival, retry_after, out),
+        }
+    }
+
+    /// A call goes to the module; `f` is known under its name.
+    pub(super) fn enter(&mut self, now: Micros, arrival: Arrival, f: CallFigures) {
+        let ticket = arrival.ticket;
         // What the call waited between its socket and this turn is gone from its time.
         let taken = if arrival.read > 0 { arrival.read.min(now) } else { now };
         let budget = (arrival.budget - (now - taken)).max(0);
@@ -113,6 +127,9 @@
     ) {
         let Some(call) = self.calls.get_mut(&request) else { return };
         let Some(flight) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        if let Some(starting) = self.starting.as_mut() {
+            starting.attempt(flight.worker, result.outcome, result.note.copy, now);
+        }
         self.cuts.remove(&(flight.due, request, attempt));
         // Not what the answer waited for this process.
         let ended = if result.read > 0 { result.read.clamp(flight.sent, now) } else { now };
@@ -144,6 +161,7 @@
                 call.span.in_scope(|| tracing::debug!(outcome = "served", took_us = now - taken, "answered"));
             }
             self.counters.served += 1;
+            self.note_end(request, now, true);
             let answer = self.served((&function, flight.worker), result.body, result.content_type);
             out.push(Command::Answer { ticket, answer, took: now - taken });
         }
@@ -199,6 +217,7 @@
             tracing::debug!(outcome = word, reason, took_us = now - call.taken, "answered");
         });
         out.push(Command::Answer { ticket: call.ticket, answer, took: now - call.taken });
+        self.note_end(request, now, false);
         self.close_call(request);
     }
 }
--- a/crates/gateway/src/state/core/fleet.rs
+++ b/crates/gateway/src/state/core/fleet.rs
@@ -37,6 +37,7 @@
         for request in self.retired_calls(|call| !call.answered && call.is_idle()) {
             self.give_up(now, request, out);
         }
+        self.close_outside(now, out);
         self.unload_retired(out);
         self.apply_view();
     }
@@ -109,7 +110,7 @@
     }
 
     /// The answer to a call that never ran.
-    fn closed_answer(&mut self, closed: Closed) -> Answer {
+    pub(super) fn closed_answer(&mut self, closed: Closed) -> Answer {
         match closed {
             Closed::Retired(retired) => {
                 if let Some(part) = self.part.as_mut() {
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -4,13 +4,15 @@
 mod acts;
 mod calls;
 mod fleet;
+mod held;
+mod starting;
 
 use super::{module, Arrival, AttemptResult, Command, Decide, Decider, Figures, Names, News, Ticket};
-use crate::fleet::Part;
-use stagehoist::{Action, Event, Micros, Outcome, RequestId, RosterForm, WorkerId};
-use stagehoist_membership::{Members, Update};
+use crate::fleet::{Part, Starting};
+use held::Outside;
+use stagehoist::{Action, Event, Micros, Outcome, RequestId, WorkerId};
+use stagehoist_membership::Members;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::rc::Rc;
 use tracing::Span;
 
 /// What a front end has done, for metrics and tests.
@@ -82,6 +84,10 @@
     fresh: Vec<RequestId>,
     /// None: it shares nothing with other front ends.
     part: Option<Box<Part>>,
+    /// None: no stages are told.
+    starting: Option<Box<Starting>>,
+    /// Calls that wait outside the module.
+    outside: Outside,
     pub counters: Counters,
 }
 
@@ -109,13 +115,15 @@
             actions: Vec::new(),
             fresh: Vec::new(),
             part: None,
+            starting: None,
+            outside: Outside::default(),
             counters: Counters::default(),
         }
     }
 
     /// Calls taken and not answered yet.
     pub fn unanswered(&self) -> usize {
-        self.by_ticket.len()
+        self.by_ticket.len() + self.outside.len()
     }
 
     /// Attempts that are out, those of answered calls too.
@@ -143,7 +151,8 @@
         let cut = self.cuts.first().map(|c| c.0);
         let order = self.orders.values().map(|o| o.1).min();
         let part = self.part.as_ref().and_then(|p| p.due());
-        [timer, cut, order, part].into_iter().flatten().min()
+        let stage = self.starting.as_ref().and_then(|s| s.due());
+        [timer, cut, order, part, stage, self.outside.due()].into_iter().flatten().min()
     }
 
     /// One batch: all news since the last, the module's choices, and what they mean for sockets.
@@ -151,6 +160,7 @@
         for item in news.drain(..) {
             self.take(now, item, out);
         }
+        self.look_at_start(now, out);
         while let Some(&(at, request, attempt)) = self.cuts.first() {
             if at > now {
                 break;
@@ -191,6 +201,7 @@
         match news {
             News::Call(arrival) => self.take_call(now, arrival, out),
             News::Gone(ticket) => {
+                self.counters.gone += u64::from(self.outside.gone(ticket));
                 if let Some(request) = self.by_ticket.remove(&ticket) {
                     self.counters.gone += 1;
                     self.events.push(Event::Gone { request });
@@ -231,18 +242,4 @@
             }
         }
     }
-
-    fn tell(&mut self, update: Update) {
-        if update.form != RosterForm::Failed {
-            tracing::debug!(rows = update.rows.len(), form = ?update.form, "workers");
-        }
-        self.events.push(Event::Roster { form: update.form, rows: Rc::from(update.rows) });
-    }
-
-    fn announce(&mut self, now: Micros, worker: WorkerId, draining: Option<bool>) {
-        if let Some(update) = draining.and_then(|d| self.members.announced(worker, d, now)) {
-            tracing::info!(worker = self.members.name(worker), ?draining, "worker announced");
-            self.tell(update);
-        }
-    }
 }
--- a/crates/stage/src/day/check.rs
+++ b/crates/stage/src/day/check.rs
@@ -19,8 +19,13 @@
             fault(1, what, format!("at most {FRONT_ENDS_MOST} front ends, and no more keepers than these"));
         }
         let shared = !fleet.pools.is_empty() || !fleet.reserves.is_empty() || fleet.marks;
+        let shared = shared || fleet.recover.is_some();
         if fleet.keepers == 0 && shared {
-            fault(1, "pools, reservations or marks without keepers".into(), "keepers and a number".into());
+            fault(
+                1,
+                "pools, reservations, marks or recover without keepers".into(),
+                "keepers and a number".into(),
+            );
         }
         for reserve in &fleet.reserves {
             if !fleet.pools.iter().any(|p| p.name == reserve.pool) {
--- a/crates/stage/src/day/fleet.rs
+++ b/crates/stage/src/day/fleet.rs
@@ -18,6 +18,8 @@
     pub tenants: Vec<(String, String)>,
     /// Attempts that may not be repeated are marked on disk before they go out.
     pub marks: bool,
+    /// The way back by stages, as the configuration's directive has it; empty: all its defaults.
+    pub recover: Option<String>,
 }
 
 /// Lanes that some functions share.
@@ -47,6 +49,7 @@
             reserves: Vec::new(),
             tenants: Vec::new(),
             marks: false,
+            recover: None,
         }
     }
 }
@@ -92,6 +95,7 @@
                     _ => return w.wrong("yes or no"),
                 };
             }
+            "recover" => self.recover = Some(w.all()),
             _ => return Ok(false),
         }
         Ok(true)
--- a/crates/stage/src/day/mod.rs
+++ b/crates/stage/src/day/mod.rs
@@ -139,7 +139,7 @@
             _ => {
                 return w.wrong(
                     "halls, workers, front-ends, seed, rate, on-miss, replies, stamps, length, keepers, view-lease, \
-                     remember, retire-mode, pool, reserve, tenant, marks or at",
+                     remember, retire-mode, pool, reserve, tenant, marks, recover or at",
                 )
             }
         }
--- a/crates/stage/src/day/tests.rs
+++ b/crates/stage/src/day/tests.rs
@@ -53,11 +53,16 @@
 #[test]
 fn what_the_processes_share_is_read() {
     let fleet =
-        day("view-lease 500ms\nremember 5m\nretire-mode strict\nmarks yes\ntenant clinic quota 1000/s\n\
+        day("view-lease 500ms\nremember 5m\nretire-mode strict\nmarks yes\nrecover share 0.1 # little\ntenant clinic quota 1000/s\n\
          pool lanes functions clashes,rare-* lanes 40\nreserve clinic pool lanes lanes 16\n\
          at 2s surge other 10x for 3s\n")
         .fleet;
     assert_eq!((fleet.keepers, fleet.strict, fleet.marks), (3, true, true));
+    assert_eq!(
+        (fleet.recover.as_deref(), day("recover\n").fleet.recover),
+        (Some("share 0.1"), Some("".into()))
+    );
+    assert_eq!(day("").fleet.recover, None);
     assert_eq!((fleet.view_lease, fleet.remember), (Duration::from_millis(500), Duration::from_secs(300)));
     assert_eq!(fleet.pools[0].functions, ["clashes", "rare-*"]);
     assert_eq!(fleet.reserves[0], Reserve { tenant: "clinic".into(), pool: "lanes".into(), lanes: 16 });
@@ -69,7 +74,7 @@
 fn faults_of_the_whole_day_are_told_with_their_lines() {
     assert_eq!(faults("keepers 4\n"), ["1: 4 keepers of 3 front ends"]);
     assert_eq!(faults("front-ends 10\nkeepers 3\n"), ["1: 3 keepers of 10 front ends"]);
-    assert_eq!(faults("marks yes\n"), ["1: pools, reservations or marks without keepers"]);
+    assert_eq!(faults("marks yes\n"), ["1: pools, reservations, marks or recover without keepers"]);
     for text in ["link 0 cut for 1s", "leader kill", "retire clashes", "store 0 copy"] {
         let found = faults(&format!("rate 1/s\nat 1s {text}\n"));
         assert!(found.len() == 1 && found[0].starts_with("2: ") && found[0].ends_with("without keepers"));
--- a/crates/stage/src/day/words.rs
+++ b/crates/stage/src/day/words.rs
@@ -90,6 +90,12 @@
         let words = self.words.get(self.next..).unwrap_or_default();
         words.iter().map(|w| w.1).collect::<Vec<_>>().join(" ")
     }
+    /// All that is still to be read, taken as it stands.
+    pub(super) fn all(&mut self) -> String {
+        let rest = self.rest();
+        self.next = self.words.len();
+        rest
+    }
     pub(super) fn number<T: std::str::FromStr>(&mut self, suffix: &str, expected: &'static str) -> Step<T> {
         let word = self.word(expected)?;
         match word.strip_suffix(suffix).and_then(|n| n.parse().ok()) {
--- a/crates/stage/src/fleet.rs
+++ b/crates/stage/src/fleet.rs
@@ -79,6 +79,9 @@
     if fleet.marks {
         let _ = writeln!(text, "marks {}", files.marks.display());
     }
+    if let Some(told) = &fleet.recover {
+        let _ = writeln!(text, "{}", format!("recover {told}").trim_end());
+    }
     text
 }
 
--- a/crates/stage/src/play/fleet.rs
+++ b/crates/stage/src/play/fleet.rs
@@ -1,5 +1,6 @@
 //! Troubles of processes, of the links between them, and of what they share.
 
+use super::loss::Watch;
 use super::{Player, Undo, PATIENCE};
 use crate::day::{StoreFault, Trouble};
 use crate::stack::StageError;
@@ -115,6 +116,7 @@
         let all: Vec<u32> = (0..self.stack.front_ends.len() as u32).collect();
         let up: Vec<u32> = all.iter().copied().filter(|f| !self.down.contains_key(f)).collect();
         let workers: Vec<String> = self.stack.layout.workers.iter().map(|w| w.name.clone()).collect();
+        self.lost.get_or_insert(Watch::begin(self.stack.recorder.now(), self.stack.store.fetches()));
         self.dies(&up);
         workers.iter().for_each(|name| self.stack.kill_worker(name));
         all.iter().for_each(|front_end| self.stays_down(*front_end, span));
@@ -161,6 +163,9 @@
 
     /// Looks at the state of retirements.
     pub(super) fn watch(&mut self) {
+        if let Some(lost) = self.lost.as_mut() {
+            lost.look(self.stack.recorder.now(), self.stack.store.fetches());
+        }
         if self.stack.day.fleet.keepers == 0 {
             return;
         }
--- a/crates/stage/src/play/mod.rs
+++ b/crates/stage/src/play/mod.rs
@@ -3,12 +3,14 @@
 mod begin;
 mod end;
 mod fleet;
+mod loss;
 
 use crate::callers::Pace;
 use crate::day::{Day, Fleet, Pool, Trouble};
 use crate::lateness::Lateness;
 use crate::retired::Retirements;
 use crate::stack::{Stack, StageError};
+pub use loss::Loss;
 use serde::Serialize;
 use stagehoist_judge::rules::{judge, served_times, Charter, PoolRule, Verdict};
 use stagehoist_judge::tap::Trouble as Tapped;
@@ -43,6 +45,9 @@
     /// Milliseconds from when the day asked for a function's retirement until it was in force; none where it never was.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub in_force_after_ms: BTreeMap<String, Option<f64>>,
+    /// What came of the first loss of everything on this day.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub loss: Option<Loss>,
     /// Lines of a day file with what was drawn, which play the same again.
     pub drawn: Vec<String>,
 }
@@ -101,6 +106,8 @@
     retirements: Retirements,
     /// Tenants that send more than usual, and how many times as much.
     surges: Vec<(u64, String, f64)>,
+    /// Since everything lost its power.
+    lost: Option<loss::Watch>,
 }
 
 /// Plays a day on a new stack. `binary` is the project's own binary.
@@ -127,6 +134,7 @@
         down: BTreeMap::new(),
         retirements: Retirements::default(),
         surges: Vec::new(),
+        lost: None,
     };
     let mut troubles = day.troubles.iter().peekable();
     let mut shown = Duration::ZERO;
@@ -155,7 +163,7 @@
         player.watch();
         std::thread::sleep(Duration::from_millis(5));
     }
-    let Player { mut charter, retirements, .. } = player;
+    let Player { mut charter, retirements, lost, .. } = player;
     charter.gaps = lateness.finish();
     charter.retired = retirements.charter();
     charter.pools = pools(&day.fleet);
@@ -182,6 +190,7 @@
         seconds: start.elapsed().as_secs_f64(),
         answers: stack.counts.answers.lock().unwrap_or_else(PoisonError::into_inner).clone(),
         in_force_after_ms,
+        loss: lost.map(|lost| lost.told(&story, &day.fleet)),
         drawn,
     })
 }
