--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //! - [`retirements`], [`states`]: the watched file of retired functions, and the file beside it.
 
 pub mod desk;
+mod first;
 pub mod gate;
 pub mod names;
 pub mod part;
--- a/crates/gateway/src/fleet/starting.rs
+++ b/crates/gateway/src/fleet/starting.rs
@@ -5,7 +5,7 @@
 //! that is killed or replaced in a warm fleet meets old workers and holds nobody up; one whose last run ended in order has
 //! no stages at all. Until the first list is here calls go in: the module holds them without workers anyway.
 
-use super::names::outer_name;
+use super::first;
 use stagehoist::{Lifecycle, Micros, Outcome, RosterForm, WorkerId};
 use stagehoist_config::{Config, Recover};
 use stagehoist_membership::Update;
@@ -80,7 +80,7 @@
             began: now,
             new: told.new,
             warm_up: config.warm_up,
-            first: reserved(config),
+            first: first::of(config),
             workers: None,
             served: BTreeSet::new(),
             slots: VecDeque::new(),
@@ -159,11 +159,7 @@
         if self.stage() == Stage::Open {
             return Admission::Enter;
         }
-        let (tenant, function) = (call.0, outer_name(call.1).0);
-        let first = self
-            .first
-            .iter()
-            .any(|(t, patterns)| *t == tenant && patterns.iter().any(|pattern| takes(pattern, function)));
+        let first = first::is_first(&self.first, call.0, call.1);
         self.stages.admit(first, left, now)
     }
 
@@ -239,20 +235,3 @@
         self.slots.back_mut().map(|slot| &mut slot.1)
     }
 }
-
-fn reserved(config: &Config) -> Vec<(u32, Vec<String>)> {
-    let Some(fleet) = &config.fleet else { return Vec::new() };
-    let place = |tenant: &str| config.tenants.iter().position(|t| t.name == tenant);
-    let of = |pool: &stagehoist_config::Pool| {
-        let own = pool.reservations.iter().filter_map(|(tenant, _)| place(tenant));
-        own.map(|tenant| (tenant as u32, pool.functions.clone())).collect::<Vec<_>>()
-    };
-    fleet.pools.iter().flat_map(of).collect()
-}
-
-fn takes(pattern: &str, function: &str) -> bool {
-    match pattern.strip_suffix('*') {
-        Some(beginning) => function.starts_with(beginning),
-        None => pattern == function,
-    }
-}
