Merge the stages of recovery, beside marks and keepers

A front end's start notes whether its last run left in order, and marks are at work beside it; what is told of workers goes to both from one place.

--- a/crates/config/src/fleet_grammar.rs
+++ b/crates/config/src/fleet_grammar.rs
@@ -45,4 +45,16 @@
         keys: &[may("keep", Kind::Duration(S, 1000 * H)), may("most", Kind::Count(1000, 100_000_000))],
         often: Often::Once,
     },
+    Directive {
+        name: "recover",
+        places: &[],
+        keys: &[
+            may("waking", Kind::Duration(0, 60 * S)),
+            may("asking", Kind::Duration(0, 60 * S)),
+            may("reserved", Kind::Duration(S, H)),
+            may("share", Kind::Number(0.01, 1.0)),
+            may("new", Kind::Duration(S, H)),
+        ],
+        often: Often::Once,
+    },
 ];
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -27,7 +27,7 @@
 mod value;
 mod words;
 
-pub use fleet::{ends_numbered, Fleet, Keep, Pool};
+pub use fleet::{ends_numbered, Fleet, Keep, Pool, Recover};
 pub use lexer::{load, parse};
 pub use marks::Marks;
 pub use model::{Broker, Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
--- a/crates/config/tests/fleet.rs
+++ b/crates/config/tests/fleet.rs
@@ -127,3 +127,20 @@
         assert!(faults[0].contains("marks without keepers for 2 front ends"), "{faults:?}");
     }
 }
+
+#[test]
+fn the_way_back_is_told_with_its_defaults_and_only_with_a_folder() {
+    let recover = |line: &str| read(&format!("{FLEET}{line}")).fleet.unwrap().recover;
+    assert_eq!(recover(""), None);
+    let all = recover("recover\n").unwrap();
+    assert_eq!((all.waking, all.asking, all.reserved), (2_000_000, 3_000_000, 20_000_000));
+    assert_eq!((all.share, all.new), (0.05, 60_000_000));
+    let some = recover("recover asking 1s share 0.5\n").unwrap();
+    assert_eq!((some.waking, some.asking, some.share), (2_000_000, 1_000_000, 0.5));
+    let config = read(&format!("{FLEET}recover reserved 10s new 5s\n"));
+    assert_eq!(parse("again.conf", &config.render()).unwrap(), config);
+    let without = format!("{ALONE}{FLEET}recover\n").replace("fleet-folder \"of a\"\n", "");
+    assert!(faults(&without)[0].contains("recover without a fleet-folder"), "{:?}", faults(&without));
+    assert!(faults(&format!("{ALONE}recover\n"))[0].contains("recover without keepers"));
+    assert_eq!(faults(&format!("{ALONE}{FLEET}recover share 0\n")).len(), 1);
+}
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -4,10 +4,13 @@
 mod acts;
 mod calls;
 mod fleet;
+mod held;
+mod starting;
 mod workers;
 
 use super::{module, Arrival, AttemptResult, Command, Decide, Decider, Figures, Names, News, Ticket};
-use crate::fleet::Part;
+use crate::fleet::{Part, Starting};
+use held::Outside;
 use stagehoist::{Action, Event, Micros, Outcome, RequestId, WorkerId};
 use stagehoist_membership::Members;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -85,6 +88,10 @@
     leaving: Option<Leaving>,
     /// None: it shares nothing with other front ends.
     part: Option<Box<Part>>,
+    /// None: no stages are told.
+    starting: Option<Box<Starting>>,
+    /// Calls that wait outside the module.
+    outside: Outside,
     pub counters: Counters,
 }
 
@@ -113,13 +120,15 @@
             fresh: Vec::new(),
             leaving: None,
             part: None,
+            starting: None,
+            outside: Outside::default(),
             counters: Counters::default(),
         }
     }
 
     /// Calls taken and not answered yet.
     pub fn unanswered(&self) -> usize {
-        self.by_ticket.len()
+        self.by_ticket.len() + self.outside.len()
     }
 
     /// Attempts that are out, those of answered calls too.
@@ -147,7 +156,8 @@
         let cut = self.cuts.first().map(|c| c.0);
         let order = self.orders.values().map(|o| o.1).min();
         let part = self.part.as_ref().and_then(|p| p.due());
-        [timer, cut, order, part].into_iter().flatten().min()
+        let stage = self.starting.as_ref().and_then(|s| s.due());
+        [timer, cut, order, part, stage, self.outside.due()].into_iter().flatten().min()
     }
 
     /// One batch: all news since the last, the module's choices, and what they mean for sockets.
@@ -155,6 +165,7 @@
         for item in news.drain(..) {
             self.take(now, item, out);
         }
+        self.look_at_start(now, out);
         while let Some(&(at, request, attempt)) = self.cuts.first() {
             if at > now {
                 break;
@@ -196,6 +207,7 @@
         match news {
             News::Call(arrival) => self.take_call(now, arrival, out),
             News::Gone(ticket) => {
+                self.counters.gone += u64::from(self.outside.gone(ticket));
                 if let Some(request) = self.by_ticket.remove(&ticket) {
                     self.counters.gone += 1;
                     self.events.push(Event::Gone { request });
--- a/crates/gateway/src/state/core/workers.rs
+++ b/crates/gateway/src/state/core/workers.rs
@@ -85,7 +85,11 @@
         }
     }
 
+    /// Tells the module of workers, and all who have to know of them.
     pub(super) fn tell(&mut self, update: Update) {
+        if let Some(starting) = self.starting.as_mut() {
+            starting.roster(&update);
+        }
         if update.form != RosterForm::Failed {
             tracing::debug!(rows = update.rows.len(), form = ?update.form, "workers");
         }
@@ -95,6 +99,7 @@
         self.events.push(Event::Roster { form: update.form, rows: Rc::from(update.rows) });
     }
 
+    /// A worker said of itself whether it drains.
     pub(super) fn announce(&mut self, now: Micros, worker: WorkerId, draining: Option<bool>) {
         if let Some(update) = draining.and_then(|d| self.members.announced(worker, d, now)) {
             tracing::info!(worker = self.members.name(worker), ?draining, "worker announced");
