--- a/crates/gateway/src/fleet/states.rs
+++ b/crates/gateway/src/fleet/states.rs
@@ -94,15 +94,10 @@
 }
 
 async fn write(temp: &Path, path: &Path, bytes: &[u8]) -> io::Result<()> {
-    use tokio::io::AsyncWriteExt;
-    let mut file = tokio::fs::File::create(temp).await?;
-    file.write_all(bytes).await?;
-    file.sync_all().await?;
-    drop(file);
-    tokio::fs::rename(temp, path).await?;
-    // The new name lasts only once its folder is on disk.
-    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
-    tokio::fs::File::open(folder).await?.sync_all().await
+    // Not flushed to the disk: that took over a second where others wrote much, and the record is what is kept. What a power
+    // loss leaves is whole and older, or shows that it is damaged; either is replaced.
+    tokio::fs::write(temp, bytes).await?;
+    tokio::fs::rename(temp, path).await
 }
 
 fn beside(path: &Path, ending: &str) -> PathBuf {
