--- a/crates/cli/tests/no_fleet.rs
+++ b/crates/cli/tests/no_fleet.rs
@@ -58,7 +58,15 @@
     let mut process = command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap();
     // Both stay unanswered; the front end waits for them.
     let (_list, _broker) = (list.accept().unwrap(), broker.accept().unwrap());
-    let has = look(&process, folder.path());
+    let mut has = look(&process, folder.path());
+    // The thread of the metrics comes last, and a new thread has its name a moment after it is there.
+    for _ in 0..2000 {
+        if has.threads.iter().any(|name| name == "metrics") {
+            break;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(10));
+        has = look(&process, folder.path());
+    }
     process.kill().unwrap();
     process.wait().unwrap();
     has
