--- a/crates/gateway/src/marked.rs
+++ b/crates/gateway/src/marked.rs
@@ -82,7 +82,7 @@
 }
 
 /// Waits that are told in one line of the log.
-const TELL: usize = 128;
+const TELL: usize = 32;
 
 /// How long marks took to be on disk.
 #[derive(Default)]
