Calls of pools wait for lanes before they enter the module; keepers deal them

Need: the gate of lanes and the dealer stood alone; the running program had no pools.

Core asks Lanes::enter before Event::Request, keeps the lane until the call's last attempt is known to have ended, and holds calls that wait outside the module with their deadline. Keepers deal where a pool is told and turn away front ends beyond the told number. Sessions report at once when demand rises from nothing, calls begin to wait (20 ms apart at least) or a smaller grant is gone by; else every 50 ms where there are pools. Configuration: reservations need a declared tenant that is not the first (calls without a tenant count as the first's), pools need fleet-front-ends.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -35,6 +35,9 @@
     /// Draw anew what the day leaves open (ranges of moments, `any`, `any-of`); the file's own seed draws otherwise.
     #[arg(long)]
     seed: Option<u64>,
+    /// Tell the front ends of no pool, to compare; callers send the same.
+    #[arg(long)]
+    without_reservations: bool,
     /// Keep the processes' configurations, logs and stores, and the day as drawn, in this folder: new, or empty.
     #[arg(long)]
     keep: Option<PathBuf>,
@@ -65,10 +68,11 @@
         Ok(text) => text,
         Err(e) => return fail(&format!("{}: {e}", args.day.display())),
     };
-    let day = match read(&args.day.display().to_string(), &text, args.seconds) {
+    let mut day = match read(&args.day.display().to_string(), &text, args.seconds) {
         Ok(day) => day,
         Err(code) => return code,
     };
+    day.fleet.without_pools = args.without_reservations;
     let day = day.drawn(args.seed.unwrap_or(day.seed));
     if args.seed.is_some() {
         eprint!("{}", day.drawn_text());
--- a/crates/cli/src/demo/shown.rs
+++ b/crates/cli/src/demo/shown.rs
@@ -54,6 +54,19 @@
         println!("served, ms from publish to reply: {}", times.join("  "));
         let answers: Vec<String> = l.answers.iter().map(|(k, v)| format!("{k} {v}")).collect();
         println!("answers by outcome and reason: {}", answers.join("  "));
+        for (tenant, of) in &l.tenants {
+            let times: Vec<String> = of.latency_ms.iter().map(|(k, v)| format!("{k} {v:.1}")).collect();
+            println!(
+                "{tenant}: sent {}  served {} (soon {})  refused {}  failed {}  ms: {}  lanes there after {:?} ms",
+                of.sent,
+                of.served,
+                of.soon,
+                of.refused,
+                of.failed,
+                times.join("  "),
+                of.lanes_after_ms
+            );
+        }
         for (function, after) in &l.in_force_after_ms {
             match after {
                 Some(ms) => println!("retired {function}: in force after {ms:.1} ms"),
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -4,7 +4,7 @@
 use stagehoist_gateway::clock::Clock;
 use stagehoist_gateway::fleet::{retirements, Link, Told};
 use stagehoist_keeper::{Keep, KeeperError, Options, Pace, Running, Session};
-use stagehoist_registry::{Pool, Reservation, Size, Terms};
+use stagehoist_registry::{Limits, Pool, Reservation, Size, Terms, FLOOR_SHARE};
 use std::path::PathBuf;
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -13,6 +13,9 @@
 /// The least time in which a leader that is at ease hears of a majority, in microseconds.
 const QUORUM_LEAST: i64 = 250_000;
 
+/// How often it is reckoned anew at most who should have how many lanes, in microseconds.
+const DEAL_EVERY: i64 = 10_000;
+
 /// The name of a front end of this process among the members.
 fn member(fleet: &Fleet, number: u32) -> String {
     format!("{}/{number}", fleet.member)
@@ -46,6 +49,12 @@
         },
         edition: fleet.pools_edition,
         pools: fleet.pools.iter().map(pool).collect(),
+        dealing: (!fleet.pools.is_empty()).then(|| Limits {
+            fleet: config.fleet_front_ends,
+            floor_share: FLOOR_SHARE,
+            longest: config.longest_run(),
+            every: DEAL_EVERY,
+        }),
         members: (0..config.front_ends).map(|number| member(fleet, number)).collect(),
         incarnations: fleet.folder.as_ref().map(PathBuf::from),
         seed: config.seed,
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -171,6 +171,10 @@
         }
         pools.push(Pool { name, functions, lanes: size, reservations: Vec::new() });
     }
+    if let Some(line) = s.one("pool").filter(|_| s.one("fleet-front-ends").is_none()) {
+        let expected = "a fleet-front-ends line: floors are parts of a pool by that number".to_string();
+        stray.push((line.at.clone(), "pool without fleet-front-ends".into(), expected));
+    }
     let mut seen = BTreeSet::new();
     for line in s.all("reserve") {
         let (Some(tenant), Some(name), Some(lanes)) =
@@ -178,10 +182,14 @@
         else {
             continue;
         };
-        if !tenants.is_empty() && !tenants.iter().any(|t| t.name == tenant) {
+        if !tenants.iter().any(|t| t.name == tenant) {
             let expected = "a tenant of this configuration".to_string();
             stray.push((line.place("tenant"), format!("reserve names tenant {tenant}"), expected));
         }
+        if tenants.first().is_some_and(|t| t.name == tenant) {
+            let what = format!("reserve names tenant {tenant}, whose are the calls that name none");
+            stray.push((line.place("tenant"), what, "a tenant line of others before it".into()));
+        }
         if !seen.insert((tenant.clone(), name.clone())) {
             let what = format!("reserve {tenant} stands a second time for pool {name}");
             stray.push((line.at.clone(), what, "it once".into()));
@@ -202,6 +210,11 @@
 }
 
 impl Config {
+    /// The longest that an attempt may be out, in microseconds: as long as the most patient caller waits.
+    pub fn longest_run(&self) -> i64 {
+        self.classes.iter().map(|c| c.give_up).max().unwrap_or(0) + self.answer_margin
+    }
+
     /// Whether a function's calls are refused where it can't be known whether it is retired.
     pub fn is_strict(&self, function: &str) -> bool {
         self.function(function).is_some_and(|f| f.strict)
--- a/crates/config/tests/fleet.rs
+++ b/crates/config/tests/fleet.rs
@@ -6,6 +6,7 @@
 class lookup aim 800ms give-up 2.5s
 function free-times class lookup memory 64MB
 function recurring class lookup memory 64MB
+tenant other quota 50/s
 tenant clinics quota 50/s
 broker amqp://127.0.0.1:5672/
 consume calls
@@ -13,6 +14,7 @@
 ";
 
 const FLEET: &str = "\
+fleet-front-ends 5
 member a
 keeper 1 127.0.0.1:7001
 keeper 2 127.0.0.1:7002
@@ -109,4 +111,19 @@
         "30: 6 lanes of pool p are reserved; expected at most its 5",
     );
     told(&format!("{pool}reserve nobody pool p lanes 1\n"), 5, "9: reserve names tenant nobody");
+    // Calls that name no tenant count as the first one's.
+    told(&format!("{pool}reserve other pool p lanes 1\n"), 5, "9: reserve names tenant other, whose are the");
+    told(&pool, 3, "1: pool without fleet-front-ends; expected a fleet-front-ends line");
+    let pool = with("pool p functions f lanes 10\n");
+    assert!(parse("f.conf", &format!("{ALONE}fleet-front-ends 2\n{pool}")).is_ok());
+    // Also where no tenant is declared at all.
+    let alone = ALONE.replace("tenant other quota 50/s\ntenant clinics quota 50/s\n", "");
+    let told = faults(&format!("{alone}fleet-front-ends 2\n{pool}reserve clinics pool p lanes 1\n"));
+    assert!(told.iter().any(|t| t.contains("reserve names tenant clinics")), "{told:?}");
+}
+
+#[test]
+fn pools_need_keepers() {
+    let told = faults(&format!("{ALONE}fleet-front-ends 2\npool p functions f lanes 10\n"));
+    assert!(told.iter().any(|t| t.contains("pool without keepers")), "{told:?}");
 }
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -2,11 +2,13 @@
 //! configuration has no fleet: nothing here exists then.
 //!
 //! - [`gate`]: what may be taken, sent and answered, without I/O; [`names`]: generations by inner names.
+//! - [`entrance`]: calls of pools wait for lanes.
 //! - [`desk`]: the gate at the sockets, and answers on their way out.
 //! - [`part`]: which view is confirmed, and which workers may have copies.
 //! - [`retirements`], [`states`]: the watched file of retired functions, and the file beside it.
 
 pub mod desk;
+pub mod entrance;
 pub mod gate;
 pub mod names;
 pub mod part;
@@ -14,6 +16,7 @@
 pub mod states;
 
 pub use desk::{Desk, Gated, Pass};
+pub use entrance::Entrance;
 pub use gate::{Closed, Gate, Retired};
 pub use part::Part;
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use crate::driver::{self, FrontEndState};
 use crate::error::GatewayError;
-use crate::fleet::{Desk, Gate, Link};
+use crate::fleet::{Desk, Entrance, Gate, Link};
 use crate::metrics_page;
 use crate::state::{module, Core, Decider, Figures};
 use crate::ways::AmqpWays;
@@ -53,6 +53,9 @@
                 let (news, incoming) = mpsc::channel(driver::LINE);
                 let config = Rc::new(config);
                 let mut core = Core::with(decider, Figures::from(&*config), seed, clock.now());
+                if let Some(entrance) = Entrance::new(&config, seed, clock.now()) {
+                    core.enter_by(entrance);
+                }
                 let gate = config.fleet.as_ref().map(|_| Gate::new(config.clone()));
                 let fleet = gate.map(|gate| {
                     let desk = Desk::new(gate, move || clock.now());
--- a/crates/gateway/src/state/core/calls.rs
+++ b/crates/gateway/src/state/core/calls.rs
@@ -2,7 +2,9 @@
 
 use super::super::{Answer, Arrival, AttemptResult, Command};
 use super::{Call, Core};
+use crate::fleet::entrance::Entry;
 use stagehoist::{Ended, Event, Micros, Outcome, Request, RequestId};
+use stagehoist_admission::lanes::NO_LANE;
 
 impl Core {
     pub(super) fn take_call(&mut self, now: Micros, mut arrival: Arrival, out: &mut Vec<Command>) {
@@ -50,7 +52,18 @@
             known: arrival.known,
         };
         let id = request.id;
-        self.fresh.push(id);
+        let deadline = now + budget;
+        let mut entry = Entry::Free;
+        if let Some(entrance) = self.entrance.as_mut() {
+            entry = entrance.enter(&request, &arrival.function, deadline, now);
+        }
+        if let Entry::Refuse { retry_after } = entry {
+            self.counters.turned_away += 1;
+            let retry_after = retry_after.min(self.figures.retry_after_most);
+            let answer = Answer::Refused { reason: NO_LANE, retry_after };
+            tracing::debug!(correlation = &*arrival.correlation, reason = NO_LANE, "turned away");
+            return out.push(Command::Answer { ticket, answer, took: 0 });
+        }
         // Numbers of calls still open are passed over when the count begins anew after 2^32 calls.
         loop {
             self.next_request = self.next_request.wrapping_add(1);
@@ -68,12 +81,26 @@
         );
         span.in_scope(|| tracing::debug!(repeat = arrival.repeat, "taken"));
         self.counters.taken += 1;
-        self.events.push(Event::Request(request));
+        if !matches!(entry, Entry::Wait) {
+            self.fresh.push(id);
+            self.events.push(Event::Request(request));
+        }
+        let lane = if let Entry::Go(lane) = entry { Some(lane) } else { None };
         self.by_ticket.insert(ticket, id);
-        let deadline = now + budget;
         let (attempts, last, answered, ran) = (Vec::new(), None, false, false);
-        let call =
-            Call { ticket, arrival, class: f.class, taken, deadline, attempts, last, answered, ran, span };
+        let call = Call {
+            ticket,
+            arrival,
+            class: f.class,
+            taken,
+            deadline,
+            attempts,
+            last,
+            answered,
+            ran,
+            lane,
+            span,
+        };
         self.calls.insert(id, call);
     }
 
@@ -83,7 +110,14 @@
         call.answered = true;
         self.by_ticket.remove(&call.ticket);
         call.arrival.body = bytes::Bytes::new();
-        if call.is_idle() {
+        let is_idle = call.is_idle();
+        if let Some(entrance) = self.entrance.as_mut() {
+            entrance.forget(request);
+            if let Some(lane) = call.lane.take_if(|_| is_idle) {
+                entrance.free(lane);
+            }
+        }
+        if is_idle {
             self.calls.remove(&request);
         }
     }
--- a/crates/gateway/src/state/core/fleet.rs
+++ b/crates/gateway/src/state/core/fleet.rs
@@ -17,8 +17,8 @@
     /// What the keepers are to be told; None where there is no fleet.
     pub fn told(&self) -> Option<Told> {
         let part = self.part.as_ref()?;
-        let ready_lanes = u32::try_from(self.members.ready()).unwrap_or(u32::MAX);
-        Some(Told { confirmed: part.confirmed(), ready_lanes, demand: Vec::new() })
+        let demand = self.entrance.as_ref().map_or_else(Vec::new, |e| e.demand());
+        Some(Told { confirmed: part.confirmed(), ready_lanes: self.members.ready_lanes(), demand })
     }
 
     /// Version of the view, whether it is known to be the newest, and calls answered as retired.
@@ -30,6 +30,9 @@
 
     pub(super) fn take_standing(&mut self, now: Micros, standing: Standing, out: &mut Vec<Command>) {
         let Some(part) = self.part.as_mut() else { return };
+        if let Some(entrance) = self.entrance.as_mut() {
+            entrance.standing(&standing, now);
+        }
         if !part.desk.gate_mut().told(standing) {
             return;
         }
@@ -164,7 +167,9 @@
     /// Answers a call whose function is closed, and takes it from the module.
     pub(super) fn give_up(&mut self, now: Micros, request: RequestId, out: &mut Vec<Command>) {
         if let Some(answer) = self.closing_answer(request, now) {
-            self.events.push(Event::Gone { request });
+            if !self.is_outside(request) {
+                self.events.push(Event::Gone { request });
+            }
             self.answer(request, answer, now, out);
         }
     }
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -3,11 +3,13 @@
 
 mod acts;
 mod calls;
+mod entering;
 mod fleet;
 
 use super::{module, Arrival, AttemptResult, Command, Decide, Decider, Figures, Names, News, Ticket};
-use crate::fleet::Part;
+use crate::fleet::{Entrance, Part};
 use stagehoist::{Action, Event, Micros, Outcome, RequestId, RosterForm, WorkerId};
+use stagehoist_admission::lanes::Lane;
 use stagehoist_membership::{Members, Update};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -46,6 +48,8 @@
     answered: bool,
     /// An attempt ended that may have run.
     ran: bool,
+    /// Where its function is in a pool: from its entry into the module until it is removed.
+    lane: Option<Lane>,
     span: Span,
 }
 
@@ -82,6 +86,8 @@
     fresh: Vec<RequestId>,
     /// None: it shares nothing with other front ends.
     part: Option<Box<Part>>,
+    /// None: no pools.
+    entrance: Option<Box<Entrance>>,
     pub counters: Counters,
 }
 
@@ -109,6 +115,7 @@
             actions: Vec::new(),
             fresh: Vec::new(),
             part: None,
+            entrance: None,
             counters: Counters::default(),
         }
     }
@@ -143,7 +150,8 @@
         let cut = self.cuts.first().map(|c| c.0);
         let order = self.orders.values().map(|o| o.1).min();
         let part = self.part.as_ref().and_then(|p| p.due());
-        [timer, cut, order, part].into_iter().flatten().min()
+        let lane = self.entrance.as_ref().and_then(|e| e.due());
+        [timer, cut, order, part, lane].into_iter().flatten().min()
     }
 
     /// One batch: all news since the last, the module's choices, and what they mean for sockets.
@@ -167,6 +175,7 @@
             self.timers.pop_first();
             self.events.push(Event::Timer { token });
         }
+        self.let_in(now, out);
         let start = std::time::Instant::now();
         self.decides.handle(now, &self.events, &mut self.actions);
         self.counters.module_ns += start.elapsed().as_nanos() as u64;
@@ -193,7 +202,9 @@
             News::Gone(ticket) => {
                 if let Some(request) = self.by_ticket.remove(&ticket) {
                     self.counters.gone += 1;
-                    self.events.push(Event::Gone { request });
+                    if !self.is_outside(request) {
+                        self.events.push(Event::Gone { request });
+                    }
                     self.close_call(request);
                     if self.figures.stop_when_gone {
                         self.stop_all(now, request, out);
@@ -218,31 +229,34 @@
             }
             News::List(entries) => {
                 let update = self.members.listed(entries, now);
-                self.tell(update);
+                self.tell(update, now);
             }
             News::Roster { form, told } => {
                 let update = self.members.told(form, told, now);
-                self.tell(update);
+                self.tell(update, now);
             }
             News::Standing(standing) => self.take_standing(now, standing, out),
             News::ListFailed => {
                 let update = self.members.failed();
-                self.tell(update);
+                self.tell(update, now);
             }
         }
     }
 
-    fn tell(&mut self, update: Update) {
+    fn tell(&mut self, update: Update, now: Micros) {
         if update.form != RosterForm::Failed {
             tracing::debug!(rows = update.rows.len(), form = ?update.form, "workers");
         }
+        if let Some(entrance) = self.entrance.as_mut() {
+            entrance.workers(self.members.ready_lanes(), now);
+        }
         self.events.push(Event::Roster { form: update.form, rows: Rc::from(update.rows) });
     }
 
     fn announce(&mut self, now: Micros, worker: WorkerId, draining: Option<bool>) {
         if let Some(update) = draining.and_then(|d| self.members.announced(worker, d, now)) {
             tracing::info!(worker = self.members.name(worker), ?draining, "worker announced");
-            self.tell(update);
+            self.tell(update, now);
         }
     }
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use stagehoist::{Micros, Note, Outcome};
 use stagehoist_config::{parse, Config};
 use stagehoist_gateway::amqp::message::reply;
-use stagehoist_gateway::fleet::{Desk, Gate};
+use stagehoist_gateway::fleet::{Desk, Entrance, Gate};
 use stagehoist_gateway::state::{
     module, Answer, Arrival, Attempt, AttemptResult, CallFigures, Command, Core, Decider, Figures, News,
 };
@@ -46,6 +46,36 @@
         stage
     }
 
+    /// The same with pools: these lines, for a tenant `clinic` (number 1) beside all others (number 0).
+    pub fn with_pools(decider: Decider, pools: &str) -> Stage {
+        let fleet = format!(
+            "member a\nkeeper 1 127.0.0.1:1\nfleet-front-ends 2\ntenant other quota 100/s\n\
+             tenant clinic quota 100/s\n{pools}"
+        );
+        let mut stage = Stage::with(decider, &fleet);
+        let clock = stage.clock.clone();
+        stage.core.join(Desk::new(Gate::new(stage.config.clone()), move || clock.get()));
+        if let Some(entrance) = Entrance::new(&stage.config, 3, stage.now) {
+            stage.core.enter_by(entrance);
+        }
+        stage.fresh(10_000 * MS);
+        stage
+    }
+
+    /// Lanes of the pool `p` are dealt: to all others and to the clinic, for so long.
+    pub fn granted(&mut self, number: u64, others: u32, clinic: u32, span: Micros) -> Vec<Command> {
+        let of = |tenant: &str, lanes| (("p".to_string(), tenant.to_string()), lanes);
+        self.standing.lanes = Arc::new([of("", others), of("clinic", clinic)].into());
+        (self.standing.lanes_of, self.standing.lanes_until) = (number, self.now + span);
+        self.turn(0, vec![News::Standing(self.standing.clone())])
+    }
+
+    /// A call of a tenant whose caller waits for so long.
+    pub fn call_by(&mut self, ticket: u64, tenant: u32, budget: Micros) -> Vec<Command> {
+        let arrival = self.arrival(ticket, "free-times", None);
+        self.turn(MS, vec![News::Call(Arrival { tenant, budget, ..arrival })])
+    }
+
     pub fn alone() -> Stage {
         Stage::with(module, "")
     }
@@ -86,7 +116,12 @@
     }
 
     pub fn call_of(&mut self, ticket: u64, function: &str, generation: Option<u32>) -> Vec<Command> {
-        let arrival = Arrival {
+        let arrival = self.arrival(ticket, function, generation);
+        self.turn(MS, vec![News::Call(arrival)])
+    }
+
+    fn arrival(&self, ticket: u64, function: &str, generation: Option<u32>) -> Arrival {
+        Arrival {
             ticket,
             function: function.into(),
             figures: CallFigures::configured(&self.config, function).map(|f| f.0),
@@ -100,8 +135,7 @@
             correlation: "c".into(),
             generation,
             identity: None,
-        };
-        self.turn(MS, vec![News::Call(arrival)])
+        }
     }
 
     /// The keepers tell the view that these commands come to.
--- a/crates/keeper/src/client.rs
+++ b/crates/keeper/src/client.rs
@@ -1,5 +1,6 @@
 //! A front end's session: finds the keeper that leads, reports, and tells the front end how things stand.
 
+mod lanes;
 mod talk;
 
 use crate::frames::{decode, encode_first, frames, First, Frames, CONNECT_MOST, VIEW_MOST, WRITE_MOST};
@@ -58,6 +59,10 @@
     joined: Option<Member>,
     may_retire: bool,
     welcomed: bool,
+    /// What the last report told.
+    reported: Told,
+    /// The newest grant with fewer lanes than the one before, until a report names it.
+    shrunk: Option<u64>,
 }
 
 /// Runs a session until it is stopped.
@@ -79,6 +84,8 @@
         joined: None,
         may_retire: true,
         welcomed: false,
+        reported: Told::default(),
+        shrunk: None,
     };
     let (mut turn, mut next, mut backoff) = (0, None, BACKOFF.0);
     loop {
--- a/crates/keeper/src/client/talk.rs
+++ b/crates/keeper/src/client/talk.rs
@@ -1,6 +1,6 @@
 //! A session once it is welcomed.
 
-use super::{stopped, End, State, LEAVE_MOST, REPORT_GAP, RETIRES_MOST, RETIRE_EVERY};
+use super::{stopped, End, State, LEAVE_MOST, RETIRES_MOST, RETIRE_EVERY};
 use crate::frames::{decode, encode, Frames, WRITE_MOST};
 use futures_util::{SinkExt, StreamExt};
 use rand::RngExt;
@@ -38,8 +38,7 @@
                     match decode::<ToMember>(&frame) {
                         Some(ToMember::Grant(grant)) => {
                             granted_at = Instant::now();
-                            self.holder.grant(grant);
-                            self.publish();
+                            self.granted(grant);
                         }
                         Some(ToMember::View(view)) => {
                             if !self.show(view) {
@@ -55,7 +54,10 @@
                     if changed.is_err() {
                         return End::Stopped;
                     }
-                    report_at = reported + REPORT_GAP;
+                    let told = self.client.told.borrow_and_update().clone();
+                    if let Some(gap) = self.urgent(&told) {
+                        report_at = report_at.min(reported + gap);
+                    }
                 }
                 asked = self.client.retire.recv(), if self.may_retire && self.open.len() < RETIRES_MOST => match asked {
                     Some(retirement) => {
@@ -81,7 +83,7 @@
                         return End::Broken;
                     }
                     reported = Instant::now();
-                    report_at = reported + lease / 5 * self.random.random_range(80..=100) / 100;
+                    report_at = reported + self.period(lease) * self.random.random_range(80..=100) / 100;
                     message = Some(ToKeeper::Report(self.report()));
                 }
             }
@@ -97,6 +99,7 @@
     fn report(&mut self) -> Report {
         let told = self.client.told.borrow_and_update().clone();
         let number = self.holder.ask((self.client.now)());
+        self.reported = told.clone();
         Report { number, confirmed: told.confirmed, ready_lanes: told.ready_lanes, demand: told.demand }
     }
 
@@ -121,7 +124,7 @@
         self.holder.standing().view.retired(&retirement.function, retirement.generation).is_some()
     }
 
-    fn publish(&mut self) {
+    pub(super) fn publish(&mut self) {
         let newest = self.holder.standing();
         self.client.standing.send_if_modified(|standing| {
             let differs = standing != newest;
--- a/crates/keeper/src/keep/desk.rs
+++ b/crates/keeper/src/keep/desk.rs
@@ -8,7 +8,7 @@
 use crate::kinds::{Applied, Metrics, Raft};
 use crate::Now;
 use bytes::Bytes;
-use stagehoist_registry::{Micros, Terms, ToKeeper};
+use stagehoist_registry::{Limits, Micros, Terms, ToKeeper};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
@@ -33,6 +33,7 @@
     pub applied: watch::Receiver<Applied>,
     pub now: Now,
     pub terms: Terms,
+    pub dealing: Option<Limits>,
     pub figures: watch::Sender<Figures>,
 }
 
--- a/crates/keeper/src/keep/desk_state.rs
+++ b/crates/keeper/src/keep/desk_state.rs
@@ -100,7 +100,11 @@
         }
         self.term = term;
         if leads && self.lead.is_none() {
-            self.lead = Some(Lead::new(self.tools.terms, self.now));
+            let lead = Lead::new(self.tools.terms, self.now);
+            self.lead = Some(match self.tools.dealing {
+                Some(limits) => lead.dealing(limits),
+                None => lead,
+            });
             self.is_due = true;
             tracing::info!(target: "stagehoist_keeper", event = "leading", keeper = self.tools.own, term,
                 "leading");
@@ -134,6 +138,10 @@
             let leader = self.leader.filter(|l| *l != self.tools.own);
             return self.turn_away(conn, ToMember::Elsewhere { leader });
         }
+        if !self.admits(&name) {
+            let why = "there are as many front ends as the fleet is told to have".into();
+            return self.turn_away(conn, ToMember::Refused { why });
+        }
         if edition > self.record.record.view.edition {
             self.propose(For::Nobody, Command::Pools { edition, pools });
         }
--- a/crates/keeper/src/keep/desk_state/agree.rs
+++ b/crates/keeper/src/keep/desk_state/agree.rs
@@ -3,7 +3,8 @@
 use super::{Agreed, Desk, For};
 use crate::frames::{encode, SAID_MOST};
 use crate::kinds::{Batch, CHANGES_MOST};
-use stagehoist_registry::{Command, Done, ToMember};
+use stagehoist_registry::{Command, Done, Lead, ToMember};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Changes that wait to be proposed, and most in one entry.
@@ -14,6 +15,20 @@
 const PROPOSAL_MOST: Duration = Duration::from_secs(3);
 
 impl Desk {
+    /// Whether a front end of this name has a place where lanes are dealt; those whose joining is under way count.
+    pub(super) fn admits(&self, name: &str) -> bool {
+        let Some(dealer) = self.lead.as_ref().and_then(Lead::dealer) else { return true };
+        let record = &self.record.record;
+        let flying = self.flight.iter().flat_map(|(asked, _)| asked);
+        let coming = flying.chain(&self.queue).filter_map(|(_, command)| match command {
+            Command::Join { name, .. } => Some(name.as_str()),
+            _ => None,
+        });
+        let is_present = |n: &str| record.members.get(n).is_some_and(|run| run.left.is_none());
+        let coming: BTreeSet<&str> = coming.filter(|n| *n != name && !is_present(n)).collect();
+        dealer.admits_beside(record, name, coming.len())
+    }
+
     pub(super) fn propose(&mut self, who: For, command: Command) {
         if self.queue.len() < QUEUE_MOST {
             self.queue.push_back((who, command));
--- a/crates/keeper/src/keep/run.rs
+++ b/crates/keeper/src/keep/run.rs
@@ -79,6 +79,7 @@
         applied: applied.clone(),
         now,
         terms: options.terms,
+        dealing: options.dealing,
         figures,
     };
     let numbers: BTreeSet<u64> = options.keepers.keys().copied().collect();
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -25,7 +25,7 @@
 pub use figures::Figures;
 pub use start::{start, Running};
 
-use stagehoist_registry::{Demand, Member, Micros, Pool, Retirement, Standing, Terms, Version};
+use stagehoist_registry::{Demand, Limits, Member, Micros, Pool, Retirement, Standing, Terms, Version};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -44,6 +44,8 @@
     pub terms: Terms,
     pub edition: u64,
     pub pools: Vec<Pool>,
+    /// How lanes of pools are dealt while this process's keeper leads; none: they are not.
+    pub dealing: Option<Limits>,
     /// Front ends of this process by name, each a member with a session of its own.
     pub members: Vec<String>,
     /// Folder in which the last incarnation and view of each member are kept; none: it is asked of the
--- a/crates/keeper/tests/common/mod.rs
+++ b/crates/keeper/tests/common/mod.rs
@@ -85,6 +85,7 @@
             keepers: self.keepers.clone(),
             keep: None,
             terms: terms(),
+            dealing: None,
             edition: 0,
             pools: Vec::new(),
             members: members.to_vec(),
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod blocking;
+mod lanes;
 
 use fnv::FnvHasher;
 use stagehoist::{Lifecycle, Micros, RosterForm, RosterRow, WorkerId};
--- a/crates/registry/src/deal/mod.rs
+++ b/crates/registry/src/deal/mod.rs
@@ -11,7 +11,7 @@
 mod share;
 mod size;
 
-pub use size::{floor, Limits};
+pub use size::{floor, Limits, FLOOR_SHARE};
 
 use crate::{Member, Micros, Pool, Record, Report, Size, Terms, Version};
 use account::Account;
@@ -93,7 +93,12 @@
     /// Whether a front end of this name may join. One beyond the told number would have no floor, and could
     /// not know it while it is cut off; so it is turned away at its hello.
     pub fn admits(&self, record: &Record, name: &str) -> bool {
-        record.present().filter(|m| m.name != name).count() < self.limits.fleet as usize
+        self.admits_beside(record, name, 0)
+    }
+
+    /// The same where so many others, not yet in the record, were let in before.
+    pub fn admits_beside(&self, record: &Record, name: &str, others: usize) -> bool {
+        record.present().filter(|m| m.name != name).count() + others < self.limits.fleet as usize
     }
 
     /// A present member reported, and promises may be given: the lanes of the grant that answers, by pool and
--- a/crates/registry/src/deal/size.rs
+++ b/crates/registry/src/deal/size.rs
@@ -2,6 +2,9 @@
 
 use crate::Micros;
 
+/// Thousandths of a pool that are its floors, the same at all front ends and keepers of every fleet.
+pub const FLOOR_SHARE: u32 = 200;
+
 /// What the dealer is told alike at every keeper; `fleet` and `floor_share` alike at every front end too.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Limits {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod record;
 pub mod wire;
 
-pub use deal::{floor, Dealer, Limits};
+pub use deal::{floor, Dealer, Limits, FLOOR_SHARE};
 pub use holder::{Holder, Standing};
 pub use lead::Lead;
 pub use record::{
--- a/crates/stage/src/callers.rs
+++ b/crates/stage/src/callers.rs
@@ -1,6 +1,7 @@
 //! Callers: calls published at a drawn pace, replies counted as they come.
 
-use crate::layout::{Layout, GIVE_UP, QUEUE};
+use crate::day::Calls;
+use crate::layout::{own_queue, Layout, GIVE_UP, QUEUE};
 use bytes::Bytes;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -61,28 +62,29 @@
     pub pace: watch::Receiver<Pace>,
     /// Tenants that calls name, each with its part of them; at one for each they come at the told rate, at more so much
     /// faster. Empty: calls name none.
-    pub tenants: watch::Receiver<Vec<(String, f64)>>,
+    pub tenants: watch::Receiver<Vec<Calls>>,
 }
 
 impl Told {
     /// Calls a second of all tenants together.
     fn rate(&self) -> f64 {
         let tenants = self.tenants.borrow();
-        let parts: f64 = tenants.iter().map(|t| t.1).sum();
-        self.pace.borrow().rate * if tenants.is_empty() { 1.0 } else { parts / tenants.len() as f64 }
+        let parts: f64 = tenants.iter().map(|t| t.part).sum();
+        let usual = tenants.iter().filter(|t| t.only.is_none()).count();
+        self.pace.borrow().rate * if tenants.is_empty() { 1.0 } else { parts / usual.max(1) as f64 }
     }
 
-    fn tenant(&self, random: &mut ChaCha8Rng) -> Option<String> {
+    fn tenant(&self, random: &mut ChaCha8Rng) -> Option<Calls> {
         let tenants = self.tenants.borrow();
-        let parts: f64 = tenants.iter().map(|t| t.1).sum();
+        let parts: f64 = tenants.iter().map(|t| t.part).sum();
         // Without tenants nothing is drawn, so that days of before send what they sent.
         let last = tenants.last()?;
         let mut left = random.random::<f64>() * parts;
         let drawn = tenants.iter().find(|t| {
-            left -= t.1;
+            left -= t.part;
             left < 0.0
         });
-        Some(drawn.unwrap_or(last).0.clone())
+        Some(drawn.unwrap_or(last).clone())
     }
 }
 
@@ -212,7 +214,7 @@
     (caller, n): (u32, u64),
     replies: &str,
     layout: &Layout,
-    tenant: Option<String>,
+    calls: Option<Calls>,
     random: &mut ChaCha8Rng,
 ) {
     let function = layout.function(random.random(), random.random());
@@ -220,8 +222,10 @@
     let body = format!("{{\"id\":\"{id}\",\"inputs\":[{{\"name\":\"day\",\"shape\":[1],\"datatype\":\"INT32\",\"data\":[{n}]}}]}}");
     let mut headers = FieldTable::default();
     headers.insert(short("function"), long(function));
-    if let Some(tenant) = tenant {
+    let mut to = QUEUE.to_string();
+    if let Some(Calls { tenant, only, .. }) = calls {
         headers.insert(short("tenant"), long(tenant));
+        to = only.map_or(to, own_queue);
     }
     let properties = BasicProperties::default()
         .with_content_type(short("application/json"))
@@ -231,6 +235,6 @@
         .with_delivery_mode(2)
         .with_headers(headers);
     let publish =
-        basic::Publish { exchange: short(""), routing_key: short(QUEUE), mandatory: false, immediate: false };
+        basic::Publish { exchange: short(""), routing_key: short(&to), mandatory: false, immediate: false };
     client.publish(channel, publish, &properties, &Bytes::from(body));
 }
--- a/crates/stage/src/day/check.rs
+++ b/crates/stage/src/day/check.rs
@@ -50,7 +50,7 @@
                 );
             }
             if let Trouble::Surge { tenant, .. } = trouble {
-                if !fleet.callers().iter().any(|c| c.0 == *tenant) {
+                if !fleet.callers().iter().any(|c| c.tenant == *tenant) {
                     let expected = "other, or a tenant with a reservation, on a day with pools";
                     fault(line, format!("no calls come from tenant {tenant:?}"), expected.into());
                 }
--- a/crates/stage/src/day/fleet.rs
+++ b/crates/stage/src/day/fleet.rs
@@ -18,6 +18,18 @@
     pub tenants: Vec<(String, String)>,
     /// Attempts that may not be repeated are marked on disk before they go out.
     pub marks: bool,
+    /// Callers are as the pools have them, but front ends are told of no pool.
+    pub without_pools: bool,
+}
+
+/// A part of the calls.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Calls {
+    pub tenant: String,
+    /// One: as many as of each other tenant at ease.
+    pub part: f64,
+    /// The front end that alone gets them; None: whichever.
+    pub only: Option<u32>,
 }
 
 /// Lanes that some functions share.
@@ -47,6 +59,7 @@
             reserves: Vec::new(),
             tenants: Vec::new(),
             marks: false,
+            without_pools: false,
         }
     }
 }
@@ -98,7 +111,7 @@
     }
 
     /// Tenants that callers name, each with its part of the calls: those with reservations, and all others as `other`.
-    pub fn callers(&self) -> Vec<(String, f64)> {
+    pub fn callers(&self) -> Vec<Calls> {
         if self.pools.is_empty() {
             return Vec::new();
         }
@@ -106,7 +119,7 @@
         names.push(OTHER);
         names.sort_unstable();
         names.dedup();
-        names.into_iter().map(|name| (name.to_string(), 1.0)).collect()
+        names.into_iter().map(|name| Calls { tenant: name.to_string(), part: 1.0, only: None }).collect()
     }
 }
 
--- a/crates/stage/src/day/grammar.rs
+++ b/crates/stage/src/day/grammar.rs
@@ -99,7 +99,9 @@
         }
         "surge" => {
             let tenant = w.word("a tenant's name")?.to_string();
-            Ok(Trouble::Surge { tenant, times: w.number("x", "a multiple such as 10x")?, span: w.span()? })
+            let times = w.number("x", "a multiple such as 10x")?;
+            let only = w.maybe("only").then(|| w.is("front-end", "front-end").and_then(|()| w.pick()));
+            Ok(Trouble::Surge { tenant, times, only: only.transpose()?, span: w.span()? })
         }
         _ => w.wrong(EXPECTED),
     }
--- a/crates/stage/src/day/mod.rs
+++ b/crates/stage/src/day/mod.rs
@@ -19,7 +19,7 @@
 mod words;
 
 pub use draw::Planned;
-pub use fleet::{Fleet, Pool, Reserve};
+pub use fleet::{Calls, Fleet, Pool, Reserve};
 pub use trouble::{Cut, Pick, StoreFault, Trouble};
 
 use grammar::trouble;
@@ -146,6 +146,13 @@
         Ok(())
     }
 
+    /// Whether some calls are for this front end only.
+    pub fn has_own_queue(&self, front_end: u32) -> bool {
+        let is_own = |pick: Pick| pick == Pick::Any || pick.number() == front_end;
+        let mut troubles = self.troubles.iter();
+        troubles.any(|t| matches!(t.trouble, Trouble::Surge { only: Some(pick), .. } if is_own(pick)))
+    }
+
     /// The same day in a fraction of its time: moments and spans shrink alike, but no span under 400 ms, as shorter ones
     /// would pass between two calls.
     pub fn shortened(mut self, to: Duration) -> Day {
--- a/crates/stage/src/day/tests.rs
+++ b/crates/stage/src/day/tests.rs
@@ -61,7 +61,8 @@
     assert_eq!((fleet.view_lease, fleet.remember), (Duration::from_millis(500), Duration::from_secs(300)));
     assert_eq!(fleet.pools[0].functions, ["clashes", "rare-*"]);
     assert_eq!(fleet.reserves[0], Reserve { tenant: "clinic".into(), pool: "lanes".into(), lanes: 16 });
-    assert_eq!(fleet.callers(), [("clinic".to_string(), 1.0), ("other".to_string(), 1.0)]);
+    let calls = |tenant: &str| Calls { tenant: tenant.into(), part: 1.0, only: None };
+    assert_eq!(fleet.callers(), [calls("clinic"), calls("other")]);
     assert_eq!(day("").fleet.callers(), []);
 }
 
--- a/crates/stage/src/day/trouble.rs
+++ b/crates/stage/src/day/trouble.rs
@@ -144,10 +144,12 @@
         front_end: Pick,
         how: StoreFault,
     },
-    /// Callers of one tenant send so many times as much.
+    /// Callers of one tenant send so many times as much; those to one front end only are beside the usual ones, over a queue
+    /// of its own.
     Surge {
         tenant: String,
         times: f64,
+        only: Option<Pick>,
         span: Duration,
     },
 }
@@ -232,6 +234,7 @@
             | Trouble::Kill { front_end, .. }
             | Trouble::Link { front_end, .. }
             | Trouble::Store { front_end, .. } => Some(front_end),
+            Trouble::Surge { only, .. } => only.as_mut(),
             _ => None,
         }
     }
--- a/crates/stage/src/day/words.rs
+++ b/crates/stage/src/day/words.rs
@@ -48,6 +48,12 @@
         self.is("for", "for and a duration")?;
         self.duration()
     }
+    /// Whether this word comes next; it is read then.
+    pub(super) fn maybe(&mut self, word: &str) -> bool {
+        let is_next = self.words.get(self.next).is_some_and(|w| w.1 == word);
+        self.next += usize::from(is_next);
+        is_next
+    }
     /// A span where the line goes on with one.
     pub(super) fn maybe_span(&mut self) -> Step<Option<Duration>> {
         if self.words.get(self.next).is_none() {
--- a/crates/stage/src/fleet.rs
+++ b/crates/stage/src/fleet.rs
@@ -69,11 +69,11 @@
     for (tenant, quota) in &fleet.tenants {
         let _ = writeln!(text, "tenant {tenant} quota {quota}");
     }
-    for pool in &fleet.pools {
+    for pool in fleet.pools.iter().filter(|_| !fleet.without_pools) {
         let _ =
             writeln!(text, "pool {} functions {} lanes {}", pool.name, pool.functions.join(","), pool.lanes);
     }
-    for reserve in &fleet.reserves {
+    for reserve in fleet.reserves.iter().filter(|_| !fleet.without_pools) {
         let _ = writeln!(text, "reserve {} pool {} lanes {}", reserve.tenant, reserve.pool, reserve.lanes);
     }
     if fleet.marks {
--- a/crates/stage/src/layout.rs
+++ b/crates/stage/src/layout.rs
@@ -13,6 +13,11 @@
 /// Queue that calls are published to.
 pub const QUEUE: &str = "calls";
 
+/// Queue of calls that only one front end takes.
+pub fn own_queue(front_end: u32) -> String {
+    format!("{QUEUE}-{front_end}")
+}
+
 /// What the front ends' processes log; the leader of keepers is found in it.
 const LOG: &str = "info";
 
@@ -102,6 +107,7 @@
              function rare-* class lookup memory 48MB lanes 1 load 180ms{retire}\n\
              broker amqp://guest:guest@{broker}/\n\
              consume {QUEUE} declare durable\n\
+             {own}\
              reconnect first 50ms most 1s\n\
              heartbeat 5s\nreplies {replies}\n\
              worker-list consul http://{list} service workers wait 5s\n\
@@ -118,6 +124,11 @@
                 (_, true) => " retire strict",
                 (_, false) => " retire available",
             },
+            own = if day.has_own_queue(front_end) {
+                format!("consume {} declare durable\n", own_queue(front_end))
+            } else {
+                String::new()
+            },
             miss = if day.load_on_miss { "load" } else { "miss" },
             metrics = if self.metrics { "listen metrics 127.0.0.1:0\n" } else { "" },
             replies = if day.transactions { "transaction" } else { "confirm" },
--- a/crates/stage/src/play/fleet.rs
+++ b/crates/stage/src/play/fleet.rs
@@ -1,7 +1,7 @@
 //! Troubles of processes, of the links between them, and of what they share.
 
 use super::{Player, Undo, PATIENCE};
-use crate::day::{StoreFault, Trouble};
+use crate::day::{Calls, Pick, StoreFault, Trouble};
 use crate::stack::StageError;
 use rustix::process::Signal;
 use std::time::{Duration, Instant};
@@ -30,9 +30,10 @@
             }
             Trouble::Everything { span } => self.power_loss(*span),
             Trouble::Store { front_end, how } => self.store(front_end.number(), *how)?,
-            Trouble::Surge { tenant, times, span } => {
+            Trouble::Surge { tenant, times, only, span } => {
                 let number = self.surges.iter().map(|s| s.0 + 1).max().unwrap_or(0);
-                self.surges.push((number, tenant.clone(), *times));
+                let only = only.map(Pick::number);
+                self.surges.push((number, Calls { tenant: tenant.clone(), part: *times, only }));
                 self.tell_surges();
                 self.later(*span, Undo::Surge(number));
             }
@@ -153,8 +154,14 @@
 
     pub(super) fn tell_surges(&mut self) {
         let mut tenants = self.stack.day.fleet.callers();
-        for (_, tenant, times) in &self.surges {
-            tenants.iter_mut().filter(|t| t.0 == *tenant).for_each(|t| t.1 *= times);
+        for (_, surge) in &self.surges {
+            match surge.only {
+                Some(_) => tenants.push(surge.clone()),
+                None => {
+                    let own = tenants.iter_mut().filter(|t| t.tenant == surge.tenant && t.only.is_none());
+                    own.for_each(|t| t.part *= surge.part);
+                }
+            }
         }
         self.stack.tenants.send_replace(tenants);
     }
--- a/crates/stage/src/play/mod.rs
+++ b/crates/stage/src/play/mod.rs
@@ -3,10 +3,12 @@
 mod begin;
 mod end;
 mod fleet;
+mod tenants;
 
 use crate::callers::Pace;
-use crate::day::{Day, Fleet, Pool, Trouble};
+use crate::day::{Calls, Day, Fleet, Pool, Trouble};
 use crate::lateness::Lateness;
+use crate::layout::GIVE_UP;
 use crate::retired::Retirements;
 use crate::stack::{Stack, StageError};
 use serde::Serialize;
@@ -18,13 +20,13 @@
 use std::sync::atomic::Ordering;
 use std::sync::PoisonError;
 use std::time::{Duration, Instant};
+use tenants::{tenants, TenantShare};
 
 /// Longest time for the stack to stand, and for the last answers after the last call.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Longest time until a tenant has the lanes reserved for it after its surge began: a view lease of the usual length, in
-/// which what was lent runs out, and a round of dealing.
-const LENT_BACK: Duration = Duration::from_millis(1500);
+/// Rounds of dealing in which lent lanes come back, where no process fails.
+const ROUNDS: Duration = Duration::from_millis(250);
 
 /// What happened on a day, as callers and sockets saw it.
 #[derive(Clone, Debug, Serialize)]
@@ -43,6 +45,9 @@
     /// Milliseconds from when the day asked for a function's retirement until it was in force; none where it never was.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub in_force_after_ms: BTreeMap<String, Option<f64>>,
+    /// Calls by tenant, on a day with pools.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub tenants: BTreeMap<String, TenantShare>,
     /// Lines of a day file with what was drawn, which play the same again.
     pub drawn: Vec<String>,
 }
@@ -100,7 +105,7 @@
     down: BTreeMap<u32, Instant>,
     retirements: Retirements,
     /// Tenants that send more than usual, and how many times as much.
-    surges: Vec<(u64, String, f64)>,
+    surges: Vec<(u64, Calls)>,
 }
 
 /// Plays a day on a new stack. `binary` is the project's own binary.
@@ -182,6 +187,7 @@
         seconds: start.elapsed().as_secs_f64(),
         answers: stack.counts.answers.lock().unwrap_or_else(PoisonError::into_inner).clone(),
         in_force_after_ms,
+        tenants: tenants(&story, &day.fleet),
         drawn,
     })
 }
@@ -192,14 +198,17 @@
         let own = fleet.reserves.iter().filter(|r| r.pool == pool);
         own.map(|r| (r.tenant.clone(), r.lanes)).collect()
     };
+    // A tenant has the lanes reserved for it at the latest when what was lent to a process that fails has come back: its lease
+    // has run out then, and the longest run that it may have begun, with the drift.
+    let lent = (fleet.view_lease + Duration::from_micros(GIVE_UP as u64)).mul_f64(1.01) + ROUNDS;
     let rule = |pool: &Pool| PoolRule {
         name: pool.name.clone(),
         functions: pool.functions.clone(),
         lanes: pool.lanes,
         reservations: reserved(&pool.name),
-        within: LENT_BACK.as_micros() as i64,
+        within: lent.as_micros() as i64,
     };
-    fleet.pools.iter().map(rule).collect()
+    fleet.pools.iter().filter(|_| !fleet.without_pools).map(rule).collect()
 }
 
 fn percentiles(times: &[i64]) -> BTreeMap<String, f64> {
--- a/crates/stage/src/stack/mod.rs
+++ b/crates/stage/src/stack/mod.rs
@@ -68,7 +68,7 @@
     pub counts: Arc<Counts>,
     pub pace: watch::Sender<Pace>,
     /// Tenants that callers name, each with its part of the calls.
-    pub tenants: watch::Sender<Vec<(String, f64)>>,
+    pub tenants: watch::Sender<Vec<crate::day::Calls>>,
     /// Links between the processes.
     pub between: Between,
     /// By front end and worker.
