--- a/crates/config/tests/fleet.rs
+++ b/crates/config/tests/fleet.rs
@@ -91,7 +91,7 @@
     told(
         &with("pool p functions f lanes many\n"),
         3,
-        "30: lanes is \"many\"; expected a whole number from 1, or by-workers",
+        "26: lanes is \"many\"; expected a whole number from 1, or by-workers",
     );
     told(
         &with("pool p functions f,g lanes 1\npool q functions g lanes 1\n"),
