Merge reserved lanes: calls of pools wait for lanes that the leader deals

Beside the stages, which ask first: a call that they let in asks for its lane next. Off without pool lines.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -2,12 +2,14 @@
 //! configuration has no fleet: nothing here exists then.
 //!
 //! - [`gate`]: what may be taken, sent and answered, without I/O; [`names`]: generations by inner names.
+//! - [`entrance`]: calls of pools wait for lanes.
 //! - [`desk`]: the gate at the sockets, and answers on their way out.
 //! - [`part`]: which view is confirmed, and which workers may have copies.
 //! - [`starting`]: the stages after a loss of everything; [`witness`]: whether the last run left in order.
 //! - [`retirements`], [`states`]: the watched file of retired functions, and the file beside it.
 
 pub mod desk;
+pub mod entrance;
 mod first;
 pub mod gate;
 pub mod names;
@@ -18,6 +20,7 @@
 pub mod witness;
 
 pub use desk::{Desk, Gated, Pass};
+pub use entrance::Entrance;
 pub use gate::{Closed, Gate, Retired};
 pub use part::Part;
 pub use starting::Starting;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::driver::{self, FrontEndState};
 use crate::error::GatewayError;
-use crate::fleet::{Desk, Gate, Link, Starting, Witness};
+use crate::fleet::{Desk, Entrance, Gate, Link, Starting, Witness};
 use crate::metrics_page;
 use crate::state::{module, Core, Decider, Figures};
 use crate::ways::AmqpWays;
@@ -64,6 +64,9 @@
                 let (news, incoming) = mpsc::channel(driver::LINE);
                 let config = Rc::new(config);
                 let mut core = Core::with(decider, Figures::from(&*config), seed, clock.now());
+                if let Some(entrance) = Entrance::new(&config, seed, clock.now()) {
+                    core.enter_by(entrance);
+                }
                 let gate = config.fleet.as_ref().map(|_| Gate::new(config.clone()));
                 let fleet = gate.map(|gate| {
                     let desk = Desk::new(gate, move || clock.now());
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -3,15 +3,17 @@
 
 mod acts;
 mod calls;
+mod entering;
 mod fleet;
 mod held;
 mod starting;
 mod workers;
 
 use super::{module, Arrival, AttemptResult, Command, Decide, Decider, Figures, Names, News, Ticket};
-use crate::fleet::{Part, Starting};
+use crate::fleet::{Entrance, Part, Starting};
 use held::Outside;
 use stagehoist::{Action, Event, Micros, Outcome, RequestId, WorkerId};
+use stagehoist_admission::lanes::Lane;
 use stagehoist_membership::Members;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use tracing::Span;
@@ -50,6 +52,8 @@
     answered: bool,
     /// An attempt ended that may have run.
     ran: bool,
+    /// Where its function is in a pool: from its entry into the module until it is removed.
+    lane: Option<Lane>,
     span: Span,
 }
 
@@ -92,6 +96,8 @@
     starting: Option<Box<Starting>>,
     /// Calls that wait outside the module.
     outside: Outside,
+    /// None: no pools.
+    entrance: Option<Box<Entrance>>,
     pub counters: Counters,
 }
 
@@ -122,6 +128,7 @@
             part: None,
             starting: None,
             outside: Outside::default(),
+            entrance: None,
             counters: Counters::default(),
         }
     }
@@ -157,7 +164,8 @@
         let order = self.orders.values().map(|o| o.1).min();
         let part = self.part.as_ref().and_then(|p| p.due());
         let stage = self.starting.as_ref().and_then(|s| s.due());
-        [timer, cut, order, part, stage, self.outside.due()].into_iter().flatten().min()
+        let lane = self.entrance.as_ref().and_then(|e| e.due());
+        [timer, cut, order, part, stage, self.outside.due(), lane].into_iter().flatten().min()
     }
 
     /// One batch: all news since the last, the module's choices, and what they mean for sockets.
@@ -182,6 +190,7 @@
             self.timers.pop_first();
             self.events.push(Event::Timer { token });
         }
+        self.let_in(now, out);
         let start = std::time::Instant::now();
         self.decides.handle(now, &self.events, &mut self.actions);
         self.counters.module_ns += start.elapsed().as_nanos() as u64;
@@ -210,7 +219,9 @@
                 self.counters.gone += u64::from(self.outside.gone(ticket));
                 if let Some(request) = self.by_ticket.remove(&ticket) {
                     self.counters.gone += 1;
-                    self.events.push(Event::Gone { request });
+                    if !self.is_outside(request) {
+                        self.events.push(Event::Gone { request });
+                    }
                     self.close_call(request);
                     if self.figures.stop_when_gone {
                         self.stop_all(now, request, out);
@@ -235,16 +246,16 @@
             }
             News::List(entries) => {
                 let update = self.members.listed(entries, now);
-                self.tell(update);
+                self.tell(update, now);
             }
             News::Roster { form, told } => {
                 let update = self.members.told(form, told, now);
-                self.tell(update);
+                self.tell(update, now);
             }
             News::Standing(standing) => self.take_standing(now, standing, out),
             News::ListFailed => {
                 let update = self.members.failed();
-                self.tell(update);
+                self.tell(update, now);
             }
         }
     }
--- a/crates/gateway/src/state/core/starting.rs
+++ b/crates/gateway/src/state/core/starting.rs
@@ -62,7 +62,7 @@
             }
             let known = self.names.called(waiting.figures.id, &waiting.arrival.function, now);
             match self.stage_word(now, &waiting.arrival) {
-                Admission::Enter if known => self.enter(now, waiting.arrival, waiting.figures),
+                Admission::Enter if known => self.enter(now, waiting.arrival, waiting.figures, out),
                 Admission::Enter => {
                     let answer = Answer::Refused { reason: "unknown-function", retry_after: 0 };
                     self.turn_from_outside(now, waiting.arrival, answer, out);
--- a/crates/gateway/src/state/core/workers.rs
+++ b/crates/gateway/src/state/core/workers.rs
@@ -86,7 +86,7 @@
     }
 
     /// Tells the module of workers, and all who have to know of them.
-    pub(super) fn tell(&mut self, update: Update) {
+    pub(super) fn tell(&mut self, update: Update, now: Micros) {
         if let Some(starting) = self.starting.as_mut() {
             starting.roster(&update);
         }
@@ -96,6 +96,9 @@
         if let Some(leaving) = self.leaving.as_mut() {
             leaving.saw(&update);
         }
+        if let Some(entrance) = self.entrance.as_mut() {
+            entrance.workers(self.members.ready_lanes(), now);
+        }
         self.events.push(Event::Roster { form: update.form, rows: Rc::from(update.rows) });
     }
 
@@ -103,7 +106,7 @@
     pub(super) fn announce(&mut self, now: Micros, worker: WorkerId, draining: Option<bool>) {
         if let Some(update) = draining.and_then(|d| self.members.announced(worker, d, now)) {
             tracing::info!(worker = self.members.name(worker), ?draining, "worker announced");
-            self.tell(update);
+            self.tell(update, now);
         }
     }
 }
--- a/crates/keeper/tests/common/mod.rs
+++ b/crates/keeper/tests/common/mod.rs
@@ -23,6 +23,7 @@
 /// What all are told alike.
 pub fn options() -> Options {
     Options {
+        dealing: None,
         keepers: BTreeMap::new(),
         keep: None,
         terms: terms(),
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod record;
 pub mod wire;
 
-pub use deal::{floor, Dealer, Limits};
+pub use deal::{floor, Dealer, Limits, FLOOR_SHARE};
 pub use holder::{Holder, Standing};
 pub use lead::Lead;
 pub use marks::{Heard, Known, MessageKey, Rounds, Said};
