--- /dev/null
+++ b/crates/core/tests/recording/main.rs
@@ -0,0 +1,174 @@
+//! What the module does is recorded: front ends live through seeded days, and every action of theirs goes into
+//! a digest that stands in `recorded.txt`. A change that only moves code leaves it as it is; one that changes
+//! a choice changes it, and records anew what the failing test prints. Nothing in the module depends on the
+//! order of a hash map, and actions hold whole numbers only; choices rest on `exp` of the mathematics library.
+
+mod world;
+
+use stagehoist::*;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use world::World;
+
+const MS: Micros = 1000;
+const FRONT_ENDS: usize = 2;
+const STEPS: usize = 1200;
+
+/// Short windows, so that each closes many times within a day of half a minute.
+const BASE: &str = "balancers=2\nclasses.count=3\nclasses.0.aim=600\nclasses.0.effect=idempotent\n\
+    classes.0.late_worth=0.2\nclasses.1.aim=800\nclasses.1.effect=deduplicated\nclasses.1.dedup_scope=zone\n\
+    classes.1.key_ttl=900\nclasses.1.gain=3\nclasses.2.aim=500\nclasses.2.effect=at_most_once\n\
+    granularity=2\ninvariants.drain_grace=1000\ninvariants.fall=300\ninvariants.overload_factor=2\n\
+    invariants.start_capacity=0.25\ninvariants.warm_up=2500\nlimits.most_tries=4\nlimits.second_copies=true\n\
+    limits.cancel=true\nlimits.connect_timeout=50\nlimits.retry_after=true\nlimits.max_retry_after=3000\n\
+    specifics.idle_life=1000\nspecifics.if_cold=load\nspecifics.load_wait=1200\n\
+    specifics.ram_mb_by_kind=4000,2500\nzone=0\n";
+
+/// Orders to load, within a ration.
+const ORDERS: &str = "specifics.if_cold=miss\nspecifics.placement_calls=true\nspecifics.loads_within=2000\n\
+    specifics.load_free=4\nspecifics.load_part=0.2\n";
+
+fn settings(more: &str) -> Settings {
+    // A later line of the same key stands.
+    wire::parse_settings(&format!("{BASE}{more}")).unwrap()
+}
+
+/// Kinds of deployments, by name, and whether their day is a quiet one.
+fn table() -> Vec<(&'static str, bool, Settings)> {
+    let probes = "limits.probes=true\nload_info.via=on_probe\nload_info.fields=rif,x0\ntariffs.probe=0.01\n";
+    let inline = "load_info.via=inline\nload_info.fields=busy\nregistry_mode=subscribe\nbalancers=6\n";
+    let queues =
+        "load_info.via=inline\nload_info.fields=q\nlimits.second_copies=false\nclasses.0.late_worth=0\n";
+    let tenants = "parties.count=3\nparties.0.allowance_per_s=20\nparties.1.allowance_per_s=60\n\
+        parties.2.allowance_per_s=5\nover_share_worth=0.1\n";
+    let alone = "limits.cancel=false\nlimits.second_copies=false\nclasses.1.dedup_scope=cell\nbalancers=20\n\
+        tariffs.cross_zone=0.2\ninvariants.start_capacity=0.05\n";
+    let streams =
+        "classes.0.streaming=true\nclasses.0.aim_stretch=2\nclasses.1.dedup_scope=all\ncounted_by=work\n";
+    let late = Settings { order_delay: 400 * MS, ..settings(&[ORDERS, probes].concat()) };
+    let retry_budget = RetryBudget { window: 2000 * MS, free: 3.0, share: 0.1 };
+    let budget = Settings { retry_budget, ..settings(&[ORDERS, tenants].concat()) };
+    vec![
+        ("load on miss", false, settings("")),
+        ("load on miss, quiet", true, settings("")),
+        ("load on miss, tenants", false, settings(&[tenants, inline].concat())),
+        ("load on miss, orders", false, settings(&[ORDERS, queues, "specifics.if_cold=load\n"].concat())),
+        ("load on miss, cancels, quiet", true, settings("limits.second_copies=false\n")),
+        ("miss only", false, settings(&[ORDERS, inline].concat())),
+        ("miss only, late orders, probes", false, late),
+        ("miss only, retry budget", false, budget),
+        ("miss only, many front ends", false, settings(&[ORDERS, alone].concat())),
+        ("streams", false, settings(&[ORDERS, streams, "specifics.loads_within=0\n"].concat())),
+    ]
+}
+
+/// FNV-1a of 64 bits.
+struct Digest(u64);
+
+impl Digest {
+    fn add(&mut self, text: &str) {
+        for byte in text.bytes() {
+            self.0 = (self.0 ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+}
+
+#[derive(Default)]
+struct Counts {
+    batches: usize,
+    events: usize,
+    /// Actions by kind.
+    kinds: BTreeMap<&'static str, usize>,
+}
+
+fn kind(action: &Action) -> &'static str {
+    match action {
+        Action::Send { .. } => "send",
+        Action::Refuse { .. } => "refuse",
+        Action::Fail { .. } => "fail",
+        Action::Cancel { .. } => "cancel",
+        Action::Timer { .. } => "timer",
+        Action::Probe { .. } => "probe",
+        Action::CloseIdle { .. } => "close idle",
+        Action::Tell { .. } => "tell",
+        Action::Log { .. } => "log",
+        Action::Watch { .. } => "watch",
+        Action::Fetch => "fetch",
+        Action::Load { .. } => "load",
+        Action::Drop { .. } => "drop",
+    }
+}
+
+/// Plays one day; tells its digest and what it was made of.
+fn play(settings: &Settings, quiet: bool, seed: u64) -> (u64, Counts) {
+    let mut world = World::new(settings, seed, FRONT_ENDS, quiet);
+    let mut fronts: Vec<FrontEnd> =
+        (0..FRONT_ENDS).map(|k| FrontEnd::new(settings.clone(), seed + 100 * k as u64, world.now)).collect();
+    let (mut digest, mut counts) = (Digest(0xcbf2_9ce4_8422_2325), Counts::default());
+    for _ in 0..STEPS {
+        world.step();
+        for (k, front) in fronts.iter_mut().enumerate() {
+            let events = world.due(k);
+            let mut out = Vec::new();
+            front.handle(world.now, &events, &mut out);
+            counts.batches += 1;
+            counts.events += events.len();
+            digest.add(&format!("{k} {} {out:?}\n", world.now));
+            for action in &out {
+                *counts.kinds.entry(kind(action)).or_default() += 1;
+                world.act(k, action);
+            }
+        }
+    }
+    fronts.iter().for_each(|front| digest.add(&format!("{:?}\n", front.kept())));
+    for (name, n) in &world.seen {
+        *counts.kinds.entry(name).or_default() += n;
+    }
+    (digest.0, counts)
+}
+
+/// Kinds of actions, and of what follows from them, that each must come up, or the digest would say nothing
+/// of the step of the module that makes them. The module has no use for the three other kinds of actions.
+const EACH: [&str; 14] = [
+    "send",
+    "refuse",
+    "fail",
+    "cancel",
+    "timer",
+    "probe",
+    "log",
+    "watch",
+    "load",
+    "drop",
+    "further attempt",
+    "second copy",
+    "sent to a cold worker",
+    "back where it was",
+];
+
+#[test]
+fn every_action_is_as_recorded() {
+    let mut text = String::new();
+    let mut all: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut batches = 0;
+    for (at, (name, quiet, settings)) in table().iter().enumerate() {
+        let (digest, counts) = play(settings, *quiet, 7919 + at as u64);
+        let kinds: Vec<String> = counts.kinds.iter().map(|(kind, n)| format!("{kind} {n}")).collect();
+        let (played, events) = (counts.batches, counts.events);
+        writeln!(text, "{name}: {digest:016x}, {played} batches, {events} events; {}", kinds.join(", "))
+            .unwrap();
+        counts.kinds.iter().for_each(|(kind, n)| *all.entry(kind).or_default() += n);
+        batches += counts.batches;
+    }
+    assert!(batches >= 20_000, "{batches} batches only");
+    let missing: Vec<_> = EACH.iter().filter(|kind| all.get(*kind).is_none_or(|n| *n < 10)).collect();
+    assert!(missing.is_empty(), "{missing:?} seldom or never in\n{text}");
+    assert!(text == include_str!("recorded.txt"), "not as recorded; now it is\n{text}");
+}
+
+#[test]
+fn another_seed_gives_another_digest() {
+    let (_, quiet, settings) = &table()[0];
+    assert_eq!(play(settings, *quiet, 1).0, play(settings, *quiet, 1).0);
+    assert_ne!(play(settings, *quiet, 1).0, play(settings, *quiet, 2).0);
+}
--- /dev/null
+++ b/crates/core/tests/recording/worker.rs
@@ -0,0 +1,84 @@
+//! A worker of the world: what it holds loaded, what runs there, and the mood that it is in.
+
+use crate::MS;
+use stagehoist::*;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Mood {
+    Well,
+    /// Takes calls and says nothing.
+    Silent,
+    /// Answers most calls with an error.
+    Failing,
+    /// No connection.
+    Dead,
+    Slow,
+}
+
+pub struct Worker {
+    pub row: RosterRow,
+    /// Since the last list.
+    pub changed: bool,
+    /// Until when.
+    pub mood: (Mood, Micros),
+    /// Loaded copies by function: since when each stands (a load under way: when it will), and its last use.
+    pub copies: BTreeMap<FunctionId, (Micros, Micros)>,
+    /// By call and number; one that is lost in a restart breaks off.
+    pub running: Vec<(RequestId, u16)>,
+}
+
+impl Worker {
+    pub fn new(worker: WorkerId, started: Micros) -> Worker {
+        let (kind, zone, cell) = ((worker % 2) as u16, (worker % 2) as u8, (worker % 3) as u16);
+        let capacity = 2.0 + f64::from(worker % 3);
+        let row = RosterRow { worker, kind, lifecycle: Lifecycle::Ready, zone, started, cell, capacity };
+        let (copies, running) = Default::default();
+        Worker { row, changed: true, mood: (Mood::Well, 0), copies, running }
+    }
+
+    pub fn turn(&mut self, to: Lifecycle) {
+        (self.row.lifecycle, self.changed) = (to, true);
+    }
+
+    pub fn restart(&mut self, now: Micros) {
+        self.turn(Lifecycle::Ready);
+        self.row.started = now;
+        self.copies.clear();
+        self.running.clear();
+    }
+
+    /// Moods pass, and copies go that were not used for long.
+    pub fn age(&mut self, now: Micros, keep: Micros) {
+        if self.mood.1 <= now {
+            self.mood = (Mood::Well, Micros::MAX);
+        }
+        self.copies.retain(|_, (since, used)| now < (*since).max(*used) + keep + keep / 4);
+    }
+
+    pub fn report(&self, s: &Settings) -> Report {
+        let value = |field: &ReportField| match field {
+            ReportField::InFlight => self.running.len() as f32,
+            ReportField::Queue => (self.running.len() as f32 - self.row.capacity as f32).max(0.0),
+            ReportField::Busy => (self.running.len() as f32 / self.row.capacity as f32).min(1.0),
+            ReportField::Other => 0.5,
+        };
+        let mut values = [0.0; 4];
+        values.iter_mut().zip(&s.report).for_each(|(slot, field)| *slot = value(field));
+        (!s.report.is_empty()).then_some(values)
+    }
+}
+
+/// Usual run of a function.
+pub fn run(function: FunctionId) -> Micros {
+    (30 + (function * 37 % 140) as Micros) * MS
+}
+
+/// Usual time of its load.
+pub fn load(function: FunctionId) -> Micros {
+    (150 + (function * 53 % 350) as Micros) * MS
+}
+
+pub fn memory(function: FunctionId) -> f64 {
+    300.0 + (function * 71 % 900) as f64
+}
