Test of the stages follows the faults that pools tell

Need: its configuration lacked fleet-front-ends and reserved for the first tenant, which a configuration with pools may no longer do; all seven tests stopped at reading it. Same assertions; the tenants' places are named.

--- a/crates/gateway/tests/starting.rs
+++ b/crates/gateway/tests/starting.rs
@@ -17,6 +17,9 @@
 const S: Micros = 1_000_000;
 const START: Micros = 1_700_000_000 * S;
 const OLD: Micros = START - 3600 * S;
+/// Tenants by their places; calls that name none are the first's.
+const OTHER: u32 = 0;
+const CLINIC: u32 = 1;
 
 struct Front {
     core: Core,
@@ -28,8 +31,8 @@
 fn config(recover: &str) -> Config {
     let text = format!(
         "class lookup aim 800ms give-up 2500ms\nfunction free class lookup memory 64MB lanes 4 load 200ms\n\
-         function rare class lookup memory 64MB lanes 4 load 200ms\ntenant clinic quota 1000/s\n\
-         tenant other quota 1000/s\nbroker amqp://127.0.0.1:1/\nconsume calls\nworker-list file none\n\
+         function rare class lookup memory 64MB lanes 4 load 200ms\ntenant other quota 1000/s\n\
+         tenant clinic quota 1000/s\nfleet-front-ends 2\nbroker amqp://127.0.0.1:1/\nconsume calls\nworker-list file none\n\
          member a\nkeeper 1 127.0.0.1:1\nfleet-folder of-a\npool p functions fr* lanes 10\n\
          reserve clinic pool p lanes 4\n{recover}\n"
     );
@@ -108,7 +111,7 @@
     fn waiting(&mut self) -> u64 {
         let before = self.next;
         while self.next < before + 20 {
-            assert!(answers(&self.call(1, "rare")).is_empty());
+            assert!(answers(&self.call(OTHER, "rare")).is_empty());
         }
         self.core.unanswered() as u64
     }
@@ -158,11 +161,11 @@
 fn after_a_loss_reservations_go_in_and_others_wait_and_are_answered_in_time() {
     let mut front = Front::lost();
     // Cold workers are sent little or nothing at once, but the call is in the module's hands.
-    front.call(0, "free");
+    front.call(CLINIC, "free");
     let taken = front.core.counters.taken;
     assert_eq!(taken, 1);
     // Of another function than the pool's, the same tenant has no reservation.
-    front.call(0, "rare");
+    front.call(CLINIC, "rare");
     front.waiting();
     let waiting = front.core.unanswered() as u64;
     assert!(front.core.counters.taken < 6, "{:?}", front.core.counters);
@@ -186,7 +189,7 @@
             return;
         }
         for _ in 0..5 {
-            let mut out = front.call(0, "free");
+            let mut out = front.call(CLINIC, "free");
             out.extend(front.turn(20 * MS, Vec::new()));
             let news: Vec<News> = attempts(&out).iter().map(|a| ended(a, Outcome::Ok)).collect();
             served += news.len();
