The keepers' test of one that does not read waits until it was cut off

The keeper shows 340 retirements in under the two seconds that a write may take, so that the test began to read before the session was cut off, and a session that reads goes on.

--- a/crates/keeper/tests/hostile.rs
+++ b/crates/keeper/tests/hostile.rs
@@ -95,6 +95,8 @@
         fleet.session(1).retire.try_send(one(n)).unwrap();
         fleet.until("shown", |f| shown(f, n));
     }
+    // Not before it was cut off: one that begins to read is none of those that do not.
+    fleet.until("it is cut off", |f| f.running[&leader].figures().borrow().sessions == 3);
     let whole = closed(&mut stream).len();
     // 40 views of more than 300,000 bytes each were there to be read.
     assert!(whole < 40 * 300_000, "{whole} bytes were kept for one that does not read");
