The keepers' test of a store set back waits until the keeper has what its copy lacks

It was not older: the other two had agreed on the retirement and this keeper stopped before its log had it. The guard was right.

--- a/crates/keeper/tests/lost.rs
+++ b/crates/keeper/tests/lost.rs
@@ -92,6 +92,9 @@
     copy(&fleet.store(3), &old);
     fleet.start(3);
     retire(&fleet, 3, "b");
+    // The others suffice for "b"; the copy is older only once this keeper has it as well (1,024 changes to an entry).
+    let entry = common::shown(fleet.session(3), "b").unwrap().proposed / 1024;
+    fleet.until("its log has it", |f| f.running[&3].figures().borrow().last_entry >= entry);
     fleet.stop(3);
     // As it was: taken for whole.
     fleet.start(3);
