--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -30,7 +30,9 @@
 pub use fleet::{ends_numbered, Fleet, Keep, Pool, Recover};
 pub use lexer::{load, parse};
 pub use marks::Marks;
-pub use model::{Broker, Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
+pub use model::{
+    takes, Broker, Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant,
+};
 pub use parts::broker;
 pub use value::{parse_duration, parse_size, Value};
 
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -40,10 +40,15 @@
 impl Function {
     /// Whether a name falls under this directive.
     pub fn takes(&self, name: &str) -> bool {
-        match self.pattern.strip_suffix('*') {
-            Some(prefix) => name.starts_with(prefix),
-            None => name == self.pattern,
-        }
+        takes(&self.pattern, name)
+    }
+}
+
+/// Whether a name falls under a pattern: a name, or the beginning of names with a closing `*`.
+pub fn takes(pattern: &str, name: &str) -> bool {
+    match pattern.strip_suffix('*') {
+        Some(prefix) => name.starts_with(prefix),
+        None => name == pattern,
     }
 }
 
--- a/crates/gateway/src/fleet/first.rs
+++ b/crates/gateway/src/fleet/first.rs
@@ -2,7 +2,7 @@
 //! the configuration has no reservation nobody is first.
 
 use super::names::outer_name;
-use stagehoist_config::Config;
+use stagehoist_config::{takes, Config};
 
 /// Tenants with reservations, each with the functions of the pool.
 pub fn of(config: &Config) -> Vec<(u32, Vec<String>)> {
@@ -15,13 +15,6 @@
     fleet.pools.iter().flat_map(of).collect()
 }
 
-fn takes(pattern: &str, function: &str) -> bool {
-    match pattern.strip_suffix('*') {
-        Some(beginning) => function.starts_with(beginning),
-        None => pattern == function,
-    }
-}
-
 /// Whether a tenant has a reservation for a function, known by its inner name.
 pub fn is_first(first: &[(u32, Vec<String>)], tenant: u32, inner: &str) -> bool {
     let function = outer_name(inner).0;
