Tests of the live front end on its whole path split by subject, moves only

One module for each subject and one for the stage; the eleven tests are the same, names and assertions untouched.

--- /dev/null
+++ b/crates/cli/tests/platform/lists.rs
@@ -0,0 +1,58 @@
+//! The event bus: drains kept whatever becomes of it.
+
+use crate::stage::{config, ms, served, Stage};
+use rustix::process::Signal;
+use stagehoist_standin::platform::bus::Mood;
+use stagehoist_standin::platform::EventBus;
+use std::time::Instant;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drains_are_kept_over_breaks_silence_repeats_and_a_new_address_of_the_bus() {
+    let mut stage = Stage::start(5, 256).await;
+    let mut client = stage.client().await;
+    let mut n = 0;
+    for step in 0..4 {
+        match step {
+            0 => stage.bus.mood(Mood::Twice),
+            1 => stage.bus.mood(Mood::Cut),
+            2 => {
+                // Silent with its connection open: found by time, told on the next connection.
+                stage.bus.mood(Mood::Silent);
+                tokio::time::sleep(ms(1200)).await;
+            }
+            _ => {
+                let bus = EventBus::start(1).await.unwrap();
+                stage.bus.copy_to(&bus);
+                stage.bus = bus;
+                std::fs::write(&stage.config, "{ broken").unwrap();
+                stage.signal(Signal::HUP);
+                tokio::time::sleep(ms(100)).await;
+                let text = config(&stage.executors, stage.bus.address, 256).to_string();
+                std::fs::write(&stage.config, text).unwrap();
+                (0..10).for_each(|_| stage.signal(Signal::HUP));
+            }
+        }
+        stage.drain(step);
+        if step == 2 {
+            stage.bus.mood(Mood::Well);
+        }
+        // What the bus would have told counts later where it breaks, is silent or moves.
+        let allowed = [0, 2000, 4000, 4000][step];
+        let id = stage.executors[step].id;
+        *stage.told.drained.get_mut(&id).unwrap() += ms(allowed);
+        let by = Instant::now() + ms(allowed + 350);
+        while Instant::now() < by {
+            n += 1;
+            stage.call(&mut client, n).await;
+            tokio::time::sleep(ms(20)).await;
+        }
+        let before = stage.runs(step);
+        stage.calls(&mut client, n + 1..=n + 20, ms(10)).await;
+        n += 20;
+        assert_eq!(stage.runs(step), before, "step {step}: sent to a drained executor");
+    }
+    let answers = client.wait(n as usize, ms(4000)).await;
+    assert_eq!(answers.len(), n as usize);
+    assert!(served(&answers) * 10 >= answers.len() * 9, "{} of {n}", served(&answers));
+    stage.verdict(&answers);
+}
--- /dev/null
+++ b/crates/cli/tests/platform/main.rs
@@ -0,0 +1,9 @@
+//! The live front end on its whole path: the command as the platform starts it, between stand-in clients, executors and an event
+//! bus, judged by what crossed their sockets.
+
+mod bad_clients;
+mod calls;
+mod lists;
+mod shutdown;
+mod stage;
+mod start;
--- /dev/null
+++ b/crates/cli/tests/platform/stage.rs
@@ -0,0 +1,182 @@
+//! The command between its stand-ins, and what a test asks of it.
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::json;
+use stagehoist_standin::platform::bus::record;
+use stagehoist_standin::platform::client::array;
+use stagehoist_standin::platform::{judge, Answered, Asked, Client, EventBus, Executor, Told, What};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+pub const LOOK: u64 = 1500;
+pub const KEYS: [&str; 4] = ["7f3a9c21e0b4d655", "0000000000000002", "0000000000000003", "0000000000000004"];
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub struct Stage {
+    pub _folder: tempfile::TempDir,
+    pub config: PathBuf,
+    pub executors: Vec<Executor>,
+    pub bus: EventBus,
+    pub child: Child,
+    pub listen: SocketAddr,
+    pub asked: Vec<Asked>,
+    pub told: Told,
+}
+
+pub fn config(executors: &[Executor], bus: SocketAddr, sockets: u64) -> serde_json::Value {
+    let host = |e: &Executor| {
+        json!({"host": format!("s-{:08x}", e.id), "dial": e.address.to_string(), "site": "here",
+        "class": "std", "block": 0, "health": "ready", "share": 8.0, "born_ms": 0})
+    };
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "aim": 800.0, "hard_limit": 2000.0, "effect": effect,
+        "gain": 1.0, "late_worth": 0.1})
+    };
+    json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bus": bus.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
+        "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"seq": 0, "whole": true,
+            "hosts": executors.iter().map(host).collect::<Vec<_>>()}}]},
+        "settings": {"areas": ["here"], "machine_types": ["std"], "balancers": 1, "granularity": 1.0, "zone": 0,
+            "classes": [class("look", "idempotent"), class("book", "at_most_once")],
+            "parties": [{"name": "acme", "allowance_per_s": 1000.0}],
+            "limits": {"cancel": true, "probes": true, "connect_timeout": 250.0, "idle_close": 30000.0, "most_tries": 3,
+                "multiplex": 32, "most_held": 2000, "second_copies": true, "retry_after": false},
+            "load_info": {"fields": ["rif", "x0"], "via": "on_probe"},
+            "invariants": {"drain_grace": 250.0, "fall": 1000.0, "overload_factor": 2.0, "start_capacity": 0.3,
+                "warm_up": 5000.0},
+            "specifics": {"if_cold": "miss", "idle_life": 4000.0, "load_wait": 3000.0, "placement_calls": true,
+                "counts_alike": true, "ram_mb_by_kind": [100000.0], "load_free": 6.0, "load_part": 0.1,
+                "loads_within": 10000.0}}})
+}
+
+impl Stage {
+    pub async fn start(executors: u32, sockets: u64) -> Stage {
+        Stage::start_with(executors, sockets, |_| ()).await
+    }
+
+    /// With another configuration than the usual.
+    pub async fn start_with(executors: u32, sockets: u64, edit: impl Fn(&mut serde_json::Value)) -> Stage {
+        let mut all = Vec::new();
+        for id in 1..=executors {
+            let executor = Executor::start(id, ms(20), ms(100)).await.unwrap();
+            executor.holds(&KEYS);
+            all.push(executor);
+        }
+        let bus = EventBus::start(1).await.unwrap();
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("config.json");
+        let mut told = config(&all, bus.address, sockets);
+        edit(&mut told);
+        std::fs::write(&path, told.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_stagehoist"))
+            .args(["--log", "info", "platform"])
+            .env("GW_CONFIG", &path)
+            .env_remove("GW_LISTEN")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let listen = loop {
+            let mut line = String::new();
+            assert!(log.read_line(&mut line).unwrap() > 0, "ended before it started");
+            if let Some(at) = line.find("listen=") {
+                break line[at + 7..].split(' ').next().unwrap().parse().unwrap();
+            }
+        };
+        std::thread::spawn(move || log.lines().for_each(drop));
+        let told = Told { grace: ms(250), ration: (6.0, 0.1, ms(10_000)), ..Told::default() };
+        let asked = Vec::new();
+        let stage = Stage { _folder: folder, config: path, executors: all, bus, child, listen, asked, told };
+        let mut client = stage.client().await;
+        client.raw(&array(&[b"HEALTH", b"8", b""])).await.unwrap();
+        assert_eq!(client.wait(1, ms(5000)).await[0].word, "serving");
+        stage
+    }
+
+    pub async fn client(&self) -> Client {
+        Client::connect(self.listen).await.unwrap()
+    }
+
+    /// Writes call number `n`, unsafe for odd ones.
+    pub async fn call(&mut self, client: &mut Client, n: u64) {
+        let (class, is_unsafe) = if n % 2 == 1 { ("book", true) } else { ("look", false) };
+        let id = format!("{n:016x}");
+        let key = KEYS[(n / 2 % 4) as usize];
+        let fields =
+            format!("ref={id},allow={LOOK},project=acme,lookup={key},effort=20,extras=memory_mb:64;lanes:4");
+        let body = vec![n as u8; (n % 300) as usize];
+        let at = Instant::now();
+        client.request(n, class, &fields, &body).await.unwrap();
+        let (tag, allow, left) = (n.to_string(), ms(LOOK), false);
+        self.asked.push(Asked { at, id, tag, allow, is_unsafe, body, left });
+    }
+
+    /// Writes calls of these numbers, one after each pause.
+    pub async fn calls(
+        &mut self,
+        client: &mut Client,
+        numbers: std::ops::RangeInclusive<u64>,
+        pause: Duration,
+    ) {
+        for n in numbers {
+            self.call(client, n).await;
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_raw(self.child.id() as i32).unwrap(), signal).unwrap();
+    }
+
+    pub fn verdict(&self, answers: &[Answered]) {
+        let seen: Vec<_> = self.executors.iter().map(|e| (e.id, e.seen())).collect();
+        let broken = judge(&self.asked, answers, &seen, &self.told);
+        assert!(broken.is_empty(), "{broken:#?}");
+    }
+
+    pub fn drain(&mut self, n: usize) {
+        let e = &self.executors[n];
+        self.bus.change(&[record(e.id, e.address, 1, 0)]);
+        self.told.drained.insert(e.id, Instant::now());
+    }
+
+    pub fn runs(&self, n: usize) -> usize {
+        self.executors[n].seen().iter().filter(|s| matches!(s.what, What::Run { .. })).count()
+    }
+
+    pub async fn ends(&mut self, limit: Duration) -> Option<i32> {
+        let by = Instant::now() + limit;
+        while Instant::now() < by {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            tokio::time::sleep(ms(10)).await;
+        }
+        None
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn served(answers: &[Answered]) -> usize {
+    answers.iter().filter(|a| a.word == "200").count()
+}
+
+pub async fn settle(clients: &mut [Client], each: usize) -> Vec<Answered> {
+    let mut all = Vec::new();
+    for client in clients {
+        all.extend(client.wait(each, ms(4000)).await);
+    }
+    all
+}
