--- /dev/null
+++ b/crates/platform/src/clients/mod.rs
@@ -0,0 +1,128 @@
+//! Clients' sockets: accepted within bounds, read into sessions, answers written in the turn that brings them.
+
+mod accept;
+mod calls;
+mod talk;
+
+use crate::bounds::Bounds;
+use crate::session::{Catalog, Session};
+pub use crate::shared::Shared;
+use stagehoist::Micros;
+use stagehoist_gateway::state::Ticket;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+struct Conn {
+    id: u64,
+    session: RefCell<Session>,
+    stream: TcpStream,
+    wake: Notify,
+    over: Cell<bool>,
+    dirty: Cell<bool>,
+}
+
+struct Held {
+    conn: Rc<Conn>,
+    reference: u64,
+    bytes: usize,
+}
+
+/// What was done with clients, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ClientCounters {
+    pub accepted: u64,
+    pub made_way: u64,
+    pub not_admitted: u64,
+    pub unusable: u64,
+    pub unreadable: u64,
+    pub turned_away: u64,
+}
+
+/// All clients of a front end.
+pub struct Clients {
+    shared: Rc<Shared>,
+    catalog: Catalog,
+    bounds: Bounds,
+    conns: RefCell<HashMap<u64, Rc<Conn>>>,
+    calls: RefCell<HashMap<Ticket, Held>>,
+    references: RefCell<HashMap<u64, Ticket>>,
+    held_bytes: Cell<usize>,
+    next_ticket: Cell<Ticket>,
+    next_conn: Cell<u64>,
+    serving: Cell<bool>,
+    /// While draining: when the process ends at the latest, and whether new requests are still taken.
+    ends: Cell<Option<Micros>>,
+    taking: Cell<bool>,
+    dirty: RefCell<Vec<Rc<Conn>>>,
+    pub counters: Cell<ClientCounters>,
+}
+
+impl Clients {
+    pub fn new(shared: Rc<Shared>, catalog: Catalog, bounds: Bounds) -> Clients {
+        Clients {
+            shared,
+            catalog,
+            bounds,
+            conns: RefCell::default(),
+            calls: RefCell::default(),
+            references: RefCell::default(),
+            held_bytes: Cell::new(0),
+            next_ticket: Cell::new(0),
+            next_conn: Cell::new(0),
+            serving: Cell::new(false),
+            ends: Cell::new(None),
+            taking: Cell::new(true),
+            dirty: RefCell::default(),
+            counters: Cell::default(),
+        }
+    }
+
+    fn count(&self, change: impl FnOnce(&mut ClientCounters)) {
+        let mut counters = self.counters.get();
+        change(&mut counters);
+        self.counters.set(counters);
+    }
+
+    /// HEALTH is told so from now on.
+    pub fn serve(&self, serving: bool) {
+        self.serving.set(serving);
+    }
+
+    pub fn is_serving(&self) -> bool {
+        self.serving.get()
+    }
+
+    /// The process ends by then: calls that come now are given no more time.
+    pub fn ends_by(&self, at: Micros) {
+        self.ends.set(Some(at));
+    }
+
+    /// New requests are refused from now on.
+    pub fn stop_taking(&self) {
+        self.taking.set(false);
+    }
+
+    /// Requests that wait for their answer, and connections that wait to be written.
+    pub fn unfinished(&self) -> (usize, usize) {
+        let conns = self.conns.borrow();
+        (self.calls.borrow().len(), conns.values().filter(|c| !c.session.borrow().out().is_empty()).count())
+    }
+
+    pub fn connections(&self) -> usize {
+        self.conns.borrow().len()
+    }
+
+    /// Closes connections whose clients are silent.
+    pub fn tend(&self) {
+        let now = self.shared.clock.now();
+        for conn in self.conns.borrow().values() {
+            if conn.session.borrow().is_over(now) {
+                conn.over.set(true);
+                conn.wake.notify_one();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/clients/talk.rs
@@ -0,0 +1,133 @@
+//! One client's connection: read into its session, its answers written, closed in order.
+
+use super::{Clients, Conn};
+use crate::shared::Shared;
+use socket2::SockRef;
+use stagehoist_gateway::state::News;
+use std::io;
+use std::net::Shutdown;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// A connection that is closed over what it sent is read on for so long and so much, so that the error reaches it.
+const LINGER: (Duration, usize) = (Duration::from_millis(250), 1 << 20);
+
+impl Clients {
+    pub(super) async fn talk(self: Rc<Self>, conn: Rc<Conn>) {
+        let mut news = Vec::new();
+        loop {
+            let (read, write, closing) = {
+                let session = conn.session.borrow();
+                (session.wants_read(), !session.out().is_empty(), session.is_closing())
+            };
+            if conn.over.get() || (closing && !write) {
+                break;
+            }
+            tokio::select! {
+                biased;
+                () = conn.wake.notified() => {}
+                ready = conn.stream.writable(), if write => {
+                    if ready.is_err() || !self.flush(&conn) {
+                        conn.over.set(true);
+                    }
+                }
+                ready = conn.stream.readable(), if read => {
+                    if ready.is_err() || !self.read(&conn, &mut news) {
+                        conn.over.set(true);
+                    }
+                }
+            }
+            for item in news.drain(..) {
+                // A driver that ended needs no news.
+                let _ = self.shared.news.send(item).await;
+            }
+        }
+        self.conns.borrow_mut().remove(&conn.id);
+        let mut said = Vec::new();
+        let lingers = conn.session.borrow().is_closing() && !conn.over.get();
+        conn.session.borrow_mut().close(&mut said);
+        for item in self.heard(&conn, said, self.shared.read_time()) {
+            let _ = self.shared.news.send(item).await;
+        }
+        if lingers {
+            linger(&conn.stream, &self.shared).await;
+        }
+    }
+
+    /// False once the client is gone.
+    pub(super) fn read(&self, conn: &Rc<Conn>, news: &mut Vec<News>) -> bool {
+        let mut scratch = self.shared.scratch.borrow_mut();
+        let n = match conn.stream.try_read(&mut scratch) {
+            Ok(0) => return false,
+            Ok(n) => n,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+            Err(_) => return false,
+        };
+        let time = self.shared.read_time();
+        let mut said = Vec::new();
+        {
+            let mut session = conn.session.borrow_mut();
+            let mut next = self.next_ticket.get();
+            session.receive(&scratch[..n], time.0, (&self.catalog, self.serving.get()), &mut next, &mut said);
+            self.next_ticket.set(next);
+            if let Some(why) = session.unusable.take() {
+                self.count(|c| c.unusable += 1);
+                tracing::debug!(%why, "not taken");
+            }
+            if session.is_closing() {
+                self.count(|c| c.unreadable += 1);
+            }
+        }
+        drop(scratch);
+        news.extend(self.heard(conn, said, time));
+        let waits = !conn.session.borrow().out().is_empty();
+        !waits || self.flush(conn)
+    }
+
+    /// Writes what the turn brought.
+    pub fn turned(&self) {
+        let dirty = std::mem::take(&mut *self.dirty.borrow_mut());
+        for conn in dirty {
+            conn.dirty.set(false);
+            if !self.flush(&conn) {
+                conn.over.set(true);
+            }
+            if conn.over.get() || !conn.session.borrow().out().is_empty() {
+                conn.wake.notify_one();
+            }
+        }
+    }
+
+    /// False once the client is gone.
+    pub(super) fn flush(&self, conn: &Conn) -> bool {
+        let mut session = conn.session.borrow_mut();
+        while !session.out().is_empty() {
+            match conn.stream.try_write(session.out()) {
+                Ok(n) => session.wrote(n, self.shared.clock.now()),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+}
+
+/// Says that no more is written, and drops what still comes for a while: a close over unread bytes would become a reset
+/// that can overtake the answer.
+async fn linger(stream: &TcpStream, shared: &Shared) {
+    let _ = SockRef::from(stream).shutdown(Shutdown::Write);
+    let drop_all = async {
+        let mut dropped = 0;
+        while dropped < LINGER.1 && stream.readable().await.is_ok() {
+            let mut scratch = shared.scratch.borrow_mut();
+            match stream.try_read(&mut scratch) {
+                Ok(0) => return,
+                Ok(n) => dropped += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    };
+    let _ = tokio::time::timeout(LINGER.0, drop_all).await;
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,13 +3,13 @@
 //!
 //! Without I/O, fed bytes and the time:
 //! - [`config`]: what a front end is told at its start (`GW_CONFIG`), checked and translated.
-//! - [`resp`], [`session`]: a client's connection, from RESP to calls and back.
+//! - [`resp`], [`request`], [`session`]: a client's connection, from RESP to calls and back.
 //! - [`line`]: an executor's connection, many requests at once.
 //! - [`bus`], [`roster`]: the event bus' frames and what they say of executors.
 //! - [`bounds`]: how descriptors and memory are shared out, so that the process lives.
 //! - [`pulse`]: for how long this process itself did not run.
 //!
-//! With sockets, thin: [`clients`], [`executors`], [`follow`], [`run`].
+//! With sockets, thin: [`shared`], [`clients`], [`executors`], [`follow`], [`run`].
 //!
 //! Nothing here decides about a call: that is the module's, in the `stagehoist` package.
 #![forbid(unsafe_code)]
@@ -23,10 +23,12 @@
 pub mod follow;
 pub mod line;
 pub mod pulse;
+pub mod request;
 pub mod resp;
 pub mod roster;
 pub mod run;
 pub mod session;
+pub mod shared;
 
 pub use config::{ConfigError, Told};
 pub use run::run;
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -1,57 +1,22 @@
 //! One client's connection without I/O: requests read and checked, answers written under their tags, at most one each.
 
 use crate::bounds::Seen;
-use crate::config::{Class, Told};
-use crate::fields;
+use crate::request::asked;
+pub use crate::request::{Asked, Catalog, Unusable, ANSWER_WAY};
 use crate::resp::{decimal, encode, Decoder};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use stagehoist::Micros;
-use stagehoist_gateway::state::{Answer, CallFigures, Ticket};
+use stagehoist_gateway::state::{Answer, Ticket};
 use std::collections::BTreeMap;
-use std::rc::Rc;
 
 /// Requests open on one connection at once.
 pub const OPEN_MOST: usize = 32;
 /// Bytes that wait for a client before no more is read from it.
 pub const OUT_MOST: usize = 128 << 10;
-/// Time kept for the answer's way and for this process, so that the whole answer is there in time.
-pub const ANSWER_WAY: Micros = 5_000;
-/// What a figure of a call may be at most; beyond it makes no sense on any machine.
-const FIGURE_MOST: f64 = 1e7;
-
 const SERVED: &[u8] = b"200";
 const REFUSED: &[u8] = b"503";
 const FAILED: &[u8] = b"500";
 
-/// What clients may name.
-#[derive(Clone, Debug)]
-pub struct Catalog {
-    classes: Vec<Class>,
-    tenants: Vec<String>,
-    memory_most_mb: f64,
-}
-
-impl From<&Told> for Catalog {
-    fn from(told: &Told) -> Catalog {
-        let memory_most_mb = told.memory_most_mb;
-        Catalog { classes: told.classes.clone(), tenants: told.tenants.clone(), memory_most_mb }
-    }
-}
-
-/// A request as a client asked it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Asked {
-    /// Its id, as a number and as it came.
-    pub reference: u64,
-    pub id: Rc<str>,
-    pub function: Rc<str>,
-    pub figures: CallFigures,
-    pub tenant: u32,
-    /// Time until the client gives up, the answer's way taken off.
-    pub budget: Micros,
-    pub body: Bytes,
-}
-
 /// What a client said.
 #[derive(Debug, PartialEq)]
 pub enum Said {
@@ -60,25 +25,6 @@
     Gone(Ticket),
 }
 
-/// Why a request is not taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Unusable {
-    #[error("words missing")]
-    Words,
-    #[error("fields can't be read")]
-    Fields,
-    #[error("no id or none of 16 hex digits")]
-    Id,
-    #[error("unknown class")]
-    Class,
-    #[error("unknown tenant")]
-    Tenant,
-    #[error("no function or none of 16 hex digits")]
-    Function,
-    #[error("a figure is no number or out of range")]
-    Figure,
-}
-
 /// One connection.
 #[derive(Debug)]
 pub struct Session {
@@ -292,66 +238,3 @@
     let number: u64 = digits.then(|| std::str::from_utf8(tag).ok()?.parse().ok()).flatten()?;
     (number > 0 && tag[0] != b'0').then_some(number)
 }
-
-fn asked(words: &[Vec<u8>], catalog: &Catalog) -> Result<Asked, Unusable> {
-    let (4 | 5, Some(class), Some(list)) = (words.len(), words.get(2), words.get(3)) else {
-        return Err(Unusable::Words);
-    };
-    let fields = fields::parse(list).map_err(|_| Unusable::Fields)?;
-    let get = |name| fields::get(&fields, name);
-    let id = get("ref").ok_or(Unusable::Id)?;
-    let reference = fields::hex16(id.as_bytes()).ok_or(Unusable::Id)?;
-    let at = catalog.classes.iter().position(|c| c.name.as_bytes() == class.as_slice());
-    let at = at.ok_or(Unusable::Class)?;
-    let tenant = match get("project") {
-        None if catalog.tenants.is_empty() => 0,
-        None => return Err(Unusable::Tenant),
-        Some(name) => catalog.tenants.iter().position(|t| t == name).ok_or(Unusable::Tenant)?,
-    };
-    let function = get("lookup").ok_or(Unusable::Function)?;
-    let number = fields::hex16(function.as_bytes()).ok_or(Unusable::Function)?;
-    let within = |text: &str, least: f64, most: f64| {
-        fields::number(text).filter(|v| (least..=most).contains(v)).ok_or(Unusable::Figure)
-    };
-    let allow = within(get("allow").ok_or(Unusable::Figure)?, 0.0, FIGURE_MOST)?;
-    let allow = (allow * 1000.0) as Micros;
-    let hard_limit = catalog.classes[at].hard_limit;
-    if allow <= 0 || allow > hard_limit + hard_limit / 100 {
-        return Err(Unusable::Figure);
-    }
-    let work = get("effort").map(|t| within(t, 0.0, FIGURE_MOST)).transpose()?;
-    let mut figures = CallFigures {
-        id: number,
-        class: at as u16,
-        memory_mb: 0.0,
-        lanes: 1.0,
-        load: 0,
-        work: work.map(|ms| (ms * 1000.0) as Micros),
-    };
-    for pair in fields::pairs(get("extras").unwrap_or_default()) {
-        let (name, value) = pair.ok_or(Unusable::Figure)?;
-        let most = match name {
-            "memory_mb" => catalog.memory_most_mb,
-            "lanes" | "per_copy" => 10_000.0,
-            _ => FIGURE_MOST,
-        };
-        if !(0.0..=most).contains(&value) {
-            return Err(Unusable::Figure);
-        }
-        match name {
-            "memory_mb" => figures.memory_mb = value,
-            "lanes" | "per_copy" => figures.lanes = value,
-            "load_ms" | "warm_ms" => figures.load = (value * 1000.0) as Micros,
-            _ => {}
-        }
-    }
-    Ok(Asked {
-        reference,
-        id: id.into(),
-        function: function.into(),
-        figures,
-        tenant: tenant as u32,
-        budget: (allow - ANSWER_WAY).max(0),
-        body: words.get(4).map(|b| Bytes::copy_from_slice(b)).unwrap_or_default(),
-    })
-}
