--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -29,8 +29,9 @@
     /// Called four times a second.
     fn tend(&mut self, core: &Core);
 
-    /// Takes no more calls as soon as its callers allow; what is held is answered.
-    fn drain(&mut self);
+    /// Takes no more calls as soon as its callers allow; what is held is answered. Gives for how long the word to drain may
+    /// have waited because this process did not run: who sent it counts from then.
+    fn drain(&mut self) -> Micros;
 
     /// Takes no more calls and has passed on all answers.
     fn is_drained(&mut self) -> bool;
@@ -44,6 +45,17 @@
         false
     }
 
+    /// Whether calls left over when the drain runs out of time are answered all the same, as no one else will: a broker would
+    /// deliver them again.
+    fn answers_the_rest(&self) -> bool {
+        false
+    }
+
+    /// The driver takes no more news: the sockets are closed in order, within a time of their own.
+    fn finish(&mut self) -> impl Future<Output = ()> {
+        std::future::ready(())
+    }
+
     /// Returns when [`Ways::is_drained`] may have changed; may wait for ever, as it is looked at in each turn too.
     fn changed(&mut self) -> impl Future<Output = ()>;
 }
@@ -80,7 +92,8 @@
         told = Some(link.told.clone());
     }
     loop {
-        let due = core.due();
+        // The end of a drain is a time to wake up for like any other.
+        let due = core.due().into_iter().chain(drain_by).min();
         alarm.set(due.unwrap_or(Micros::MAX / 2).max(0).min(clock.now() + 60_000_000));
         let mut turn = false;
         tokio::select! {
@@ -88,8 +101,8 @@
             changed = drain.changed(), if drain_by.is_none() => {
                 if changed.is_err() || *drain.borrow() {
                     tracing::info!(unanswered = core.unanswered(), "draining");
-                    drain_by = Some(clock.now() + drain_most);
-                    ways.drain();
+                    let late = ways.drain();
+                    drain_by = Some(clock.now() - late + drain_most);
                 }
             }
             standing = next_standing(&mut keepers), if keepers.is_some() => {
@@ -143,7 +156,13 @@
             if done || clock.now() >= by {
                 if !done {
                     tracing::warn!(unanswered = core.unanswered(), "drain ran out of time");
+                    if ways.answers_the_rest() {
+                        core.end_calls(clock.now(), &mut commands);
+                        commands.drain(..).for_each(|command| ways.carry_out(command));
+                        ways.turned();
+                    }
                 }
+                ways.finish().await;
                 ways.tend(&core);
                 state.send_replace(FrontEndState { drained: true, ..Default::default() });
                 return;
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -3,6 +3,7 @@
 
 mod acts;
 mod calls;
+mod ending;
 mod entering;
 mod fleet;
 mod held;
--- a/crates/gateway/src/ways.rs
+++ b/crates/gateway/src/ways.rs
@@ -115,9 +115,10 @@
         self.gauges.publish(core, &link);
     }
 
-    fn drain(&mut self) {
+    fn drain(&mut self) -> stagehoist::Micros {
         // A link that ended has nothing left to drain.
         let _ = self.to_link.send(ToLink::Drain);
+        0
     }
 
     fn is_drained(&mut self) -> bool {
--- /dev/null
+++ b/crates/platform/src/clients/finish.rs
@@ -0,0 +1,82 @@
+//! The end of a process: whatever reached it whole is answered, and no close resets what was written.
+
+use super::{sockets, Clients, Conn};
+use stagehoist_gateway::state::{Answer, Ticket};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Connections looked for in the listener's line at most: as many as the system lets wait there.
+const WAITING_MOST: usize = 4096;
+/// How long clients are given to take what was written and to close.
+const CLOSING: Duration = Duration::from_millis(60);
+
+impl Clients {
+    /// Refuses whatever lies whole in a socket, also of connections that no one accepted yet, then says on each that nothing
+    /// more is written, and goes on reading for a while: a close over unread bytes would reset what was written.
+    pub async fn finish(self: &Rc<Self>, listener: &TcpListener) {
+        self.stop_taking();
+        // They never reached the module, as its line was full.
+        let left: Vec<Ticket> = self.calls.borrow().keys().copied().collect();
+        for ticket in left {
+            self.answer(ticket, &Answer::Refused { reason: "front-end-ends", retry_after: 0 });
+        }
+        self.turned();
+        self.answer_what_lies_there();
+        for stream in std::iter::from_fn(|| sockets::accept(listener)).take(WAITING_MOST) {
+            self.admit(stream);
+        }
+        self.answer_what_lies_there();
+        for conn in self.conns.borrow().values() {
+            // What waits for its client is written first. Nothing is open any more.
+            conn.session.borrow_mut().close(&mut Vec::new());
+            conn.wake.notify_one();
+        }
+        let all_closed = async {
+            while self.connections() + self.lingering.get() > 0 {
+                self.written.notified().await;
+            }
+        };
+        // Those that stay open end with the process.
+        let _ = tokio::time::timeout(CLOSING, all_closed).await;
+    }
+
+    fn answer_what_lies_there(self: &Rc<Self>) {
+        let conns: Vec<Rc<Conn>> = self.conns.borrow().values().cloned().collect();
+        for conn in conns.iter().filter(|c| !c.over.get()) {
+            if !self.read_all(conn) || !self.write_all(conn) {
+                conn.over.set(true);
+            }
+        }
+    }
+
+    /// False once the client is gone.
+    fn read_all(&self, conn: &Rc<Conn>) -> bool {
+        while conn.session.borrow().wants_read() {
+            let mut scratch = self.shared.scratch.borrow_mut();
+            match sockets::read(&conn.stream, &mut scratch) {
+                Ok(0) => return false,
+                Ok(n) => drop(self.receive(conn, &scratch[..n])),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    /// False once the client is gone.
+    fn write_all(&self, conn: &Conn) -> bool {
+        let mut session = conn.session.borrow_mut();
+        while !session.out().is_empty() {
+            match sockets::write(&conn.stream, session.out()) {
+                Ok(n) => session.wrote(n, self.shared.clock.now()),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+}
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -2,6 +2,8 @@
 
 mod accept;
 mod calls;
+mod finish;
+mod sockets;
 mod talk;
 
 use crate::bounds::Bounds;
@@ -20,7 +22,12 @@
     session: RefCell<Session>,
     stream: TcpStream,
     wake: Notify,
+    /// The client is gone, or takes nothing.
     over: Cell<bool>,
+    /// Closed for its silence, in order.
+    retired: Cell<bool>,
+    /// It was to be closed already while something lay in its socket, which was read first.
+    spared: Cell<bool>,
     dirty: Cell<bool>,
 }
 
@@ -56,6 +63,10 @@
     /// While draining: when the process ends at the latest, and whether new requests are still taken.
     ends: Cell<Option<Micros>>,
     taking: Cell<bool>,
+    /// Connections that are closed and read on for a while.
+    lingering: Cell<usize>,
+    /// Something was written to its end, or a connection ended.
+    written: Notify,
     dirty: RefCell<Vec<Rc<Conn>>>,
     pub counters: Cell<ClientCounters>,
 }
@@ -75,6 +86,8 @@
             serving: Cell::new(false),
             ends: Cell::new(None),
             taking: Cell::new(true),
+            lingering: Cell::new(0),
+            written: Notify::new(),
             dirty: RefCell::default(),
             counters: Cell::default(),
         }
@@ -115,13 +128,29 @@
         self.conns.borrow().len()
     }
 
+    /// Returns once something was written to its end or a connection ended.
+    pub async fn written(&self) {
+        self.written.notified().await;
+    }
+
     /// Closes connections whose clients are silent.
     pub fn tend(&self) {
         let now = self.shared.clock.now();
         for conn in self.conns.borrow().values() {
-            if conn.session.borrow().is_over(now) {
+            let (over, stuck) = {
+                let session = conn.session.borrow();
+                (session.is_over(now), session.is_stuck(now))
+            };
+            if !over {
+                conn.spared.set(false);
+            } else if stuck {
                 conn.over.set(true);
                 conn.wake.notify_one();
+            } else if sockets::has_unread(&conn.stream) && !conn.spared.replace(true) {
+                // What lies there may be the very request that ends its silence: it is read before this is looked at again.
+            } else {
+                conn.retired.set(true);
+                conn.wake.notify_one();
             }
         }
     }
--- a/crates/platform/src/clients/talk.rs
+++ b/crates/platform/src/clients/talk.rs
@@ -1,17 +1,17 @@
 //! One client's connection: read into its session, its answers written, closed in order.
 
-use super::{Clients, Conn};
+use super::{sockets, Clients, Conn};
 use crate::shared::Shared;
-use socket2::SockRef;
 use stagehoist_gateway::state::News;
 use std::io;
-use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
 /// A connection that is closed over what it sent is read on for so long and so much, so that the error reaches it.
 const LINGER: (Duration, usize) = (Duration::from_millis(250), 1 << 20);
+/// How soon a client's leaving is seen while nothing is read from it.
+const LEFT_WITHIN: Duration = Duration::from_millis(50);
 
 impl Clients {
     pub(super) async fn talk(self: Rc<Self>, conn: Rc<Conn>) {
@@ -21,9 +21,10 @@
                 let session = conn.session.borrow();
                 (session.wants_read(), !session.out().is_empty(), session.is_closing())
             };
-            if conn.over.get() || (closing && !write) {
+            if conn.over.get() || conn.retired.get() || (closing && !write) {
                 break;
             }
+            let held_back = !read && !closing;
             tokio::select! {
                 biased;
                 () = conn.wake.notified() => {}
@@ -37,6 +38,11 @@
                         conn.over.set(true);
                     }
                 }
+                () = tokio::time::sleep(LEFT_WITHIN), if held_back => {
+                    if sockets::has_left(&conn.stream) {
+                        conn.over.set(true);
+                    }
+                }
             }
             for item in news.drain(..) {
                 // A driver that ended needs no news.
@@ -45,14 +51,18 @@
         }
         self.conns.borrow_mut().remove(&conn.id);
         let mut said = Vec::new();
-        let lingers = conn.session.borrow().is_closing() && !conn.over.get();
+        let in_order = conn.retired.get() || conn.session.borrow().is_closing();
+        let lingers = in_order && !conn.over.get() && self.lingering.get() < self.bounds.clients / 4;
         conn.session.borrow_mut().close(&mut said);
         for item in self.heard(&conn, said, self.shared.read_time()) {
             let _ = self.shared.news.send(item).await;
         }
         if lingers {
+            self.lingering.set(self.lingering.get() + 1);
             linger(&conn.stream, &self.shared).await;
+            self.lingering.set(self.lingering.get() - 1);
         }
+        self.written.notify_one();
     }
 
     /// False once the client is gone.
@@ -64,12 +74,20 @@
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
             Err(_) => return false,
         };
+        news.extend(self.receive(conn, &scratch[..n]));
+        drop(scratch);
+        let waits = !conn.session.borrow().out().is_empty();
+        !waits || self.flush(conn)
+    }
+
+    /// What these bytes mean; answers that are owed at once wait to be written.
+    pub(super) fn receive(&self, conn: &Rc<Conn>, bytes: &[u8]) -> Vec<News> {
         let time = self.shared.read_time();
         let mut said = Vec::new();
         {
             let mut session = conn.session.borrow_mut();
             let mut next = self.next_ticket.get();
-            session.receive(&scratch[..n], time.0, (&self.catalog, self.serving.get()), &mut next, &mut said);
+            session.receive(bytes, time.0, (&self.catalog, self.serving.get()), &mut next, &mut said);
             self.next_ticket.set(next);
             if let Some(why) = session.unusable.take() {
                 self.count(|c| c.unusable += 1);
@@ -79,10 +97,7 @@
                 self.count(|c| c.unreadable += 1);
             }
         }
-        drop(scratch);
-        news.extend(self.heard(conn, said, time));
-        let waits = !conn.session.borrow().out().is_empty();
-        !waits || self.flush(conn)
+        self.heard(conn, said, time)
     }
 
     /// Writes what the turn brought.
@@ -109,6 +124,7 @@
                 Err(_) => return false,
             }
         }
+        self.written.notify_one();
         true
     }
 }
@@ -116,7 +132,7 @@
 /// Says that no more is written, and drops what still comes for a while: a close over unread bytes would become a reset
 /// that can overtake the answer.
 async fn linger(stream: &TcpStream, shared: &Shared) {
-    let _ = SockRef::from(stream).shutdown(Shutdown::Write);
+    sockets::end_writing(stream);
     let drop_all = async {
         let mut dropped = 0;
         while dropped < LINGER.1 && stream.readable().await.is_ok() {
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -24,8 +24,11 @@
 const STILL_COMING: Micros = 750_000;
 /// Deadlines longer than this are not waited for at a restart.
 const DEADLINE_MOST: Micros = 3_000_000;
-/// From SIGTERM to the end, beyond the longest deadline; SIGKILL comes 0.7 s beyond it.
-const DRAIN_BEYOND: Micros = 600_000;
+/// From SIGTERM to the last answer, beyond the longest deadline; SIGKILL comes 0.7 s beyond it. What lies between is kept for
+/// closing the sockets in order, and for the process to end.
+const DRAIN_BEYOND: Micros = 570_000;
+/// Calls that come during the drain are given up so long before its end, so that they end as any call does.
+const DRAIN_SPARE: Micros = 20_000;
 /// How often a line on the state goes to the log, in times of tending.
 const STATE_EVERY: u32 = 20;
 
@@ -89,7 +92,8 @@
     let mut tasks = JoinSet::new();
     let (bus_address, bus_seen) = watch::channel(told.bus);
     tasks.spawn_local(follow(shared.clone(), executors.clone(), Bus::new(*last, clock.now()), bus_seen));
-    let accepting = tasks.spawn_local(clients.clone().accept(listener));
+    let listener = Rc::new(listener);
+    let accepting = tasks.spawn_local(clients.clone().accept(listener.clone()));
     let beating = shared.clone();
     tasks.spawn_local(async move {
         let mut beat = tokio::time::interval(Duration::from_micros(BEAT as u64));
@@ -123,6 +127,7 @@
         shared,
         clients,
         executors,
+        listener,
         accepting,
         drain_most,
         closes: None,
@@ -141,6 +146,7 @@
     shared: Rc<Shared>,
     clients: Rc<Clients>,
     executors: Rc<Executors>,
+    listener: Rc<TcpListener>,
     accepting: AbortHandle,
     drain_most: Micros,
     /// While draining: when no more is taken.
@@ -203,23 +209,32 @@
         }
     }
 
-    fn drain(&mut self) {
-        let now = self.shared.clock.now();
+    fn drain(&mut self) -> Micros {
+        let (now, late) = self.shared.read_time();
         self.clients.serve(false);
-        self.clients.ends_by(now + self.drain_most - 50_000);
+        self.clients.ends_by(now - late + self.drain_most - DRAIN_SPARE);
         self.closes = Some(now + STILL_COMING);
+        late
     }
 
     fn is_drained(&mut self) -> bool {
-        let Some(at) = self.closes.filter(|at| self.shared.clock.now() >= *at) else { return false };
-        if at != Micros::MIN {
-            self.closes = Some(Micros::MIN);
-            self.accepting.abort();
-            self.clients.stop_taking();
+        if self.closes.is_none_or(|at| self.shared.clock.now() < at) {
+            return false;
         }
+        // Connections are accepted and read to the end: what comes now is refused, not lost.
+        self.clients.stop_taking();
         self.clients.unfinished() == (0, 0)
     }
 
+    fn answers_the_rest(&self) -> bool {
+        true
+    }
+
+    async fn finish(&mut self) {
+        self.accepting.abort();
+        self.clients.finish(&self.listener).await;
+    }
+
     fn reads_first(&self) -> bool {
         true
     }
@@ -229,6 +244,11 @@
     }
 
     async fn changed(&mut self) {
-        std::future::pending::<()>().await;
+        let now = self.shared.clock.now();
+        let closes = self.closes.filter(|at| *at > now).unwrap_or(now + DEADLINE_MOST);
+        tokio::select! {
+            () = tokio::time::sleep_until(self.shared.clock.instant(closes)) => {}
+            () = self.clients.written() => {}
+        }
     }
 }
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -226,10 +226,14 @@
         Seen { asked: self.asked, open: self.open.len(), active: self.active }
     }
 
+    /// Whether the client takes no bytes though some wait for it.
+    pub fn is_stuck(&self, now: Micros) -> bool {
+        !self.out.is_empty() && now - self.took >= crate::bounds::TAKE_WITHIN
+    }
+
     /// Whether the connection is over by the client's own silence.
     pub fn is_over(&self, now: Micros) -> bool {
-        let stuck = !self.out.is_empty() && now - self.took >= crate::bounds::TAKE_WITHIN;
-        stuck || crate::bounds::is_over(&self.seen(), self.born, self.partial_since, now)
+        self.is_stuck(now) || crate::bounds::is_over(&self.seen(), self.born, self.partial_since, now)
     }
 }
 
