Sockets are read before they are closed; the end of a drain answers what is left

Ruled out: answers lost on the way (none was made), calls that came after SIGTERM (their budget is cut by ends_by).

--- /dev/null
+++ b/crates/cli/tests/platform/ending.rs
@@ -0,0 +1,197 @@
+//! The end of a process, crossed by what reaches its sockets: the process is stopped so that both lie there at once.
+
+use crate::stage::{config_classes, ms, Stage, KEYS};
+use rustix::process::Signal;
+use stagehoist_standin::platform::client::array;
+use stagehoist_standin::platform::{Asked, Client, Fault, What};
+use std::time::{Duration, Instant};
+
+/// From SIGTERM to SIGKILL at the earliest, where the longest deadline is 3 s or more.
+const KILLED: Duration = Duration::from_millis(3700);
+/// Longer than a drain waits.
+const LONG: u64 = 9000;
+
+fn request(n: u64, class: &str, allow: u64) -> Vec<u8> {
+    let key = KEYS[(n % 4) as usize];
+    let fields = format!("ref={n:016x},allow={allow},project=acme,lookup={key},effort=20");
+    array(&[b"REQ", n.to_string().as_bytes(), class.as_bytes(), fields.as_bytes(), b"x"])
+}
+
+impl Stage {
+    /// A call of an unsafe class (odd) or a safe one that may take as long as it likes.
+    async fn long_call(&mut self, client: &mut Client, n: u64) {
+        let (class, is_unsafe) = if n % 2 == 1 { ("book", true) } else { ("look", false) };
+        let at = Instant::now();
+        client.raw(&request(n, class, LONG)).await.unwrap();
+        let (id, tag, body) = (format!("{n:016x}"), n.to_string(), b"x".to_vec());
+        self.asked.push(Asked { at, id, tag, allow: ms(LONG), is_unsafe, body, left: false });
+    }
+
+    /// Waits until executors saw so many attempts.
+    async fn attempts(&self, many: usize) {
+        let by = Instant::now() + ms(5000);
+        while (0..self.executors.len()).map(|n| self.runs(n)).sum::<usize>() < many {
+            assert!(Instant::now() < by, "attempts are missing");
+            tokio::time::sleep(ms(5)).await;
+        }
+    }
+
+    /// Waits until the process has seen SIGTERM.
+    async fn drains(&self) {
+        let mut client = self.client().await;
+        for n in 1.. {
+            client.raw(&array(&[b"HEALTH", n.to_string().as_bytes(), b""])).await.unwrap();
+            if client.wait(n, ms(2000)).await[n - 1].word == "not_serving" {
+                return;
+            }
+        }
+    }
+
+    async fn long() -> Stage {
+        let stage = Stage::start_with(2, 256, |told| config_classes(told, "hard_limit", LONG)).await;
+        stage.executors.iter().for_each(|e| e.spoil([Fault::Never; 64]));
+        stage
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_that_outlasts_the_drain_is_answered_before_the_process_ends() {
+    let mut stage = Stage::long().await;
+    let mut client = stage.client().await;
+    for n in 1..=6 {
+        stage.long_call(&mut client, n).await;
+    }
+    stage.attempts(6).await;
+    let term = Instant::now();
+    stage.signal(Signal::TERM);
+    assert_eq!((stage.ends(KILLED).await, term.elapsed() < KILLED), (Some(0), true));
+    let answers = client.wait(6, ms(1000)).await;
+    assert_eq!(answers.len(), 6, "each is answered once: {answers:?}");
+    assert!(answers.iter().all(|a| a.word == "500"), "each may have run: {answers:?}");
+    stage.verdict(&answers);
+}
+
+/// The time of a drain runs from when SIGTERM was sent, as SIGKILL's does, also where the process did not run in between.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_process_that_did_not_run_at_sigterm_ends_in_time_with_all_answered() {
+    let mut stage = Stage::long().await;
+    let mut client = stage.client().await;
+    for n in 1..=4 {
+        stage.long_call(&mut client, n).await;
+    }
+    stage.attempts(4).await;
+    stage.signal(Signal::STOP);
+    let term = Instant::now();
+    stage.signal(Signal::TERM);
+    tokio::time::sleep(ms(1000)).await;
+    stage.signal(Signal::CONT);
+    let code = stage.ends(KILLED.saturating_sub(term.elapsed())).await;
+    assert_eq!(code, Some(0), "it ends before it is killed");
+    let answers = client.wait(4, ms(1000)).await;
+    assert_eq!(answers.len(), 4, "each is answered once: {answers:?}");
+    stage.verdict(&answers);
+}
+
+/// The process is stopped between SIGTERM and the end of taking, and goes on after it: connections that no one accepted, whole
+/// requests that no one read, half ones, ABORT and HEALTH all lie in its sockets when it ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_lies_in_the_sockets_at_the_end_is_answered_and_nothing_is_reset() {
+    let mut stage = Stage::start(2, 256).await;
+    let mut open = stage.client().await;
+    stage.call(&mut open, 1).await;
+    assert_eq!(open.wait(1, ms(3000)).await.len(), 1);
+    let term = Instant::now();
+    stage.signal(Signal::TERM);
+    stage.drains().await;
+    stage.signal(Signal::STOP);
+    stage.call(&mut open, 2).await;
+    let mut new = Vec::new();
+    for n in 3..=22 {
+        new.push(stage.client().await);
+        let last = new.len() - 1;
+        stage.call(&mut new[last], n).await;
+    }
+    let mut health = stage.client().await;
+    health.raw(&array(&[b"HEALTH", b"5", b""])).await.unwrap();
+    let mut half = stage.client().await;
+    let whole = request(31, "look", 1500);
+    half.raw(&whole[..whole.len() - 1]).await.unwrap();
+    let mut silent = stage.client().await;
+    let mut aborted = stage.client().await;
+    let both = [request(32, "look", 1500), array(&[b"ABORT", b"32"])].concat();
+    aborted.raw(&both).await.unwrap();
+    // Beyond the time in which requests are taken.
+    tokio::time::sleep(ms(1100).saturating_sub(term.elapsed())).await;
+    stage.signal(Signal::CONT);
+    let mut answers = open.wait(2, ms(3000)).await;
+    for client in &mut new {
+        let got = client.wait(1, ms(3000)).await;
+        assert_eq!(got.len(), 1, "a request that lay in the socket of a new connection is answered");
+        answers.extend(got);
+    }
+    assert_eq!(answers.len(), 22);
+    assert_eq!(health.wait(1, ms(1000)).await[0].word, "not_serving");
+    for (client, most) in [(&mut half, 0), (&mut silent, 0), (&mut aborted, 1)] {
+        let got = client.wait(2, ms(1000)).await;
+        assert!(client.closed().is_some() && got.len() <= most, "{got:?}");
+        assert!(!client.was_reset(), "closed in order");
+    }
+    assert!(!open.was_reset());
+    assert_eq!(stage.ends(KILLED.saturating_sub(term.elapsed())).await, Some(0));
+    stage.verdict(&answers);
+}
+
+/// Signals in any order and number end the process once, with all that it took answered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn signals_that_meet_end_the_process_once() {
+    for signals in [
+        [Signal::TERM, Signal::TERM, Signal::HUP],
+        [Signal::HUP, Signal::TERM, Signal::INT],
+        [Signal::TERM, Signal::HUP, Signal::TERM],
+    ] {
+        let mut stage = Stage::start(2, 256).await;
+        let mut client = stage.client().await;
+        for n in 1..=10 {
+            stage.call(&mut client, n).await;
+        }
+        stage.signal(Signal::STOP);
+        // All of them are there when it goes on.
+        signals.into_iter().for_each(|signal| stage.signal(signal));
+        for n in 11..=20 {
+            stage.call(&mut client, n).await;
+        }
+        stage.signal(Signal::CONT);
+        let answers = client.wait(20, ms(3000)).await;
+        assert_eq!(answers.len(), 20, "{signals:?}");
+        stage.signal(Signal::TERM);
+        assert_eq!(stage.ends(ms(3000)).await, Some(0), "{signals:?}");
+        stage.verdict(&answers);
+    }
+}
+
+/// What comes after the time of taking is refused and never sent on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nothing_is_sent_on_after_the_end_of_taking() {
+    let mut stage = Stage::start(2, 256).await;
+    let mut client = stage.client().await;
+    stage.signal(Signal::TERM);
+    stage.drains().await;
+    stage.signal(Signal::STOP);
+    for n in 1..=8 {
+        stage.call(&mut client, n).await;
+    }
+    tokio::time::sleep(ms(1100)).await;
+    stage.signal(Signal::CONT);
+    let answers = client.wait(8, ms(3000)).await;
+    assert_eq!(answers.len(), 8);
+    assert_eq!(stage.ends(ms(3000)).await, Some(0));
+    for (n, executor) in stage.executors.iter().enumerate() {
+        for seen in executor.seen() {
+            if let What::Run { id, .. } = seen.what {
+                let answer = answers.iter().find(|a| format!("{:016x}", a.tag.parse::<u64>().unwrap()) == id);
+                assert_ne!(answer.map(|a| &*a.word), Some("503"), "sent to {n} and refused: {id}");
+            }
+        }
+    }
+    stage.verdict(&answers);
+}
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -3,6 +3,8 @@
 
 mod bad_clients;
 mod calls;
+mod closes;
+mod ending;
 mod lists;
 mod shutdown;
 mod stage;
--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -55,6 +55,13 @@
                 "loads_within": 10000.0}}})
 }
 
+/// Every class told so.
+pub fn config_classes(told: &mut serde_json::Value, field: &str, value: u64) {
+    for class in told["settings"]["classes"].as_array_mut().unwrap() {
+        class[field] = json!(value as f64);
+    }
+}
+
 impl Stage {
     pub async fn start(executors: u32, sockets: u64) -> Stage {
         Stage::start_with(executors, sockets, |_| ()).await
--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -48,8 +48,8 @@
         let id = self.next_conn.get() + 1;
         self.next_conn.set(id);
         let session = RefCell::new(Session::new(self.shared.clock.now()));
-        let [over, retired, spared, dirty] = [false; 4].map(Cell::new);
-        let conn = Rc::new(Conn { id, session, stream, wake: Notify::new(), over, retired, spared, dirty });
+        let [over, silent, dirty] = [false; 3].map(Cell::new);
+        let conn = Rc::new(Conn { id, session, stream, wake: Notify::new(), over, silent, dirty });
         self.conns.borrow_mut().insert(id, conn.clone());
         tokio::task::spawn_local(self.clone().talk(conn));
         full
--- a/crates/platform/src/clients/finish.rs
+++ b/crates/platform/src/clients/finish.rs
@@ -1,7 +1,7 @@
 //! The end of a process: whatever reached it whole is answered, and no close resets what was written.
 
 use super::{sockets, Clients, Conn};
-use stagehoist_gateway::state::{Answer, Ticket};
+use stagehoist_gateway::state::{Answer, News, Ticket};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,6 +9,8 @@
 
 /// Connections looked for in the listener's line at most: as many as the system lets wait there.
 const WAITING_MOST: usize = 4096;
+/// Reads of one socket in a row at most, as some clients never cease to write.
+const READS_MOST: usize = 64;
 /// How long clients are given to take what was written and to close.
 const CLOSING: Duration = Duration::from_millis(60);
 
@@ -45,20 +47,24 @@
     fn answer_what_lies_there(self: &Rc<Self>) {
         let conns: Vec<Rc<Conn>> = self.conns.borrow().values().cloned().collect();
         for conn in conns.iter().filter(|c| !c.over.get()) {
-            if !self.read_all(conn) || !self.write_all(conn) {
+            // The driver is over: what is left to say is refused here, and it needs no news.
+            if !self.read_all(conn, &mut Vec::new()) || !self.write_all(conn) {
                 conn.over.set(true);
             }
         }
     }
 
-    /// False once the client is gone.
-    fn read_all(&self, conn: &Rc<Conn>) -> bool {
-        while conn.session.borrow().wants_read() {
+    /// Reads what lies in the socket now. False once the client is gone.
+    pub(super) fn read_all(&self, conn: &Rc<Conn>, news: &mut Vec<News>) -> bool {
+        for _ in 0..READS_MOST {
+            if !conn.session.borrow().wants_read() {
+                break;
+            }
             let mut scratch = self.shared.scratch.borrow_mut();
             match sockets::read(&conn.stream, &mut scratch) {
                 Ok(0) => return false,
-                Ok(n) => drop(self.receive(conn, &scratch[..n])),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+                Ok(n) => news.extend(self.receive(conn, &scratch[..n])),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return false,
             }
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -24,10 +24,8 @@
     wake: Notify,
     /// The client is gone, or takes nothing.
     over: Cell<bool>,
-    /// Closed for its silence, in order.
-    retired: Cell<bool>,
-    /// It was to be closed already while something lay in its socket, which was read first.
-    spared: Cell<bool>,
+    /// It looks over by its own silence.
+    silent: Cell<bool>,
     dirty: Cell<bool>,
 }
 
@@ -141,15 +139,10 @@
                 let session = conn.session.borrow();
                 (session.is_over(now), session.is_stuck(now))
             };
-            if !over {
-                conn.spared.set(false);
-            } else if stuck {
-                conn.over.set(true);
-                conn.wake.notify_one();
-            } else if sockets::has_unread(&conn.stream) && !conn.spared.replace(true) {
-                // What lies there may be the very request that ends its silence: it is read before this is looked at again.
-            } else {
-                conn.retired.set(true);
+            if over {
+                // A silent one is read once more before it is closed.
+                let why = if stuck { &conn.over } else { &conn.silent };
+                why.set(true);
                 conn.wake.notify_one();
             }
         }
--- a/crates/platform/src/clients/talk.rs
+++ b/crates/platform/src/clients/talk.rs
@@ -16,12 +16,13 @@
 impl Clients {
     pub(super) async fn talk(self: Rc<Self>, conn: Rc<Conn>) {
         let mut news = Vec::new();
+        let mut retired = false;
         loop {
             let (read, write, closing) = {
                 let session = conn.session.borrow();
                 (session.wants_read(), !session.out().is_empty(), session.is_closing())
             };
-            if conn.over.get() || conn.retired.get() || (closing && !write) {
+            if conn.over.get() || retired || (closing && !write) {
                 break;
             }
             let held_back = !read && !closing;
@@ -44,6 +45,13 @@
                     }
                 }
             }
+            if conn.silent.take() {
+                // What lies in its socket may be the very request that ends its silence.
+                if !self.read_all(&conn, &mut news) {
+                    conn.over.set(true);
+                }
+                retired = conn.session.borrow().is_over(self.shared.clock.now());
+            }
             for item in news.drain(..) {
                 // A driver that ended needs no news.
                 let _ = self.shared.news.send(item).await;
@@ -51,7 +59,7 @@
         }
         self.conns.borrow_mut().remove(&conn.id);
         let mut said = Vec::new();
-        let in_order = conn.retired.get() || conn.session.borrow().is_closing();
+        let in_order = retired || conn.session.borrow().is_closing();
         let lingers = in_order && !conn.over.get() && self.lingering.get() < self.bounds.clients / 4;
         conn.session.borrow_mut().close(&mut said);
         for item in self.heard(&conn, said, self.shared.read_time()) {
--- a/crates/standin/src/platform/client.rs
+++ b/crates/standin/src/platform/client.rs
@@ -21,6 +21,7 @@
 struct State {
     answers: Vec<Answered>,
     closed: Option<Instant>,
+    reset: bool,
 }
 
 /// One connection of a client.
@@ -82,7 +83,11 @@
                 shared.lock().unwrap().answers.push(answered);
                 tell.send_modify(|n| *n += 1);
             }
-            shared.lock().unwrap().closed = Some(Instant::now());
+            // What follows the last answer: the end, or the error that a reset leaves.
+            let reset = read.read(&mut [0]).await.is_err();
+            let mut state = shared.lock().unwrap();
+            (state.closed, state.reset) = (Some(Instant::now()), reset);
+            drop(state);
             tell.send_modify(|n| *n += 1);
         });
         Ok(Client { write, state, changed, task })
@@ -106,6 +111,11 @@
         self.state.lock().unwrap().closed
     }
 
+    /// Whether the connection ended by a reset and not by an orderly end.
+    pub fn was_reset(&self) -> bool {
+        self.state.lock().unwrap().reset
+    }
+
     /// Waits until so many answers came or the connection closed, `limit` at most.
     pub async fn wait(&mut self, answers: usize, limit: Duration) -> Vec<Answered> {
         let by = tokio::time::Instant::now() + limit;
