--- /dev/null
+++ b/crates/platform/src/line/words.rs
@@ -0,0 +1,85 @@
+//! The words of an answer.
+
+use super::{Poison, Tag, ANSWER_MOST};
+use crate::fields;
+use stagehoist::Report;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Word {
+    Ok,
+    Miss,
+    Busy,
+    Err,
+    Void,
+    Up,
+    Down,
+}
+
+#[derive(Debug)]
+pub(super) struct Head {
+    pub tag: Option<Tag>,
+    pub word: Word,
+    pub fields: Vec<u8>,
+    pub length: Option<usize>,
+}
+
+pub(super) fn is_plain(b: u8) -> bool {
+    (0x20..0x7f).contains(&b) || b == b'\r'
+}
+
+/// `ID WORD FIELDS LENGTH`; the last two may be absent.
+pub(super) fn head(line: &[u8]) -> Result<Head, Poison> {
+    if !line.iter().all(|b| (0x20..0x7f).contains(b)) {
+        return Err(Poison::Line);
+    }
+    let mut words = line.split(|&b| b == b' ');
+    let (Some(id), Some(word)) = (words.next(), words.next()) else { return Err(Poison::Line) };
+    let (list, length) = (words.next(), words.next());
+    if id.is_empty() || words.next().is_some() {
+        return Err(Poison::Line);
+    }
+    let word = match word {
+        b"OK" => Word::Ok,
+        b"MISS" => Word::Miss,
+        b"BUSY" => Word::Busy,
+        b"ERR" => Word::Err,
+        b"VOID" => Word::Void,
+        b"UP" => Word::Up,
+        b"DOWN" => Word::Down,
+        _ => return Err(Poison::Line),
+    };
+    let digits = |text: &[u8]| -> Option<u64> {
+        let plain = !text.is_empty() && text.len() <= 12 && text.iter().all(u8::is_ascii_digit);
+        plain.then(|| std::str::from_utf8(text).ok()?.parse().ok()).flatten()
+    };
+    let length = match length {
+        None => None,
+        Some(text) => match digits(text) {
+            Some(n) if n <= ANSWER_MOST as u64 => Some(n as usize),
+            _ => return Err(Poison::Length),
+        },
+    };
+    let tag = fields::hex16(id).map(Tag::Call).or_else(|| digits(id).map(Tag::Own));
+    Ok(Head { tag, word, fields: list.unwrap_or_default().to_vec(), length })
+}
+
+/// A load report, its values in the order of the settings. The settings know some values by other names.
+pub(super) fn stats(text: &str, report: &[String]) -> Result<Report, Poison> {
+    let mut values = [0f32; 4];
+    let mut any = false;
+    for pair in fields::pairs(text) {
+        let (name, value) = pair.ok_or(Poison::Line)?;
+        let known = match name {
+            "inflight" => "rif",
+            "queue" => "q",
+            "util" => "busy",
+            other => other,
+        };
+        let place = report.iter().position(|r| r == name || r == known);
+        if let Some(slot) = place.and_then(|i| values.get_mut(i)) {
+            *slot = value as f32;
+            any = true;
+        }
+    }
+    Ok(any.then_some(values))
+}
