--- /dev/null
+++ b/crates/platform/tests/codecs/tools.rs
@@ -0,0 +1,83 @@
+//! A client's session and an executor's line, fed by hand.
+
+use bytes::BytesMut;
+use stagehoist::{Micros, Outcome};
+use stagehoist_gateway::state::News;
+use stagehoist_platform::line::{Line, Poison, What};
+use stagehoist_platform::resp::{encode, Decoder};
+use stagehoist_platform::session::{Catalog, Said, Session};
+use stagehoist_platform::Told;
+
+pub const MS: Micros = 1000;
+
+pub fn catalog() -> Catalog {
+    Catalog::from(&Told::parse(include_str!("../config.json")).unwrap())
+}
+
+pub struct Client {
+    pub session: Session,
+    pub catalog: Catalog,
+    pub ticket: u64,
+    pub said: Vec<Said>,
+}
+
+impl Client {
+    pub fn new() -> Client {
+        Client { session: Session::new(0), catalog: catalog(), ticket: 0, said: Vec::new() }
+    }
+    pub fn send(&mut self, words: &[&[u8]]) {
+        let mut bytes = BytesMut::new();
+        encode(&mut bytes, words);
+        self.raw(&bytes);
+    }
+    pub fn raw(&mut self, bytes: &[u8]) {
+        self.session.receive(bytes, MS, (&self.catalog, true), &mut self.ticket, &mut self.said);
+    }
+    pub fn call(&mut self, tag: &str, fields: &str) {
+        self.send(&[b"REQ", tag.as_bytes(), b"look", fields.as_bytes(), b"body"]);
+    }
+    /// The first two words of each answer.
+    pub fn answers(&mut self) -> Vec<(String, String)> {
+        let mut decoder = Decoder::default();
+        decoder.feed(self.session.out());
+        let n = self.session.out().len();
+        self.session.wrote(n, MS);
+        let mut all = Vec::new();
+        while let Some(words) = decoder.take().unwrap() {
+            let text = |n: usize| String::from_utf8(words[n].clone()).unwrap();
+            all.push((text(0), text(1)));
+        }
+        all
+    }
+}
+
+pub const GOOD: &str = "ref=9b1f03aa5c7e2d41,allow=1500,project=acme,lookup=7f3a9c21e0b4d655,effort=8.2,extras=memory_mb:512;lanes:2";
+
+pub fn line() -> (Line, Vec<News>) {
+    let mut line = Line::new(0);
+    for n in 1..=3u64 {
+        let what = What::Attempt { request: n as u32, attempt: 0 };
+        assert!(line.run((n, &format!("{n:016x}")), "class=look,key=07", b"b", what, 0));
+    }
+    write_all(&mut line, 0);
+    (line, Vec::new())
+}
+
+pub fn write_all(line: &mut Line, now: Micros) -> String {
+    let mut bytes = Vec::new();
+    line.fill(&mut bytes);
+    line.wrote(bytes.len(), now);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+pub fn ends(news: &[News]) -> Vec<(u32, Outcome, Vec<u8>)> {
+    let end = |n: &News| match n {
+        News::Attempt { request, result, .. } => Some((*request, result.outcome, result.body.to_vec())),
+        _ => None,
+    };
+    news.iter().filter_map(end).collect()
+}
+
+pub fn feed(line: &mut Line, bytes: &[u8], news: &mut Vec<News>) -> Result<(), Poison> {
+    line.receive(bytes, (MS, MS), &["rif".into()], news)
+}
