Lost orders and given-up requests behind unwritten bytes don't arrive after all

Cause: `Line::expire` ended a connection for a lost order only where nothing was read since the order was queued. One that was written late or in part behind a full socket went on and arrived after it counted as lost. `Line::stop` wrote the rest of a partly written request only to give it up. `Line::has` forgot an id once it was given up or refused early: a second request under it on the same line took the first's late answer, and its withdrawal cut the first's half-written bytes out of the stream.

Change: an order is measured from its last byte; a part of it ends the connection; one not begun in its time is withdrawn before the next write (`withdraw_overdue`). A partly written request that is given up ends its connection where nothing else began there. Ids given up stay taken on their line until answered.

--- a/crates/platform/src/line/ending.rs
+++ b/crates/platform/src/line/ending.rs
@@ -1,24 +1,49 @@
 //! What is given up, withdrawn or lost, and what the end of the connection means for each that was open.
 
-use super::{End, Line, Open, Poison, Tag, What};
+use super::{End, Line, Open, Poison, Tag, What, STOPPED};
 use bytes::BytesMut;
 use stagehoist::{Micros, Outcome};
 use stagehoist_gateway::state::{AttemptResult, News};
 
 impl Line {
     /// Gives up a request. Nothing is written where none of it was; the line counts as silent where nothing came since it
-    /// was written `patience` ago or longer.
-    pub fn stop(&mut self, id: u64, text: &str, now: Micros, patience: Micros) {
+    /// was written `patience` ago or longer. True where the connection is to be ended instead: a part of it was written,
+    /// the rest would arrive only to be given up, and no other has begun here.
+    pub fn stop(&mut self, id: u64, text: &str, now: Micros, patience: Micros) -> bool {
         let tag = Tag::Call(id);
-        let Some(open) = self.open.remove(&tag) else { return };
+        let Some(open) = self.open.remove(&tag) else { return false };
         self.attempts -= 1;
         match open.begun {
-            None => self.queue.retain(|item| item.tag != Some(tag)),
+            None => self.unqueue(tag),
             Some(at) => {
                 self.silent |= self.read <= at && now - at >= patience;
+                if open.whole.is_none() && self.open.values().all(|o| o.begun.is_none()) {
+                    return true;
+                }
+                if self.stopped.len() == STOPPED {
+                    self.stopped.pop_front();
+                }
+                self.stopped.push_back(id);
                 self.push(None, format!("STOP {text}\r\n").into_bytes(), now);
             }
         }
+        false
+    }
+
+    /// Takes out what was not begun to be written. What was must be written to its end, or nothing behind it can be read.
+    fn unqueue(&mut self, tag: Tag) {
+        self.queue.retain(|item| item.tag != Some(tag) || item.done > 0);
+    }
+
+    /// Orders that waited here for longer than they count are not begun any more.
+    pub fn withdraw_overdue(&mut self, now: Micros, order: Micros, news: &mut Vec<News>) {
+        let over =
+            |o: &Open| o.begun.is_none() && matches!(o.what, What::Load { sent, .. } if now - sent >= order);
+        let tags: Vec<Tag> = self.open.iter().filter(|(_, o)| over(o)).map(|(t, _)| *t).collect();
+        for tag in tags {
+            self.unqueue(tag);
+            self.finish(tag, Outcome::Timeout, now, news);
+        }
     }
 
     /// Withdraws what was not begun to be written, as the executor takes nothing new.
@@ -26,7 +51,7 @@
         let unbegun = |o: &Open| o.begun.is_none() && !matches!(o.what, What::Probe { .. });
         let tags: Vec<Tag> = self.open.iter().filter(|(_, o)| unbegun(o)).map(|(t, _)| *t).collect();
         for tag in tags {
-            self.queue.retain(|item| item.tag != Some(tag));
+            self.unqueue(tag);
             self.finish(tag, Outcome::ConnectFailed, now, news);
         }
     }
@@ -70,14 +95,18 @@
             What::Probe { sent, .. } => now - sent >= patience,
             What::Load { sent, .. } => now - sent >= order,
         };
+        self.withdraw_overdue(now, order, news);
         // An order that counts as lost must not arrive after all: what may still lie on its way goes with the connection.
-        let lies = |o: &Open| matches!(o.what, What::Load { sent, .. } if over(o) && self.read <= sent);
+        // It does where a part of it is not written, whatever came meanwhile, and where nothing came since it was.
+        let lies = |o: &Open| {
+            matches!(o.what, What::Load { .. }) && over(o) && o.whole.is_none_or(|at| self.read <= at)
+        };
         if self.open.values().any(lies) {
             return Err(Poison::Silent);
         }
         let tags: Vec<Tag> = self.open.iter().filter(|(_, o)| over(o)).map(|(t, _)| *t).collect();
         for tag in tags {
-            self.queue.retain(|item| item.tag != Some(tag) || item.done > 0);
+            self.unqueue(tag);
             self.finish(tag, Outcome::Timeout, now, news);
         }
         Ok(())
--- a/crates/platform/src/line/mod.rs
+++ b/crates/platform/src/line/mod.rs
@@ -13,6 +13,8 @@
 pub const ANSWER_MOST: usize = 64 << 10;
 /// Bytes gathered for one write.
 const WRITE_MOST: usize = 64 << 10;
+/// Ids kept that were given up: as many as may be on their way at once, twice over.
+const STOPPED: usize = 64;
 
 /// Why an executor's bytes can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -49,6 +51,8 @@
     what: What,
     /// When its first byte was written; None: none was.
     begun: Option<Micros>,
+    /// When its last byte was written.
+    whole: Option<Micros>,
 }
 
 #[derive(Debug)]
@@ -76,6 +80,8 @@
     queue: VecDeque<Item>,
     open: HashMap<Tag, Open>,
     attempts: usize,
+    /// Given up after they were begun and not answered since, the newest last.
+    stopped: VecDeque<u64>,
     /// When something was last read.
     read: Micros,
     active: Micros,
@@ -108,8 +114,12 @@
         self.silent
     }
 
+    /// Whether something under this id is open here, still partly written, or given up and perhaps answered yet: that
+    /// answer would be taken for another request's under the same id.
     pub fn has(&self, id: u64) -> bool {
-        self.open.contains_key(&Tag::Call(id))
+        let tag = Tag::Call(id);
+        let written = || self.queue.front().is_some_and(|item| item.tag == Some(tag));
+        self.open.contains_key(&tag) || self.stopped.contains(&id) || written()
     }
 
     /// Queues a request. False where one with this id is open here.
@@ -154,7 +164,7 @@
     fn push(&mut self, opens: Option<(Tag, What)>, bytes: Vec<u8>, now: Micros) {
         self.active = now;
         let tag = opens.map(|(tag, what)| {
-            self.open.insert(tag, Open { what, begun: None });
+            self.open.insert(tag, Open { what, begun: None, whole: None });
             tag
         });
         self.queue.push_back(Item { tag, bytes, done: 0 });
@@ -186,6 +196,9 @@
             item.done += part;
             n -= part;
             if item.done == item.bytes.len() {
+                if let Some(open) = item.tag.and_then(|t| self.open.get_mut(&t)) {
+                    open.whole = Some(now);
+                }
                 self.queue.pop_front();
             }
         }
--- a/crates/platform/src/line/reading.rs
+++ b/crates/platform/src/line/reading.rs
@@ -54,6 +54,9 @@
                 return Ok(());
             }
             let result = self.understand(&head, report, at)?;
+            if let Some(Tag::Call(id)) = head.tag {
+                self.stopped.retain(|s| *s != id);
+            }
             let frame = self.buffer.split_to(whole);
             if let Some((tag, mut result, copies)) = result {
                 if let Some(length) = head.length.filter(|_| result.outcome == Outcome::Ok) {
--- /dev/null
+++ b/crates/platform/tests/crossings/main.rs
@@ -0,0 +1,3 @@
+//! Two events meet at an executor's connection: each crossing forced.
+
+mod lines;
