Executors that move, close or reset meet work in flight: nothing new at old addresses, answers read

Causes: `told` ended only idle connections of an executor whose address moved, so new work went to the old address over busy ones and over handshakes under way. A write that found a connection reset ended it over answers that lay unread: a served request was told as broken. A connection closed between its choice and the write made a request count as begun. After a gap of this process what waited was written before an ABORT or a drain beside it was read. `late_news` handed on its items last first.

Changes: connections of an old address take nothing more, what waits on them is withdrawn and told, what was begun ends there. A broken connection is read out first (asked of the socket, bounded). Before a write the socket is asked whether it was closed. After a gap the other sockets and the driver come first. `late_news` is a queue.

--- a/crates/platform/src/executors/choice.rs
+++ b/crates/platform/src/executors/choice.rs
@@ -28,6 +28,7 @@
             stream: RefCell::default(),
             wake: Notify::new(),
             state: Cell::new(State::Connecting),
+            moved: Cell::new(false),
             dirty: Cell::new(false),
         });
         executor.links.push(link.clone());
@@ -60,7 +61,7 @@
             let usable = |l: &&Rc<Link>| {
                 let line = l.line.borrow();
                 let room = line.attempts() < self.limits.streams && !id.is_some_and(|id| line.has(id));
-                room && !line.is_silent() && !matches!(l.state.get(), State::Over(_))
+                room && !l.moved.get() && !line.is_silent() && !matches!(l.state.get(), State::Over(_))
             };
             let mut idle = None;
             for link in executor.links.iter().filter(usable) {
@@ -95,8 +96,8 @@
     }
 }
 
-/// Whether the other side closed a connection that is idle: what the socket knows already, asked without waiting.
-fn is_dead(link: &Link) -> bool {
+/// Whether the other side closed a connection on which nothing more is to be read: what the socket knows already, asked without waiting.
+pub(super) fn is_dead(link: &Link) -> bool {
     let Some(stream) = link.stream.borrow().clone() else { return true };
     match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit(); 1]) {
         Ok(0) => true,
--- a/crates/platform/src/executors/links.rs
+++ b/crates/platform/src/executors/links.rs
@@ -1,16 +1,21 @@
 //! One connection: its handshake, what it reads and writes, and its end.
 
+use super::choice::is_dead;
 use super::Executors;
 use crate::line::{End, Line};
+use socket2::SockRef;
 use stagehoist::WorkerId;
 use stagehoist_gateway::state::News;
 use std::cell::{Cell, RefCell};
-use std::io;
+use std::io::{self, Read};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+/// Most that is read of a connection after it ended.
+const READ_OUT: usize = 4 << 20;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum State {
     Connecting,
@@ -27,6 +32,8 @@
     pub wake: Notify,
     pub state: Cell<State>,
     pub dirty: Cell<bool>,
+    /// The executor is somewhere else now: it takes nothing more.
+    pub moved: Cell<bool>,
 }
 
 impl Link {
@@ -46,6 +53,13 @@
         }
         let mut line = link.line.borrow_mut();
         let mut bytes = Vec::new();
+        let mut news = Vec::new();
+        line.withdraw_overdue(self.shared.clock.now(), self.limits.order_timeout, &mut news);
+        self.late_news.borrow_mut().extend(news);
+        if line.wants_write() && is_dead(link) {
+            // It was closed since it was chosen: what was not begun is known not to have run.
+            return link.end(End::Broken);
+        }
         while line.wants_write() {
             bytes.clear();
             line.fill(&mut bytes);
@@ -77,6 +91,7 @@
                 let stream = Rc::new(stream);
                 *link.stream.borrow_mut() = Some(stream.clone());
                 link.state.set(State::Up);
+                self.hear_first().await;
                 self.flush(&link);
                 self.exchange(&link, &stream).await;
             }
@@ -88,6 +103,7 @@
         let mut news = Vec::new();
         while link.state.get() == State::Up {
             let write = link.line.borrow().wants_write();
+            let mut writes = false;
             tokio::select! {
                 biased;
                 () = link.wake.notified() => {}
@@ -96,39 +112,74 @@
                     Err(_) => link.end(End::Broken),
                 },
                 ready = stream.writable(), if write => match ready {
-                    Ok(()) => self.flush(link),
+                    Ok(()) => writes = true,
                     Err(_) => link.end(End::Broken),
                 },
             }
-            self.settled(&news);
-            for item in news.drain(..) {
-                // A driver that ended needs no news.
-                let _ = self.shared.news.send(item).await;
+            if writes {
+                self.hear_first().await;
+                self.flush(link);
+            }
+            self.pass_on(&mut news).await;
+        }
+        if link.state.get() == State::Over(End::Broken) {
+            // A write may find the end before what was answered ahead of it was read.
+            self.read_out(link, stream, &mut news);
+            self.pass_on(&mut news).await;
+        }
+    }
+
+    /// After a gap of this process, what lies in the other sockets (a client that left, a drain) is read and acted on before
+    /// anything that waited is written: a turn to read them, one for the driver, one for those who had more to read.
+    async fn hear_first(&self) {
+        if self.shared.read_time().1 > 0 {
+            for _ in 0..3 {
+                tokio::task::yield_now().await;
             }
         }
     }
 
+    async fn pass_on(&self, news: &mut Vec<News>) {
+        self.settled(news);
+        for item in news.drain(..) {
+            // A driver that ended needs no news.
+            let _ = self.shared.news.send(item).await;
+        }
+    }
+
     fn read(&self, link: &Link, stream: &TcpStream, news: &mut Vec<News>) {
         let mut scratch = self.shared.scratch.borrow_mut();
         match stream.try_read(&mut scratch) {
             Ok(0) => link.end(End::Broken),
             Ok(n) => {
-                let (now, late) = self.shared.read_time();
-                let read = link.line.borrow_mut().receive(
-                    &scratch[..n],
-                    (now, now - late),
-                    &self.limits.report,
-                    news,
-                );
-                if let Err(why) = read {
-                    tracing::debug!(worker = format!("s-{:08x}", link.worker), %why, "connection given up");
-                    link.end(End::Poisoned);
-                }
+                self.received(link, &scratch[..n], news);
             }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(_) => link.end(End::Broken),
         }
     }
+
+    fn received(&self, link: &Link, bytes: &[u8], news: &mut Vec<News>) -> bool {
+        let (now, late) = self.shared.read_time();
+        let read = link.line.borrow_mut().receive(bytes, (now, now - late), &self.limits.report, news);
+        if let Err(why) = read {
+            tracing::debug!(worker = format!("s-{:08x}", link.worker), %why, "connection given up");
+            link.end(End::Poisoned);
+        }
+        read.is_ok()
+    }
+
+    /// Reads what lies in the socket of a connection that ended, asked of the socket itself: the runtime may not have heard.
+    fn read_out(&self, link: &Link, stream: &TcpStream, news: &mut Vec<News>) {
+        let mut scratch = self.shared.scratch.borrow_mut();
+        let mut left = READ_OUT;
+        while let Ok(n) = (&*SockRef::from(stream)).read(&mut scratch) {
+            left = left.saturating_sub(n);
+            if n == 0 || left == 0 || !self.received(link, &scratch[..n], news) {
+                return;
+            }
+        }
+    }
     async fn ended(&self, link: &Rc<Link>) {
         let how = match link.state.get() {
             State::Over(how) => how,
@@ -179,7 +230,7 @@
                     && line.expire(now, limits.connect_timeout, limits.order_timeout, &mut news).is_err();
                 let idle = line.is_idle();
                 let unused = now - line.active() >= limits.idle_close - limits.idle_close / 8;
-                let useless = idle && (unused || !executor.ready || line.is_silent());
+                let useless = idle && (unused || !executor.ready || link.moved.get() || line.is_silent());
                 drop(line);
                 if over {
                     link.end(End::Poisoned);
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -8,12 +8,12 @@
 use crate::bounds::Bounds;
 use crate::clients::Shared;
 use crate::line::End;
-use links::Link;
+use links::{Link, State};
 use stagehoist::{Lifecycle, Micros, RequestId, RosterForm, WorkerId};
 use stagehoist_gateway::state::News;
 use stagehoist_membership::Told;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 struct Executor {
@@ -59,7 +59,7 @@
     links: Cell<usize>,
     dirty: RefCell<Vec<Rc<Link>>>,
     /// News that arose while choices were carried out.
-    late_news: RefCell<Vec<News>>,
+    late_news: RefCell<VecDeque<News>>,
     pub counters: Cell<ExecutorCounters>,
 }
 
@@ -116,13 +116,14 @@
             entry.ready = ready;
             if ready && *entry.address != *t.address {
                 entry.address = t.address.as_str().into();
-                // What stands at the old address is no longer this executor.
-                entry.links.iter().filter(|l| l.line.borrow().is_idle()).for_each(|l| l.end(End::Broken));
+                // What stands at the old address is no longer this executor: nothing new goes there.
+                entry.links.iter().for_each(|l| l.moved.set(true));
             }
         }
-        for link in executors.values().filter(|e| !e.ready).flat_map(|e| &e.links) {
+        let over = |e: &Executor, l: &Link| !e.ready || l.moved.get();
+        for link in executors.values().flat_map(|e| e.links.iter().filter(|l| over(e, l))) {
             link.line.borrow_mut().withdraw(now, &mut news);
-            if link.line.borrow().is_idle() {
+            if link.line.borrow().is_idle() || (link.moved.get() && link.state.get() == State::Connecting) {
                 link.end(End::Broken);
             }
         }
--- a/crates/platform/src/executors/orders.rs
+++ b/crates/platform/src/executors/orders.rs
@@ -20,7 +20,7 @@
         let (request, number) = (attempt.request, attempt.attempt);
         if let Err(outcome) = self.begin(attempt) {
             let result = AttemptResult::bare(outcome);
-            self.late_news.borrow_mut().push(News::Attempt { request, attempt: number, result });
+            self.late_news.borrow_mut().push_back(News::Attempt { request, attempt: number, result });
         }
     }
 
@@ -55,7 +55,10 @@
     pub fn abort(&self, request: RequestId, attempt: u16) {
         let Some(flying) = self.flying.borrow_mut().remove(&(request, attempt)) else { return };
         let now = self.shared.clock.now();
-        flying.link.line.borrow_mut().stop(flying.id.0, &flying.id.1, now, self.limits.connect_timeout);
+        let patience = self.limits.connect_timeout;
+        if flying.link.line.borrow_mut().stop(flying.id.0, &flying.id.1, now, patience) {
+            return flying.link.end(End::Poisoned);
+        }
         self.mark(flying.link);
     }
 
@@ -70,7 +73,13 @@
             }
             None => {
                 let (outcome, report, draining) = (Outcome::ConnectFailed, None, None);
-                self.late_news.borrow_mut().push(News::Probed { worker, sent, outcome, report, draining });
+                self.late_news.borrow_mut().push_back(News::Probed {
+                    worker,
+                    sent,
+                    outcome,
+                    report,
+                    draining,
+                });
             }
         }
     }
@@ -88,7 +97,13 @@
             }
             None => {
                 let (outcome, copies) = (Outcome::ConnectFailed, 0);
-                self.late_news.borrow_mut().push(News::Loaded { worker, function, sent, outcome, copies });
+                self.late_news.borrow_mut().push_back(News::Loaded {
+                    worker,
+                    function,
+                    sent,
+                    outcome,
+                    copies,
+                });
             }
         }
     }
@@ -116,10 +131,10 @@
             self.flush(&link);
         }
         let mut late = self.late_news.borrow_mut();
-        while let Some(item) = late.pop() {
+        while let Some(item) = late.pop_front() {
             if let Err(tokio::sync::mpsc::error::TrySendError::Full(item)) = self.shared.news.try_send(item) {
-                // Told with the next turn or tending.
-                late.push(item);
+                // Told with the next turn, which comes at once as the line is full.
+                late.push_front(item);
                 return;
             }
         }
--- a/crates/platform/tests/crossings/main.rs
+++ b/crates/platform/tests/crossings/main.rs
@@ -1,3 +1,5 @@
 //! Two events meet at an executor's connection: each crossing forced.
 
 mod lines;
+mod sockets;
+mod stage;
--- /dev/null
+++ b/crates/platform/tests/crossings/stage.rs
@@ -0,0 +1,161 @@
+//! Executors' side of a front end with the test as driver and as executor: its sockets block, so that what the test does
+//! between two waits is one instant for the front end.
+
+use bytes::Bytes;
+use socket2::{Domain, SockAddr, Socket, Type};
+use stagehoist::{Lifecycle, Micros, Outcome, RosterForm, RosterRow};
+use stagehoist_gateway::clock::Clock;
+use stagehoist_gateway::state::{Attempt, News};
+use stagehoist_membership::Told;
+use stagehoist_platform::bounds::Bounds;
+use stagehoist_platform::clients::Shared;
+use stagehoist_platform::executors::{Executors, Limits};
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+pub const WAIT: Duration = Duration::from_secs(10);
+
+pub struct Stage {
+    pub executors: Rc<Executors>,
+    pub shared: Rc<Shared>,
+    pub news: mpsc::Receiver<News>,
+}
+
+/// Runs a test on the front end's one thread.
+pub fn on_one_thread<F: std::future::Future>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async { tokio::time::timeout(3 * WAIT, test).await.expect("in time") });
+}
+
+impl Stage {
+    /// With so many connections at most, and room for so much news.
+    pub fn new(links: usize, line: usize) -> Stage {
+        let (sender, news) = mpsc::channel(line);
+        let shared = Rc::new(Shared::new(Clock::new(), sender));
+        let limits = Limits {
+            streams: 32,
+            idle_close: 60_000_000,
+            connect_timeout: 8_000_000,
+            order_timeout: 8_000_000,
+            report: Vec::new(),
+            classes: vec!["look".into()],
+        };
+        let bounds = Bounds { clients: 4, executors: links, held_bytes: 1 << 20 };
+        let executors = Rc::new(Executors::new(shared.clone(), limits, bounds));
+        Stage { executors, shared, news }
+    }
+
+    /// Executor 1 is ready at an address.
+    pub fn at(&self, address: SocketAddr) -> Vec<News> {
+        let row = RosterRow {
+            worker: 1,
+            kind: 0,
+            lifecycle: Lifecycle::Ready,
+            zone: 0,
+            started: 0,
+            cell: 0,
+            capacity: 4.0,
+        };
+        let told = Told { name: "s-00000001".into(), address: address.to_string(), row };
+        self.executors.told(RosterForm::Delta, &[told])
+    }
+
+    pub fn begin(&self, request: u32, body: Bytes) {
+        self.begin_at(1, request, body);
+    }
+
+    /// Begins an attempt; nothing is written before the turn's end.
+    pub fn begin_at(&self, worker: u32, request: u32, body: Bytes) {
+        self.executors.attempt(Attempt {
+            request,
+            attempt: 0,
+            worker,
+            address: "".into(),
+            class: 0,
+            function: "7f3a9c21e0b4d655".into(),
+            due: self.shared.clock.now() + 60_000_000 as Micros,
+            body,
+            content_type: None,
+            correlation: format!("{request:016x}").into(),
+            mark: None,
+        });
+    }
+
+    /// One small attempt in a turn of its own.
+    pub fn send(&self, request: u32) {
+        self.begin(request, Bytes::from_static(b"x"));
+        self.executors.turned();
+    }
+
+    /// How the next attempt ended.
+    pub async fn end(&mut self) -> (u32, Outcome) {
+        loop {
+            let item = tokio::time::timeout(WAIT, self.news.recv()).await.expect("in time").unwrap();
+            if let News::Attempt { request, result, .. } = item {
+                return (request, result.outcome);
+            }
+        }
+    }
+
+    /// Waits until something holds, with the front end running.
+    pub async fn until(&self, mut holds: impl FnMut() -> bool) {
+        let by = tokio::time::Instant::now() + WAIT;
+        while !holds() {
+            assert!(tokio::time::Instant::now() < by, "in time");
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+/// An executor's listener that never waits.
+pub fn listen(backlog: i32) -> (TcpListener, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SockAddr::from(SocketAddr::from(([127, 0, 0, 1], 0)))).unwrap();
+    socket.listen(backlog).unwrap();
+    socket.set_nonblocking(true).unwrap();
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// What an executor has of a connection so far.
+pub struct Side {
+    pub stream: TcpStream,
+    pub read: String,
+}
+
+impl Side {
+    pub async fn accept(stage: &Stage, listener: &TcpListener) -> Side {
+        let mut found = None;
+        stage
+            .until(|| {
+                found = listener.accept().ok();
+                found.is_some()
+            })
+            .await;
+        let stream = found.unwrap().0;
+        stream.set_nonblocking(true).unwrap();
+        Side { stream, read: String::new() }
+    }
+
+    /// Takes what lies in the socket; false once it ended.
+    pub fn take(&mut self) -> bool {
+        let mut bytes = vec![0; 1 << 20];
+        loop {
+            match self.stream.read(&mut bytes) {
+                Ok(0) => return false,
+                Ok(n) => self.read.push_str(std::str::from_utf8(&bytes[..n]).unwrap()),
+                Err(e) => return e.kind() == std::io::ErrorKind::WouldBlock,
+            }
+        }
+    }
+
+    pub fn has(&mut self, text: &str) -> bool {
+        self.take();
+        self.read.contains(text)
+    }
+}
