The late end of a lost order is not taken for the end of the order that came after it

Cause: `Core` tells an order as lost at its time, and the module orders anew in that turn; the sockets tell of the first up to a quarter of a second later, and `News::Loaded` was matched by executor and function alone. The second order was told as lost at once, its real answer passed over, and a third could follow.

Change: an end counts only for an order that is not younger than what the end was sent under.

--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -236,8 +236,10 @@
                 self.events.push(Event::Probed { worker, outcome, took: now - sent, report });
             }
             News::Loaded { worker, function, sent, outcome, copies } => {
-                // What counted as lost is not told twice.
-                if self.orders.remove(&(worker, function)).is_some() {
+                // What counted as lost is not told twice, nor as the end of the order that came after it.
+                let key = (worker, function);
+                if self.orders.get(&key).is_some_and(|order| order.0 <= sent) {
+                    self.orders.remove(&key);
                     if copies > 0 {
                         self.has_copy(function, worker);
                     }
--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -191,3 +191,49 @@
     s.turn(MS, vec![news]);
     assert_eq!(s.core.unanswered(), 1 - answers(&again).len());
 }
+
+#[test]
+fn the_late_end_of_a_lost_order_is_not_the_end_of_the_next() {
+    use stagehoist::{Action, Event};
+    use std::{cell::RefCell, rc::Rc};
+    struct Loads(Rc<RefCell<Vec<Outcome>>>);
+    impl stagehoist_gateway::state::Decide for Loads {
+        fn handle(&mut self, _: Micros, events: &[Event], out: &mut Vec<Action>) {
+            for event in events {
+                match event {
+                    Event::Request(r) => {
+                        out.push(Action::Load { worker: 1, function: r.function, copies: 1 });
+                    }
+                    Event::Loaded { worker, function, outcome, .. } => {
+                        self.0.borrow_mut().push(*outcome);
+                        out.push(Action::Load { worker: *worker, function: *function, copies: 1 });
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    let ends = Rc::new(RefCell::new(Vec::new()));
+    thread_local!(static ENDS: RefCell<Option<Rc<RefCell<Vec<Outcome>>>>> = const { RefCell::new(None) });
+    ENDS.set(Some(ends.clone()));
+    let mut s = Stage::new("load-timeout 500ms\n");
+    let decider =
+        |_, _, _| Box::new(Loads(ENDS.take().unwrap())) as Box<dyn stagehoist_gateway::state::Decide>;
+    s.core = Core::with(decider, Figures::from(&s.config), 3, s.now);
+    let order = |out: &[Command]| {
+        out.iter().find_map(|c| match c {
+            Command::Load { worker, function, .. } => Some((*worker, *function)),
+            _ => None,
+        })
+    };
+    let (worker, function) = order(&s.call(1, "free-times")).unwrap();
+    let first = s.now;
+    assert!(order(&s.turn(500 * MS, vec![])).is_some(), "lost, and ordered anew in the same turn");
+    let second = s.now;
+    let end = |sent, outcome| News::Loaded { worker, function, sent, outcome, copies: 0 };
+    // The sockets tell of the first when they next look.
+    s.turn(200 * MS, vec![end(first, Outcome::Timeout)]);
+    assert_eq!(*ends.borrow(), [Outcome::Timeout], "the second is still out");
+    s.turn(MS, vec![end(second, Outcome::Ok)]);
+    assert_eq!(*ends.borrow(), [Outcome::Timeout, Outcome::Ok]);
+}
