--- a/crates/platform/tests/crossings/main.rs
+++ b/crates/platform/tests/crossings/main.rs
@@ -1,5 +1,6 @@
 //! Two events meet at an executor's connection: each crossing forced.
 
+mod attempt;
 mod lines;
 mod permutations;
 mod sockets;
