A request whose client left during a handshake is never written, whatever the settings say of cancelling

Suspected: where attempts can't be cancelled, a leaving leaves them queued. Ruled out on this front end: callers that can leave exist only here, `stop_when_gone` is always set here (config.rs), and what was not begun is taken out of its connection's queue. No line changed.

Test on the whole path: the command, an executor whose accept queue is full, ABORT read (HEALTH answered after it) before the handshake comes through, with cancel true and false. Seen red where what was not begun stays queued.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_clients;
 mod calls;
+mod leaving;
 mod lists;
 mod shutdown;
 mod stage;
