--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod closes;
 mod ending;
+mod leaving;
 mod lists;
 mod shutdown;
 mod stage;
--- /dev/null
+++ b/crates/platform/src/line/ending.rs
@@ -0,0 +1,114 @@
+//! What is given up, withdrawn or lost, and what the end of the connection means for each that was open.
+
+use super::{End, Line, Open, Poison, Tag, What, STOPPED};
+use bytes::BytesMut;
+use stagehoist::{Micros, Outcome};
+use stagehoist_gateway::state::{AttemptResult, News};
+
+impl Line {
+    /// Gives up a request. Nothing is written where none of it was; the line counts as silent where nothing came since it
+    /// was written `patience` ago or longer. True where the connection is to be ended instead: a part of it was written,
+    /// the rest would arrive only to be given up, and no other has begun here.
+    pub fn stop(&mut self, id: u64, text: &str, now: Micros, patience: Micros) -> bool {
+        let tag = Tag::Call(id);
+        let Some(open) = self.open.remove(&tag) else { return false };
+        self.attempts -= 1;
+        match open.begun {
+            None => self.unqueue(tag),
+            Some(at) => {
+                self.silent |= self.read <= at && now - at >= patience;
+                if open.whole.is_none() && self.open.values().all(|o| o.begun.is_none()) {
+                    return true;
+                }
+                if self.stopped.len() == STOPPED {
+                    self.stopped.pop_front();
+                }
+                self.stopped.push_back(id);
+                self.push(None, format!("STOP {text}\r\n").into_bytes(), now);
+            }
+        }
+        false
+    }
+
+    /// Takes out what was not begun to be written. What was must be written to its end, or nothing behind it can be read.
+    fn unqueue(&mut self, tag: Tag) {
+        self.queue.retain(|item| item.tag != Some(tag) || item.done > 0);
+    }
+
+    /// Orders that waited here for longer than they count are not begun any more.
+    pub fn withdraw_overdue(&mut self, now: Micros, order: Micros, news: &mut Vec<News>) {
+        let over =
+            |o: &Open| o.begun.is_none() && matches!(o.what, What::Load { sent, .. } if now - sent >= order);
+        let tags: Vec<Tag> = self.open.iter().filter(|(_, o)| over(o)).map(|(t, _)| *t).collect();
+        for tag in tags {
+            self.unqueue(tag);
+            self.finish(tag, Outcome::Timeout, now, news);
+        }
+    }
+
+    /// Withdraws what was not begun to be written, as the executor takes nothing new.
+    pub fn withdraw(&mut self, now: Micros, news: &mut Vec<News>) {
+        let unbegun = |o: &Open| o.begun.is_none() && !matches!(o.what, What::Probe { .. });
+        let tags: Vec<Tag> = self.open.iter().filter(|(_, o)| unbegun(o)).map(|(t, _)| *t).collect();
+        for tag in tags {
+            self.unqueue(tag);
+            self.finish(tag, Outcome::ConnectFailed, now, news);
+        }
+    }
+
+    fn finish(&mut self, tag: Tag, outcome: Outcome, at: Micros, news: &mut Vec<News>) {
+        self.answered(tag, AttemptResult { read: at, ..AttemptResult::bare(outcome) }, 0, news);
+    }
+
+    /// The connection ended: each that was open ends, by what is known of it.
+    pub fn end(&mut self, how: End, now: Micros, news: &mut Vec<News>) {
+        let mut tags: Vec<(Tag, bool)> = self.open.iter().map(|(t, o)| (*t, o.begun.is_some())).collect();
+        tags.sort_by_key(|(tag, _)| match tag {
+            Tag::Call(id) | Tag::Own(id) => *id,
+        });
+        for (tag, begun) in tags {
+            let outcome = match how {
+                _ if !begun => Outcome::ConnectFailed,
+                End::NotUp => Outcome::ConnectFailed,
+                End::Broken => Outcome::Reset,
+                End::Poisoned => Outcome::Error,
+            };
+            self.finish(tag, outcome, now, news);
+        }
+        self.queue.clear();
+        self.buffer = BytesMut::new();
+    }
+
+    /// Ends probes and orders that were never answered, and tells whether an answer stopped short on the way.
+    pub fn expire(
+        &mut self,
+        now: Micros,
+        patience: Micros,
+        order: Micros,
+        news: &mut Vec<News>,
+    ) -> Result<(), Poison> {
+        if !self.buffer.is_empty() && now - self.read >= patience {
+            return Err(Poison::Short);
+        }
+        let over = |o: &Open| match o.what {
+            What::Attempt { .. } => false,
+            What::Probe { sent, .. } => now - sent >= patience,
+            What::Load { sent, .. } => now - sent >= order,
+        };
+        self.withdraw_overdue(now, order, news);
+        // An order that counts as lost must not arrive after all: what may still lie on its way goes with the connection.
+        // It does where a part of it is not written, whatever came meanwhile, and where nothing came since it was.
+        let lies = |o: &Open| {
+            matches!(o.what, What::Load { .. }) && over(o) && o.whole.is_none_or(|at| self.read <= at)
+        };
+        if self.open.values().any(lies) {
+            return Err(Poison::Silent);
+        }
+        let tags: Vec<Tag> = self.open.iter().filter(|(_, o)| over(o)).map(|(t, _)| *t).collect();
+        for tag in tags {
+            self.unqueue(tag);
+            self.finish(tag, Outcome::Timeout, now, news);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/crossings/main.rs
@@ -0,0 +1,7 @@
+//! Two events meet at an executor's connection: each crossing forced.
+
+mod attempt;
+mod lines;
+mod permutations;
+mod sockets;
+mod stage;
