--- /dev/null
+++ b/crates/membership/src/entry.rs
@@ -0,0 +1,53 @@
+//! What sources say of workers, and what the module is told of it.
+
+use stagehoist::{Micros, RosterForm, RosterRow};
+
+/// A worker as a list names it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Name, unique in the list and kept over restarts.
+    pub name: String,
+    /// `host:port`.
+    pub address: String,
+    pub draining: bool,
+    pub kind: String,
+    pub zone: String,
+    /// Number of the group that shares its memory of keys; 0 where none is told.
+    pub cell: u16,
+    /// Size for comparison with other workers; 1 where none is told.
+    pub capacity: f64,
+    /// Last start, microseconds since 1970; 0 where none is told.
+    pub started: Micros,
+}
+
+impl Entry {
+    /// A ready worker with the usual size and nothing else told.
+    pub fn new(name: impl Into<String>, address: impl Into<String>) -> Entry {
+        Entry {
+            name: name.into(),
+            address: address.into(),
+            draining: false,
+            kind: String::new(),
+            zone: String::new(),
+            cell: 0,
+            capacity: 1.0,
+            started: 0,
+        }
+    }
+}
+
+/// A worker as a source tells it that numbers workers itself and tells changes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    pub name: String,
+    /// `host:port`.
+    pub address: String,
+    pub row: RosterRow,
+}
+
+/// What to tell the module.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Update {
+    pub form: RosterForm,
+    pub rows: Vec<RosterRow>,
+}
--- /dev/null
+++ b/crates/platform/src/config/tests.rs
@@ -0,0 +1,48 @@
+use super::*;
+use stagehoist::{Effect, ReportField, ReportVia};
+
+const TEXT: &str = include_str!("../../tests/config.json");
+
+#[test]
+fn a_configuration_says_what_the_simulators_first_message_says() {
+    let told = Told::parse(TEXT).unwrap();
+    let s = &told.settings;
+    assert_eq!((s.front_ends, s.max_attempts, s.tick, s.keep), (3, 3, 1000, 4_000_000));
+    assert_eq!((s.classes.len(), s.classes[1].effect, s.classes[0].aim), (2, Effect::Unsafe, 300_000));
+    assert_eq!((s.tenant_quota.clone(), s.max_retry_after, s.worth_by_work), (vec![20.0, 5.0], 0, true));
+    assert_eq!(s.report, [ReportField::InFlight, ReportField::Other]);
+    assert_eq!((s.report_via, s.tells_crowd, s.may_order), (ReportVia::Probe, true, true));
+    assert_eq!((s.memory_mb.clone(), s.load_window), (vec![4096.0], 10_000_000));
+    assert_eq!((told.tenants[1].as_str(), told.classes[1].hard_limit), ("other corp", 2_500_000));
+    assert_eq!((told.streams, told.held_most, told.seed), (32, 2000, 0x8c1f_30d2_7a5b_e964));
+    let (events, last) = &told.known;
+    assert_eq!((events.len(), events[0].number, *last), (2, 1, 2));
+    assert_eq!((events[0].told[0].row.zone, events[0].told.len()), (1, 2));
+}
+
+#[test]
+fn lists_of_objects_and_of_plain_values_are_flattened_as_the_simulator_does() {
+    let value = serde_json::json!({"a":{"b":true,"c":[1.5,2]},"list":[{"x":"p q"},{"x":null}],"none":[]});
+    let mut lines: Vec<String> = flatten(&value).lines().map(str::to_string).collect();
+    lines.sort();
+    let want = ["a.b=true", "a.c=1.5,2", "list.0.x=p_q", "list.1.x=", "list.count=2", "none="];
+    assert_eq!(lines, want);
+}
+
+#[test]
+fn a_wrong_field_is_named() {
+    for (from, to, named) in [
+        ("127.0.0.1:1\"", "nowhere\"", "bus"),
+        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "listen"),
+        ("8c1f30d27a5be964", "8c1f", "seed"),
+        ("s-00000001", "t-1", "known"),
+        ("\"sockets\":256", "\"sockets\":9", "limits"),
+        ("\"sockets\":256", "\"other\":9", "sockets"),
+        ("\"aim\":300.0", "\"aim\":-1", "classes.0.aim"),
+        ("\"hard_limit\":2000.0", "\"hard\":1", "classes"),
+    ] {
+        assert!(TEXT.contains(from), "{from}");
+        let error = Told::parse(&TEXT.replace(from, to)).unwrap_err().to_string();
+        assert!(error.starts_with("GW_CONFIG: ") && error.contains(named), "{error}");
+    }
+}
