Events of the bus that wait for a full line outlive their connection

follow() drops listen() when it is told another address. listen() awaited a send to the driver for each event after Bus::last had moved on over all of them, so with a full line what was read and not yet sent was dropped, and the next connection asked for later events only: a drain was lost for good.

What was read now stands in a queue that outlives connections and goes first; items are handed over by permits, with no wait between taking and sending one, and what is withdrawn from a drained executor is put there in the same step.

Test: a line with one place, three drains in one piece, then word of another address. With the send back in listen() it ends at its limit ("a drain was lost"); with the queue all three come once and in order, and the new connection asks from the last of them.

--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -5,12 +5,13 @@
 use crate::clients::Shared;
 use crate::executors::Executors;
 use stagehoist_gateway::state::News;
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 const CONNECT: Duration = Duration::from_millis(500);
 
@@ -21,7 +22,12 @@
     mut bus: Bus,
     mut address: watch::Receiver<SocketAddr>,
 ) {
+    // Read and not yet handed to the driver. It outlives the connection: the next one is asked for later events only.
+    let mut waiting = VecDeque::new();
     loop {
+        if !hand_over(&shared.news, &mut waiting).await {
+            return;
+        }
         let pause = Duration::from_micros(bus.pause() as u64);
         let to = *address.borrow_and_update();
         let connecting = async {
@@ -38,7 +44,7 @@
         let Some(stream) = stream else { continue };
         let asks = bus.connected(shared.clock.now());
         let why = tokio::select! {
-            why = listen(&shared, &executors, &mut bus, &stream, &asks) => why,
+            why = listen(&shared, &executors, &mut bus, &mut waiting, &stream, &asks) => why,
             changed = address.changed() => match changed {
                 Ok(()) => "told anew where it is".to_string(),
                 Err(_) => return,
@@ -48,10 +54,23 @@
     }
 }
 
+/// Gives the driver what waits for it; false once there is no driver. Dropped at any time it loses nothing, as nothing is
+/// awaited between taking an item and handing it over.
+async fn hand_over(news: &mpsc::Sender<News>, waiting: &mut VecDeque<News>) -> bool {
+    while !waiting.is_empty() {
+        let Ok(permit) = news.reserve().await else { return false };
+        if let Some(item) = waiting.pop_front() {
+            permit.send(item);
+        }
+    }
+    true
+}
+
 async fn listen(
     shared: &Shared,
     executors: &Rc<Executors>,
     bus: &mut Bus,
+    waiting: &mut VecDeque<News>,
     stream: &TcpStream,
     asks: &[u8],
 ) -> String {
@@ -81,17 +100,20 @@
                 Err(e) => return e.to_string(),
             }
         };
+        // Without a pause between the bus' number and this: what counts as known is withdrawn from and on its way.
         for event in events.drain(..) {
             let withdrawn = executors.told(event.form, &event.told);
-            let roster = News::Roster { form: event.form, told: event.told };
-            for item in std::iter::once(roster).chain(withdrawn) {
-                if shared.news.send(item).await.is_err() {
-                    return "over".into();
-                }
-            }
+            waiting.push_back(News::Roster { form: event.form, told: event.told });
+            waiting.extend(withdrawn);
         }
         if let Err(error) = fed {
             return error.to_string();
         }
+        if !hand_over(&shared.news, waiting).await {
+            return "over".into();
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/follow/tests.rs
@@ -0,0 +1,98 @@
+use super::*;
+use crate::bounds::Bounds;
+use crate::config::Limits;
+use crate::executors;
+use crate::roster::RECORD;
+use stagehoist::{Lifecycle, RosterForm, WorkerId};
+use stagehoist_gateway::clock::Clock;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// An event that executor `id` drains.
+fn drains(number: u64, id: WorkerId) -> Vec<u8> {
+    let mut b = (9 + RECORD as u32).to_be_bytes().to_vec();
+    b.extend(number.to_be_bytes());
+    b.push(2);
+    b.extend(id.to_be_bytes());
+    b.extend([127, 0, 0, 1, 0, 9, 1, 0, 0, 0, 0]);
+    b.extend(1000u32.to_be_bytes());
+    b.extend([0; 8]);
+    b
+}
+
+fn stage(room: usize) -> (Rc<Shared>, Rc<Executors>, mpsc::Receiver<News>) {
+    let (news, incoming) = mpsc::channel(room);
+    let shared = Rc::new(Shared::new(Clock::new(), news));
+    let bounds = Bounds::new(&Limits { cores: 1.0, memory_mb: 64.0, sockets: 256 });
+    let limits = executors::Limits {
+        streams: 1,
+        idle_close: 1_000_000,
+        connect_timeout: 50_000,
+        order_timeout: 1_000_000,
+        report: Vec::new(),
+        classes: Vec::new(),
+    };
+    (shared.clone(), Rc::new(Executors::new(shared, limits, bounds)), incoming)
+}
+
+async fn asked(bus: &TcpListener) -> (tokio::net::TcpStream, u64) {
+    let (mut stream, _) = bus.accept().await.unwrap();
+    let mut last = [0; 8];
+    stream.read_exact(&mut last).await.unwrap();
+    (stream, u64::from_be_bytes(last))
+}
+
+/// The driver's line is full, three drains are read in one piece and one of them is handed on, when word of another
+/// address comes: the others are handed on all the same, once each, whatever the new connection asks for.
+#[test]
+fn drains_that_wait_for_a_full_line_are_kept_when_the_bus_moves() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let local = LocalSet::new();
+    let test = local.run_until(async {
+        let (shared, executors, mut incoming) = stage(2);
+        let (old, new) = (
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        );
+        let (moves, seen) = watch::channel(old.local_addr().unwrap());
+        let filler = News::Gone(0);
+        shared.news.send(filler).await.unwrap();
+        let bus = Bus::new(1, shared.clock.now());
+        let following = tokio::task::spawn_local(follow(shared.clone(), executors, bus, seen));
+        let (mut stream, last) = asked(&old).await;
+        assert_eq!(last, 1);
+        let three = [drains(2, 7), drains(3, 8), drains(4, 9)].concat();
+        stream.write_all(&three).await.unwrap();
+        while shared.news.capacity() > 0 {
+            tokio::task::yield_now().await;
+        }
+        // Of what was read in that turn two events have no room.
+        moves.send_replace(new.local_addr().unwrap());
+        // Word of the move is seen before there is room.
+        for _ in 0..20 {
+            tokio::task::yield_now().await;
+        }
+        let mut drained = Vec::new();
+        while drained.len() < 3 {
+            match incoming.recv().await.unwrap() {
+                News::Roster { form, told } => {
+                    assert_eq!((form, told[0].row.lifecycle), (RosterForm::Delta, Lifecycle::Draining));
+                    drained.push(told[0].row.worker);
+                }
+                other => assert!(matches!(other, News::Gone(0)), "{other:?}"),
+            }
+        }
+        assert_eq!(drained, [7, 8, 9]);
+        let (mut stream, last) = asked(&new).await;
+        assert_eq!(last, 4);
+        stream.write_all(&drains(5, 10)).await.unwrap();
+        let News::Roster { told, .. } = incoming.recv().await.unwrap() else { panic!("no event") };
+        assert_eq!(told[0].row.worker, 10);
+        following.abort();
+    });
+    let done = runtime.block_on(async { tokio::time::timeout(LIMIT, test).await });
+    assert!(done.is_ok(), "a drain was lost");
+}
