A gap in the bus' events asks for all of them; unreadable ones hold up nothing

Four faults of Bus, each forced by fed bytes: - A gap that came twice was taken as it is: the missing event, perhaps a drain, was never told. What comes is put together (replay.rs) and counts as one list once it is as far on as the event that showed the gap; one by one, a worker known to drain would have been ready again for a moment. Cut off, it starts anew. - An event that can't be read was asked for for ever, and those after it never came. It is asked for once more, then what can be read of it counts, as changes: half a whole list makes no one gone. - A bus that lost its events counts from 1 again; its events were passed over as known. Where empty frames have shown the number of the last event, a smaller one asks for all.

Tests: five new ones in bus/tests.rs, each seen red with its line taken out; the old ones stand as they were.

--- a/crates/platform/src/bus/tests.rs
+++ b/crates/platform/src/bus/tests.rs
@@ -66,3 +66,119 @@
     bus.feed(&frame(0, 0, &[]), 0, &mut Vec::new()).unwrap();
     assert_eq!(bus.pause(), 0);
 }
+
+/// A record of executor `id`: 0 ready, 1 draining, 2 gone, others unknown.
+fn row(id: u32, state: u8) -> Vec<u8> {
+    let mut b = id.to_be_bytes().to_vec();
+    b.extend([127, 0, 0, 1, 0, 9, state, 0, 0, 0, 0]);
+    b.extend([0; 12]);
+    b
+}
+
+fn states(event: &Event) -> Vec<(u32, u8)> {
+    event.told.iter().map(|t| (t.row.worker, t.row.lifecycle as u8)).collect()
+}
+
+#[test]
+fn after_a_gap_all_events_are_told_anew_and_count_as_one_list() {
+    let (mut bus, mut news) = (Bus::new(1, 0), Vec::new());
+    bus.feed(&frame(2, 2, &row(1, 1)), 0, &mut news).unwrap();
+    // Event 3, a drain, is missing.
+    let gap = Err(BusError::Gap { expected: 3, got: 4 });
+    assert_eq!(bus.feed(&frame(4, 2, &row(3, 2)), 0, &mut news), gap);
+    assert_eq!((bus.connected(1), numbers(&news)), (0u64.to_be_bytes(), vec![2]));
+    let whole = [row(1, 0), row(2, 0), row(3, 0)].concat();
+    let events = [
+        frame(1, 1, &whole),
+        frame(2, 2, &row(1, 1)),
+        frame(3, 2, &row(2, 1)),
+        frame(4, 2, &row(3, 2)),
+        frame(5, 2, &row(4, 0)),
+    ];
+    news.clear();
+    // The connection ends on the way: nothing of it counts, as executor 1 would seem ready once more.
+    bus.feed(&events[..2].concat(), 1, &mut news).unwrap();
+    assert_eq!((news.len(), bus.connected(2)), (0, 0u64.to_be_bytes()));
+    for piece in events.concat().chunks(7) {
+        bus.feed(piece, 2, &mut news).unwrap();
+    }
+    assert_eq!((numbers(&news), bus.last()), (vec![4, 5], 5));
+    assert_eq!((news[0].form, states(&news[0])), (RosterForm::Full, vec![(1, 1), (2, 1)]));
+    assert_eq!((news[1].form, states(&news[1])), (RosterForm::Delta, vec![(4, 0)]));
+    assert_eq!(bus.connected(3), 5u64.to_be_bytes());
+}
+
+#[test]
+fn an_event_that_cannot_be_read_is_asked_for_once_more_and_holds_up_nothing() {
+    let (mut bus, mut news) = (Bus::new(1, 0), Vec::new());
+    let bad = [row(1, 1), row(2, 9)].concat();
+    let all = [frame(2, 2, &bad), frame(3, 9, &[1, 2]), frame(4, 1, &bad[..40]), frame(5, 2, &row(4, 1))];
+    let mut ends = 0;
+    while bus.last() < 5 {
+        assert!(ends < 4, "asked again and again for {:?}", bus.connected(0));
+        let next = (bus.last() - 1) as usize;
+        bus.connected(0);
+        if bus.feed(&all[next..].concat(), 0, &mut news).is_err() {
+            ends += 1;
+        }
+    }
+    assert_eq!((ends, numbers(&news)), (3, vec![2, 3, 4, 5]));
+    let told: Vec<_> = news.iter().map(|e| (e.form, states(e))).collect();
+    let changes = |rows: &[(u32, u8)]| (RosterForm::Delta, rows.to_vec());
+    // What is left of a whole list makes no one gone.
+    assert_eq!(told, [changes(&[(1, 1)]), changes(&[]), changes(&[(1, 1)]), changes(&[(4, 1)])]);
+}
+
+#[test]
+fn a_bus_that_lost_its_events_is_followed_from_its_first_one() {
+    let (mut bus, mut news) = (Bus::new(40, 0), Vec::new());
+    bus.feed(&frame(40, 0, &[]), 0, &mut news).unwrap();
+    let back = Err(BusError::Back { last: 40, got: 2 });
+    assert_eq!(bus.feed(&frame(2, 0, &[]), 1, &mut news), back);
+    assert_eq!(bus.connected(2), 0u64.to_be_bytes());
+    let events =
+        [frame(1, 1, &row(1, 0)), frame(2, 2, &row(1, 1)), frame(2, 0, &[]), frame(3, 2, &row(2, 0))];
+    bus.feed(&events.concat(), 2, &mut news).unwrap();
+    assert_eq!((numbers(&news), bus.last()), (vec![2, 3], 3));
+    assert_eq!((news[0].form, states(&news[0])), (RosterForm::Full, vec![(1, 1)]));
+}
+
+#[test]
+fn empty_frames_with_other_numbers_cost_one_connection_at_most() {
+    // Never with the number of the last event: they say nothing.
+    let (mut bus, mut news) = (Bus::new(40, 0), Vec::new());
+    for number in [0, 1, 39, 41, 7] {
+        bus.feed(&frame(number, 0, &[]), 0, &mut news).unwrap();
+    }
+    // Once with it, by chance: all events are still there.
+    bus.feed(&[frame(40, 0, &[]), frame(41, 2, &row(1, 1))].concat(), 0, &mut news).unwrap();
+    assert!(bus.feed(&frame(40, 0, &[]), 0, &mut news).is_err());
+    bus.connected(1);
+    news.clear();
+    let all: Vec<u8> =
+        (1..=41).flat_map(|n| frame(n, if n == 1 { 1 } else { 2 }, &row(1, u8::from(n > 40)))).collect();
+    bus.feed(&all, 1, &mut news).unwrap();
+    assert_eq!((numbers(&news), states(&news[0])), (vec![41], vec![(1, 1)]));
+    for number in [40, 1, 0] {
+        bus.feed(&frame(number, 0, &[]), 2, &mut news).unwrap();
+    }
+    assert_eq!(bus.connected(3), 41u64.to_be_bytes());
+}
+
+#[test]
+fn a_bus_that_answers_and_ends_at_once_is_asked_with_pauses() {
+    let mut bus = Bus::new(3, 0);
+    let mut pauses = Vec::new();
+    for n in 0..6 {
+        let now = n * 1000;
+        bus.connected(now);
+        bus.feed(&frame(3, 0, &[]), now, &mut Vec::new()).unwrap();
+        assert!(bus.feed(&[0; 4], now, &mut Vec::new()).is_err());
+        pauses.push(bus.pause() / 1000);
+    }
+    assert_eq!(pauses, [0, 50, 100, 200, 400, 400]);
+    // One that stood for a while and broke is asked again at once.
+    bus.connected(0);
+    bus.feed(&frame(3, 0, &[]), PAUSE.1, &mut Vec::new()).unwrap();
+    assert_eq!(bus.pause(), 0);
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`config`]: what a front end is told at its start (`GW_CONFIG`), checked and translated.
 //! - [`resp`], [`session`]: a client's connection, from RESP to calls and back.
 //! - [`line`]: an executor's connection, many requests at once.
-//! - [`bus`], [`roster`]: the event bus' frames and what they say of executors.
+//! - [`bus`], [`replay`], [`roster`]: the event bus' frames and what they say of executors.
 //! - [`bounds`]: how descriptors and memory are shared out, so that the process lives.
 //! - [`pulse`]: for how long this process itself did not run.
 //!
@@ -23,6 +23,7 @@
 pub mod follow;
 pub mod line;
 pub mod pulse;
+pub mod replay;
 pub mod resp;
 pub mod roster;
 pub mod run;
--- /dev/null
+++ b/crates/platform/src/replay.rs
@@ -0,0 +1,63 @@
+//! All events of the bus told anew, from the first: put together, and applied as one when they are as far on as what was seen
+//! before. Applied one by one, a worker whose drain is known would be ready again until its drain comes by.
+
+use crate::roster::Event;
+use stagehoist::{Lifecycle, RosterForm, WorkerId};
+use stagehoist_membership::Told;
+use std::collections::BTreeMap;
+
+/// Events told anew so far.
+#[derive(Debug)]
+pub struct Replay {
+    until: u64,
+    at: u64,
+    /// A whole list was among them; else they are changes to what is known.
+    whole: bool,
+    rows: BTreeMap<WorkerId, Told>,
+}
+
+impl Replay {
+    /// Applied once event `until` is in.
+    pub fn until(until: u64) -> Replay {
+        Replay { until, at: 0, whole: false, rows: BTreeMap::new() }
+    }
+
+    /// From the first event again, on another connection.
+    pub fn restart(&mut self) {
+        *self = Replay::until(self.until);
+    }
+
+    /// The number of the last event.
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+
+    pub fn is_done(&self) -> bool {
+        self.at >= self.until
+    }
+
+    /// It was asked for because the bus seemed to be behind event `last`, not for a gap after it.
+    pub fn until_known(&self, last: u64) -> bool {
+        self.until == last
+    }
+
+    pub fn take(&mut self, event: Event) {
+        if event.number <= self.at {
+            return;
+        }
+        self.at = event.number;
+        if event.form != RosterForm::Delta {
+            self.whole = true;
+            self.rows.clear();
+        }
+        self.rows.extend(event.told.into_iter().map(|t| (t.row.worker, t)));
+    }
+
+    /// All of them as one event.
+    pub fn event(self) -> Event {
+        let (form, whole) = if self.whole { (RosterForm::Full, true) } else { (RosterForm::Delta, false) };
+        // A whole list names no one that is gone.
+        let told = self.rows.into_values().filter(|t| !whole || t.row.lifecycle != Lifecycle::Gone);
+        Event { number: self.at, form, told: told.collect() }
+    }
+}
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -60,6 +60,14 @@
     Ok(Event { number, form: whole(kind == 1), told })
 }
 
+/// What can be read of an event that [`decode`] finds fault with. It is no whole list then: whom it does not name may be in
+/// what can't be read.
+pub fn readable(number: u64, kind: u8, payload: &[u8]) -> Event {
+    let known = kind == 1 || kind == 2;
+    let records = payload.chunks_exact(RECORD).filter(|_| known);
+    Event { number, form: RosterForm::Delta, told: records.filter_map(|r| record(r).ok()).collect() }
+}
+
 fn record(b: &[u8]) -> Result<Told, RosterError> {
     let u32_at = |at: usize| u32::from_be_bytes([b[at], b[at + 1], b[at + 2], b[at + 3]]);
     let u16_at = |at: usize| u16::from_be_bytes([b[at], b[at + 1]]);
