A worker that came back and went again is kept from its last going

Members::told queued each "gone" with its time and at the end of 30 s forgot whoever was gone then. Gone, back under its id and gone again within 30 s, a worker was forgotten by the first entry, seconds after it went, while its last attempts were out. Each worker now has the time when it was told gone, and only the entry of that time forgets it; told gone again and again, it is queued once.

Tests: gone by a change and by a whole list; red with the comparison of times taken out.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -30,6 +30,8 @@
     listed: Lifecycle,
     /// When the worker itself said that it drains, and which start said so.
     announced: Option<(Micros, Micros)>,
+    /// When it was told gone, where it is.
+    gone: Option<Micros>,
 }
 
 /// The workers known to one front end.
@@ -82,6 +84,7 @@
             };
             for (id, known) in self.known.iter_mut().filter(left) {
                 (known.listed, known.row.lifecycle) = (Lifecycle::Gone, Lifecycle::Gone);
+                known.gone = Some(now);
                 self.gone.push_back((now, *id));
             }
         }
@@ -91,16 +94,22 @@
             if !self.known.contains_key(&id) && self.known.len() >= 2 * WORKERS_MOST {
                 continue;
             }
+            let mut gone = None;
             if row.lifecycle == Lifecycle::Gone {
-                self.gone.push_back((now, id));
+                // Told again it stays gone since it first was.
+                gone = self.known.get(&id).and_then(|k| k.gone).or(Some(now));
+                if gone == Some(now) {
+                    self.gone.push_back((now, id));
+                }
             }
             rows.push(row.clone());
             let listed = row.lifecycle;
-            self.known.insert(id, Known { name, address, row, listed, announced: None });
+            self.known.insert(id, Known { name, address, row, listed, announced: None, gone });
         }
         while self.gone.front().is_some_and(|g| now - g.0 >= GONE_KEEP) {
-            let Some((_, id)) = self.gone.pop_front() else { break };
-            if self.known.get(&id).is_some_and(|k| k.row.lifecycle == Lifecycle::Gone) {
+            let Some((at, id)) = self.gone.pop_front() else { break };
+            // One that came back and went again is kept from then on.
+            if self.known.get(&id).is_some_and(|k| k.gone == Some(at)) {
                 self.known.remove(&id);
             }
         }
--- a/crates/membership/src/listed.rs
+++ b/crates/membership/src/listed.rs
@@ -59,7 +59,8 @@
             if announced.is_some() {
                 row.lifecycle = Lifecycle::Draining;
             }
-            let known = Known { name: entry.name, address: entry.address, row, listed, announced };
+            let known =
+                Known { name: entry.name, address: entry.address, row, listed, announced, gone: None };
             self.known.insert(id, known);
         }
         self.forget_gone(&seen);
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -1,9 +1,9 @@
 //! Lists that are late, flap and go backwards, and workers that know better.
 
 use proptest::prelude::*;
-use stagehoist::{Lifecycle, RosterForm};
+use stagehoist::{Lifecycle, RosterForm, RosterRow};
 use stagehoist_membership::blocking::{Answer, Blocking};
-use stagehoist_membership::{Entry, Members, Update};
+use stagehoist_membership::{Entry, Members, Told, Update, GONE_KEEP};
 
 const S: i64 = 1_000_000;
 
@@ -111,3 +111,34 @@
         }
     }
 }
+
+fn told(id: u32, lifecycle: Lifecycle) -> Told {
+    let row = RosterRow { worker: id, kind: 0, lifecycle, zone: 0, started: 0, cell: 0, capacity: 1.0 };
+    Told { name: format!("w{id}"), address: "127.0.0.1:1".into(), row }
+}
+
+#[test]
+fn a_worker_that_came_back_and_went_again_is_kept_from_then_on() {
+    for again in [RosterForm::Delta, RosterForm::Full] {
+        let mut m = members();
+        m.told(RosterForm::Full, vec![told(1, Lifecycle::Ready), told(2, Lifecycle::Ready)], 0);
+        m.told(RosterForm::Delta, vec![told(1, Lifecycle::Gone)], S);
+        m.told(RosterForm::Delta, vec![told(1, Lifecycle::Ready)], 20 * S);
+        let rows =
+            if again == RosterForm::Delta { told(1, Lifecycle::Gone) } else { told(2, Lifecycle::Ready) };
+        m.told(again, vec![rows], 25 * S);
+        m.told(RosterForm::Delta, vec![], S + GONE_KEEP);
+        assert_eq!(m.address(1), Some("127.0.0.1:1"), "{again:?}: forgotten 6 s after it went");
+        m.told(RosterForm::Delta, vec![], 25 * S + GONE_KEEP);
+        assert_eq!(m.address(1), None);
+    }
+}
+
+#[test]
+fn one_told_gone_again_and_again_is_forgotten_in_time() {
+    let mut m = members();
+    m.told(RosterForm::Full, vec![told(1, Lifecycle::Ready)], 0);
+    (0..30).for_each(|n| drop(m.told(RosterForm::Delta, vec![told(1, Lifecycle::Gone)], n * S)));
+    m.told(RosterForm::Delta, vec![], GONE_KEEP);
+    assert_eq!(m.address(1), None);
+}
