A configuration not whole at SIGHUP is read once it is; many events of the start

A file that could not be read at SIGHUP (half replaced, or missing) was looked at again at the next signal only, so the address of the bus stayed the old one, which tells nothing more. What is no plain file is refused without opening it: a pipe would hold up the loop. Settings were never taken over (only the bus' address is used), so nothing is kept by number across them; what changed beyond it is now named in the log.

Seen beside it: the events of the start were sent to the driver's line one by one before the driver runs, so a start with over 16,383 of them never ended (17,000 seen), and over 4,095 the first calls were served before the later ones were known. They go as one list now (Replay::all).

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod bad_clients;
 mod calls;
 mod lists;
+mod reload;
 mod shutdown;
 mod stage;
 mod start;
--- a/crates/cli/tests/platform/start.rs
+++ b/crates/cli/tests/platform/start.rs
@@ -111,3 +111,30 @@
     stage.signal(Signal::TERM);
     assert_eq!(stage.ends(ms(3500)).await, Some(0));
 }
+
+/// More events of the start than the driver's line holds: all of them count before the first call, and the start comes to an
+/// end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn twenty_thousand_events_of_the_start_are_known_before_the_first_call() {
+    let many = |told: &mut serde_json::Value| {
+        let host = told["known"]["batch"][0]["topology"]["hosts"][0].clone();
+        let batch = told["known"]["batch"].as_array_mut().unwrap();
+        for number in 2..=20_001 {
+            let mut host = host.clone();
+            // The first executor comes and goes, and drains in the end.
+            host["health"] = json!(["draining", "ready"][number % 2].to_string());
+            if number == 20_001 {
+                host["health"] = json!("draining");
+            }
+            batch.push(
+                json!({"offset": number, "topology": {"seq": number, "whole": false, "hosts": [host]}}),
+            );
+        }
+        told["known"]["offset"] = json!(20_001);
+    };
+    let mut stage = Stage::start_with(3, 256, many).await;
+    let mut client = stage.client().await;
+    stage.calls(&mut client, 1..=40, ms(5)).await;
+    assert_eq!(served(&client.wait(40, ms(4000)).await), 40);
+    assert_eq!(stage.runs(0), 0, "sent to an executor that drained before the start");
+}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 use stagehoist::{wire, Micros, Settings};
 use stagehoist_gateway::state::Figures;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// What is wrong with a configuration.
@@ -67,6 +68,8 @@
     pub bus: SocketAddr,
     /// The events of the start in their order, and the number of the last.
     pub known: (Vec<Event>, u64),
+    /// The settings as they were told, one line each.
+    pub lines: String,
     pub settings: Settings,
     pub classes: Vec<Class>,
     pub tenants: Vec<String>,
@@ -89,6 +92,37 @@
         Told::parse(&text)
     }
 
+    /// Reads it again while the process runs.
+    pub fn read_again() -> Result<Told, ConfigError> {
+        Told::read_plain(&std::env::var("GW_CONFIG").map_err(|_| ConfigError::Unset)?)
+    }
+
+    /// Reads a plain file only: opening a pipe waits for its writer, and calls would wait with it.
+    pub fn read_plain(path: &str) -> Result<Told, ConfigError> {
+        let plain = std::fs::metadata(path).and_then(|m| match m.is_file() {
+            true => std::fs::read_to_string(path),
+            false => Err(std::io::Error::other("not a plain file")),
+        });
+        Told::parse(&plain.map_err(|error| ConfigError::Read { path: path.into(), error })?)
+    }
+
+    /// Names what differs in `new`, but for the address of the bus and what is new each time: the seed and the events so far.
+    pub fn differs(&self, new: &Told) -> Vec<String> {
+        let mut fields = Vec::new();
+        let plain = [
+            ("name", self.name == new.name),
+            ("listen", self.listen == new.listen),
+            ("limits", self.limits == new.limits),
+        ];
+        fields.extend(plain.iter().filter(|f| !f.1).map(|f| f.0.to_string()));
+        let lines = |told: &Told| told.lines.lines().map(str::to_string).collect::<BTreeSet<_>>();
+        let (old, new) = (lines(self), lines(new));
+        let path = |line: &String| format!("settings.{}", line.split('=').next().unwrap_or_default());
+        let changed: BTreeSet<String> = old.symmetric_difference(&new).map(path).collect();
+        fields.extend(changed);
+        fields
+    }
+
     /// Checks and translates a configuration.
     pub fn parse(text: &str) -> Result<Told, ConfigError> {
         let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))?;
@@ -97,8 +131,8 @@
         let address = |name, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| field(name, &format!("'{text}' is no address and port")))
         };
-        let mut settings =
-            wire::parse_settings(&flatten(&file.settings)).map_err(|e| field("settings", &e))?;
+        let lines = flatten(&file.settings);
+        let mut settings = wire::parse_settings(&lines).map_err(|e| field("settings", &e))?;
         // Here an order counts when it has arrived whole, at the latest when it counts as lost.
         settings.order_delay = settings.order_timeout.max(ORDER_LEAST);
         let list = |key: &str| -> Vec<String> {
@@ -142,6 +176,7 @@
             name: file.name,
             limits: file.limits,
             tenants: list("parties"),
+            lines,
             settings,
             classes,
             kinds,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`bus`], [`replay`], [`roster`]: the event bus' frames and what they say of executors.
 //! - [`bounds`]: how descriptors and memory are shared out, so that the process lives.
 //! - [`pulse`]: for how long this process itself did not run.
+//! - [`reload`]: a configuration read again at a signal, until it can be read.
 //!
 //! With sockets, thin: [`clients`], [`executors`], [`follow`], [`run`].
 //!
@@ -23,6 +24,7 @@
 pub mod follow;
 pub mod line;
 pub mod pulse;
+pub mod reload;
 pub mod replay;
 pub mod resp;
 pub mod roster;
--- a/crates/platform/src/replay.rs
+++ b/crates/platform/src/replay.rs
@@ -22,6 +22,13 @@
         Replay { until, at: 0, whole: false, rows: BTreeMap::new() }
     }
 
+    /// Many events as one.
+    pub fn all(events: &[Event]) -> Event {
+        let mut replay = Replay::until(0);
+        events.iter().for_each(|event| replay.put(event.clone()));
+        replay.event()
+    }
+
     /// From the first event again, on another connection.
     pub fn restart(&mut self) {
         *self = Replay::until(self.until);
@@ -42,9 +49,12 @@
     }
 
     pub fn take(&mut self, event: Event) {
-        if event.number <= self.at {
-            return;
+        if event.number > self.at {
+            self.put(event);
         }
+    }
+
+    fn put(&mut self, event: Event) {
         self.at = event.number;
         if event.form != RosterForm::Delta {
             self.whole = true;
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -7,6 +7,8 @@
 use crate::executors::{Executors, Limits};
 use crate::follow::follow;
 use crate::pulse::BEAT;
+use crate::reload;
+use crate::replay::Replay;
 use crate::session::Catalog;
 use stagehoist::{Micros, RosterForm};
 use stagehoist_gateway::clock::Clock;
@@ -60,7 +62,7 @@
 
 async fn serve(told: Told, listen: SocketAddr) -> Result<(), RunError> {
     let on = |kind: SignalKind| signal(kind).map_err(io("signals".into()));
-    let (mut term, mut int, mut hup) =
+    let (mut term, mut int, hup) =
         (on(SignalKind::terminate())?, on(SignalKind::interrupt())?, on(SignalKind::hangup())?);
     let listener = TcpListener::bind(listen).await.map_err(io(format!("listen on {listen}")))?;
     let listen = listener.local_addr().map_err(io(format!("listen on {listen}")))?;
@@ -81,10 +83,10 @@
     // The events of the start come first in the line, so that the module has them before any call.
     let (events, last) = &told.known;
     let _ = news.send(News::Roster { form: RosterForm::Full, told: Vec::new() }).await;
-    for event in events {
-        executors.told(event.form, &event.told);
-        let _ = news.send(News::Roster { form: event.form, told: event.told.clone() }).await;
-    }
+    // As one: the line takes only so many before the driver runs, and the first turn has to have them all.
+    let known = Replay::all(events);
+    executors.told(known.form, &known.told);
+    let _ = news.send(News::Roster { form: known.form, told: known.told }).await;
     drop(news);
     let mut tasks = JoinSet::new();
     let (bus_address, bus_seen) = watch::channel(told.bus);
@@ -106,16 +108,10 @@
             tokio::select! {
                 _ = term.recv() => drop(drain.send_replace(true)),
                 _ = int.recv() => drop(drain.send_replace(true)),
-                _ = hup.recv() => match Told::read() {
-                    Ok(told) => {
-                        tracing::info!(bus = %told.bus, "configuration read again");
-                        bus_address.send_replace(told.bus);
-                    }
-                    Err(error) => tracing::error!(%error, "configuration not read again; the old one stands"),
-                },
             }
         }
     });
+    tasks.spawn_local(reload::at_signals(told.clone(), hup, bus_address));
     let core = Core::new(told.figures(), told.seed, clock.now());
     let drain_most = told.longest_deadline().min(DEADLINE_MOST) + DRAIN_BEYOND;
     tracing::info!(name = told.name, %listen, bus = %told.bus, workers = events.len(), "front end started");
