--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod config;
 pub mod executors;
 pub mod fields;
+mod flat;
 pub mod follow;
 pub mod line;
 pub mod pulse;
