--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod ending;
 mod leaving;
 mod lists;
+mod reload;
 mod shutdown;
 mod stage;
 mod start;
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -2,11 +2,13 @@
 //! flattened into the lines that [`stagehoist::wire::parse_settings`] reads, so that one mapping serves both.
 
 use crate::fields;
+pub use crate::flat::flatten;
 use crate::roster::{Event, Known};
 use serde::Deserialize;
 use serde_json::Value;
 use stagehoist::{wire, Micros, Settings};
 use stagehoist_gateway::state::Figures;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// What is wrong with a configuration.
@@ -67,6 +69,8 @@
     pub bus: SocketAddr,
     /// The events of the start in their order, and the number of the last.
     pub known: (Vec<Event>, u64),
+    /// The settings as they were told, one line each.
+    pub lines: String,
     pub settings: Settings,
     pub classes: Vec<Class>,
     pub tenants: Vec<String>,
@@ -89,6 +93,37 @@
         Told::parse(&text)
     }
 
+    /// Reads it again while the process runs.
+    pub fn read_again() -> Result<Told, ConfigError> {
+        Told::read_plain(&std::env::var("GW_CONFIG").map_err(|_| ConfigError::Unset)?)
+    }
+
+    /// Reads a plain file only: opening a pipe waits for its writer, and calls would wait with it.
+    pub fn read_plain(path: &str) -> Result<Told, ConfigError> {
+        let plain = std::fs::metadata(path).and_then(|m| match m.is_file() {
+            true => std::fs::read_to_string(path),
+            false => Err(std::io::Error::other("not a plain file")),
+        });
+        Told::parse(&plain.map_err(|error| ConfigError::Read { path: path.into(), error })?)
+    }
+
+    /// Names what differs in `new`, but for the address of the bus and what is new each time: the seed and the events so far.
+    pub fn differs(&self, new: &Told) -> Vec<String> {
+        let mut fields = Vec::new();
+        let plain = [
+            ("name", self.name == new.name),
+            ("listen", self.listen == new.listen),
+            ("limits", self.limits == new.limits),
+        ];
+        fields.extend(plain.iter().filter(|f| !f.1).map(|f| f.0.to_string()));
+        let lines = |told: &Told| told.lines.lines().map(str::to_string).collect::<BTreeSet<_>>();
+        let (old, new) = (lines(self), lines(new));
+        let path = |line: &String| format!("settings.{}", line.split('=').next().unwrap_or_default());
+        let changed: BTreeSet<String> = old.symmetric_difference(&new).map(path).collect();
+        fields.extend(changed);
+        fields
+    }
+
     /// Checks and translates a configuration.
     pub fn parse(text: &str) -> Result<Told, ConfigError> {
         let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))?;
@@ -97,8 +132,8 @@
         let address = |name, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| field(name, &format!("'{text}' is no address and port")))
         };
-        let mut settings =
-            wire::parse_settings(&flatten(&file.settings)).map_err(|e| field("settings", &e))?;
+        let lines = flatten(&file.settings);
+        let mut settings = wire::parse_settings(&lines).map_err(|e| field("settings", &e))?;
         // Here an order counts when it has arrived whole, at the latest when it counts as lost.
         settings.order_delay = settings.order_timeout.max(ORDER_LEAST);
         let list = |key: &str| -> Vec<String> {
@@ -142,6 +177,7 @@
             name: file.name,
             limits: file.limits,
             tenants: list("parties"),
+            lines,
             settings,
             classes,
             kinds,
@@ -176,96 +212,5 @@
     item.as_str().or_else(|| item.get("name")?.as_str()).unwrap_or_default().to_string()
 }
 
-/// Settings as `path=value` lines: a list of plain values joined by commas, a list of objects under its length and its items'
-/// places.
-pub fn flatten(settings: &Value) -> String {
-    let mut out = String::new();
-    put(&mut out, &mut String::new(), settings);
-    out
-}
-
-fn plain(value: &Value) -> String {
-    match value {
-        Value::String(s) => s.replace([' ', ',', '\n', '\r'], "_"),
-        Value::Null => String::new(),
-        other => other.to_string(),
-    }
-}
-
-fn put(out: &mut String, path: &mut String, value: &Value) {
-    let before = path.len();
-    let each = |out: &mut String, path: &mut String, key: &str, value: &Value| {
-        if before > 0 {
-            path.push('.');
-        }
-        path.push_str(key);
-        put(out, path, value);
-        path.truncate(before);
-    };
-    match value {
-        Value::Object(map) => map.iter().for_each(|(key, value)| each(out, path, key, value)),
-        Value::Array(items) if items.iter().any(Value::is_object) => {
-            each(out, path, "count", &Value::from(items.len()));
-            for (n, item) in items.iter().enumerate() {
-                each(out, path, &n.to_string(), item);
-            }
-        }
-        Value::Array(items) => {
-            let items: Vec<String> = items.iter().map(plain).collect();
-            out.push_str(&format!("{path}={}\n", items.join(",")));
-        }
-        other => out.push_str(&format!("{path}={}\n", plain(other))),
-    }
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use stagehoist::{Effect, ReportField, ReportVia};
-
-    const TEXT: &str = include_str!("../tests/config.json");
-
-    #[test]
-    fn a_configuration_says_what_the_simulators_first_message_says() {
-        let told = Told::parse(TEXT).unwrap();
-        let s = &told.settings;
-        assert_eq!((s.front_ends, s.max_attempts, s.tick, s.keep), (3, 3, 1000, 4_000_000));
-        assert_eq!((s.classes.len(), s.classes[1].effect, s.classes[0].aim), (2, Effect::Unsafe, 300_000));
-        assert_eq!((s.tenant_quota.clone(), s.max_retry_after, s.worth_by_work), (vec![20.0, 5.0], 0, true));
-        assert_eq!(s.report, [ReportField::InFlight, ReportField::Other]);
-        assert_eq!((s.report_via, s.tells_crowd, s.may_order), (ReportVia::Probe, true, true));
-        assert_eq!((s.memory_mb.clone(), s.load_window), (vec![4096.0], 10_000_000));
-        assert_eq!((told.tenants[1].as_str(), told.classes[1].hard_limit), ("other corp", 2_500_000));
-        assert_eq!((told.streams, told.held_most, told.seed), (32, 2000, 0x8c1f_30d2_7a5b_e964));
-        let (events, last) = &told.known;
-        assert_eq!((events.len(), events[0].number, *last), (2, 1, 2));
-        assert_eq!((events[0].told[0].row.zone, events[0].told.len()), (1, 2));
-    }
-
-    #[test]
-    fn lists_of_objects_and_of_plain_values_are_flattened_as_the_simulator_does() {
-        let value = serde_json::json!({"a":{"b":true,"c":[1.5,2]},"list":[{"x":"p q"},{"x":null}],"none":[]});
-        let mut lines: Vec<String> = flatten(&value).lines().map(str::to_string).collect();
-        lines.sort();
-        let want = ["a.b=true", "a.c=1.5,2", "list.0.x=p_q", "list.1.x=", "list.count=2", "none="];
-        assert_eq!(lines, want);
-    }
-
-    #[test]
-    fn a_wrong_field_is_named() {
-        for (from, to, named) in [
-            ("127.0.0.1:1\"", "nowhere\"", "bus"),
-            ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "listen"),
-            ("8c1f30d27a5be964", "8c1f", "seed"),
-            ("s-00000001", "t-1", "known"),
-            ("\"sockets\":256", "\"sockets\":9", "limits"),
-            ("\"sockets\":256", "\"other\":9", "sockets"),
-            ("\"aim\":300.0", "\"aim\":-1", "classes.0.aim"),
-            ("\"hard_limit\":2000.0", "\"hard\":1", "classes"),
-        ] {
-            assert!(TEXT.contains(from), "{from}");
-            let error = Told::parse(&TEXT.replace(from, to)).unwrap_err().to_string();
-            assert!(error.starts_with("GW_CONFIG: ") && error.contains(named), "{error}");
-        }
-    }
-}
+mod tests;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,9 +5,10 @@
 //! - [`config`]: what a front end is told at its start (`GW_CONFIG`), checked and translated.
 //! - [`resp`], [`request`], [`session`]: a client's connection, from RESP to calls and back.
 //! - [`line`]: an executor's connection, many requests at once.
-//! - [`bus`], [`roster`]: the event bus' frames and what they say of executors.
+//! - [`bus`], [`replay`], [`roster`]: the event bus' frames and what they say of executors.
 //! - [`bounds`]: how descriptors and memory are shared out, so that the process lives.
 //! - [`pulse`]: for how long this process itself did not run.
+//! - [`reload`]: a configuration read again at a signal, until it can be read.
 //!
 //! With sockets, thin: [`shared`], [`clients`], [`executors`], [`follow`], [`run`].
 //!
@@ -20,9 +21,12 @@
 pub mod config;
 pub mod executors;
 pub mod fields;
+mod flat;
 pub mod follow;
 pub mod line;
 pub mod pulse;
+pub mod reload;
+pub mod replay;
 pub mod request;
 pub mod resp;
 pub mod roster;
