--- /dev/null
+++ b/crates/amqp/src/client/mod.rs
@@ -0,0 +1,230 @@
+//! The client half of a connection as a state machine: the protocol header, authentication, tuning, channels,
+//! publisher confirms, flow, heartbeats and orderly closes (specification 2.2.4, 4.2.2, 4.2.7; publisher confirms,
+//! `basic.nack`, `connection.blocked` and consumer cancel notification as published by RabbitMQ).
+
+mod channels;
+mod handshake;
+mod options;
+
+pub use options::ClientOptions;
+
+use crate::codec::{ids, put_content, put_heartbeat, put_method, Decoder, Frame, PROTOCOL_HEADER};
+use crate::content::{Assembler, Item, Message};
+use crate::error::{reply, Fault};
+use crate::{long, short};
+use amq_protocol::protocol::{basic, channel, confirm, connection, AMQPClass, BasicProperties};
+use amq_protocol::types::{AMQPValue, FieldTable, LongString};
+use bytes::{Bytes, BytesMut};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A moment on the caller's monotonic clock, in microseconds.
+pub type Micros = i64;
+
+/// News from the connection.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ClientEvent {
+    /// `connection.open-ok` came: channels may be opened.
+    Open,
+    /// A method without content that the client does not answer by itself: `-ok` answers, `basic.cancel`.
+    Method(u16, AMQPClass),
+    /// `basic.deliver` or `basic.get-ok` with its content.
+    Delivered(u16, Box<Message>),
+    /// `basic.return` of a mandatory message; its confirm follows.
+    Returned(u16, Box<Message>),
+    /// The broker answers (`ok`) or doesn't answer for a publish, numbered from 1 on each channel.
+    Confirmed { channel: u16, seq: u64, ok: bool },
+    /// The broker closed a channel; it is answered already.
+    ChannelClosed { channel: u16, code: u16, text: String },
+    /// The broker takes no publishes for now (`connection.blocked`), or does again.
+    Blocked(bool),
+    /// The connection is over in order, by the broker or by [`Client::close`].
+    Closed { code: u16, text: String },
+    /// The connection is over for a breach of the protocol, on the side named by the fault.
+    Failed(Fault),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Start,
+    Tune,
+    OpenOk,
+    Open,
+    Closing,
+    Closed,
+}
+
+#[derive(Debug, Default)]
+struct ChannelState {
+    assembler: Assembler,
+    confirming: bool,
+    published: u64,
+    unconfirmed: BTreeSet<u64>,
+    /// `channel.flow` of the broker: no content until it says so.
+    stopped: bool,
+    paused: VecDeque<(u64, BytesMut)>,
+}
+
+/// The state machine. Feed it with [`Client::receive`] and [`Client::tick`], write what [`Client::output`] holds.
+#[derive(Debug)]
+pub struct Client {
+    options: ClientOptions,
+    state: State,
+    decoder: Decoder,
+    out: BytesMut,
+    events: VecDeque<ClientEvent>,
+    channels: BTreeMap<u16, ChannelState>,
+    frame_max: u32,
+    channel_max: u16,
+    heartbeat: Micros,
+    heard: Micros,
+    spoke: Micros,
+    blocked: bool,
+    /// Bytes ever put into `out`, and ever handed to the system by the caller.
+    queued: u64,
+    written: u64,
+    /// Where each unconfirmed publish ends in the stream of bytes.
+    ends: VecDeque<(u64, u16, u64)>,
+}
+
+impl Client {
+    /// A connection that begins now; its first output is the protocol header.
+    pub fn new(options: ClientOptions, now: Micros) -> Client {
+        let mut client = Client {
+            frame_max: options.frame_max,
+            options,
+            state: State::Start,
+            decoder: Decoder::client(),
+            out: BytesMut::new(),
+            events: VecDeque::new(),
+            channels: BTreeMap::new(),
+            channel_max: 2047,
+            heartbeat: 0,
+            heard: now,
+            spoke: now,
+            blocked: false,
+            queued: 0,
+            written: 0,
+            ends: VecDeque::new(),
+        };
+        client.put(|out| out.extend_from_slice(&PROTOCOL_HEADER));
+        client
+    }
+
+    /// Largest frame agreed on, in bytes.
+    pub fn frame_max(&self) -> u32 {
+        self.frame_max
+    }
+
+    /// Whether channels may be used.
+    pub fn is_open(&self) -> bool {
+        self.state == State::Open
+    }
+
+    /// Whether nothing more will come of this connection.
+    pub fn is_over(&self) -> bool {
+        self.state == State::Closed
+    }
+
+    fn put(&mut self, write: impl FnOnce(&mut BytesMut)) {
+        let before = self.out.len();
+        write(&mut self.out);
+        self.queued += (self.out.len() - before) as u64;
+    }
+
+    fn method(&mut self, channel: u16, method: AMQPClass) {
+        self.put(|out| put_method(out, channel, method));
+    }
+
+    /// Bytes to write next.
+    pub fn output(&mut self) -> &mut BytesMut {
+        &mut self.out
+    }
+
+    /// The caller handed `n` more bytes of the output to the system at `now`.
+    pub fn wrote(&mut self, n: usize, now: Micros) {
+        self.written += n as u64;
+        self.spoke = now;
+        while self.ends.front().is_some_and(|e| e.0 <= self.written && !self.is_unconfirmed(e.1, e.2)) {
+            self.ends.pop_front();
+        }
+    }
+
+    /// The next news.
+    pub fn event(&mut self) -> Option<ClientEvent> {
+        self.events.pop_front()
+    }
+
+    /// When [`Client::tick`] is due, where heartbeats were agreed on.
+    pub fn due(&self) -> Option<Micros> {
+        let live = self.heartbeat > 0 && self.state != State::Closed;
+        live.then(|| (self.spoke + self.heartbeat / 2).min(self.heard + 2 * self.heartbeat))
+    }
+
+    /// Heartbeats: one is sent after half an interval of silence, and the peer is given up after two (4.2.7).
+    pub fn tick(&mut self, now: Micros) {
+        if self.heartbeat == 0 || self.state == State::Closed {
+            return;
+        }
+        if now - self.heard >= 2 * self.heartbeat {
+            self.fail(Fault::Silent(((now - self.heard) / 1000) as u64));
+        } else if now - self.spoke >= self.heartbeat / 2 {
+            self.spoke = now;
+            self.put(put_heartbeat);
+        }
+    }
+
+    /// Takes bytes from the broker, in any split.
+    pub fn receive(&mut self, bytes: &[u8], now: Micros) {
+        self.heard = now;
+        self.decoder.push(bytes);
+        while self.state != State::Closed {
+            let step = match self.decoder.next_frame() {
+                Ok(Some(frame)) => self.take_frame(frame),
+                Ok(None) => return,
+                Err(fault) => Err(fault),
+            };
+            if let Err(fault) = step {
+                self.fail(fault);
+            }
+        }
+    }
+
+    fn take_frame(&mut self, frame: Frame) -> Result<(), Fault> {
+        let channel = frame.channel();
+        match frame {
+            Frame::Heartbeat => Ok(()),
+            Frame::Method(0, AMQPClass::Connection(method)) => self.take_connection(method),
+            Frame::Method(0, other) => {
+                Err(Fault::connection(reply::CHANNEL_ERROR, "method on channel 0", ids(&other)))
+            }
+            // After our close everything but its answer is passed over (1.4.2.9).
+            _ if self.state == State::Closing => Ok(()),
+            Frame::Method(_, AMQPClass::Connection(method)) => {
+                let class = AMQPClass::Connection(method);
+                let text = format!("connection method on channel {channel}");
+                Err(Fault::connection(reply::COMMAND_INVALID, text, ids(&class)))
+            }
+            frame => {
+                let limit = self.options.body_limit;
+                let Some(state) = self.channels.get_mut(&channel) else {
+                    // Frames that were under way when we closed the channel.
+                    return Ok(());
+                };
+                match state.assembler.take(frame, limit)? {
+                    Item::More => Ok(()),
+                    Item::Message(message) => {
+                        let returned =
+                            matches!(&message.method, AMQPClass::Basic(basic::AMQPMethod::Return(_)));
+                        self.events.push_back(if returned {
+                            ClientEvent::Returned(channel, message)
+                        } else {
+                            ClientEvent::Delivered(channel, message)
+                        });
+                        Ok(())
+                    }
+                    Item::Method(method) => self.take_method(channel, method),
+                }
+            }
+        }
+    }
+}
