A worker list after a failure is taken whole, whatever its number, and told again

Seen: a Consul list that is cut off, and whose source then answers under the very index that was asked with (it lost its log and counted up again), was taken as unchanged: drains and replacements in it were never told. And a list file that could not be read for a while and then says what it said before was no news: the module went on by a failed list, and the next failure was not told either. Wrong were the query after a failure, which asked with the old index (list/consul.rs, run), and the look at the last text while failing (list/file.rs).

Now the first query after a failure asks with 0 and its answer is used; a file that can be read again is told again. An index that falls back and a silent watch were right already (membership's blocking queries; each query has its time).

--- a/crates/gateway/src/list/consul.rs
+++ b/crates/gateway/src/list/consul.rs
@@ -93,6 +93,8 @@
     blocking: Blocking,
     spread: Backoff,
     watching: bool,
+    /// A query failed since the last answer: the source may have lost its place, and its numbers tell nothing.
+    lost: bool,
 }
 
 impl Follower {
@@ -104,6 +106,7 @@
             blocking: Blocking::new(100_000, 5_000_000),
             spread: Backoff::new(1, 1, seed),
             watching,
+            lost: false,
         }
     }
 
@@ -122,7 +125,7 @@
                     Some(ToList::Fetch) => once = true,
                 }
             }
-            let index = if once { 0 } else { self.blocking.index() };
+            let index = if once || self.lost { 0 } else { self.blocking.index() };
             // Consul adds up to a sixteenth of the wait; two seconds more are for the way.
             let limit = Duration::from_micros((self.wait + self.wait / 16) as u64 + 2_000_000);
             let got = tokio::select! {
@@ -142,8 +145,10 @@
             };
             let told = match got {
                 Ok(Ok((index, entries))) => {
+                    // One after a failure is used whatever its number is.
+                    let lost = std::mem::take(&mut self.lost);
                     let changed = if once { Answer::Changed } else { self.blocking.answered(index) };
-                    (changed == Answer::Changed).then_some(News::List(entries))
+                    (changed == Answer::Changed || lost).then_some(News::List(entries))
                 }
                 failed => {
                     let why = match failed {
@@ -155,6 +160,7 @@
                         why,
                         "worker list can't be had; the old one stands"
                     );
+                    self.lost = true;
                     let _ = news.send(News::ListFailed).await;
                     let part = self.spread.part();
                     let pause = self.blocking.failed(part);
--- a/crates/gateway/src/list/file.rs
+++ b/crates/gateway/src/list/file.rs
@@ -58,7 +58,7 @@
     let mut failing = false;
     loop {
         let told = match tokio::fs::read_to_string(path).await {
-            Ok(text) if last.as_ref() == Some(&text) => None,
+            Ok(text) if !failing && last.as_ref() == Some(&text) => None,
             Ok(text) => match parse(&text) {
                 Ok(entries) => {
                     last = Some(text);
