--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -129,6 +129,8 @@
     let mut shown = 0;
     let mut blind = 0;
     let mut stuck_since: Option<Micros> = None;
+    // Until the connection stands, and again from its close on, no heartbeat need tell that nobody is there.
+    let mut closed_since: Option<Micros> = None;
     let mut alarm = Alarm::new(clock);
     loop {
         if asks.are_on() {
@@ -153,6 +155,11 @@
         let now = clock.now();
         front.flush(now);
         let Some(client) = front.client() else { return Ended::Lost("no client".into()) };
+        let since = if client.is_open() { None } else { Some(closed_since.unwrap_or(now)) };
+        closed_since = since;
+        if since.is_some_and(|since| now - since > PATIENCE.as_micros() as Micros) {
+            return Ended::Lost("the broker does not say what it has to".into());
+        }
         let mut wants_write = !client.output().is_empty();
         if wants_write {
             match stream.try_write(client.output()) {
--- a/crates/gateway/tests/crossings_sockets.rs
+++ b/crates/gateway/tests/crossings_sockets.rs
@@ -1,9 +1,10 @@
-//! Where two events cross on sockets beside the broker's: connections to workers that close in the instant of a write, and lists
-//! whose source lost its place.
+//! Where two events cross on sockets beside the broker's: connections to workers that close in the instant of a write, lists
+//! whose source lost its place, brokers that take a connection and say nothing.
 
 use bytes::Bytes;
 use stagehoist::Outcome;
 use stagehoist_config::{parse, Config};
+use stagehoist_gateway::amqp::link;
 use stagehoist_gateway::clock::Clock;
 use stagehoist_gateway::list::{self, ToList};
 use stagehoist_gateway::state::{Attempt, News};
@@ -12,7 +13,7 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 
 const LONG: Duration = Duration::from_secs(30);
@@ -229,3 +230,27 @@
         following.abort();
     });
 }
+
+/// A stopped broker's connections are taken by its system, and nothing is ever said on them: the next one gets its turn.
+#[test]
+fn a_broker_that_takes_the_connection_and_says_nothing_is_passed_over() {
+    let (_silent, first) = listen();
+    let (next, second) = listen();
+    let text = format!(
+        "class lookup aim 800ms give-up 2500ms\nfunction f class lookup memory 64MB\nbroker amqp://{first}/\n\
+         broker amqp://{second}/\nconsume calls\nreconnect first 10ms most 100ms\nworker-list file none\n"
+    );
+    let config = Rc::new(parse("c.conf", &text).unwrap());
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&rt, async {
+        let (news, _told) = mpsc::channel(8);
+        let (_to_link, from_driver) = mpsc::unbounded_channel();
+        let (state, _seen) = watch::channel(link::LinkState::default());
+        let clock = Clock::new();
+        let link = tokio::task::spawn_local(link::run(config, (1, clock), None, news, from_driver, state));
+        next.set_nonblocking(true).unwrap();
+        let next = tokio::net::TcpListener::from_std(next).unwrap();
+        within("the second broker never got its turn", next.accept()).await.unwrap();
+        link.abort();
+    });
+}
