Answers to messages delivered before: never twice in doubt, none refused that may have run, times kept

Seen, each forced against the stand-in broker: - An answer of the front's own (`failed` for a message of which nothing is known, `refused` for one that can't be taken) was given a second time where its confirm was lost: the memory held neither (recovery, Memory::delivered; front/deliveries.rs passed it over for messages that can't be taken). - A message of a class that may not be repeated, delivered again after its time, was refused as too late, which says that it did not run: without a reading the front took its class as safe (front/deliveries.rs). Its function is read for itself now, and it fails as others delivered before; what is safe is refused as it was. - A call that was asked about lost the time of the question twice: the budget was cut, and ran from when the message was read (front/asking.rs).

--- a/crates/gateway/src/amqp/front/asking.rs
+++ b/crates/gateway/src/amqp/front/asking.rs
@@ -101,9 +101,9 @@
                 let Some((since, arrival)) = asking.waiting.remove(&ticket) else { return };
                 self.counters.run_by_marks += 1;
                 tracing::info!(ticket, waited_us = now - since, "asked about; it runs");
-                // What it waited is gone from its time.
+                // What it waited is gone from its time, which runs from here on.
                 let budget = arrival.budget - (now - since);
-                self.arrivals.push(Arrival { budget, ..arrival });
+                self.arrivals.push(Arrival { budget, read: now, ..arrival });
             }
         }
     }
--- a/crates/gateway/src/amqp/front/deliveries.rs
+++ b/crates/gateway/src/amqp/front/deliveries.rs
@@ -64,14 +64,17 @@
         let routing_key = deliver.routing_key.as_str();
         let asked = self.reader.read(properties, routing_key, message.size, waited);
         let known = asked.as_ref().ok().and_then(|a| CallFigures::configured(&self.config, &a.function));
-        let effect = known.map_or(Effect::Safe, |k| self.config.classes[usize::from(k.0.class)].effect);
-        let verdict = match &asked {
-            // Too late is a matter of this delivery; what is known of the message still counts.
-            Ok(_) | Err(Unusable::TooLate) => {
-                self.memory.delivered(key.as_ref(), deliver.redelivered, effect, ticket, now)
-            }
-            Err(_) => Verdict::Run,
+        let effect_of = |k: (CallFigures, Micros)| self.config.classes[usize::from(k.0.class)].effect;
+        let effect = match &asked {
+            // It may have run in time where it was before: that it is too late now does not tell its caller that it did not.
+            Err(Unusable::TooLate) => Reader::function(properties, routing_key)
+                .ok()
+                .and_then(|f| CallFigures::configured(&self.config, &f))
+                .map_or(Effect::Safe, effect_of),
+            _ => known.map_or(Effect::Safe, effect_of),
         };
+        // One that can't be taken is remembered too: its refusal is not given twice.
+        let verdict = self.memory.delivered(key.as_ref(), deliver.redelivered, effect, ticket, now);
         match verdict {
             Verdict::Join(at_work) => {
                 self.counters.joined += 1;
--- a/crates/gateway/src/amqp/message.rs
+++ b/crates/gateway/src/amqp/message.rs
@@ -90,6 +90,23 @@
         Reader { config, tenants }
     }
 
+    /// The function that a message names, by its headers or its routing key.
+    pub fn function(properties: &BasicProperties, routing_key: &str) -> Result<String, Unusable> {
+        let header = properties.headers().as_ref().and_then(|h| h.inner().get("function"));
+        let function = match header {
+            None | Some(AMQPValue::Void) => routing_key.to_string(),
+            Some(_) => properties
+                .headers()
+                .as_ref()
+                .and_then(|h| header_text(h, "function"))
+                .ok_or(Unusable::MalformedFunction)?,
+        };
+        if function.is_empty() {
+            return Err(Unusable::NoFunction);
+        }
+        Ok(function)
+    }
+
     /// What a message asks for. `waited` is how long it waited before it was taken, in microseconds.
     pub fn read(
         &self,
@@ -104,11 +121,7 @@
             None | Some(AMQPValue::Void) => Ok(None),
             Some(_) => header_text(headers, key).map(Some).ok_or(wrong),
         };
-        let function = text("function", Unusable::MalformedFunction)?;
-        let function = function.unwrap_or_else(|| routing_key.to_string());
-        if function.is_empty() {
-            return Err(Unusable::NoFunction);
-        }
+        let function = Reader::function(properties, routing_key)?;
         let fleet = self.config.fleet.is_some();
         if fleet && ends_numbered(&function) {
             // Later generations are known inside by such names.
--- a/crates/recovery/src/memory.rs
+++ b/crates/recovery/src/memory.rs
@@ -141,7 +141,10 @@
         } else {
             Verdict::Run
         };
-        if let (Some(key), Verdict::Run | Verdict::Ask) = (key, &verdict) {
+        // A failure is an answer that may be in doubt as another; only what was ceded stays so.
+        let new =
+            matches!(verdict, Verdict::Run | Verdict::Ask) || matches!(verdict, Verdict::Fail) && !ceded;
+        if let Some(key) = key.filter(|_| new) {
             self.insert(key, Known::Running(ticket), now);
         }
         verdict
