A reply that never left is in no doubt, whatever closed while it waited

Seen: a reply in doubt is withheld when its message comes again, so that a reply taken for doubtful though it never left is an answer lost. Four ways, each forced: - The broker's close, of channel or connection, in the read that brought a message whose answer is in memory: nothing was published, the memory said sent (front/replies.rs, publish). - The same after a refused confirm (basic.nack): the next try had no connection, and what the broker said it didn't take stayed in doubt. - connection.blocked or channel.flow with replies waiting, and then the channel's close: what was held back went with the channel's state before it was asked about (client/channels.rs, take_method). - connection.blocked for longer than the time for confirms: each look took the oldest reply out of those that are told unsent at the end (front/consuming.rs, tick). Deliveries of the first two kinds were also kept for ever.

Now what could not be published is known as never sent, held-back publishes of a closed channel are remembered until its number is used anew, and a connection that is given up keeps what it knows of its replies. Numbers of a closed channel no longer speak for one opened anew under its number.

Ruled out by a test: a confirm in the read of the close counts.

--- a/crates/amqp/src/client/channels.rs
+++ b/crates/amqp/src/client/channels.rs
@@ -13,7 +13,7 @@
         let end = self.ends.iter().find(|e| (e.1, e.2) == (channel, seq)).map(|e| e.0);
         let paused =
             self.channels.get(&channel).is_some_and(|c| c.paused.iter().any(|(number, _)| *number == seq));
-        paused || end.is_some_and(|end| end > self.written)
+        paused || self.never.contains(&(channel, seq)) || end.is_some_and(|end| end > self.written)
     }
 
     pub(super) fn take_method(&mut self, channel: u16, method: AMQPClass) -> Result<(), Fault> {
@@ -35,7 +35,9 @@
             AMQPClass::Channel(channel::AMQPMethod::Close(close)) => {
                 let ok = channel::CloseOk {};
                 self.method(channel, AMQPClass::Channel(channel::AMQPMethod::CloseOk(ok)));
-                self.channels.remove(&channel);
+                if let Some(state) = self.channels.remove(&channel) {
+                    self.never.extend(state.paused.into_iter().map(|(seq, _)| (channel, seq)));
+                }
                 let text = close.reply_text.as_str().to_string();
                 self.events.push_back(ClientEvent::ChannelClosed { channel, code: close.reply_code, text });
             }
@@ -88,6 +90,9 @@
         }
         let number = (1..=self.channel_max).find(|c| !self.channels.contains_key(c))?;
         self.channels.insert(number, ChannelState::default());
+        // Its numbers begin again.
+        self.never.retain(|p| p.0 != number);
+        self.ends.retain(|e| e.1 != number);
         self.method(number, AMQPClass::Channel(channel::AMQPMethod::Open(channel::Open {})));
         Some(number)
     }
--- a/crates/amqp/src/client/mod.rs
+++ b/crates/amqp/src/client/mod.rs
@@ -84,6 +84,8 @@
     written: u64,
     /// Where each unconfirmed publish ends in the stream of bytes.
     ends: VecDeque<(u64, u16, u64)>,
+    /// Publishes held back on channels that the broker closed: what their numbers say lasts until the channel is used anew.
+    never: BTreeSet<(u16, u64)>,
 }
 
 impl Client {
@@ -105,6 +107,7 @@
             queued: 0,
             written: 0,
             ends: VecDeque::new(),
+            never: BTreeSet::new(),
         };
         client.put(|out| out.extend_from_slice(&PROTOCOL_HEADER));
         client
--- a/crates/gateway/src/amqp/front/consuming.rs
+++ b/crates/gateway/src/amqp/front/consuming.rs
@@ -55,11 +55,9 @@
         }
         self.look(now);
         self.give_up_asking(now);
-        if self.oldest_unconfirmed().is_some_and(|at| now - at >= self.config.confirm_timeout) {
+        if self.confirm_due().is_some_and(|at| now >= at) {
+            // What is known of each reply stays until the connection is lost: those held back never left.
             tracing::warn!("the broker confirms no replies; connection given up");
-            if self.replies.pop_first().is_none() {
-                self.committing.pop_front();
-            }
             if let Some(client) = self.client.as_mut() {
                 client.close(200, "no confirms in time");
             }
--- a/crates/gateway/src/amqp/front/mod.rs
+++ b/crates/gateway/src/amqp/front/mod.rs
@@ -183,7 +183,7 @@
             _ => None,
         };
         let again = self.again.values().min().copied();
-        let confirm = self.oldest_unconfirmed().map(|at| at + self.config.confirm_timeout);
+        let confirm = self.confirm_due();
         let look = self.ages.iter().any(|a| a.is_unsure(self.asked_depth + LOOK, LOOK));
         let look = (look && self.phase == Phase::Ready).then_some(self.asked_depth + LOOK);
         let asking = self.asking.as_ref().and_then(asking::Asking::due);
--- a/crates/gateway/src/amqp/front/replies.rs
+++ b/crates/gateway/src/amqp/front/replies.rs
@@ -10,6 +10,13 @@
         reply.map(|r| r.1).or(self.committing.front().map(|c| c.0))
     }
 
+    /// When the broker has had its time to confirm; once, as a connection that is given up is closed.
+    pub(super) fn confirm_due(&self) -> Option<Micros> {
+        let open = self.client.as_ref().is_some_and(Client::is_open);
+        let oldest = self.oldest_unconfirmed().filter(|_| open);
+        oldest.map(|at| at + self.config.confirm_timeout)
+    }
+
     /// Sends the acknowledgements that wait, and ends the open transaction, if it holds anything: what was put into it since
     /// the last call takes effect together.
     ///
@@ -77,6 +84,13 @@
             if let Some(key) = &delivery.key {
                 self.memory.sent(key, Sent::Doubtful);
             }
+            return;
+        }
+        // The broker closed the channel or the connection in the same read that brought the delivery, or the word that the
+        // last try was not taken: nothing left, and the message comes again.
+        let delivery = self.deliveries.remove(&ticket);
+        if let Some(key) = delivery.and_then(|d| d.key) {
+            self.memory.sent(&key, Sent::Never);
         }
     }
 
--- a/crates/gateway/tests/crossings_amqp.rs
+++ b/crates/gateway/tests/crossings_amqp.rs
@@ -3,9 +3,179 @@
 
 mod world;
 
+use stagehoist_amqp::codec::put_method;
+use stagehoist_amqp::{channel, connection};
 use std::rc::Rc;
 use world::*;
 
+/// How a broker ends what it spoke on, in the words that follow others in one read.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Channel,
+    Connection,
+}
+
+impl End {
+    const BOTH: [End; 2] = [End::Channel, End::Connection];
+
+    fn words(self) -> bytes::BytesMut {
+        let (reply_code, reply_text, class_id, method_id) = (320, short("closed by hand"), 0, 0);
+        let mut out = bytes::BytesMut::new();
+        match self {
+            End::Channel => {
+                let close = channel::Close { reply_code, reply_text, class_id, method_id };
+                put_method(&mut out, 1, AMQPClass::Channel(channel::AMQPMethod::Close(close)));
+            }
+            End::Connection => {
+                let close = connection::Close { reply_code, reply_text, class_id, method_id };
+                put_method(&mut out, 0, AMQPClass::Connection(connection::AMQPMethod::Close(close)));
+            }
+        }
+        out
+    }
+}
+
+/// Connects; the read that brings the first delivery brings the end too.
+fn connect_and_end(w: &mut World, end: End) {
+    let number = w.broker.connect(w.now);
+    w.front_at = Some(number);
+    w.front.connected(&config("").brokers[0], w.now);
+    for _ in 0..20 {
+        let before = w.broker.stats.delivered;
+        w.push_front();
+        let mut bytes = w.broker.take_output(number).unwrap();
+        let delivered = w.broker.stats.delivered > before;
+        if delivered {
+            bytes.extend_from_slice(&end.words());
+        }
+        w.front.receive(&bytes, w.now, 0);
+        if delivered {
+            return;
+        }
+    }
+    panic!("nothing was delivered");
+}
+
+/// The reply had no way to leave, so that there is no doubt about it.
+#[test]
+fn an_answer_from_memory_that_crosses_the_close_is_given_at_the_next_delivery() {
+    for mode in ["replies confirm\n", "replies transaction\n"] {
+        for end in End::BOTH {
+            let mut w = World::new(mode);
+            w.publish("a", "recurring", |p| p);
+            let calls = w.arrivals();
+            w.cut();
+            w.serve(&calls[0]);
+            connect_and_end(&mut w, end);
+            w.cut();
+            w.connect();
+            assert!(w.arrivals().is_empty(), "it would run a second time");
+            assert_eq!(w.outcomes(), [("a", "served")], "{mode:?} {end:?}");
+            assert_eq!((w.broker.depth("calls"), w.front.unsettled()), (Some(0), 0));
+        }
+    }
+}
+
+/// A reply that the broker says it didn't take is in no doubt, though the next try has no connection any more.
+#[test]
+fn a_refused_confirm_that_crosses_the_close_leaves_no_doubt() {
+    for end in End::BOTH {
+        let mut w = World::new("");
+        w.publish("a", "recurring", |p| p);
+        let calls = w.arrivals();
+        w.serve(&calls[0]);
+        // It leaves whole, and the broker can't take it.
+        let client = w.front.client().unwrap();
+        let left = client.output().split().len();
+        client.wrote(left, w.now);
+        let mut bytes = bytes::BytesMut::new();
+        let nack = basic::Nack { delivery_tag: 1, multiple: false, requeue: false };
+        put_method(&mut bytes, 1, AMQPClass::Basic(basic::AMQPMethod::Nack(nack)));
+        bytes.extend_from_slice(&end.words());
+        w.front.receive(&bytes, w.now, 0);
+        w.cut();
+        w.connect();
+        assert!(w.arrivals().is_empty(), "it would run a second time");
+        assert_eq!(w.outcomes(), [("a", "served")], "{end:?}");
+    }
+}
+
+/// A confirm in the same read as the close counts: the caller has its answer.
+#[test]
+fn a_confirm_that_crosses_the_close_counts() {
+    for end in End::BOTH {
+        let mut w = World::new("doubtful-reply resend\n");
+        w.publish("a", "recurring", |p| p);
+        let calls = w.arrivals();
+        w.serve(&calls[0]);
+        w.push_front();
+        let number = w.front_at.unwrap();
+        let mut bytes = w.broker.take_output(number).unwrap();
+        bytes.extend_from_slice(&end.words());
+        w.front.receive(&bytes, w.now, 0);
+        w.cut();
+        w.connect();
+        assert!(w.arrivals().is_empty());
+        assert_eq!((w.outcomes(), w.broker.depth("calls")), (vec![("a", "served")], Some(0)), "{end:?}");
+    }
+}
+
+/// What the broker held back never left, whatever ends then.
+#[test]
+fn replies_held_back_when_the_broker_closes_are_sent_again() {
+    for end in End::BOTH {
+        for flow in [false, true] {
+            let mut w = World::new("");
+            w.publish("a", "recurring", |p| p);
+            w.publish("b", "recurring", |p| p);
+            let calls = w.arrivals();
+            if flow {
+                w.broker.set_flow(false);
+            } else {
+                w.broker.set_blocked(true);
+            }
+            w.settle();
+            calls.iter().for_each(|c| w.serve(c));
+            w.settle();
+            w.front.receive(&end.words(), w.now, 0);
+            w.cut();
+            w.broker.set_flow(true);
+            w.connect();
+            assert!(w.arrivals().is_empty(), "they would run a second time");
+            let mut outcomes = w.outcomes();
+            outcomes.sort_unstable();
+            assert_eq!(outcomes, [("a", "served"), ("b", "served")], "{end:?} {flow}");
+        }
+    }
+}
+
+/// The time for confirms runs out while the broker takes no replies: the connection is given up, and none is in doubt.
+#[test]
+fn replies_held_back_until_their_confirms_are_overdue_are_sent_again() {
+    for mode in ["replies confirm\n", "replies transaction\n"] {
+        let mut w = World::new(&format!("{mode}confirm-timeout 2s\n"));
+        for id in ["a", "b", "c"] {
+            w.publish(id, "recurring", |p| p);
+        }
+        let calls = w.arrivals();
+        w.broker.set_blocked(true);
+        w.settle();
+        calls.iter().for_each(|c| w.serve(c));
+        w.settle();
+        // Looked at more than once before the broker's word that the connection is over.
+        for _ in 0..4 {
+            w.now += 2_500_000;
+            w.front.tick(w.now);
+        }
+        w.cut();
+        w.connect();
+        assert!(w.arrivals().is_empty(), "they would run a second time");
+        let mut outcomes = w.outcomes();
+        outcomes.sort_unstable();
+        assert_eq!(outcomes, ["a", "b", "c"].map(|id| (id, "served")), "{mode:?}");
+    }
+}
+
 /// The word that a message may have run is a final answer like another: in doubt it is not given twice.
 #[test]
 fn an_answer_to_a_message_of_which_nothing_is_known_is_not_given_twice() {
