A drain ends only once every consumer said that it stopped: deliveries on their way are answered

Seen: after SIGTERM the front was drained as soon as it held nothing, though its basic.cancel had not been answered. Deliveries under way or in the socket were passed over after the close; the broker put them back, and they came to others as delivered before: calls that may not be repeated failed there though they had not run, and safe ones waited. Wrong was Front::is_drained (front/mod.rs).

Now it waits for basic.cancel-ok of each consumer, or the broker's own cancel, or the end of the channel; drain-most bounds it as before. What comes until then is taken.

Measured: crossings_amqp, the delivery on its way red before (nothing was taken), green after; the drain with a consumer that went with its queue or channel ends.

--- a/crates/gateway/src/amqp/front/consuming.rs
+++ b/crates/gateway/src/amqp/front/consuming.rs
@@ -177,10 +177,18 @@
                     }
                 }
             }
+            AMQPClass::Basic(basic::AMQPMethod::CancelOk(ok)) => {
+                if let Some(index) = self.queue_of(ok.consumer_tag.as_str()) {
+                    self.stopping.remove(&index);
+                }
+            }
             AMQPClass::Basic(basic::AMQPMethod::Cancel(cancel)) => {
                 // The queue went away under us; it may be declared again.
                 tracing::warn!(consumer = cancel.consumer_tag.as_str(), "consumer cancelled by the broker");
                 let index = self.queue_of(cancel.consumer_tag.as_str());
+                if let Some(index) = index {
+                    self.stopping.remove(&index);
+                }
                 if let Some(index) = index.filter(|_| !self.draining) {
                     self.consuming = self.consuming.saturating_sub(1);
                     let pause = self.backoff.pause();
--- a/crates/gateway/src/amqp/front/mod.rs
+++ b/crates/gateway/src/amqp/front/mod.rs
@@ -19,7 +19,7 @@
 use stagehoist_amqp::{AMQPClass, Acks, Client, ClientEvent, ClientOptions, Message};
 use stagehoist_config::{Broker, Config};
 use stagehoist_recovery::{Backoff, Key, Memory, Sent, Verdict};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
 /// Times that a reply is published again after the broker said it can't take it (`basic.nack`).
@@ -78,6 +78,8 @@
     next_ticket: Ticket,
     arrivals: Vec<Arrival>,
     draining: bool,
+    /// Queues whose consumer was told to stop and has not said so: deliveries of it may be on their way.
+    stopping: BTreeSet<usize>,
     /// Deliveries of the present channel; their acknowledgements go out together, with the next replies.
     acks: Acks,
     /// Of the present channel, where a queue is consumed without a told prefetch.
@@ -122,6 +124,7 @@
             next_ticket: 1,
             arrivals: Vec::new(),
             draining: false,
+            stopping: BTreeSet::new(),
             counters: FrontCounters::default(),
         }
     }
@@ -212,12 +215,16 @@
         for index in 0..self.config.consume.len() {
             let cancel = basic::Cancel { consumer_tag: short(&self.tag(index)), nowait: false };
             self.basic(basic::AMQPMethod::Cancel(cancel));
+            self.stopping.insert(index);
         }
     }
 
-    /// Whether all that was delivered is answered and acknowledged, after [`Front::drain`].
+    /// Whether all that was delivered is answered and acknowledged, and nothing more is on its way, after [`Front::drain`].
+    ///
+    /// What is still under way when the connection ends comes to others as delivered before, and fails there if it may not
+    /// simply be repeated.
     pub fn is_drained(&self) -> bool {
-        self.draining && self.unsettled() == 0
+        self.draining && self.stopping.is_empty() && self.unsettled() == 0
     }
 
     /// Ends the connection in order.
--- a/crates/gateway/src/amqp/front/replies.rs
+++ b/crates/gateway/src/amqp/front/replies.rs
@@ -136,6 +136,7 @@
         }
         self.generation += 1;
         self.again.clear();
+        self.stopping.clear();
         self.consuming = 0;
     }
 }
--- a/crates/gateway/tests/crossings_amqp.rs
+++ b/crates/gateway/tests/crossings_amqp.rs
@@ -176,6 +176,62 @@
     }
 }
 
+/// The drain begins while a delivery is on its way: it is taken and answered, and not put back as one that may have run.
+#[test]
+fn a_delivery_on_its_way_when_the_drain_begins_is_answered() {
+    let mut w = World::new("");
+    let caller = w.caller.channel;
+    let publish = basic::Publish {
+        exchange: short(""),
+        routing_key: short("calls"),
+        mandatory: false,
+        immediate: false,
+    };
+    let mut headers = FieldTable::default();
+    headers.insert(short("function"), long("recurring"));
+    let properties = BasicProperties::default()
+        .with_headers(headers)
+        .with_correlation_id(short("a"))
+        .with_reply_to(short("replies"));
+    w.caller.client.publish(caller, publish, &properties, &Bytes::from_static(b"body"));
+    let out = w.caller.client.output().split();
+    w.broker.receive(w.caller.number, &out, w.now);
+    assert_eq!(w.broker.stats.delivered, 1, "it lies in the socket");
+    w.front.drain();
+    // As the link does in each turn.
+    if w.front.is_drained() {
+        w.front.close(w.now);
+    }
+    w.settle();
+    let calls = w.arrivals();
+    assert_eq!(calls.len(), 1, "it was put back and would fail elsewhere, though it did not run");
+    assert!(!w.front.is_drained());
+    w.serve(&calls[0]);
+    w.settle();
+    assert!(w.front.is_drained());
+    assert_eq!((w.outcomes(), w.broker.depth("calls")), (vec![("a", "served")], Some(0)));
+}
+
+/// A drain ends where nothing says any more that a consumer was cancelled.
+#[test]
+fn a_drain_does_not_wait_for_a_consumer_that_went_with_its_queue_or_channel() {
+    for end in [None, Some(End::Channel)] {
+        let mut w = World::new("");
+        w.front.drain();
+        assert!(!w.front.is_drained(), "deliveries may be on their way");
+        match end {
+            None => {
+                let cancel = basic::Cancel { consumer_tag: short("stagehoist-0"), nowait: true };
+                let mut bytes = bytes::BytesMut::new();
+                put_method(&mut bytes, 1, AMQPClass::Basic(basic::AMQPMethod::Cancel(cancel)));
+                w.front.receive(&bytes, w.now, 0);
+            }
+            Some(end) => w.front.receive(&end.words(), w.now, 0),
+        }
+        assert!(w.front.is_drained(), "{end:?}");
+    }
+}
+
 /// The word that a message may have run is a final answer like another: in doubt it is not given twice.
 #[test]
 fn an_answer_to_a_message_of_which_nothing_is_known_is_not_given_twice() {
