The memory is told of a failure by a word of its own, so that what it says of others' questions stays

Now Front says it (Memory::fails), and until the answer is there others are told that it is not known.

--- a/crates/gateway/src/amqp/front/deliveries.rs
+++ b/crates/gateway/src/amqp/front/deliveries.rs
@@ -98,6 +98,9 @@
             }
             Verdict::Fail => {
                 self.counters.failed_unknown += 1;
+                if let Some(key) = &delivery.key {
+                    self.memory.fails(key, ticket, now);
+                }
                 self.deliveries.insert(ticket, delivery);
                 self.answer(ticket, Answer::Failed { reason: "delivered-before" }, now);
             }
--- a/crates/recovery/src/memory.rs
+++ b/crates/recovery/src/memory.rs
@@ -38,6 +38,8 @@
 enum Known<A> {
     Running(u64),
     Answered(A, Sent),
+    /// Nothing is known but that it is being answered `failed` under this number.
+    Failing(u64),
     /// Another member was told that no attempt leaves from here.
     Ceded,
 }
@@ -141,15 +143,20 @@
         } else {
             Verdict::Run
         };
-        // A failure is an answer that may be in doubt as another; only what was ceded stays so.
-        let new =
-            matches!(verdict, Verdict::Run | Verdict::Ask) || matches!(verdict, Verdict::Fail) && !ceded;
-        if let Some(key) = key.filter(|_| new) {
+        if let (Some(key), Verdict::Run | Verdict::Ask) = (key, &verdict) {
             self.insert(key, Known::Running(ticket), now);
         }
         verdict
     }
 
+    /// A message of which nothing is known is answered `failed` under this number: an answer that may be in doubt as another,
+    /// and is not given twice. What was ceded stays so.
+    pub fn fails(&mut self, key: &Key, ticket: u64, now: Micros) {
+        if !self.entries.contains_key(key) {
+            self.insert(key, Known::Failing(ticket), now);
+        }
+    }
+
     /// Another member asks about a message that was delivered to it. `marks` is what this one's marks tell, asked before.
     ///
     /// After [`Told::None`] no first delivery of the message is taken up here while this is remembered.
@@ -158,6 +165,7 @@
         match self.entries.get(key).map(|e| &e.known) {
             Some(Known::Running(_) | Known::Answered(..)) => Told::MayHaveRun,
             _ if marks != Told::None => marks,
+            Some(Known::Failing(_)) => Told::NotKnown,
             _ if now < self.blind_until => Told::NotKnown,
             _ => {
                 self.insert(key, Known::Ceded, now);
@@ -195,7 +203,7 @@
     /// A message's call has its answer; what becomes of the reply is told by [`Memory::sent`].
     pub fn answered(&mut self, key: &Key, ticket: u64, answer: A, sent: Sent) {
         if let Some(entry) = self.entries.get_mut(key) {
-            if matches!(entry.known, Known::Running(t) if t == ticket) {
+            if matches!(entry.known, Known::Running(t) | Known::Failing(t) if t == ticket) {
                 entry.known = Known::Answered(answer, sent);
             }
         }
