--- a/crates/amqp/src/client/mod.rs
+++ b/crates/amqp/src/client/mod.rs
@@ -84,7 +84,8 @@
     written: u64,
     /// Where each unconfirmed publish ends in the stream of bytes.
     ends: VecDeque<(u64, u16, u64)>,
-    /// Publishes held back on channels that the broker closed: what their numbers say lasts until the channel is used anew.
+    /// Publishes held back on channels that the broker closed: what their numbers say lasts until the channel is
+    /// used anew.
     never: BTreeSet<(u16, u64)>,
 }
 
--- a/crates/gateway/src/amqp/front/deliveries.rs
+++ b/crates/gateway/src/amqp/front/deliveries.rs
@@ -66,7 +66,7 @@
         let known = asked.as_ref().ok().and_then(|a| CallFigures::configured(&self.config, &a.function));
         let effect_of = |k: (CallFigures, Micros)| self.config.classes[usize::from(k.0.class)].effect;
         let effect = match &asked {
-            // It may have run in time where it was before: that it is too late now does not tell its caller that it did not.
+            // It may have run in time where it was before: that it is too late now does not tell that it did not.
             Err(Unusable::TooLate) => Reader::function(properties, routing_key)
                 .ok()
                 .and_then(|f| CallFigures::configured(&self.config, &f))
--- a/crates/gateway/src/amqp/front/mod.rs
+++ b/crates/gateway/src/amqp/front/mod.rs
@@ -219,10 +219,11 @@
         }
     }
 
-    /// Whether all that was delivered is answered and acknowledged, and nothing more is on its way, after [`Front::drain`].
+    /// Whether all that was delivered is answered and acknowledged, and nothing more is on its way, after
+    /// [`Front::drain`].
     ///
-    /// What is still under way when the connection ends comes to others as delivered before, and fails there if it may not
-    /// simply be repeated.
+    /// What is still under way when the connection ends comes to others as delivered before, and fails there if it
+    /// may not simply be repeated.
     pub fn is_drained(&self) -> bool {
         self.draining && self.stopping.is_empty() && self.unsettled() == 0
     }
--- a/crates/gateway/src/amqp/front/replies.rs
+++ b/crates/gateway/src/amqp/front/replies.rs
@@ -86,8 +86,8 @@
             }
             return;
         }
-        // The broker closed the channel or the connection in the same read that brought the delivery, or the word that the
-        // last try was not taken: nothing left, and the message comes again.
+        // The broker closed the channel or the connection in the same read that brought the delivery, or the word
+        // that the last try was not taken: nothing left, and the message comes again.
         let delivery = self.deliveries.remove(&ticket);
         if let Some(key) = delivery.and_then(|d| d.key) {
             self.memory.sent(&key, Sent::Never);
--- a/crates/gateway/tests/crossings_drain.rs
+++ b/crates/gateway/tests/crossings_drain.rs
@@ -1,5 +1,5 @@
-//! The end of a front end on a real socket, whose other end the test holds: a broker without a socket takes what the gateway
-//! writes, and what it answers is handed on when the test says so.
+//! The end of a front end on a real socket, whose other end the test holds: a broker without a socket takes
+//! what the gateway writes, and what it answers is handed on when the test says so.
 
 use bytes::Bytes;
 use stagehoist_amqp::{basic, header_text, long, queue, short};
@@ -118,8 +118,8 @@
     }
 }
 
-/// Deliveries lie in the broker's output, or half of their bytes in the socket, when the gateway is told to end: it has asked
-/// its consumer to stop, and takes and answers what comes before the word that it did.
+/// Deliveries lie in the broker's output, or half of their bytes in the socket, when the gateway is told to
+/// end: it has asked its consumer to stop, and takes and answers what comes before the word that it did.
 #[test]
 fn deliveries_under_way_when_the_end_is_told_are_answered_before_it() {
     for mode in ["confirm", "transaction"] {
--- a/crates/gateway/tests/crossings_sockets.rs
+++ b/crates/gateway/tests/crossings_sockets.rs
@@ -1,12 +1,11 @@
-//! Where two events cross on sockets beside the broker's: connections to workers that close in the instant of a write, lists
-//! whose source lost its place, brokers that take a connection and say nothing.
+//! Where two events cross on sockets beside the broker's: connections to workers that close in the instant of
+//! a write, and brokers that take a connection and say nothing.
 
 use bytes::Bytes;
 use stagehoist::Outcome;
 use stagehoist_config::{parse, Config};
 use stagehoist_gateway::amqp::link;
 use stagehoist_gateway::clock::Clock;
-use stagehoist_gateway::list::{self, ToList};
 use stagehoist_gateway::state::{Attempt, News};
 use stagehoist_gateway::workers::Workers;
 use std::io::{Read, Write};
@@ -18,12 +17,10 @@
 
 const LONG: Duration = Duration::from_secs(30);
 
-fn config(list: &str) -> Rc<Config> {
-    let text = format!(
-        "class lookup aim 800ms give-up 2500ms\nfunction f class lookup memory 64MB\n\
-         broker amqp://127.0.0.1:1/\nconsume calls\nworker-list {list}\n"
-    );
-    Rc::new(parse("c.conf", &text).unwrap())
+fn config() -> Rc<Config> {
+    let text = "class lookup aim 800ms give-up 2500ms\nfunction f class lookup memory 64MB\n\
+                broker amqp://127.0.0.1:1/\nconsume calls\nworker-list file none\n";
+    Rc::new(parse("c.conf", text).unwrap())
 }
 
 async fn within<T>(what: &str, future: impl std::future::Future<Output = T>) -> T {
@@ -76,8 +73,8 @@
     Whole,
 }
 
-/// The close lies in the socket when the request is written: it goes over a new connection, or is known to be in doubt. It
-/// is never said not to have left where it did, and never runs twice.
+/// The close lies in the socket when the request is written: it goes over a new connection, or is known to be
+/// in doubt. It is never said not to have left where it did, and never runs twice.
 #[test]
 fn a_kept_connection_that_closes_in_the_instant_of_a_write_runs_nothing_twice() {
     for leaves in [Leaves::Half, Leaves::Whole] {
@@ -86,7 +83,7 @@
         let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         LocalSet::new().block_on(&rt, async {
             let (news, mut told) = mpsc::channel(8);
-            let workers = Workers::new(config("file none"), Clock::new(), news, None);
+            let workers = Workers::new(config(), Clock::new(), news, None);
             let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
             workers.attempt(attempt(1, &address));
             let served = listener.try_clone().unwrap();
@@ -147,91 +144,8 @@
     }
 }
 
-fn list_of(name: &str) -> String {
-    format!(r#"[{{"Node":{{}},"Service":{{"ID":"{name}","Address":"127.0.0.1","Port":9}}}}]"#)
-}
-
-fn told_list(stream: &mut TcpStream, index: u64, name: &str) {
-    let body = list_of(name);
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nx-consul-index: {index}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
-        body.len()
-    );
-    stream.write_all((head + &body).as_bytes()).unwrap();
-}
-
-async fn names(told: &mut mpsc::Receiver<News>) -> Option<Vec<String>> {
-    match within("no word of the list", told.recv()).await {
-        Some(News::List(entries)) => Some(entries.into_iter().map(|e| e.name).collect()),
-        Some(News::ListFailed) => None,
-        other => panic!("{other:?}"),
-    }
-}
-
-/// The source went away, lost its log, and counted up to the very number that was asked with: its list is taken all the same.
-#[test]
-fn a_list_that_was_cut_off_is_taken_whole_though_its_number_is_the_old_one() {
-    let (listener, address) = listen();
-    let served = std::thread::spawn(move || {
-        let mut asked = Vec::new();
-        for (turn, name) in ["w1", "w2", "w2", "w3"].into_iter().enumerate() {
-            let (mut stream, _) = listener.accept().unwrap();
-            asked.push(String::from_utf8(request(&mut stream, 0).unwrap()).unwrap());
-            match turn {
-                // Cut off in the middle of the list.
-                1 => {
-                    let head = "HTTP/1.1 200 OK\r\nx-consul-index: 8\r\ncontent-length: 999\r\n\r\n[{";
-                    stream.write_all(head.as_bytes()).unwrap();
-                }
-                3 => told_list(&mut stream, 8, name),
-                _ => told_list(&mut stream, 7, name),
-            }
-        }
-        asked
-    });
-    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&rt, async {
-        let (news, mut told) = mpsc::channel(8);
-        let (asks, asked) = mpsc::unbounded_channel();
-        let config = config(&format!("consul {address} service s wait 1s"));
-        let following = tokio::task::spawn_local(list::follow(config, 1, Clock::new(), news, asked));
-        asks.send(ToList::Watch(true)).unwrap();
-        assert_eq!(names(&mut told).await, Some(vec!["w1".to_string()]));
-        assert_eq!(names(&mut told).await, None, "cut off");
-        assert_eq!(names(&mut told).await, Some(vec!["w2".to_string()]));
-        assert_eq!(names(&mut told).await, Some(vec!["w3".to_string()]));
-        following.abort();
-    });
-    let asked = served.join().unwrap();
-    let index = |line: &String| line.split("index=").nth(1).unwrap().split('&').next().unwrap().to_string();
-    assert_eq!(asked.iter().map(index).collect::<Vec<_>>(), ["0", "7", "0", "7"]);
-}
-
-/// A file that could not be read for a while and then says what it said is told again: until then the module goes by a list
-/// that failed, and the next failure is no news.
-#[test]
-fn a_list_file_that_comes_back_unchanged_is_told_again() {
-    let folder = tempfile::tempdir().unwrap();
-    let path = folder.path().join("workers.list");
-    let whole = "w1 127.0.0.1:9 capacity 4\n";
-    std::fs::write(&path, whole).unwrap();
-    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&rt, async {
-        let (news, mut told) = mpsc::channel(8);
-        let (_asks, asked) = mpsc::unbounded_channel();
-        let config = config(&format!("file {} poll 20ms", path.display()));
-        let following = tokio::task::spawn_local(list::follow(config, 1, Clock::new(), news, asked));
-        for _ in 0..2 {
-            assert_eq!(names(&mut told).await, Some(vec!["w1".to_string()]));
-            std::fs::write(&path, "w1\n").unwrap();
-            assert_eq!(names(&mut told).await, None);
-            std::fs::write(&path, whole).unwrap();
-        }
-        following.abort();
-    });
-}
-
-/// A stopped broker's connections are taken by its system, and nothing is ever said on them: the next one gets its turn.
+/// A stopped broker's connections are taken by its system, and nothing is ever said on them: the next one
+/// gets its turn.
 #[test]
 fn a_broker_that_takes_the_connection_and_says_nothing_is_passed_over() {
     let (_silent, first) = listen();
--- a/crates/recovery/src/memory.rs
+++ b/crates/recovery/src/memory.rs
@@ -149,8 +149,8 @@
         verdict
     }
 
-    /// A message of which nothing is known is answered `failed` under this number: an answer that may be in doubt as another,
-    /// and is not given twice. What was ceded stays so.
+    /// A message of which nothing is known is answered `failed` under this number: an answer that may be in doubt as
+    /// another, and is not given twice. What was ceded stays so.
     pub fn fails(&mut self, key: &Key, ticket: u64, now: Micros) {
         if !self.entries.contains_key(key) {
             self.insert(key, Known::Failing(ticket), now);
