--- a/crates/gateway/src/amqp/front/consuming.rs
+++ b/crates/gateway/src/amqp/front/consuming.rs
@@ -55,11 +55,9 @@
         }
         self.look(now);
         self.give_up_asking(now);
-        if self.oldest_unconfirmed().is_some_and(|at| now - at >= self.config.confirm_timeout) {
+        if self.confirm_due().is_some_and(|at| now >= at) {
+            // What is known of each reply stays until the connection is lost: those held back never left.
             tracing::warn!("the broker confirms no replies; connection given up");
-            if self.replies.pop_first().is_none() {
-                self.committing.pop_front();
-            }
             if let Some(client) = self.client.as_mut() {
                 client.close(200, "no confirms in time");
             }
@@ -179,10 +177,18 @@
                     }
                 }
             }
+            AMQPClass::Basic(basic::AMQPMethod::CancelOk(ok)) => {
+                if let Some(index) = self.queue_of(ok.consumer_tag.as_str()) {
+                    self.stopping.remove(&index);
+                }
+            }
             AMQPClass::Basic(basic::AMQPMethod::Cancel(cancel)) => {
                 // The queue went away under us; it may be declared again.
                 tracing::warn!(consumer = cancel.consumer_tag.as_str(), "consumer cancelled by the broker");
                 let index = self.queue_of(cancel.consumer_tag.as_str());
+                if let Some(index) = index {
+                    self.stopping.remove(&index);
+                }
                 if let Some(index) = index.filter(|_| !self.draining) {
                     self.consuming = self.consuming.saturating_sub(1);
                     let pause = self.backoff.pause();
--- a/crates/recovery/src/memory.rs
+++ b/crates/recovery/src/memory.rs
@@ -38,6 +38,8 @@
 enum Known<A> {
     Running(u64),
     Answered(A, Sent),
+    /// Nothing is known but that it is being answered `failed` under this number.
+    Failing(u64),
     /// Another member was told that no attempt leaves from here.
     Ceded,
 }
@@ -147,6 +149,14 @@
         verdict
     }
 
+    /// A message of which nothing is known is answered `failed` under this number: an answer that may be in doubt as
+    /// another, and is not given twice. What was ceded stays so.
+    pub fn fails(&mut self, key: &Key, ticket: u64, now: Micros) {
+        if !self.entries.contains_key(key) {
+            self.insert(key, Known::Failing(ticket), now);
+        }
+    }
+
     /// Another member asks about a message that was delivered to it. `marks` is what this one's marks tell, asked before.
     ///
     /// After [`Told::None`] no first delivery of the message is taken up here while this is remembered.
@@ -155,6 +165,7 @@
         match self.entries.get(key).map(|e| &e.known) {
             Some(Known::Running(_) | Known::Answered(..)) => Told::MayHaveRun,
             _ if marks != Told::None => marks,
+            Some(Known::Failing(_)) => Told::NotKnown,
             _ if now < self.blind_until => Told::NotKnown,
             _ => {
                 self.insert(key, Known::Ceded, now);
@@ -192,7 +203,7 @@
     /// A message's call has its answer; what becomes of the reply is told by [`Memory::sent`].
     pub fn answered(&mut self, key: &Key, ticket: u64, answer: A, sent: Sent) {
         if let Some(entry) = self.entries.get_mut(key) {
-            if matches!(entry.known, Known::Running(t) if t == ticket) {
+            if matches!(entry.known, Known::Running(t) | Known::Failing(t) if t == ticket) {
                 entry.known = Known::Answered(answer, sent);
             }
         }
