--- /dev/null
+++ b/crates/gateway/src/state/core/counters.rs
@@ -0,0 +1,22 @@
+//! What is counted of a front end.
+
+/// What a front end has done, for metrics and tests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    pub taken: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    /// Refused before the module saw them: unknown function, or more calls than may be held.
+    pub turned_away: u64,
+    pub gone: u64,
+    pub attempts: u64,
+    /// Of these, those after the first for their call.
+    pub further_attempts: u64,
+    pub loads: u64,
+    pub unloads: u64,
+    pub probes: u64,
+    pub batches: u64,
+    /// Time spent in the module, in nanoseconds.
+    pub module_ns: u64,
+}
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -3,6 +3,7 @@
 
 mod acts;
 mod calls;
+mod counters;
 mod ending;
 mod entering;
 mod fleet;
@@ -12,6 +13,7 @@
 
 use super::{module, Arrival, AttemptResult, Command, Decide, Decider, Figures, Names, News, Ticket};
 use crate::fleet::{Entrance, Part, Starting};
+pub use counters::Counters;
 use held::Outside;
 use stagehoist::{Action, Event, Micros, Outcome, RequestId, WorkerId};
 use stagehoist_admission::lanes::Lane;
@@ -20,27 +22,6 @@
 use tracing::Span;
 use workers::Leaving;
 
-/// What a front end has done, for metrics and tests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counters {
-    pub taken: u64,
-    pub served: u64,
-    pub refused: u64,
-    pub failed: u64,
-    /// Refused before the module saw them: unknown function, or more calls than may be held.
-    pub turned_away: u64,
-    pub gone: u64,
-    pub attempts: u64,
-    /// Of these, those after the first for their call.
-    pub further_attempts: u64,
-    pub loads: u64,
-    pub unloads: u64,
-    pub probes: u64,
-    pub batches: u64,
-    /// Time spent in the module, in nanoseconds.
-    pub module_ns: u64,
-}
-
 struct Call {
     ticket: Ticket,
     arrival: Arrival,
