Record the choices of front ends with one attempt a call beside the other kinds

A kind of deployment more in the recording test, whose choices no kind stood for; the ten others' lines stay as they were.

--- a/crates/core/tests/recording/main.rs
+++ b/crates/core/tests/recording/main.rs
@@ -48,6 +48,7 @@
     let late = Settings { order_delay: 400 * MS, ..settings(&[ORDERS, probes].concat()) };
     let retry_budget = RetryBudget { window: 2000 * MS, free: 3.0, share: 0.1 };
     let budget = Settings { retry_budget, ..settings(&[ORDERS, tenants].concat()) };
+    let one = "limits.most_tries=1\nlimits.second_copies=false\nlimits.cancel=false\n";
     vec![
         ("load on miss", false, settings("")),
         ("load on miss, quiet", true, settings("")),
@@ -59,6 +60,7 @@
         ("miss only, retry budget", false, budget),
         ("miss only, many front ends", false, settings(&[ORDERS, alone].concat())),
         ("streams", false, settings(&[ORDERS, streams, "specifics.loads_within=0\n"].concat())),
+        ("miss only, one attempt", false, settings(&[ORDERS, one].concat())),
     ]
 }
 
