Look at a client's own socket before the first byte of an attempt for it

Seen: `sockets::what_a_stopped_process_finds_...` was red by chance (7 of 30 alone). A probe that noted when request 2 was written, when the word was said and when it was acted on gave 4 red of 30 runs: in each of them request 2 had been written before the word was said (34 to 38 ms), in none of the 30 after it. The test took "28 of 32 MB are read" for "the rest is not yet written", but up to 4 MB of a send queue and 32 MB of a receive queue lie between the two. So that order was not forced by the test. It now fills the socket until it does not take a request whole, reads the connection dry without letting the front end run, checks that a part is unwritten, and gives the word before and after the runtime has heard of the socket; without `hear_first` it is red.

The forced tests found faults beside it. What the driver chose was written in its turn (`Executors::turned`) with no look at clients at all, so that a process that did not run between reading and that turn began an attempt, first, further or second copy, for a client that had left 0.1 s before. `hear_first` lets the runtime poll three times where a gap is noticed, which does not help where none is, and proves nothing. While more than 128 KiB of answers waited nothing was read from a client: its ABORT was never heard, its close within 50 ms only. A request of which a part was written while another was at work on that connection was completed after its client had left, and so began then.

Change: each request is looked at once more before each write that carries something of it. `Callers::is_cancelled` reads what lies in its client's socket now, past the runtime; the client's task passes on what was read, in its order. A client that takes no answers is read on: what it cancels counts, the rest is parked up to 128 KiB, beyond which its connection is closed. A request of which a part was written and that is given up is never completed: the connection takes nothing more (what waits is withdrawn, as nothing of it ran) and ends with the last that began there; what others began keeps its answer.

The second half of `lines::what_is_given_up_with_a_part_written_...` asked for the completion, which is the fault; it now asks that nothing more is written, that what waits is withdrawn and that the other's answer counts.

Seen red without: the look (7 tests), `hear_first` (1), reading on (2), the end of what is written in part (2), the bound of what is parked (1).

--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -49,7 +49,8 @@
         self.next_conn.set(id);
         let session = RefCell::new(Session::new(self.shared.clock.now()));
         let [over, silent, dirty] = [false; 3].map(Cell::new);
-        let conn = Rc::new(Conn { id, session, stream, wake: Notify::new(), over, silent, dirty });
+        let (news, wake) = (RefCell::default(), Notify::new());
+        let conn = Rc::new(Conn { id, session, stream, news, wake, over, silent, dirty });
         self.conns.borrow_mut().insert(id, conn.clone());
         tokio::task::spawn_local(self.clone().talk(conn));
         full
--- a/crates/platform/src/clients/calls.rs
+++ b/crates/platform/src/clients/calls.rs
@@ -13,7 +13,8 @@
             match said {
                 Said::Call(ticket, asked) => news.extend(self.call(conn, ticket, *asked, (now, late))),
                 Said::Gone(ticket) => {
-                    if self.release(ticket).is_some() {
+                    if let Some(held) = self.release(ticket) {
+                        self.cancelled.borrow_mut().insert(held.reference, now);
                         news.push(News::Gone(ticket));
                     }
                 }
@@ -65,7 +66,7 @@
         }))
     }
 
-    pub(super) fn release(&self, ticket: Ticket) -> Option<Rc<Conn>> {
+    pub(super) fn release(&self, ticket: Ticket) -> Option<Held> {
         let mut calls = self.calls.borrow_mut();
         let held = calls.remove(&ticket)?;
         if calls.capacity() > 8 * calls.len() + 1024 {
@@ -73,12 +74,12 @@
         }
         self.held_bytes.set(self.held_bytes.get().saturating_sub(held.bytes));
         self.references.borrow_mut().remove(&held.reference);
-        Some(held.conn)
+        Some(held)
     }
 
     /// The final answer of a call; written at the end of the turn.
     pub fn answer(&self, ticket: Ticket, answer: &Answer) {
-        let Some(conn) = self.release(ticket) else { return };
+        let Some(Held { conn, .. }) = self.release(ticket) else { return };
         conn.session.borrow_mut().answer(ticket, answer, self.shared.clock.now());
         if !conn.dirty.replace(true) {
             self.dirty.borrow_mut().push(conn);
--- /dev/null
+++ b/crates/platform/src/clients/cancelled.rs
@@ -0,0 +1,52 @@
+//! Whether a client still waits, asked of its socket past the runtime: that has heard only of what came before it last
+//! waited.
+
+use super::{Clients, Conn};
+use crate::executors::Callers;
+use stagehoist::Micros;
+use std::rc::Rc;
+
+/// For how long it is kept that a request was cancelled: until the driver has heard of it and nothing of it waits to be
+/// written.
+const KEPT: Micros = 1_000_000;
+
+impl Callers for Clients {
+    fn is_cancelled(&self, id: u64) -> bool {
+        let conn = {
+            let ticket = self.references.borrow().get(&id).copied();
+            ticket.and_then(|ticket| self.calls.borrow().get(&ticket).map(|held| held.conn.clone()))
+        };
+        if let Some(conn) = conn {
+            self.hear(&conn);
+            if conn.over.get() {
+                return true;
+            }
+        }
+        !self.references.borrow().contains_key(&id) && self.cancelled.borrow().contains_key(&id)
+    }
+}
+
+impl Clients {
+    /// Reads what lies in a client's socket now; its own task passes it on, in its order.
+    fn hear(&self, conn: &Rc<Conn>) {
+        if conn.over.get() {
+            return;
+        }
+        let mut news = Vec::new();
+        if !self.read_all(conn, &mut news) {
+            conn.over.set(true);
+        }
+        if conn.over.get() || !news.is_empty() || !conn.session.borrow().out().is_empty() {
+            conn.wake.notify_one();
+        }
+        conn.news.borrow_mut().extend(news);
+    }
+
+    /// Forgets what was cancelled long ago.
+    pub(super) fn forget_cancelled(&self) {
+        let (now, late) = self.shared.read_time();
+        if late == 0 {
+            self.cancelled.borrow_mut().retain(|_, at| now - *at < KEPT);
+        }
+    }
+}
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod calls;
+mod cancelled;
 mod finish;
 mod sockets;
 mod talk;
@@ -10,9 +11,9 @@
 use crate::session::{Catalog, Session};
 pub use crate::shared::Shared;
 use stagehoist::Micros;
-use stagehoist_gateway::state::Ticket;
+use stagehoist_gateway::state::{News, Ticket};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -21,6 +22,8 @@
     id: u64,
     session: RefCell<Session>,
     stream: TcpStream,
+    /// What was read and not passed on yet, in its order.
+    news: RefCell<VecDeque<News>>,
     wake: Notify,
     /// The client is gone, or takes nothing.
     over: Cell<bool>,
@@ -54,6 +57,8 @@
     conns: RefCell<HashMap<u64, Rc<Conn>>>,
     calls: RefCell<HashMap<Ticket, Held>>,
     references: RefCell<HashMap<u64, Ticket>>,
+    /// When clients cancelled what, or left over it, for as long as something of it may wait to be written.
+    cancelled: RefCell<HashMap<u64, Micros>>,
     held_bytes: Cell<usize>,
     next_ticket: Cell<Ticket>,
     next_conn: Cell<u64>,
@@ -78,6 +83,7 @@
             conns: RefCell::default(),
             calls: RefCell::default(),
             references: RefCell::default(),
+            cancelled: RefCell::default(),
             held_bytes: Cell::new(0),
             next_ticket: Cell::new(0),
             next_conn: Cell::new(0),
@@ -133,6 +139,7 @@
 
     /// Closes connections whose clients are silent.
     pub fn tend(&self) {
+        self.forget_cancelled();
         let now = self.shared.clock.now();
         for conn in self.conns.borrow().values() {
             let (over, stuck) = {
--- a/crates/platform/src/clients/talk.rs
+++ b/crates/platform/src/clients/talk.rs
@@ -10,12 +10,9 @@
 
 /// A connection that is closed over what it sent is read on for so long and so much, so that the error reaches it.
 const LINGER: (Duration, usize) = (Duration::from_millis(250), 1 << 20);
-/// How soon a client's leaving is seen while nothing is read from it.
-const LEFT_WITHIN: Duration = Duration::from_millis(50);
 
 impl Clients {
     pub(super) async fn talk(self: Rc<Self>, conn: Rc<Conn>) {
-        let mut news = Vec::new();
         let mut retired = false;
         loop {
             let (read, write, closing) = {
@@ -25,7 +22,6 @@
             if conn.over.get() || retired || (closing && !write) {
                 break;
             }
-            let held_back = !read && !closing;
             tokio::select! {
                 biased;
                 () = conn.wake.notified() => {}
@@ -35,36 +31,34 @@
                     }
                 }
                 ready = conn.stream.readable(), if read => {
-                    if ready.is_err() || !self.read(&conn, &mut news) {
-                        conn.over.set(true);
-                    }
-                }
-                () = tokio::time::sleep(LEFT_WITHIN), if held_back => {
-                    if sockets::has_left(&conn.stream) {
+                    if ready.is_err() || !self.read(&conn) {
                         conn.over.set(true);
                     }
                 }
             }
             if conn.silent.take() {
                 // What lies in its socket may be the very request that ends its silence.
+                let mut news = Vec::new();
                 if !self.read_all(&conn, &mut news) {
                     conn.over.set(true);
                 }
+                conn.news.borrow_mut().extend(news);
                 retired = conn.session.borrow().is_over(self.shared.clock.now());
             }
-            for item in news.drain(..) {
-                // A driver that ended needs no news.
-                let _ = self.shared.news.send(item).await;
+            if conn.session.borrow().can_resume() {
+                let news = self.receive(&conn, b"");
+                conn.news.borrow_mut().extend(news);
             }
+            self.pass_on(&conn).await;
         }
         self.conns.borrow_mut().remove(&conn.id);
         let mut said = Vec::new();
         let in_order = retired || conn.session.borrow().is_closing();
         let lingers = in_order && !conn.over.get() && self.lingering.get() < self.bounds.clients / 4;
         conn.session.borrow_mut().close(&mut said);
-        for item in self.heard(&conn, said, self.shared.read_time()) {
-            let _ = self.shared.news.send(item).await;
-        }
+        let news = self.heard(&conn, said, self.shared.read_time());
+        conn.news.borrow_mut().extend(news);
+        self.pass_on(&conn).await;
         if lingers {
             self.lingering.set(self.lingering.get() + 1);
             linger(&conn.stream, &self.shared).await;
@@ -73,8 +67,16 @@
         self.written.notify_one();
     }
 
+    async fn pass_on(&self, conn: &Conn) {
+        loop {
+            let Some(item) = conn.news.borrow_mut().pop_front() else { return };
+            // A driver that ended needs no news.
+            let _ = self.shared.news.send(item).await;
+        }
+    }
+
     /// False once the client is gone.
-    pub(super) fn read(&self, conn: &Rc<Conn>, news: &mut Vec<News>) -> bool {
+    fn read(&self, conn: &Rc<Conn>) -> bool {
         let mut scratch = self.shared.scratch.borrow_mut();
         let n = match conn.stream.try_read(&mut scratch) {
             Ok(0) => return false,
@@ -82,8 +84,9 @@
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
             Err(_) => return false,
         };
-        news.extend(self.receive(conn, &scratch[..n]));
+        let news = self.receive(conn, &scratch[..n]);
         drop(scratch);
+        conn.news.borrow_mut().extend(news);
         let waits = !conn.session.borrow().out().is_empty();
         !waits || self.flush(conn)
     }
@@ -116,7 +119,8 @@
             if !self.flush(&conn) {
                 conn.over.set(true);
             }
-            if conn.over.get() || !conn.session.borrow().out().is_empty() {
+            let session = conn.session.borrow();
+            if conn.over.get() || !session.out().is_empty() || session.can_resume() {
                 conn.wake.notify_one();
             }
         }
--- a/crates/platform/src/executors/choice.rs
+++ b/crates/platform/src/executors/choice.rs
@@ -61,7 +61,10 @@
             let usable = |l: &&Rc<Link>| {
                 let line = l.line.borrow();
                 let room = line.attempts() < self.limits.streams && !id.is_some_and(|id| line.has(id));
-                room && !l.moved.get() && !line.is_silent() && !matches!(l.state.get(), State::Over(_))
+                room && !l.moved.get()
+                    && !line.is_silent()
+                    && !line.is_cut()
+                    && !matches!(l.state.get(), State::Over(_))
             };
             let mut idle = None;
             for link in executor.links.iter().filter(usable) {
--- a/crates/platform/src/executors/links.rs
+++ b/crates/platform/src/executors/links.rs
@@ -1,6 +1,5 @@
 //! One connection: its handshake, what it reads and writes, and its end.
 
-use super::choice::is_dead;
 use super::Executors;
 use crate::line::{End, Line};
 use socket2::SockRef;
@@ -46,31 +45,6 @@
 }
 
 impl Executors {
-    pub(super) fn flush(&self, link: &Link) {
-        let Some(stream) = link.stream.borrow().clone() else { return };
-        if link.state.get() != State::Up {
-            return;
-        }
-        let mut line = link.line.borrow_mut();
-        let mut bytes = Vec::new();
-        let mut news = Vec::new();
-        line.withdraw_overdue(self.shared.clock.now(), self.limits.order_timeout, &mut news);
-        self.late_news.borrow_mut().extend(news);
-        if line.wants_write() && is_dead(link) {
-            // It was closed since it was chosen: what was not begun is known not to have run.
-            return link.end(End::Broken);
-        }
-        while line.wants_write() {
-            bytes.clear();
-            line.fill(&mut bytes);
-            match stream.try_write(&bytes) {
-                Ok(n) => line.wrote(n, self.shared.clock.now()),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return link.wake.notify_one(),
-                Err(_) => return link.end(End::Broken),
-            }
-        }
-    }
-
     pub(super) async fn talk(self: Rc<Self>, link: Rc<Link>, address: Rc<str>) {
         let limit = Duration::from_micros(self.limits.connect_timeout as u64);
         let connecting = tokio::time::timeout(limit, TcpStream::connect(&*address));
@@ -93,6 +67,7 @@
                 link.state.set(State::Up);
                 self.hear_first().await;
                 self.flush(&link);
+                self.pass_on_late();
                 self.exchange(&link, &stream).await;
             }
         }
@@ -119,6 +94,7 @@
             if writes {
                 self.hear_first().await;
                 self.flush(link);
+                self.pass_on_late();
             }
             self.pass_on(&mut news).await;
         }
@@ -129,8 +105,8 @@
         }
     }
 
-    /// After a gap of this process, what lies in the other sockets (a client that left, a drain) is read and acted on before
-    /// anything that waited is written: a turn to read them, one for the driver, one for those who had more to read.
+    /// After a gap of this process, what lies in the other sockets (a drain above all) is read and acted on before anything
+    /// that waited is written: a turn to read them, one for the driver, one for those who had more to read.
     async fn hear_first(&self) {
         if self.shared.read_time().1 > 0 {
             for _ in 0..3 {
@@ -161,7 +137,11 @@
 
     fn received(&self, link: &Link, bytes: &[u8], news: &mut Vec<News>) -> bool {
         let (now, late) = self.shared.read_time();
-        let read = link.line.borrow_mut().receive(bytes, (now, now - late), &self.limits.report, news);
+        let mut line = link.line.borrow_mut();
+        let read = line.receive(bytes, (now, now - late), &self.limits.report, news);
+        if line.is_spent() {
+            link.end(End::Poisoned);
+        }
         if let Err(why) = read {
             tracing::debug!(worker = format!("s-{:08x}", link.worker), %why, "connection given up");
             link.end(End::Poisoned);
@@ -230,7 +210,8 @@
                     && line.expire(now, limits.connect_timeout, limits.order_timeout, &mut news).is_err();
                 let idle = line.is_idle();
                 let unused = now - line.active() >= limits.idle_close - limits.idle_close / 8;
-                let useless = idle && (unused || !executor.ready || link.moved.get() || line.is_silent());
+                let shut = link.moved.get() || line.is_silent() || line.is_cut();
+                let useless = idle && (unused || !executor.ready || shut);
                 drop(line);
                 if over {
                     link.end(End::Poisoned);
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod links;
 mod orders;
+mod writing;
 
 use crate::bounds::Bounds;
 use crate::clients::Shared;
@@ -44,6 +45,12 @@
     pub poisoned: u64,
 }
 
+/// Those whose requests are sent on.
+pub trait Callers {
+    /// Whether the client of the request with this id cancelled it or is gone, by all that has reached this process.
+    fn is_cancelled(&self, id: u64) -> bool;
+}
+
 struct Flying {
     link: Rc<Link>,
     id: (u64, Rc<str>),
@@ -52,6 +59,7 @@
 /// All executors of a front end.
 pub struct Executors {
     shared: Rc<Shared>,
+    callers: Rc<dyn Callers>,
     limits: Limits,
     bounds: Bounds,
     executors: RefCell<HashMap<WorkerId, Executor>>,
@@ -64,9 +72,10 @@
 }
 
 impl Executors {
-    pub fn new(shared: Rc<Shared>, limits: Limits, bounds: Bounds) -> Executors {
+    pub fn new(shared: Rc<Shared>, callers: Rc<dyn Callers>, limits: Limits, bounds: Bounds) -> Executors {
         Executors {
             shared,
+            callers,
             limits,
             bounds,
             executors: RefCell::default(),
--- a/crates/platform/src/executors/orders.rs
+++ b/crates/platform/src/executors/orders.rs
@@ -54,9 +54,8 @@
     /// Gives up an attempt; nothing more is heard of it.
     pub fn abort(&self, request: RequestId, attempt: u16) {
         let Some(flying) = self.flying.borrow_mut().remove(&(request, attempt)) else { return };
-        let now = self.shared.clock.now();
-        let patience = self.limits.connect_timeout;
-        if flying.link.line.borrow_mut().stop(flying.id.0, &flying.id.1, now, patience) {
+        let ends = self.stop(&mut flying.link.line.borrow_mut(), (flying.id.0, &flying.id.1));
+        if ends {
             return flying.link.end(End::Poisoned);
         }
         self.mark(flying.link);
@@ -130,6 +129,11 @@
             link.dirty.set(false);
             self.flush(&link);
         }
+        self.pass_on_late();
+    }
+
+    /// Passes on what arose while choices were carried out.
+    pub(super) fn pass_on_late(&self) {
         let mut late = self.late_news.borrow_mut();
         while let Some(item) = late.pop_front() {
             if let Err(tokio::sync::mpsc::error::TrySendError::Full(item)) = self.shared.news.try_send(item) {
--- /dev/null
+++ b/crates/platform/src/executors/writing.rs
@@ -0,0 +1,69 @@
+//! Writing to a connection: each request is looked at once more in the instant before its first byte.
+
+use super::choice::is_dead;
+use super::links::{Link, State};
+use super::Executors;
+use crate::line::{End, Line};
+use std::io;
+
+impl Executors {
+    /// Writes what the socket takes. What was chosen in an earlier turn, or before this process paused, may be wanted no
+    /// more: a request is written only while its client waits by all that lies in that client's socket now.
+    pub(super) fn flush(&self, link: &Link) {
+        let Some(stream) = link.stream.borrow().clone() else { return };
+        if link.state.get() != State::Up {
+            return;
+        }
+        let mut line = link.line.borrow_mut();
+        let mut bytes = Vec::new();
+        let mut news = Vec::new();
+        line.withdraw_overdue(self.shared.clock.now(), self.limits.order_timeout, &mut news);
+        self.late_news.borrow_mut().extend(news);
+        if line.wants_write() && is_dead(link) {
+            // It was closed since it was chosen: what was not begun is known not to have run.
+            return link.end(End::Broken);
+        }
+        loop {
+            if self.give_up_cancelled(&mut line) {
+                return link.end(End::Poisoned);
+            }
+            if !line.wants_write() {
+                return;
+            }
+            bytes.clear();
+            line.fill(&mut bytes);
+            match stream.try_write(&bytes) {
+                Ok(n) => line.wrote(n, self.shared.clock.now()),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return link.wake.notify_one(),
+                Err(_) => return link.end(End::Broken),
+            }
+        }
+    }
+
+    /// Gives up what the next write would carry of requests that were cancelled; the driver hears of it in its next turn.
+    /// True where the connection is to be ended.
+    fn give_up_cancelled(&self, line: &mut Line) -> bool {
+        let mut calls = line.next_calls();
+        calls.retain(|id| self.callers.is_cancelled(*id));
+        calls.into_iter().any(|id| {
+            if let Some(attempt) = line.awaits(id).and_then(|what| what.attempt()) {
+                self.flying.borrow_mut().remove(&attempt);
+            }
+            self.stop(line, (id, &format!("{id:016x}")))
+        })
+    }
+
+    /// Gives up a request; what waits behind one that is not completed is withdrawn. True where the connection is to be
+    /// ended.
+    pub(super) fn stop(&self, line: &mut Line, (id, text): (u64, &str)) -> bool {
+        let now = self.shared.clock.now();
+        let ends = line.stop(id, text, now, self.limits.connect_timeout);
+        if line.is_cut() && !ends {
+            let mut news = Vec::new();
+            line.withdraw(now, &mut news);
+            self.settled(&news);
+            self.late_news.borrow_mut().extend(news);
+        }
+        ends
+    }
+}
--- a/crates/platform/src/follow/tests.rs
+++ b/crates/platform/src/follow/tests.rs
@@ -23,6 +23,15 @@
     b
 }
 
+/// No client cancels anything.
+struct All;
+
+impl executors::Callers for All {
+    fn is_cancelled(&self, _: u64) -> bool {
+        false
+    }
+}
+
 fn stage(room: usize) -> (Rc<Shared>, Rc<Executors>, mpsc::Receiver<News>) {
     let (news, incoming) = mpsc::channel(room);
     let shared = Rc::new(Shared::new(Clock::new(), news));
@@ -35,7 +44,7 @@
         report: Vec::new(),
         classes: Vec::new(),
     };
-    (shared.clone(), Rc::new(Executors::new(shared, limits, bounds)), incoming)
+    (shared.clone(), Rc::new(Executors::new(shared, Rc::new(All), limits, bounds)), incoming)
 }
 
 async fn asked(bus: &TcpListener) -> (tokio::net::TcpStream, u64) {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -24,6 +24,7 @@
 mod flat;
 pub mod follow;
 pub mod line;
+mod parked;
 pub mod pulse;
 pub mod reload;
 pub mod replay;
--- a/crates/platform/src/line/ending.rs
+++ b/crates/platform/src/line/ending.rs
@@ -7,8 +7,9 @@
 
 impl Line {
     /// Gives up a request. Nothing is written where none of it was; the line counts as silent where nothing came since it
-    /// was written `patience` ago or longer. True where the connection is to be ended instead: a part of it was written,
-    /// the rest would arrive only to be given up, and no other has begun here.
+    /// was written `patience` ago or longer. Where a part of it was written the rest never is, as that would have it begin:
+    /// the line takes nothing more ([`Line::is_cut`]), and what waits on it is to be withdrawn. True where the connection is
+    /// to be ended, as nothing that began is left on such a line.
     pub fn stop(&mut self, id: u64, text: &str, now: Micros, patience: Micros) -> bool {
         let tag = Tag::Call(id);
         let Some(open) = self.open.remove(&tag) else { return false };
@@ -17,17 +18,30 @@
             None => self.unqueue(tag),
             Some(at) => {
                 self.silent |= self.read <= at && now - at >= patience;
-                if open.whole.is_none() && self.open.values().all(|o| o.begun.is_none()) {
-                    return true;
+                if open.whole.is_none() {
+                    self.cut = true;
+                    self.queue.clear();
                 }
-                if self.stopped.len() == STOPPED {
-                    self.stopped.pop_front();
+                if !self.cut {
+                    if self.stopped.len() == STOPPED {
+                        self.stopped.pop_front();
+                    }
+                    self.stopped.push_back(id);
+                    self.push(None, format!("STOP {text}\r\n").into_bytes(), now);
                 }
-                self.stopped.push_back(id);
-                self.push(None, format!("STOP {text}\r\n").into_bytes(), now);
             }
         }
-        false
+        self.is_spent()
+    }
+
+    /// Whether nothing more is written here.
+    pub fn is_cut(&self) -> bool {
+        self.cut
+    }
+
+    /// Whether nothing is awaited any more on a line that takes nothing.
+    pub fn is_spent(&self) -> bool {
+        self.cut && self.open.values().all(|o| o.begun.is_none())
     }
 
     /// Takes out what was not begun to be written. What was must be written to its end, or nothing behind it can be read.
@@ -46,9 +60,9 @@
         }
     }
 
-    /// Withdraws what was not begun to be written, as the executor takes nothing new.
+    /// Withdraws what was not begun to be written, as the executor or this connection takes nothing new.
     pub fn withdraw(&mut self, now: Micros, news: &mut Vec<News>) {
-        let unbegun = |o: &Open| o.begun.is_none() && !matches!(o.what, What::Probe { .. });
+        let unbegun = |o: &Open| o.begun.is_none() && (self.cut || !matches!(o.what, What::Probe { .. }));
         let tags: Vec<Tag> = self.open.iter().filter(|(_, o)| unbegun(o)).map(|(t, _)| *t).collect();
         for tag in tags {
             self.unqueue(tag);
--- a/crates/platform/src/line/mod.rs
+++ b/crates/platform/src/line/mod.rs
@@ -46,6 +46,16 @@
     Load { worker: WorkerId, function: FunctionId, sent: Micros },
 }
 
+impl What {
+    /// Which attempt it is, if one.
+    pub fn attempt(&self) -> Option<(RequestId, u16)> {
+        match self {
+            What::Attempt { request, attempt } => Some((*request, *attempt)),
+            _ => None,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Open {
     what: What,
@@ -86,6 +96,8 @@
     read: Micros,
     active: Micros,
     silent: bool,
+    /// A request of which a part was written is not completed: nothing more is written here.
+    cut: bool,
     next: u64,
 }
 
@@ -175,6 +187,23 @@
         !self.queue.is_empty()
     }
 
+    /// Requests of which the next write would carry something, in their order.
+    pub fn next_calls(&self) -> Vec<u64> {
+        let mut ahead = 0;
+        let carried = self.queue.iter().take_while(|item| {
+            let carried = ahead < WRITE_MOST;
+            ahead += item.bytes.len() - item.done;
+            carried
+        });
+        let tags = carried.filter_map(|item| item.tag).filter(|tag| self.open.contains_key(tag));
+        tags.filter_map(|tag| if let Tag::Call(id) = tag { Some(id) } else { None }).collect()
+    }
+
+    /// What the answer to a request is awaited for.
+    pub fn awaits(&self, id: u64) -> Option<What> {
+        self.open.get(&Tag::Call(id)).map(|open| open.what)
+    }
+
     /// Gathers what goes into one write.
     pub fn fill(&self, out: &mut Vec<u8>) {
         for item in &self.queue {
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -82,7 +82,7 @@
         report: told.report.clone(),
         classes: told.classes.iter().map(|c| c.name.clone()).collect(),
     };
-    let executors = Rc::new(Executors::new(shared.clone(), limits, bounds));
+    let executors = Rc::new(Executors::new(shared.clone(), clients.clone(), limits, bounds));
     // The events of the start come first in the line, so that the module has them before any call.
     let (events, last) = &told.known;
     let _ = news.send(News::Roster { form: RosterForm::Full, told: Vec::new() }).await;
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -1,21 +1,22 @@
 //! One client's connection without I/O: requests read and checked, answers written under their tags, at most one each.
 
+mod answers;
+
 use crate::bounds::Seen;
+use crate::parked::Parked;
 use crate::request::asked;
 pub use crate::request::{Asked, Catalog, Unusable, ANSWER_WAY};
-use crate::resp::{decimal, encode, Decoder};
+use crate::resp::{encode, Decoder, Words};
+use answers::{FAILED, REFUSED};
 use bytes::BytesMut;
 use stagehoist::Micros;
-use stagehoist_gateway::state::{Answer, Ticket};
+use stagehoist_gateway::state::Ticket;
 use std::collections::BTreeMap;
 
 /// Requests open on one connection at once.
 pub const OPEN_MOST: usize = 32;
-/// Bytes that wait for a client before no more is read from it.
+/// Bytes that wait for a client before nothing new is taken from it; what it cancels is heard all the same.
 pub const OUT_MOST: usize = 128 << 10;
-const SERVED: &[u8] = b"200";
-const REFUSED: &[u8] = b"503";
-const FAILED: &[u8] = b"500";
 
 /// What a client said.
 #[derive(Debug, PartialEq)]
@@ -30,6 +31,7 @@
 pub struct Session {
     decoder: Decoder,
     open: BTreeMap<u64, Ticket>,
+    parked: Parked,
     out: BytesMut,
     /// Nothing more is read; what is written goes out, then the connection closes.
     closing: bool,
@@ -49,6 +51,7 @@
         Session {
             decoder: Decoder::default(),
             open: BTreeMap::new(),
+            parked: Parked::default(),
             out: BytesMut::new(),
             closing: false,
             asked: false,
@@ -76,10 +79,18 @@
         self.active = now;
         self.decoder.feed(bytes);
         while !self.closing {
+            if let Some(words) = self.can_resume().then(|| self.parked.pop()).flatten() {
+                self.take(words, (catalog, serving), next_ticket, said);
+                continue;
+            }
             match self.decoder.take() {
                 Ok(Some(words)) => {
                     self.partial_since = None;
-                    self.take(words, (catalog, serving), next_ticket, said);
+                    if self.out.len() < OUT_MOST {
+                        self.take(words, (catalog, serving), next_ticket, said);
+                    } else {
+                        self.park(words, said);
+                    }
                 }
                 Ok(None) => {
                     let partial = self.decoder.is_partial();
@@ -91,6 +102,20 @@
         }
     }
 
+    /// Keeps what comes while the client takes no answers, and hears what it cancels. Who sends on and on is given up.
+    fn park(&mut self, words: Words, said: &mut Vec<Said>) {
+        let number = words.get(1).and_then(|tag| tag_number(tag));
+        if let (Some(b"ABORT"), Some(number)) = (words.first().map(Vec::as_slice), number) {
+            self.parked.cancel(number);
+            said.extend(self.open.remove(&number).map(Said::Gone));
+            return;
+        }
+        self.parked.push(number, words);
+        if self.parked.is_over_full() {
+            self.unreadable(said);
+        }
+    }
+
     fn unreadable(&mut self, said: &mut Vec<Said>) {
         self.error(b"0");
         self.close(said);
@@ -100,6 +125,7 @@
     pub fn close(&mut self, said: &mut Vec<Said>) {
         self.closing = true;
         self.decoder = Decoder::default();
+        self.parked = Parked::default();
         self.partial_since = None;
         said.extend(std::mem::take(&mut self.open).into_values().map(Said::Gone));
     }
@@ -110,7 +136,7 @@
 
     fn take(
         &mut self,
-        words: Vec<Vec<u8>>,
+        words: Words,
         (catalog, serving): (&Catalog, bool),
         next_ticket: &mut Ticket,
         said: &mut Vec<Said>,
@@ -155,61 +181,14 @@
         }
     }
 
-    fn tag_of(&self, ticket: Ticket) -> Option<u64> {
-        self.open.iter().find(|(_, t)| **t == ticket).map(|(tag, _)| *tag)
-    }
-
-    /// Writes the one answer of a request; nothing where the client no longer waits for it.
-    pub fn answer(&mut self, ticket: Ticket, answer: &Answer, now: Micros) {
-        let Some(number) = self.tag_of(ticket) else { return };
-        self.open.remove(&number);
-        self.active = now;
-        self.known |= matches!(answer, Answer::Served { .. });
-        if self.out.is_empty() {
-            self.took = now;
-        }
-        let mut digits = [0u8; 20];
-        let tag = decimal(number, &mut digits);
-        match answer {
-            Answer::Served { body, .. } => encode(&mut self.out, &[tag, SERVED, b"", body]),
-            Answer::Gated(gated) => encode(&mut self.out, &[tag, SERVED, b"", &gated.body]),
-            Answer::Refused { retry_after, .. } if *retry_after > 0 => {
-                let cooldown = format!("cooldown={}", retry_after / 1000);
-                encode(&mut self.out, &[tag, REFUSED, cooldown.as_bytes(), b""]);
-            }
-            Answer::Refused { .. } => encode(&mut self.out, &[tag, REFUSED, b"", b""]),
-            Answer::Failed { .. } | Answer::Retired(_) => encode(&mut self.out, &[tag, FAILED, b"", b""]),
-        }
-    }
-
-    /// An error for a request that can't be taken though it reads well.
-    pub fn reject(&mut self, ticket: Ticket) {
-        if let Some(number) = self.tag_of(ticket) {
-            self.open.remove(&number);
-            self.error(decimal(number, &mut [0u8; 20]));
-        }
-    }
-
-    /// What waits for the socket.
-    pub fn out(&self) -> &[u8] {
-        &self.out
-    }
-
-    /// So many bytes were taken.
-    pub fn wrote(&mut self, n: usize, now: Micros) {
-        let _ = self.out.split_to(n);
-        if n > 0 {
-            self.took = now;
-        }
-        if self.out.is_empty() {
-            // Idle connections hold nothing.
-            self.out = BytesMut::new();
-        }
+    /// Whether more is read.
+    pub fn wants_read(&self) -> bool {
+        !self.closing
     }
 
-    /// Whether more may be read: not while the client takes no answers.
-    pub fn wants_read(&self) -> bool {
-        !self.closing && self.out.len() < OUT_MOST
+    /// Whether what was kept back can be looked at, as the client took its answers.
+    pub fn can_resume(&self) -> bool {
+        !self.closing && !self.parked.is_empty() && self.out.len() < OUT_MOST
     }
 
     pub fn is_closing(&self) -> bool {
--- /dev/null
+++ b/crates/platform/src/session/answers.rs
@@ -0,0 +1,65 @@
+//! Answers written under their tags, and what of them waits for the socket.
+
+use super::Session;
+use crate::resp::{decimal, encode};
+use bytes::BytesMut;
+use stagehoist::Micros;
+use stagehoist_gateway::state::{Answer, Ticket};
+
+const SERVED: &[u8] = b"200";
+pub(super) const REFUSED: &[u8] = b"503";
+pub(super) const FAILED: &[u8] = b"500";
+
+impl Session {
+    fn tag_of(&self, ticket: Ticket) -> Option<u64> {
+        self.open.iter().find(|(_, t)| **t == ticket).map(|(tag, _)| *tag)
+    }
+
+    /// Writes the one answer of a request; nothing where the client no longer waits for it.
+    pub fn answer(&mut self, ticket: Ticket, answer: &Answer, now: Micros) {
+        let Some(number) = self.tag_of(ticket) else { return };
+        self.open.remove(&number);
+        self.active = now;
+        self.known |= matches!(answer, Answer::Served { .. });
+        if self.out.is_empty() {
+            self.took = now;
+        }
+        let mut digits = [0u8; 20];
+        let tag = decimal(number, &mut digits);
+        match answer {
+            Answer::Served { body, .. } => encode(&mut self.out, &[tag, SERVED, b"", body]),
+            Answer::Gated(gated) => encode(&mut self.out, &[tag, SERVED, b"", &gated.body]),
+            Answer::Refused { retry_after, .. } if *retry_after > 0 => {
+                let cooldown = format!("cooldown={}", retry_after / 1000);
+                encode(&mut self.out, &[tag, REFUSED, cooldown.as_bytes(), b""]);
+            }
+            Answer::Refused { .. } => encode(&mut self.out, &[tag, REFUSED, b"", b""]),
+            Answer::Failed { .. } | Answer::Retired(_) => encode(&mut self.out, &[tag, FAILED, b"", b""]),
+        }
+    }
+
+    /// An error for a request that can't be taken though it reads well.
+    pub fn reject(&mut self, ticket: Ticket) {
+        if let Some(number) = self.tag_of(ticket) {
+            self.open.remove(&number);
+            self.error(decimal(number, &mut [0u8; 20]));
+        }
+    }
+
+    /// What waits for the socket.
+    pub fn out(&self) -> &[u8] {
+        &self.out
+    }
+
+    /// So many bytes were taken.
+    pub fn wrote(&mut self, n: usize, now: Micros) {
+        let _ = self.out.split_to(n);
+        if n > 0 {
+            self.took = now;
+        }
+        if self.out.is_empty() {
+            // Idle connections hold nothing.
+            self.out = BytesMut::new();
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/crossings/held_back.rs
@@ -0,0 +1,138 @@
+//! What a client says behind much else, or while it takes no answers, is heard before an attempt begins.
+
+use crate::client::{Client, Leaves};
+use crate::stage::{listen, on_one_thread, Side, Stage, WAIT};
+use bytes::Bytes;
+use stagehoist_gateway::state::{Answer, News, Ticket};
+
+fn small() -> Bytes {
+    Bytes::from_static(b"x")
+}
+
+/// Has a client ask for 2, and so many answers wait for it that nothing new is taken from it.
+async fn takes_nothing(stage: &mut Stage, client: &mut Client) -> Ticket {
+    let mut kept = Vec::new();
+    for n in 2..=6 {
+        client.ask(n);
+        kept.push(stage.asked(n).await);
+    }
+    let large = Answer::Served { body: Bytes::from(vec![b'z'; 60 << 10]), content_type: None };
+    let mut n = 100;
+    while stage.clients.unfinished().1 == 0 {
+        n += 1;
+        assert!(n < 400, "the way to the client is never full");
+        client.ask(n);
+        let ticket = stage.asked(n).await;
+        stage.clients.answer(ticket, &large);
+        stage.clients.turned();
+    }
+    kept[1..].iter().for_each(|ticket| stage.clients.answer(*ticket, &large));
+    stage.clients.turned();
+    kept[0]
+}
+
+/// More than is read at once lies ahead of the word.
+#[test]
+fn what_a_client_said_behind_unread_requests_counts_and_all_is_told_in_its_order() {
+    on_one_thread(async {
+        let (listener, address) = listen(8);
+        let mut stage = Stage::new(1, 64);
+        stage.at(address);
+        let mut client = Client::connect(&stage);
+        client.ask(2);
+        let ticket = stage.asked(2).await;
+        let mut bytes: Vec<u8> = (10..22).flat_map(|n| Client::request(n, &[b'y'; 12 << 10])).collect();
+        bytes.extend(Client::abort(2));
+        assert!(bytes.len() > 2 * (64 << 10));
+        client.say(&bytes);
+        stage.begin(2, small());
+        stage.send(3);
+        let mut side = Side::accept(&stage, &listener).await;
+        stage.until(|| side.has("RUN 0000000000000003")).await;
+        assert!(!side.has("RUN 0000000000000002"));
+        for n in 10..22 {
+            let item = stage.news.recv().await;
+            assert!(matches!(item, Some(News::Call(a)) if *a.correlation == *format!("{n:016x}")), "{n}");
+        }
+        assert!(matches!(stage.news.recv().await, Some(News::Gone(t)) if t == ticket));
+    });
+}
+
+#[test]
+fn a_close_behind_requests_in_pieces_counts_for_all_of_them() {
+    on_one_thread(async {
+        let (listener, address) = listen(8);
+        let mut stage = Stage::new(1, 64);
+        stage.at(address);
+        let mut client = Client::connect(&stage);
+        let bytes: Vec<u8> = (10..42).flat_map(|n| Client::request(n, &[b'y'; 3000])).collect();
+        let pieces: Vec<&[u8]> = bytes.chunks(bytes.len() / 9 + 1).collect();
+        let (last, first) = pieces.split_last().unwrap();
+        for piece in first {
+            client.say(piece);
+            tokio::task::yield_now().await;
+        }
+        stage.asked(10).await;
+        client.say(last);
+        client.leave(0, Leaves::Close);
+        (10..38).for_each(|n| stage.begin(n, small()));
+        stage.send(3);
+        let mut side = Side::accept(&stage, &listener).await;
+        stage.until(|| side.has("RUN 0000000000000003")).await;
+        assert_eq!(side.read.matches("RUN ").count(), 1, "{}", side.read);
+        let mut gone = 0;
+        while gone < 32 {
+            let item = tokio::time::timeout(WAIT, stage.news.recv()).await.expect("in time");
+            gone += usize::from(matches!(item, Some(News::Gone(_))));
+        }
+    });
+}
+
+/// A client takes no answers, and nothing new is taken from it; what it cancels is heard, what it asks waits for it.
+#[test]
+fn what_a_client_cancels_counts_though_its_answers_wait() {
+    on_one_thread(async {
+        let (listener, address) = listen(8);
+        let mut stage = Stage::new(1, 64);
+        stage.at(address);
+        let mut client = Client::narrow(&stage);
+        let ticket = takes_nothing(&mut stage, &mut client).await;
+        client.ask(50);
+        client.ask(51);
+        client.say(&Client::abort(51));
+        client.leave(2, Leaves::Abort);
+        stage.begin(2, small());
+        stage.send(3);
+        let mut side = Side::accept(&stage, &listener).await;
+        stage.until(|| side.has("RUN 0000000000000003")).await;
+        assert!(!side.has("RUN 0000000000000002"));
+        let next = tokio::time::timeout(WAIT, stage.news.recv()).await.expect("in time");
+        assert!(matches!(next, Some(News::Gone(t)) if t == ticket), "nothing new is taken before");
+        assert!(stage.news.try_recv().is_err());
+        stage
+            .until(|| {
+                client.take();
+                !stage.news.is_empty()
+            })
+            .await;
+        let next = stage.news.recv().await;
+        assert!(matches!(next, Some(News::Call(a)) if &*a.correlation == "0000000000000032"));
+        assert!(stage.news.try_recv().is_err(), "what was cancelled before it was taken never is");
+    });
+}
+
+/// Who takes no answers and sends on is not kept for ever: all that it waits for is given up.
+#[test]
+fn a_client_that_takes_nothing_and_sends_on_is_given_up() {
+    on_one_thread(async {
+        let mut stage = Stage::new(1, 1024);
+        let mut client = Client::narrow(&stage);
+        let ticket = takes_nothing(&mut stage, &mut client).await;
+        for n in 1000..1010 {
+            client.say(&Client::request(n, &[b'y'; 16 << 10]));
+            tokio::task::yield_now().await;
+        }
+        let next = tokio::time::timeout(WAIT, stage.news.recv()).await.expect("in time");
+        assert!(matches!(next, Some(News::Gone(t)) if t == ticket));
+    });
+}
--- a/crates/platform/tests/crossings/lines.rs
+++ b/crates/platform/tests/crossings/lines.rs
@@ -123,15 +123,28 @@
     let mut news = Vec::new();
     line.end(stagehoist_platform::line::End::Poisoned, MS, &mut news);
     assert_eq!(outcomes(&news), [(2, Outcome::ConnectFailed)]);
-    // Where another may be at work there, it is finished and given up: that one has more to lose.
-    let mut line = Line::new(0);
-    run(&mut line, 1);
-    let whole = write(&mut line, usize::MAX, 0);
-    run(&mut line, 2);
-    let part = write(&mut line, 9, 0);
-    assert!(!line.stop(2, "0000000000000002", MS, 250 * MS));
-    let rest = whole.replace("0001", "0002") + "STOP 0000000000000002\r\n";
-    assert_eq!(part + &write(&mut line, usize::MAX, MS), rest);
+    // Where another may be at work there, the rest is not written either, nor anything else: what waits is withdrawn, and the
+    // connection ends with the last that began.
+    let (mut line, mut news) = (Line::new(0), Vec::new());
+    (1..=4).for_each(|id| assert!(run(&mut line, id)));
+    let whole = "RUN 0000000000000001 - 4\r\nbody\r\n".len();
+    write(&mut line, 2 * whole, 0);
+    line.probe(false, What::Probe { worker: 3, sent: 0 }, 0);
+    write(&mut line, 9, 0);
+    assert!(!line.stop(3, "0000000000000003", MS, 250 * MS));
+    assert!(line.is_cut() && !line.wants_write());
+    line.withdraw(MS, &mut news);
+    assert!(matches!(
+        news[..],
+        [News::Probed { .. }, News::Attempt { request: 4, .. }]
+            | [News::Attempt { request: 4, .. }, News::Probed { .. }]
+    ));
+    assert_eq!(outcomes(&news), [(4, Outcome::ConnectFailed)]);
+    assert!(!line.stop(2, "0000000000000002", 2 * MS, 250 * MS) && !line.wants_write());
+    assert!(!line.is_spent());
+    read(&mut line, "0000000000000001 OK - 2\r\nhi\r\n", 3 * MS, &mut news);
+    assert_eq!(outcomes(&news)[1..], [(1, Outcome::Ok)]);
+    assert!(line.is_spent());
 }
 
 #[test]
--- a/crates/platform/tests/crossings/main.rs
+++ b/crates/platform/tests/crossings/main.rs
@@ -1,7 +1,11 @@
 //! Two events meet at an executor's connection: each crossing forced.
 
 mod attempt;
+mod cancelled;
+mod client;
+mod held_back;
 mod lines;
 mod permutations;
+mod queues;
 mod sockets;
 mod stage;
--- a/crates/platform/tests/crossings/sockets.rs
+++ b/crates/platform/tests/crossings/sockets.rs
@@ -1,5 +1,6 @@
 //! Crossings on real sockets, without a wait between the two events.
 
+use crate::queues::{at_once, drain, full};
 use crate::stage::{listen, on_one_thread, Side, Stage};
 use bytes::Bytes;
 use socket2::SockRef;
@@ -45,43 +46,44 @@
     });
 }
 
+/// The word comes on a connection that another task reads, as the list of executors does.
 #[test]
 fn what_a_stopped_process_finds_in_its_sockets_comes_before_what_it_writes() {
-    on_one_thread(async {
-        let (listener, address) = listen(8);
-        let stage = Stage::new(1, 64);
-        stage.at(address);
-        let (ear, ear_at) = listen(8);
-        let mut client = TcpStream::connect(ear_at).unwrap();
-        let ear = Side::accept(&stage, &ear).await.stream;
-        let ear = tokio::net::TcpStream::from_std(ear).unwrap();
-        // A request that the socket does not take whole, and one behind it.
-        stage.begin(1, Bytes::from(vec![b'x'; 32 << 20]));
-        stage.begin(2, Bytes::from_static(b"x"));
-        stage.executors.turned();
-        let mut side = Side::accept(&stage, &listener).await;
-        stage.until(|| stage.executors.in_flight() == [(1, 2, 1)]).await;
-        let executors = stage.executors.clone();
-        let left = tokio::task::spawn_local(async move {
-            ear.readable().await.unwrap();
-            executors.abort(2, 0);
-            executors.turned();
-        });
-        while side.read.len() < (32 << 20) {
-            side.take();
+    for heard in [false, true] {
+        on_one_thread(async {
+            let (listener, address) = listen(8);
+            let stage = Stage::new(1, 64);
+            stage.at(address);
+            let (ear, ear_at) = listen(8);
+            let mut word = TcpStream::connect(ear_at).unwrap();
+            let ear = Side::accept(&stage, &ear).await.stream;
+            let ear = tokio::net::TcpStream::from_std(ear).unwrap();
+            let (mut side, last, asked) = full(&stage, &listener).await;
+            stage.begin(2, Bytes::from_static(b"x"));
+            stage.executors.turned();
+            let executors = stage.executors.clone();
+            let left = tokio::task::spawn_local(async move {
+                ear.readable().await.unwrap();
+                executors.abort(2, 0);
+                executors.turned();
+            });
             tokio::task::yield_now().await;
-            if side.read.len() + (4 << 20) > (32 << 20) && !left.is_finished() {
-                // From here on both lie in the sockets at once: room for the rest, and the client's word.
-                std::thread::sleep(std::time::Duration::from_millis(30));
-                side.take();
-                client.write_all(b"ABORT").unwrap();
+            // No one looks at the clock here, so that all of this is a gap of the process.
+            at_once("a gap", || stage.shared.read_time().1 > 0);
+            // Both lie in the sockets at once: room for the rest, and the word; the runtime may know of the first alone.
+            drain(&mut side);
+            assert!(side.read.len() < asked, "a part of what is ahead of it is not written");
+            if heard {
+                tokio::task::yield_now().await;
             }
-        }
-        left.await.unwrap();
-        stage.send(3);
-        stage.until(|| side.has("RUN 0000000000000003")).await;
-        assert!(!side.has("RUN 0000000000000002"));
-    });
+            word.write_all(b"word").unwrap();
+            left.await.unwrap();
+            stage.until(|| side.has(&format!("RUN {last:016x}")) && side.read.len() >= asked).await;
+            stage.send(3);
+            stage.until(|| side.has("RUN 0000000000000003")).await;
+            assert!(!side.has("RUN 0000000000000002"), "heard of the socket first: {heard}");
+        });
+    }
 }
 
 #[test]
--- a/crates/platform/tests/crossings/stage.rs
+++ b/crates/platform/tests/crossings/stage.rs
@@ -1,15 +1,16 @@
-//! Executors' side of a front end with the test as driver and as executor: its sockets block, so that what the test does
+//! A front end's sockets with the test as driver, as executors and as clients: its own block, so that what the test does
 //! between two waits is one instant for the front end.
 
 use bytes::Bytes;
-use socket2::{Domain, SockAddr, Socket, Type};
+use socket2::{Domain, SockAddr, SockRef, Socket, Type};
 use stagehoist::{Lifecycle, Micros, Outcome, RosterForm, RosterRow};
 use stagehoist_gateway::clock::Clock;
-use stagehoist_gateway::state::{Attempt, News};
+use stagehoist_gateway::state::{Attempt, News, Ticket};
 use stagehoist_membership::Told;
 use stagehoist_platform::bounds::Bounds;
-use stagehoist_platform::clients::Shared;
+use stagehoist_platform::clients::{Clients, Shared};
 use stagehoist_platform::executors::{Executors, Limits};
+use stagehoist_platform::session::Catalog;
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -20,6 +21,9 @@
 
 pub struct Stage {
     pub executors: Rc<Executors>,
+    pub clients: Rc<Clients>,
+    /// Where clients connect.
+    pub listen: SocketAddr,
     pub shared: Rc<Shared>,
     pub news: mpsc::Receiver<News>,
 }
@@ -45,14 +49,26 @@
             classes: vec!["look".into()],
         };
         let bounds = Bounds { clients: 4, executors: links, held_bytes: 1 << 20 };
-        let executors = Rc::new(Executors::new(shared.clone(), limits, bounds));
-        Stage { executors, shared, news }
+        let told = stagehoist_platform::Told::parse(include_str!("../config.json")).unwrap();
+        let clients = Rc::new(Clients::new(shared.clone(), Catalog::from(&told), bounds));
+        let (listener, listen) = listen(8);
+        // What a client says lies there whole before any of it is read.
+        SockRef::from(&listener).set_recv_buffer_size(1 << 20).unwrap();
+        let listener = tokio::net::TcpListener::from_std(listener).unwrap();
+        tokio::task::spawn_local(clients.clone().accept(Rc::new(listener)));
+        let executors = Rc::new(Executors::new(shared.clone(), clients.clone(), limits, bounds));
+        Stage { executors, clients, listen, shared, news }
     }
 
     /// Executor 1 is ready at an address.
     pub fn at(&self, address: SocketAddr) -> Vec<News> {
+        self.worker_at(1, address)
+    }
+
+    /// An executor is ready at an address.
+    pub fn worker_at(&self, worker: u32, address: SocketAddr) -> Vec<News> {
         let row = RosterRow {
-            worker: 1,
+            worker,
             kind: 0,
             lifecycle: Lifecycle::Ready,
             zone: 0,
@@ -60,7 +76,7 @@
             cell: 0,
             capacity: 4.0,
         };
-        let told = Told { name: "s-00000001".into(), address: address.to_string(), row };
+        let told = Told { name: format!("s-{worker:08x}"), address: address.to_string(), row };
         self.executors.told(RosterForm::Delta, &[told])
     }
 
@@ -70,9 +86,14 @@
 
     /// Begins an attempt; nothing is written before the turn's end.
     pub fn begin_at(&self, worker: u32, request: u32, body: Bytes) {
+        self.begin_attempt(worker, (request, 0), body);
+    }
+
+    /// The same with the attempt's number among those of its request.
+    pub fn begin_attempt(&self, worker: u32, (request, attempt): (u32, u16), body: Bytes) {
         self.executors.attempt(Attempt {
             request,
-            attempt: 0,
+            attempt,
             worker,
             address: "".into(),
             class: 0,
@@ -91,6 +112,17 @@
         self.executors.turned();
     }
 
+    /// The ticket of a request, once it is read; what came before it is passed over.
+    pub async fn asked(&mut self, n: u32) -> Ticket {
+        loop {
+            let item = tokio::time::timeout(WAIT, self.news.recv()).await.expect("in time").unwrap();
+            match item {
+                News::Call(arrival) if *arrival.correlation == *format!("{n:016x}") => return arrival.ticket,
+                _ => {}
+            }
+        }
+    }
+
     /// How the next attempt ended.
     pub async fn end(&mut self) -> (u32, Outcome) {
         loop {
