Count attempts that begin after their client left, over all front ends

`judge::after_leaving` gives the attempts that began, those that began after the leaving, those of them more than 0.1 s after it, their share and the worst lateness, first and further attempts of all front ends alike, by what executors had read whole. `Asked::left` tells when the client left.

A test of the whole command: the process is stopped, errors that ask for further attempts and the leavings of their client lie in its sockets for 0.15 s. It is green also without the look before each write (the runtime hears of both in one poll there), so it guards the chain and proves no single step of it; the crossings do.

--- a/crates/cli/tests/platform/ending.rs
+++ b/crates/cli/tests/platform/ending.rs
@@ -24,7 +24,7 @@
         let at = Instant::now();
         client.raw(&request(n, class, LONG)).await.unwrap();
         let (id, tag, body) = (format!("{n:016x}"), n.to_string(), b"x".to_vec());
-        self.asked.push(Asked { at, id, tag, allow: ms(LONG), is_unsafe, body, left: false });
+        self.asked.push(Asked { at, id, tag, allow: ms(LONG), is_unsafe, body, left: None });
     }
 
     /// Waits until executors saw so many attempts.
--- a/crates/cli/tests/platform/leaving.rs
+++ b/crates/cli/tests/platform/leaving.rs
@@ -1,8 +1,10 @@
-//! A client leaves while its request waits for a connection to an executor.
+//! A client leaves while its request waits for a connection to an executor, or for a further attempt.
 
 use crate::stage::{ms, Stage, KEYS};
+use rustix::process::Signal;
 use serde_json::json;
 use stagehoist_standin::platform::client::array;
+use stagehoist_standin::platform::{after_leaving, Fault, What};
 use std::net::SocketAddr;
 use std::time::Instant;
 use tokio::io::AsyncReadExt;
@@ -76,3 +78,54 @@
         assert!(!read.contains("RUN 0000000000000002"), "cancel {cancel}: {read}");
     }
 }
+
+/// The process is stopped with calls at work. Errors, each of which asks for a further attempt, and the word of their client
+/// lie in its sockets when it goes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_attempt_begins_for_a_client_that_left_while_the_process_did_not_run() {
+    for closes in [false, true] {
+        let mut stage = Stage::start(2, 256).await;
+        stage.executors.iter().for_each(|e| e.spoil([Fault::Error; 24]));
+        let mut client = stage.client().await;
+        for n in 1..=12 {
+            // Even ones may run again.
+            stage.call(&mut client, 2 * n).await;
+        }
+        let ended = |stage: &Stage| {
+            let seen = stage.executors.iter().flat_map(|e| e.seen());
+            seen.filter(|s| matches!(s.what, What::Answered { .. })).count()
+        };
+        let by = Instant::now() + ms(5000);
+        while stage.runs(0) + stage.runs(1) < 12 {
+            assert!(Instant::now() < by, "all are at work");
+            tokio::time::sleep(ms(1)).await;
+        }
+        stage.signal(Signal::STOP);
+        while ended(&stage) < stage.runs(0) + stage.runs(1) {
+            assert!(Instant::now() < by, "all ended");
+            tokio::time::sleep(ms(1)).await;
+        }
+        let answers = client.answers();
+        assert!(answers.len() < 12, "a call waits for what the stopped process has not read");
+        if closes {
+            drop(client);
+        } else {
+            for n in 1..=12u64 {
+                client.raw(&array(&[b"ABORT", (2 * n).to_string().as_bytes()])).await.unwrap();
+            }
+        }
+        let left = Instant::now();
+        stage.asked.iter_mut().for_each(|a| a.left = Some(left));
+        tokio::time::sleep(ms(150)).await;
+        stage.signal(Signal::CONT);
+        let mut other = stage.client().await;
+        for n in 51..=54 {
+            stage.call(&mut other, 2 * n).await;
+        }
+        let all: Vec<_> = answers.into_iter().chain(other.wait(4, ms(4000)).await).collect();
+        stage.verdict(&all);
+        let seen: Vec<_> = stage.executors.iter().map(|e| (e.id, e.seen())).collect();
+        let after = after_leaving(&stage.asked, &seen);
+        assert_eq!(after.late, 0, "{after}");
+    }
+}
--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -120,7 +120,7 @@
         let body = vec![n as u8; (n % 300) as usize];
         let at = Instant::now();
         client.request(n, class, &fields, &body).await.unwrap();
-        let (tag, allow, left) = (n.to_string(), ms(LOOK), false);
+        let (tag, allow, left) = (n.to_string(), ms(LOOK), None);
         self.asked.push(Asked { at, id, tag, allow, is_unsafe, body, left });
     }
 
--- a/crates/standin/src/platform/judge.rs
+++ b/crates/standin/src/platform/judge.rs
@@ -1,7 +1,10 @@
 //! The rules, judged by what clients and executors saw on their sockets.
 
+mod leaving;
+
 use super::client::Answered;
 use super::executor::{Seen, What};
+pub use leaving::{after_leaving, AfterLeaving};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -18,8 +21,8 @@
     /// Whether it must not run twice.
     pub is_unsafe: bool,
     pub body: Vec<u8>,
-    /// No answer is owed: it was aborted, or its connection closed by the client.
-    pub left: bool,
+    /// When it was aborted, or its connection closed by the client: no answer is owed, and no attempt for it begins any more.
+    pub left: Option<Instant>,
 }
 
 /// What the rules go by.
@@ -43,7 +46,7 @@
     for a in asked {
         let got: Vec<_> = answers.iter().filter(|x| x.tag == a.tag).collect();
         match got[..] {
-            [] if a.left => {}
+            [] if a.left.is_some() => {}
             [] => broken.push(format!("1: {} was never answered", a.id)),
             [one] if one.at > a.at + a.allow + SLACK => broken.push(format!("1: {} was answered late", a.id)),
             [one] if one.word == "200" && one.body != a.body => {
@@ -77,6 +80,10 @@
             broken.push(format!("2: {} was refused though it may have run", a.id));
         }
     }
+    let after = after_leaving(asked, executors);
+    if after.is_break() {
+        broken.push(format!("1: {after}"));
+    }
     let mut orders: Vec<Instant> = Vec::new();
     for (id, seen) in executors {
         for s in seen {
@@ -123,7 +130,7 @@
             allow: ms(100),
             is_unsafe,
             body: b"b".to_vec(),
-            left: false,
+            left: None,
         };
         let answered = |tag: &str, word: &str, after: u64, body: &[u8]| Answered {
             at: t + ms(after),
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -10,4 +10,4 @@
 pub use bus::EventBus;
 pub use client::{Answered, Client};
 pub use executor::{Executor, Fault, Seen, What};
-pub use judge::{judge, Asked, Told};
+pub use judge::{after_leaving, judge, AfterLeaving, Asked, Told};
