--- a/crates/platform/src/clients/cancelled.rs
+++ b/crates/platform/src/clients/cancelled.rs
@@ -1,13 +1,13 @@
-//! Whether a client still waits, asked of its socket past the runtime: that has heard only of what came before it last
-//! waited.
+//! Whether a client still waits, asked of its socket past the runtime: that has heard only of what came
+//! before it last waited.
 
 use super::{Clients, Conn};
 use crate::executors::Callers;
 use stagehoist::Micros;
 use std::rc::Rc;
 
-/// For how long it is kept that a request was cancelled: until the driver has heard of it and nothing of it waits to be
-/// written.
+/// For how long it is kept that a request was cancelled: until the driver has heard of it and nothing of it
+/// waits to be written.
 const KEPT: Micros = 1_000_000;
 
 impl Callers for Clients {
--- a/crates/platform/src/executors/links.rs
+++ b/crates/platform/src/executors/links.rs
@@ -105,8 +105,9 @@
         }
     }
 
-    /// After a gap of this process, what lies in the other sockets (a drain above all) is read and acted on before anything
-    /// that waited is written: a turn to read them, one for the driver, one for those who had more to read.
+    /// After a gap of this process, what lies in the other sockets (a drain above all) is read and acted on
+    /// before anything that waited is written: a turn to read them, one for the driver, one for those who had
+    /// more to read.
     async fn hear_first(&self) {
         if self.shared.read_time().1 > 0 {
             for _ in 0..3 {
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -47,7 +47,8 @@
 
 /// Those whose requests are sent on.
 pub trait Callers {
-    /// Whether the client of the request with this id cancelled it or is gone, by all that has reached this process.
+    /// Whether the client of the request with this id cancelled it or is gone, by all that has reached this
+    /// process.
     fn is_cancelled(&self, id: u64) -> bool;
 }
 
--- a/crates/platform/src/executors/writing.rs
+++ b/crates/platform/src/executors/writing.rs
@@ -7,8 +7,9 @@
 use std::io;
 
 impl Executors {
-    /// Writes what the socket takes. What was chosen in an earlier turn, or before this process paused, may be wanted no
-    /// more: a request is written only while its client waits by all that lies in that client's socket now.
+    /// Writes what the socket takes. What was chosen in an earlier turn, or before this process paused, may
+    /// be wanted no more: a request is written only while its client waits by all that lies in that client's
+    /// socket now.
     pub(super) fn flush(&self, link: &Link) {
         let Some(stream) = link.stream.borrow().clone() else { return };
         if link.state.get() != State::Up {
@@ -40,8 +41,8 @@
         }
     }
 
-    /// Gives up what the next write would carry of requests that were cancelled; the driver hears of it in its next turn.
-    /// True where the connection is to be ended.
+    /// Gives up what the next write would carry of requests that were cancelled; the driver hears of it in
+    /// its next turn. True where the connection is to be ended.
     fn give_up_cancelled(&self, line: &mut Line) -> bool {
         let mut calls = line.next_calls();
         calls.retain(|id| self.callers.is_cancelled(*id));
@@ -53,8 +54,8 @@
         })
     }
 
-    /// Gives up a request; what waits behind one that is not completed is withdrawn. True where the connection is to be
-    /// ended.
+    /// Gives up a request; what waits behind one that is not completed is withdrawn. True where the
+    /// connection is to be ended.
     pub(super) fn stop(&self, line: &mut Line, (id, text): (u64, &str)) -> bool {
         let now = self.shared.clock.now();
         let ends = line.stop(id, text, now, self.limits.connect_timeout);
--- a/crates/platform/src/line/ending.rs
+++ b/crates/platform/src/line/ending.rs
@@ -6,10 +6,11 @@
 use stagehoist_gateway::state::{AttemptResult, News};
 
 impl Line {
-    /// Gives up a request. Nothing is written where none of it was; the line counts as silent where nothing came since it
-    /// was written `patience` ago or longer. Where a part of it was written the rest never is, as that would have it begin:
-    /// the line takes nothing more ([`Line::is_cut`]), and what waits on it is to be withdrawn. True where the connection is
-    /// to be ended, as nothing that began is left on such a line.
+    /// Gives up a request. Nothing is written where none of it was; the line counts as silent where nothing
+    /// came since it was written `patience` ago or longer. Where a part of it was written the rest never is,
+    /// as that would have it begin: the line takes nothing more ([`Line::is_cut`]), and what waits on it is
+    /// to be withdrawn. True where the connection is to be ended, as nothing that began is left on such a
+    /// line.
     pub fn stop(&mut self, id: u64, text: &str, now: Micros, patience: Micros) -> bool {
         let tag = Tag::Call(id);
         let Some(open) = self.open.remove(&tag) else { return false };
--- a/crates/platform/src/parked.rs
+++ b/crates/platform/src/parked.rs
@@ -1,4 +1,5 @@
-//! What a client sends while it takes no answers: read, so that what it cancels is heard, and looked at later.
+//! What a client sends while it takes no answers: read, so that what it cancels is heard, and looked at
+//! later.
 
 use crate::resp::Words;
 use std::collections::VecDeque;
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -102,7 +102,8 @@
         }
     }
 
-    /// Keeps what comes while the client takes no answers, and hears what it cancels. Who sends on and on is given up.
+    /// Keeps what comes while the client takes no answers, and hears what it cancels. Who sends on and on is
+    /// given up.
     fn park(&mut self, words: Words, said: &mut Vec<Said>) {
         let number = words.get(1).and_then(|tag| tag_number(tag));
         if let (Some(b"ABORT"), Some(number)) = (words.first().map(Vec::as_slice), number) {
--- a/crates/platform/tests/crossings/cancelled.rs
+++ b/crates/platform/tests/crossings/cancelled.rs
@@ -1,5 +1,5 @@
-//! A client cancels a request, or leaves, and an attempt for it is about to begin: its word lies in the socket when the first
-//! byte could be written, and nothing of the request is.
+//! A client cancels a request, or leaves, and an attempt for it is about to begin: its word lies in the
+//! socket when the first byte could be written, and nothing of the request is.
 
 use crate::client::{Client, Leaves};
 use crate::queues::{drain, full};
@@ -62,7 +62,8 @@
     }
 }
 
-/// The socket takes bytes again in the instant of the leaving; whether the runtime heard of the one before the other.
+/// The socket takes bytes again in the instant of the leaving; whether the runtime heard of the one before
+/// the other.
 #[test]
 fn nothing_begins_behind_a_full_socket_for_a_client_that_left_meanwhile() {
     for how in EACH {
@@ -114,8 +115,8 @@
     }
 }
 
-/// A part of it was written when its client left, and another is at work on that connection: the rest is never written, the
-/// other's answer counts, what waited is known not to have run.
+/// A part of it was written when its client left, and another is at work on that connection: the rest is
+/// never written, the other's answer counts, what waited is known not to have run.
 #[test]
 fn what_was_written_in_part_is_not_completed_for_a_client_that_left() {
     for how in EACH {
--- a/crates/platform/tests/crossings/client.rs
+++ b/crates/platform/tests/crossings/client.rs
@@ -1,4 +1,5 @@
-//! A client whose word is in the front end's socket when the test goes on, and not before the front end runs again read.
+//! A client whose word is in the front end's socket when the test goes on, and not before the front end runs
+//! again read.
 
 use crate::queues::{at_once, queues};
 use crate::stage::Stage;
--- a/crates/platform/tests/crossings/held_back.rs
+++ b/crates/platform/tests/crossings/held_back.rs
@@ -88,7 +88,8 @@
     });
 }
 
-/// A client takes no answers, and nothing new is taken from it; what it cancels is heard, what it asks waits for it.
+/// A client takes no answers, and nothing new is taken from it; what it cancels is heard, what it asks waits
+/// for it.
 #[test]
 fn what_a_client_cancels_counts_though_its_answers_wait() {
     on_one_thread(async {
--- a/crates/platform/tests/crossings/lines.rs
+++ b/crates/platform/tests/crossings/lines.rs
@@ -123,8 +123,8 @@
     let mut news = Vec::new();
     line.end(stagehoist_platform::line::End::Poisoned, MS, &mut news);
     assert_eq!(outcomes(&news), [(2, Outcome::ConnectFailed)]);
-    // Where another may be at work there, the rest is not written either, nor anything else: what waits is withdrawn, and the
-    // connection ends with the last that began.
+    // Where another may be at work there, the rest is not written either, nor anything else: what waits is
+    // withdrawn, and the connection ends with the last that began.
     let (mut line, mut news) = (Line::new(0), Vec::new());
     (1..=4).for_each(|id| assert!(run(&mut line, id)));
     let whole = "RUN 0000000000000001 - 4\r\nbody\r\n".len();
--- a/crates/platform/tests/crossings/queues.rs
+++ b/crates/platform/tests/crossings/queues.rs
@@ -31,8 +31,8 @@
     }
 }
 
-/// Reads a connection dry, so that its sender's socket is empty and takes bytes again; the front end does not run
-/// meanwhile.
+/// Reads a connection dry, so that its sender's socket is empty and takes bytes again; the front end does not
+/// run meanwhile.
 pub fn drain(side: &mut Side) {
     let (local, remote) = (side.stream.local_addr().unwrap(), side.stream.peer_addr().unwrap());
     at_once("it is read dry", || {
@@ -48,8 +48,9 @@
     queues(remote, local).unwrap().1 + queues(local, remote).unwrap().2
 }
 
-/// A connection on which small request 100 is at work and large ones lie until the socket did not take one whole: the
-/// number of that one, and all their bytes. Far fewer are unwritten than the socket takes once it is read dry.
+/// A connection on which small request 100 is at work and large ones lie until the socket did not take one
+/// whole: the number of that one, and all their bytes. Far fewer are unwritten than the socket takes once it
+/// is read dry.
 pub async fn full(stage: &Stage, listener: &TcpListener) -> (Side, u32, usize) {
     let (mut asked, mut n) = (0, 100);
     stage.send(n);
--- a/crates/platform/tests/crossings/sockets.rs
+++ b/crates/platform/tests/crossings/sockets.rs
@@ -70,7 +70,8 @@
             tokio::task::yield_now().await;
             // No one looks at the clock here, so that all of this is a gap of the process.
             at_once("a gap", || stage.shared.read_time().1 > 0);
-            // Both lie in the sockets at once: room for the rest, and the word; the runtime may know of the first alone.
+            // Both lie in the sockets at once: room for the rest, and the word; the runtime may know of the
+            // first alone.
             drain(&mut side);
             assert!(side.read.len() < asked, "a part of what is ahead of it is not written");
             if heard {
--- a/crates/platform/tests/crossings/stage.rs
+++ b/crates/platform/tests/crossings/stage.rs
@@ -1,5 +1,5 @@
-//! A front end's sockets with the test as driver, as executors and as clients: its own block, so that what the test does
-//! between two waits is one instant for the front end.
+//! A front end's sockets with the test as driver, as executors and as clients: its own block, so that what
+//! the test does between two waits is one instant for the front end.
 
 use bytes::Bytes;
 use socket2::{Domain, SockAddr, SockRef, Socket, Type};
--- a/crates/standin/src/platform/judge.rs
+++ b/crates/standin/src/platform/judge.rs
@@ -21,7 +21,8 @@
     /// Whether it must not run twice.
     pub is_unsafe: bool,
     pub body: Vec<u8>,
-    /// When it was aborted, or its connection closed by the client: no answer is owed, and no attempt for it begins any more.
+    /// When it was aborted, or its connection closed by the client: no answer is owed, and no attempt for it
+    /// begins any more.
     pub left: Option<Instant>,
 }
 
--- a/crates/standin/src/platform/judge/leaving.rs
+++ b/crates/standin/src/platform/judge/leaving.rs
@@ -1,5 +1,5 @@
-//! Attempts that begin though their client cancelled the request or closed its connection: counted over all front ends, as
-//! each of them comes too rarely to be seen at one.
+//! Attempts that begin though their client cancelled the request or closed its connection: counted over all
+//! front ends, as each of them comes too rarely to be seen at one.
 
 use super::Asked;
 use crate::platform::executor::{Seen, What};
@@ -47,7 +47,8 @@
     }
 }
 
-/// Looks at every attempt, first or further, of all front ends. One counts from when an executor had read it whole.
+/// Looks at every attempt, first or further, of all front ends. One counts from when an executor had read it
+/// whole.
 pub fn after_leaving(asked: &[Asked], executors: &[(u32, Vec<Seen>)]) -> AfterLeaving {
     // An id that was asked again, by whomever, is left only once its last asker left.
     let mut left: HashMap<&str, Option<Instant>> = HashMap::new();
--- a/crates/standin/src/platform/judge/leaving/tests.rs
+++ b/crates/standin/src/platform/judge/leaving/tests.rs
@@ -18,7 +18,8 @@
     Seen { at: at + Duration::from_millis(ms), what }
 }
 
-/// Ten requests that were left after 50 ms each; their attempts begin at these times, by turns at two executors.
+/// Ten requests that were left after 50 ms each; their attempts begin at these times, by turns at two
+/// executors.
 fn capture(t: Instant, begins: [u64; 10]) -> (Vec<Asked>, Vec<(u32, Vec<Seen>)>) {
     let ids: Vec<String> = (0..10).map(|n| n.to_string()).collect();
     let all = ids.iter().map(|id| asked(t, id, Some(50))).collect();
