A client that takes no answers and sends on is read no further, in place of a close

What is withdrawn from a connection that this side cut is told as Full and not as ConnectFailed, which would eject an executor that did nothing: nothing of it ran either way.

--- a/crates/platform/src/clients/cancelled.rs
+++ b/crates/platform/src/clients/cancelled.rs
@@ -1,7 +1,7 @@
 //! Whether a client still waits, asked of its socket past the runtime: that has heard only of what came
 //! before it last waited.
 
-use super::{Clients, Conn};
+use super::{sockets, Clients, Conn};
 use crate::executors::Callers;
 use stagehoist::Micros;
 use std::rc::Rc;
@@ -33,7 +33,8 @@
             return;
         }
         let mut news = Vec::new();
-        if !self.read_all(conn, &mut news) {
+        let more = conn.session.borrow().wants_read();
+        if !self.read_all(conn, &mut news) || (!more && sockets::has_left(&conn.stream)) {
             conn.over.set(true);
         }
         if conn.over.get() || !news.is_empty() || !conn.session.borrow().out().is_empty() {
--- a/crates/platform/src/clients/talk.rs
+++ b/crates/platform/src/clients/talk.rs
@@ -10,6 +10,8 @@
 
 /// A connection that is closed over what it sent is read on for so long and so much, so that the error reaches it.
 const LINGER: (Duration, usize) = (Duration::from_millis(250), 1 << 20);
+/// How soon a client's leaving is seen while nothing is read from it.
+const LEFT_WITHIN: Duration = Duration::from_millis(50);
 
 impl Clients {
     pub(super) async fn talk(self: Rc<Self>, conn: Rc<Conn>) {
@@ -22,6 +24,7 @@
             if conn.over.get() || retired || (closing && !write) {
                 break;
             }
+            let held_back = !read && !closing;
             tokio::select! {
                 biased;
                 () = conn.wake.notified() => {}
@@ -35,6 +38,11 @@
                         conn.over.set(true);
                     }
                 }
+                () = tokio::time::sleep(LEFT_WITHIN), if held_back => {
+                    if sockets::has_left(&conn.stream) {
+                        conn.over.set(true);
+                    }
+                }
             }
             if conn.silent.take() {
                 // What lies in its socket may be the very request that ends its silence.
--- a/crates/platform/src/line/ending.rs
+++ b/crates/platform/src/line/ending.rs
@@ -61,13 +61,15 @@
         }
     }
 
-    /// Withdraws what was not begun to be written, as the executor or this connection takes nothing new.
+    /// Withdraws what was not begun to be written, as the executor or this connection takes nothing new. The latter is this
+    /// side's doing and says nothing against the executor.
     pub fn withdraw(&mut self, now: Micros, news: &mut Vec<News>) {
+        let outcome = if self.cut { Outcome::Full } else { Outcome::ConnectFailed };
         let unbegun = |o: &Open| o.begun.is_none() && (self.cut || !matches!(o.what, What::Probe { .. }));
         let tags: Vec<Tag> = self.open.iter().filter(|(_, o)| unbegun(o)).map(|(t, _)| *t).collect();
         for tag in tags {
             self.unqueue(tag);
-            self.finish(tag, Outcome::ConnectFailed, now, news);
+            self.finish(tag, outcome, now, news);
         }
     }
 
--- a/crates/platform/src/parked.rs
+++ b/crates/platform/src/parked.rs
@@ -4,7 +4,7 @@
 use crate::resp::Words;
 use std::collections::VecDeque;
 
-/// Bytes kept of one client.
+/// Bytes kept of one client, one array more at most.
 const MOST: usize = 128 << 10;
 /// What an array costs beyond its words.
 const EACH: usize = 64;
@@ -25,9 +25,9 @@
         self.waiting.is_empty()
     }
 
-    /// Whether more than may be kept is here.
-    pub fn is_over_full(&self) -> bool {
-        self.bytes > MOST
+    /// Whether no more is to be kept.
+    pub fn is_full(&self) -> bool {
+        self.bytes >= MOST
     }
 
     /// Keeps an array under its number.
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -78,7 +78,7 @@
         }
         self.active = now;
         self.decoder.feed(bytes);
-        while !self.closing {
+        while self.wants_read() {
             if let Some(words) = self.can_resume().then(|| self.parked.pop()).flatten() {
                 self.take(words, (catalog, serving), next_ticket, said);
                 continue;
@@ -102,8 +102,7 @@
         }
     }
 
-    /// Keeps what comes while the client takes no answers, and hears what it cancels. Who sends on and on is
-    /// given up.
+    /// Keeps what comes while the client takes no answers, and hears what it cancels.
     fn park(&mut self, words: Words, said: &mut Vec<Said>) {
         let number = words.get(1).and_then(|tag| tag_number(tag));
         if let (Some(b"ABORT"), Some(number)) = (words.first().map(Vec::as_slice), number) {
@@ -112,9 +111,6 @@
             return;
         }
         self.parked.push(number, words);
-        if self.parked.is_over_full() {
-            self.unreadable(said);
-        }
     }
 
     fn unreadable(&mut self, said: &mut Vec<Said>) {
@@ -182,9 +178,10 @@
         }
     }
 
-    /// Whether more is read.
+    /// Whether more is read. From a client that takes no answers and sends on and on nothing is, until it takes some: what it
+    /// asks may be as good as any other's, so its connection stays.
     pub fn wants_read(&self) -> bool {
-        !self.closing
+        !self.closing && (self.out.len() < OUT_MOST || !self.parked.is_full())
     }
 
     /// Whether what was kept back can be looked at, as the client took its answers.
--- a/crates/platform/tests/crossings/client.rs
+++ b/crates/platform/tests/crossings/client.rs
@@ -57,6 +57,12 @@
         at_once("it arrives", || queues(local, remote).is_some_and(|q| q.1 == 0));
     }
 
+    /// Bytes that the front end has not read.
+    pub fn unread(&self) -> usize {
+        let (local, remote) = (self.stream.local_addr().unwrap(), self.stream.peer_addr().unwrap());
+        queues(remote, local).unwrap().2
+    }
+
     pub fn ask(&mut self, n: u32) {
         self.say(&Client::request(n, b"x"));
     }
