Divide the fleet into shards that all agree on, from told lists and settings alone

A package without I/O, clock or chance, `stagehoist-sharding`, now tells which shards a function, a worker and a front end belong to.

- Rendezvous hashing with bounded load (a shard takes members in while it holds less than 9/8 of its share), zone by zone: what is believed of one zone changes nothing in another, so a cut between regions and its healing move nobody elsewhere.
Where less than 7/8 of a share is at home, those that want the shard most stand in; nobody moves for that.
- Told hot functions are spread and dealt out; the others have one home by name.
- A change of the division goes by stages (announced, both, closing); adjacent stages may stand side by side: each queue of both is consumed in two zones, and what is divided by front ends keeps its sum.
- `Transition` tells the module a worker that left the subset as draining, later as gone; the real module sends nothing to it.

--- /dev/null
+++ b/crates/sharding/src/homes.rs
@@ -0,0 +1,124 @@
+//! Functions in shards. One of which nothing is told has one home, by its name alone. Those that are told to
+//! have much traffic are dealt out so that no shard has much more than its part, in several shards where they
+//! are too much for one.
+
+use crate::division::{Division, DivisionError, Table};
+use crate::key::mix;
+use crate::{Key, Shard};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Most functions with told traffic.
+pub const HOT_FUNCTIONS_MOST: usize = 8_192;
+/// A function is spread over so many shards that each part is at most one in so many of a shard's mean
+/// traffic.
+const PARTS: u64 = 4;
+/// A shard gets at most this part of the told traffic, its own share being 1, where the order of sizes allows
+/// it.
+const LIMIT: (u64, u64) = (9, 8);
+/// The told part of all traffic is rounded up to one of so many steps.
+const STEPS: u64 = 16;
+
+/// The middle of its half octave.
+fn rounded(x: u64) -> u64 {
+    let Some(class) = (u128::from(x) * u128::from(x)).checked_ilog2() else { return 0 };
+    let middle = if class.is_multiple_of(2) { 1_189 } else { 1_682 };
+    ((middle << (class / 2)) / 1_000u128) as u64
+}
+
+/// A function with told traffic.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HotFunction {
+    pub name: String,
+    /// Usual calls a second over the whole fleet; nothing but the division looks at it.
+    pub calls: f64,
+    /// Over how many shards; None: as its calls ask for.
+    pub spread: Option<u32>,
+}
+
+/// Where functions are at home.
+#[derive(Clone, Debug)]
+pub struct Homes {
+    table: Arc<Table>,
+    hot: BTreeMap<Key, Vec<Shard>>,
+}
+
+impl Homes {
+    /// `calls` a second are expected in all; at least as many as are told of functions.
+    pub fn new(division: &Division, calls: f64, hot: &[HotFunction]) -> Result<Homes, DivisionError> {
+        if hot.len() > HOT_FUNCTIONS_MOST {
+            return Err(DivisionError::TooManyHot { told: hot.len(), most: HOT_FUNCTIONS_MOST });
+        }
+        let table = division.table.clone();
+        let shards = division.shards();
+        // Thousandths of a call a second: whole numbers, so that sums are the same everywhere.
+        let milli = |calls: f64| if calls.is_finite() { (calls * 1e3).clamp(0.0, 1e15) as u64 } else { 0 };
+        let told: u64 = hot.iter().map(|f| milli(f.calls)).sum();
+        let all = milli(calls).max(told).max(1);
+        let mut parts = Vec::with_capacity(hot.len());
+        let mut names = BTreeSet::new();
+        for f in hot {
+            let wanted = milli(f.calls).saturating_mul(u64::from(shards) * PARTS).div_ceil(all);
+            let spread = f.spread.unwrap_or(wanted.clamp(1, u64::from(shards)) as u32);
+            if spread == 0 || spread > shards {
+                return Err(DivisionError::BadSpread { name: f.name.clone(), spread, shards });
+            }
+            let key = Key::of(&f.name);
+            if !names.insert(key) {
+                return Err(DivisionError::ToldTwice { name: f.name.clone() });
+            }
+            parts.push((rounded(milli(f.calls) / u64::from(spread)), key, spread));
+        }
+        // Large parts first, by their rounded sizes, so that a small change of one mostly changes nothing.
+        parts.sort_by_key(|p| (std::cmp::Reverse(p.0), p.1.rank()));
+        let told: u64 = parts.iter().map(|p| p.0.saturating_mul(u64::from(p.2))).fold(0, u64::saturating_add);
+        // In sixteenths of all, for the same reason.
+        let told = told.min(all).saturating_mul(STEPS).div_ceil(all);
+        let mean =
+            |s: Shard| u128::from(all) * u128::from(table.weights[s as usize]) / u128::from(table.weight);
+        let limit = |s: Shard| (mean(s) * u128::from(told * LIMIT.0) / u128::from(LIMIT.1 * STEPS)) as u64;
+        let mut load = vec![0u64; shards as usize];
+        let mut homes = BTreeMap::new();
+        for (part, key, spread) in parts {
+            let fits = |s: &Shard| load[*s as usize].saturating_add(part) <= limit(*s);
+            let mut taken: BTreeSet<Shard> =
+                table.order(key).into_iter().filter(fits).take(spread as usize).collect();
+            let mut rest: Vec<Shard> = (0..shards).filter(|s| !taken.contains(s)).collect();
+            rest.sort_by_key(|s| (load[*s as usize] / u64::from(table.weights[*s as usize]), *s));
+            let missing = spread as usize - taken.len();
+            taken.extend(rest.into_iter().take(missing));
+            taken.iter().for_each(|s| load[*s as usize] = load[*s as usize].saturating_add(part));
+            homes.insert(key, taken.into_iter().collect());
+        }
+        Ok(Homes { table, hot: homes })
+    }
+
+    /// The shards of a function: one, or several where its told traffic asks for it; in ascending order.
+    pub fn of(&self, function: Key) -> Vec<Shard> {
+        match self.hot.get(&function) {
+            Some(shards) => shards.clone(),
+            None => vec![self.home(function)],
+        }
+    }
+
+    /// The shard to which a call goes; `call` is any number of the call, drawn evenly by the caller or hashed
+    /// from its id.
+    pub fn for_call(&self, function: Key, call: u64) -> Shard {
+        match self.hot.get(&function) {
+            Some(shards) => shards[(mix(call) % shards.len() as u64) as usize],
+            None => self.home(function),
+        }
+    }
+
+    /// Whether a function has a home in one of these shards, which are in ascending order.
+    pub fn any_in(&self, function: Key, shards: &[Shard]) -> bool {
+        match self.hot.get(&function) {
+            Some(homes) => homes.iter().any(|s| shards.binary_search(s).is_ok()),
+            None => shards.binary_search(&self.home(function)).is_ok(),
+        }
+    }
+
+    fn home(&self, function: Key) -> Shard {
+        self.table.next(function, None).map_or(0, |n| n.1)
+    }
+}
--- /dev/null
+++ b/crates/sharding/src/transition.rs
@@ -0,0 +1,128 @@
+//! What the decision module is told of the workers when a front end's subset of them changes. A worker that
+//! leaves the subset drains there, by the same row as a worker that drains by itself, so that nothing new
+//! goes to it and what is out ends; after a told time it is gone. One that comes in is told as it stands.
+
+use stagehoist::{Lifecycle, Micros, RosterForm, RosterRow, WorkerId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Rows for the module.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    pub form: RosterForm,
+    pub rows: Vec<RosterRow>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    /// As the list has it.
+    row: RosterRow,
+    /// When it left the subset, where it was told before and has not yet been told gone.
+    left: Option<Micros>,
+    mine: bool,
+}
+
+/// The workers that the module was told of, those of the subset and those that left it.
+#[derive(Clone, Debug)]
+pub struct Transition {
+    drain_most: Micros,
+    known: BTreeMap<WorkerId, Known>,
+    /// When those that left are told gone, in order.
+    due: BTreeSet<(Micros, WorkerId)>,
+}
+
+impl Transition {
+    /// A worker that left is told gone after `drain_most`, in microseconds: longer than any attempt lasts.
+    pub fn new(drain_most: Micros) -> Transition {
+        Transition { drain_most, known: BTreeMap::new(), due: BTreeSet::new() }
+    }
+
+    /// Rows as the list tells them, whole or what changed, of which `mine` says which are of the subset. Of
+    /// workers outside of it nothing is kept but for those that drain here; so the table is at most the
+    /// subset and what left it of late.
+    pub fn listed(
+        &mut self,
+        form: RosterForm,
+        rows: &[RosterRow],
+        mine: impl Fn(WorkerId) -> bool,
+        now: Micros,
+    ) -> Told {
+        let mut told: BTreeMap<WorkerId, RosterRow> = BTreeMap::new();
+        for row in rows {
+            if let Some(row) = self.row(row, mine(row.worker), now) {
+                told.insert(row.worker, row);
+            }
+        }
+        if matches!(form, RosterForm::Delta | RosterForm::Failed) {
+            return Told { form, rows: told.into_values().collect() };
+        }
+        let listed: BTreeSet<WorkerId> = rows.iter().map(|r| r.worker).collect();
+        // What the whole list leaves out is gone; what left the subset and isn't due yet is in the list, so
+        // it was told above.
+        let gone: Vec<WorkerId> = self.known.keys().filter(|w| !listed.contains(w)).copied().collect();
+        gone.into_iter().for_each(|w| self.forget(w));
+        Told { form, rows: told.into_values().collect() }
+    }
+
+    /// The subset changed, the list did not. `entered` are rows, as the list has them, of workers now in the
+    /// subset; `left` are those no longer in it.
+    pub fn moved(&mut self, entered: &[RosterRow], left: &[WorkerId], now: Micros) -> Told {
+        let mut rows = Vec::with_capacity(entered.len() + left.len());
+        for worker in left {
+            let Some(row) = self.known.get(worker).map(|k| k.row.clone()) else { continue };
+            rows.extend(self.row(&row, false, now));
+        }
+        for row in entered {
+            rows.extend(self.row(row, true, now));
+        }
+        Told { form: RosterForm::Delta, rows }
+    }
+
+    /// When [`Transition::expire`] next has something to tell.
+    pub fn due(&self) -> Option<Micros> {
+        self.due.first().map(|d| d.0)
+    }
+
+    /// Tells gone what left long enough ago; None: nothing.
+    pub fn expire(&mut self, now: Micros) -> Option<Told> {
+        let mut rows = Vec::new();
+        while let Some((_, worker)) = self.due.first().copied().filter(|d| d.0 <= now) {
+            let row = self.known.get(&worker).map(|k| k.row.clone());
+            self.forget(worker);
+            rows.extend(row.map(|row| RosterRow { lifecycle: Lifecycle::Gone, ..row }));
+        }
+        (!rows.is_empty()).then_some(Told { form: RosterForm::Delta, rows })
+    }
+
+    /// Workers of the subset, and those that drain as they left it.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.known.len() - self.due.len(), self.due.len())
+    }
+
+    /// Takes in one row of the list; gives the row to tell, where there is one.
+    fn row(&mut self, row: &RosterRow, mine: bool, now: Micros) -> Option<RosterRow> {
+        let worker = row.worker;
+        if row.lifecycle == Lifecycle::Gone {
+            let known = self.known.contains_key(&worker);
+            self.forget(worker);
+            return known.then(|| row.clone());
+        }
+        if mine {
+            self.forget(worker);
+            self.known.insert(worker, Known { row: row.clone(), left: None, mine });
+            return Some(row.clone());
+        }
+        let known = self.known.get_mut(&worker)?;
+        if known.mine {
+            known.left = Some(now);
+            self.due.insert((now + self.drain_most, worker));
+        }
+        (known.row, known.mine) = (row.clone(), false);
+        Some(RosterRow { lifecycle: Lifecycle::Draining, ..row.clone() })
+    }
+
+    fn forget(&mut self, worker: WorkerId) {
+        if let Some(left) = self.known.remove(&worker).and_then(|k| k.left) {
+            self.due.remove(&(left + self.drain_most, worker));
+        }
+    }
+}
--- /dev/null
+++ b/crates/sharding/tests/change.rs
@@ -0,0 +1,239 @@
+//! Half of the fleet on the new division: every queue of both is consumed, and what is divided keeps its sum.
+
+mod common;
+
+use common::{even, front_ends, rng};
+use rand::{Rng, RngExt};
+use stagehoist_sharding::*;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// The stages that a front end goes through, and the generations that it says it serves there.
+const STAGES: [(Option<Stage>, (u32, u32)); 5] = [
+    (None, (1, 1)),
+    (Some(Stage::Announced), (1, 1)),
+    (Some(Stage::Both), (1, 2)),
+    (Some(Stage::Closing), (2, 2)),
+    (None, (2, 2)),
+];
+
+fn divisions(at: usize, old: u32, new: u32) -> Divisions {
+    let (old, new) = (Division::new(old, 1).unwrap(), Division::new(new, 2).unwrap());
+    match STAGES[at].0 {
+        Some(stage) => Divisions::changing(old, new, stage).unwrap(),
+        None if at == 0 => Divisions::only(old),
+        None => Divisions::only(new),
+    }
+}
+
+struct Fleet {
+    members: Vec<Member>,
+    /// Stage of each.
+    at: Vec<usize>,
+    /// What each works with; those of one stage differ by their own shards only.
+    each: Vec<FrontEnds>,
+}
+
+impl Fleet {
+    /// `n` front ends of which each is at the one or the other stage; a part of the `claims` says it serves
+    /// what it doesn't.
+    fn new(
+        n: u32,
+        (old, new): (u32, u32),
+        stages: (usize, usize),
+        claims: bool,
+        rng: &mut impl Rng,
+    ) -> Fleet {
+        let members = even("f", n, 2);
+        let at: Vec<usize> =
+            members.iter().map(|_| if rng.random_bool(0.5) { stages.0 } else { stages.1 }).collect();
+        let serves = |at: usize| if claims { (1, 2) } else { STAGES[at].1 };
+        let row = |(m, at): (&Member, &usize)| front_ends(&[*m], serves(*at))[0];
+        let list: Vec<FrontEnd> = members.iter().zip(&at).map(row).collect();
+        let of = |(m, at): (&Member, &usize)| FrontEnds::of(&divisions(*at, old, new), *m, list.clone());
+        let each = members.iter().zip(&at).map(of).collect();
+        Fleet { members, at, each }
+    }
+
+    /// Zones of the front ends that consume a shard's queue as one of a generation.
+    fn consumers(&self, generation: u32, shards: u32) -> Vec<BTreeSet<u16>> {
+        let mut all = vec![BTreeSet::new(); shards as usize];
+        for (member, front_end) in self.members.iter().zip(&self.each) {
+            for shard in front_end.own(generation) {
+                all[*shard as usize].insert(member.zone);
+            }
+        }
+        all
+    }
+}
+
+fn alone(fleet: &Fleet, old: u32, new: u32) -> usize {
+    let of = |generation, shards| fleet.consumers(generation, shards).iter().filter(|z| z.len() < 2).count();
+    let serves = |g| fleet.at.iter().any(|at| (STAGES[*at].1 .0..=STAGES[*at].1 .1).contains(&g));
+    [(1, old), (2, new)].into_iter().filter(|d| serves(d.0)).map(|d| of(d.0, d.1)).sum()
+}
+
+/// Between one stage and the next, the number of shards growing and shrinking by one, by half and twice.
+#[test]
+fn every_queue_of_both_divisions_is_consumed_in_two_zones() {
+    for seed in 0..12 {
+        let mut rng = rng(seed);
+        for (old, new) in [(8, 9), (9, 8), (8, 4), (8, 16), (8, 8)] {
+            for stage in 0..4 {
+                let fleet = Fleet::new(24, (old, new), (stage, stage + 1), false, &mut rng);
+                assert_eq!(alone(&fleet, old, new), 0, "seed {seed}, {old} to {new}, stage {stage}");
+            }
+        }
+    }
+}
+
+/// Negative control: were front ends counted to a division that they don't serve yet, queues would be left
+/// alone.
+#[test]
+fn counted_before_they_serve_queues_are_left_alone() {
+    let mut rng = rng(1);
+    let left = |_| alone(&Fleet::new(24, (8, 9), (1, 2), true, &mut rng), 8, 9);
+    assert!((0..12).map(left).sum::<usize>() > 0);
+}
+
+/// For each worker the sum, over the front ends that serve it, of what each may give of a budget of 1. `by`
+/// tells by how many one of a stage divides.
+fn sums(fleet: &Fleet, old: u32, new: u32, by: impl Fn(usize, &[&[u32]]) -> f64) -> f64 {
+    let workers = even("w", 96, 2);
+    let assigned =
+        [old, new].map(|n| Assignment::of(&Division::new(n, 1).unwrap(), workers.iter().copied()).0);
+    let mut worst = 0.0f64;
+    for worker in &workers {
+        let shards: Vec<Vec<u32>> = assigned.iter().map(|a| a.shards(worker.key)).collect();
+        let mut sum = 0.0;
+        for (front_end, at) in fleet.each.iter().zip(&fleet.at) {
+            let serves = (0..2).any(|g| front_end.own(g as u32 + 1).iter().any(|s| shards[g].contains(s)));
+            if serves {
+                let both = [&shards[0][..], &shards[1][..]];
+                sum += 1.0 / by(*at, if *at == 4 { &both[1..] } else { &both });
+            }
+        }
+        worst = worst.max(sum);
+    }
+    worst
+}
+
+const ZONES: [(u16, u32); 2] = [(0, 12), (1, 12)];
+
+/// The ramp of a cold worker, the ration of loads: never more than told in all, at whatever stage each front
+/// end is.
+#[test]
+fn what_is_divided_keeps_its_sum() {
+    let mut worst = 0.0f64;
+    for seed in 0..10 {
+        let mut rng = rng(seed);
+        for (old, new) in [(8, 9), (9, 8), (8, 4), (8, 16)] {
+            for stage in 0..4 {
+                let fleet = Fleet::new(24, (old, new), (stage, stage + 1), false, &mut rng);
+                let by = |at, shards: &[&[u32]]| {
+                    f64::from(Serving::new(&divisions(at, old, new), &ZONES).most(shards))
+                };
+                worst = worst.max(sums(&fleet, old, new, by));
+            }
+        }
+    }
+    println!("of a budget of 1 at most {worst:.2} is given");
+    assert!(worst <= 1.0 + 1e-9 && worst > 0.6, "{worst}");
+}
+
+/// Negative controls: dividing by the greater of both divisions, and leaving out a stage.
+#[test]
+fn the_greater_of_both_or_a_stage_left_out_breaks_the_sum() {
+    let (mut greater, mut skipped) = (0.0f64, 0.0f64);
+    for seed in 0..10 {
+        let mut rng = rng(seed);
+        let fleet = Fleet::new(24, (8, 9), (2, 3), false, &mut rng);
+        let one = |n, shards: &[u32]| -> u32 {
+            let division = Division::new(n, 1).unwrap();
+            shards.iter().map(|s| serving_most(&division, *s, &ZONES)).sum()
+        };
+        let by = |_, shards: &[&[u32]]| f64::from(one(8, shards[0]).max(one(9, shards[1])));
+        greater = greater.max(sums(&fleet, 8, 9, by));
+        let fleet = Fleet::new(24, (8, 9), (0, 4), false, &mut rng);
+        let by = |at, shards: &[&[u32]]| f64::from(Serving::new(&divisions(at, 8, 9), &ZONES).most(shards));
+        skipped = skipped.max(sums(&fleet, 8, 9, by));
+    }
+    println!("the greater of both: {greater:.2}, a stage left out: {skipped:.2}");
+    assert!(greater > 1.0 && skipped > 1.0, "{greater} {skipped}");
+}
+
+/// A tenant whose functions all are in one shard has its whole share there, one of whom nothing is told a
+/// part everywhere; no more than that at any stage.
+#[test]
+fn tenants_have_their_share_and_no_more() {
+    let parts = |n: u32, functions: &[(Key, f64)]| {
+        let division = Division::new(n, 1).unwrap();
+        TenantParts::new(&division, &Homes::new(&division, 0.0, &[]).unwrap(), functions)
+    };
+    let one: &[(Key, f64)] = &[(Key::of("payroll"), 3.0)];
+    for (functions, seed) in [one, &[]].into_iter().flat_map(|f| (0..6).map(move |s| (f, s))) {
+        let mut rng = rng(seed);
+        let (old, new) = (8, 9);
+        let (of_old, of_new) = (parts(old, functions), parts(new, functions));
+        assert_eq!(
+            (0..8).map(|s| of_old.of(s)).fold(0.0, f64::max),
+            if functions.is_empty() { 0.125 } else { 1.0 }
+        );
+        for stage in 0..4 {
+            for stages in [(stage, stage), (stage, stage + 1)] {
+                let fleet = Fleet::new(24, (old, new), stages, false, &mut rng);
+                let share = |(f, at): (&FrontEnds, &usize)| {
+                    let divisions = divisions(*at, old, new);
+                    let serving = Serving::new(&divisions, &ZONES).listed(f);
+                    let own = [f.own(1), f.own(2)];
+                    let parts = [&of_old, &of_new];
+                    let from = usize::from(*at == 4);
+                    serving.share_of(&parts[from..], &own[from..])
+                };
+                let sum: f64 = fleet.each.iter().zip(&fleet.at).map(share).sum();
+                assert!(sum <= 1.0 + 1e-9, "stages {stages:?}: {sum}");
+                let least = if stages == (0, 0) || stages == (2, 2) { 1.0 } else { 0.49 };
+                assert!(sum >= least - 1e-9, "stages {stages:?}: {sum}");
+            }
+        }
+    }
+}
+
+/// The bound by which is divided is never less than what lists give, of any part of the fleet.
+#[test]
+fn no_shard_has_more_front_ends_than_the_bound() {
+    for (shards, weights) in [(8, BTreeMap::new()), (30, BTreeMap::from([(4, 5)])), (3, BTreeMap::new())] {
+        let division = Division::weighted(shards, 1, weights).unwrap();
+        let members = even("f", 140, 3);
+        for few in (1..=140).step_by(3) {
+            let (all, _) = Assignment::of(&division, members[..few].iter().copied());
+            for shard in 0..shards {
+                let most = serving_most(&division, shard, &[(0, 47), (1, 47), (2, 46)]);
+                assert!(all.of_shard(shard).len() as u32 <= most, "{few} in {shards}");
+            }
+        }
+        assert_eq!(serving_most(&division, shards, &ZONES), 0);
+    }
+}
+
+/// A call for a function of another shard is told apart, and where it belongs.
+#[test]
+fn where_a_function_belongs() {
+    let both = divisions(2, 8, 9);
+    let homes: Vec<Homes> = both.served().map(|d| Homes::new(d, 0.0, &[]).unwrap()).collect();
+    let homes: Vec<&Homes> = homes.iter().collect();
+    let members = even("f", 24, 2);
+    let front_end = FrontEnds::of(&both, members[0], front_ends(&members, (1, 2)));
+    let mut seen = HashMap::new();
+    for i in 0..2_000 {
+        let key = Key::of(&format!("f{i}"));
+        let (old, new) = (homes[0].of(key)[0], homes[1].of(key)[0]);
+        let place = match (front_end.own(2).contains(&new), front_end.own(1).contains(&old)) {
+            (true, _) => Place::Own,
+            (false, true) => Place::Leaving,
+            (false, false) => Place::Elsewhere(new),
+        };
+        assert_eq!(front_end.place(&homes, key, 7), place);
+        *seen.entry(std::mem::discriminant(&place)).or_insert(0) += 1;
+    }
+    assert_eq!(seen.len(), 3, "{seen:?}");
+}
--- /dev/null
+++ b/crates/sharding/tests/transition.rs
@@ -0,0 +1,132 @@
+//! What the decision module is told when a subset changes: by rows alone, and that the module then sends
+//! nothing new.
+
+use stagehoist::*;
+use stagehoist_sharding::{Told, Transition};
+use std::rc::Rc;
+
+const S: Micros = 1_000_000;
+const DRAIN: Micros = 10 * S;
+
+fn row(worker: WorkerId, lifecycle: Lifecycle) -> RosterRow {
+    RosterRow { worker, lifecycle, capacity: 4.0, ..RosterRow::default() }
+}
+
+fn ready(workers: &[WorkerId]) -> Vec<RosterRow> {
+    workers.iter().map(|w| row(*w, Lifecycle::Ready)).collect()
+}
+
+fn seen(told: &Told) -> Vec<(WorkerId, Lifecycle)> {
+    told.rows.iter().map(|r| (r.worker, r.lifecycle)).collect()
+}
+
+use Lifecycle::{Draining, Gone, Ready};
+
+#[test]
+fn what_leaves_drains_and_then_is_gone() {
+    let mut t = Transition::new(DRAIN);
+    let first = t.listed(RosterForm::Full, &ready(&[1, 2, 3, 4]), |w| w <= 2, 0);
+    assert_eq!((first.form, seen(&first)), (RosterForm::Full, vec![(1, Ready), (2, Ready)]));
+    let told = t.moved(&ready(&[3]), &[2], S);
+    assert_eq!((told.form, seen(&told)), (RosterForm::Delta, vec![(2, Draining), (3, Ready)]));
+    assert_eq!((t.counts(), t.due()), ((2, 1), Some(S + DRAIN)));
+    // A whole list in between still has it draining, and its time runs on.
+    let whole = t.listed(RosterForm::Full, &ready(&[1, 2, 3, 4]), |w| w != 2 && w != 4, 5 * S);
+    assert_eq!(seen(&whole), [(1, Ready), (2, Draining), (3, Ready)]);
+    assert_eq!(t.expire(S + DRAIN - 1), None);
+    assert_eq!(seen(&t.expire(S + DRAIN).unwrap()), [(2, Gone)]);
+    assert_eq!((t.expire(S + DRAIN), t.counts(), t.due()), (None, (2, 0), None));
+    // Gone here, it isn't told any more.
+    let whole = t.listed(RosterForm::Full, &ready(&[1, 2, 3, 4]), |w| w != 2 && w != 4, 20 * S);
+    assert_eq!(seen(&whole), [(1, Ready), (3, Ready)]);
+    assert_eq!(t.moved(&[], &[2, 77], 21 * S).rows, []);
+}
+
+#[test]
+fn what_comes_back_is_told_as_it_stands() {
+    let mut t = Transition::new(DRAIN);
+    t.listed(RosterForm::Full, &ready(&[1, 2]), |_| true, 0);
+    t.moved(&[], &[1], S);
+    assert_eq!(seen(&t.moved(&ready(&[1]), &[], 2 * S)), [(1, Ready)]);
+    assert_eq!((t.counts(), t.due(), t.expire(100 * S)), ((2, 0), None, None));
+    // It drains by itself: that too is told as it stands, in the subset or outside.
+    t.moved(&[], &[1], 3 * S);
+    assert_eq!(seen(&t.moved(&[row(1, Draining)], &[], 4 * S)), [(1, Draining)]);
+    t.moved(&[], &[1], 5 * S);
+    let told = t.listed(RosterForm::Delta, &[row(1, Draining)], |_| false, 6 * S);
+    assert_eq!((seen(&told), t.due()), (vec![(1, Draining)], Some(5 * S + DRAIN)));
+}
+
+#[test]
+fn what_the_list_says_gone_is_gone_at_once() {
+    let mut t = Transition::new(DRAIN);
+    t.listed(RosterForm::Full, &ready(&[1, 2, 3]), |_| true, 0);
+    t.moved(&[], &[1, 2], S);
+    let told = t.listed(RosterForm::Delta, &[row(1, Gone), row(9, Gone)], |_| false, 2 * S);
+    assert_eq!(seen(&told), [(1, Gone)]);
+    assert_eq!(seen(&t.listed(RosterForm::Full, &ready(&[3]), |_| true, 3 * S)), [(3, Ready)]);
+    assert_eq!((t.counts(), t.due()), ((1, 0), None));
+    // A list that couldn't be had changes nothing.
+    let failed = t.listed(RosterForm::Failed, &[], |_| true, 4 * S);
+    assert_eq!((failed.form, seen(&failed), t.counts()), (RosterForm::Failed, vec![], (1, 0)));
+}
+
+/// The real module, 400 calls, the subset changed in the middle: after the change nothing goes to the worker
+/// that left, what was out there ends, and calls go on at the others. Told nothing of the change it would
+/// have gone on.
+#[test]
+fn the_module_sends_nothing_to_a_worker_that_left() {
+    let after = |leaves: bool| {
+        let settings = wire::parse_settings("balancers=1\nclasses.count=1\nclasses.0.aim=800\n").unwrap();
+        let mut now = 1_000 * S;
+        let mut module = FrontEnd::new(settings, 7, now);
+        let mut t = Transition::new(DRAIN);
+        let first = t.listed(RosterForm::Full, &ready(&[1, 2, 3]), |w| w <= 2, now);
+        let roster = |told: Told| Event::Roster { form: told.form, rows: Rc::from(told.rows) };
+        let mut events = vec![roster(first)];
+        let mut sent = [0u32; 4];
+        for id in 1..=400u32 {
+            now += 20_000;
+            if id == 200 && leaves {
+                events.push(roster(t.moved(&ready(&[3]), &[1], now)));
+            }
+            events.push(Event::Request(Request {
+                id,
+                class: 0,
+                tenant: 0,
+                function: u64::from(id % 7),
+                budget: 2 * S,
+                work: Some(10_000),
+                memory_mb: 1.0,
+                lanes: 1.0,
+                load: 0,
+                repeat: false,
+                came: now,
+                known: true,
+            }));
+            let mut out = Vec::new();
+            module.handle(now, &events, &mut out);
+            events.clear();
+            for action in out {
+                if let Action::Send { request, worker, .. } = action {
+                    sent[worker as usize] += u32::from(id >= 200);
+                    events.push(Event::Ended(Ended {
+                        request,
+                        attempt: 0,
+                        worker,
+                        concluded: true,
+                        outcome: Outcome::Ok,
+                        note: Note::default(),
+                        took: 10_000,
+                        report: None,
+                    }));
+                }
+            }
+        }
+        sent
+    };
+    let (with, without) = (after(true), after(false));
+    println!("sent after the change, by worker: {with:?}, with no change {without:?}");
+    assert!(with[1] == 0 && with[2] > 0 && with[3] > 0, "{with:?}");
+    assert!(without[1] > 0 && without[3] == 0, "{without:?}");
+}
