Directives that divide the fleet into shards, with file and line on what is absurd

Need: the division is agreed by settings alone, so they must be told alike and refused where they can't hold. `shards N generation G [next M stage ...] [calls R] [workers N] [first N]`, `shard N weight W`, `shard-front-ends ZONE N`, and on `function` `calls` and `spread`, on `tenant` `functions`. Absent by default. Refused: no shards, too many, more than told workers or than front ends can serve, a change without stage, unknown shards and zones, numbers beyond the fleet.

--- a/crates/config/src/build.rs
+++ b/crates/config/src/build.rs
@@ -5,6 +5,7 @@
 use crate::marks::marks;
 use crate::model::{Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
 use crate::parts::{broker, effect};
+use crate::sharding::sharding;
 use crate::source::Source;
 use crate::{Fault, Position};
 use stagehoist::{OnMiss, ReportVia, RetryBudget};
@@ -163,6 +164,7 @@
         .collect();
     let fleet = fleet(&s, &tenants, &mut stray);
     let marks = marks(&s, &classes, fleet.is_some(), &mut stray);
+    let sharding = sharding(&s, &zones, &mut stray);
     stray.into_iter().for_each(|(at, what, expected)| s.fault(at, what, expected));
     let front_ends = s.count("front-ends", "count", 1) as u32;
     let cold = |key| s.one("cold-start").and_then(|l| l.duration(key)).unwrap_or(0);
@@ -233,6 +235,7 @@
         report_via,
         report_fields,
         marks,
+        sharding,
         fleet,
     })
 }
--- a/crates/config/src/grammar.rs
+++ b/crates/config/src/grammar.rs
@@ -1,6 +1,7 @@
 //! The directives: their arguments by place and by key, with kinds and ranges.
 
 use crate::fleet_grammar::FLEET;
+use crate::sharding::SHARDING;
 use crate::value::Kind;
 
 pub const MS: i64 = 1000;
@@ -47,7 +48,7 @@
 const ANY_DURATION: &[Argument] = &[must("value", Kind::Duration(0, H))];
 const SHARE: &[Argument] = &[must("value", Kind::Number(0.0, 1.0))];
 
-/// Every directive but those of a fleet.
+/// Every directive but those of a fleet and of its shards.
 pub const DIRECTIVES: &[Directive] = &[
     // This process.
     one("front-ends", &[must("count", Kind::Count(1, 1024))]),
@@ -92,13 +93,15 @@
             may("work", Kind::Duration(0, H)),
             may("generation", Kind::Count(1, u32::MAX as u64)),
             may("retire", Kind::Word(&["strict", "available"])),
+            may("calls", Kind::Rate(0.0, 1e9)),
+            may("spread", Kind::Count(1, 4_096)),
         ],
         often: Often::OncePerName,
     },
     Directive {
         name: "tenant",
         places: &[must("name", Kind::Text)],
-        keys: &[must("quota", Kind::Rate(0.0, 1e9))],
+        keys: &[must("quota", Kind::Rate(0.0, 1e9)), may("functions", Kind::Text)],
         often: Often::OncePerName,
     },
     one("over-share-worth", SHARE),
@@ -232,5 +235,5 @@
 
 /// All directives.
 pub fn directives() -> impl Iterator<Item = &'static Directive> {
-    DIRECTIVES.iter().chain(FLEET)
+    DIRECTIVES.iter().chain(FLEET).chain(SHARDING)
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -23,6 +23,7 @@
 mod parts;
 mod render;
 mod settings;
+mod sharding;
 mod source;
 mod value;
 mod words;
@@ -34,6 +35,7 @@
     takes, Broker, Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant,
 };
 pub use parts::broker;
+pub use sharding::Sharding;
 pub use value::{parse_duration, parse_size, Value};
 
 use std::fmt;
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::Fleet;
 use crate::marks::Marks;
+use crate::sharding::Sharding;
 use stagehoist::{Effect, OnMiss, ReportVia, RetryBudget};
 
 /// A class of calls.
@@ -171,6 +172,8 @@
     pub report_fields: Vec<String>,
     /// None: attempts are not marked on disk.
     pub marks: Option<Marks>,
+    /// None: the fleet isn't divided.
+    pub sharding: Option<Sharding>,
     /// None: front ends share nothing.
     pub fleet: Option<Fleet>,
 }
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -3,16 +3,10 @@
 use crate::fleet::{Fleet, Keep};
 use crate::model::{Config, Function, ListSource};
 use crate::value::{show_duration as d, show_size};
+use crate::words::word;
 use stagehoist::{Effect, Group, OnMiss, ReportVia};
 use std::fmt::Write;
 
-fn word(text: &str) -> String {
-    if !text.is_empty() && !text.contains(|c: char| c.is_whitespace() || matches!(c, '"' | '#' | '\\')) {
-        return text.to_string();
-    }
-    format!("\"{}\"", text.replace('\\', "\\\\").replace('"', "\\\""))
-}
-
 fn yes(flag: bool) -> &'static str {
     if flag {
         "yes"
@@ -66,18 +60,20 @@
         }
         for f in &self.functions {
             line(format!(
-                "function {} class {} memory {} lanes {} load {} work {}{}",
+                "function {} class {} memory {} lanes {} load {} work {}{}{}",
                 word(&f.pattern),
                 word(&f.class),
                 show_size(f.memory),
                 f.lanes,
                 d(f.load),
                 d(f.work),
-                if self.fleet.is_some() { generation(f) } else { String::new() }
+                if self.fleet.is_some() { generation(f) } else { String::new() },
+                self.sharding.as_ref().map_or(String::new(), |s| s.of_function(&f.pattern))
             ));
         }
         for t in &self.tenants {
-            line(format!("tenant {} quota {}/s", word(&t.name), t.quota));
+            let functions = self.sharding.as_ref().map_or(String::new(), |s| s.of_tenant(&t.name));
+            line(format!("tenant {} quota {}/s{functions}", word(&t.name), t.quota));
         }
         line(format!("over-share-worth {}", self.over_share_worth));
         line(format!("worth-by {}", if self.worth_by_work { "work" } else { "call" }));
@@ -164,6 +160,9 @@
         if let Some(marks) = &self.marks {
             line(format!("marks {} keep {} most {}", word(&marks.folder), d(marks.keep), marks.most));
         }
+        if let Some(sharding) = &self.sharding {
+            sharding.lines(&self.zones).into_iter().for_each(&mut line);
+        }
         if let Some(fleet) = &self.fleet {
             fleet.lines().into_iter().for_each(line);
         }
--- /dev/null
+++ b/crates/config/src/sharding.rs
@@ -0,0 +1,248 @@
+//! The division of the fleet into shards, as `crates/sharding` computes it.
+
+use crate::grammar::{may, must, Directive, Often};
+use crate::source::Source;
+use crate::value::Kind;
+use crate::words::word;
+use crate::Position;
+use stagehoist_sharding::{Division, DivisionError, Divisions, Homes, HotFunction, Stage};
+use stagehoist_sharding::{SHARDS_MOST, SHARD_WEIGHT_MOST};
+use std::collections::BTreeMap;
+
+/// Most shards that one front end may have to serve by what is told.
+const SHARDS_EACH: u32 = 16;
+const STAGES: &[&str] = &["announced", "both", "closing"];
+const SHARDS: Kind = Kind::Count(1, SHARDS_MOST as u64);
+
+/// Taken together with those of [`crate::grammar::DIRECTIVES`].
+pub const SHARDING: &[Directive] = &[
+    Directive {
+        name: "shards",
+        places: &[must("count", SHARDS)],
+        keys: &[
+            must("generation", Kind::Count(1, u32::MAX as u64 - 1)),
+            may("next", SHARDS),
+            may("stage", Kind::Word(STAGES)),
+            may("calls", Kind::Rate(0.0, 1e9)),
+            may("workers", Kind::Count(1, u32::MAX as u64)),
+            may("first", Kind::Count(0, 99_999)),
+        ],
+        often: Often::Once,
+    },
+    Directive {
+        name: "shard",
+        places: &[must("number", Kind::Count(0, SHARDS_MOST as u64 - 1))],
+        keys: &[must("weight", Kind::Count(1, SHARD_WEIGHT_MOST as u64))],
+        often: Often::OncePerName,
+    },
+    Directive {
+        name: "shard-front-ends",
+        places: &[must("zone", Kind::Text), must("count", Kind::Count(1, 100_000))],
+        keys: &[],
+        often: Often::OncePerName,
+    },
+];
+
+/// What is told of the division.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sharding {
+    pub divisions: Divisions,
+    /// Calls a second expected over the whole fleet; 0: as many as are told of functions.
+    pub calls: f64,
+    /// Workers told for the check alone.
+    pub workers: Option<u32>,
+    /// Number of this process's first front end among those of the fleet.
+    pub first: u32,
+    /// Front ends of each zone, by the place of its name; one zone where none is named.
+    pub zones: Vec<(u16, u32)>,
+    pub hot: Vec<HotFunction>,
+    /// Functions of tenants, by the tenant's name.
+    pub tenants: BTreeMap<String, Vec<String>>,
+}
+
+type Stray = Vec<(Position, String, String)>;
+
+/// What the directives say of shards; None where there are none. What is wrong goes to `stray`.
+pub fn sharding(s: &Source<'_>, zones: &[String], stray: &mut Stray) -> Option<Sharding> {
+    let Some(line) = s.one("shards") else {
+        alone(s, stray);
+        return None;
+    };
+    let shards = line.count("count")? as u32;
+    let generation = line.count("generation")? as u32;
+    let mut told = |key: &str, what: String, expected: &str| {
+        stray.push((line.place(key), what, expected.to_string()));
+    };
+    let (next, stage) = (line.count("next").map(|n| n as u32), line.text("stage"));
+    match (next, &stage) {
+        (Some(_), None) => told("next", "next without a stage".into(), "stage announced, both or closing"),
+        (None, Some(_)) => told("stage", "stage without a next number of shards".into(), "next and a number"),
+        _ => {}
+    }
+    let front_ends = s.count("front-ends", "count", 1) as u32;
+    let fleet = s.count("fleet-front-ends", "count", u64::from(front_ends)) as u32;
+    let first = line.count("first").unwrap_or(0) as u32;
+    if u64::from(first) + u64::from(front_ends) > u64::from(fleet) {
+        let what =
+            format!("front ends {first} to {} of {fleet}", u64::from(first) + u64::from(front_ends) - 1);
+        told("first", what, "numbers below fleet-front-ends");
+    }
+    if zones.len() > 1 && s.one("zone").is_none() {
+        told("count", "shards without a zone".into(), "a zone line, as there are several zone-names");
+    }
+    let workers = line.count("workers").map(|n| n as u32);
+    let most = shards.max(next.unwrap_or(0));
+    let mut weights = BTreeMap::new();
+    for shard in s.all("shard") {
+        let (Some(number), Some(weight)) = (shard.count("number"), shard.count("weight")) else { continue };
+        if number >= u64::from(most) {
+            let expected = format!("a number from 0 to {}", most - 1);
+            stray.push((shard.place("number"), format!("shard {number} of {most}"), expected));
+        }
+        weights.insert(number as u32, weight as u32);
+    }
+    let division = |shards: u32, generation: u32| {
+        let weights = weights.iter().filter(|w| *w.0 < shards).map(|w| (*w.0, *w.1));
+        Division::weighted(shards, generation, weights.collect())
+    };
+    let zones = zones_told(s, zones, fleet, stray);
+    let mut checked = |shards: u32, generation: u32, key: &str| -> Option<Division> {
+        let smallest = zones.iter().map(|z| z.1).min().unwrap_or(fleet);
+        let division = division(shards, generation).and_then(|d| {
+            d.check(workers, smallest, 1, SHARDS_EACH)?;
+            Ok(d)
+        });
+        let expected = |e: &DivisionError| match e {
+            DivisionError::MoreShardsThanWorkers { .. } => "at most as many shards as workers",
+            _ => "fewer shards or more front ends",
+        };
+        division.map_err(|e| stray.push((line.place(key), e.to_string(), expected(&e).into()))).ok()
+    };
+    let old = checked(shards, generation, "count")?;
+    let stages = [Stage::Announced, Stage::Both, Stage::Closing];
+    let stage = STAGES.iter().position(|s| stage.as_deref() == Some(s)).map(|at| stages[at]);
+    let divisions = match (next, stage) {
+        (Some(next), Some(stage)) => {
+            Divisions::changing(old, checked(next, generation + 1, "next")?, stage).ok()?
+        }
+        _ => Divisions::only(old),
+    };
+    let calls = line.number("calls").unwrap_or(0.0);
+    let hot = hot(s, &divisions, calls, stray);
+    let tenants = tenants(s, stray);
+    Some(Sharding { divisions, calls, workers, first, zones, hot, tenants })
+}
+
+/// Directives and keys that mean nothing without shards.
+fn alone(s: &Source<'_>, stray: &mut Stray) {
+    let expected = || "a shards line".to_string();
+    for line in ["shard", "shard-front-ends"].iter().flat_map(|name| s.all(name)) {
+        stray.push((line.at.clone(), format!("{} without shards", line.directive.name), expected()));
+    }
+    for (name, keys) in [("function", &["calls", "spread"][..]), ("tenant", &["functions"][..])] {
+        for line in s.all(name) {
+            for key in keys.iter().filter(|k| line.get(k).is_some()) {
+                stray.push((line.place(key), format!("{key} without shards"), expected()));
+            }
+        }
+    }
+}
+
+fn zones_told(s: &Source<'_>, names: &[String], fleet: u32, stray: &mut Stray) -> Vec<(u16, u32)> {
+    let mut told = BTreeMap::new();
+    for line in s.all("shard-front-ends") {
+        let (Some(zone), Some(count)) = (line.text("zone"), line.count("count")) else { continue };
+        match names.iter().position(|n| *n == zone) {
+            Some(at) => drop(told.insert(at as u16, count as u32)),
+            None => {
+                let expected = format!("one of zone-names ({})", names.join(", "));
+                stray.push((line.place("zone"), format!("zone {zone} is not known"), expected));
+            }
+        }
+    }
+    if told.is_empty() {
+        let zones = names.len().max(1) as u32;
+        return (0..zones).map(|z| (z as u16, fleet.div_ceil(zones))).collect();
+    }
+    let sum = told.values().copied().fold(0, u32::saturating_add);
+    if let Some(line) = s.one("shard-front-ends").filter(|_| sum < fleet) {
+        let what = format!("{sum} front ends in zones, {fleet} in the fleet");
+        stray.push((line.place("count"), what, "as many as fleet-front-ends at least".into()));
+    }
+    told.into_iter().collect()
+}
+
+fn hot(s: &Source<'_>, divisions: &Divisions, calls: f64, stray: &mut Stray) -> Vec<HotFunction> {
+    let mut hot = Vec::new();
+    let fewest = divisions.each().map(Division::shards).min().unwrap_or(1);
+    for line in s.all("function").filter(|l| l.get("calls").is_some() || l.get("spread").is_some()) {
+        let Some(name) = line.text("name") else { continue };
+        let key = if line.get("calls").is_some() { "calls" } else { "spread" };
+        if name.ends_with('*') {
+            let what = format!("{key} of function {name}");
+            stray.push((line.place(key), what, "it for one name, without a closing *".into()));
+            continue;
+        }
+        let spread = line.count("spread").map(|n| n as u32);
+        if spread.is_some_and(|n| n > fewest) {
+            let what = format!("function {name} spread over more than the {fewest} shards");
+            stray.push((line.place("spread"), what, format!("a number from 1 to {fewest}")));
+            continue;
+        }
+        hot.push(HotFunction { name, calls: line.number("calls").unwrap_or(0.0), spread });
+    }
+    for division in divisions.each() {
+        if let (Err(error), Some(line)) = (Homes::new(division, calls, &hot), s.one("shards")) {
+            stray.push((line.at.clone(), error.to_string(), "fewer functions with calls or spread".into()));
+            break;
+        }
+    }
+    hot
+}
+
+fn tenants(s: &Source<'_>, stray: &mut Stray) -> BTreeMap<String, Vec<String>> {
+    let mut tenants = BTreeMap::new();
+    for line in s.all("tenant") {
+        let (Some(name), Some(functions)) = (line.text("name"), line.text("functions")) else { continue };
+        let functions: Vec<String> = functions.split(',').map(|f| f.trim().to_string()).collect();
+        if functions.iter().any(|f| f.is_empty() || f.ends_with('*')) {
+            let expected = "names of functions with commas between, without *".to_string();
+            stray.push((line.place("functions"), format!("functions of tenant {name}"), expected));
+        }
+        tenants.insert(name, functions);
+    }
+    tenants
+}
+
+impl Sharding {
+    /// Its own directives, written out.
+    pub(crate) fn lines(&self, zones: &[String]) -> Vec<String> {
+        let old = self.divisions.old();
+        let mut shards = format!("shards {} generation {}", old.shards(), old.generation());
+        if let (Some(next), Some(stage)) = (self.divisions.next(), self.divisions.stage()) {
+            let stage = STAGES[stage as usize];
+            shards += &format!(" next {} stage {stage}", next.shards());
+        }
+        shards += &format!(" calls {}/s first {}", self.calls, self.first);
+        shards += &self.workers.map_or(String::new(), |n| format!(" workers {n}"));
+        let mut out = vec![shards];
+        let most = self.divisions.each().max_by_key(|d| d.shards()).unwrap_or(old);
+        let weighted = (0..most.shards()).filter(|s| most.weight(*s) != 1);
+        out.extend(weighted.map(|s| format!("shard {s} weight {}", most.weight(s))));
+        let named = self.zones.iter().filter_map(|(z, n)| Some((zones.get(usize::from(*z))?, n)));
+        out.extend(named.map(|(zone, n)| format!("shard-front-ends {} {n}", word(zone))));
+        out
+    }
+
+    /// What it adds to a function's line.
+    pub(crate) fn of_function(&self, name: &str) -> String {
+        let Some(hot) = self.hot.iter().find(|f| f.name == name) else { return String::new() };
+        format!(" calls {}/s", hot.calls) + &hot.spread.map_or(String::new(), |n| format!(" spread {n}"))
+    }
+
+    /// What it adds to a tenant's line.
+    pub(crate) fn of_tenant(&self, name: &str) -> String {
+        let of = |functions: &Vec<String>| format!(" functions {}", word(&functions.join(",")));
+        self.tenants.get(name).map_or(String::new(), of)
+    }
+}
--- a/crates/config/src/words.rs
+++ b/crates/config/src/words.rs
@@ -56,3 +56,11 @@
     }
     Ok(words)
 }
+
+/// A word as [`words`] reads it back, in quotes where it needs them.
+pub fn word(text: &str) -> String {
+    if !text.is_empty() && !text.contains(|c: char| c.is_whitespace() || matches!(c, '"' | '#' | '\\')) {
+        return text.to_string();
+    }
+    format!("\"{}\"", text.replace('\\', "\\\\").replace('"', "\\\""))
+}
--- /dev/null
+++ b/crates/config/tests/sharding.rs
@@ -0,0 +1,136 @@
+//! The directives that divide the fleet into shards.
+
+use stagehoist_config::{parse, Config};
+use stagehoist_sharding::Stage;
+
+const BASE: &str = "\
+class lookup aim 800ms give-up 2.5s
+broker amqp://127.0.0.1:5672/
+consume calls
+worker-list file workers.list
+zone-names north,south
+zone north
+front-ends 3
+fleet-front-ends 24
+";
+
+const WHOLE: &str = "\
+shards 8 generation 7 next 9 stage both calls 1000/s workers 24 first 6
+shard 8 weight 3
+shard-front-ends north 14
+shard-front-ends south 10
+function payroll class lookup memory 64MB calls 300/s
+function roster class lookup memory 64MB spread 2
+function rare-* class lookup memory 64MB
+tenant hall quota 50/s functions payroll,roster
+tenant other quota 50/s
+";
+
+const FUNCTION: &str = "function f class lookup memory 1MB\n";
+
+fn read(more: &str) -> Config {
+    parse("s.conf", &format!("{BASE}{more}")).unwrap()
+}
+
+fn faults(text: &str) -> Vec<String> {
+    parse("s.conf", text).unwrap_err().0.iter().map(|f| f.to_string()).collect()
+}
+
+#[test]
+fn shards_are_read_and_written_back() {
+    let config = read(WHOLE);
+    let told = config.sharding.as_ref().unwrap();
+    let (old, new) = (told.divisions.old(), told.divisions.next().unwrap());
+    assert_eq!((old.shards(), old.generation(), new.shards(), new.generation()), (8, 7, 9, 8));
+    assert_eq!((told.divisions.stage(), new.weight(8), new.weight(7)), (Some(Stage::Both), 3, 1));
+    assert_eq!((told.calls, told.workers, told.first), (1_000.0, Some(24), 6));
+    assert_eq!(told.zones, [(0, 14), (1, 10)]);
+    assert_eq!((told.hot[0].calls, told.hot[0].spread, told.hot[1].spread), (300.0, None, Some(2)));
+    assert_eq!(told.tenants["hall"], ["payroll", "roster"]);
+    assert_eq!(parse("again.conf", &config.render()).unwrap(), config);
+}
+
+#[test]
+fn defaults() {
+    let config = read(&format!("{FUNCTION}shards 8 generation 1\n"));
+    let told = config.sharding.as_ref().unwrap();
+    assert_eq!((told.divisions.stage(), told.calls, told.workers, told.first), (None, 0.0, None, 0));
+    assert_eq!((&told.zones[..], told.hot.len()), (&[(0, 12), (1, 12)][..], 0));
+    assert_eq!(parse("again.conf", &config.render()).unwrap(), config);
+}
+
+#[test]
+fn without_its_directive_nothing_is_divided() {
+    let config = read(FUNCTION);
+    assert_eq!(config.sharding, None);
+    let rendered = config.render();
+    assert!(!rendered.contains("shard") && !rendered.contains("/s") && !rendered.contains("spread"));
+    assert_eq!(parse("again.conf", &config.render()).unwrap(), config);
+}
+
+#[test]
+fn absurd_settings_are_told_with_file_and_line() {
+    let told = |more: &str, line: usize, rest: &str| {
+        let expected = format!("s.conf:{}:{rest}", BASE.lines().count() + 1 + line);
+        let told = faults(&format!("{BASE}{FUNCTION}{more}"));
+        assert!(told.iter().any(|t| t.contains(&expected)), "{expected}\nnot in\n{}", told.join("\n"));
+    };
+    told("shards 0 generation 1\n", 1, "8: count is \"0\"; expected a whole number from 1 to 4096");
+    told("shards 5000 generation 1\n", 1, "8: count is \"5000\"; expected a whole number from 1 to 4096");
+    told("shards 8 generation 0\n", 1, "21: generation is \"0\"; expected a whole number from 1");
+    told(
+        "shards 8 generation 1 workers 7\n",
+        1,
+        "8: 8 shards for 7 workers: some would have none; expected at most as many shards as workers",
+    );
+    told(
+        "shards 200 generation 1\n",
+        1,
+        "8: 200 shards for 12 front ends of a zone: each would serve more than 16",
+    );
+    told(
+        "shards 8 generation 1 next 9\n",
+        1,
+        "28: next without a stage; expected stage announced, both or closing",
+    );
+    told("shards 8 generation 1 stage both\n", 1, "29: stage without a next number of shards");
+    told("shards 8 generation 1 next 300 stage both\n", 1, "28: 300 shards for 12 front ends");
+    told("shards 8 generation 1 first 22\n", 1, "29: front ends 22 to 24 of 24; expected numbers below");
+    told("shards 8 generation 1\nshard 8 weight 2\n", 2, "7: shard 8 of 8; expected a number from 0 to 7");
+    told(
+        "shards 8 generation 1\nshard 1 weight 17\n",
+        2,
+        "16: weight is \"17\"; expected a whole number from 1 to 16",
+    );
+    told("shards 8 generation 1\nshard 1 weight 2\nshard 1 weight 3\n", 3, "1: shard stands a second time");
+    told(
+        "shards 8 generation 1\nshard-front-ends east 30\n",
+        2,
+        "18: zone east is not known; expected one of",
+    );
+    told(
+        "shards 8 generation 1\nshard-front-ends north 20\n",
+        2,
+        "24: 20 front ends in zones, 24 in the fleet",
+    );
+    let shards = "shards 8 generation 1\n";
+    told(
+        &format!("{shards}function x class lookup memory 1MB spread 9\n"),
+        2,
+        "43: function x spread over more",
+    );
+    told(&format!("{shards}function x* class lookup memory 1MB calls 9/s\n"), 2, "43: calls of function x*");
+    told(
+        &format!("{shards}tenant t quota 1/s functions a*\n"),
+        2,
+        "30: functions of tenant t; expected names",
+    );
+    told("shard 1 weight 2\n", 1, "1: shard without shards; expected a shards line");
+    told("shard-front-ends north 24\n", 1, "1: shard-front-ends without shards");
+    told("function x class lookup memory 1MB calls 9/s\n", 1, "42: calls without shards");
+    told("tenant t quota 1/s functions a\n", 1, "30: functions without shards");
+    let nowhere = format!("{}{FUNCTION}shards 8 generation 1\n", BASE.replace("zone north\n", ""));
+    assert!(faults(&nowhere)
+        .iter()
+        .any(|f| f.contains("s.conf:9:8: shards without a zone; expected a zone line")));
+}
