A front end of a divided fleet consumes its shards' queues and knows their workers alone

Need: a front end whose queues, workers and functions are those of a few shards. Off without `shards`; `run` has none of it.

- Queues `QUEUE.shard-N`, own shards by the front end's number: two owners each.
A list of front ends is not followed yet.
- A call for a function of another shard is `refused: other-shard`, counted; one that may have run before is not refused but fails.
- `shards` beside `pool` is refused, as lanes are dealt to all front ends alike.

--- a/crates/config/src/sharding.rs
+++ b/crates/config/src/sharding.rs
@@ -90,6 +90,9 @@
     if zones.len() > 1 && s.one("zone").is_none() {
         told("count", "shards without a zone".into(), "a zone line, as there are several zone-names");
     }
+    if s.one("pool").is_some() {
+        told("count", "shards beside pools".into(), "one of both: lanes are dealt to all front ends alike");
+    }
     let workers = line.count("workers").map(|n| n as u32);
     let most = shards.max(next.unwrap_or(0));
     let mut weights = BTreeMap::new();
@@ -128,8 +131,7 @@
         _ => Divisions::only(old),
     };
     let calls = line.number("calls").unwrap_or(0.0);
-    let hot = hot(s, &divisions, calls, stray);
-    let tenants = tenants(s, stray);
+    let (hot, tenants) = (hot(s, &divisions, calls, stray), tenants(s, stray));
     Some(Sharding { divisions, calls, workers, first, zones, hot, tenants })
 }
 
--- a/crates/config/tests/sharding.rs
+++ b/crates/config/tests/sharding.rs
@@ -114,6 +114,8 @@
         "24: 20 front ends in zones, 24 in the fleet",
     );
     let shards = "shards 8 generation 1\n";
+    let pool = "member a\nkeeper 1 127.0.0.1:1\npool p functions f lanes 5\n";
+    told(&format!("{shards}{pool}"), 1, "8: shards beside pools; expected one of both");
     told(
         &format!("{shards}function x class lookup memory 1MB spread 9\n"),
         2,
--- a/crates/gateway/src/amqp/front/counters.rs
+++ b/crates/gateway/src/amqp/front/counters.rs
@@ -23,6 +23,9 @@
     /// Delivered again, not known here, and asked about; and those of them that ran by the word of all marks.
     pub asked: u64,
     pub run_by_marks: u64,
+    /// Taken for a function that is leaving own shards, and refused for one of others.
+    pub leaving_shard: u64,
+    pub other_shard: u64,
     pub connections_lost: u64,
     pub channels_lost: u64,
 }
--- a/crates/gateway/src/amqp/front/deliveries.rs
+++ b/crates/gateway/src/amqp/front/deliveries.rs
@@ -1,6 +1,7 @@
 //! What becomes of a delivery.
 
 use super::*;
+use stagehoist_sharding::Place;
 
 impl Front {
     pub(super) fn reject(&mut self, tag: u64) {
@@ -114,7 +115,25 @@
                         let answer = Answer::Refused { reason: "marks-not-ready", retry_after };
                         return self.answer(ticket, answer, now);
                     }
-                    Ok(asked) => asked,
+                    Ok(asked) => match self.places.as_ref().map(|p| p.of(&asked.function)) {
+                        // It may have run where it was before, and has no workers of its group here.
+                        Some(Place::Elsewhere(_)) if asks => return self.fail_unknown(ticket, now),
+                        Some(Place::Elsewhere(shard)) => {
+                            self.counters.other_shard += 1;
+                            tracing::info!(
+                                correlation = &*correlation,
+                                shard,
+                                reason = "other-shard",
+                                "not taken"
+                            );
+                            let answer = Answer::Refused { reason: "other-shard", retry_after: 0 };
+                            return self.answer(ticket, answer, now);
+                        }
+                        place => {
+                            self.counters.leaving_shard += u64::from(place == Some(Place::Leaving));
+                            asked
+                        }
+                    },
                     // It may have run before, which is what its caller has to know.
                     Err(_) if asks => return self.fail_unknown(ticket, now),
                     Err(wrong) => {
--- a/crates/gateway/src/amqp/front/mod.rs
+++ b/crates/gateway/src/amqp/front/mod.rs
@@ -12,6 +12,7 @@
 pub use counters::FrontCounters;
 
 use super::message::{reply, stamp, Reader, Unusable};
+use crate::shards::Places;
 use crate::state::{Answer, Arrival, CallFigures, Ticket};
 use stagehoist::{Effect, Micros};
 use stagehoist_admission::{Advice, Age, Bounds, Held, Intake, Window};
@@ -90,6 +91,8 @@
     blind_from: Micros,
     intake: Intake,
     advice: Advice,
+    /// None: the fleet isn't divided.
+    places: Option<Places>,
     pub counters: FrontCounters,
 }
 
@@ -97,6 +100,7 @@
     /// A front without a connection. `seed` spreads its reconnects and its advice.
     pub fn new(config: Rc<Config>, seed: u64, now: Micros) -> Front {
         let (most, keep) = config.answer_memory;
+        let places = Places::new(&config);
         let bounds = Bounds { calls: config.held_most, bytes: config.held_bytes_most };
         Front {
             reader: Reader::new(config.clone()),
@@ -125,6 +129,7 @@
             arrivals: Vec::new(),
             draining: false,
             stopping: BTreeSet::new(),
+            places,
             counters: FrontCounters::default(),
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`amqp`], [`workers`], [`list`]: the protocols to callers, to workers and to the worker list.
 //! - [`fleet`]: what a front end knows of retired functions, where its configuration has a fleet.
 //! - [`marked`]: attempts that wait for their call's mark on disk.
+//! - [`shards`]: one front end's part of a divided fleet.
 //! - [`serve`]: front ends started, watched and drained.
 //!
 //! Nothing here decides about a call: that is the module's, in the `stagehoist` package.
@@ -21,6 +22,7 @@
 pub mod marked;
 pub mod metrics_page;
 pub mod serve;
+pub mod shards;
 pub mod state;
 pub mod ways;
 pub mod workers;
--- a/crates/gateway/src/metrics_page.rs
+++ b/crates/gateway/src/metrics_page.rs
@@ -127,6 +127,14 @@
         ] {
             gauge!(name, "front_end" => self.label.clone()).set(value);
         }
+        if let Some((own, leaving)) = core.subset() {
+            let label = || self.label.clone();
+            gauge!("stagehoist_shard_workers", "front_end" => label()).set(own as f64);
+            gauge!("stagehoist_shard_workers_leaving", "front_end" => label()).set(leaving as f64);
+            counter!("stagehoist_shard_calls_leaving_total", "front_end" => label())
+                .absolute(f.leaving_shard);
+            counter!("stagehoist_shard_calls_other_total", "front_end" => label()).absolute(f.other_shard);
+        }
         if let Some(stage) = core.recovery_stage() {
             gauge!("stagehoist_recovery_stage", "front_end" => self.label.clone()).set(stage as u8 as f64);
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::error::GatewayError;
 use crate::fleet::{Desk, Entrance, Gate, Link, Starting, Witness};
 use crate::metrics_page;
+use crate::shards::{self, Shards};
 use crate::state::{module, Core, Decider, Figures};
 use crate::ways::AmqpWays;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -47,7 +48,8 @@
         Running { drain, threads: Vec::new(), stores: Vec::new(), states: Vec::new(), metrics: None };
     let mut links = links.into_iter();
     for number in 0..config.front_ends {
-        let (config, drained, mut link) = (config.clone(), drained.clone(), links.next().flatten());
+        let config = shards::own(config.clone(), number);
+        let (drained, mut link) = (drained.clone(), links.next().flatten());
         let others = link.as_mut().and_then(|l| l.others.take());
         let marks = marks(&config, number)?.map(|(marks, store)| {
             running.stores.push(store);
@@ -64,6 +66,7 @@
                 let (news, incoming) = mpsc::channel(driver::LINE);
                 let config = Rc::new(config);
                 let mut core = Core::with(decider, Figures::from(&*config), seed, clock.now());
+                core.divide(Shards::new(&config));
                 if let Some(entrance) = Entrance::new(&config, seed, clock.now()) {
                     core.enter_by(entrance);
                 }
--- /dev/null
+++ b/crates/gateway/src/shards.rs
@@ -0,0 +1,196 @@
+//! One front end's part of a divided fleet, without I/O: the queues that it consumes, the workers that its module is told of,
+//! and what it has to do with a function. Nothing of it exists where the configuration has no `shards`.
+
+use stagehoist::{Lifecycle, Micros, RosterForm, RosterRow, Settings, WorkerId};
+use stagehoist_config::{Config, Consume, Sharding};
+use stagehoist_membership::Update;
+use stagehoist_sharding::{place, ranked, Assignment, Division, Homes, Key, Member, Place};
+use stagehoist_sharding::{Serving, Shard, TenantParts, Transition};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Added to the longest time that an attempt or a load may take, before a worker that left the subset is told gone.
+const MARGIN: Micros = 1_000_000;
+
+/// The queue of a shard.
+pub fn queue(name: &str, shard: Shard) -> String {
+    format!("{name}.shard-{shard}")
+}
+
+/// The configuration of one front end of the process: with the queues of its shards, and its number among the fleet's.
+pub fn own(mut config: Config, number: u32) -> Config {
+    let Some(sharding) = config.sharding.as_mut() else { return config };
+    sharding.first += number;
+    let sharding = sharding.clone();
+    let served = sharding.divisions.served();
+    let shards: BTreeSet<Shard> = served.flat_map(|d| owned(&config, &sharding, d)).collect();
+    let of = |c: &Consume| -> Vec<Consume> {
+        shards.iter().map(|s| Consume { queue: queue(&c.queue, *s), ..c.clone() }).collect()
+    };
+    config.consume = config.consume.iter().flat_map(of).collect();
+    config
+}
+
+/// Own shards by number alone: two owners each at least, none made up for.
+fn owned(config: &Config, sharding: &Sharding, division: &Division) -> Vec<Shard> {
+    // The check refuses a number beyond the fleet.
+    ranked(division, sharding.first, config.fleet_front_ends).unwrap_or_default()
+}
+
+fn homes(sharding: &Sharding, division: &Division) -> Option<Homes> {
+    Homes::new(division, sharding.calls, &sharding.hot).ok()
+}
+
+/// What the module is told of how many share its workers and its tenants' quotas, in a divided fleet.
+pub fn settings(config: &Config, settings: &mut Settings) {
+    let Some(sharding) = &config.sharding else { return };
+    let divisions = &sharding.divisions;
+    let serving = Serving::new(divisions, &sharding.zones).ranked(config.fleet_front_ends);
+    settings.front_ends = serving.worst();
+    let each: Vec<_> = divisions.each().filter_map(|d| Some((d, homes(sharding, d)?))).collect();
+    let own: Vec<Vec<Shard>> = divisions.each().map(|d| owned(config, sharding, d)).collect();
+    let own: Vec<&[Shard]> = own.iter().map(|o| &o[..]).collect();
+    for (tenant, quota) in config.tenants.iter().zip(&mut settings.tenant_quota) {
+        let names = sharding.tenants.get(&tenant.name).map_or(&[][..], |n| &n[..]);
+        let parts = |(d, homes): &(&Division, Homes)| TenantParts::new(d, homes, &sizes(sharding, names));
+        let parts: Vec<TenantParts> = each.iter().map(parts).collect();
+        let parts: Vec<&TenantParts> = parts.iter().collect();
+        // The module divides what it is told by the front ends that it is told.
+        *quota *= serving.share_of(&parts, &own) * f64::from(settings.front_ends);
+    }
+}
+
+/// A tenant's functions by their told calls, or alike where one of them has none told.
+fn sizes(sharding: &Sharding, names: &[String]) -> Vec<(Key, f64)> {
+    let calls = |name: &String| sharding.hot.iter().find(|h| h.name == *name).map_or(0.0, |h| h.calls);
+    let alike = names.iter().any(|n| calls(n) <= 0.0);
+    names.iter().map(|n| (Key::of(n), if alike { 1.0 } else { calls(n) })).collect()
+}
+
+/// The homes and own shards of the divisions served, the newest last.
+pub struct Places(Vec<(Homes, Vec<Shard>)>);
+
+impl Places {
+    pub fn new(config: &Config) -> Option<Places> {
+        let sharding = config.sharding.as_ref()?;
+        let of = |d: &Division| Some((homes(sharding, d)?, owned(config, sharding, d)));
+        Some(Places(sharding.divisions.served().filter_map(of).collect()))
+    }
+
+    pub fn of(&self, function: &str) -> Place {
+        place(self.0.iter().map(|(homes, own)| (homes, &own[..])), Key::of(function), 0)
+    }
+}
+
+/// The workers of own shards, as the module is told of them.
+pub struct Shards {
+    /// Own shards of each division served, and all workers that are ready in them.
+    served: Vec<(Vec<Shard>, Assignment)>,
+    rows: BTreeMap<WorkerId, (Key, RosterRow)>,
+    /// In how many shards each of the subset is.
+    subset: BTreeMap<WorkerId, usize>,
+    transition: Transition,
+}
+
+impl Shards {
+    pub fn new(config: &Config) -> Option<Shards> {
+        let sharding = config.sharding.as_ref()?;
+        let longest = config.classes.iter().map(|c| c.give_up).max().unwrap_or(0).max(config.load_timeout);
+        let of = |d: &Division| (owned(config, sharding, d), Assignment::new(d));
+        Some(Shards {
+            served: sharding.divisions.served().map(of).collect(),
+            rows: BTreeMap::new(),
+            subset: BTreeMap::new(),
+            transition: Transition::new(longest + MARGIN),
+        })
+    }
+
+    /// What the module is told in place of what was heard of all workers.
+    pub fn heard<'a>(
+        &mut self,
+        update: Update,
+        name: impl Fn(WorkerId) -> Option<&'a str>,
+        now: Micros,
+    ) -> Update {
+        if update.form == RosterForm::Failed {
+            return update;
+        }
+        let listed: BTreeSet<WorkerId> = update.rows.iter().map(|r| r.worker).collect();
+        if update.form != RosterForm::Delta {
+            let left: Vec<WorkerId> = self.rows.keys().filter(|w| !listed.contains(w)).copied().collect();
+            left.into_iter().for_each(|w| self.goes(w));
+        }
+        for row in &update.rows {
+            let key = name(row.worker).map_or(Key::numbered(u64::from(row.worker)), Key::of);
+            self.comes(key, row);
+        }
+        let before = std::mem::take(&mut self.subset);
+        self.subset = self.members();
+        let mut rows: Vec<RosterRow> = update.rows.into_iter().map(|r| self.shared(r)).collect();
+        let mine = |w: WorkerId| self.subset.contains_key(&w);
+        rows = self.transition.listed(update.form, &rows, mine, now).rows;
+        // Workers that others' coming and going moved in or out.
+        let changed = |w: &&WorkerId| before.get(w) != self.subset.get(w) && !listed.contains(w);
+        let entered = self.subset.keys().filter(changed).filter_map(|w| self.rows.get(w));
+        let entered: Vec<RosterRow> = entered.map(|r| self.shared(r.1.clone())).collect();
+        let left = before.keys().filter(|w| !self.subset.contains_key(w) && !listed.contains(w));
+        let left: Vec<WorkerId> = left.copied().collect();
+        rows.extend(self.transition.moved(&entered, &left, now).rows);
+        Update { form: update.form, rows }
+    }
+
+    /// Tells gone what left long enough ago.
+    pub fn expired(&mut self, now: Micros) -> Option<Update> {
+        self.transition.expire(now).map(|told| Update { form: told.form, rows: told.rows })
+    }
+
+    pub fn due(&self) -> Option<Micros> {
+        self.transition.due()
+    }
+
+    /// Workers of the subset, and those that drain as they left it.
+    pub fn counts(&self) -> (usize, usize) {
+        self.transition.counts()
+    }
+
+    /// Each of a worker's shards is told its part of the worker.
+    fn shared(&self, row: RosterRow) -> RosterRow {
+        let among = self.subset.get(&row.worker).copied().unwrap_or(1).max(1);
+        RosterRow { capacity: row.capacity / among as f64, ..row }
+    }
+
+    fn members(&self) -> BTreeMap<WorkerId, usize> {
+        let ids: BTreeMap<Key, WorkerId> = self.rows.iter().map(|(w, r)| (r.0, *w)).collect();
+        let mut subset = BTreeMap::new();
+        for (own, assignment) in &self.served {
+            for key in own.iter().flat_map(|s| assignment.of_shard(*s)) {
+                let Some(worker) = ids.get(&key) else { continue };
+                let among = subset.entry(*worker).or_insert(0);
+                *among = assignment.shards(key).len().max(*among);
+            }
+        }
+        subset
+    }
+
+    fn comes(&mut self, key: Key, row: &RosterRow) {
+        if row.lifecycle == Lifecycle::Gone {
+            return self.goes(row.worker);
+        }
+        for (_, assignment) in &mut self.served {
+            match row.lifecycle {
+                Lifecycle::Ready => {
+                    let member = Member::keyed(key, u16::from(row.zone), row.capacity);
+                    if let Err(over) = assignment.insert(member) {
+                        tracing::warn!(%over, worker = row.worker, "a worker is left out");
+                    }
+                }
+                _ => drop(assignment.remove(key)),
+            }
+        }
+        self.rows.insert(row.worker, (key, row.clone()));
+    }
+
+    fn goes(&mut self, worker: WorkerId) {
+        let Some((key, _)) = self.rows.remove(&worker) else { return };
+        self.served.iter_mut().for_each(|(_, assignment)| drop(assignment.remove(key)));
+    }
+}
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -80,6 +80,8 @@
     outside: Outside,
     /// None: no pools.
     entrance: Option<Box<Entrance>>,
+    /// None: the fleet isn't divided.
+    shards: Option<Box<crate::shards::Shards>>,
     pub counters: Counters,
 }
 
@@ -111,6 +113,7 @@
             starting: None,
             outside: Outside::default(),
             entrance: None,
+            shards: None,
             counters: Counters::default(),
         }
     }
@@ -146,8 +149,8 @@
         let order = self.orders.values().map(|o| o.1).min();
         let part = self.part.as_ref().and_then(|p| p.due());
         let stage = self.starting.as_ref().and_then(|s| s.due());
-        let lane = self.entrance.as_ref().and_then(|e| e.due());
-        [timer, cut, order, part, stage, self.outside.due(), lane].into_iter().flatten().min()
+        let (lane, subset) = (self.entrance.as_ref().and_then(|e| e.due()), self.subset_due());
+        [timer, cut, order, part, stage, self.outside.due(), lane, subset].into_iter().flatten().min()
     }
 
     /// One batch: all news since the last, the module's choices, and what they mean for sockets.
@@ -156,6 +159,7 @@
             self.take(now, item, out);
         }
         self.look_at_start(now, out);
+        self.expire(now);
         while let Some(&(at, request, attempt)) = self.cuts.first() {
             if at > now {
                 break;
--- a/crates/gateway/src/state/core/workers.rs
+++ b/crates/gateway/src/state/core/workers.rs
@@ -2,6 +2,7 @@
 
 use super::super::Command;
 use super::Core;
+use crate::shards::Shards;
 use stagehoist::{Event, Lifecycle, Micros, RosterForm, WorkerId};
 use stagehoist_membership::Update;
 use std::collections::{BTreeMap, VecDeque};
@@ -85,8 +86,37 @@
         }
     }
 
-    /// Tells the module of workers, and all who have to know of them.
+    /// The fleet is divided: the module is told of the workers of own shards alone. Before the first list.
+    pub fn divide(&mut self, shards: Option<Shards>) {
+        self.shards = shards.map(Box::new);
+    }
+
+    /// In a divided fleet: workers of own shards, and those that drain as they left them.
+    pub fn subset(&self) -> Option<(usize, usize)> {
+        self.shards.as_ref().map(|s| s.counts())
+    }
+
+    pub(super) fn subset_due(&self) -> Option<Micros> {
+        self.shards.as_ref().and_then(|s| s.due())
+    }
+
+    /// Workers that left own shards are gone after a while.
+    pub(super) fn expire(&mut self, now: Micros) {
+        if let Some(update) = self.shards.as_mut().and_then(|s| s.expired(now)) {
+            self.tell_module(update, now);
+        }
+    }
+
     pub(super) fn tell(&mut self, update: Update, now: Micros) {
+        let update = match self.shards.as_mut() {
+            Some(shards) => shards.heard(update, |worker| self.members.name(worker), now),
+            None => update,
+        };
+        self.tell_module(update, now);
+    }
+
+    /// Tells the module of workers, and all who have to know of them.
+    fn tell_module(&mut self, update: Update, now: Micros) {
         if let Some(starting) = self.starting.as_mut() {
             starting.roster(&update);
         }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -62,8 +62,10 @@
 
 impl From<&Config> for Figures {
     fn from(config: &Config) -> Figures {
+        let mut settings = config.settings();
+        crate::shards::settings(config, &mut settings);
         Figures {
-            settings: config.settings(),
+            settings,
             kinds: config.kinds.iter().map(|k| k.name.clone()).collect(),
             zones: config.zones.clone(),
             // The list counts again when it contradicts a worker's word for longer than it may lag.
--- /dev/null
+++ b/crates/gateway/tests/shards.rs
@@ -0,0 +1,229 @@
+//! One front end's part of a divided fleet: its queues, its workers, and calls for functions of other shards.
+
+mod common;
+mod world;
+
+use common::{attempts, entries, MS};
+use stagehoist::{Lifecycle, RosterForm, RosterRow, WorkerId};
+use stagehoist_config::Consume;
+use stagehoist_gateway::shards::{own, queue, Places, Shards};
+use stagehoist_gateway::state::{AttemptResult, CallFigures, Core, Figures, News};
+use stagehoist_membership::Update;
+use stagehoist_sharding::{Place, Shard};
+use std::collections::{BTreeMap, BTreeSet};
+use world::*;
+
+const FOUR: &str = "fleet-front-ends 4\nshards 4 generation 1\n";
+
+/// The configuration of the front end with this number.
+fn of(more: &str, number: u32) -> Config {
+    own(Config::clone(&config(more)), number)
+}
+
+/// A function of the test's class whose place at the first front end is as wanted.
+fn function(more: &str, wanted: impl Fn(Place) -> bool) -> String {
+    let places = Places::new(&of(more, 0)).unwrap();
+    (0..).map(|i| format!("f{i}")).find(|f| wanted(places.of(f))).unwrap()
+}
+
+#[test]
+fn every_queue_has_two_consumers_and_nothing_changes_without_shards() {
+    let mut consumers: BTreeMap<String, usize> = BTreeMap::new();
+    for number in 0..4 {
+        let config = of(FOUR, number);
+        assert!(config.consume.iter().all(|c| (c.prefetch, c.declare) == (Some(10), Some(true))));
+        config
+            .consume
+            .into_iter()
+            .for_each(|Consume { queue, .. }| *consumers.entry(queue).or_insert(0) += 1);
+    }
+    let all: Vec<(String, usize)> = (0..4).map(|shard: Shard| (queue("calls", shard), 2)).collect();
+    assert_eq!(consumers.into_iter().collect::<Vec<_>>(), all);
+    assert_eq!(queue("calls", 3), "calls.shard-3");
+    let alone = config("fleet-front-ends 4\n");
+    assert_eq!(own(Config::clone(&alone), 3), *alone);
+    assert!(Shards::new(&alone).is_none() && Places::new(&alone).is_none());
+    assert_eq!(Figures::from(&*alone).settings, alone.settings());
+}
+
+/// While both divisions are served, the queues and functions of both.
+#[test]
+fn both_divisions_are_served_in_a_change() {
+    for (stage, shards) in [("announced", 4..5), ("both", 5..6), ("closing", 5..6)] {
+        let more = format!("fleet-front-ends 4\nshards 4 generation 1 next 5 stage {stage}\n");
+        let queues: BTreeSet<String> = (0..4).flat_map(|n| of(&more, n).consume).map(|c| c.queue).collect();
+        assert_eq!(queues.len(), shards.start, "{stage}");
+    }
+    let both = "fleet-front-ends 4\nshards 4 generation 1 next 5 stage both\n";
+    assert!(!function(both, |p| p == Place::Leaving).is_empty());
+}
+
+fn ready(workers: impl IntoIterator<Item = WorkerId>) -> Vec<RosterRow> {
+    let row =
+        |worker| RosterRow { worker, lifecycle: Lifecycle::Ready, capacity: 4.0, ..RosterRow::default() };
+    workers.into_iter().map(row).collect()
+}
+
+fn told(shards: &mut Shards, form: RosterForm, rows: Vec<RosterRow>, now: i64) -> Vec<RosterRow> {
+    shards.heard(Update { form, rows }, |_| None, now).rows
+}
+
+/// Over the fleet each worker's capacity is told once, in parts, to the front ends of each shard.
+#[test]
+fn workers_are_told_to_the_front_ends_of_their_shards() {
+    let mut parts: BTreeMap<WorkerId, BTreeSet<u64>> = BTreeMap::new();
+    let mut owners: BTreeMap<WorkerId, usize> = BTreeMap::new();
+    for number in 0..4 {
+        let mut shards = Shards::new(&of(FOUR, number)).unwrap();
+        let rows = told(&mut shards, RosterForm::Full, ready(1..=40), 0);
+        assert!((10..40).contains(&rows.len()), "{}", rows.len());
+        for row in rows {
+            parts.entry(row.worker).or_default().insert((4.0 / row.capacity) as u64);
+            *owners.entry(row.worker).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(parts.len(), 40, "a worker that nobody uses");
+    for (worker, among) in parts {
+        let among: Vec<u64> = among.into_iter().collect();
+        assert_eq!(among.len(), 1, "front ends differ");
+        assert!(owners[&worker] as u64 <= 2 * among[0]);
+    }
+}
+
+/// By changes and whole the module is told the same in the end; one that leaves drains, and is gone after a time.
+#[test]
+fn a_worker_that_others_push_out_drains_and_is_gone() {
+    let config = of(FOUR, 0);
+    let mut shards = Shards::new(&config).unwrap();
+    let mut module: BTreeMap<WorkerId, Lifecycle> = BTreeMap::new();
+    let mut listed: BTreeSet<WorkerId> = (1..=40).collect();
+    let mut take = |rows: Vec<RosterRow>| -> Vec<WorkerId> {
+        let rows: Vec<_> = rows.into_iter().map(|r| (r.worker, r.lifecycle)).collect();
+        let drained = rows.iter().filter(|r| r.1 == Lifecycle::Draining).map(|r| r.0).collect();
+        module.extend(rows);
+        drained
+    };
+    take(told(&mut shards, RosterForm::Full, ready(1..=40), 0));
+    let mut pushed = Vec::new();
+    for worker in 1..=20 {
+        listed.remove(&worker);
+        let gone = RosterRow { lifecycle: Lifecycle::Gone, ..ready([worker]).remove(0) };
+        pushed.extend(take(told(&mut shards, RosterForm::Delta, vec![gone], MS)));
+    }
+    assert!(!pushed.is_empty(), "the list was to push one out");
+    let due = shards.due().unwrap();
+    assert_eq!(due, MS + config.load_timeout + 1_000_000);
+    take(shards.expired(due).unwrap().rows);
+    module.retain(|_, l| *l != Lifecycle::Gone);
+    let mut whole = Shards::new(&config).unwrap();
+    let whole = told(&mut whole, RosterForm::Full, ready(listed), 0);
+    let whole: BTreeMap<WorkerId, Lifecycle> = whole.into_iter().map(|r| (r.worker, r.lifecycle)).collect();
+    assert_eq!(module, whole);
+}
+
+/// Through the whole of a front end's state: calls go to the subset alone, and none to what left it.
+#[test]
+fn calls_go_to_own_workers_and_none_to_one_that_left() {
+    let more = format!(
+        "{FOUR}function f* class lookup memory 64MB lanes 4 load 200ms\nworker-kind usual memory 1GB\n"
+    );
+    let config = Rc::new(of(&more, 0));
+    let mut now = 1_700_000_000_000_000;
+    let mut core = Core::new(Figures::from(&*config), 3, now);
+    core.divide(Shards::new(&config));
+    let names: Vec<String> = (0..40).map(|i| format!("w{i}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut used = [BTreeSet::new(), BTreeSet::new()];
+    let mut ticket = 0;
+    for (round, list) in [&names[..], &names[20..]].into_iter().enumerate() {
+        let mut out = Vec::new();
+        core.turn(now, &mut vec![News::List(entries(list))], &mut out);
+        for _ in 0..400 {
+            (ticket, now) = (ticket + 1, now + 5 * MS);
+            let function = format!("f{}", ticket % 29);
+            let arrival = Arrival {
+                ticket,
+                function: function.as_str().into(),
+                figures: CallFigures::configured(&config, &function).map(|f| f.0),
+                tenant: 0,
+                budget: 2_000 * MS,
+                read: 0,
+                repeat: false,
+                known: true,
+                body: Bytes::new(),
+                content_type: None,
+                correlation: "c".into(),
+                generation: None,
+                identity: None,
+            };
+            core.turn(now, &mut vec![News::Call(arrival)], &mut out);
+            for attempt in attempts(&std::mem::take(&mut out)) {
+                used[round].insert(attempt.worker);
+                let result = AttemptResult::bare(stagehoist::Outcome::Ok);
+                let ended = News::Attempt { request: attempt.request, attempt: attempt.attempt, result };
+                core.turn(now, &mut vec![ended], &mut out);
+            }
+        }
+    }
+    let subset = |list: &[&str]| -> BTreeSet<WorkerId> {
+        let mut members = stagehoist_membership::Members::new(vec![], vec![], 0);
+        let update = members.listed(entries(list), 0);
+        let mut shards = Shards::new(&config).unwrap();
+        shards.heard(update, |w| members.name(w), 0).rows.iter().map(|r| r.worker).collect()
+    };
+    let (before, after) = (subset(&names), subset(&names[20..]));
+    assert!(before.len() < 40 && after.len() < 20, "{} {}", before.len(), after.len());
+    assert!(used[0].len() > 3 && used[0].is_subset(&before), "{:?} of {before:?}", used[0]);
+    assert!(used[1].len() > 3 && used[1].is_subset(&after), "{:?} of {after:?}", used[1]);
+}
+
+#[test]
+fn a_call_of_another_shard_is_refused_and_counted() {
+    let more = format!("{FOUR}function f* class record memory 64MB\n");
+    let other = function(&more, |p| matches!(p, Place::Elsewhere(_)));
+    let mine = function(&more, |p| p == Place::Own);
+    let mut w = World::new(&more);
+    w.publish("a", &other, |p| p);
+    w.publish("b", &mine, |p| p);
+    let calls = w.arrivals();
+    assert_eq!(calls.iter().map(|c| &*c.function).collect::<Vec<_>>(), [mine.as_str()]);
+    assert_eq!((w.outcomes(), w.front.counters.other_shard), (vec![("a", "refused")], 1));
+    assert_eq!(w.caller.answers[0].2, "other-shard");
+    w.serve(&calls[0]);
+    w.settle();
+    assert_eq!((w.front.unsettled(), w.front.counters.leaving_shard), (0, 0));
+}
+
+/// A call that may have run at another front end, whose function is of another shard by now: it is not refused, which would
+/// say that nothing ran.
+#[test]
+fn an_unsafe_call_delivered_again_across_a_change_fails() {
+    let more = format!("{FOUR}function f* class record memory 64MB\n");
+    let other = function(&more, |p| matches!(p, Place::Elsewhere(_)));
+    // A front end of before, which owned all, takes it and is lost.
+    let mut w = World::new("function f* class record memory 64MB\n");
+    w.publish("a", &other, |p| p);
+    assert_eq!(w.arrivals().len(), 1);
+    w.cut();
+    w.front = Front::new(config(&more), 2, w.now);
+    w.connect();
+    assert!(w.arrivals().is_empty());
+    w.settle();
+    assert_eq!((w.outcomes(), w.front.counters.other_shard), (vec![("a", "failed")], 0));
+    assert_eq!(w.caller.answers[0].2, "delivered-before");
+}
+
+/// What each module divides its quota by adds up to the whole, also of a tenant whose functions are in one shard.
+#[test]
+fn quotas_over_the_fleet_add_up_to_what_is_told() {
+    for functions in ["", " functions recurring"] {
+        let more = format!("{FOUR}tenant south quota 100/s{functions}\n");
+        let share = |number| {
+            let settings = Figures::from(&of(&more, number)).settings;
+            settings.tenant_quota[1] / f64::from(settings.front_ends)
+        };
+        let shares: Vec<f64> = (0..4).map(share).collect();
+        assert!((shares.iter().sum::<f64>() - 100.0).abs() < 1e-9, "{shares:?}");
+        assert_eq!(shares.iter().filter(|s| **s > 0.0).count(), if functions.is_empty() { 4 } else { 2 });
+    }
+}
--- a/crates/sharding/src/lib.rs
+++ b/crates/sharding/src/lib.rs
@@ -37,7 +37,7 @@
 pub use division::{Division, DivisionError, SHARDS_MOST, SHARD_WEIGHT_MOST};
 pub use homes::{Homes, HotFunction, HOT_FUNCTIONS_MOST};
 pub use key::Key;
-pub use ownership::{ranked, FrontEnd, FrontEnds, Place};
+pub use ownership::{place, ranked, ranked_most, FrontEnd, FrontEnds, Place};
 pub use serving::{serving_most, Serving, TenantParts};
 pub use transition::{Told, Transition};
 
--- a/crates/sharding/src/ownership.rs
+++ b/crates/sharding/src/ownership.rs
@@ -98,18 +98,27 @@
         all
     }
 
-    /// What this front end has to do with a function; `homes` are those of the divisions served, in their
-    /// order.
+    /// What this front end has to do with a function; `homes` are those of the divisions served, in their order.
     pub fn place(&self, homes: &[&Homes], function: Key, call: u64) -> Place {
-        let in_own = |at: usize| homes.get(at).is_some_and(|h| h.any_in(function, &self.shards[at]));
-        match (0..self.shards.len()).rev().find(|at| in_own(*at)) {
-            Some(at) if at + 1 == self.shards.len() => Place::Own,
-            Some(_) => Place::Leaving,
-            None => Place::Elsewhere(homes.last().map_or(0, |h| h.for_call(function, call))),
-        }
+        let served = homes.iter().zip(&self.shards).map(|(homes, own)| (*homes, &own[..]));
+        place(served, function, call)
     }
 }
 
+/// What a front end has to do with a function, by the homes and its own shards, in ascending order, of each division that it
+/// serves, the newest last.
+pub fn place<'a>(served: impl Iterator<Item = (&'a Homes, &'a [Shard])>, function: Key, call: u64) -> Place {
+    let mut place = Place::Elsewhere(0);
+    for (homes, own) in served {
+        place = match place {
+            _ if homes.any_in(function, own) => Place::Own,
+            Place::Own | Place::Leaving => Place::Leaving,
+            Place::Elsewhere(_) => Place::Elsewhere(homes.for_call(function, call)),
+        };
+    }
+    place
+}
+
 /// The shards of a front end that has no list of front ends, from its number among the told many; in
 /// ascending order. Each shard is served by two of these numbers at least; nobody makes up for one that died,
 /// and zones are not looked at.
@@ -123,3 +132,10 @@
     own.sort_unstable();
     Ok(own)
 }
+
+/// Front ends of each shard at most, where all own by their numbers.
+pub fn ranked_most(division: &Division, of: u32) -> u32 {
+    let (shards, of) = (u64::from(division.shards()), u64::from(of.max(1)));
+    let each = (2 * shards).div_ceil(of).min(shards);
+    (of * each).div_ceil(shards).min(of) as u32
+}
--- a/crates/sharding/src/serving.rs
+++ b/crates/sharding/src/serving.rs
@@ -6,7 +6,7 @@
 use crate::division::Division;
 use crate::homes::Homes;
 use crate::limits::{rounding, share, turn, LIMIT, UNIT};
-use crate::ownership::FrontEnds;
+use crate::ownership::{ranked_most, FrontEnds};
 use crate::{Key, Shard};
 use std::collections::BTreeMap;
 
@@ -33,11 +33,12 @@
     divisions: &'a Divisions,
     zones: &'a [(u16, u32)],
     listed: Option<&'a FrontEnds>,
+    ranked: Option<u32>,
 }
 
 impl<'a> Serving<'a> {
     pub fn new(divisions: &'a Divisions, zones: &'a [(u16, u32)]) -> Serving<'a> {
-        Serving { divisions, zones, listed: None }
+        Serving { divisions, zones, listed: None, ranked: None }
     }
 
     /// Tenants' quotas are divided by those that the list tells, in full as long as all have the same list.
@@ -45,15 +46,35 @@
         Serving { listed: Some(listed), ..self }
     }
 
+    /// So many front ends own by their numbers alone.
+    pub fn ranked(self, of: u32) -> Serving<'a> {
+        Serving { ranked: Some(of), ..self }
+    }
+
+    /// Most front ends that any worker or function has, over both divisions, where the worker's capacity is told to each in
+    /// as many parts as it has shards.
+    pub fn worst(&self) -> u32 {
+        let worst = |d: &Division| (0..d.shards()).map(|s| self.most_of(d, s)).max().unwrap_or(1);
+        self.divisions.each().map(worst).fold(0, u32::saturating_add).clamp(1, self.all().max(1))
+    }
+
+    fn all(&self) -> u32 {
+        self.ranked.unwrap_or_else(|| self.zones.iter().map(|z| z.1).fold(0, u32::saturating_add))
+    }
+
+    fn most_of(&self, division: &Division, shard: Shard) -> u32 {
+        let ranked = self.ranked.map(|of| ranked_most(division, of));
+        ranked.unwrap_or_else(|| serving_most(division, shard, self.zones))
+    }
+
     /// Most front ends that may call a worker, or have calls of a function, in these shards of the old and of
     /// the new division, whatever lists tell. During a change those of both are added up: the greater of both
     /// would be too few, as those that serve a worker in the one needn't be those that serve it in the other.
     pub fn most(&self, shards: &[&[Shard]]) -> u32 {
-        let all = self.zones.iter().map(|z| z.1).fold(0, u32::saturating_add);
         let of = |(d, shards): (&Division, &&[Shard])| {
-            shards.iter().map(|s| serving_most(d, *s, self.zones)).fold(0, u32::saturating_add)
+            shards.iter().map(|s| self.most_of(d, *s)).fold(0, u32::saturating_add)
         };
-        self.divisions.each().zip(shards).map(of).fold(0, u32::saturating_add).clamp(1, all.max(1))
+        self.divisions.each().zip(shards).map(of).fold(0, u32::saturating_add).clamp(1, self.all().max(1))
     }
 
     /// The part of a tenant's quota that a front end with these shards, in the old and in the new division,
@@ -75,7 +96,7 @@
 
     fn among(&self, division: &Division, shard: Shard) -> u32 {
         let listed = self.listed.and_then(|l| l.served().find(|s| s.0 == division.generation()));
-        listed.map_or_else(|| serving_most(division, shard, self.zones), |l| l.1.of_shard(shard).len() as u32)
+        listed.map_or_else(|| self.most_of(division, shard), |l| l.1.of_shard(shard).len() as u32)
     }
 }
 
--- a/crates/sharding/tests/balance.rs
+++ b/crates/sharding/tests/balance.rs
@@ -122,6 +122,7 @@
     let (all, _) = Assignment::of(&division(300), list.iter().copied());
     let of_shard: Vec<usize> = (0..300).map(|s| all.of_shard(s).len()).collect();
     let shards: Vec<usize> = list.iter().map(|m| all.shards(m.key).len()).collect();
+    println!("most shards of a member {:?}", shards.iter().max());
     let beside = shards.iter().sum::<usize>() - list.len();
     println!(
         "{} members: {:?} a shard, {beside} stand in",
--- a/crates/sharding/tests/change.rs
+++ b/crates/sharding/tests/change.rs
@@ -5,7 +5,7 @@
 use common::{even, front_ends, rng};
 use rand::{Rng, RngExt};
 use stagehoist_sharding::*;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 
 /// The stages that a front end goes through, and the generations that it says it serves there.
 const STAGES: [(Option<Stage>, (u32, u32)); 5] = [
@@ -27,7 +27,6 @@
 
 struct Fleet {
     members: Vec<Member>,
-    /// Stage of each.
     at: Vec<usize>,
     /// What each works with; those of one stage differ by their own shards only.
     each: Vec<FrontEnds>,
@@ -140,6 +139,35 @@
     assert!(worst <= 1.0 + 1e-9 && worst > 0.6, "{worst}");
 }
 
+/// The same with one number for a front end's whole run and each shard told its part of a worker that has several, as the
+/// front ends of `serve` have it; without the parts the sum breaks.
+#[test]
+fn one_number_for_all_workers_keeps_the_sum_where_each_shard_is_told_its_part() {
+    let (mut parts, mut whole) = (0.0f64, 0.0f64);
+    for seed in 0..10 {
+        let mut rng = rng(seed);
+        for (old, new) in [(8, 9), (9, 8), (8, 4), (8, 16)] {
+            for stage in 0..4 {
+                let fleet = Fleet::new(24, (old, new), (stage, stage + 1), false, &mut rng);
+                let worst = |at| f64::from(Serving::new(&divisions(at, old, new), &ZONES).worst());
+                // Its shards in the divisions served at this stage.
+                let among = |at: usize, shards: &[&[u32]]| match at {
+                    0 | 1 => shards[0].len(),
+                    2 => shards[0].len().max(shards[1].len()),
+                    _ => shards[shards.len() - 1].len(),
+                };
+                let by = |at, shards: &[&[u32]]| worst(at) * among(at, shards) as f64;
+                parts = parts.max(sums(&fleet, old, new, by));
+                whole = whole.max(sums(&fleet, old, new, |at, _| worst(at)));
+            }
+        }
+    }
+    println!(
+        "of a budget of 1 at most {parts:.2} is given, {whole:.2} where the whole worker is told to each"
+    );
+    assert!(parts <= 1.0 + 1e-9 && parts > 0.5 && whole > 1.0, "{parts} {whole}");
+}
+
 /// Negative controls: dividing by the greater of both divisions, and leaving out a stage.
 #[test]
 fn the_greater_of_both_or_a_stage_left_out_breaks_the_sum() {
@@ -198,23 +226,6 @@
     }
 }
 
-/// The bound by which is divided is never less than what lists give, of any part of the fleet.
-#[test]
-fn no_shard_has_more_front_ends_than_the_bound() {
-    for (shards, weights) in [(8, BTreeMap::new()), (30, BTreeMap::from([(4, 5)])), (3, BTreeMap::new())] {
-        let division = Division::weighted(shards, 1, weights).unwrap();
-        let members = even("f", 140, 3);
-        for few in (1..=140).step_by(3) {
-            let (all, _) = Assignment::of(&division, members[..few].iter().copied());
-            for shard in 0..shards {
-                let most = serving_most(&division, shard, &[(0, 47), (1, 47), (2, 46)]);
-                assert!(all.of_shard(shard).len() as u32 <= most, "{few} in {shards}");
-            }
-        }
-        assert_eq!(serving_most(&division, shards, &ZONES), 0);
-    }
-}
-
 /// A call for a function of another shard is told apart, and where it belongs.
 #[test]
 fn where_a_function_belongs() {
--- a/crates/sharding/tests/zones.rs
+++ b/crates/sharding/tests/zones.rs
@@ -8,9 +8,10 @@
 use proptest::test_runner::RngSeed;
 use rand::RngExt;
 use stagehoist_sharding::{
-    ranked, Assignment, Division, Divisions, FrontEnd, FrontEnds, Member, MEMBERS_MOST,
+    ranked, ranked_most, serving_most, Assignment, Division, Divisions, FrontEnd, FrontEnds, Member,
+    MEMBERS_MOST,
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 fn zones(list: &[Member]) -> usize {
     list.iter().map(|m| m.zone).collect::<BTreeSet<u16>>().len()
@@ -172,6 +173,7 @@
             ranked(&division, rank, of).unwrap().into_iter().for_each(|s| owners[s as usize] += 1);
         }
         assert!(owners.iter().all(|n| *n >= 2.min(of)), "{shards} {of}: {owners:?}");
+        assert!(owners.iter().all(|n| *n <= ranked_most(&division, of)), "{shards} {of}: {owners:?}");
     }
 }
 
@@ -187,3 +189,20 @@
     assert!(other.insert(Member::new("one more", 0, 1.0)).is_err());
     assert_eq!(homes(&one, &list), homes(&other, &list));
 }
+
+/// The bound by which is divided is never less than what lists give, of any part of the fleet.
+#[test]
+fn no_shard_has_more_front_ends_than_the_bound() {
+    for (shards, weights) in [(8, BTreeMap::new()), (30, BTreeMap::from([(4, 5)])), (3, BTreeMap::new())] {
+        let division = Division::weighted(shards, 1, weights).unwrap();
+        let members = even("f", 140, 3);
+        for few in (1..=140).step_by(3) {
+            let (all, _) = Assignment::of(&division, members[..few].iter().copied());
+            for shard in 0..shards {
+                let most = serving_most(&division, shard, &[(0, 47), (1, 47), (2, 46)]);
+                assert!(all.of_shard(shard).len() as u32 <= most, "{few} in {shards}");
+            }
+        }
+        assert_eq!(serving_most(&division, shards, &[(0, 47)]), 0);
+    }
+}
