Idle clients that hold all descriptors keep neither the event bus nor executors out

Need: idle clients may fill the descriptors while discovery is down.

Seen, with the system's limit reached under the bounds of our own: - follow.rs gave the bus' descriptor away with its connection and asked for another after a pause: whoever accepted or connected meanwhile had it, and the bus was away until an idle client left by itself. - accept.rs waited 20 ms after a refusal and let no one make way, as its bound was not reached. - links.rs told a connection that found no descriptor as not up: ConnectFailed, and the executor was ejected. orders.rs did the same for a probe where the bound was reached; attempts ended as Full there, without a test. - bounds.rs chose a connection accepted a moment ago, whose request was on its way, before any idle one that had asked. - Connections closed and read on for 250 ms were not in the clients' bound.

Change: the bus' next socket is made in the instant in which the last one is closed. Whoever holds more, clients or executors, makes way with an idle connection; a connection to an executor waits for that one, before newcomers, for the told connect time at most, and then ends as Full, as a probe does; an order ends as one that never left. What never asked is the first to go once it has had 50 ms to ask. Lingering connections count in the bound, and the bound knows the system's limit. Accepting asks the system once in 20 ms, and once for each connection that was closed. (The system takes a descriptor before it looks whether anyone is in line: after the last newcomer one more makes way and stays in hand.)

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod bad_clients;
 mod calls;
 mod closes;
+mod descriptors;
 mod ending;
 mod leaving;
 mod lists;
--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -18,6 +18,12 @@
     Duration::from_millis(n)
 }
 
+/// Addresses of its own for each run: the system gives out none of them, nor connects from them.
+pub fn own_address(port: u16) -> SocketAddr {
+    let [_, b, c, d] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 64 + b % 64, c, d.clamp(1, 254)], port))
+}
+
 pub struct Stage {
     pub _folder: tempfile::TempDir,
     pub config: PathBuf,
--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -10,6 +10,8 @@
 const EACH: u64 = 24;
 /// A client that said nothing whole for so long is closed.
 pub const SAY_WITHIN: Micros = 2_000_000;
+/// The first request of a connection may be so long on its way.
+const ON_ITS_WAY: Micros = 50_000;
 /// A connection without an open request is closed after so long; clients close theirs sooner.
 pub const IDLE: Micros = 6_000_000;
 /// A client that takes no bytes for so long is closed.
@@ -56,10 +58,12 @@
     pub active: Micros,
 }
 
-/// Which connection makes way for a new one: the longest silent of those that never asked, else the longest idle. None where
-/// all are at work.
-pub fn victim<K: Copy>(seen: impl Iterator<Item = (K, Seen)>) -> Option<K> {
-    seen.filter(|(_, s)| s.open == 0).min_by_key(|(_, s)| (s.asked, s.active)).map(|(k, _)| k)
+/// Which connection makes way for a new one: the longest silent of those that had time to ask and never did, else the
+/// longest idle. None where all are at work. One that was just accepted is no better a choice than one that has asked: its
+/// request is on its way.
+pub fn victim<K: Copy>(seen: impl Iterator<Item = (K, Seen)>, now: Micros) -> Option<K> {
+    let spared = |s: &Seen| s.asked || now - s.active < ON_ITS_WAY;
+    seen.filter(|(_, s)| s.open == 0).min_by_key(|(_, s)| (spared(s), s.active)).map(|(k, _)| k)
 }
 
 /// Whether a client's connection is over by its own silence: nothing whole in time, half a request, or long idle.
@@ -88,9 +92,15 @@
     fn who_never_asked_makes_way_first_and_who_is_at_work_never() {
         let s = |asked, open, active| Seen { asked, open, active };
         let all = [s(true, 0, 1), s(false, 0, 7), s(false, 0, 5), s(true, 1, 0)];
-        assert_eq!(victim(all.iter().copied().enumerate()), Some(2));
-        assert_eq!(victim([s(true, 0, 9), s(true, 0, 3)].into_iter().enumerate()), Some(1));
-        assert_eq!(victim([s(true, 1, 1)].into_iter().enumerate()), None);
+        let late = 2 * ON_ITS_WAY;
+        assert_eq!(victim(all.iter().copied().enumerate(), late), Some(2));
+        assert_eq!(victim([s(true, 0, 9), s(true, 0, 3)].into_iter().enumerate(), late), Some(1));
+        assert_eq!(victim([s(true, 1, 1)].into_iter().enumerate(), late), None);
+        // Just accepted: it has had no time to ask, and goes by its age as those that did.
+        let young = [s(false, 0, late - 1), s(true, 0, 9), s(true, 0, 8)];
+        assert_eq!(victim(young.into_iter().enumerate(), late), Some(2));
+        assert_eq!(victim(young[..1].iter().copied().enumerate(), late), Some(0));
+        assert_eq!(victim(young.into_iter().enumerate(), 2 * late), Some(0));
     }
 
     #[test]
--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -2,44 +2,55 @@
 
 use super::{sockets, Clients, Conn};
 use crate::bounds;
+use crate::descriptors::{is_want, Holder};
 use crate::session::Session;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
-/// A pause after a connection could not be accepted, so that the loop does not spin at the limit of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Connections looked at for one that makes way.
 const VICTIMS_MOST: usize = 8;
 
 impl Clients {
     /// Accepts until dropped.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
+        let descriptors = &self.shared.descriptors;
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                () = descriptors.changed() => {
+                    descriptors.executors_first().await;
+                    continue;
+                }
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     if self.admit(stream) {
                         // The connection that made way must be let go of first.
                         tokio::task::yield_now().await;
                     }
                 }
-                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+                Err(error) => {
+                    self.count(|c| c.not_accepted += 1);
+                    // The system takes a descriptor before it looks whether anyone is in line: after the last newcomer one
+                    // more connection makes way, and its descriptor is in hand for the next.
+                    if is_want(&error) {
+                        descriptors.make_way();
+                    }
+                    // A pause whatever became of it, so that the loop does not spin at the limit of descriptors.
+                    descriptors.wait_last().await;
+                }
             }
         }
     }
 
     pub(super) fn admit(self: &Rc<Self>, stream: TcpStream) -> bool {
-        let full = self.conns.borrow().len() >= self.bounds.clients;
-        if full {
-            let Some(conn) = self.victim() else {
-                self.count(|c| c.not_admitted += 1);
-                return true;
-            };
-            self.count(|c| c.made_way += 1);
-            conn.over.set(true);
-            conn.wake.notify_one();
+        let full = self.held() >= self.bounds.clients;
+        if full && !self.make_way() {
+            self.count(|c| c.not_admitted += 1);
+            return true;
         }
         if stream.set_nodelay(true).is_err() {
             return full;
@@ -57,11 +68,11 @@
 
     /// The connection that makes way, no longer listed; none in whose socket something lies, as that may be a request.
     fn victim(&self) -> Option<Rc<Conn>> {
-        let mut passed = Vec::new();
+        let (mut passed, now) = (Vec::new(), self.shared.clock.now());
         for _ in 0..VICTIMS_MOST {
             let conns = self.conns.borrow();
             let open = conns.values().filter(|c| !passed.contains(&c.id));
-            let id = bounds::victim(open.map(|c| (c.id, c.session.borrow().seen())))?;
+            let id = bounds::victim(open.map(|c| (c.id, c.session.borrow().seen())), now)?;
             if conns.get(&id).is_some_and(|c| !sockets::has_unread(&c.stream)) {
                 drop(conns);
                 return self.conns.borrow_mut().remove(&id);
@@ -71,3 +82,18 @@
         None
     }
 }
+
+impl Holder for Clients {
+    /// Those that are closed and read on for a while hold theirs too.
+    fn held(&self) -> usize {
+        self.connections() + self.lingering.get()
+    }
+
+    fn make_way(&self) -> bool {
+        let Some(conn) = self.victim() else { return false };
+        self.count(|c| c.made_way += 1);
+        conn.over.set(true);
+        conn.wake.notify_one();
+        true
+    }
+}
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -41,6 +41,8 @@
     pub accepted: u64,
     pub made_way: u64,
     pub not_admitted: u64,
+    /// The system refused to accept one.
+    pub not_accepted: u64,
     pub unusable: u64,
     pub unreadable: u64,
     pub turned_away: u64,
--- a/crates/platform/src/clients/talk.rs
+++ b/crates/platform/src/clients/talk.rs
@@ -71,6 +71,8 @@
             self.lingering.set(self.lingering.get() - 1);
         }
         self.written.notify_one();
+        drop(conn);
+        self.shared.descriptors.freed();
     }
 
     /// False once the client is gone.
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -44,6 +44,13 @@
     pub sockets: u64,
 }
 
+impl Limits {
+    /// With no more descriptors than so many.
+    pub fn at_most(self, sockets: u64) -> Limits {
+        Limits { sockets: self.sockets.min(sockets), ..self }
+    }
+}
+
 fn one() -> f64 {
     1.0
 }
--- a/crates/platform/src/executors/choice.rs
+++ b/crates/platform/src/executors/choice.rs
@@ -2,6 +2,7 @@
 
 use super::links::{Link, State};
 use super::Executors;
+use crate::descriptors::Holder;
 use crate::line::{End, Line};
 use socket2::SockRef;
 use stagehoist::WorkerId;
@@ -17,7 +18,7 @@
 impl Executors {
     /// Opens a connection, off the path of calls.
     fn open(self: &Rc<Self>, worker: WorkerId) -> Option<Rc<Link>> {
-        if self.links.get() >= self.bounds.executors && !self.spare_one(worker) {
+        if self.links.get() >= self.bounds.executors && !self.spare_one(Some(worker)) {
             return None;
         }
         let mut executors = self.executors.borrow_mut();
@@ -37,10 +38,10 @@
         Some(link)
     }
 
-    /// Closes an idle connection of another executor.
-    fn spare_one(&self, but: WorkerId) -> bool {
+    /// Closes an idle connection, of another executor than this one.
+    fn spare_one(&self, but: Option<WorkerId>) -> bool {
         let executors = self.executors.borrow();
-        let idle = executors.iter().filter(|(w, _)| **w != but).flat_map(|(_, e)| &e.links);
+        let idle = executors.iter().filter(|(w, _)| Some(**w) != but).flat_map(|(_, e)| &e.links);
         let idle = idle.filter(|l| l.state.get() == State::Up && l.line.borrow().is_idle());
         match idle.min_by_key(|l| l.line.borrow().active()) {
             Some(link) => {
@@ -96,6 +97,16 @@
     }
 }
 
+impl Holder for Executors {
+    fn held(&self) -> usize {
+        self.connections()
+    }
+
+    fn make_way(&self) -> bool {
+        self.spare_one(None)
+    }
+}
+
 /// Whether the other side closed a connection on which nothing more is to be read: what the socket knows already, asked without waiting.
 pub(super) fn is_dead(link: &Link) -> bool {
     let Some(stream) = link.stream.borrow().clone() else { return true };
--- a/crates/platform/src/executors/links.rs
+++ b/crates/platform/src/executors/links.rs
@@ -9,7 +9,6 @@
 use std::cell::{Cell, RefCell};
 use std::io::{self, Read};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -72,19 +71,11 @@
     }
 
     pub(super) async fn talk(self: Rc<Self>, link: Rc<Link>, address: Rc<str>) {
-        let limit = Duration::from_micros(self.limits.connect_timeout as u64);
-        let connecting = tokio::time::timeout(limit, TcpStream::connect(&*address));
-        tokio::pin!(connecting);
-        let stream = loop {
-            tokio::select! {
-                done = &mut connecting => break done.ok().and_then(Result::ok),
-                () = link.wake.notified() => if matches!(link.state.get(), State::Over(_)) { break None },
-            }
-        };
+        let (stream, wants) = self.handshake(&link, &address).await;
         match stream.filter(|s| s.set_nodelay(true).is_ok() && link.state.get() == State::Connecting) {
             None => {
                 self.count(|c| c.not_up += 1);
-                link.state.set(State::Over(End::NotUp));
+                link.state.set(State::Over(if wants { End::NoRoom } else { End::NotUp }));
             }
             Some(stream) => {
                 self.count(|c| c.connected += 1);
@@ -191,8 +182,11 @@
             let _ = stream.set_zero_linger();
         }
         *link.stream.borrow_mut() = None;
+        if how != End::NoRoom {
+            self.shared.descriptors.freed();
+        }
         match how {
-            End::NotUp => {}
+            End::NotUp | End::NoRoom => {}
             End::Broken => self.count(|c| c.broken += 1),
             End::Poisoned => self.count(|c| c.poisoned += 1),
         }
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -2,6 +2,7 @@
 //! connection means for each request that was on it.
 
 mod choice;
+mod handshake;
 mod links;
 mod orders;
 
--- a/crates/platform/src/executors/orders.rs
+++ b/crates/platform/src/executors/orders.rs
@@ -72,7 +72,10 @@
                 self.mark(link);
             }
             None => {
-                let (outcome, report, draining) = (Outcome::ConnectFailed, None, None);
+                // For want of descriptors of its own it speaks against no executor; one that is not listed is gone.
+                let listed = self.executors.borrow().contains_key(&worker);
+                let outcome = if listed { Outcome::Full } else { Outcome::ConnectFailed };
+                let (report, draining) = (None, None);
                 self.late_news.borrow_mut().push_back(News::Probed {
                     worker,
                     sent,
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch};
 
 const CONNECT: Duration = Duration::from_millis(500);
@@ -25,17 +25,23 @@
     // Read and not yet handed to the driver. It outlives the connection: the next one is asked for later events only.
     let mut waiting = VecDeque::new();
     loop {
+        // Made in the instant in which the one before it was let go of, with nothing awaited between: whatever else may want
+        // its descriptor, the bus has it.
+        let to = *address.borrow_and_update();
+        let socket = unconnected(to);
+        if socket.is_err() {
+            shared.descriptors.make_way();
+        }
         if !hand_over(&shared.news, &mut waiting).await {
             return;
         }
         let pause = Duration::from_micros(bus.pause() as u64);
-        let to = *address.borrow_and_update();
         let connecting = async {
             tokio::time::sleep(pause).await;
-            tokio::time::timeout(CONNECT, TcpStream::connect(to)).await
+            tokio::time::timeout(CONNECT, socket?.connect(to)).await?
         };
         let stream = tokio::select! {
-            done = connecting => done.ok().and_then(Result::ok),
+            done = connecting => done.ok(),
             changed = address.changed() => match changed {
                 Ok(()) => continue,
                 Err(_) => return,
@@ -54,6 +60,14 @@
     }
 }
 
+fn unconnected(to: SocketAddr) -> io::Result<TcpSocket> {
+    if to.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    }
+}
+
 /// Gives the driver what waits for it; false once there is no driver. Dropped at any time it loses nothing, as nothing is
 /// awaited between taking an item and handing it over.
 async fn hand_over(news: &mpsc::Sender<News>, waiting: &mut VecDeque<News>) -> bool {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`pulse`]: for how long this process itself did not run.
 //! - [`reload`]: a configuration read again at a signal, until it can be read.
 //!
-//! With sockets, thin: [`shared`], [`clients`], [`executors`], [`follow`], [`run`].
+//! With sockets, thin: [`shared`], [`descriptors`], [`clients`], [`executors`], [`follow`], [`run`].
 //!
 //! Nothing here decides about a call: that is the module's, in the `stagehoist` package.
 #![forbid(unsafe_code)]
@@ -19,6 +19,7 @@
 pub mod bus;
 pub mod clients;
 pub mod config;
+pub mod descriptors;
 pub mod executors;
 pub mod fields;
 mod flat;
--- a/crates/platform/src/line/ending.rs
+++ b/crates/platform/src/line/ending.rs
@@ -67,9 +67,12 @@
             Tag::Call(id) | Tag::Own(id) => *id,
         });
         for (tag, begun) in tags {
+            let order = self.open.get(&tag).is_some_and(|o| matches!(o.what, What::Load { .. }));
             let outcome = match how {
+                // That an order never arrived is told by `ConnectFailed` alone, and costs its worker nothing.
+                End::NoRoom if !order => Outcome::Full,
                 _ if !begun => Outcome::ConnectFailed,
-                End::NotUp => Outcome::ConnectFailed,
+                End::NotUp | End::NoRoom => Outcome::ConnectFailed,
                 End::Broken => Outcome::Reset,
                 End::Poisoned => Outcome::Error,
             };
--- a/crates/platform/src/line/mod.rs
+++ b/crates/platform/src/line/mod.rs
@@ -67,6 +67,8 @@
 pub enum End {
     /// Refused, or not up in time: nothing was written.
     NotUp,
+    /// It had no descriptor of this process: nothing was written, and it speaks against no executor.
+    NoRoom,
     /// It broke or was closed.
     Broken,
     /// What came can't be read.
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -4,9 +4,9 @@
 use crate::bus::Bus;
 use crate::clients::{Clients, Shared};
 use crate::config::{ConfigError, Told};
+use crate::descriptors;
 use crate::executors::{Executors, Limits};
 use crate::follow::follow;
-use crate::pulse::BEAT;
 use crate::reload;
 use crate::replay::Replay;
 use crate::session::Catalog;
@@ -16,7 +16,6 @@
 use stagehoist_gateway::state::{Command, Core, News};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
@@ -72,7 +71,7 @@
     let clock = Clock::new();
     let (news, incoming) = mpsc::channel(driver::LINE);
     let shared = Rc::new(Shared::new(clock, news.clone()));
-    let bounds = Bounds::new(&told.limits);
+    let bounds = Bounds::new(&told.limits.at_most(descriptors::most()));
     let clients = Rc::new(Clients::new(shared.clone(), Catalog::from(&told), bounds));
     let limits = Limits {
         streams: told.streams,
@@ -83,6 +82,8 @@
         classes: told.classes.iter().map(|c| c.name.clone()).collect(),
     };
     let executors = Rc::new(Executors::new(shared.clone(), limits, bounds));
+    shared.descriptors.add(&clients);
+    shared.descriptors.add(&executors);
     // The events of the start come first in the line, so that the module has them before any call.
     let (events, last) = &told.known;
     let _ = news.send(News::Roster { form: RosterForm::Full, told: Vec::new() }).await;
@@ -96,16 +97,7 @@
     tasks.spawn_local(follow(shared.clone(), executors.clone(), Bus::new(*last, clock.now()), bus_seen));
     let listener = Rc::new(listener);
     let accepting = tasks.spawn_local(clients.clone().accept(listener.clone()));
-    let beating = shared.clone();
-    tasks.spawn_local(async move {
-        let mut beat = tokio::time::interval(Duration::from_micros(BEAT as u64));
-        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            beat.tick().await;
-            let now = beating.clock.now();
-            beating.pulse.borrow_mut().beat(now);
-        }
-    });
+    tasks.spawn_local(shared.clone().beat());
     let (drain, draining) = watch::channel(false);
     tasks.spawn_local(async move {
         loop {
--- /dev/null
+++ b/crates/platform/tests/descriptors/ends.rs
@@ -0,0 +1,86 @@
+//! What ends for want of a descriptor of our own, and what that says of the executor: nothing.
+
+use crate::stage::{accept, anywhere, at_the_limit, listen, read_until, Stage};
+use stagehoist::{Action, Event, FrontEnd, Lifecycle, Outcome, RosterForm, RosterRow};
+use stagehoist_gateway::state::News;
+use stagehoist_platform::Told;
+
+/// How an attempt, a probe and an order to load at this executor end.
+async fn ends(stage: &mut Stage, worker: u32) -> [Outcome; 3] {
+    stage.send(worker, 9);
+    stage.executors.probe(worker);
+    stage.executors.turned();
+    stage.executors.load(worker, 7, "7f3a9c21e0b4d655", 1);
+    stage.executors.turned();
+    let mut ends = [Outcome::Ok; 3];
+    for _ in 0..3 {
+        match stage.next().await {
+            News::Attempt { request: 9, result, .. } => ends[0] = result.outcome,
+            News::Probed { worker: of, outcome, .. } if of == worker => ends[1] = outcome,
+            News::Loaded { worker: of, outcome, copies: 0, .. } if of == worker => ends[2] = outcome,
+            other => panic!("{other:?}"),
+        }
+    }
+    ends
+}
+
+/// An order that never left is told as such, for its ration alone: it costs the executor nothing.
+const OWN_WANT: [Outcome; 3] = [Outcome::Full, Outcome::Full, Outcome::ConnectFailed];
+
+#[test]
+fn where_all_connections_that_may_be_are_at_work_nothing_speaks_against_an_executor() {
+    at_the_limit(|mut full| async move {
+        let mut stage = Stage::new(1).await;
+        let (listener, address) = listen(anywhere());
+        stage.at(&[1, 2], address);
+        stage.send(1, 1);
+        stage.until(|| stage.executors.counters.get().connected == 1).await;
+        full.fill();
+        let side = accept(&stage, &mut full, &listener).await;
+        read_until(&stage, &side, "RUN 0000000000000001").await;
+        assert_eq!(ends(&mut stage, 2).await, OWN_WANT);
+    });
+}
+
+#[test]
+fn where_the_system_has_no_descriptor_left_nothing_speaks_against_an_executor() {
+    at_the_limit(|mut full| async move {
+        let mut stage = Stage::new(8).await;
+        let (_listener, address) = listen(anywhere());
+        stage.at(&[1], address);
+        full.fill();
+        assert_eq!(ends(&mut stage, 1).await, OWN_WANT);
+        // One that is not listed is gone, and one that refuses is down: both are told.
+        assert_eq!(ends(&mut stage, 2).await, [Outcome::ConnectFailed; 3]);
+        drop(full);
+        drop(_listener);
+        assert_eq!(ends(&mut stage, 1).await, [Outcome::ConnectFailed; 3]);
+    });
+}
+
+/// The module's part: which end of a probe ejects.
+#[test]
+fn a_probe_that_ended_for_want_of_our_own_ejects_no_one() {
+    let ejected = |outcome: Outcome| {
+        let settings = Told::parse(include_str!("../config.json")).unwrap().settings;
+        let mut module = FrontEnd::new(settings, 3, 0);
+        let row = RosterRow {
+            worker: 1,
+            kind: 0,
+            lifecycle: Lifecycle::Ready,
+            zone: 0,
+            started: 0,
+            cell: 0,
+            capacity: 4.0,
+        };
+        let events = [
+            Event::Roster { form: RosterForm::Full, rows: [row].into() },
+            Event::Probed { worker: 1, outcome, took: 0, report: None },
+        ];
+        let mut out = Vec::new();
+        module.handle(1000, &events, &mut out);
+        out.iter().any(|a| matches!(a, Action::Log { text } if text.starts_with("eject worker 1")))
+    };
+    assert!(!ejected(Outcome::Full));
+    assert!(ejected(Outcome::ConnectFailed), "a connection that was refused does");
+}
--- /dev/null
+++ b/crates/platform/tests/descriptors/stage.rs
@@ -0,0 +1,250 @@
+//! A front end's sockets with the test as driver, client, executor and bus, in a process whose descriptors run out. What the
+//! test does between two waits is one instant for the front end: a descriptor that it lets go of and takes again there is
+//! never free for it.
+
+use bytes::Bytes;
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+use socket2::{Domain, SockAddr, Socket, Type};
+use stagehoist::{Lifecycle, Micros, RosterForm, RosterRow};
+use stagehoist_gateway::clock::Clock;
+use stagehoist_gateway::state::{Attempt, News};
+use stagehoist_membership::Told as Row;
+use stagehoist_platform::bounds::Bounds;
+use stagehoist_platform::clients::{Clients, Shared};
+use stagehoist_platform::executors::{Executors, Limits};
+use stagehoist_platform::session::Catalog;
+use stagehoist_platform::Told;
+use std::fs::File;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+pub const WAIT: Duration = Duration::from_secs(10);
+/// Descriptors that the process may have in these tests.
+const MOST: u64 = 128;
+const HEALTH: &[u8] = b"*3\r\n$6\r\nHEALTH\r\n$1\r\n8\r\n$0\r\n\r\n";
+const CALL: &[u8] = b"*5\r\n$3\r\nREQ\r\n$1\r\n9\r\n$4\r\nlook\r\n$77\r\n\
+    ref=9b1f03aa5c7e2d41,allow=1500,project=acme,lookup=7f3a9c21e0b4d655,effort=8\r\n$1\r\nx\r\n";
+
+/// The limit is the whole process': one test at a time.
+static ONE: Mutex<()> = Mutex::new(());
+
+/// Runs a test on the front end's one thread, with a limit that it may reach.
+pub fn at_the_limit<F: std::future::Future>(test: impl FnOnce(Full) -> F) {
+    let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let before = getrlimit(Resource::Nofile);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let local = tokio::task::LocalSet::new();
+    setrlimit(Resource::Nofile, Rlimit { current: Some(MOST), ..before }).unwrap();
+    let test = test(Full(Vec::new()));
+    let done = local.block_on(&runtime, async { tokio::time::timeout(3 * WAIT, test).await });
+    setrlimit(Resource::Nofile, before).unwrap();
+    assert!(done.is_ok(), "in time");
+}
+
+/// Descriptors that the test holds so that no one else can.
+pub struct Full(Vec<File>);
+
+impl Full {
+    /// Takes all that are left.
+    pub fn fill(&mut self) {
+        while let Ok(file) = File::open("/dev/null") {
+            self.0.push(file);
+        }
+    }
+
+    /// Does something that needs descriptors, in one instant; what is left of them is taken again.
+    pub fn with<T>(&mut self, act: impl FnOnce() -> T) -> T {
+        self.0.truncate(self.0.len() - 4);
+        let done = act();
+        self.fill();
+        done
+    }
+}
+
+pub struct Stage {
+    pub shared: Rc<Shared>,
+    pub clients: Rc<Clients>,
+    pub executors: Rc<Executors>,
+    pub news: mpsc::Receiver<News>,
+    pub listen: SocketAddr,
+}
+
+impl Stage {
+    /// A front end that accepts, with room for so many connections to executors.
+    pub async fn new(links: usize) -> Stage {
+        let told = Told::parse(include_str!("../config.json")).unwrap();
+        let (sender, news) = mpsc::channel(64);
+        let shared = Rc::new(Shared::new(Clock::new(), sender));
+        let limits = Limits {
+            streams: 1,
+            idle_close: 60_000_000,
+            connect_timeout: 8_000_000,
+            order_timeout: 8_000_000,
+            report: Vec::new(),
+            classes: vec!["look".into()],
+        };
+        let bounds = Bounds { clients: 100, executors: links, held_bytes: 1 << 20 };
+        let clients = Rc::new(Clients::new(shared.clone(), Catalog::from(&told), bounds));
+        let executors = Rc::new(Executors::new(shared.clone(), limits, bounds));
+        shared.descriptors.add(&clients);
+        shared.descriptors.add(&executors);
+        clients.serve(true);
+        let listener = Rc::new(tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap());
+        let listen = listener.local_addr().unwrap();
+        tokio::task::spawn_local(clients.clone().accept(listener));
+        Stage { shared, clients, executors, news, listen }
+    }
+
+    /// These executors are ready at an address.
+    pub fn at(&self, workers: &[u32], address: SocketAddr) {
+        let row = |worker| RosterRow {
+            worker,
+            kind: 0,
+            lifecycle: Lifecycle::Ready,
+            zone: 0,
+            started: 0,
+            cell: 0,
+            capacity: 4.0,
+        };
+        let told = |w: &u32| Row { name: format!("s-{w:08x}"), address: address.to_string(), row: row(*w) };
+        self.executors.told(RosterForm::Delta, &workers.iter().map(told).collect::<Vec<_>>());
+    }
+
+    /// One small attempt in a turn of its own.
+    pub fn send(&self, worker: u32, request: u32) {
+        self.executors.attempt(Attempt {
+            request,
+            attempt: 0,
+            worker,
+            address: "".into(),
+            class: 0,
+            function: "7f3a9c21e0b4d655".into(),
+            due: self.shared.clock.now() + 60_000_000 as Micros,
+            body: Bytes::from_static(b"x"),
+            content_type: None,
+            correlation: format!("{request:016x}").into(),
+            mark: None,
+        });
+        self.executors.turned();
+    }
+
+    pub async fn next(&mut self) -> News {
+        tokio::time::timeout(WAIT, self.news.recv()).await.expect("in time").unwrap()
+    }
+
+    /// Waits until something holds, with the front end running.
+    pub async fn until(&self, mut holds: impl FnMut() -> bool) {
+        let by = tokio::time::Instant::now() + WAIT;
+        while !holds() {
+            assert!(tokio::time::Instant::now() < by, "in time");
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    /// How often the system refused to accept a connection.
+    pub fn refused(&self) -> u64 {
+        self.clients.counters.get().not_accepted
+    }
+
+    /// Clients that were accepted and have asked once.
+    pub async fn idle_clients(&self, many: usize) -> Vec<Client> {
+        let mut clients: Vec<Client> = (0..many).map(|_| Client::new()).collect();
+        for client in &mut clients {
+            client.ask(self.listen);
+            self.until(|| client.is_serving()).await;
+        }
+        clients
+    }
+}
+
+/// A client, whose descriptor is taken before the limit is reached.
+pub struct Client {
+    socket: Socket,
+    connected: bool,
+}
+
+impl Client {
+    pub fn new() -> Client {
+        Client { socket: Socket::new(Domain::IPV4, Type::STREAM, None).unwrap(), connected: false }
+    }
+
+    /// The system accepts it where the front end has not yet.
+    pub fn connect(&mut self, listen: SocketAddr) {
+        if !std::mem::replace(&mut self.connected, true) {
+            self.socket.connect(&listen.into()).unwrap();
+            self.socket.set_nonblocking(true).unwrap();
+        }
+    }
+
+    /// Writes HEALTH, connected before or now.
+    pub fn ask(&mut self, listen: SocketAddr) {
+        self.connect(listen);
+        (&self.socket).write_all(HEALTH).unwrap();
+    }
+
+    /// Writes a request that stays open until it is answered.
+    pub fn call(&mut self) {
+        (&self.socket).write_all(CALL).unwrap();
+    }
+
+    /// Whether an answer lies there, which is taken.
+    pub fn is_serving(&mut self) -> bool {
+        let mut bytes = [0; 256];
+        let n = (&self.socket).read(&mut bytes).unwrap_or(0);
+        bytes[..n].windows(7).any(|w| w == b"serving")
+    }
+}
+
+/// A listener that never waits.
+pub fn listen(at: SocketAddr) -> (TcpListener, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    socket.bind(&SockAddr::from(at)).unwrap();
+    socket.listen(64).unwrap();
+    socket.set_nonblocking(true).unwrap();
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// One that the system gives to no one and connects from for no one: where the bus may be away for a while.
+pub fn own_address() -> SocketAddr {
+    let [_, b, c, d] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 64 + b % 64, c, d.clamp(1, 254)], 5400))
+}
+
+pub fn anywhere() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// The next connection, which needs a descriptor that is never free for the front end.
+pub async fn accept(stage: &Stage, full: &mut Full, listener: &TcpListener) -> TcpStream {
+    let mut found = None;
+    stage
+        .until(|| {
+            found = full.with(|| listener.accept().ok());
+            found.is_some()
+        })
+        .await;
+    let stream = found.unwrap().0;
+    stream.set_nonblocking(true).unwrap();
+    stream
+}
+
+/// Reads until some text came.
+pub async fn read_until(stage: &Stage, mut stream: &TcpStream, text: &str) {
+    let mut read = String::new();
+    let mut bytes = [0; 4096];
+    stage
+        .until(|| {
+            if let Ok(n) = stream.read(&mut bytes) {
+                read.push_str(std::str::from_utf8(&bytes[..n]).unwrap());
+            }
+            read.contains(text)
+        })
+        .await;
+}
--- a/crates/standin/src/platform/bus.rs
+++ b/crates/standin/src/platform/bus.rs
@@ -58,7 +58,12 @@
 impl EventBus {
     /// A bus whose events so far end at `last`; must be called inside a runtime.
     pub async fn start(last: u64) -> std::io::Result<EventBus> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        EventBus::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), last).await
+    }
+
+    /// One at a told address, where another may have been before.
+    pub async fn start_at(address: SocketAddr, last: u64) -> std::io::Result<EventBus> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State { events: Vec::new(), mood: Mood::Well, connections: 0 }));
         let (changed, seen) = watch::channel(last);
