--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -4,12 +4,16 @@
 use crate::fields;
 pub use crate::flat::flatten;
 use crate::roster::{Event, Known};
+use rustix::fs::OFlags;
 use serde::Deserialize;
 use serde_json::Value;
 use stagehoist::{wire, Micros, Settings};
 use stagehoist_gateway::state::Figures;
 use std::collections::BTreeSet;
+use std::fs::File;
+use std::io::{self, Read};
 use std::net::SocketAddr;
+use std::os::unix::fs::OpenOptionsExt;
 
 /// What is wrong with a configuration.
 #[derive(Debug, thiserror::Error)]
@@ -25,7 +29,7 @@
 }
 
 #[derive(Deserialize)]
-struct File {
+struct Document {
     name: String,
     listen: String,
     seed: String,
@@ -105,13 +109,20 @@
         Told::read_plain(&std::env::var("GW_CONFIG").map_err(|_| ConfigError::Unset)?)
     }
 
-    /// Reads a plain file only: opening a pipe waits for its writer, and calls would wait with it.
+    /// Reads a plain file only: opening a pipe waits for its writer, and calls would wait with it. So it is opened without
+    /// waiting, and what was opened is looked at: what stands under the path may be another file by then.
     pub fn read_plain(path: &str) -> Result<Told, ConfigError> {
-        let plain = std::fs::metadata(path).and_then(|m| match m.is_file() {
-            true => std::fs::read_to_string(path),
-            false => Err(std::io::Error::other("not a plain file")),
-        });
-        Told::parse(&plain.map_err(|error| ConfigError::Read { path: path.into(), error })?)
+        let read = || {
+            let flags = OFlags::NONBLOCK.bits() as i32;
+            let mut file = File::options().read(true).custom_flags(flags).open(path)?;
+            if !file.metadata()?.is_file() {
+                return Err(io::Error::other("not a plain file"));
+            }
+            let mut text = String::new();
+            file.read_to_string(&mut text)?;
+            Ok(text)
+        };
+        Told::parse(&read().map_err(|error| ConfigError::Read { path: path.into(), error })?)
     }
 
     /// Names what differs in `new`, but for the address of the bus and what is new each time: the seed and the events so far.
@@ -133,7 +144,7 @@
 
     /// Checks and translates a configuration.
     pub fn parse(text: &str) -> Result<Told, ConfigError> {
-        let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))?;
+        let file: Document = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))?;
         let field =
             |field, what: &dyn std::fmt::Display| ConfigError::Field { field, what: what.to_string() };
         let address = |name, text: &str| {
--- a/crates/platform/src/reload/tests.rs
+++ b/crates/platform/src/reload/tests.rs
@@ -1,5 +1,11 @@
 use super::*;
+use rustix::fs::{mknodat, FileType, Mode, CWD};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Instant;
 
+/// Readings that met the file, and that met the pipe, while they change places.
+const READS: usize = 300;
 const TEXT: &str = include_str!("../../tests/config.json");
 
 fn pause(look: Look) -> u64 {
@@ -55,6 +61,49 @@
     }
 }
 
+/// A plain file and a pipe that no one writes to stand under the path by turns, so that one takes the other's place between
+/// any two looks at it: no reading waits.
+#[test]
+fn a_pipe_that_takes_the_files_place_while_it_is_read_is_not_waited_for() {
+    let folder = std::env::temp_dir().join(format!("stagehoist-reload-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (path, plain, pipe) = (folder.join("c.json"), folder.join("plain"), folder.join("pipe"));
+    std::fs::write(&plain, TEXT).unwrap();
+    mknodat(CWD, &pipe, FileType::Fifo, Mode::from_raw_mode(0o600), 0).unwrap();
+    std::fs::copy(&plain, &path).unwrap();
+    let (over, reads) = (Arc::new(AtomicBool::new(false)), Arc::new([0, 0].map(AtomicUsize::new)));
+    let swap = {
+        let (over, path, next) = (over.clone(), path.clone(), folder.join("next"));
+        move || {
+            while !over.load(Ordering::Relaxed) {
+                for from in [&pipe, &plain] {
+                    std::fs::hard_link(from, &next).unwrap();
+                    std::fs::rename(&next, &path).unwrap();
+                }
+            }
+        }
+    };
+    let read = {
+        let (reads, path) = (reads.clone(), path.to_string_lossy().into_owned());
+        move || {
+            while reads.iter().any(|n| n.load(Ordering::Relaxed) < READS) {
+                let read = Told::read_plain(&path);
+                reads[usize::from(read.is_ok())].fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    };
+    let (swapping, reading) = (std::thread::spawn(swap), std::thread::spawn(read));
+    let by = Instant::now() + Duration::from_secs(20);
+    while !reading.is_finished() && Instant::now() < by {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    over.store(true, Ordering::Relaxed);
+    swapping.join().unwrap();
+    let seen = reads.each_ref().map(|n| n.load(Ordering::Relaxed));
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(seen.iter().all(|n| *n >= READS), "a reading waits for a writer, after {seen:?}");
+}
+
 #[test]
 fn what_is_no_file_is_not_waited_for() {
     // A folder stands for all that is no plain file: opening a pipe would hold up the loop until someone writes.
