--- a/crates/cli/tests/platform/descriptors.rs
+++ b/crates/cli/tests/platform/descriptors.rs
@@ -38,7 +38,8 @@
     async fn newcomer(&self) -> Client {
         let mut client = self.client().await;
         client.raw(&array(HEALTH)).await.unwrap();
-        assert_eq!(client.wait(1, ms(5000)).await[0].word, "serving");
+        let answers = client.wait(1, ms(5000)).await;
+        assert_eq!(answers.first().map(|a| a.word.as_str()), Some("serving"));
         client
     }
 
@@ -55,12 +56,12 @@
     }
 }
 
-/// How the limit is reached.
+/// By whom the limit is reached.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Reached {
-    ByClients,
-    ByExecutors,
-    ByBoth,
+    Clients,
+    Executors,
+    Both,
 }
 
 async fn the_limit_reached(how: Reached) {
@@ -75,10 +76,10 @@
     let (mut idle, mut before_all) = (Vec::new(), Vec::new());
     let by = Instant::now() + Duration::from_secs(20);
     let (mut most, mut next) = (0, 1_000_000);
-    if how != Reached::ByExecutors {
+    if how != Reached::Executors {
         idle = stage.idle(200).await;
     }
-    if how != Reached::ByClients {
+    if how != Reached::Clients {
         while most < MOST as usize && Instant::now() < by {
             let mut client = stage.newcomer().await;
             stage.calls_everywhere(&mut client, next).await;
@@ -130,15 +131,15 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn idle_clients_that_fill_the_descriptors_keep_neither_bus_nor_executors_out() {
-    the_limit_reached(Reached::ByClients).await;
+    the_limit_reached(Reached::Clients).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn connections_to_executors_that_fill_the_descriptors_keep_neither_bus_nor_clients_out() {
-    the_limit_reached(Reached::ByExecutors).await;
+    the_limit_reached(Reached::Executors).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn clients_and_executors_that_fill_the_descriptors_keep_the_bus_not_out() {
-    the_limit_reached(Reached::ByBoth).await;
+    the_limit_reached(Reached::Both).await;
 }
