--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -4,10 +4,12 @@
 mod bad_clients;
 mod calls;
 mod closes;
+mod descriptors;
 mod ending;
 mod leaving;
 mod lists;
 mod reload;
+mod restart;
 mod shutdown;
 mod stage;
 mod start;
--- a/crates/platform/src/clients/talk.rs
+++ b/crates/platform/src/clients/talk.rs
@@ -73,6 +73,8 @@
             self.lingering.set(self.lingering.get() - 1);
         }
         self.written.notify_one();
+        drop(conn);
+        self.shared.descriptors.freed();
     }
 
     async fn pass_on(&self, conn: &Conn) {
--- a/crates/platform/tests/crossings/main.rs
+++ b/crates/platform/tests/crossings/main.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod cancelled;
 mod client;
+mod clients;
 mod held_back;
 mod lines;
 mod permutations;
