The cold budget holds as a sum: arrivals, established capacity, told starts, learned nothing

Need: rule 4 binds the sum over all front ends; so far it was measured only with saturated workers and calls that arrive at once.

Now it weighs in each slot until it has ended.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -38,7 +38,7 @@
     row: RosterRow,
     ready: bool,
     cold_from: Option<Micros>,
-    /// Weight sent while cold in one slot of the told window.
+    /// Slot of the told window, and the weight of what was sent in it or was out when it began.
     spent: (Micros, f64),
     /// When it was last told to be gone.
     left: Micros,
@@ -115,10 +115,11 @@
     price: Price,
     class_run: Vec<Option<f64>>,
     class_work: Vec<Option<f64>>,
-    /// Class work that established workers serve for this front end, for each unit of capacity in a window.
+    /// Class work served for this front end in a window by each unit of the established workers' capacity.
     usual: f64,
     usual_at: Micros,
     served: f64,
+    established: f64,
     arrivals: VecDeque<Micros>,
     /// Orders to load and the calls that count for their ration.
     ration: Ration,
@@ -166,6 +167,7 @@
     }
 
     pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
+        self.turn_slots(now);
         for event in events {
             match event {
                 Event::Roster { form, rows } => self.take_roster(now, *form, rows, out),
@@ -260,9 +262,9 @@
             f.order = ranked(r.function, &self.workers);
         }
         (f.memory, f.lanes) = (r.memory_mb.max(0.0), r.lanes.clamp(1.0, 1e4) as usize);
-        let stretch = class.aim_stretch * r.work.unwrap_or(0) as f64;
         let deadline = now + r.budget.max(0) - (2 * self.settings.tick).min(r.budget.max(0) / 4);
-        let aim_at = (now + class.aim + stretch as Micros).min(deadline);
+        let aim_at =
+            deadline.min(now + class.aim + (class.aim_stretch * r.work.unwrap_or(0) as f64) as Micros);
         let base = self.base_run(r);
         let worth = self.shares.worth(&self.settings, r, base, now);
         let came = if r.came > 0 { r.came.min(now) } else { now } - self.settings.tick;
@@ -318,11 +320,11 @@
         let flights = &mut self.workers[i].flights;
         if let Some(at) = flights.iter().position(|a| (a.request, a.number) == (e.request, e.attempt)) {
             let attempt = flights.swap_remove(at);
-            let class = self.functions.get(&attempt.function).map_or(0, |f| f.class);
             let (w, ok) = (&mut self.workers[i], e.outcome == Outcome::Ok);
-            w.cold_from = w.cold_from.filter(|&t| !ok || t == w.row.started || attempt.sent > t);
-            let counts = ok && w.cold_from.is_none();
-            self.served += if counts { self.weight(class) } else { 0.0 };
+            let from = w.cold_from.map(|t| if ok && attempt.sent <= t { w.row.started } else { t });
+            w.cold_from = from.filter(|&t| t > 0 && now < t + self.settings.warm_up);
+            let counts = ok && w.ready && w.cold_from.is_none() && w.row.capacity > 0.0;
+            self.served += if counts { attempt.weight / self.established.max(w.row.capacity) } else { 0.0 };
             self.learn(i, now, e, &attempt, out);
         }
         let Some(p) = self.pending.get_mut(&e.request) else { return };
@@ -675,9 +677,8 @@
             }
         }
         let over = self.queue.range((true, Micros::MIN, 0)..=(true, now, RequestId::MAX));
-        for id in over.map(|x| x.2).collect::<Vec<_>>() {
-            self.try_place(id, (ready, doubt), now, out);
-        }
+        let over: Vec<_> = over.map(|x| x.2).collect();
+        over.into_iter().for_each(|id| _ = self.try_place(id, (ready, doubt), now, out));
         self.order_loads(now, out);
         self.probe(now, out);
         self.set_timer(now, out);
@@ -798,17 +799,16 @@
         }
         silent.into_iter().for_each(|i| self.strike(i, now, true, out));
         again.into_iter().for_each(|(id, number)| self.try_again(id, number, now, out));
+        let usable = |w: &&Worker| w.ready && w.cold_from.is_none() && w.believed.ejected_until <= now;
+        self.established = self.workers.iter().filter(usable).map(|w| w.row.capacity).sum();
         if self.usual_at + window <= now {
             self.functions.retain(|_, f| now - f.calls.1 < 8 * keep);
             self.wanted.retain(|f, _| self.functions.contains_key(f));
-            let span = now - self.usual_at;
-            self.usual_at = now;
+            let span = now - std::mem::replace(&mut self.usual_at, now);
             self.workers.iter_mut().for_each(|w| w.believed.warm.retain(|_, x| x.until + keep > now));
-            let usable = |w: &&Worker| w.ready && w.cold_from.is_none() && w.believed.ejected_until <= now;
-            let capacity: f64 = self.workers.iter().filter(usable).map(|w| w.row.capacity).sum();
             self.load_pace = self.load_pace.map(|x| x + 0.1 * (1.0 - x));
             let work = std::mem::take(&mut self.served) * window as f64 / span as f64;
-            self.usual += if capacity > 0.0 { 0.3 * (work / capacity - self.usual) } else { 0.0 };
+            self.usual += if self.established > 0.0 { 0.3 * (work - self.usual) } else { 0.0 };
         }
     }
 
@@ -960,24 +960,27 @@
     }
 
     /// Rule 4: in each slot of the told window a cold worker gets the told share and multiple of what others
-    /// serve (not: are sent) for this front end, so that the sum stays under what it can do. A part below one
-    /// request is a chance, drawn anew for each slot. Could harm: a cold worker is used late.
+    /// serve (not: are sent, but where none is established) for this front end, so that the sum stays under
+    /// what it can do. A part below one request is a chance, drawn for each slot. Could harm: used late.
     fn cold_room(&self, i: usize, p: &Pending, now: Micros) -> bool {
         let w = &self.workers[i];
         let (s, share) = (&self.settings, self.share(w, now));
-        let came = self.arrivals.len() as f64 / s.load_window.max(s.keep).max(1) as f64;
-        let spread = came * s.fall_window as f64 / self.fleet.max(1.0);
+        let came = self.arrivals.len() as f64 * self.alike / s.load_window.max(s.keep).max(1) as f64;
+        let spread = came * s.fall_window as f64 / self.fleet.max(1.0) / s.front_ends.max(1) as f64;
         let usual = if self.usual > 0.0 { self.usual } else { spread };
         let budget = MARGIN * share * s.fall_multiple * usual * w.row.capacity;
-        let (slot, weight) = (self.cold_slot(w, now), self.weight(p.request.class));
-        let spent = if w.spent.0 == slot { w.spent.1 } else { 0.0 };
-        w.cold_from.is_none()
-            || spent + weight <= budget + weight * rank(self.seed ^ slot as u64, w.row.worker as u64)
+        let draw = rank(self.seed ^ w.spent.0 as u64, w.row.worker as u64);
+        let weight = self.weight(p.request.class);
+        w.cold_from.is_none() || w.spent.1 + weight <= budget + weight * draw
     }
 
-    fn cold_slot(&self, w: &Worker, now: Micros) -> Micros {
-        let window = self.settings.fall_window.max(1);
-        (now + (rank(self.seed, w.row.worker as u64) * window as f64) as Micros) / window
+    /// Begins the slots that are due. What is out may arrive in any until it has ended.
+    fn turn_slots(&mut self, now: Micros) {
+        let (seed, window) = (self.seed, self.settings.fall_window.max(1));
+        for w in &mut self.workers {
+            let at = (now + (rank(seed, w.row.worker as u64) * window as f64) as Micros) / window;
+            w.spent = if w.spent.0 == at { w.spent } else { (at, w.flights.iter().map(|a| a.weight).sum()) };
+        }
     }
 
     /// Sends a request. Nothing is sent to a worker that is not ready (rule 3), beyond a cold worker's budget
@@ -988,8 +991,7 @@
         if !w.ready || !self.may_resend(id, now) || !self.in_group(p, w) || !self.cold_room(x.index, p, now) {
             return;
         }
-        let (slot, carried, weight) =
-            (self.cold_slot(w, now), self.carried(w, now), self.weight(p.request.class));
+        let (carried, weight) = (self.carried(w, now), self.weight(p.request.class));
         let (keep, on_load) = (self.settings.keep, self.settings.on_miss == OnMiss::Load);
         let likely = self.hits.is_none_or(|x| x > RISK);
         self.unhold(id);
@@ -999,7 +1001,7 @@
         p.attempts.push((w.row.worker, now, Run::Out));
         w.carried = (carried + 2.0 * x.base / keep.max(1) as f64, now);
         w.tries.add(number > 0, now, budget);
-        w.spent = (slot, if w.spent.0 == slot { w.spent.1 + weight } else { weight });
+        w.spent.1 += weight;
         if let Some(warm) = w.believed.warm.get_mut(&p.request.function).filter(|_| x.warm) {
             (warm.used, warm.until) = (now, warm.until.max(now + keep));
         } else if on_load {
@@ -1009,13 +1011,13 @@
             w.believed.loading_until = if x.home && likely { w.believed.loading_until } else { ready };
         }
         out.push(Action::Send { request: id, worker: w.row.worker, timeout: 0 });
-        let function = p.request.function;
-        w.flights.push(Attempt { request: id, number, function, sent: now, predicted: x, noticed: false });
+        let (function, sent) = (p.request.function, now);
+        w.flights.push(Attempt { request: id, number, function, weight, sent, predicted: x, noticed: false });
     }
 
     /// Orders a load: to ready workers only (rule 3), one at a time on each, inside the ration (rule 5).
     fn load(&mut self, i: usize, function: FunctionId, now: Micros, out: &mut Vec<Action>) {
-        let (s, w) = (&self.settings, &self.workers[i]);
+        let (s, w, worker) = (&self.settings, &self.workers[i], self.workers[i].row.worker);
         if !s.may_order || !w.ready || !w.believed.loads.is_empty() || !self.ration.allows(now, s) {
             return;
         }
@@ -1025,12 +1027,11 @@
         if held + size(&function) > memory {
             let idle = w.believed.warm.iter().filter(|(f, _)| w.flights.iter().all(|a| a.function != **f));
             if let Some(f) = idle.min_by_key(|(f, x)| (x.used, **f)).map(|(f, _)| *f) {
-                out.push(Action::Drop { worker: w.row.worker, function: f });
+                out.push(Action::Drop { worker, function: f });
                 self.workers[i].believed.warm.remove(&f);
             }
         }
         self.workers[i].believed.loads.insert(function, now);
-        let worker = self.workers[i].row.worker;
         self.ration.gave((worker, function), now, &self.settings);
         out.push(Action::Load { worker, function, copies: 1 });
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -23,6 +23,8 @@
     pub request: RequestId,
     pub number: u16,
     pub function: FunctionId,
+    /// Its class's work as a share of the mean, when it was sent.
+    pub weight: f64,
     pub sent: Micros,
     pub predicted: Prediction,
     pub noticed: bool,
