--- /dev/null
+++ b/crates/scale/src/lib.rs
@@ -0,0 +1,23 @@
+//! Scale tests: what each role of the fleet costs, measured over sizes with the product's own code, beside the limits of the
+//! users' letter. The product does not need this package.
+//!
+//! - [`letter`]: the fleet to come and what control may cost.
+//! - [`row`], [`fit`]: a row with its points, the curve through them, the figure at full size.
+//! - [`plan`]: which sizes, which seed, the negative control; all rows.
+//! - [`report`]: the table, the ranking, the verdict.
+//! - [`record`]: sessions with the record and changes to force.
+#![forbid(unsafe_code)]
+
+pub mod error;
+pub mod fit;
+pub mod letter;
+pub mod meter;
+pub mod plan;
+pub mod record;
+pub mod report;
+pub mod row;
+
+pub use error::ScaleError;
+pub use fit::{Curve, Fit, Point};
+pub use plan::{measures, Measure, Plan, Size};
+pub use row::{Mark, Resource, Role, Row, Subject};
--- /dev/null
+++ b/crates/scale/src/main.rs
@@ -0,0 +1,79 @@
+//! `stagehoist-scale quick | full | small`: rows with measured figures, the ranking, the verdict.
+
+use clap::{Parser, Subcommand};
+use stagehoist_scale::{measures, report, Plan, ScaleError, Size};
+use std::process::ExitCode;
+use std::time::Instant;
+
+#[derive(Parser)]
+#[command(version, about = "Measures what breaks first on the way to the fleet to come")]
+struct Arguments {
+    #[command(subcommand)]
+    size: Sizes,
+    /// Draws everything.
+    #[arg(long, default_value_t = 7, global = true)]
+    seed: u64,
+    /// Only rows whose name begins so.
+    #[arg(long, global = true)]
+    row: Vec<String>,
+    /// The negative control: each row with its mechanism off or a fault put in.
+    #[arg(long, global = true)]
+    control: bool,
+    /// Divided front ends: each serves one of so many shards.
+    #[arg(long, global = true)]
+    shards: Option<u32>,
+}
+
+#[derive(Clone, Copy, Subcommand)]
+enum Sizes {
+    /// For CI, within ten seconds: only counts judge.
+    Small,
+    /// Within three minutes.
+    Quick,
+    /// All sizes.
+    Full,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    match run(&arguments) {
+        Ok(held) if held => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> Result<bool, ScaleError> {
+    let size = match arguments.size {
+        Sizes::Small => Size::Small,
+        Sizes::Quick => Size::Quick,
+        Sizes::Full => Size::Full,
+    };
+    let plan = Plan { size, seed: arguments.seed, control: arguments.control, shards: arguments.shards };
+    let asked = |name: &str| {
+        arguments.row.is_empty() || arguments.row.iter().any(|prefix| name.starts_with(prefix.as_str()))
+    };
+    let all = measures();
+    if let Some(unknown) = arguments.row.iter().find(|r| !all.iter().any(|m| m.name.starts_with(r.as_str())))
+    {
+        return Err(ScaleError::Unknown(unknown.clone()));
+    }
+    println!("load {}", std::fs::read_to_string("/proc/loadavg").unwrap_or_default().trim());
+    println!("{}", report::HEAD);
+    let mut rows = Vec::new();
+    for measure in all.iter().filter(|m| asked(m.name)) {
+        let began = Instant::now();
+        let row = (measure.run)(&plan)?;
+        println!("{}", report::line(&row));
+        eprintln!("{} took {:.1} s", measure.name, began.elapsed().as_secs_f64());
+        rows.push(row);
+    }
+    println!("\n{}", report::ranking(&rows));
+    println!("load {}", std::fs::read_to_string("/proc/loadavg").unwrap_or_default().trim());
+    let verdict = report::verdict(&rows, size);
+    println!("{verdict}");
+    Ok(verdict == "SCALE held")
+}
