Rows of one front end, of the list, of events and of traces, with real codecs and the real module

Scenes are played in simulated time with the real decision module, list and names; workers are hollow. The list is real bytes with its real codecs.

--- /dev/null
+++ b/crates/scale/src/front_end/list_state.rs
@@ -0,0 +1,80 @@
+//! The list of workers of a scene, and what each change of it tells.
+
+use super::scene::{Change, Scene};
+use stagehoist::{Lifecycle, Micros, RosterForm, RosterRow, WorkerId};
+
+#[derive(Clone, Copy)]
+struct Place {
+    replaced: u32,
+    started: Micros,
+    lifecycle: Lifecycle,
+}
+
+pub struct ListState {
+    places: Vec<Place>,
+}
+
+/// What is told: the form, the rows, and the workers whose process began anew.
+pub struct News {
+    pub form: RosterForm,
+    pub rows: Vec<RosterRow>,
+    pub restarted: Vec<WorkerId>,
+}
+
+impl ListState {
+    pub fn new(workers: u32) -> ListState {
+        let place = Place { replaced: 0, started: 0, lifecycle: Lifecycle::Ready };
+        ListState { places: vec![place; workers as usize] }
+    }
+
+    fn row(&self, scene: &Scene, at: u32) -> RosterRow {
+        let place = &self.places[at as usize];
+        RosterRow {
+            worker: scene.worker(at, place.replaced),
+            kind: 0,
+            lifecycle: place.lifecycle,
+            zone: (at % 7) as u8,
+            started: place.started,
+            cell: (at % 84) as u16,
+            capacity: 20.0,
+        }
+    }
+
+    pub fn whole(&self, scene: &Scene) -> News {
+        let here =
+            (0..self.places.len() as u32).filter(|&at| self.places[at as usize].lifecycle != Lifecycle::Gone);
+        News {
+            form: RosterForm::Full,
+            rows: here.map(|at| self.row(scene, at)).collect(),
+            restarted: Vec::new(),
+        }
+    }
+
+    pub fn change(&mut self, scene: &Scene, change: &Change, now: Micros) -> News {
+        let mut rows = Vec::new();
+        let mut restarted = Vec::new();
+        let places = match change {
+            Change::Whole => return self.whole(scene),
+            Change::Restart(p) | Change::Replace(p) | Change::Gone(p) | Change::Back(p) => p,
+        };
+        for &at in places {
+            let replaces = matches!(change, Change::Replace(_));
+            if replaces {
+                self.places[at as usize].lifecycle = Lifecycle::Gone;
+                rows.push(self.row(scene, at));
+            }
+            let place = &mut self.places[at as usize];
+            place.replaced += u32::from(replaces);
+            place.lifecycle = match change {
+                Change::Gone(_) => Lifecycle::Gone,
+                _ => Lifecycle::Ready,
+            };
+            if place.lifecycle == Lifecycle::Ready {
+                place.started = now;
+                restarted.push(scene.worker(at, place.replaced));
+            }
+            rows.push(self.row(scene, at));
+        }
+        News { form: RosterForm::Delta, rows, restarted }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/front_end/play.rs
@@ -0,0 +1,138 @@
+//! Plays a scene in simulated time: real front ends, workers without sockets, one event a batch as at 122 calls a second.
+
+use super::hall::Hall;
+use super::list_state::{ListState, News};
+use super::outcome::Outcome;
+use super::player::{Due, Player};
+use super::scene::{hash, Change, Fault, Scene, KEEP, MS, SECOND};
+use crate::meter::{allocated, spent};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Zipf};
+use stagehoist::{FunctionId, Micros, Request};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+/// Draws of a function until one lies in a front end's shards.
+const DRAWS: usize = 100_000;
+
+pub struct Play<'a> {
+    pub scene: &'a Scene,
+    pub hall: Hall,
+    pub out: Outcome,
+    /// What is due, in order of time and then of coming.
+    due: BinaryHeap<Reverse<(Micros, u64, u32, Due)>>,
+    number: u64,
+}
+
+impl Play<'_> {
+    pub fn at(&mut self, time: Micros, front_end: u32, due: Due) {
+        self.number += 1;
+        self.due.push(Reverse((time, self.number, front_end, due)));
+    }
+}
+
+/// Plays a scene to its end.
+pub fn play(scene: &Scene) -> Outcome {
+    let began = SECOND;
+    let mut play =
+        Play { scene, hall: Hall::default(), out: Outcome::default(), due: BinaryHeap::new(), number: 0 };
+    let mut list = ListState::new(scene.workers);
+    let mut players: Vec<Player> = (0..scene.front_ends).map(|n| Player::new(scene, n, began)).collect();
+    let whole = list.whole(scene);
+    players.iter_mut().for_each(|p| p.told(&mut play, &whole, began));
+    play.out = Outcome::default();
+    let ends = began + (scene.seconds * SECOND as f64) as Micros;
+    let mut random = ChaCha8Rng::seed_from_u64(scene.seed);
+    for n in 0..scene.front_ends {
+        let first = began + random.random_range(0..gap(scene).max(1));
+        play.at(first, n, Due::Call);
+    }
+    for (n, (at, _)) in scene.changes.iter().enumerate() {
+        play.at(began + (at * SECOND as f64) as Micros, 0, Due::Change(n));
+    }
+    if scene.fault == Some(Fault::NamesNeverRepeat) {
+        play.at(began + SECOND, 0, Due::Replace(0));
+    }
+    let law = Zipf::new(scene.functions.max(1) as f64, scene.zipf).unwrap_or_else(|e| unreachable!("{e}"));
+    let mut called: HashMap<FunctionId, Micros> = HashMap::new();
+    while let Some(Reverse((now, _, at, due))) = play.due.pop() {
+        if now > ends {
+            break;
+        }
+        match due {
+            Due::Call => {
+                let spread = random.random_range(0..2 * gap(scene).max(1));
+                play.at(now + spread.max(1), at, Due::Call);
+                if let Some(function) = draw(scene, at, &law, &mut random) {
+                    let before = called.insert(function, now);
+                    play.out.unavoidable += u64::from(before.is_none_or(|t| now - t > KEEP));
+                    if scene.fault == Some(Fault::WholeEachCall) {
+                        let whole = list.whole(scene);
+                        players[at as usize].told(&mut play, &whole, now);
+                    }
+                    players[at as usize].call(&mut play, request(function), now);
+                }
+            }
+            Due::Change(n) => {
+                let news = list.change(scene, &scene.changes[n].1, now);
+                tell(&mut players, &mut play, &news, now);
+            }
+            Due::Replace(from) => {
+                let many = scene.workers.min(100);
+                let places = (0..many).map(|i| (from + i) % scene.workers).collect();
+                let news = list.change(scene, &Change::Replace(places), now);
+                tell(&mut players, &mut play, &news, now);
+                play.at(now + SECOND, 0, Due::Replace((from + many) % scene.workers));
+            }
+            other => players[at as usize].due(&mut play, other, now),
+        }
+    }
+    let mut out = play.out;
+    let first = players.swap_remove(0);
+    (out.kept, out.names, out.connections) = (first.kept(), first.names(), first.connections(ends));
+    let before = allocated();
+    drop(first);
+    out.kept_bytes = before - allocated();
+    out
+}
+
+fn tell(players: &mut [Player], play: &mut Play, news: &News, now: Micros) {
+    news.restarted.iter().for_each(|&w| play.hall.restarted(w));
+    for player in players {
+        let ((), took) = spent(|| player.told(play, news, now));
+        play.out.list.0 += took;
+        play.out.list.1 += 1;
+        play.out.longest_list = play.out.longest_list.max(took);
+    }
+}
+
+fn gap(scene: &Scene) -> Micros {
+    (SECOND as f64 / scene.calls_per_second) as Micros
+}
+
+/// A function by Zipf's law, of those that a front end serves.
+fn draw(scene: &Scene, at: u32, law: &Zipf<f64>, random: &mut ChaCha8Rng) -> Option<FunctionId> {
+    let one = |random: &mut ChaCha8Rng| hash(law.sample(random) as u64) & ((1 << 40) - 1);
+    match &scene.shards {
+        None => Some(one(random)),
+        Some(shards) => (0..DRAWS).map(|_| one(random)).find(|&f| shards.serves(at, shards.of(f))),
+    }
+}
+
+fn request(function: FunctionId) -> Request {
+    Request {
+        id: 0,
+        class: 0,
+        tenant: 0,
+        function,
+        budget: 6 * SECOND,
+        work: None,
+        memory_mb: 100.0,
+        lanes: 4.0,
+        load: super::scene::LOAD.max(MS),
+        repeat: false,
+        came: 0,
+        known: true,
+    }
+}
--- /dev/null
+++ b/crates/scale/src/front_end/player.rs
@@ -0,0 +1,208 @@
+//! One real front end of a scene: the decision module, the list as it is kept, the names of functions.
+
+use super::list_state::News;
+use super::play::Play;
+use super::scene::{hash, Fault, Scene, IDLE_CLOSE, KEEP};
+use crate::meter::spent;
+use stagehoist::*;
+use stagehoist_gateway::state::Names;
+use stagehoist_membership::{Members, Told};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// What comes due in simulated time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    Call,
+    /// An attempt ends.
+    End {
+        request: RequestId,
+        attempt: u16,
+        worker: WorkerId,
+        copy: u8,
+        took: Micros,
+    },
+    Loaded {
+        worker: WorkerId,
+        function: FunctionId,
+        took: Micros,
+    },
+    Timer {
+        token: u32,
+    },
+    /// By number among the scene's.
+    Change(usize),
+    /// A hundred workers from this place on are replaced.
+    Replace(u32),
+}
+
+struct Open {
+    function: FunctionId,
+    came: Micros,
+    attempts: u16,
+}
+
+pub struct Player {
+    number: u32,
+    front_end: FrontEnd,
+    members: Members,
+    names: Names,
+    calls: HashMap<RequestId, Open>,
+    next: RequestId,
+    actions: Vec<Action>,
+    /// When a worker's connection was last used.
+    used: HashMap<WorkerId, Micros>,
+    /// When a function was last called here.
+    called: HashMap<FunctionId, Micros>,
+}
+
+impl Player {
+    pub fn new(scene: &Scene, number: u32, now: Micros) -> Player {
+        Player {
+            number,
+            front_end: FrontEnd::new(scene.settings(), scene.seed ^ u64::from(number) << 32, now),
+            members: Members::new(vec!["large".into()], Vec::new(), 0),
+            names: Names::new(50_000, 10 * KEEP),
+            calls: HashMap::new(),
+            next: 0,
+            actions: Vec::new(),
+            used: HashMap::new(),
+            called: HashMap::new(),
+        }
+    }
+
+    pub fn kept(&self) -> (usize, usize) {
+        self.front_end.kept()
+    }
+
+    pub fn names(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Connections that are open at a time.
+    pub fn connections(&self, now: Micros) -> usize {
+        self.used.values().filter(|&&t| now - t < IDLE_CLOSE).count()
+    }
+
+    /// What a worker is called here.
+    fn alias(&self, scene: &Scene, worker: WorkerId) -> WorkerId {
+        match scene.fault {
+            Some(Fault::OwnNumbers) => worker ^ hash(u64::from(self.number)) as u32,
+            _ => worker,
+        }
+    }
+
+    /// The list, as far as this front end is told of it.
+    pub fn told(&mut self, play: &mut Play, news: &News, now: Micros) {
+        let scene = play.scene;
+        let told = |row: &&RosterRow| {
+            scene.shards.as_ref().is_none_or(|s| s.serves(self.number, s.of(u64::from(row.worker))))
+        };
+        let rows: Vec<RosterRow> = news
+            .rows
+            .iter()
+            .filter(told)
+            .map(|row| RosterRow { worker: self.alias(scene, row.worker), ..row.clone() })
+            .collect();
+        let name = |row: &RosterRow| Told {
+            name: format!("s-{:08x}", row.worker),
+            address: format!(
+                "10.{}.{}.{}:7000",
+                row.worker >> 16 & 255,
+                row.worker >> 8 & 255,
+                row.worker & 255
+            ),
+            row: row.clone(),
+        };
+        if scene.fault == Some(Fault::ConnectionEach) {
+            self.used.extend(rows.iter().map(|row| (row.worker, Micros::MAX / 2)));
+        }
+        self.members.told(news.form, rows.iter().map(name).collect(), now);
+        self.turn(play, &[Event::Roster { form: news.form, rows: Rc::from(rows) }], now);
+    }
+
+    pub fn call(&mut self, play: &mut Play, request: Request, now: Micros) {
+        self.next += 1;
+        let (id, function) = (self.next, request.function);
+        let before = self.called.insert(function, now);
+        play.out.strange += u64::from(before.is_none_or(|t| now - t > KEEP));
+        play.out.calls += 1;
+        self.names.called(function, &Rc::from(format!("function-{function:010x}")), now);
+        self.names.purge(now);
+        self.calls.insert(id, Open { function, came: now, attempts: 0 });
+        self.turn(play, &[Event::Request(Request { id, ..request })], now);
+    }
+
+    pub fn due(&mut self, play: &mut Play, due: Due, now: Micros) {
+        let event = match due {
+            Due::End { request, attempt, worker, copy, took } => {
+                self.used.insert(worker, now);
+                play.out.served += u64::from(self.calls.remove(&request).is_some());
+                Event::Ended(Ended {
+                    request,
+                    attempt,
+                    worker: self.alias(play.scene, worker),
+                    concluded: true,
+                    outcome: Outcome::Ok,
+                    note: Note { copy, crowd: 0 },
+                    took,
+                    report: None,
+                })
+            }
+            Due::Loaded { worker, function, took } => Event::Loaded {
+                worker: self.alias(play.scene, worker),
+                function,
+                outcome: Outcome::Ok,
+                took,
+                copies: 1,
+            },
+            Due::Timer { token } => Event::Timer { token },
+            Due::Call | Due::Change(_) | Due::Replace(_) => return,
+        };
+        self.turn(play, &[event], now);
+    }
+
+    /// One batch, timed.
+    fn turn(&mut self, play: &mut Play, events: &[Event], now: Micros) {
+        let ((), took) = spent(|| self.front_end.handle(now, events, &mut self.actions));
+        play.out.module += took;
+        play.out.longest = play.out.longest.max(took);
+        if matches!(events, [Event::Request(_)]) {
+            // Of values beyond what a histogram holds there are none.
+            let _ = play.out.batches.record((took * 1e9) as u64);
+        }
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                Action::Send { request, worker, .. } => self.send(play, request, worker, now),
+                Action::Timer { after, token } => play.at(now + after, self.number, Due::Timer { token }),
+                Action::Load { worker, function, .. } => {
+                    let real = self.alias(play.scene, worker);
+                    let took = play.hall.stand(real, function, now).1.max(1);
+                    play.at(now + took, self.number, Due::Loaded { worker: real, function, took });
+                }
+                Action::Refuse { request, .. } | Action::Fail { request } => {
+                    play.out.given_up += u64::from(self.calls.remove(&request).is_some());
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, play: &mut Play, request: RequestId, worker: WorkerId, now: Micros) {
+        let worker = self.alias(play.scene, worker);
+        let Some(open) = self.calls.get_mut(&request) else { return };
+        let attempt = open.attempts;
+        open.attempts += 1;
+        play.out.attempts += 1;
+        let each = play.scene.fault == Some(Fault::ConnectionEach);
+        let fresh = self.used.insert(worker, now).is_none_or(|t| now - t >= IDLE_CLOSE);
+        play.out.handshakes += u64::from(fresh || each);
+        let met = play.hall.call(worker, open.function, now);
+        if met.copy != 1 {
+            play.out.cold += 1;
+            let _ = play.out.cold_wait.record((now + met.wait - open.came).max(1) as u64);
+        }
+        let (took, copy) = (met.wait + met.run, met.copy);
+        play.at(now + took, self.number, Due::End { request, attempt, worker, copy, took });
+    }
+}
--- /dev/null
+++ b/crates/scale/src/front_end/rows.rs
@@ -0,0 +1,218 @@
+//! Rows of one front end over workers and over functions.
+
+use super::{played, Change, Fault, Outcome, Scene, Shards};
+use crate::error::ScaleError;
+use crate::fit::Point;
+use crate::letter::*;
+use crate::plan::{Measure, Plan};
+use crate::row::{Resource, Role, Row, Subject};
+use crate::sockets::handshake_cost;
+
+pub const MEASURES: &[Measure] = &[
+    Measure { name: "module-share", run: |p| Ok(module_share(p)) },
+    Measure { name: "module-p99", run: |p| Ok(module_p99(p)) },
+    Measure { name: "module-share-functions", run: |p| Ok(module_share_functions(p)) },
+    Measure { name: "memory", run: |p| Ok(memory(p)) },
+    Measure { name: "memory-functions", run: |p| Ok(memory_functions(p)) },
+    Measure { name: "replaced-share", run: |p| Ok(replaced_share(p)) },
+    Measure { name: "replaced-pause", run: |p| Ok(replaced_pause(p)) },
+    Measure { name: "descriptors", run: |p| Ok(descriptors(p)) },
+    Measure { name: "handshakes", run: handshakes },
+];
+
+/// Processor time that a call may take, so that 122 a second stay within the share told.
+const ROOM: f64 = COLD_START - super::LOAD as f64 / 1e6;
+/// Descriptors that a process may open where nothing else is told, less those that are no worker's.
+const DESCRIPTORS: f64 = 1024.0 / 2.0 - 24.0;
+
+/// Numbers of workers; the last is the letter's where all sizes are run. A divided front end is told of few of them.
+fn workers(plan: &Plan) -> &'static [u32] {
+    match divided(plan) {
+        Some(_) => &[1000, 3000, 10_000, 30_000],
+        None => {
+            plan.pick(&[20, 60, 200, 600], &[100, 300, 1000, 3000], &[100, 300, 1000, 3000, 10_000, 30_000])
+        }
+    }
+}
+
+fn divided(plan: &Plan) -> Option<u32> {
+    plan.shards.filter(|_| !plan.control)
+}
+
+fn seconds(plan: &Plan) -> f64 {
+    // Functions are kept for eight times the keep-alive: after that memory stands.
+    plan.pick(12.0, 90.0, 90.0)
+}
+
+fn scene(plan: &Plan, workers: u32, functions: u64, fault: Fault) -> Scene {
+    let shards = divided(plan).map(|count| Shards { count, served: 1 });
+    let fault = plan.control.then_some(fault);
+    Scene { shards, fault, ..Scene::one(workers, functions, seconds(plan), plan.seed) }
+}
+
+fn over_workers(plan: &Plan, fault: Fault, figure: fn(&Outcome) -> f64) -> Vec<Point> {
+    let point = |&n: &u32| {
+        let outcome = played(&scene(plan, n, FUNCTIONS as u64, fault));
+        Point { size: f64::from(n), value: figure(&outcome) }
+    };
+    workers(plan).iter().map(point).collect()
+}
+
+fn over_functions(plan: &Plan, fault: Fault, figure: fn(&Outcome) -> f64) -> Vec<Point> {
+    let known = match divided(plan) {
+        Some(_) => WORKERS as u32,
+        None => plan.pick(100, 1000, 10_000),
+    };
+    let sizes: &[u64] = match divided(plan) {
+        Some(_) => &[17_000, 51_000, 170_000],
+        None => plan.pick(
+            &[50, 170, 500, 1700],
+            &[1700, 5100, 17_000, 51_000, 170_000],
+            &[1700, 5100, 17_000, 51_000, 170_000],
+        ),
+    };
+    let point = |&n: &u64| {
+        let outcome = played(&scene(plan, known, n, fault));
+        Point { size: n as f64, value: figure(&outcome) }
+    };
+    sizes.iter().map(point).collect()
+}
+
+fn subject(name: &'static str) -> Subject {
+    Subject {
+        name,
+        role: Role::FrontEnd,
+        resource: Resource::Processor,
+        unit: "of a core",
+        axis: "workers, 170,000 functions",
+        asked: WORKERS,
+        limit: CONTROL_CORE,
+        source: "1.5% of a core for control",
+        formula: "122 calls/s * time a call; time a call ~ workers known",
+        mechanism: "none: a front end knows the whole list, and each batch looks at every worker",
+        counted: false,
+    }
+}
+
+fn module_share(plan: &Plan) -> Row {
+    Row::new(subject("module-share"), over_workers(plan, Fault::WholeEachCall, |o| o.each() * CALLS_EACH))
+}
+
+fn module_p99(plan: &Plan) -> Row {
+    let subject = Subject {
+        unit: "s",
+        resource: Resource::Time,
+        limit: ROOM,
+        source: "0.56 s less a load of 0.5 s (assumed)",
+        formula: "p99 of a batch that brings a call ~ workers known",
+        ..subject("module-p99")
+    };
+    let figure = |o: &Outcome| o.batches.value_at_quantile(0.99) as f64 / 1e9;
+    Row::new(subject, over_workers(plan, Fault::WholeEachCall, figure))
+}
+
+fn module_share_functions(plan: &Plan) -> Row {
+    let subject = Subject {
+        axis: "functions, 10,000 workers (quick 1,000, small 100)",
+        asked: FUNCTIONS,
+        formula: "122 calls/s * time a call; functions count by first calls, each of which ranks all workers",
+        ..subject("module-share-functions")
+    };
+    Row::new(subject, over_functions(plan, Fault::WholeEachCall, |o| o.each() * CALLS_EACH))
+}
+
+fn memory(plan: &Plan) -> Row {
+    let subject = Subject {
+        unit: "bytes",
+        resource: Resource::Memory,
+        limit: CONTROL_MEMORY,
+        source: "128 MB for control",
+        formula: "8 bytes * workers * functions called within 8 keep-alives + rows, copies believed, names",
+        mechanism: "functions are forgotten after 8 keep-alives; nothing bounds the pairs",
+        counted: true,
+        ..subject("memory")
+    };
+    Row::new(subject, over_workers(plan, Fault::NamesNeverRepeat, |o| o.kept_bytes))
+}
+
+fn memory_functions(plan: &Plan) -> Row {
+    let subject = Subject {
+        name: "memory-functions",
+        axis: "functions, 10,000 workers (quick 1,000, small 100)",
+        asked: FUNCTIONS,
+        ..memory(plan).subject
+    };
+    Row::new(subject, over_functions(plan, Fault::NamesNeverRepeat, |o| o.kept_bytes))
+}
+
+/// A scene in which workers are replaced by others with new names, one by one.
+fn replaced(plan: &Plan, workers: u32) -> Scene {
+    let many = plan.pick(2, 3, 3);
+    let from = seconds(plan) * 0.8;
+    let plain = Scene { fault: None, ..scene(plan, workers, FUNCTIONS as u64, Fault::OwnNumbers) };
+    let served =
+        |&at: &u32| plain.shards.as_ref().is_none_or(|s| s.serves(0, s.of(u64::from(plain.worker(at, 1)))));
+    let places = (0..workers).filter(served).take(many).enumerate();
+    let change = |(n, at): (usize, u32)| (from + n as f64 * 2.0, Change::Replace(vec![at]));
+    Scene { changes: places.map(change).collect(), ..plain }
+}
+
+fn over_replaced(plan: &Plan, figure: fn(&Outcome) -> f64) -> Vec<Point> {
+    let sizes: &[u32] = match divided(plan) {
+        Some(_) => workers(plan),
+        None => plan.pick(&[20, 60, 200, 600], &[100, 300, 1000, 3000], &[100, 300, 1000, 3000, 10_000]),
+    };
+    let point = |&n: &u32| Point { size: f64::from(n), value: figure(&played(&replaced(plan, n))) };
+    sizes.iter().map(point).collect()
+}
+
+fn replaced_share(plan: &Plan) -> Row {
+    let subject = Subject {
+        formula: "990 a day * time of one change; it ranks all workers anew for every function kept",
+        mechanism: "none: a new name empties every function's order",
+        ..subject("replaced-share")
+    };
+    Row::new(subject, over_replaced(plan, |o| o.list.0 / o.list.1.max(1) as f64 * RESTARTED / DAY))
+}
+
+fn replaced_pause(plan: &Plan) -> Row {
+    let subject = Subject {
+        unit: "s",
+        resource: Resource::Time,
+        limit: ROOM,
+        source: "0.56 s less a load of 0.5 s (assumed)",
+        formula: "time of one change of the list: no call is decided meanwhile",
+        mechanism: "none: a new name empties every function's order",
+        ..subject("replaced-pause")
+    };
+    Row::new(subject, over_replaced(plan, |o| o.list.0 / o.list.1.max(1) as f64))
+}
+
+fn descriptors(plan: &Plan) -> Row {
+    let subject = Subject {
+        unit: "connections",
+        resource: Resource::Descriptors,
+        limit: DESCRIPTORS,
+        source: "half of 1,024 descriptors less 24 (assumed limit of a process)",
+        formula: "workers called within the idle close of 10 s, at most 122 * 10",
+        mechanism: "opened on demand, closed when idle; the longest idle makes way on the platform",
+        counted: true,
+        ..subject("descriptors")
+    };
+    Row::new(subject, over_workers(plan, Fault::ConnectionEach, |o| o.connections as f64))
+}
+
+/// Handshakes as a share of a core, by what one costs over loopback here.
+fn handshakes(plan: &Plan) -> Result<Row, ScaleError> {
+    let cost = handshake_cost()?;
+    let subject = Subject {
+        formula: "calls to a worker without an open connection a second * processor time of one",
+        mechanism: "connections are kept while used within the idle close",
+        ..subject("handshakes")
+    };
+    let rate = |o: &Outcome| o.handshakes as f64 / o.calls as f64 * CALLS_EACH;
+    let mut points = over_workers(plan, Fault::ConnectionEach, rate);
+    // The control: none is kept, and each is as dear as one with cryptography (1 ms, assumed).
+    points.iter_mut().for_each(|p| p.value *= if plan.control { 1e-3 } else { cost });
+    Ok(Row::new(subject, points))
+}
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -5,17 +5,26 @@
 //! - [`row`], [`fit`]: a row with its points, the curve through them, the figure at full size.
 //! - [`plan`]: which sizes, which seed, the negative control; all rows.
 //! - [`report`]: the table, the ranking, the verdict.
+//! - [`front_end`]: one real front end over workers and functions, whole or divided.
+//! - [`list`]: the list of workers as real bytes.
+//! - [`events`]: what an event of the whole fleet does to a front end.
+//! - [`traces`]: marks on disk, metrics, logs.
 //! - [`record`]: sessions with the record and changes to force.
 #![forbid(unsafe_code)]
 
 pub mod error;
+pub mod events;
 pub mod fit;
+pub mod front_end;
 pub mod letter;
+pub mod list;
 pub mod meter;
 pub mod plan;
 pub mod record;
 pub mod report;
 pub mod row;
+pub mod sockets;
+pub mod traces;
 
 pub use error::ScaleError;
 pub use fit::{Curve, Fit, Point};
--- a/crates/scale/src/plan.rs
+++ b/crates/scale/src/plan.rs
@@ -44,6 +44,13 @@
 
 /// All rows in the order of the page.
 pub fn measures() -> Vec<Measure> {
-    let parts: [&[Measure]; 1] = [crate::record::MEASURES];
+    let parts = [
+        crate::front_end::MEASURES,
+        crate::front_end::rare::MEASURES,
+        crate::list::MEASURES,
+        crate::traces::MEASURES,
+        crate::events::MEASURES,
+        crate::record::MEASURES,
+    ];
     parts.concat()
 }
--- /dev/null
+++ b/crates/scale/src/traces/core.rs
@@ -0,0 +1,132 @@
+//! A front end's state as the driver has it, with workers and functions that are all called once, and what it tells of that.
+
+use crate::front_end::{hash, Scene};
+use bytes::Bytes;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use stagehoist::{Lifecycle, Note, Outcome, RosterForm, RosterRow};
+use stagehoist_gateway::amqp::link::LinkState;
+use stagehoist_gateway::metrics_page::Gauges;
+use stagehoist_gateway::state::{Arrival, AttemptResult, CallFigures, Command, Core, Figures, News};
+use stagehoist_membership::Told;
+use std::io;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+const STEP: i64 = 8_000;
+
+/// So many workers and functions, each function called once; each answer is told.
+fn run(n: u32, mut answered: impl FnMut(&Core, &Command)) -> Core {
+    let figures = Figures {
+        settings: Scene::one(n, u64::from(n), 1.0, 7).settings(),
+        kinds: vec!["large".into()],
+        held_most: 20_000,
+        load_timeout: 10_000_000,
+        names: (100_000, 600_000_000),
+        ..Figures::default()
+    };
+    let mut now = 1_000_000;
+    let mut core = Core::new(figures, 7, now);
+    let told = |place: u32| Told {
+        name: format!("worker-{place}"),
+        address: "10.0.0.1:7000".into(),
+        row: RosterRow {
+            worker: hash(u64::from(place)) as u32,
+            lifecycle: Lifecycle::Ready,
+            capacity: 20.0,
+            ..RosterRow::default()
+        },
+    };
+    let mut out = Vec::new();
+    let list = News::Roster { form: RosterForm::Full, told: (0..n).map(told).collect() };
+    core.turn(now, &mut vec![list], &mut out);
+    for call in 0..n {
+        now += STEP;
+        core.turn(now, &mut vec![News::Call(arrival(call))], &mut out);
+        while !out.is_empty() {
+            now += STEP / 8;
+            let mut news = Vec::new();
+            for command in out.drain(..) {
+                answered(&core, &command);
+                if let Command::Attempt(a) = command {
+                    let note = Note { copy: 1, crowd: 0 };
+                    let result = AttemptResult { note, ..AttemptResult::bare(Outcome::Ok) };
+                    news.push(News::Attempt { request: a.request, attempt: a.attempt, result });
+                }
+            }
+            core.turn(now, &mut news, &mut out);
+        }
+    }
+    core
+}
+
+fn arrival(call: u32) -> Arrival {
+    Arrival {
+        ticket: u64::from(call) + 1,
+        function: Rc::from(format!("function-{call}")),
+        figures: Some(CallFigures {
+            id: hash(u64::from(call)) & ((1 << 40) - 1),
+            class: 0,
+            memory_mb: 100.0,
+            lanes: 4.0,
+            load: 500_000,
+            work: None,
+        }),
+        tenant: 0,
+        budget: 6_000_000,
+        read: 0,
+        repeat: false,
+        known: true,
+        body: Bytes::new(),
+        content_type: None,
+        correlation: Rc::from(format!("call-{call}")),
+        generation: None,
+        identity: None,
+    }
+}
+
+/// Bytes of the page of metrics after so many functions were called on as many workers. With a series for each function it is
+/// the control.
+pub fn metrics_page(n: u32, each_function: bool) -> usize {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    metrics::with_local_recorder(&recorder, || {
+        let gauges = Gauges::new(0);
+        let core = run(n, |_, command| {
+            if let Command::Answer { answer, took, .. } = command {
+                gauges.answered(answer, *took);
+            }
+        });
+        gauges.publish(&core, &LinkState::default());
+        for function in (0..n).filter(|_| each_function) {
+            metrics::counter!("calls_by_function", "function" => format!("function-{function}")).increment(1);
+        }
+    });
+    handle.run_upkeep();
+    handle.render().len()
+}
+
+#[derive(Clone, Default)]
+struct Counted(Arc<AtomicU64>);
+
+impl io::Write for Counted {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Bytes logged, and calls. At `info`, or at `debug` as the control.
+pub fn logged(n: u32, debug: bool) -> (u64, u32) {
+    let counted = Counted::default();
+    let writer = counted.clone();
+    let level = if debug { tracing::Level::DEBUG } else { tracing::Level::INFO };
+    let subscriber =
+        tracing_subscriber::fmt().with_max_level(level).with_writer(move || writer.clone()).finish();
+    tracing::subscriber::with_default(subscriber, || drop(run(n, |_, _| {})));
+    (counted.0.load(Ordering::Relaxed), n)
+}
