Rows of the record: real sessions, changes, losses, a region alone and marks, over sizes

Replicas and members are processes of their own (real sessions, hollow front ends); the bytes of one session pass a relay that counts them. Rows: leader and follower at ease, one session, bounds of the record, state, changes one after the other and 1,000 at once, questions about messages delivered again, the leader killed, an hour apart in simulated time around the real `Record` and `Lead`, marks on disk. Each row has a fault that is put in with `--control`.

--- a/crates/scale/src/error.rs
+++ b/crates/scale/src/error.rs
@@ -7,5 +7,7 @@
     #[error("no row is named {0}")]
     Unknown(String),
     #[error(transparent)]
+    Record(#[from] crate::record::Fault),
+    #[error(transparent)]
     Io(#[from] std::io::Error),
 }
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -24,7 +24,7 @@
     shards: Option<u32>,
 }
 
-#[derive(Clone, Copy, Subcommand)]
+#[derive(Clone, Subcommand)]
 enum Sizes {
     /// For CI, within ten seconds: only counts judge.
     Small,
@@ -32,6 +32,9 @@
     Quick,
     /// All sizes.
     Full,
+    /// A process of a measurement, started by one of the above.
+    #[command(hide = true)]
+    Record { part: String, told: String },
 }
 
 fn main() -> ExitCode {
@@ -47,10 +50,14 @@
 }
 
 fn run(arguments: &Arguments) -> Result<bool, ScaleError> {
-    let size = match arguments.size {
+    let size = match &arguments.size {
         Sizes::Small => Size::Small,
         Sizes::Quick => Size::Quick,
         Sizes::Full => Size::Full,
+        Sizes::Record { part, told } => {
+            stagehoist_scale::record::part(part, told)?;
+            return Ok(true);
+        }
     };
     let plan = Plan { size, seed: arguments.seed, control: arguments.control, shards: arguments.shards };
     let asked = |name: &str| {
--- /dev/null
+++ b/crates/scale/src/record/board.rs
@@ -0,0 +1,119 @@
+//! What the hollow front ends of a process see, for whoever waits for all of them.
+
+use serde::{Deserialize, Serialize};
+use stagehoist_keeper::Told;
+use stagehoist_registry::{Heard, Known, Said, Standing, State};
+use std::sync::atomic::{AtomicI64, AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+
+/// How front ends behave.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Manner {
+    /// What they are shown they confirm at once.
+    #[default]
+    Sound,
+    /// They confirm nothing, as one with a call at work that never ends.
+    Silent,
+    /// What they report changes all the time: a fault.
+    Flapping,
+}
+
+/// Time between two changes of one that flaps.
+const FLAP: Duration = Duration::from_millis(5);
+
+#[derive(Default)]
+struct Seen {
+    /// Until when its view is known to be the newest.
+    fresh_until: AtomicI64,
+    /// Retirements that it was shown as in force.
+    forced: AtomicUsize,
+}
+
+pub struct Board {
+    seen: Vec<Seen>,
+    views: AtomicU64,
+}
+
+impl Board {
+    pub fn new(front_ends: usize) -> Board {
+        let seen = || Seen { fresh_until: AtomicI64::new(i64::MIN), forced: AtomicUsize::new(0) };
+        Board { seen: (0..front_ends).map(|_| seen()).collect(), views: AtomicU64::new(0) }
+    }
+
+    /// Views shown so far.
+    pub fn views(&self) -> u64 {
+        self.views.load(Ordering::Relaxed)
+    }
+
+    /// Front ends that hold a promise beyond this time.
+    pub fn fresh_until(&self, at: i64) -> usize {
+        self.seen.iter().filter(|s| s.fresh_until.load(Ordering::Relaxed) > at).count()
+    }
+
+    /// Front ends at which so many retirements are in force.
+    pub fn forced(&self, count: usize) -> usize {
+        self.seen.iter().filter(|s| s.forced.load(Ordering::Relaxed) >= count).count()
+    }
+}
+
+/// A front end without calls.
+pub async fn front_end(
+    at: usize,
+    mut standing: watch::Receiver<Standing>,
+    told: watch::Sender<Told>,
+    manner: Manner,
+    board: Arc<Board>,
+) {
+    let mut last = 0;
+    loop {
+        let (version, fresh_until, forced) = {
+            let seen = standing.borrow_and_update();
+            let is_new = seen.view.version != last;
+            let forced = is_new.then(|| {
+                let states = seen.view.tombstones.values();
+                states.filter(|t| matches!(t.state, State::InForce { .. })).count()
+            });
+            (seen.view.version, seen.fresh_until, forced)
+        };
+        if let Some(forced) = forced {
+            last = version;
+            board.views.fetch_add(1, Ordering::Relaxed);
+            board.seen[at].forced.store(forced, Ordering::Relaxed);
+            if manner != Manner::Silent {
+                told.send_if_modified(|t| std::mem::replace(&mut t.confirmed, version) != version);
+            }
+        }
+        board.seen[at].fresh_until.store(fresh_until, Ordering::Relaxed);
+        tokio::select! {
+            changed = standing.changed() => if changed.is_err() { return },
+            () = tokio::time::sleep(FLAP), if manner == Manner::Flapping => {
+                told.send_modify(|t| t.ready_lanes ^= 1);
+            }
+        }
+    }
+}
+
+/// Answers what other members ask: no attempt of such a message left here. What others answered goes to `tell`: the
+/// question's number, and the messages of which all is known.
+pub async fn answer_questions(
+    mut heard: mpsc::Receiver<Heard>,
+    said: mpsc::Sender<Said>,
+    tell: std::sync::mpsc::Sender<(u64, usize)>,
+) {
+    while let Some(word) = heard.recv().await {
+        match word {
+            Heard::Asked { from, number, keys } => {
+                let known = vec![Known::None; keys.len()];
+                if said.send(Said::Answer { to: from, number, known }).await.is_err() {
+                    return;
+                }
+            }
+            Heard::Told { number, known } => {
+                let _ = tell.send((number, known.iter().flatten().count()));
+            }
+            Heard::Joined { .. } => {}
+        }
+    }
+}
