--- a/crates/scale/src/record/board.rs
+++ b/crates/scale/src/record/board.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use stagehoist_keeper::Told;
-use stagehoist_registry::{Heard, Known, Said, Standing, State};
+use stagehoist_registry::{Demand, Heard, Known, Said, Standing, State};
 use std::sync::atomic::{AtomicI64, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,10 +18,18 @@
     Silent,
     /// What they report changes all the time: a fault.
     Flapping,
+    /// The same, and they report of many pools.
+    Verbose,
+    /// They keep much more than they need: a fault.
+    Hoarding,
 }
 
 /// Time between two changes of one that flaps.
 const FLAP: Duration = Duration::from_millis(5);
+/// Pools that it reports of.
+const FLAP_POOLS: usize = 300;
+/// Bytes that one keeps which hoards.
+const HOARD: usize = 400 << 20;
 
 #[derive(Default)]
 struct Seen {
@@ -67,6 +75,11 @@
     board: Arc<Board>,
 ) {
     let mut last = 0;
+    // Written to, so that it is resident.
+    let _hoard = vec![1_u8; if manner == Manner::Hoarding { HOARD } else { 0 }];
+    if manner == Manner::Verbose {
+        told.send_modify(|t| t.demand = (0..FLAP_POOLS).map(demand).collect());
+    }
     loop {
         let (version, fresh_until, forced) = {
             let seen = standing.borrow_and_update();
@@ -88,13 +101,17 @@
         board.seen[at].fresh_until.store(fresh_until, Ordering::Relaxed);
         tokio::select! {
             changed = standing.changed() => if changed.is_err() { return },
-            () = tokio::time::sleep(FLAP), if manner == Manner::Flapping => {
+            () = tokio::time::sleep(FLAP), if matches!(manner, Manner::Flapping | Manner::Verbose) => {
                 told.send_modify(|t| t.ready_lanes ^= 1);
             }
         }
     }
 }
 
+fn demand(pool: usize) -> Demand {
+    Demand { pool: format!("pool-{pool:04}"), tenant: String::new(), in_use: 1, waiting: 0, applied: 0 }
+}
+
 /// Answers what other members ask: no attempt of such a message left here. What others answered goes to `tell`: the
 /// question's number, and the messages of which all is known.
 pub async fn answer_questions(
--- a/crates/scale/src/record/change.rs
+++ b/crates/scale/src/record/change.rs
@@ -3,7 +3,7 @@
 use super::cluster::{Cluster, LIMIT_MS};
 use super::ease::Ease;
 use super::fault::{Fault, Outcome};
-use super::lines::Ask;
+use super::lines::{Answer, Ask};
 use super::usage::load;
 use std::time::Instant;
 
@@ -24,6 +24,8 @@
     /// Processor time of the leader's thread for them, beyond ease, in seconds; and of its whole process.
     pub leader_spent: f64,
     pub leader_process: f64,
+    /// Processor time that one session's process spends on one view, in seconds: decoding, keeping and counting it.
+    pub view_spent: f64,
     /// Bytes that the leader's process wrote to its disk.
     pub written: f64,
     /// Messages of the leader to sessions.
@@ -53,6 +55,7 @@
 ) -> Outcome<Changes> {
     let leader = cluster.leader()?.ok_or(Fault::Ended("a question for the leader"))?;
     let (was, was_session, began) = (cluster.settled()?, cluster.of_session(), Instant::now());
+    let before = cluster.all(&Ask::Usage)?;
     let mut changes = Changes { members: cluster.joined, standing, count, ..Changes::default() };
     let steps = if at_once { 1 } else { count };
     for step in 0..steps {
@@ -61,7 +64,7 @@
         // Those of one that are at once come from one process, as a burst of an operator's file does.
         let who = cluster.members.len() - 1;
         cluster.members[who.min(1)].ask(&Ask::Propose { first, count: some, strict: true })?;
-        cluster.members[who.min(1)].answer::<super::lines::Answer>()?;
+        cluster.members[who.min(1)].answer::<Answer>()?;
         let forced = cluster.all(&Ask::Forced { count: first + some, limit_ms })?;
         changes.reached = forced.iter().map(|a| a.holds).sum();
         if changes.reached < changes.members {
@@ -75,6 +78,15 @@
     let (Some(led), Some(leads)) = (was.get(&leader), is.get(&leader)) else {
         return Err(Fault::Ended("a question for the leader"));
     };
+    let after = cluster.all(&Ask::Usage)?;
+    let all = |answers: &[Answer]| -> (f64, u64) {
+        let others = answers.iter().skip(1).filter_map(|a| a.usage.map(|u| (u.process, a.views)));
+        others.fold((0.0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
+    };
+    let ((spent_was, views_was), (spent_is, views_is)) = (all(&before), all(&after));
+    let ease_spent = ease.session_cores * took * changes.members as f64;
+    changes.view_spent =
+        (spent_is - spent_was - ease_spent) / views_is.saturating_sub(views_was).max(1) as f64;
     let sent = is_session.1.saturating_sub(was_session.1) as f64;
     changes.session_bytes = sent - ease.session_in * took;
     changes.leader_spent = leads.usage.thread - led.usage.thread - ease.leader_cores * took;
--- a/crates/scale/src/record/rows/apart.rs
+++ b/crates/scale/src/record/rows/apart.rs
@@ -4,7 +4,7 @@
 use crate::error::ScaleError;
 use crate::fit::Point;
 use crate::letter::{APART, IN_FORCE};
-use crate::plan::Plan;
+use crate::plan::{Plan, Size};
 use crate::record::apart::{play, Course, Plan as Cut, FULL};
 use crate::record::Settings;
 use crate::row::{Resource, Role, Row, Subject};
@@ -37,9 +37,39 @@
         let each = if course.taken == 0 { FULL as f64 } else { course.view as f64 / course.taken as f64 };
         points.push(Point { size: *members as f64, value: each * of_hour });
     }
+    if plan.size == Size::Full {
+        tell_hour(plan).map_err(wrong(subject.name))?;
+    }
     Ok(Row::new(subject, points))
 }
 
+/// An hour as the leader's bounds have it, with as many members as the record takes, for whoever writes it down.
+fn tell_hour(plan: &Plan) -> Result<(), crate::record::Fault> {
+    for strict in [0.0, 0.5, 1.0] {
+        let c = play(Cut { bounded: true, strict, ..cut(plan, 4000, APART) })?;
+        eprintln!(
+            "an hour apart, 4000 members, {strict} strict: {} proposed near the leader, {} taken, {} refused as full \
+             (first after {:.0?} s), {} in force, p50 {:.1?} ms; view {} B, {:.0} B/s of views a member; {} wait, {} of them \
+             in force after {:.1?} s, {} B of views to catch up; without a promise {:.1} s far, {:.1} s near",
+            c.proposed,
+            c.taken,
+            c.refused_full,
+            c.first_full_s,
+            c.forced,
+            c.force_ms.get(c.force_ms.len() / 2),
+            c.view,
+            c.views_a_second,
+            c.waited,
+            c.joined,
+            c.healed_s,
+            c.catch_up,
+            c.stale_s,
+            c.stale_near_s
+        );
+    }
+    Ok(())
+}
+
 /// For how long the region without the leader has no promise.
 pub fn stale(plan: &Plan) -> Outcome {
     let subject = Subject {
--- a/crates/scale/src/record/rows/changes.rs
+++ b/crates/scale/src/record/rows/changes.rs
@@ -1,5 +1,5 @@
 //! Changes: what each costs, and until it is in force. The faults of the negative controls: a member that never confirms; a
-//! `remember` of a day.
+//! `remember` of a day; a thousand times as many changes.
 
 use super::{points, subject, wrong, CHANGE_RATE, STANDING, THREAD, VIEWS};
 use crate::error::ScaleError;
@@ -60,11 +60,12 @@
     let subject = Subject {
         limit: DISK,
         source: "a disk's 100 MB/s: assumed",
-        formula: "changes a second x entries of each x state in bytes",
+        formula: "changes a second x 3 entries x (log and state)",
         mechanism: "the whole state is written with each entry",
         ..standing_subject(subject("record-change-disk", Role::Replica, Resource::Bytes, "B/s"))
     };
-    by_standing(plan, subject, |c| c.written / c.count as f64 * CHANGE_RATE * VIEWS / 2.0)
+    let rate = if plan.control { 1000.0 * CHANGE_RATE } else { CHANGE_RATE };
+    by_standing(plan, subject, |c| c.written / c.count as f64 * rate * VIEWS / 2.0)
 }
 
 pub fn leader_cores(plan: &Plan) -> Outcome {
@@ -99,11 +100,22 @@
         limit: IN_FORCE,
         source: "letter",
         formula: "two entries agreed on, two views to all, one confirmation of each",
-        mechanism:
-            "in force once every member confirmed; one after the other, an hour's retirements standing",
+        mechanism: "in force once every member confirmed; one after the other, few standing",
         ..subject("record-force", Role::Change, Resource::Time, "s p99")
     };
-    timed(plan, subject, |s| seconds(&s.crowded, 0.99))
+    timed(plan, subject, |s| seconds(&s.single, 0.99))
+}
+
+/// An upper bound: up to 600 front ends share a thread here, and each decodes two views a change.
+pub fn force_hour(plan: &Plan) -> Outcome {
+    let subject = Subject {
+        limit: IN_FORCE,
+        source: "letter",
+        formula: "two views of all that stands to all",
+        mechanism: "as record-force with 1,000 and more standing; front ends share threads: an upper bound",
+        ..subject("record-force-hour", Role::Change, Resource::Time, "s p50")
+    };
+    timed(plan, subject, |s| seconds(&s.crowded, 0.5))
 }
 
 pub fn burst(plan: &Plan) -> Outcome {
@@ -111,8 +123,21 @@
         limit: IN_FORCE,
         source: "letter",
         formula: "the last of 1,000 at once",
-        mechanism: "what comes while an entry is under way goes into the next",
+        mechanism: "what comes while an entry is under way goes into the next; front ends share threads: an upper bound",
         ..subject("record-burst", Role::Change, Resource::Time, "s")
     };
     timed(plan, subject, |s| seconds(&s.burst, 1.0))
 }
+
+/// A lower bound of the same: nothing of it can be done at once.
+pub fn burst_leader(plan: &Plan) -> Outcome {
+    let subject = Subject {
+        limit: IN_FORCE,
+        source: "letter",
+        formula: "views of all entries to all, confirmations of all",
+        mechanism: "one thread sends every view and looks at every member after confirmations: a lower bound",
+        ..subject("record-burst-leader", Role::Change, Resource::Processor, "s of its thread")
+    };
+    let never = |c: &Changes| if c.reached < c.members { NEVER } else { c.leader_spent };
+    timed(plan, subject, |s| never(&s.burst))
+}
--- a/crates/scale/src/record/rows/sessions.rs
+++ b/crates/scale/src/record/rows/sessions.rs
@@ -1,4 +1,5 @@
-//! Sessions while nothing changes. The fault of the negative control: front ends whose reports change all the time.
+//! Sessions while nothing changes. The faults of the negative controls: front ends whose reports change all the time, for the
+//! session's own rows of 300 pools; front ends that keep 400 MB. Messages and bytes between replicas have no limit in the letter, and no control.
 
 use super::{points, subject, wrong, THREAD};
 use crate::error::ScaleError;
@@ -12,7 +13,8 @@
 const REPORTS: &str = "a report each lease / 5 (80 to 100 in 100 of it), a grant each";
 
 fn row(plan: &Plan, subject: Subject, value: impl Fn(&Site) -> f64) -> Outcome {
-    let family = if plan.control { Family::Flapping } else { Family::Plain };
+    let fault = if subject.role == Role::FrontEnd { Family::Verbose } else { Family::Flapping };
+    let family = if plan.control { fault } else { Family::Plain };
     let sites = sites(plan.size, family).map_err(wrong(subject.name))?;
     Ok(Row::new(subject, points(&sites, value)))
 }
@@ -54,8 +56,7 @@
 
 pub fn follower_bytes(plan: &Plan) -> Outcome {
     let subject = Subject {
-        limit: 125e6 / 2.0,
-        source: "half of a link of a gigabit: assumed",
+        source: "none told",
         formula: "10 heartbeats a second, whatever the front ends",
         mechanism: "sessions are the leader's alone",
         ..subject("record-follower-bytes", Role::Replica, Resource::Bytes, "B/s")
@@ -93,5 +94,7 @@
         mechanism: "one session, no mesh",
         ..subject("record-session-memory", Role::FrontEnd, Resource::Memory, "B")
     };
-    row(plan, subject, |s| s.ease.session_memory)
+    let family = if plan.control { Family::Hoarding } else { Family::Plain };
+    let sites = sites(plan.size, family).map_err(wrong(subject.name))?;
+    Ok(Row::new(subject, points(&sites, |s| s.ease.session_memory)))
 }
--- a/crates/scale/src/record/survey.rs
+++ b/crates/scale/src/record/survey.rs
@@ -36,12 +36,16 @@
     Plain,
     /// Front ends whose reports change all the time.
     Flapping,
+    /// The same, and they tell of many pools.
+    Verbose,
     /// One member that never confirms.
     Silent,
     /// Two of three replicas are gone, not one.
     Gone,
     /// A lease of one second, as in the first slopes that were taken; at ease only.
     Short,
+    /// Front ends that keep much more than they need.
+    Hoarding,
 }
 
 static PROGRAM: OnceLock<PathBuf> = OnceLock::new();
@@ -71,6 +75,8 @@
         return Ok(sites.clone());
     }
     let sizes: &[usize] = match (size, family) {
+        (_, Family::Hoarding) => &[3, 4],
+        (_, Family::Verbose) => &[20, 60, 180],
         (Size::Small, _) => &[10, 30],
         // The fault shows at any size, and costs the more the larger it is.
         (_, Family::Plain) => &[60, 180, 600, 1800],
@@ -112,8 +118,11 @@
     if family == Family::Short {
         shape.settings.lease = 1_000_000;
     }
-    if family == Family::Flapping {
-        shape.manner = Manner::Flapping;
+    match family {
+        Family::Flapping => shape.manner = Manner::Flapping,
+        Family::Verbose => shape.manner = Manner::Verbose,
+        Family::Hoarding => shape.manner = Manner::Hoarding,
+        _ => {}
     }
     let amounts = amounts(size);
     // What holds at all holds in a fraction of it.
@@ -121,7 +130,7 @@
     let mut cluster = Cluster::start(program, &shape, limit_ms)?;
     let mut site = Site { members, joined: cluster.joined, joined_ms: cluster.joined_ms, ..Site::default() };
     site.ease = ease::measure(&mut cluster, amounts.ease)?;
-    if matches!(family, Family::Flapping | Family::Short) {
+    if matches!(family, Family::Flapping | Family::Verbose | Family::Short | Family::Hoarding) {
         tell(&site);
         return Ok(site);
     }
@@ -153,9 +162,9 @@
     for (what, c) in [("single", single), ("burst", burst), ("crowded", crowded)] {
         eprintln!(
             "  {what}: {} of {} at {} standing, p50 {:.0} p99 {:.0} ms, {:.0} B a session, leader {:.3} s of {:.3}, {:.0} B \
-             written, {:.0} messages out, {} entries, load {:.1}",
+             written, {:.0} messages out, {} entries, {:.6} s a view, load {:.1}",
             c.reached, c.members, c.standing, c.quantile(0.5), c.quantile(0.99), c.session_bytes, c.leader_spent,
-            c.leader_process, c.written, c.messages_out, c.entries, c.load
+            c.leader_process, c.written, c.messages_out, c.entries, c.view_spent, c.load
         );
     }
     eprintln!("  {questions:.4?}\n  {loss:.3?}");
