--- a/crates/scale/src/front_end/rows.rs
+++ b/crates/scale/src/front_end/rows.rs
@@ -45,8 +45,13 @@
 pub(super) fn scene(plan: &Plan, workers: u32, functions: u64, fault: Fault) -> Scene {
     let shards = divided(plan).map(|count| Shards { count, served: 1 });
     let fault = plan.control.then_some(fault);
-    // A hundred lists a call take long enough.
-    let seconds = if fault == Some(Fault::WholeEachCall) { 1.5 } else { seconds(plan) };
+    let seconds = match fault {
+        // A hundred lists a call take long enough.
+        Some(Fault::WholeEachCall) => 1.5,
+        // Each new name has all functions ranked anew.
+        Some(Fault::NamesNeverRepeat) if functions >= FUNCTIONS as u64 => plan.pick(3.0, 90.0, 90.0),
+        _ => seconds(plan),
+    };
     Scene { shards, fault, ..Scene::one(workers, functions, seconds, plan.seed) }
 }
 
