The bound on workers of the list is told by workers-most

A divided front end still reads the whole list, and at the size asked for it has 30,000 lines, over the fixed 10,000. `workers-most N` (1 to 65,536, the division's own bound; 10,000 where not told) is what Members keeps; over it the last by name are left out at every front end, the log says so once until a list fits again, and service goes on. `shards ... workers` above it is a fault with file and line. `run` keeps its 10,000.

--- a/crates/config/src/build.rs
+++ b/crates/config/src/build.rs
@@ -165,6 +165,11 @@
     let fleet = fleet(&s, &tenants, &mut stray);
     let marks = marks(&s, &classes, fleet.is_some(), &mut stray);
     let sharding = sharding(&s, &zones, &mut stray);
+    let workers_most = s.count("workers-most", "count", 10_000);
+    if let Some(line) = s.one("shards").filter(|l| l.count("workers").is_some_and(|n| n > workers_most)) {
+        let expected = "at most as many as workers-most".to_string();
+        stray.push((line.place("workers"), format!("more workers than the {workers_most} kept"), expected));
+    }
     stray.into_iter().for_each(|(at, what, expected)| s.fault(at, what, expected));
     let front_ends = s.count("front-ends", "count", 1) as u32;
     let cold = |key| s.one("cold-start").and_then(|l| l.duration(key)).unwrap_or(0);
@@ -193,6 +198,7 @@
             s.one("answer-memory").and_then(|l| l.duration("keep")).unwrap_or(60 * S),
         ),
         list: list.unwrap_or(ListSource::File { path: String::new(), poll: S }),
+        workers_most: workers_most as usize,
         list_subscribe: s.flag("list-subscribe", false),
         list_ask_within: s.duration("list-ask-within", 10 * S),
         kinds: s
--- a/crates/config/src/grammar.rs
+++ b/crates/config/src/grammar.rs
@@ -3,6 +3,7 @@
 use crate::fleet_grammar::FLEET;
 use crate::sharding::SHARDING;
 use crate::value::Kind;
+use stagehoist_sharding::MEMBERS_MOST;
 
 pub const MS: i64 = 1000;
 pub const S: i64 = 1_000_000;
@@ -149,6 +150,7 @@
         ],
         often: Often::Once,
     },
+    one("workers-most", &[must("count", Kind::Count(1, MEMBERS_MOST as u64))]),
     one("list-subscribe", YES),
     one("list-ask-within", ANY_DURATION),
     Directive {
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -136,6 +136,8 @@
     pub resend_doubtful: bool,
     pub answer_memory: (u64, i64),
     pub list: ListSource,
+    /// Workers kept of the list; more are left out, the last by name first.
+    pub workers_most: usize,
     pub list_subscribe: bool,
     pub list_ask_within: i64,
     pub kinds: Vec<Kind>,
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -108,6 +108,7 @@
                 line(format!("worker-list file {} poll {}", word(path), d(*poll)))
             }
         }
+        line(format!("workers-most {}", self.workers_most));
         line(format!("list-subscribe {}", yes(self.list_subscribe)));
         line(format!("list-ask-within {}", d(self.list_ask_within)));
         for k in &self.kinds {
--- a/crates/config/tests/sharding.rs
+++ b/crates/config/tests/sharding.rs
@@ -50,6 +50,14 @@
     assert_eq!(parse("again.conf", &config.render()).unwrap(), config);
 }
 
+#[test]
+fn the_list_of_workers_may_be_as_long_as_is_told() {
+    let config = read(&format!("{FUNCTION}workers-most 65536\nshards 24 generation 1 workers 30000\n"));
+    assert_eq!(config.workers_most, 65_536);
+    assert_eq!(parse("again.conf", &config.render()).unwrap(), config);
+    assert_eq!(read(FUNCTION).workers_most, 10_000);
+}
+
 #[test]
 fn defaults() {
     let config = read(&format!("{FUNCTION}shards 8 generation 1\n"));
@@ -83,6 +91,14 @@
         1,
         "8: 8 shards for 7 workers: some would have none; expected at most as many shards as workers",
     );
+    told(
+        "shards 8 generation 1 workers 10001\n",
+        1,
+        "31: more workers than the 10000 kept; expected at most as many as workers-most",
+    );
+    told("workers-most 20\nshards 8 generation 1 workers 21\n", 2, "31: more workers than the 20 kept");
+    told("workers-most 65537\n", 1, "14: count is \"65537\"; expected a whole number from 1 to 65536");
+    told("workers-most 0\n", 1, "14: count is \"0\"; expected a whole number from 1 to 65536");
     told(
         "shards 200 generation 1\n",
         1,
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -97,7 +97,7 @@
         Core {
             decides: decider(figures.settings.clone(), seed, now),
             names: Names::new(figures.names.0, figures.names.1),
-            members: Members::new(kinds, zones, figures.announcement_keep),
+            members: Members::new(kinds, zones, figures.announcement_keep).at_most(figures.workers_most),
             figures,
             calls: HashMap::new(),
             by_ticket: HashMap::new(),
@@ -233,8 +233,7 @@
                 }
             }
             News::List(entries) => {
-                let update = self.members.listed(entries, now);
-                self.tell(update, now);
+                self.listed(entries, now);
             }
             News::Roster { form, told } => {
                 let update = self.members.told(form, told, now);
--- a/crates/gateway/src/state/core/workers.rs
+++ b/crates/gateway/src/state/core/workers.rs
@@ -4,7 +4,7 @@
 use super::Core;
 use crate::shards::Shards;
 use stagehoist::{Event, Lifecycle, Micros, RosterForm, WorkerId};
-use stagehoist_membership::Update;
+use stagehoist_membership::{Entry, Update};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
@@ -86,6 +86,20 @@
         }
     }
 
+    /// A whole list came; what is over the bound is left out, at every front end the same.
+    pub(super) fn listed(&mut self, entries: Vec<Entry>, now: Micros) {
+        let update = self.members.listed(entries, now);
+        if let Some(left_out) = self.members.over() {
+            let most = self.figures.workers_most;
+            tracing::warn!(
+                left_out,
+                most,
+                "the list has more workers than workers-most; the last by name are left out"
+            );
+        }
+        self.tell(update, now);
+    }
+
     /// The fleet is divided: the module is told of the workers of own shards alone. Before the first list.
     pub fn divide(&mut self, shards: Option<Shards>) {
         self.shards = shards.map(Box::new);
--- a/crates/gateway/src/workers/pool.rs
+++ b/crates/gateway/src/workers/pool.rs
@@ -228,7 +228,7 @@
         }
         pools.retain(|_, idle| !idle.is_empty());
         let mut addresses = self.addresses.borrow_mut();
-        if addresses.len() > 2 * stagehoist_membership::WORKERS_MOST {
+        if addresses.len() > 2 * self.config.workers_most {
             addresses.clear();
         }
     }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,7 +16,7 @@
 use stagehoist::{Lifecycle, Micros, RosterForm, RosterRow, WorkerId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Most workers kept; entries beyond it are left out, the last by name first.
+/// Most workers kept where nothing else is told ([`Members::at_most`]); entries beyond are left out, the last by name first.
 pub const WORKERS_MOST: usize = 10_000;
 
 /// How long a worker that was told gone is kept, in microseconds: until its last attempts have ended.
@@ -40,6 +40,11 @@
     kinds: Vec<String>,
     zones: Vec<String>,
     announcement_keep: Micros,
+    /// Most workers kept.
+    most: usize,
+    /// Entries of the last whole list that were left out as over that, and whether it was told.
+    left_out: usize,
+    told_left_out: bool,
     known: BTreeMap<WorkerId, Known>,
     ids: BTreeMap<String, WorkerId>,
     /// Told gone, in order of time.
@@ -54,12 +59,27 @@
             kinds,
             zones,
             announcement_keep,
+            most: WORKERS_MOST,
+            left_out: 0,
+            told_left_out: false,
             known: BTreeMap::new(),
             ids: BTreeMap::new(),
             gone: VecDeque::new(),
         }
     }
 
+    /// The same with room for so many workers, in place of [`WORKERS_MOST`].
+    pub fn at_most(self, most: usize) -> Members {
+        Members { most, ..self }
+    }
+
+    /// Entries that the last whole list had over the bound, told once: again only after a list that fitted.
+    pub fn over(&mut self) -> Option<usize> {
+        let news = self.left_out > 0 && !self.told_left_out;
+        self.told_left_out = self.left_out > 0;
+        news.then_some(self.left_out)
+    }
+
     /// The address of a worker, also of one that is gone, as answers may still come from it.
     pub fn address(&self, worker: WorkerId) -> Option<&str> {
         self.known.get(&worker).map(|k| k.address.as_str())
@@ -91,7 +111,7 @@
         let mut rows = Vec::with_capacity(told.len());
         for Told { name, address, row } in told {
             let id = row.worker;
-            if !self.known.contains_key(&id) && self.known.len() >= 2 * WORKERS_MOST {
+            if !self.known.contains_key(&id) && self.known.len() >= 2 * self.most {
                 continue;
             }
             let mut gone = None;
--- a/crates/membership/src/listed.rs
+++ b/crates/membership/src/listed.rs
@@ -1,6 +1,6 @@
 //! Whole lists of workers by name.
 
-use super::{Entry, Known, Members, Update, WORKERS_MOST};
+use super::{Entry, Known, Members, Update};
 use fnv::FnvHasher;
 use stagehoist::{Lifecycle, Micros, RosterForm, RosterRow, WorkerId};
 use std::collections::BTreeSet;
@@ -32,7 +32,8 @@
     pub fn listed(&mut self, mut entries: Vec<Entry>, now: Micros) -> Update {
         entries.sort_by(|a, b| a.name.cmp(&b.name));
         entries.dedup_by(|b, a| a.name == b.name);
-        entries.truncate(WORKERS_MOST);
+        self.left_out = entries.len().saturating_sub(self.most);
+        entries.truncate(self.most);
         let mut seen = BTreeSet::new();
         for entry in entries {
             let id = self.id(&entry.name);
@@ -75,7 +76,7 @@
             }
         }
         // The gone are kept so that their numbers and addresses stay, up to a bound.
-        while self.known.len() > 2 * WORKERS_MOST {
+        while self.known.len() > 2 * self.most {
             let Some(id) = self.known.iter().find(|(_, k)| k.listed == Lifecycle::Gone).map(|(id, _)| *id)
             else {
                 return;
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use stagehoist::{Lifecycle, RosterForm, RosterRow};
 use stagehoist_membership::blocking::{Answer, Blocking};
-use stagehoist_membership::{Entry, Members, Told, Update, GONE_KEEP};
+use stagehoist_membership::{Entry, Members, Told, Update, GONE_KEEP, WORKERS_MOST};
 
 const S: i64 = 1_000_000;
 
@@ -142,3 +142,25 @@
     m.told(RosterForm::Delta, vec![], GONE_KEEP);
     assert_eq!(m.address(1), None);
 }
+
+#[test]
+fn over_the_told_bound_the_last_by_name_are_left_out_everywhere_and_it_is_told_once() {
+    let list = |n: u32| (0..n).map(|i| entry(&format!("w{i:05}"), 5)).collect::<Vec<_>>();
+    let mut usual = members();
+    assert_eq!((usual.listed(list(10_010), 0).rows.len(), usual.over()), (WORKERS_MOST, Some(10)));
+    let (mut one, mut other) = (members().at_most(30_000), members().at_most(30_000));
+    assert_eq!((one.listed(list(30_000), 0).rows.len(), one.over()), (30_000, None));
+    let long = list(30_007);
+    let backwards: Vec<Entry> = long.iter().rev().cloned().collect();
+    let (a, b) = (one.listed(long.clone(), S), other.listed(backwards, S));
+    assert_eq!((a.rows.len(), &a.rows), (30_000, &b.rows));
+    assert_eq!((one.over(), other.over()), (Some(7), Some(7)));
+    assert!(a.rows.iter().all(|r| one.name(r.worker).is_some_and(|name| name < "w30000")));
+    // Once; and again only after a list that fitted.
+    one.listed(long.clone(), 2 * S);
+    assert_eq!(one.over(), None);
+    one.listed(list(30_000), 3 * S);
+    assert_eq!(one.over(), None);
+    one.listed(long, 4 * S);
+    assert_eq!(one.over(), Some(7));
+}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 use stagehoist::{wire, Micros, Settings};
 use stagehoist_gateway::state::Figures;
+use stagehoist_membership::WORKERS_MOST;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -192,6 +193,7 @@
             kinds: self.kinds.clone(),
             zones: self.zones.clone(),
             announcement_keep: 0,
+            workers_most: WORKERS_MOST,
             held_most: self.held_most,
             retry_after_most: self.settings.max_retry_after,
             load_timeout: self.settings.order_delay,
