--- a/crates/stage/src/callers.rs
+++ b/crates/stage/src/callers.rs
@@ -1,7 +1,8 @@
 //! Callers: calls published at a drawn pace, replies counted as they come.
 
 use crate::day::Calls;
-use crate::layout::{own_queue, Layout, GIVE_UP, QUEUE};
+use crate::division::Addresses;
+use crate::layout::{own_queue, Layout, GIVE_UP};
 use bytes::Bytes;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -23,7 +24,7 @@
     pub served: AtomicU64,
     pub refused: AtomicU64,
     pub failed: AtomicU64,
-    /// Consumers of the queue of calls, as the broker last told.
+    /// Consumers of the queues of calls, as the broker last told.
     pub consumers: AtomicU64,
     /// Answers by outcome and reason.
     pub answers: Mutex<BTreeMap<String, u64>>,
@@ -63,6 +64,8 @@
     /// Tenants that calls name, each with its part of them; at one for each they come at the told rate, at more so much
     /// faster. Empty: calls name none.
     pub tenants: watch::Receiver<Vec<Calls>>,
+    /// Where calls go.
+    pub addresses: watch::Receiver<Addresses>,
 }
 
 impl Told {
@@ -130,6 +133,7 @@
     let mut buffer = vec![0u8; 64 << 10];
     let mut next = now();
     let mut looked = 0;
+    let mut consumers = BTreeMap::new();
     loop {
         while let Some(event) = client.event() {
             match event {
@@ -145,9 +149,10 @@
                 }
                 ClientEvent::Method(_, AMQPClass::Basic(basic::AMQPMethod::ConsumeOk(_))) => ready = true,
                 ClientEvent::Method(_, AMQPClass::Queue(queue::AMQPMethod::DeclareOk(ok)))
-                    if ok.queue.as_str() == QUEUE =>
+                    if ok.queue.as_str() != replies =>
                 {
-                    counts.consumers.store(u64::from(ok.consumer_count), Ordering::Relaxed);
+                    consumers.insert(ok.queue.to_string(), u64::from(ok.consumer_count));
+                    counts.consumers.store(consumers.values().sum(), Ordering::Relaxed);
                 }
                 ClientEvent::Delivered(_, message) => {
                     let headers = message.properties.headers().clone().unwrap_or_default();
@@ -169,7 +174,11 @@
             if now() - looked > 100_000 {
                 // Who consumes is asked in the protocol's own way: a passive declaration.
                 looked = now();
-                client.send(channel, AMQPClass::Queue(queue::AMQPMethod::Declare(declare(QUEUE, true))));
+                let queues = told.addresses.borrow().queues();
+                consumers.retain(|queue, _| queues.contains(queue));
+                for queue in queues {
+                    client.send(channel, AMQPClass::Queue(queue::AMQPMethod::Declare(declare(&queue, true))));
+                }
             }
             if rate <= 0.0 {
                 next = now();
@@ -178,7 +187,8 @@
                 *sent += 1;
                 counts.sent.fetch_add(1, Ordering::Relaxed);
                 let tenant = told.tenant(random);
-                publish(&mut client, channel, (number, *sent), &replies, layout, tenant, random);
+                let addresses = told.addresses.borrow().clone();
+                publish(&mut client, channel, (number, *sent), &replies, layout, (tenant, addresses), random);
                 next += (-(1.0 - random.random::<f64>()).ln() / rate * 1e6) as i64;
             }
         }
@@ -214,15 +224,15 @@
     (caller, n): (u32, u64),
     replies: &str,
     layout: &Layout,
-    calls: Option<Calls>,
+    (calls, addresses): (Option<Calls>, Addresses),
     random: &mut ChaCha8Rng,
 ) {
     let function = layout.function(random.random(), random.random());
     let id = format!("c{caller}-{n}");
     let body = format!("{{\"id\":\"{id}\",\"inputs\":[{{\"name\":\"day\",\"shape\":[1],\"datatype\":\"INT32\",\"data\":[{n}]}}]}}");
     let mut headers = FieldTable::default();
+    let mut to = addresses.queue(&function, n);
     headers.insert(short("function"), long(function));
-    let mut to = QUEUE.to_string();
     if let Some(Calls { tenant, only, .. }) = calls {
         headers.insert(short("tenant"), long(tenant));
         to = only.map_or(to, own_queue);
--- a/crates/stage/src/day/check.rs
+++ b/crates/stage/src/day/check.rs
@@ -13,7 +13,6 @@
             faults.push(DayFault { at, what, expected });
         };
         let fleet = &self.fleet;
-        let last = self.front_ends.saturating_sub(1);
         if fleet.keepers > 0 && (self.front_ends > FRONT_ENDS_MOST || fleet.keepers > self.front_ends) {
             let what = format!("{} keepers of {} front ends", fleet.keepers, self.front_ends);
             fault(1, what, format!("at most {FRONT_ENDS_MOST} front ends, and no more keepers than these"));
@@ -27,6 +26,33 @@
                 "keepers and a number".into(),
             );
         }
+        if self.machines > self.front_ends
+            || self.machines > 0 && !self.front_ends.is_multiple_of(self.machines)
+        {
+            let what = format!("{} front ends on {} machines", self.front_ends, self.machines);
+            fault(1, what, "as many front ends on each machine".into());
+        }
+        let sizes = self.division.map(|d| (1, d.shards)).into_iter();
+        let changes = self.troubles.iter().filter_map(|t| match t.trouble {
+            Trouble::Shards { to } => Some((t.line, to)),
+            _ => None,
+        });
+        for (line, shards) in sizes.chain(changes) {
+            if shards == 0 || shards > self.workers || shards > self.front_ends {
+                let most = self.workers.min(self.front_ends);
+                fault(
+                    line,
+                    format!("{shards} shards"),
+                    format!("1 to {most}, at most the workers and front ends"),
+                );
+            }
+            if self.division.is_none() {
+                fault(line, "a change of shards on a day without them".into(), "shards and a number".into());
+            }
+            if !fleet.pools.is_empty() {
+                fault(line, "shards beside pools".into(), "one of both".into());
+            }
+        }
         for reserve in &fleet.reserves {
             if !fleet.pools.iter().any(|p| p.name == reserve.pool) {
                 fault(1, format!("lanes reserved in no pool {:?}", reserve.pool), "a pool of the day".into());
@@ -35,9 +61,11 @@
         for planned in &self.troubles {
             let (trouble, line) = (&planned.trouble, planned.line);
             let named = trouble.clone().pick_mut().copied();
-            if matches!(named, Some(Pick::Number(n)) if n >= self.front_ends) {
-                let what = format!("{trouble:?} names a front end that does not stand");
-                fault(line, what, format!("0 to {last}"));
+            let machine = matches!(trouble, Trouble::MachineKill { .. } | Trouble::MachineStop { .. });
+            let among = if machine { self.machines() } else { self.front_ends };
+            if matches!(named, Some(Pick::Number(n)) if n >= among) {
+                let what = format!("{trouble:?} names what does not stand");
+                fault(line, what, format!("0 to {}", among.saturating_sub(1)));
             }
             if planned.to >= self.length {
                 let what = format!("{trouble:?} comes after the end of the day");
--- a/crates/stage/src/day/draw.rs
+++ b/crates/stage/src/day/draw.rs
@@ -28,7 +28,11 @@
         let mut retired = BTreeSet::new();
         for planned in &mut day.troubles {
             let keepers_only = matches!(planned.trouble, Trouble::Store { .. });
-            let among = if keepers_only { day.fleet.keepers } else { day.front_ends };
+            let among = match planned.trouble {
+                _ if keepers_only => day.fleet.keepers,
+                Trouble::MachineKill { .. } | Trouble::MachineStop { .. } => self.machines(),
+                _ => day.front_ends,
+            };
             planned.settle(&mut random, among, &mut retired);
         }
         day.troubles.sort_by_key(|t| t.from);
--- a/crates/stage/src/day/grammar.rs
+++ b/crates/stage/src/day/grammar.rs
@@ -6,7 +6,7 @@
 
 pub(super) fn trouble(w: &mut Words<'_>) -> Step<Trouble> {
     const EXPECTED: &str =
-        "worker, hall, store, answers, broker, list, flood, surge, front-end, link, leader, retire or \
+        "worker, hall, store, answers, broker, list, flood, surge, front-end, machine, shards, link, leader, retire or \
                             everything";
     match w.word(EXPECTED)? {
         "worker" => {
@@ -75,6 +75,15 @@
                 _ => return w.wrong("stop, terminate or kill"),
             })
         }
+        "machine" => {
+            let machine = w.pick()?;
+            Ok(match w.word("stop or kill")? {
+                "stop" => Trouble::MachineStop { machine, span: w.span()? },
+                "kill" => Trouble::MachineKill { machine, span: w.span()? },
+                _ => return w.wrong("stop or kill"),
+            })
+        }
+        "shards" => Ok(Trouble::Shards { to: w.number("", "a number of shards")? }),
         "link" => {
             let front_end = w.pick()?;
             let fault = match w.word("cut, stall, half-out, half-in or delay")? {
--- a/crates/stage/src/day/mod.rs
+++ b/crates/stage/src/day/mod.rs
@@ -22,6 +22,7 @@
 pub use fleet::{Calls, Fleet, Pool, Reserve};
 pub use trouble::{Cut, Pick, StoreFault, Trouble};
 
+use crate::division::Division;
 use grammar::trouble;
 use stagehoist_config::Position;
 use std::time::Duration;
@@ -43,6 +44,10 @@
     pub transactions: bool,
     /// The broker stamps messages with the time at which it takes them.
     pub stamps: bool,
+    /// Front ends that are killed, stopped and restarted together: so many groups of them, one after the other by number.
+    pub machines: u32,
+    /// The shards that the fleet is divided into as it begins; None: not divided.
+    pub division: Option<Division>,
     /// What the processes share.
     pub fleet: Fleet,
     /// In the order of the moments from which they may come.
@@ -61,6 +66,8 @@
             load_on_miss: true,
             transactions: false,
             stamps: true,
+            machines: 0,
+            division: None,
             fleet: Fleet::default(),
             troubles: Vec::new(),
         }
@@ -106,6 +113,8 @@
             "halls" => self.halls = w.number("", "a number of halls")?,
             "workers" => self.workers = w.number("", "a number of workers")?,
             "front-ends" => self.front_ends = w.number("", "a number of front ends")?,
+            "machines" => self.machines = w.number("", "a number of machines")?,
+            "shards" => self.division = Some(Division::new(w.number("", "a number of shards")?)),
             "seed" => self.seed = w.number("", "a whole number")?,
             "rate" => self.rate = w.number("/s", "a rate such as 150/s")?,
             "on-miss" => {
@@ -138,7 +147,7 @@
             _ if self.fleet.line(w)? => {}
             _ => {
                 return w.wrong(
-                    "halls, workers, front-ends, seed, rate, on-miss, replies, stamps, length, keepers, view-lease, \
+                    "halls, workers, front-ends, machines, shards, seed, rate, on-miss, replies, stamps, length, keepers, view-lease, \
                      remember, retire-mode, pool, reserve, tenant, marks, recover or at",
                 )
             }
@@ -146,6 +155,21 @@
         Ok(())
     }
 
+    /// How many machines there are: without any told each front end is one.
+    pub fn machines(&self) -> u32 {
+        if self.machines == 0 {
+            self.front_ends
+        } else {
+            self.machines
+        }
+    }
+
+    /// The front ends of a machine.
+    pub fn of_machine(&self, machine: u32) -> std::ops::Range<u32> {
+        let each = self.front_ends.div_ceil(self.machines().max(1));
+        (machine * each).min(self.front_ends)..((machine + 1) * each).min(self.front_ends)
+    }
+
     /// Whether some calls are for this front end only.
     pub fn has_own_queue(&self, front_end: u32) -> bool {
         let is_own = |pick: Pick| pick == Pick::Any || pick.number() == front_end;
--- a/crates/stage/src/day/trouble.rs
+++ b/crates/stage/src/day/trouble.rs
@@ -117,6 +117,19 @@
         front_end: Pick,
         span: Option<Duration>,
     },
+    /// The processes of a machine are killed, and new ones start after the span; or are stopped and go on.
+    MachineKill {
+        machine: Pick,
+        span: Duration,
+    },
+    MachineStop {
+        machine: Pick,
+        span: Duration,
+    },
+    /// The number of shards changes, stage by stage, each by restarts of one machine after the other.
+    Shards {
+        to: u32,
+    },
     /// The links between a front end and the keepers; where it is a keeper itself, also those of all others to it.
     Link {
         front_end: Pick,
@@ -215,12 +228,15 @@
             | Trouble::LeaderStop { span }
             | Trouble::Everything { span }
             | Trouble::Surge { span, .. }
+            | Trouble::MachineKill { span, .. }
+            | Trouble::MachineStop { span, .. }
             | Trouble::Stop { span, .. } => Some(span),
             Trouble::Kill { span, .. } | Trouble::LeaderKill { span } => span.as_mut(),
             Trouble::BrokerCut { .. }
             | Trouble::BrokerRestart
             | Trouble::ListIndexResets
             | Trouble::Retire { .. }
+            | Trouble::Shards { .. }
             | Trouble::Store { .. }
             | Trouble::Terminate { .. } => None,
         }
@@ -234,6 +250,7 @@
             | Trouble::Kill { front_end, .. }
             | Trouble::Link { front_end, .. }
             | Trouble::Store { front_end, .. } => Some(front_end),
+            Trouble::MachineKill { machine, .. } | Trouble::MachineStop { machine, .. } => Some(machine),
             Trouble::Surge { only, .. } => only.as_mut(),
             _ => None,
         }
--- /dev/null
+++ b/crates/stage/src/division.rs
@@ -0,0 +1,122 @@
+//! The division of a day's front ends into shards, as front ends are told of it and as callers compute their queues from it.
+
+use crate::day::Day;
+use crate::layout::QUEUE;
+use stagehoist_sharding as sharding;
+use stagehoist_sharding::{DivisionError, Homes, HotFunction, Key, Shard, Stage};
+use std::sync::Arc;
+
+/// Functions with much traffic and their part of all calls, as [`crate::Layout::function`] draws them.
+pub const HOT: [(&str, f64); 3] = [("free-times", 0.45), ("clashes", 0.30), ("recurring", 0.17)];
+
+/// Words of the configuration's directive for the stages of a change, in their order.
+const STAGES: [(Stage, &str); 3] =
+    [(Stage::Announced, "announced"), (Stage::Both, "both"), (Stage::Closing, "closing")];
+
+/// What front ends are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Division {
+    pub shards: u32,
+    pub generation: u32,
+    /// The number of shards that it changes to, and how far that has come.
+    pub next: Option<(u32, Stage)>,
+}
+
+impl Division {
+    pub fn new(shards: u32) -> Division {
+        Division { shards, generation: 1, next: None }
+    }
+
+    /// One stage further on the way to so many shards; None where they are in force alone.
+    pub fn further(self, to: u32) -> Option<Division> {
+        let next = |stage| Some(Division { next: Some((to, stage)), ..self });
+        match self.next {
+            None if self.shards == to => None,
+            None => next(Stage::Announced),
+            Some((_, Stage::Announced)) => next(Stage::Both),
+            Some((_, Stage::Both)) => next(Stage::Closing),
+            Some((_, Stage::Closing)) => {
+                Some(Division { shards: to, generation: self.generation + 1, next: None })
+            }
+        }
+    }
+
+    /// The word of its stage.
+    pub fn stage(&self) -> Option<&'static str> {
+        let (_, stage) = self.next?;
+        STAGES.iter().find(|s| s.0 == stage).map(|s| s.1)
+    }
+
+    /// The configuration's directive for one front end.
+    pub fn line(&self, day: &Day, front_end: u32) -> String {
+        let next = self.next.map_or(String::new(), |(to, _)| format!(" next {to} stage"));
+        let (Division { shards, generation, .. }, stage) = (self, self.stage().unwrap_or_default());
+        let (calls, workers) = (day.rate, day.workers);
+        format!("shards {shards} generation {generation}{next} {stage} calls {calls}/s workers {workers} first {front_end}\n")
+    }
+
+    /// What it adds to a function's line.
+    pub fn of_function(name: &str, day: &Day) -> String {
+        let hot = HOT.iter().find(|h| h.0 == name);
+        hot.map_or(String::new(), |(_, part)| format!(" calls {}/s", part * day.rate))
+    }
+
+    fn divisions(&self) -> Result<sharding::Divisions, DivisionError> {
+        let first = sharding::Division::new(self.shards, self.generation)?;
+        match self.next {
+            None => Ok(sharding::Divisions::only(first)),
+            Some((to, stage)) => {
+                let next = sharding::Division::new(to, self.generation + 1)?;
+                sharding::Divisions::changing(first, next, stage)
+            }
+        }
+    }
+}
+
+/// Where callers send.
+#[derive(Clone, Debug)]
+pub enum Addresses {
+    /// All to one queue.
+    One,
+    Shards(Arc<Homes>, u32),
+}
+
+impl Addresses {
+    /// As callers compute them from what all are told; nothing is asked of a front end.
+    pub fn of(day: &Day) -> Result<Addresses, DivisionError> {
+        let Some(told) = day.division else { return Ok(Addresses::One) };
+        let hot = |(name, part): (&str, f64)| HotFunction {
+            name: name.to_string(),
+            calls: part * day.rate,
+            spread: None,
+        };
+        let divisions = told.divisions()?;
+        let division = divisions.addressed();
+        let homes = Homes::new(division, day.rate, &HOT.map(hot))?;
+        Ok(Addresses::Shards(Arc::new(homes), division.shards()))
+    }
+
+    /// The queue of a call; a call has one number whenever it is sent.
+    pub fn queue(&self, function: &str, call: u64) -> String {
+        match self {
+            Addresses::One => QUEUE.into(),
+            Addresses::Shards(homes, _) => shard_queue(homes.for_call(Key::of(function), call)),
+        }
+    }
+
+    /// All queues that calls may go to.
+    pub fn queues(&self) -> Vec<String> {
+        match self {
+            Addresses::One => vec![QUEUE.into()],
+            Addresses::Shards(_, shards) => (0..*shards).map(shard_queue).collect(),
+        }
+    }
+}
+
+/// The queue of a shard.
+pub fn shard_queue(shard: Shard) -> String {
+    format!("{QUEUE}.shard-{shard}")
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/stage/src/layout.rs
+++ b/crates/stage/src/layout.rs
@@ -1,6 +1,7 @@
 //! What stands on the stage: functions, classes, workers, and the configuration and charter that follow from them.
 
 use crate::day::Day;
+use crate::division::Division;
 use stagehoist_judge::rules::{Charter, ClassRule, Effect};
 use stagehoist_standin::worker::{Catalogue, Program, Spec};
 use std::sync::Arc;
@@ -95,15 +96,17 @@
             let set: std::collections::BTreeSet<_> = self.workers.iter().map(|w| w.hall.clone()).collect();
             set.into_iter().collect()
         };
+        let calls = |name| day.division.map_or(String::new(), |_| Division::of_function(name, day));
+        let shards = day.division.map_or(String::new(), |d| d.line(day, front_end));
         format!(
             "front-ends 1\nfleet-front-ends {fleet}\nseed {seed}\n\
              {metrics}\
              class lookup aim 800ms give-up 2500ms effect safe worth 1 late-worth 0.1\n\
              class check aim 800ms give-up 2500ms effect keyed group all window 5s worth 1 late-worth 0.1\n\
              class record aim 1500ms give-up 2500ms effect unsafe worth 3 late-worth 0.1\n\
-             function free-times class lookup memory 64MB lanes 4 load 200ms{retire}\n\
-             function clashes class check memory 96MB lanes 4 load 200ms{retire}\n\
-             function recurring class record memory 128MB lanes 2 load 250ms{retire}\n\
+             function free-times class lookup memory 64MB lanes 4 load 200ms{retire}{free_times}\n\
+             function clashes class check memory 96MB lanes 4 load 200ms{retire}{clashes}\n\
+             function recurring class record memory 128MB lanes 2 load 250ms{retire}{recurring}\n\
              function rare-* class lookup memory 48MB lanes 1 load 180ms{retire}\n\
              broker amqp://guest:guest@{broker}/\n\
              consume {QUEUE} declare durable\n\
@@ -118,7 +121,10 @@
              attempts 4\nsecond-copies yes\ncancel yes\nprobe yes\norder-loads yes\n\
              idle-keep 10s\non-miss {miss}\nload-timeout 10s\n\
              load-ration window 10s free 12 share 0.2\n\
-             reports answers fields busy,inflight\n",
+             reports answers fields busy,inflight\n{shards}",
+            free_times = calls("free-times"),
+            clashes = calls("clashes"),
+            recurring = calls("recurring"),
             retire = match (day.fleet.keepers, day.fleet.strict) {
                 (0, _) => "",
                 (_, true) => " retire strict",
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod callers;
 mod day;
+mod division;
 mod fleet;
 mod lateness;
 mod layout;
@@ -16,6 +17,7 @@
 mod stack;
 
 pub use day::{Day, DayFault, Fleet, Pick, Planned, Pool, Reserve, StoreFault, Trouble};
+pub use division::{Addresses, Division};
 pub use lateness::Lateness;
 pub use layout::Layout;
 pub use measure::{measure, Measured};
--- a/crates/stage/src/play/begin.rs
+++ b/crates/stage/src/play/begin.rs
@@ -69,7 +69,9 @@
                     Cut::BeforeConfirm => BrokerCut::BeforeConfirm,
                     Cut::MidDelivery => BrokerCut::MidDelivery,
                 };
-                self.stack.broker.fault(Faults::Cut { queue: crate::layout::QUEUE.into(), how });
+                self.stack
+                    .broker
+                    .fault(Faults::Cut { queue: self.stack.addresses.borrow().queues().swap_remove(0), how });
             }
             Trouble::BrokerDelay { by, span } => {
                 self.stack.broker.fault(Faults::Delay(*by));
@@ -108,6 +110,12 @@
             Trouble::Terminate { front_end } => self.terminate(front_end.number()),
             Trouble::Kill { front_end, span: None } => self.kill(front_end.number())?,
             Trouble::Kill { front_end, span: Some(span) } => self.kill_for(front_end.number(), *span),
+            Trouble::MachineKill { machine, span } => self.kill_machine(machine.number(), *span),
+            Trouble::MachineStop { machine, span } => {
+                let front_ends = self.stack.day.of_machine(machine.number());
+                front_ends.for_each(|front_end| self.stop(front_end, *span));
+            }
+            Trouble::Shards { to } => self.changes.push_back(*to),
             Trouble::Link { .. }
             | Trouble::LeaderKill { .. }
             | Trouble::LeaderStop { .. }
--- a/crates/stage/src/play/fleet.rs
+++ b/crates/stage/src/play/fleet.rs
@@ -78,6 +78,13 @@
         self.stays_down(front_end, span);
     }
 
+    pub(super) fn kill_machine(&mut self, machine: u32, span: Duration) {
+        let front_ends = self.stack.day.of_machine(machine);
+        let up: Vec<u32> = front_ends.clone().filter(|f| !self.down.contains_key(f)).collect();
+        self.dies(&up);
+        front_ends.for_each(|front_end| self.stays_down(front_end, span));
+    }
+
     /// Processes die, all before the first is waited for.
     fn dies(&mut self, front_ends: &[u32]) {
         for front_end in front_ends {
--- a/crates/stage/src/play/mod.rs
+++ b/crates/stage/src/play/mod.rs
@@ -1,6 +1,7 @@
 //! A day played: troubles at their times, callers throughout, and the ledger at the end.
 
 mod begin;
+mod change;
 mod end;
 mod fleet;
 mod loss;
@@ -17,7 +18,7 @@
 use stagehoist_judge::rules::{judge, served_times, Charter, PoolRule, Verdict};
 use stagehoist_judge::tap::Trouble as Tapped;
 use stagehoist_judge::Story;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::sync::PoisonError;
@@ -111,6 +112,9 @@
     retirements: Retirements,
     /// Tenants that send more than usual, and how many times as much.
     surges: Vec<(u64, Calls)>,
+    /// Numbers of shards that are still to come in force, the first under way, and how far it is.
+    changes: VecDeque<u32>,
+    change: Option<change::Change>,
     /// Since everything lost its power.
     lost: Option<loss::Watch>,
 }
@@ -139,6 +143,8 @@
         down: BTreeMap::new(),
         retirements: Retirements::default(),
         surges: Vec::new(),
+        changes: VecDeque::new(),
+        change: None,
         lost: None,
     };
     let mut troubles = day.troubles.iter().peekable();
@@ -150,6 +156,7 @@
         }
         player.end_due()?;
         player.watch();
+        player.change()?;
         if start.elapsed() >= shown + Duration::from_secs(1) {
             shown = start.elapsed();
             let c = &player.stack.counts;
@@ -168,6 +175,7 @@
         player.watch();
         std::thread::sleep(Duration::from_millis(5));
     }
+    let unchanged = player.changes.len();
     let Player { mut charter, retirements, lost, .. } = player;
     charter.gaps = lateness.finish();
     charter.retired = retirements.charter();
@@ -177,6 +185,9 @@
     let in_force_after_ms = retirements.after_ms();
     let never = in_force_after_ms.iter().filter(|r| r.1.is_none());
     mishaps.extend(never.map(|(function, _)| format!("the retirement of {function} never came in force")));
+    if unchanged > 0 {
+        mishaps.push(format!("{unchanged} changes of the number of shards did not come to their end"));
+    }
     mishaps.extend(stack.fallen().into_iter().map(|w| format!("worker {w} fell over cold")));
     if let Err(error) = stack.end(PATIENCE) {
         mishaps.push(error.to_string());
--- a/crates/stage/src/stack/front_ends.rs
+++ b/crates/stage/src/stack/front_ends.rs
@@ -1,6 +1,7 @@
 //! The front ends' processes.
 
 use super::{Stack, StageError};
+use crate::division::{Addresses, Division};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -69,6 +70,29 @@
         }
     }
 
+    /// How often a front end's processes came to consume all their queues.
+    pub fn times_consuming(&self, front_end: u32) -> usize {
+        self.whole_log(front_end).matches("\"consuming\"").count()
+    }
+
+    /// Tells the front ends of a division: it comes in force for each as it starts anew.
+    pub fn divide(&mut self, division: Division) -> Result<(), StageError> {
+        self.day.division = Some(division);
+        for (number, front_end) in self.front_ends.iter().enumerate() {
+            let text = std::fs::read_to_string(&front_end.config).map_err(StageError::Config)?;
+            let rest: Vec<&str> = text.lines().filter(|l| !l.starts_with("shards ")).collect();
+            let line = division.line(&self.day, number as u32);
+            std::fs::write(&front_end.config, rest.join("\n") + "\n" + &line).map_err(StageError::Config)?;
+        }
+        Ok(())
+    }
+
+    /// Tells the callers where to send by the division that front ends are told of.
+    pub fn address(&mut self) -> Result<(), StageError> {
+        self.addresses.send_replace(Addresses::of(&self.day).map_err(StageError::Division)?);
+        Ok(())
+    }
+
     /// Starts a front end's process anew after the old one ended.
     pub fn restart_front_end(&mut self, front_end: u32) -> Result<(), StageError> {
         let config = self.front_ends[front_end as usize].config.clone();
--- a/crates/stage/src/stack/mod.rs
+++ b/crates/stage/src/stack/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::callers::{Counts, Pace};
 use crate::day::Day;
+use crate::division::Addresses;
 use crate::layout::Layout;
 pub use fleet::Between;
 use host::{Host, StartWorker};
@@ -31,6 +32,8 @@
     Socket(#[source] io::Error),
     #[error("can't write the front ends' configuration: {0}")]
     Config(#[source] io::Error),
+    #[error("the division can't be computed: {0}")]
+    Division(#[source] stagehoist_sharding::DivisionError),
     #[error("can't start {binary}: {source}")]
     Process { binary: PathBuf, source: io::Error },
     #[error("front end {0} ended before it was told to ({1})")]
@@ -69,6 +72,8 @@
     pub pace: watch::Sender<Pace>,
     /// Tenants that callers name, each with its part of the calls.
     pub tenants: watch::Sender<Vec<crate::day::Calls>>,
+    /// Where callers send.
+    pub addresses: watch::Sender<Addresses>,
     /// Links between the processes.
     pub between: Between,
     /// By front end and worker.
--- a/crates/stage/src/stack/start.rs
+++ b/crates/stage/src/stack/start.rs
@@ -5,6 +5,7 @@
 use super::{unix_ms, FrontEnd, Stack, StageError, WorkerStand};
 use crate::callers::{self, Counts, Pace, Told};
 use crate::day::Day;
+use crate::division::Addresses;
 use crate::layout::Layout;
 use crate::relay;
 use stagehoist_judge::capture::{Link, Peer, Recorder};
@@ -170,7 +171,8 @@
         let (pace, told) = watch::channel(Pace { rate: 0.0, stop: false });
         let (tenants, weights) = watch::channel(day.fleet.callers());
         let (count, seed, plan) = (counts.clone(), day.seed, layout.clone());
-        let told = Told { pace: told, tenants: weights };
+        let (addresses, where_to) = watch::channel(Addresses::of(&day).map_err(StageError::Division)?);
+        let told = Told { pace: told, tenants: weights, addresses: where_to };
         hosts.push(host(move || callers::run(callers_broker, 0, plan, seed, count, told))?);
 
         let mut stack = Stack {
@@ -187,6 +189,7 @@
             counts,
             pace,
             tenants,
+            addresses,
             between,
             worker_taps,
             front_ends: Vec::new(),
