A shard's queue carries its division's generation: no call is refused in a change

Cause: the queues of both divisions had one name by number alone, but front end 12 owns 3 by the old division and 4 by the new: it took calls sent to the new shard 3, whose functions have no home of its own. Ruled out: callers' homes (test), lists, redelivery. Wrong: shards.rs `queue` and `own`. Owning the union would have twice as many front ends on a worker as it is divided by, so the name has the generation now: QUEUE.division-G.shard-N. A call over the older division's queue counts as leaving, also where it stays in its shard, as closing ends that queue. Test: shards.rs, seen red with the old name.

--- a/crates/gateway/src/amqp/front/deliveries.rs
+++ b/crates/gateway/src/amqp/front/deliveries.rs
@@ -115,7 +115,7 @@
                         let answer = Answer::Refused { reason: "marks-not-ready", retry_after };
                         return self.answer(ticket, answer, now);
                     }
-                    Ok(asked) => match self.places.as_ref().map(|p| p.of(&asked.function)) {
+                    Ok(asked) => match self.places.as_ref().map(|p| p.over(queue, &asked.function)) {
                         // It may have run where it was before, and has no workers of its group here.
                         Some(Place::Elsewhere(_)) if asks => return self.fail_unknown(ticket, now),
                         Some(Place::Elsewhere(shard)) => {
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -11,9 +11,10 @@
 /// Added to the longest time that an attempt or a load may take, before a worker that left the subset is told gone.
 const MARGIN: Micros = 1_000_000;
 
-/// The queue of a shard.
-pub fn queue(name: &str, shard: Shard) -> String {
-    format!("{name}.shard-{shard}")
+/// The queue of a shard of one division. With the generation in its name, as the front ends that own a number in one division
+/// aren't those that do in the next: over one queue they would take each other's calls.
+pub fn queue(name: &str, generation: u32, shard: Shard) -> String {
+    format!("{name}.division-{generation}.shard-{shard}")
 }
 
 /// The configuration of one front end of the process: with the queues of its shards, and its number among the fleet's.
@@ -21,10 +22,12 @@
     let Some(sharding) = config.sharding.as_mut() else { return config };
     sharding.first += number;
     let sharding = sharding.clone();
-    let served = sharding.divisions.served();
-    let shards: BTreeSet<Shard> = served.flat_map(|d| owned(&config, &sharding, d)).collect();
+    let of_division = |d: &Division| -> Vec<(u32, Shard)> {
+        owned(&config, &sharding, d).into_iter().map(|s| (d.generation(), s)).collect()
+    };
+    let shards: Vec<(u32, Shard)> = sharding.divisions.served().flat_map(of_division).collect();
     let of = |c: &Consume| -> Vec<Consume> {
-        shards.iter().map(|s| Consume { queue: queue(&c.queue, *s), ..c.clone() }).collect()
+        shards.iter().map(|(g, s)| Consume { queue: queue(&c.queue, *g, *s), ..c.clone() }).collect()
     };
     config.consume = config.consume.iter().flat_map(of).collect();
     config
@@ -66,14 +69,30 @@
     names.iter().map(|n| (Key::of(n), if alike { 1.0 } else { calls(n) })).collect()
 }
 
-/// The homes and own shards of the divisions served, the newest last.
-pub struct Places(Vec<(Homes, Vec<Shard>)>);
+/// The homes and own shards of the divisions served, the newest last; and of each own queue whether it is left.
+pub struct Places(Vec<(Homes, Vec<Shard>)>, Vec<bool>);
 
 impl Places {
     pub fn new(config: &Config) -> Option<Places> {
         let sharding = config.sharding.as_ref()?;
         let of = |d: &Division| Some((homes(sharding, d)?, owned(config, sharding, d)));
-        Some(Places(sharding.divisions.served().filter_map(of).collect()))
+        let generations: Vec<u32> = sharding.divisions.served().map(Division::generation).collect();
+        let (_, older) = generations.split_last()?;
+        let shard = |c: &Consume| c.queue.rsplit_once(".shard-")?.1.parse().ok();
+        let left = |c: &Consume| {
+            shard(c).is_some_and(|s| older.iter().any(|g| c.queue.ends_with(&queue("", *g, s))))
+        };
+        let left = config.consume.iter().map(left).collect();
+        Some(Places(sharding.divisions.served().filter_map(of).collect(), left))
+    }
+
+    /// What the front end has to do with a function that was asked for over one of its queues, by that queue's place in the
+    /// configuration: over a queue of the older division every call is one that leaves.
+    pub fn over(&self, queue: usize, function: &str) -> Place {
+        match self.of(function) {
+            Place::Own if self.1.get(queue).is_some_and(|left| *left) => Place::Leaving,
+            place => place,
+        }
     }
 
     pub fn of(&self, function: &str) -> Place {
--- a/crates/gateway/tests/shards.rs
+++ b/crates/gateway/tests/shards.rs
@@ -9,7 +9,7 @@
 use stagehoist_gateway::shards::{own, queue, Places, Shards};
 use stagehoist_gateway::state::{AttemptResult, CallFigures, Core, Figures, News};
 use stagehoist_membership::Update;
-use stagehoist_sharding::{Place, Shard};
+use stagehoist_sharding::{Homes, Key, Place, Shard};
 use std::collections::{BTreeMap, BTreeSet};
 use world::*;
 
@@ -37,9 +37,9 @@
             .into_iter()
             .for_each(|Consume { queue, .. }| *consumers.entry(queue).or_insert(0) += 1);
     }
-    let all: Vec<(String, usize)> = (0..4).map(|shard: Shard| (queue("calls", shard), 2)).collect();
+    let all: Vec<(String, usize)> = (0..4).map(|shard: Shard| (queue("calls", 1, shard), 2)).collect();
     assert_eq!(consumers.into_iter().collect::<Vec<_>>(), all);
-    assert_eq!(queue("calls", 3), "calls.shard-3");
+    assert_eq!(queue("calls", 7, 3), "calls.division-7.shard-3");
     let alone = config("fleet-front-ends 4\n");
     assert_eq!(own(Config::clone(&alone), 3), *alone);
     assert!(Shards::new(&alone).is_none() && Places::new(&alone).is_none());
@@ -49,15 +49,43 @@
 /// While both divisions are served, the queues and functions of both.
 #[test]
 fn both_divisions_are_served_in_a_change() {
-    for (stage, shards) in [("announced", 4..5), ("both", 5..6), ("closing", 5..6)] {
+    for (stage, shards) in [("announced", 4), ("both", 4 + 5), ("closing", 5)] {
         let more = format!("fleet-front-ends 4\nshards 4 generation 1 next 5 stage {stage}\n");
         let queues: BTreeSet<String> = (0..4).flat_map(|n| of(&more, n).consume).map(|c| c.queue).collect();
-        assert_eq!(queues.len(), shards.start, "{stage}");
+        assert_eq!(queues.len(), shards, "{stage}");
     }
     let both = "fleet-front-ends 4\nshards 4 generation 1 next 5 stage both\n";
     assert!(!function(both, |p| p == Place::Leaving).is_empty());
 }
 
+/// Whoever consumes the queue that a caller computes by either division serves the call, though the front ends that own a
+/// number in one aren't those that do in the other; what comes by the older one leaves, also where it stays in its shard.
+#[test]
+fn a_call_sent_by_either_division_is_served_by_every_consumer_of_its_queue() {
+    for (old, new) in [(8, 9), (9, 8)] {
+        let more = format!("fleet-front-ends 24\nshards {old} generation 3 next {new} stage both\n");
+        let all: Vec<_> =
+            (0..24).map(|n| of(&more, n)).map(|c| (Places::new(&c).unwrap(), c.consume)).collect();
+        let told = of(&more, 0).sharding.unwrap();
+        for division in told.divisions.each() {
+            let homes = Homes::new(division, told.calls, &told.hot).unwrap();
+            let expected = if division.generation() == 3 { Place::Leaving } else { Place::Own };
+            for function in (0..400).map(|i| format!("f{i}")) {
+                let to = queue("calls", division.generation(), homes.for_call(Key::of(&function), 0));
+                let over = |(places, consume): &(Places, Vec<Consume>)| {
+                    Some(places.over(consume.iter().position(|c| c.queue == to)?, &function))
+                };
+                let places: Vec<Place> = all.iter().filter_map(over).collect();
+                assert!(places.len() >= 2, "{to}");
+                assert!(
+                    places.iter().all(|p| *p == expected),
+                    "{old} to {new}: {function} over {to}: {places:?}"
+                );
+            }
+        }
+    }
+}
+
 fn ready(workers: impl IntoIterator<Item = WorkerId>) -> Vec<RosterRow> {
     let row =
         |worker| RosterRow { worker, lifecycle: Lifecycle::Ready, capacity: 4.0, ..RosterRow::default() };
--- a/crates/gateway/tests/shards_sockets.rs
+++ b/crates/gateway/tests/shards_sockets.rs
@@ -93,7 +93,8 @@
         _ => None,
     };
     for shard in 0..4 {
-        let declare = queue::Declare { passive: true, ..stagehoist_amqp::declare(&queue_of("calls", shard)) };
+        let declare =
+            queue::Declare { passive: true, ..stagehoist_amqp::declare(&queue_of("calls", 1, shard)) };
         caller.client.send(channel, AMQPClass::Queue(queue::AMQPMethod::Declare(declare)));
         assert_eq!(caller.until(declared), 2, "shard {shard}");
     }
--- a/crates/stage/src/division.rs
+++ b/crates/stage/src/division.rs
@@ -78,7 +78,11 @@
 pub enum Addresses {
     /// All to one queue.
     One,
-    Shards(Arc<Homes>, u32),
+    Shards {
+        homes: Arc<Homes>,
+        shards: u32,
+        generation: u32,
+    },
 }
 
 impl Addresses {
@@ -93,14 +97,17 @@
         let divisions = told.divisions()?;
         let division = divisions.addressed();
         let homes = Homes::new(division, day.rate, &HOT.map(hot))?;
-        Ok(Addresses::Shards(Arc::new(homes), division.shards()))
+        let (shards, generation) = (division.shards(), division.generation());
+        Ok(Addresses::Shards { homes: Arc::new(homes), shards, generation })
     }
 
     /// The queue of a call; a call has one number whenever it is sent.
     pub fn queue(&self, function: &str, call: u64) -> String {
         match self {
             Addresses::One => QUEUE.into(),
-            Addresses::Shards(homes, _) => shard_queue(homes.for_call(Key::of(function), call)),
+            Addresses::Shards { homes, generation, .. } => {
+                shard_queue(*generation, homes.for_call(Key::of(function), call))
+            }
         }
     }
 
@@ -108,14 +115,16 @@
     pub fn queues(&self) -> Vec<String> {
         match self {
             Addresses::One => vec![QUEUE.into()],
-            Addresses::Shards(_, shards) => (0..*shards).map(shard_queue).collect(),
+            Addresses::Shards { shards, generation, .. } => {
+                (0..*shards).map(|s| shard_queue(*generation, s)).collect()
+            }
         }
     }
 }
 
-/// The queue of a shard.
-pub fn shard_queue(shard: Shard) -> String {
-    format!("{QUEUE}.shard-{shard}")
+/// The queue of a shard of a division.
+pub fn shard_queue(generation: u32, shard: Shard) -> String {
+    format!("{QUEUE}.division-{generation}.shard-{shard}")
 }
 
 #[cfg(test)]
--- a/crates/stage/src/division/tests.rs
+++ b/crates/stage/src/division/tests.rs
@@ -43,7 +43,13 @@
                 _ => format!("rare-{:03}", call / 4),
             };
             let queue = addresses.queue(&function, call);
-            assert_eq!(queue, shard_queue(homes.for_call(Key::of(&function), call)));
+            assert_eq!(
+                queue,
+                shard_queue(
+                    told.divisions.addressed().generation(),
+                    homes.for_call(Key::of(&function), call)
+                )
+            );
             used.insert(queue);
         }
         let all: BTreeSet<String> = addresses.queues().into_iter().collect();
