--- a/crates/stage/src/day/check.rs
+++ b/crates/stage/src/day/check.rs
@@ -62,9 +62,10 @@
             let (trouble, line) = (&planned.trouble, planned.line);
             let named = trouble.clone().pick_mut().copied();
             let machine = matches!(trouble, Trouble::MachineKill { .. } | Trouble::MachineStop { .. });
-            let among = if machine { self.machines() } else { self.front_ends };
+            let (what, among) =
+                if machine { ("machine", self.machines()) } else { ("front end", self.front_ends) };
             if matches!(named, Some(Pick::Number(n)) if n >= among) {
-                let what = format!("{trouble:?} names what does not stand");
+                let what = format!("{trouble:?} names a {what} that does not stand");
                 fault(line, what, format!("0 to {}", among.saturating_sub(1)));
             }
             if planned.to >= self.length {
--- a/crates/stage/src/division/tests.rs
+++ b/crates/stage/src/division/tests.rs
@@ -76,7 +76,7 @@
     assert_eq!(faults("workers 4\nfront-ends 24\nshards 5\n"), ["1: 5 shards"]);
     assert_eq!(faults("at 1s shards 2\n"), ["1: a change of shards on a day without them"]);
     let stands = faults(&format!("{DAY}at 1s machine 3 kill for 1s\n"));
-    assert!(stands.len() == 1 && stands[0].ends_with("names what does not stand"), "{stands:?}");
+    assert!(stands.len() == 1 && stands[0].ends_with("names a machine that does not stand"), "{stands:?}");
     let day = Day::parse("day", &format!("{DAY}at 1s machine 2 stop for 1s\n")).unwrap();
     assert_eq!((day.of_machine(0), day.of_machine(2)), (0..8, 16..24));
 }
