--- a/crates/cli/tests/fleet_days.rs
+++ b/crates/cli/tests/fleet_days.rs
@@ -36,3 +36,18 @@
     let rule = ledger.verdict.rules.iter().find(|r| r.name == "no effect twice").unwrap();
     assert!(rule.checks > 300, "{rule:?}");
 }
+
+#[test]
+fn a_divided_fleet_keeps_the_rules_while_machines_die_and_the_list_stalls() {
+    let ledger = judged("shards", include_str!("../../../days/shards.day"), 1, 12);
+    assert!(ledger.verdict.sent > 1_000, "{ledger:?}");
+    assert_eq!(ledger.answers.get("refused: other-shard"), None, "{ledger:?}");
+}
+
+/// At its whole length, as restarts take the time that they take.
+#[test]
+fn the_number_of_shards_changes_under_load_and_no_call_meets_the_wrong_shard() {
+    let ledger = judged("shards-change", include_str!("../../../days/shards-change.day"), 1, 36);
+    assert!(ledger.verdict.sent > 3_000, "{ledger:?}");
+    assert_eq!(ledger.answers.get("refused: other-shard"), None, "{ledger:?}");
+}
