--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -237,3 +237,9 @@
     s.turn(MS, vec![end(second, Outcome::Ok)]);
     assert_eq!(*ends.borrow(), [Outcome::Timeout, Outcome::Ok]);
 }
+
+#[test]
+fn as_many_workers_are_known_as_are_told() {
+    assert_eq!(Stage::new("workers-most 2\n").core.ready_workers(), 2);
+    assert_eq!(Stage::new("").core.ready_workers(), 3);
+}
