--- a/crates/stage/src/day/mod.rs
+++ b/crates/stage/src/day/mod.rs
@@ -15,6 +15,7 @@
 mod draw;
 mod fleet;
 mod grammar;
+mod pick;
 mod trouble;
 mod words;
 
