--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -17,7 +17,7 @@
 use held::Outside;
 use stagehoist::{Action, Event, Micros, Outcome, RequestId, WorkerId};
 use stagehoist_admission::lanes::Lane;
-use stagehoist_membership::Members;
+use stagehoist_membership::{Members, WORKERS_MOST};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use tracing::Span;
 use workers::Leaving;
@@ -97,7 +97,8 @@
         Core {
             decides: decider(figures.settings.clone(), seed, now),
             names: Names::new(figures.names.0, figures.names.1),
-            members: Members::new(kinds, zones, figures.announcement_keep).at_most(figures.workers_most),
+            members: Members::new(kinds, zones, figures.announcement_keep)
+                .at_most(figures.workers_most.unwrap_or(WORKERS_MOST)),
             figures,
             calls: HashMap::new(),
             by_ticket: HashMap::new(),
--- a/crates/gateway/src/state/core/workers.rs
+++ b/crates/gateway/src/state/core/workers.rs
@@ -4,7 +4,7 @@
 use super::Core;
 use crate::shards::Shards;
 use stagehoist::{Event, Lifecycle, Micros, RosterForm, WorkerId};
-use stagehoist_membership::{Entry, Update};
+use stagehoist_membership::{Entry, Update, WORKERS_MOST};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
@@ -90,7 +90,7 @@
     pub(super) fn listed(&mut self, entries: Vec<Entry>, now: Micros) {
         let update = self.members.listed(entries, now);
         if let Some(left_out) = self.members.over() {
-            let most = self.figures.workers_most;
+            let most = self.figures.workers_most.unwrap_or(WORKERS_MOST);
             tracing::warn!(
                 left_out,
                 most,
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -49,8 +49,8 @@
     pub zones: Vec<String>,
     /// How long a worker's own word that it drains counts against the list.
     pub announcement_keep: Micros,
-    /// Workers kept of a list.
-    pub workers_most: usize,
+    /// Workers kept of a list; None: [`stagehoist_membership::WORKERS_MOST`].
+    pub workers_most: Option<usize>,
     /// Calls that may be unanswered at once.
     pub held_most: u64,
     pub retry_after_most: Micros,
@@ -72,7 +72,7 @@
             zones: config.zones.clone(),
             // The list counts again when it contradicts a worker's word for longer than it may lag.
             announcement_keep: 60_000_000.max(4 * config.list_ask_within),
-            workers_most: config.workers_most,
+            workers_most: Some(config.workers_most),
             held_most: config.held_most,
             retry_after_most: config.retry_after_most,
             load_timeout: config.load_timeout,
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -8,7 +8,6 @@
 use serde_json::Value;
 use stagehoist::{wire, Micros, Settings};
 use stagehoist_gateway::state::Figures;
-use stagehoist_membership::WORKERS_MOST;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -193,7 +192,7 @@
             kinds: self.kinds.clone(),
             zones: self.zones.clone(),
             announcement_keep: 0,
-            workers_most: WORKERS_MOST,
+            workers_most: None,
             held_most: self.held_most,
             retry_after_most: self.settings.max_retry_after,
             load_timeout: self.settings.order_delay,
