Propose a retirement again that a full record refused, until it is taken

Seen in a scale trial of the record: 453 of 528 proposals made an hour apart were refused as "the record is full". The refusal of one function beyond the most that are retired went the same way.

Refusals that can't pass are now those by the retirement's own fault (`Retirement::fault`); for want of room the leader says nothing to the session and one line to its log. The session keeps what no view shows (`client/retiring.rs`) and proposes one after the other, with pauses that double from 0.5 to 5 s, each drawn from half to whole. They begin anew where a tombstone was forgotten, and the next follows within 50 ms where one that waited was taken. One log line tells that some wait. New proposals no longer put off old ones. The protocol is as it was. `FILE.state` tells `not-in-force` for what was asked for and no view has shown.

Ruled out: a refusal marked as passing on the wire, which would need another protocol number for the same course; pauses alone, without the next that follows at once: in one of two runs of all tests `full` was not done in 20 s; that the late ones waited behind others there is read from the code, not traced. Refusing a faulty retirement before it is proposed made an older test of `agree` fail, rightly: the record judges it, and only where there is no room is it judged before.

Tests: keeper `full` (red without the mend: not taken in 20 s; that run filled the record 64 at a time, now the last are 16), unit test of the pauses, gateway `retirements` (red where nothing is handed to the file of states). Two calls of `render` in an older test got the new argument, empty; what they check is unchanged. All tests of the keeper pass.

--- a/crates/gateway/src/fleet/retirements.rs
+++ b/crates/gateway/src/fleet/retirements.rs
@@ -10,7 +10,7 @@
 
 use super::states;
 use stagehoist_config::Config;
-use stagehoist_registry::{Mode, Retirement, Standing};
+use stagehoist_registry::{Mode, Retirement, Standing, View};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime};
@@ -91,6 +91,8 @@
     text: String,
     lines: Vec<Line>,
     proposed: BTreeMap<String, u32>,
+    /// Those of them that no view has shown yet.
+    unseen: BTreeMap<String, u32>,
     faults: BTreeSet<(usize, String)>,
 }
 
@@ -118,8 +120,21 @@
     pub fn done(&mut self, line: &Line) {
         if self.proposed.len() < LINES_MOST || self.proposed.contains_key(&line.function) {
             self.proposed.insert(line.function.clone(), line.generation);
+            self.unseen.insert(line.function.clone(), line.generation);
         }
     }
+
+    /// What was asked for and no view has shown so far, so that it is not in force anywhere: proposed, or still to be.
+    pub fn outstanding(&mut self, view: &View) -> BTreeMap<String, u32> {
+        let is_shown = |function: &str, generation| view.retired(function, generation).is_some();
+        self.unseen.retain(|function, generation| !is_shown(function, *generation));
+        let mut outstanding = self.unseen.clone();
+        for line in self.open().filter(|l| !is_shown(&l.function, l.generation)) {
+            let highest = outstanding.entry(line.function.clone()).or_default();
+            *highest = line.generation.max(*highest);
+        }
+        outstanding
+    }
 }
 
 fn now_ms() -> i64 {
@@ -188,7 +203,7 @@
         }
         propose(&config, &mut proposer, &retire);
         let view = standing.borrow_and_update().view.clone();
-        if let Err(e) = states::keep(&path, &view, now_ms()).await {
+        if let Err(e) = states::keep(&path, &view, &proposer.outstanding(&view), now_ms()).await {
             tracing::warn!(file = %path.display(), error = %e, "can't write the states of the retirements");
         }
     }
--- a/crates/gateway/src/fleet/states.rs
+++ b/crates/gateway/src/fleet/states.rs
@@ -4,9 +4,11 @@
 //! free-times 1 in-force 1700000000123
 //! recurring 2 in-force 1700000000456 but-for b/0,b/1
 //! offers 1 proposed 1700000000789
+//! spares 1 not-in-force 1700000000790
 //! # version 17
 //! ```
 //!
+//! `not-in-force` is one that the record has not taken, as where it is full: it is proposed again until it is.
 //! The time is when a process that wrote the file first saw that state, in milliseconds since 1970. Several processes may
 //! keep one file: what is there is replaced only by a later view, or where it is lost or damaged.
 
@@ -47,7 +49,7 @@
         let rest: Vec<&str> = parts.collect();
         generation.parse::<u32>().ok()?;
         let known = match (state, &rest[..]) {
-            ("proposed" | "in-force", []) => format!("{generation} {state}"),
+            ("proposed" | "in-force" | "not-in-force", []) => format!("{generation} {state}"),
             ("in-force", ["but-for", names]) => format!("{generation} {state} but-for {names}"),
             _ => return None,
         };
@@ -56,11 +58,18 @@
     Some(states)
 }
 
-/// The file of a view; a state that stood before keeps its time.
-pub fn render(view: &View, before: &States, now_ms: i64) -> String {
+/// The state of what the record has not taken.
+fn unmet(generation: u32) -> (String, String) {
+    (format!("{generation} not-in-force"), String::new())
+}
+
+/// The file of a view and of what it does not show though it was asked for; a state that stood before keeps its time.
+pub fn render(view: &View, outstanding: &BTreeMap<String, u32>, before: &States, now_ms: i64) -> String {
     let mut text = String::new();
-    for (name, tombstone) in &view.tombstones {
-        let (state, rest) = words(tombstone);
+    let mut states: BTreeMap<&String, _> = outstanding.iter().map(|(name, g)| (name, unmet(*g))).collect();
+    // A lower generation that is in force says more than a higher one that waits.
+    states.extend(view.tombstones.iter().map(|(name, tombstone)| (name, words(tombstone))));
+    for (name, (state, rest)) in states {
         let since = before.lines.get(name).filter(|(known, _)| *known == format!("{state}{rest}"));
         let ms = since.map_or(now_ms, |(_, ms)| *ms);
         text.push_str(&format!("{name} {state} {ms}{rest}\n"));
@@ -69,8 +78,14 @@
     text
 }
 
-/// Brings the file up to date, if its view is older or it is lost or damaged. Nothing is written before any view came.
-pub async fn keep(retirements: &Path, view: &View, now_ms: i64) -> io::Result<()> {
+/// Brings the file up to date, if its view is older, it lacks something outstanding, or it is lost or damaged. What
+/// another process wrote of the same view as outstanding stays. Nothing is written before any view came.
+pub async fn keep(
+    retirements: &Path,
+    view: &View,
+    outstanding: &BTreeMap<String, u32>,
+    now_ms: i64,
+) -> io::Result<()> {
     if view.version == 0 {
         return Ok(());
     }
@@ -80,10 +95,25 @@
         Err(e) if e.kind() == io::ErrorKind::NotFound => None,
         Err(e) => return Err(e),
     };
-    if known.as_ref().is_some_and(|k| k.version >= view.version) {
+    let known = known.unwrap_or_default();
+    let mut outstanding = outstanding.clone();
+    if known.version == view.version {
+        let told = known.lines.iter().filter_map(|(name, (words, _))| {
+            Some((name, words.strip_suffix(" not-in-force")?.parse::<u32>().ok()?))
+        });
+        for (name, generation) in told {
+            let highest = outstanding.entry(name.clone()).or_default();
+            *highest = generation.max(*highest);
+        }
+    }
+    let lacks = |(name, generation): (&String, &u32)| {
+        !view.tombstones.contains_key(name)
+            && known.lines.get(name).is_none_or(|(words, _)| *words != unmet(*generation).0)
+    };
+    if known.version > view.version || known.version == view.version && !outstanding.iter().any(lacks) {
         return Ok(());
     }
-    let text = render(view, &known.unwrap_or_default(), now_ms);
+    let text = render(view, &outstanding, &known, now_ms);
     let temp = beside(retirements, &format!(".state.{}.new", std::process::id()));
     let written = write(&temp, &path, text.as_bytes()).await;
     if written.is_err() {
--- a/crates/gateway/tests/retirements.rs
+++ b/crates/gateway/tests/retirements.rs
@@ -4,6 +4,7 @@
 use stagehoist_gateway::fleet::retirements::{follow, parse, Proposer};
 use stagehoist_gateway::fleet::states;
 use stagehoist_registry::{Command, Member, Mode, Record, Retirement, Standing, View};
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -69,15 +70,16 @@
 #[test]
 fn a_state_keeps_its_time_and_damage_shows() {
     let member = |name: &str| Member { name: name.into(), incarnation: 1 };
+    let none = BTreeMap::new();
     let proposed = view(&[Command::Retire(retirement("free", 1)), Command::Retire(retirement("other", 2))]);
-    let first = states::render(&proposed, &states::States::default(), 100);
+    let first = states::render(&proposed, &none, &states::States::default(), 100);
     assert_eq!(first, "free 1 proposed 100\nother 2 proposed 100\n# version 2\n");
     let but_for = [member("b/0"), member("b/1")].into();
     let in_force = Command::InForce { function: "free".into(), generation: 1, but_for };
     let later = [Command::Retire(retirement("free", 1)), Command::Retire(retirement("other", 2)), in_force];
-    let second = states::render(&view(&later), &states::parse(&first).unwrap(), 200);
+    let second = states::render(&view(&later), &none, &states::parse(&first).unwrap(), 200);
     assert_eq!(second, "free 1 in-force 200 but-for b/0,b/1\nother 2 proposed 100\n# version 3\n");
-    let third = states::render(&view(&later), &states::parse(&second).unwrap(), 300);
+    let third = states::render(&view(&later), &none, &states::parse(&second).unwrap(), 300);
     assert_eq!(third, second);
     for cut in 1..second.len() {
         assert_eq!(states::parse(&second[..cut]), None, "{:?}", &second[..cut]);
@@ -136,6 +138,48 @@
     assert_eq!(std::fs::read_dir(folder.path()).unwrap().count(), 2, "nothing is left beside");
 }
 
+#[tokio::test]
+async fn what_the_record_has_not_taken_is_told_as_not_in_force_until_a_view_shows_it() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("retired");
+    let state = folder.path().join("retired.state");
+    std::fs::write(&path, "free 1\nother 2\nthird 1\n").unwrap();
+    let (standing, seen) = watch::channel(Standing::default());
+    let (retire, mut asked) = mpsc::channel(2);
+    let _task = tokio::spawn(follow(config(), path.clone(), seen, retire));
+    let show = |commands: &[Command]| {
+        let view = Arc::new(view(commands));
+        standing.send_replace(Standing { view, ..Standing::default() });
+    };
+    // One is taken by the record, one is refused for now, and one is not handed over yet.
+    let mut taken = vec![Command::Retire(retirement("free", 1))];
+    show(&taken);
+    let tells = |text: &str, waiting: &[&str]| {
+        let states = states::parse(text).unwrap_or_default();
+        let said = |w: &&String| states.lines[*w].0.ends_with(" not-in-force");
+        states.lines.keys().filter(said).collect::<Vec<_>>() == waiting
+    };
+    until(&state, |t| t.starts_with("free 1 proposed ") && tells(t, &["other", "third"])).await;
+    assert!(std::fs::read_to_string(&state).unwrap().contains("\nother 2 not-in-force "));
+    // Another process that has not read the lines yet takes nothing from it.
+    let before = std::fs::read_to_string(&state).unwrap();
+    states::keep(&path, &view(&taken), &BTreeMap::new(), 9).await.unwrap();
+    assert_eq!(std::fs::read_to_string(&state).unwrap(), before);
+    for function in ["free", "other", "third"] {
+        assert_eq!(asked.recv().await.unwrap().function, function);
+    }
+    taken.push(Command::Retire(retirement("other", 2)));
+    show(&taken);
+    until(&state, |t| t.contains("other 2 proposed ") && tells(t, &["third"])).await;
+    taken.push(Command::Retire(retirement("third", 1)));
+    show(&taken);
+    until(&state, |t| t.contains("third 1 proposed ") && tells(t, &[])).await;
+    // Once shown and forgotten, nothing waits for it.
+    taken.push(Command::Forget { function: "other".into(), generation: 2 });
+    show(&taken);
+    until(&state, |t| t.ends_with("# version 4\n") && !t.contains("other") && tells(t, &[])).await;
+}
+
 #[tokio::test]
 async fn a_change_that_shows_in_neither_size_nor_time_is_found_too() {
     let folder = tempfile::tempdir().unwrap();
--- a/crates/keeper/src/client.rs
+++ b/crates/keeper/src/client.rs
@@ -1,6 +1,7 @@
 //! A front end's session: finds the keeper that leads, reports, and tells the front end how things stand.
 
 mod lanes;
+mod retiring;
 mod talk;
 
 use crate::frames::{decode, encode_first, frames, First, Frames, CONNECT_MOST, VIEW_MOST, WRITE_MOST};
@@ -9,18 +10,16 @@
 use futures_util::{SinkExt, StreamExt};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use retiring::Retiring;
 use stagehoist_registry::{
     Heard, Holder, Member, Pool, Retirement, Rounds, Said, Standing, Terms, ToKeeper, ToMember, PROTOCOL,
 };
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
-/// Retirements asked for that the view does not show yet.
-const RETIRES_MOST: usize = 1024;
-const RETIRE_EVERY: Duration = Duration::from_millis(500);
 /// Least time between two reports.
 const REPORT_GAP: Duration = Duration::from_millis(5);
 const WELCOME_MOST: Duration = Duration::from_secs(5);
@@ -58,8 +57,7 @@
     client: Client,
     holder: Holder,
     random: ChaCha8Rng,
-    /// Retirements that the view does not show yet.
-    open: VecDeque<Retirement>,
+    retiring: Retiring,
     joined: Option<Member>,
     may_retire: bool,
     may_say: bool,
@@ -88,7 +86,7 @@
         client,
         holder,
         random,
-        open: VecDeque::new(),
+        retiring: Retiring::new(),
         joined: None,
         may_retire: true,
         may_say: true,
--- /dev/null
+++ b/crates/keeper/src/client/retiring/tests.rs
@@ -0,0 +1,55 @@
+use super::{Retiring, AGAIN};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use stagehoist_registry::{Command, Mode, Record, Retirement, View};
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn retirement(function: &str) -> Retirement {
+    let (function, reason) = (function.to_string(), "test".to_string());
+    Retirement { function, generation: 1, successor: None, reason, mode: Mode::Available, asked_ms: 0 }
+}
+
+fn view(functions: &[&str]) -> View {
+    let mut record = Record::default();
+    for (at, function) in functions.iter().enumerate() {
+        record.apply(at as u64 + 1, &Command::Retire(retirement(function)));
+    }
+    record.view
+}
+
+#[test]
+fn pauses_grow_to_a_bound_are_spread_and_begin_anew_where_there_is_room() {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut retiring = Retiring::new();
+    for function in ["a", "b", "c"] {
+        retiring.proposed(retirement(function));
+    }
+    let (mut pause, mut asked, mut drawn) = (AGAIN.0, Vec::new(), Vec::new());
+    for _ in 0..60 {
+        let before = Instant::now();
+        asked.push(retiring.again(&mut random).unwrap().function);
+        let due = retiring.due().unwrap();
+        pause = (pause * 2).min(Duration::from_secs(5));
+        assert!(due >= before + pause / 2 && due <= Instant::now() + pause, "{pause:?}");
+        drawn.push((due - before).as_millis() / 250);
+    }
+    assert_eq!(asked[..4], ["a", "b", "c", "a"], "one after the other");
+    drawn.sort_unstable();
+    drawn.dedup();
+    assert!(drawn.len() > 5, "spread: {drawn:?}");
+    // One of them is taken: those that are left come soon.
+    retiring.shown(&view(&["a", "x"]), &mut random);
+    assert!(retiring.due().unwrap() <= Instant::now() + AGAIN.0);
+    retiring.again(&mut random);
+    retiring.again(&mut random);
+    retiring.again(&mut random);
+    retiring.again(&mut random);
+    // A tombstone is forgotten: there may be room.
+    retiring.shown(&view(&["x"]), &mut random);
+    assert!(retiring.due().unwrap() <= Instant::now() + AGAIN.0);
+    // One is refused for good, the other shown: nothing is left to ask.
+    retiring.refused("b", 1);
+    retiring.shown(&view(&["c"]), &mut random);
+    assert!(retiring.due().is_none() && retiring.again(&mut random).is_none());
+}
--- a/crates/keeper/src/client/talk.rs
+++ b/crates/keeper/src/client/talk.rs
@@ -1,6 +1,6 @@
 //! A session once it is welcomed.
 
-use super::{stopped, End, State, LEAVE_MOST, RETIRES_MOST, RETIRE_EVERY};
+use super::{stopped, End, State, LEAVE_MOST};
 use crate::frames::{decode, encode, Frames, WRITE_MOST};
 use futures_util::{SinkExt, StreamExt};
 use rand::RngExt;
@@ -14,13 +14,15 @@
         let (mut sink, mut stream) = frames.split();
         let lease = Duration::from_micros(u64::try_from(self.client.terms.lease).unwrap_or(1_000_000));
         let silent_most = lease.max(Duration::from_secs(1));
-        let (mut report_at, mut retire_at) = (Instant::now(), Instant::now());
+        let mut report_at = Instant::now();
+        self.retiring.begin();
         let mut reported = Instant::now();
         let mut granted_at = Instant::now();
         let mut stop = self.client.stop.clone();
         loop {
             let mut message = None;
             let (until_asked, asks) = (self.until_asked(), self.rounds.due().is_some());
+            let again = self.retiring.due();
             tokio::select! {
                 () = stopped(&mut stop) => {
                     if let Ok(leave) = encode(&ToKeeper::Leave) {
@@ -47,7 +49,7 @@
                             }
                         }
                         Some(ToMember::NotRetired { function, generation, why }) => {
-                            self.open.retain(|r| r.function != function || r.generation != generation);
+                            self.retiring.refused(&function, generation);
                             tracing::error!(target: "stagehoist_keeper", event = "retirement",
                                 name = %self.client.name, function, generation, why, "refused by the record");
                         }
@@ -76,12 +78,11 @@
                         report_at = report_at.min(reported + gap);
                     }
                 }
-                asked = self.client.retire.recv(), if self.may_retire && self.open.len() < RETIRES_MOST => match asked {
+                asked = self.client.retire.recv(), if self.may_retire && self.retiring.has_room() => match asked {
                     Some(retirement) => {
                         if !self.is_shown(&retirement) {
                             message = Some(ToKeeper::Retire(retirement.clone()));
-                            self.open.push_back(retirement);
-                            retire_at = Instant::now() + RETIRE_EVERY;
+                            self.retiring.proposed(retirement);
                         }
                     }
                     None => self.may_retire = false,
@@ -104,13 +105,8 @@
                 () = sleep(until_asked), if asks => {
                     message = self.rounds.next((self.client.now)());
                 }
-                () = sleep_until(retire_at), if !self.open.is_empty() => {
-                    retire_at = Instant::now() + RETIRE_EVERY;
-                    // One after the other: the queue turns.
-                    if let Some(retirement) = self.open.pop_front() {
-                        self.open.push_back(retirement.clone());
-                        message = Some(ToKeeper::Retire(retirement));
-                    }
+                () = sleep_until(again.unwrap_or(report_at)), if again.is_some() => {
+                    message = self.retiring.again(&mut self.random).map(ToKeeper::Retire);
                 }
                 () = sleep_until(report_at) => {
                     // A leader that gives no promise may be cut off from the others; another may lead by now.
@@ -161,7 +157,7 @@
             self.publish();
         }
         let view = self.holder.standing().view.clone();
-        self.open.retain(|r| view.retired(&r.function, r.generation).is_none());
+        self.retiring.shown(&view, &mut self.random);
         true
     }
 
--- a/crates/keeper/src/keep/desk_state.rs
+++ b/crates/keeper/src/keep/desk_state.rs
@@ -3,11 +3,11 @@
 mod agree;
 mod asks;
 mod out;
+mod retiring;
 
 use super::desk::Tools;
 use super::leading::Leading;
 use crate::figures::Figures;
-use crate::frames::VIEW_MOST;
 use crate::kinds::{Applied, Dones, Metrics};
 use agree::QUEUE_MOST;
 use bytes::Bytes;
@@ -57,6 +57,8 @@
     /// The newest view as it goes out, and the one that all were handed.
     view: (Version, Bytes),
     shown: Version,
+    /// A retirement found no room, and none was taken since.
+    is_full: bool,
     figures: Figures,
 }
 
@@ -77,6 +79,7 @@
             flight: None,
             view: (0, Bytes::new()),
             shown: 0,
+            is_full: false,
             figures: Figures::default(),
         }
     }
@@ -183,17 +186,7 @@
         let Some(at) = self.conns.get(&conn) else { return };
         match (said, at.member.clone()) {
             (ToKeeper::Report(report), Some(member)) => self.report(conn, &member, &report),
-            (ToKeeper::Retire(retirement), Some(_)) => {
-                let known = self.record.record.view.retired(&retirement.function, retirement.generation);
-                if self.view.1.len() > VIEW_MOST / 2 {
-                    self.not_retired(conn, retirement, "the record is full".into());
-                } else if known.is_none() {
-                    tracing::info!(target: "stagehoist_keeper", event = "retirement",
-                        function = %retirement.function,
-                        generation = retirement.generation, "proposed");
-                    self.propose(For::Retire(conn), Command::Retire(retirement));
-                }
-            }
+            (ToKeeper::Retire(retirement), Some(_)) => self.retire(conn, retirement),
             (ToKeeper::Leave, Some(member)) => self.propose(For::Leave(conn), Command::Leave(member)),
             (ToKeeper::Ask { number, turn, to, keys }, Some(member)) => {
                 self.ask(conn, member, (number, turn), &to, keys);
--- a/crates/keeper/src/keep/desk_state/agree.rs
+++ b/crates/keeper/src/keep/desk_state/agree.rs
@@ -46,9 +46,10 @@
             match (who, results.get(at)) {
                 (For::Retire(conn), Some(Done::Refused { why })) => {
                     if let Command::Retire(asked) = &command {
-                        self.not_retired(conn, asked.clone(), why.clone());
+                        self.refuse(conn, asked.clone(), why);
                     }
                 }
+                (For::Retire(_), Some(Done::Changed)) => self.is_full = false,
                 (For::Join(conn), Some(Done::Joined(member))) if self.conns.contains_key(&conn) => {
                     self.welcome(conn, member.clone());
                 }
--- a/crates/keeper/src/keep/desk_state/out.rs
+++ b/crates/keeper/src/keep/desk_state/out.rs
@@ -3,7 +3,7 @@
 use super::Desk;
 use crate::frames::encode;
 use bytes::Bytes;
-use stagehoist_registry::{Retirement, ToMember};
+use stagehoist_registry::ToMember;
 
 impl Desk {
     /// Sends the newest view, where it was not sent yet.
@@ -36,14 +36,6 @@
         }
     }
 
-    /// Tells who asked for a retirement that it can't be taken.
-    pub(super) fn not_retired(&mut self, conn: u64, asked: Retirement, why: String) {
-        tracing::warn!(target: "stagehoist_keeper", event = "retirement", function = %asked.function,
-            generation = asked.generation, why, "refused");
-        let (function, generation) = (asked.function, asked.generation);
-        self.say(conn, &ToMember::NotRetired { function, generation, why });
-    }
-
     pub(super) fn say(&mut self, conn: u64, message: &ToMember) {
         if let Ok(frame) = encode(message) {
             self.hand(conn, frame);
--- a/crates/registry/src/bounds.rs
+++ b/crates/registry/src/bounds.rs
@@ -1,6 +1,6 @@
 //! How much the record holds at most; a command beyond it is refused with the reason, alike at every keeper.
 
-use crate::{Command, Member, Pool, Record, Run, Size, Tombstone};
+use crate::{Command, Member, Pool, Record, Retirement, Run, Size, Tombstone};
 use std::collections::BTreeSet;
 
 /// Names of members, present and left; beyond it the longest-left are forgotten.
@@ -25,15 +25,11 @@
                 (*at_least >= INCARNATION_MOST).then(|| format!("incarnation {at_least} is too high"))
             }),
             Command::Retire(retirement) => {
-                let named = name_refusal("function", &retirement.function).or_else(|| {
-                    retirement.successor.as_ref().and_then(|name| name_refusal("successor", name))
-                });
                 let tombstones = &self.view.tombstones;
                 let full =
                     tombstones.len() >= TOMBSTONES_MOST && !tombstones.contains_key(&retirement.function);
-                named
-                    .or_else(|| (retirement.generation == 0).then(|| "generations count from 1".into()))
-                    .or_else(|| too_many("bytes of reason", retirement.reason.len(), REASON_MOST))
+                retirement
+                    .fault()
                     .or_else(|| full.then(|| format!("{TOMBSTONES_MOST} functions are retired already")))
             }
             Command::InForce { but_for, .. } => {
@@ -70,6 +66,16 @@
     }
 }
 
+impl Retirement {
+    /// Why no record ever takes it; any other refusal passes once older retirements are forgotten.
+    pub fn fault(&self) -> Option<String> {
+        name_refusal("function", &self.function)
+            .or_else(|| self.successor.as_ref().and_then(|name| name_refusal("successor", name)))
+            .or_else(|| (self.generation == 0).then(|| "generations count from 1".into()))
+            .or_else(|| too_many("bytes of reason", self.reason.len(), REASON_MOST))
+    }
+}
+
 fn pool_refusal(pool: &Pool) -> Option<String> {
     let names = pool.functions.iter().map(|name| ("pattern", name));
     let mut names = names.chain(pool.reservations.iter().map(|r| ("tenant", &r.tenant)));
--- a/crates/registry/src/record.rs
+++ b/crates/registry/src/record.rs
@@ -123,7 +123,8 @@
     Changed,
     /// It held already, or something later overtook it.
     Unchanged,
-    /// It is out of bounds; another try would end the same way.
+    /// It is out of bounds; another try would end the same way, but for a retirement without a
+    /// [`Retirement::fault`].
     Refused {
         why: String,
     },
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -84,7 +84,8 @@
     Refused {
         why: String,
     },
-    /// A retirement that was asked for can't be taken; another try would end the same way.
+    /// A retirement that was asked for can't be taken; another try would end the same way. Nothing is said where only
+    /// room is wanting: it is asked for again.
     NotRetired {
         function: String,
         generation: u32,
