Find those whom a question goes to by a set, not name by name

Each question that is asked again names those who have not said yet; the leader looked each name of the record up in that list (`desk_state/asks.rs`), so that its work grew with the square of the fleet. It is a set now.

The half of a connection's 64 slots that questions and answers leave free stays: one turn of the desk takes in up to 1024 notes before anything is written, so that answers given the whole room fill it, and the next view or promise ends the connection of a front end that does read. So a question that many answer at once is still asked again each 100 ms.

--- a/crates/keeper/src/keep/desk_state/asks.rs
+++ b/crates/keeper/src/keep/desk_state/asks.rs
@@ -1,14 +1,24 @@
 //! Questions about messages that front ends put to each other: the leader only passes them on.
 
+#[cfg(test)]
+mod tests;
+
 use super::Desk;
 use crate::keep::serve::OUT_MOST;
 use stagehoist_registry::marks::KEYS_MOST;
 use stagehoist_registry::{Known, Member, MessageKey, Micros, ToMember};
+use std::collections::BTreeSet;
 
 /// Its word of who has to answer counts while a majority answered it within this; with the 100 ms that an asker gives it, less
 /// than the shortest time to an election.
 const TRUSTED: Micros = 250_000;
 
+/// Those of the names that a question goes to: who has not said yet; empty: all. Both grow with the fleet.
+fn asked_of<'a, T: Ord>(of: &'a [T], to: &[T]) -> Vec<&'a T> {
+    let open: BTreeSet<&T> = to.iter().collect();
+    of.iter().filter(|name| open.is_empty() || open.contains(name)).collect()
+}
+
 impl Desk {
     /// Passes a question on, and tells who has to answer it: every name in the record but the asker's own. Silent where that
     /// can't be told: another may lead by now, or names were forgotten.
@@ -29,8 +39,8 @@
             return;
         }
         let of: Vec<String> = record.members.keys().filter(|name| **name != from.name).cloned().collect();
-        let asked = of.iter().filter(|name| to.is_empty() || to.contains(name));
-        let asked: Vec<u64> = asked.filter_map(|name| self.names.get(name).copied()).collect();
+        let asked: Vec<u64> =
+            asked_of(&of, to).into_iter().filter_map(|name| self.names.get(name).copied()).collect();
         self.say(conn, &ToMember::Asked { number, turn, of });
         let question = ToMember::Ask { from, number, keys };
         asked.into_iter().for_each(|conn| self.say_if_free(conn, &question));
@@ -44,7 +54,8 @@
         }
     }
 
-    /// Questions never crowd out views and promises; they are asked again.
+    /// Questions never crowd out views and promises; they are asked again. Half the room stays free: one turn of the desk
+    /// takes in more answers than there is room, and a view or promise that finds none ends the connection.
     fn say_if_free(&mut self, conn: u64, message: &ToMember) {
         if self.conns.get(&conn).is_some_and(|c| c.out.capacity() > OUT_MOST / 2) {
             self.say(conn, message);
--- /dev/null
+++ b/crates/keeper/src/keep/desk_state/asks/tests.rs
@@ -0,0 +1,56 @@
+use super::asked_of;
+use std::cell::Cell;
+use std::cmp::Ordering;
+
+thread_local! {
+    static COMPARED: Cell<usize> = const { Cell::new(0) };
+}
+
+/// A name that counts how often it is compared.
+#[derive(Debug, Clone, Copy, Eq)]
+struct Counted(usize);
+
+impl Counted {
+    fn compare(self, other: Counted) -> Ordering {
+        COMPARED.set(COMPARED.get() + 1);
+        self.0.cmp(&other.0)
+    }
+}
+
+impl PartialEq for Counted {
+    fn eq(&self, other: &Counted) -> bool {
+        self.compare(*other) == Ordering::Equal
+    }
+}
+
+impl PartialOrd for Counted {
+    fn partial_cmp(&self, other: &Counted) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Counted {
+    fn cmp(&self, other: &Counted) -> Ordering {
+        self.compare(*other)
+    }
+}
+
+#[test]
+fn who_is_asked_is_found_in_few_comparisons() {
+    let of: Vec<Counted> = (0..4096).map(Counted).collect();
+    // All but every third, last first, and one that the record does not hold.
+    let to: Vec<Counted> = (0..4097).rev().filter(|n| n % 3 != 0).map(Counted).collect();
+    COMPARED.set(0);
+    let asked: Vec<usize> = asked_of(&of, &to).into_iter().map(|c| c.0).collect();
+    let compared = COMPARED.get();
+    assert_eq!(asked, (0..4096).filter(|n| n % 3 != 0).collect::<Vec<_>>());
+    // Of 4096 names one by one against 2731 there are millions.
+    assert!(compared < 4096 * 50, "{compared} comparisons");
+}
+
+#[test]
+fn all_are_asked_where_none_is_told() {
+    let of = [Counted(1), Counted(2)];
+    assert_eq!(asked_of(&of, &[]).len(), 2);
+    assert!(asked_of(&of, &[Counted(3)]).is_empty());
+}
