--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -210,6 +210,7 @@
             kinds: self.kinds.clone(),
             zones: self.zones.clone(),
             announcement_keep: 0,
+            workers_most: None,
             held_most: self.held_most,
             retry_after_most: self.settings.max_retry_after,
             load_timeout: self.settings.order_delay,
--- a/crates/stage/src/day/trouble.rs
+++ b/crates/stage/src/day/trouble.rs
@@ -1,5 +1,6 @@
 //! What can go wrong on a day.
 
+pub use super::pick::{Cut, Pick, StoreFault};
 use crate::relay::Fault;
 use std::time::Duration;
 
@@ -117,6 +118,19 @@
         front_end: Pick,
         span: Option<Duration>,
     },
+    /// The processes of a machine are killed, and new ones start after the span; or are stopped and go on.
+    MachineKill {
+        machine: Pick,
+        span: Duration,
+    },
+    MachineStop {
+        machine: Pick,
+        span: Duration,
+    },
+    /// The number of shards changes, stage by stage, each by restarts of one machine after the other.
+    Shards {
+        to: u32,
+    },
     /// The links between a front end and the keepers; where it is a keeper itself, also those of all others to it.
     Link {
         front_end: Pick,
@@ -154,40 +168,6 @@
     },
 }
 
-/// Which front end something befalls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Pick {
-    Number(u32),
-    /// Drawn by the seed.
-    Any,
-}
-
-impl Pick {
-    /// The front end's number. A day that was drawn names each; before that `any` counts as the first.
-    pub fn number(self) -> u32 {
-        match self {
-            Pick::Number(number) => number,
-            Pick::Any => 0,
-        }
-    }
-}
-
-/// What becomes of a store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StoreFault {
-    Copy,
-    SetBack,
-    Damage,
-}
-
-/// Where the broker cuts a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cut {
-    BeforeRouting,
-    BeforeConfirm,
-    MidDelivery,
-}
-
 impl Trouble {
     pub(super) fn span_mut(&mut self) -> Option<&mut Duration> {
         match self {
@@ -215,12 +195,15 @@
             | Trouble::LeaderStop { span }
             | Trouble::Everything { span }
             | Trouble::Surge { span, .. }
+            | Trouble::MachineKill { span, .. }
+            | Trouble::MachineStop { span, .. }
             | Trouble::Stop { span, .. } => Some(span),
             Trouble::Kill { span, .. } | Trouble::LeaderKill { span } => span.as_mut(),
             Trouble::BrokerCut { .. }
             | Trouble::BrokerRestart
             | Trouble::ListIndexResets
             | Trouble::Retire { .. }
+            | Trouble::Shards { .. }
             | Trouble::Store { .. }
             | Trouble::Terminate { .. } => None,
         }
@@ -234,6 +217,7 @@
             | Trouble::Kill { front_end, .. }
             | Trouble::Link { front_end, .. }
             | Trouble::Store { front_end, .. } => Some(front_end),
+            Trouble::MachineKill { machine, .. } | Trouble::MachineStop { machine, .. } => Some(machine),
             Trouble::Surge { only, .. } => only.as_mut(),
             _ => None,
         }
