Prove the limit of descriptors in its test by the system's refusal

Cause: the test looked from outside until as many descriptors as the limit stood open at once. A connection is let go of after the last newcomer and its descriptor kept in hand, so that at rest 47 of 48 are open: 400 looks of 400 in each of four probes with no inherited descriptor (a trace of the process' calls shows accept refused, one closed, accept again with none in line). The 48th stands for an instant after each accept only. A look finds it by luck, or because a descriptor inherited above the limit is counted too (48 in 400 looks of 400 with one such).

Change: the log tells, once a second at most and by whom, that the system refuses a descriptor, which it does only while all below the limit are open. The test waits for that word: of clients where clients fill it, of executors' connections where those do, of both where both do; before, one count served for all. It is stricter, and no process' folder is read.

--- a/crates/cli/tests/platform/descriptors.rs
+++ b/crates/cli/tests/platform/descriptors.rs
@@ -12,8 +12,12 @@
 const HEALTH: &[&[u8]] = &[b"HEALTH", b"8", b""];
 
 impl Stage {
-    fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    /// Whether the system refused the process a descriptor, by the process' own word: it does so only while all those below
+    /// the limit are open at once. They can't be counted from outside: one is let go of after each newcomer and kept in
+    /// hand, so that a look finds as many as the limit for an instant only; and what was inherited above the limit counts.
+    fn refused(&self, whom: &str) -> bool {
+        let (whom, most) = (format!("whom={whom}"), format!("most={MOST}"));
+        self.logged(&["the system refuses a descriptor", &whom, &most]) > 0
     }
 
     fn at_most(&self, descriptors: u64) {
@@ -75,25 +79,23 @@
     drop(bus);
     let (mut idle, mut before_all) = (Vec::new(), Vec::new());
     let by = Instant::now() + Duration::from_secs(20);
-    let (mut most, mut next) = (0, 1_000_000);
+    let mut next = 1_000_000;
     if how != Reached::Executors {
         idle = stage.idle(200).await;
+        while !stage.refused("Client") && Instant::now() < by {
+            tokio::time::sleep(ms(5)).await;
+        }
+        assert!(stage.refused("Client"), "{how:?}: clients do not reach the limit");
     }
     if how != Reached::Clients {
-        while most < MOST as usize && Instant::now() < by {
+        while !stage.refused("Executor") && Instant::now() < by {
             let mut client = stage.newcomer().await;
             stage.calls_everywhere(&mut client, next).await;
             next += 100;
             before_all.extend(client.wait(41, ms(4000)).await.split_off(1));
-            most = most.max(stage.descriptors());
         }
+        assert!(stage.refused("Executor"), "{how:?}: connections to executors do not reach the limit");
     }
-    while most < MOST as usize && Instant::now() < by {
-        most = most.max(stage.descriptors());
-        tokio::time::sleep(ms(5)).await;
-    }
-    // Counted one by one, while some come and go.
-    assert!(most >= MOST as usize, "{how:?}: the limit is not reached, {most}");
     // Newcomers are told that it serves, and their calls are.
     let mut answers = Vec::new();
     for round in 0..5u64 {
--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 pub const LOOK: u64 = 1500;
@@ -33,6 +34,8 @@
     pub listen: SocketAddr,
     pub asked: Vec<Asked>,
     pub told: Told,
+    /// Lines of the command's log since it started.
+    pub log: Arc<Mutex<Vec<String>>>,
 }
 
 pub fn config(executors: &[Executor], bus: SocketAddr, sockets: u64) -> serde_json::Value {
@@ -102,10 +105,15 @@
                 break line[at + 7..].split(' ').next().unwrap().parse().unwrap();
             }
         };
-        std::thread::spawn(move || log.lines().for_each(drop));
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let said = lines.clone();
+        std::thread::spawn(move || {
+            log.lines().map_while(Result::ok).for_each(|l| said.lock().unwrap().push(l))
+        });
         let told = Told { grace: ms(250), ration: (6.0, 0.1, ms(10_000)), ..Told::default() };
-        let asked = Vec::new();
-        let stage = Stage { _folder: folder, config: path, executors: all, bus, child, listen, asked, told };
+        let (asked, log) = (Vec::new(), lines);
+        let stage =
+            Stage { _folder: folder, config: path, executors: all, bus, child, listen, asked, told, log };
         let mut client = stage.client().await;
         client.raw(&array(&[b"HEALTH", b"8", b""])).await.unwrap();
         assert_eq!(client.wait(1, ms(5000)).await[0].word, "serving");
@@ -147,6 +155,11 @@
         kill_process(Pid::from_raw(self.child.id() as i32).unwrap(), signal).unwrap();
     }
 
+    /// How many lines of its log have all of these words.
+    pub fn logged(&self, words: &[&str]) -> usize {
+        self.log.lock().unwrap().iter().filter(|line| words.iter().all(|w| line.contains(w))).count()
+    }
+
     pub fn verdict(&self, answers: &[Answered]) {
         let seen: Vec<_> = self.executors.iter().map(|e| (e.id, e.seen())).collect();
         let broken = judge(&self.asked, answers, &seen, &self.told);
--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -2,7 +2,7 @@
 
 use super::{sockets, Clients, Conn};
 use crate::bounds;
-use crate::descriptors::{is_want, Holder};
+use crate::descriptors::{is_want, Holder, Refused};
 use crate::session::Session;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -37,6 +37,7 @@
                     // The system takes a descriptor before it looks whether anyone is in line: after the last newcomer one
                     // more connection makes way, and its descriptor is in hand for the next.
                     if is_want(&error) {
+                        descriptors.refused(Refused::Client);
                         descriptors.make_way();
                     }
                     // A pause whatever became of it, so that the loop does not spin at the limit of descriptors.
--- a/crates/platform/src/descriptors.rs
+++ b/crates/platform/src/descriptors.rs
@@ -14,6 +14,8 @@
 
 /// A wait for a descriptor is looked at again after so long: what was let go of may have been closed a turn later.
 pub const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// The log tells of refusals as often at most.
+const TELL_AGAIN: Duration = Duration::from_secs(1);
 /// Clients wait behind executors' connections for so long at most.
 const EXECUTORS_FIRST: Duration = Duration::from_millis(100);
 
@@ -35,9 +37,19 @@
     fn make_way(&self) -> bool;
 }
 
+/// Whom the system refused one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    Client,
+    Executor,
+    Bus,
+}
+
 /// Who holds descriptors and who waits for one.
 #[derive(Default)]
 pub struct Descriptors {
+    /// When it was last told in the log that one was refused, for each of [`Refused`].
+    told: [Cell<Option<Instant>>; 3],
     holders: RefCell<Vec<Weak<dyn Holder>>>,
     /// Connections to executors that wait for one.
     waiting: Cell<usize>,
@@ -66,6 +78,15 @@
         self.holders.borrow_mut().push(holder);
     }
 
+    /// The system refused one: every descriptor that the process may have is open at this instant.
+    pub fn refused(&self, whom: Refused) {
+        let (told, now) = (&self.told[whom as usize], Instant::now());
+        if told.get().is_none_or(|at| now - at >= TELL_AGAIN) {
+            told.set(Some(now));
+            tracing::warn!(?whom, most = most(), "the system refuses a descriptor");
+        }
+    }
+
     /// Sees to it that one is let go of beyond those that others wait for: an idle connection makes way, of whoever holds
     /// more. False where all are at work.
     pub fn make_way(&self) -> bool {
--- a/crates/platform/src/executors/handshake.rs
+++ b/crates/platform/src/executors/handshake.rs
@@ -2,7 +2,7 @@
 
 use super::links::{Link, State};
 use super::Executors;
-use crate::descriptors::is_want;
+use crate::descriptors::{is_want, Refused};
 use std::cell::Cell;
 use std::io;
 use std::time::Duration;
@@ -34,6 +34,7 @@
             match TcpStream::connect(address).await {
                 Err(error) if is_want(&error) => {
                     wants.set(true);
+                    self.shared.descriptors.refused(Refused::Executor);
                     // One beside others that nothing waits for is worth no one's.
                     if link.line.borrow().is_idle() || !self.shared.descriptors.make_way() {
                         return Err(error);
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -3,6 +3,7 @@
 
 use crate::bus::Bus;
 use crate::clients::Shared;
+use crate::descriptors::{is_want, Refused};
 use crate::executors::Executors;
 use stagehoist_gateway::state::News;
 use std::collections::VecDeque;
@@ -29,7 +30,10 @@
         // its descriptor, the bus has it.
         let to = *address.borrow_and_update();
         let socket = unconnected(to);
-        if socket.is_err() {
+        if let Err(error) = &socket {
+            if is_want(error) {
+                shared.descriptors.refused(Refused::Bus);
+            }
             shared.descriptors.make_way();
         }
         if !hand_over(&shared.news, &mut waiting).await {
