Tell attempts apart by their call, not by the id that their client gave it

Cause: the look before an attempt's first byte asked whether its id is cancelled. A client that gives up a request and asks again under its id in one read has the id open again, and what was chosen for the first went out as the second's.

Change: an attempt carries its call's ticket (one field of the gateway's Attempt, as no one else can tell), and what is cancelled is kept by ticket.

--- a/crates/gateway/src/state/core/acts.rs
+++ b/crates/gateway/src/state/core/acts.rs
@@ -133,6 +133,7 @@
             body: call.arrival.body.clone(),
             content_type: call.arrival.content_type.clone(),
             correlation: call.arrival.correlation.clone(),
+            ticket: call.ticket,
             mark: call.arrival.identity.map(|identity| (identity, call.ticket)),
         }));
     }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -236,6 +236,8 @@
     pub body: Bytes,
     pub content_type: Option<String>,
     pub correlation: Rc<str>,
+    /// Which call it is for: a correlation may be used again.
+    pub ticket: Ticket,
     /// What its call's mark is written under, where attempts are marked on disk.
     pub mark: Option<(Identity, Ticket)>,
 }
--- a/crates/gateway/tests/crossings_sockets.rs
+++ b/crates/gateway/tests/crossings_sockets.rs
@@ -60,6 +60,7 @@
         body: Bytes::from_static(b"{}"),
         content_type: None,
         correlation: "c".into(),
+        ticket: u64::from(request),
         mark: None,
     }
 }
--- a/crates/gateway/tests/fleet_sockets.rs
+++ b/crates/gateway/tests/fleet_sockets.rs
@@ -46,6 +46,7 @@
         body: Bytes::from_static(b"{}"),
         content_type: None,
         correlation: "c".into(),
+        ticket: 1,
         mark: None,
     });
     workers.load((1, address), (7, function), 1);
--- a/crates/gateway/tests/front_marks.rs
+++ b/crates/gateway/tests/front_marks.rs
@@ -87,6 +87,7 @@
         body: Bytes::from_static(b"{}"),
         content_type: None,
         correlation: format!("c{request}").into(),
+        ticket: u64::from(request),
         mark: Some((u128::from(request), u64::from(request))),
     }
 }
--- a/crates/platform/src/clients/calls.rs
+++ b/crates/platform/src/clients/calls.rs
@@ -13,8 +13,8 @@
             match said {
                 Said::Call(ticket, asked) => news.extend(self.call(conn, ticket, *asked, (now, late))),
                 Said::Gone(ticket) => {
-                    if let Some(held) = self.release(ticket) {
-                        self.cancelled.borrow_mut().insert(held.reference, now);
+                    if self.release(ticket).is_some() {
+                        self.cancelled.borrow_mut().insert(ticket, now);
                         news.push(News::Gone(ticket));
                     }
                 }
--- a/crates/platform/src/clients/cancelled.rs
+++ b/crates/platform/src/clients/cancelled.rs
@@ -4,6 +4,7 @@
 use super::{sockets, Clients, Conn};
 use crate::executors::Callers;
 use stagehoist::Micros;
+use stagehoist_gateway::state::Ticket;
 use std::rc::Rc;
 
 /// For how long it is kept that a request was cancelled: until the driver has heard of it and nothing of it
@@ -11,18 +12,15 @@
 const KEPT: Micros = 1_000_000;
 
 impl Callers for Clients {
-    fn is_cancelled(&self, id: u64) -> bool {
-        let conn = {
-            let ticket = self.references.borrow().get(&id).copied();
-            ticket.and_then(|ticket| self.calls.borrow().get(&ticket).map(|held| held.conn.clone()))
-        };
+    fn is_cancelled(&self, ticket: Ticket) -> bool {
+        let conn = self.calls.borrow().get(&ticket).map(|held| held.conn.clone());
         if let Some(conn) = conn {
             self.hear(&conn);
             if conn.over.get() {
                 return true;
             }
         }
-        !self.references.borrow().contains_key(&id) && self.cancelled.borrow().contains_key(&id)
+        self.cancelled.borrow().contains_key(&ticket)
     }
 }
 
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -60,7 +60,7 @@
     calls: RefCell<HashMap<Ticket, Held>>,
     references: RefCell<HashMap<u64, Ticket>>,
     /// When clients cancelled what, or left over it, for as long as something of it may wait to be written.
-    cancelled: RefCell<HashMap<u64, Micros>>,
+    cancelled: RefCell<HashMap<Ticket, Micros>>,
     held_bytes: Cell<usize>,
     next_ticket: Cell<Ticket>,
     next_conn: Cell<u64>,
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -12,7 +12,7 @@
 use crate::line::End;
 use links::{Link, State};
 use stagehoist::{Lifecycle, Micros, RequestId, RosterForm, WorkerId};
-use stagehoist_gateway::state::News;
+use stagehoist_gateway::state::{News, Ticket};
 use stagehoist_membership::Told;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -48,14 +48,14 @@
 
 /// Those whose requests are sent on.
 pub trait Callers {
-    /// Whether the client of the request with this id cancelled it or is gone, by all that has reached this
-    /// process.
-    fn is_cancelled(&self, id: u64) -> bool;
+    /// Whether the client of this call cancelled it or is gone, by all that has reached this process.
+    fn is_cancelled(&self, ticket: Ticket) -> bool;
 }
 
 struct Flying {
     link: Rc<Link>,
     id: (u64, Rc<str>),
+    ticket: Ticket,
 }
 
 /// All executors of a front end.
--- a/crates/platform/src/executors/orders.rs
+++ b/crates/platform/src/executors/orders.rs
@@ -45,7 +45,7 @@
         if !queued {
             return Err(Outcome::ConnectFailed);
         }
-        let flying = Flying { link: link.clone(), id: (id, attempt.correlation) };
+        let flying = Flying { link: link.clone(), id: (id, attempt.correlation), ticket: attempt.ticket };
         self.flying.borrow_mut().insert((attempt.request, attempt.attempt), flying);
         self.mark(link);
         Ok(())
--- a/crates/platform/src/executors/writing.rs
+++ b/crates/platform/src/executors/writing.rs
@@ -44,12 +44,13 @@
     /// Gives up what the next write would carry of requests that were cancelled; the driver hears of it in
     /// its next turn. True where the connection is to be ended.
     fn give_up_cancelled(&self, line: &mut Line) -> bool {
-        let mut calls = line.next_calls();
-        calls.retain(|id| self.callers.is_cancelled(*id));
-        calls.into_iter().any(|id| {
-            if let Some(attempt) = line.awaits(id).and_then(|what| what.attempt()) {
-                self.flying.borrow_mut().remove(&attempt);
+        line.next_calls().into_iter().any(|id| {
+            let Some(attempt) = line.awaits(id).and_then(|what| what.attempt()) else { return false };
+            let ticket = self.flying.borrow().get(&attempt).map(|flying| flying.ticket);
+            if !ticket.is_some_and(|ticket| self.callers.is_cancelled(ticket)) {
+                return false;
             }
+            self.flying.borrow_mut().remove(&attempt);
             self.stop(line, (id, &format!("{id:016x}")))
         })
     }
--- a/crates/platform/src/follow/tests.rs
+++ b/crates/platform/src/follow/tests.rs
@@ -27,7 +27,7 @@
 struct All;
 
 impl executors::Callers for All {
-    fn is_cancelled(&self, _: u64) -> bool {
+    fn is_cancelled(&self, _: stagehoist_gateway::state::Ticket) -> bool {
         false
     }
 }
--- a/crates/platform/tests/crossings/cancelled.rs
+++ b/crates/platform/tests/crossings/cancelled.rs
@@ -148,3 +148,32 @@
         });
     }
 }
+
+/// A client gives up a request and asks again under its id in one read, before the attempt for the first is written: that
+/// one is not the second's.
+#[test]
+fn nothing_begins_for_a_request_that_was_given_up_and_asked_again_under_its_id() {
+    on_one_thread(async {
+        let (listener, address) = listen(8);
+        let mut stage = Stage::new(1, 64);
+        stage.at(address);
+        let mut client = Client::connect(&stage);
+        client.ask(2);
+        let first = stage.asked(2).await;
+        stage.begin(2, Bytes::from_static(b"first"));
+        let mut bytes = Client::abort(2);
+        bytes.extend(Client::request(2, b"second"));
+        client.say(&bytes);
+        stage.send(3);
+        let mut side = Side::accept(&stage, &listener).await;
+        stage.until(|| side.has("RUN 0000000000000003")).await;
+        assert!(!side.has("RUN 0000000000000002"), "{}", side.read);
+        // The second is a call of its own, and what is begun for it is written.
+        let second = stage.asked(2).await;
+        assert_ne!(first, second);
+        stage.begin_attempt(1, (2, 1), Bytes::from_static(b"second"));
+        stage.executors.turned();
+        stage.until(|| side.has("RUN 0000000000000002") && side.has("second")).await;
+        assert!(!side.has("first"));
+    });
+}
--- a/crates/platform/tests/crossings/held_back.rs
+++ b/crates/platform/tests/crossings/held_back.rs
@@ -72,7 +72,8 @@
             client.say(piece);
             tokio::task::yield_now().await;
         }
-        stage.asked(10).await;
+        let first = stage.asked(10).await;
+        stage.tickets.borrow_mut().extend((10..42).zip(first..));
         client.say(last);
         client.leave(0, Leaves::Close);
         (10..38).for_each(|n| stage.begin(n, small()));
--- a/crates/platform/tests/crossings/stage.rs
+++ b/crates/platform/tests/crossings/stage.rs
@@ -11,6 +11,8 @@
 use stagehoist_platform::clients::{Clients, Shared};
 use stagehoist_platform::executors::{Executors, Limits};
 use stagehoist_platform::session::Catalog;
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -26,6 +28,8 @@
     pub listen: SocketAddr,
     pub shared: Rc<Shared>,
     pub news: mpsc::Receiver<News>,
+    /// Tickets of requests that clients asked for, by number.
+    pub tickets: RefCell<HashMap<u32, Ticket>>,
 }
 
 /// Runs a test on the front end's one thread.
@@ -57,7 +61,7 @@
         let listener = tokio::net::TcpListener::from_std(listener).unwrap();
         tokio::task::spawn_local(clients.clone().accept(Rc::new(listener)));
         let executors = Rc::new(Executors::new(shared.clone(), clients.clone(), limits, bounds));
-        Stage { executors, clients, listen, shared, news }
+        Stage { executors, clients, listen, shared, news, tickets: RefCell::default() }
     }
 
     /// Executor 1 is ready at an address.
@@ -102,6 +106,13 @@
             body,
             content_type: None,
             correlation: format!("{request:016x}").into(),
+            // Those that no client asked for have tickets that none is given.
+            ticket: self
+                .tickets
+                .borrow()
+                .get(&request)
+                .copied()
+                .unwrap_or(Ticket::MAX - Ticket::from(request)),
             mark: None,
         });
     }
@@ -117,7 +128,10 @@
         loop {
             let item = tokio::time::timeout(WAIT, self.news.recv()).await.expect("in time").unwrap();
             match item {
-                News::Call(arrival) if *arrival.correlation == *format!("{n:016x}") => return arrival.ticket,
+                News::Call(arrival) if *arrival.correlation == *format!("{n:016x}") => {
+                    self.tickets.borrow_mut().insert(n, arrival.ticket);
+                    return arrival.ticket;
+                }
                 _ => {}
             }
         }
--- a/crates/platform/tests/descriptors/stage.rs
+++ b/crates/platform/tests/descriptors/stage.rs
@@ -12,8 +12,7 @@
 use stagehoist_platform::bounds::Bounds;
 use stagehoist_platform::clients::{Clients, Shared};
 use stagehoist_platform::executors::{Executors, Limits};
-use stagehoist_platform::session::Catalog;
-use stagehoist_platform::Told;
+use stagehoist_platform::{session::Catalog, Told};
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -127,6 +126,7 @@
             body: Bytes::from_static(b"x"),
             content_type: None,
             correlation: format!("{request:016x}").into(),
+            ticket: u64::from(request),
             mark: None,
         });
         self.executors.turned();
