Begin no attempt for a client whose socket is not read to its end; cut lost orders at once

Cause: before an attempt's first byte its client's socket is read, but at most 64 reads of 64 KiB, and nothing of a client that takes none of 128 KiB of answers and has 128 KiB of requests parked. An ABORT behind that was not found and the attempt began, up to any time after it. An order that counts as lost was cut by the next look, up to 250 ms later.

Change: the look tells whether it came to the end. Where not, the attempt is taken back before it begins: nothing was written, the module hears 'Full' and decides what follows, as after any want of room on this side; what was written in part is not completed, the connection takes nothing more, and as bytes of it went out the module hears an error. Nothing is kept beyond what was. A connection with an order open has an alarm of its own at the instant in which that counts as lost; it reads its socket first.

--- a/crates/platform/src/clients/cancelled.rs
+++ b/crates/platform/src/clients/cancelled.rs
@@ -1,8 +1,9 @@
 //! Whether a client still waits, asked of its socket past the runtime: that has heard only of what came
 //! before it last waited.
 
+use super::finish::Socket;
 use super::{sockets, Clients, Conn};
-use crate::executors::Callers;
+use crate::executors::{Caller, Callers};
 use stagehoist::Micros;
 use stagehoist_gateway::state::Ticket;
 use std::rc::Rc;
@@ -12,33 +13,38 @@
 const KEPT: Micros = 1_000_000;
 
 impl Callers for Clients {
-    fn is_cancelled(&self, ticket: Ticket) -> bool {
+    fn ask(&self, ticket: Ticket) -> Caller {
         let conn = self.calls.borrow().get(&ticket).map(|held| held.conn.clone());
-        if let Some(conn) = conn {
-            self.hear(&conn);
-            if conn.over.get() {
-                return true;
-            }
+        let heard = conn.as_ref().is_none_or(|conn| self.hear(conn));
+        if conn.is_some_and(|conn| conn.over.get()) || self.cancelled.borrow().contains_key(&ticket) {
+            return Caller::Left;
+        }
+        if heard {
+            Caller::Waits
+        } else {
+            Caller::Unheard
         }
-        self.cancelled.borrow().contains_key(&ticket)
     }
 }
 
 impl Clients {
-    /// Reads what lies in a client's socket now; its own task passes it on, in its order.
-    fn hear(&self, conn: &Rc<Conn>) {
+    /// Reads what lies in a client's socket now; its own task passes it on, in its order. False where more lies there than
+    /// is read at once or from a client that takes no answers: what it cancels may be among it.
+    fn hear(&self, conn: &Rc<Conn>) -> bool {
         if conn.over.get() {
-            return;
+            return true;
         }
         let mut news = Vec::new();
         let more = conn.session.borrow().wants_read();
-        if !self.read_all(conn, &mut news) || (!more && sockets::has_left(&conn.stream)) {
+        let socket = self.read_all(conn, &mut news);
+        if socket == Socket::Over || (!more && sockets::has_left(&conn.stream)) {
             conn.over.set(true);
         }
         if conn.over.get() || !news.is_empty() || !conn.session.borrow().out().is_empty() {
             conn.wake.notify_one();
         }
         conn.news.borrow_mut().extend(news);
+        socket == Socket::Dry && !conn.session.borrow().has_unheard()
     }
 
     /// Forgets what was cancelled long ago.
--- a/crates/platform/src/clients/finish.rs
+++ b/crates/platform/src/clients/finish.rs
@@ -14,6 +14,17 @@
 /// How long clients are given to take what was written and to close.
 const CLOSING: Duration = Duration::from_millis(60);
 
+/// What a client's socket is found to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Socket {
+    /// Read to its end.
+    Dry,
+    /// More lies there than is read.
+    Unread,
+    /// The client is gone.
+    Over,
+}
+
 impl Clients {
     /// Refuses whatever lies whole in a socket, also of connections that no one accepted yet, then says on each that nothing
     /// more is written, and goes on reading for a while: a close over unread bytes would reset what was written.
@@ -48,28 +59,32 @@
         let conns: Vec<Rc<Conn>> = self.conns.borrow().values().cloned().collect();
         for conn in conns.iter().filter(|c| !c.over.get()) {
             // The driver is over: what is left to say is refused here, and it needs no news.
-            if !self.read_all(conn, &mut Vec::new()) || !self.write_all(conn) {
+            if self.read_all(conn, &mut Vec::new()) == Socket::Over || !self.write_all(conn) {
                 conn.over.set(true);
             }
         }
     }
 
-    /// Reads what lies in the socket now. False once the client is gone.
-    pub(super) fn read_all(&self, conn: &Rc<Conn>, news: &mut Vec<News>) -> bool {
+    /// Reads what lies in the socket now, as far as it is to be read.
+    pub(super) fn read_all(&self, conn: &Rc<Conn>, news: &mut Vec<News>) -> Socket {
         for _ in 0..READS_MOST {
             if !conn.session.borrow().wants_read() {
                 break;
             }
             let mut scratch = self.shared.scratch.borrow_mut();
             match sockets::read(&conn.stream, &mut scratch) {
-                Ok(0) => return false,
+                Ok(0) => return Socket::Over,
                 Ok(n) => news.extend(self.receive(conn, &scratch[..n])),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Socket::Dry,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return false,
+                Err(_) => return Socket::Over,
             }
         }
-        true
+        if sockets::has_unread(&conn.stream) {
+            Socket::Unread
+        } else {
+            Socket::Dry
+        }
     }
 
     /// False once the client is gone.
--- a/crates/platform/src/clients/talk.rs
+++ b/crates/platform/src/clients/talk.rs
@@ -1,6 +1,6 @@
 //! One client's connection: read into its session, its answers written, closed in order.
 
-use super::{sockets, Clients, Conn};
+use super::{finish::Socket, sockets, Clients, Conn};
 use crate::shared::Shared;
 use stagehoist_gateway::state::News;
 use std::io;
@@ -47,7 +47,7 @@
             if conn.silent.take() {
                 // What lies in its socket may be the very request that ends its silence.
                 let mut news = Vec::new();
-                if !self.read_all(&conn, &mut news) {
+                if self.read_all(&conn, &mut news) == Socket::Over {
                     conn.over.set(true);
                 }
                 conn.news.borrow_mut().extend(news);
--- a/crates/platform/src/executors/links.rs
+++ b/crates/platform/src/executors/links.rs
@@ -69,6 +69,8 @@
         let mut news = Vec::new();
         while link.state.get() == State::Up {
             let write = link.line.borrow().wants_write();
+            let due = link.line.borrow().order_due(self.limits.order_timeout);
+            let lost_at = self.shared.clock.instant(due.unwrap_or_default());
             let mut writes = false;
             tokio::select! {
                 biased;
@@ -81,6 +83,9 @@
                     Ok(()) => writes = true,
                     Err(_) => link.end(End::Broken),
                 },
+                () = tokio::time::sleep_until(lost_at), if due.is_some() => {
+                    self.expire_orders(link, stream, &mut news);
+                }
             }
             if writes {
                 self.hear_first().await;
@@ -96,6 +101,15 @@
         }
     }
 
+    /// An order counts as lost in this instant: what lies in the socket is read first, then it is cut or never begun.
+    fn expire_orders(&self, link: &Link, stream: &TcpStream, news: &mut Vec<News>) {
+        self.read_out(link, stream, news);
+        let (now, limits) = (self.shared.clock.now(), &self.limits);
+        if link.line.borrow_mut().expire(now, limits.connect_timeout, limits.order_timeout, news).is_err() {
+            link.end(End::Poisoned);
+        }
+    }
+
     /// After a gap of this process, what lies in the other sockets (a drain above all) is read and acted on
     /// before anything that waited is written: a turn to read them, one for the driver, one for those who had
     /// more to read.
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -44,12 +44,25 @@
     pub not_up: u64,
     pub broken: u64,
     pub poisoned: u64,
+    /// Attempts that were not begun as their client could not be heard.
+    pub unheard: u64,
 }
 
 /// Those whose requests are sent on.
 pub trait Callers {
-    /// Whether the client of this call cancelled it or is gone, by all that has reached this process.
-    fn is_cancelled(&self, ticket: Ticket) -> bool;
+    /// Whether the client of this call still waits for it, by all that has reached this process.
+    fn ask(&self, ticket: Ticket) -> Caller;
+}
+
+/// What is known of a call's client in the instant before an attempt begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Caller {
+    /// Its socket was read to its end, and it waits.
+    Waits,
+    /// It cancelled the call or is gone.
+    Left,
+    /// Its socket was not read to its end: what it cancelled may lie there, so nothing begins for it.
+    Unheard,
 }
 
 struct Flying {
--- a/crates/platform/src/executors/orders.rs
+++ b/crates/platform/src/executors/orders.rs
@@ -95,6 +95,8 @@
             Some(link) => {
                 let what = What::Load { worker, function, sent };
                 link.line.borrow_mut().hold(name, copies, what, sent);
+                // Its task sets an alarm for when this counts as lost.
+                link.wake.notify_one();
                 self.mark(link);
             }
             None => {
--- a/crates/platform/src/executors/writing.rs
+++ b/crates/platform/src/executors/writing.rs
@@ -2,8 +2,9 @@
 
 use super::choice::is_dead;
 use super::links::{Link, State};
-use super::Executors;
+use super::{Caller, Executors};
 use crate::line::{End, Line};
+use stagehoist::RequestId;
 use std::io;
 
 impl Executors {
@@ -25,7 +26,7 @@
             return link.end(End::Broken);
         }
         loop {
-            if self.give_up_cancelled(&mut line) {
+            if self.give_up_unwanted(&mut line) {
                 return link.end(End::Poisoned);
             }
             if !line.wants_write() {
@@ -41,20 +42,38 @@
         }
     }
 
-    /// Gives up what the next write would carry of requests that were cancelled; the driver hears of it in
-    /// its next turn. True where the connection is to be ended.
-    fn give_up_cancelled(&self, line: &mut Line) -> bool {
+    /// Gives up what the next write would carry of requests that were cancelled, or may have been; the driver
+    /// hears of it in its next turn. True where the connection is to be ended.
+    fn give_up_unwanted(&self, line: &mut Line) -> bool {
         line.next_calls().into_iter().any(|id| {
             let Some(attempt) = line.awaits(id).and_then(|what| what.attempt()) else { return false };
             let ticket = self.flying.borrow().get(&attempt).map(|flying| flying.ticket);
-            if !ticket.is_some_and(|ticket| self.callers.is_cancelled(ticket)) {
-                return false;
+            match ticket.map(|ticket| self.callers.ask(ticket)) {
+                None | Some(Caller::Waits) => false,
+                Some(Caller::Left) => {
+                    self.flying.borrow_mut().remove(&attempt);
+                    self.stop(line, (id, &format!("{id:016x}")))
+                }
+                Some(Caller::Unheard) => self.take_back(line, id, attempt),
             }
-            self.flying.borrow_mut().remove(&attempt);
-            self.stop(line, (id, &format!("{id:016x}")))
         })
     }
 
+    /// Ends an attempt before it begins, as no one can tell whether it is still wanted. That is this side's doing: the module
+    /// hears that there was no room for it. True where the connection is to be ended.
+    fn take_back(&self, line: &mut Line, id: u64, attempt: (RequestId, u16)) -> bool {
+        self.count(|c| c.unheard += 1);
+        self.flying.borrow_mut().remove(&attempt);
+        let (now, mut news) = (self.shared.clock.now(), Vec::new());
+        let ends = line.take_back(id, now, &mut news);
+        if line.is_cut() && !ends {
+            line.withdraw(now, &mut news);
+        }
+        self.settled(&news);
+        self.late_news.borrow_mut().extend(news);
+        ends
+    }
+
     /// Gives up a request; what waits behind one that is not completed is withdrawn. True where the
     /// connection is to be ended.
     pub(super) fn stop(&self, line: &mut Line, (id, text): (u64, &str)) -> bool {
--- a/crates/platform/src/follow/tests.rs
+++ b/crates/platform/src/follow/tests.rs
@@ -27,8 +27,8 @@
 struct All;
 
 impl executors::Callers for All {
-    fn is_cancelled(&self, _: stagehoist_gateway::state::Ticket) -> bool {
-        false
+    fn ask(&self, _: stagehoist_gateway::state::Ticket) -> executors::Caller {
+        executors::Caller::Waits
     }
 }
 
--- a/crates/platform/src/line/ending.rs
+++ b/crates/platform/src/line/ending.rs
@@ -35,6 +35,33 @@
         self.is_spent()
     }
 
+    /// Takes back a request that is not written whole and must not begin now. Where nothing of it was written that is told as
+    /// `Full`; else as an error, and the line takes nothing more, as after [`Line::stop`]. True where the connection is to be
+    /// ended.
+    pub fn take_back(&mut self, id: u64, now: Micros, news: &mut Vec<News>) -> bool {
+        let tag = Tag::Call(id);
+        let Some(open) = self.open.get(&tag).filter(|open| open.whole.is_none()) else { return false };
+        let outcome = if open.begun.is_some() {
+            self.cut = true;
+            self.queue.clear();
+            Outcome::Error
+        } else {
+            self.unqueue(tag);
+            Outcome::Full
+        };
+        self.finish(tag, outcome, now, news);
+        self.is_spent()
+    }
+
+    /// When the next order that is awaited here counts as lost.
+    pub fn order_due(&self, order: Micros) -> Option<Micros> {
+        let due = |o: &Open| match o.what {
+            What::Load { sent, .. } => Some(sent + order),
+            _ => None,
+        };
+        self.open.values().filter_map(due).min()
+    }
+
     /// Whether nothing more is written here.
     pub fn is_cut(&self) -> bool {
         self.cut
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -184,6 +184,11 @@
         !self.closing && (self.out.len() < OUT_MOST || !self.parked.is_full())
     }
 
+    /// Whether bytes were read that are not looked at, as the client takes no answers: what it cancels may be among them.
+    pub fn has_unheard(&self) -> bool {
+        !self.closing && !self.wants_read() && self.decoder.is_partial()
+    }
+
     /// Whether what was kept back can be looked at, as the client took its answers.
     pub fn can_resume(&self) -> bool {
         !self.closing && !self.parked.is_empty() && self.out.len() < OUT_MOST
--- a/crates/platform/tests/crossings/held_back.rs
+++ b/crates/platform/tests/crossings/held_back.rs
@@ -10,7 +10,7 @@
 }
 
 /// Has a client ask for 2, and so many answers wait for it that nothing new is taken from it.
-async fn takes_nothing(stage: &mut Stage, client: &mut Client) -> Ticket {
+pub async fn takes_nothing(stage: &mut Stage, client: &mut Client) -> Ticket {
     let mut kept = Vec::new();
     for n in 2..=6 {
         client.ask(n);
@@ -127,7 +127,7 @@
 const PARKED: usize = (128 << 10) + (64 << 10);
 
 /// Has a client that takes no answers send on until no more of it is read; gives its open call.
-async fn sends_on(stage: &mut Stage, client: &mut Client) -> Ticket {
+pub async fn sends_on(stage: &mut Stage, client: &mut Client) -> Ticket {
     let ticket = takes_nothing(stage, client).await;
     let mut sent = 0;
     for n in 1000..1020 {
--- a/crates/platform/tests/crossings/stage.rs
+++ b/crates/platform/tests/crossings/stage.rs
@@ -42,13 +42,18 @@
 impl Stage {
     /// With so many connections at most, and room for so much news.
     pub fn new(links: usize, line: usize) -> Stage {
+        Stage::with(links, line, 8_000_000)
+    }
+
+    /// With orders that count as lost after so long.
+    pub fn with(links: usize, line: usize, order_timeout: Micros) -> Stage {
         let (sender, news) = mpsc::channel(line);
         let shared = Rc::new(Shared::new(Clock::new(), sender));
         let limits = Limits {
             streams: 32,
             idle_close: 60_000_000,
             connect_timeout: 8_000_000,
-            order_timeout: 8_000_000,
+            order_timeout,
             report: Vec::new(),
             classes: vec!["look".into()],
         };
