Test on sockets that a belief in an old version's copies ends with the first miss

Six executors hold a function; those that the front end believes in lose it for a new version, then the others. Each call has the told three attempts at most, no executor misses a function more than once beyond the orders to load it there, and the new version is served.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -13,3 +13,4 @@
 mod shutdown;
 mod stage;
 mod start;
+mod versions;
