--- a/crates/gateway/src/state/core/ending.rs
+++ b/crates/gateway/src/state/core/ending.rs
@@ -1,8 +1,8 @@
-//! The end of a front end whose callers will hear from no one else.
+//! Calls that are turned away or failed, and the end of a front end whose callers will hear from no one else.
 
 use super::super::{Answer, Command};
 use super::Core;
-use stagehoist::{Micros, RequestId};
+use stagehoist::{Micros, Outcome, RequestId};
 
 /// The reason that is told.
 const ENDING: &str = "front-end-ends";
@@ -23,4 +23,41 @@
             self.answer(request, answer, now, out);
         }
     }
+
+    /// Why a call is turned away or failed, as far as it shows from outside the module; for people, not for choices.
+    pub(super) fn reason(&self, request: RequestId, now: Micros) -> &'static str {
+        let Some(call) = self.calls.get(&request) else { return "over" };
+        if call.attempts.iter().any(Option::is_some) {
+            return "no-answer-in-time";
+        }
+        match call.last {
+            Some(Outcome::Error) => "worker-error",
+            Some(Outcome::Reset) => "connection-broke",
+            Some(Outcome::Timeout | Outcome::Cancelled) => "no-answer-in-time",
+            Some(Outcome::Full) => "workers-full",
+            Some(Outcome::ConnectFailed) => "workers-unreachable",
+            Some(Outcome::Miss) => "not-loaded-in-time",
+            _ if self.members.ready() == 0 => "no-workers",
+            _ if now >= call.deadline - (call.deadline - call.taken) / 4 => "held-until-too-late",
+            _ => "can-not-finish-in-time",
+        }
+    }
+
+    pub(super) fn answer(&mut self, request: RequestId, answer: Answer, now: Micros, out: &mut Vec<Command>) {
+        let Some(call) = self.calls.get(&request) else { return };
+        if call.answered {
+            return;
+        }
+        let (word, reason) = (answer.outcome(), answer.reason());
+        match answer {
+            Answer::Failed { .. } | Answer::Retired(_) => self.counters.failed += 1,
+            _ => self.counters.refused += 1,
+        }
+        call.span.in_scope(|| {
+            tracing::debug!(outcome = word, reason, took_us = now - call.taken, "answered");
+        });
+        out.push(Command::Answer { ticket: call.ticket, answer, took: now - call.taken });
+        self.note_end(request, now, false);
+        self.close_call(request);
+    }
 }
