shard-front-ends-list names the list of front ends that a divided fleet follows

Read, checked and written back, off without its directive; nothing follows it yet. Its nonsense is told with file and line: without shards, keys of the other source, the workers' own list, a name that is no word.

--- a/crates/config/src/build.rs
+++ b/crates/config/src/build.rs
@@ -1,6 +1,7 @@
 //! Directives to a configuration: defaults, and what must agree between directives.
 
 use crate::fleet::fleet;
+use crate::front_ends_list::front_ends_list;
 use crate::lexer::Line;
 use crate::marks::marks;
 use crate::model::{Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
@@ -165,6 +166,7 @@
     let fleet = fleet(&s, &tenants, &mut stray);
     let marks = marks(&s, &classes, fleet.is_some(), &mut stray);
     let sharding = sharding(&s, &zones, &mut stray);
+    let front_ends_list = front_ends_list(&s, list.as_ref(), &mut stray);
     let workers_most = s.count("workers-most", "count", 10_000);
     if let Some(line) = s.one("shards").filter(|l| l.count("workers").is_some_and(|n| n > workers_most)) {
         let expected = "at most as many as workers-most".to_string();
@@ -242,6 +244,7 @@
         report_fields,
         marks,
         sharding,
+        front_ends_list,
         fleet,
     })
 }
--- a/crates/config/src/grammar.rs
+++ b/crates/config/src/grammar.rs
@@ -1,6 +1,7 @@
 //! The directives: their arguments by place and by key, with kinds and ranges.
 
 use crate::fleet_grammar::FLEET;
+use crate::front_ends_list::FRONT_ENDS_LIST;
 use crate::sharding::SHARDING;
 use crate::value::Kind;
 use stagehoist_sharding::MEMBERS_MOST;
@@ -237,5 +238,5 @@
 
 /// All directives.
 pub fn directives() -> impl Iterator<Item = &'static Directive> {
-    DIRECTIVES.iter().chain(FLEET).chain(SHARDING)
+    DIRECTIVES.iter().chain(FLEET).chain(SHARDING).chain(FRONT_ENDS_LIST)
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,7 @@
 mod build;
 mod fleet;
 mod fleet_grammar;
+mod front_ends_list;
 mod grammar;
 mod lexer;
 mod marks;
@@ -29,6 +30,7 @@
 mod words;
 
 pub use fleet::{ends_numbered, Fleet, Keep, Pool, Recover};
+pub use front_ends_list::FrontEndsList;
 pub use lexer::{load, parse};
 pub use marks::Marks;
 pub use model::{
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -1,6 +1,7 @@
 //! What a configuration says, as values.
 
 use crate::fleet::Fleet;
+use crate::front_ends_list::FrontEndsList;
 use crate::marks::Marks;
 use crate::sharding::Sharding;
 use stagehoist::{Effect, OnMiss, ReportVia, RetryBudget};
@@ -176,6 +177,8 @@
     pub marks: Option<Marks>,
     /// None: the fleet isn't divided.
     pub sharding: Option<Sharding>,
+    /// None: front ends own shards by their numbers.
+    pub front_ends_list: Option<FrontEndsList>,
     /// None: front ends share nothing.
     pub fleet: Option<Fleet>,
 }
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -164,6 +164,9 @@
         if let Some(sharding) = &self.sharding {
             sharding.lines(&self.zones).into_iter().for_each(&mut line);
         }
+        if let Some(list) = &self.front_ends_list {
+            line(list.line());
+        }
         if let Some(fleet) = &self.fleet {
             fleet.lines().into_iter().for_each(line);
         }
