--- a/crates/gateway/src/amqp/front/consuming.rs
+++ b/crates/gateway/src/amqp/front/consuming.rs
@@ -1,5 +1,6 @@
 //! The channel: opened, consuming, asked about its queues, and left.
 
+use super::queues::Hold;
 use super::*;
 
 impl Front {
@@ -10,8 +11,8 @@
         {
             return;
         }
-        for (age, from) in self.ages.iter_mut().zip(&self.config.consume) {
-            if from.prefetch.is_none_or(|most| self.acks.unsettled() < usize::from(most)) {
+        for (age, queue) in self.ages.iter_mut().zip(&self.queues) {
+            if queue.from.prefetch.is_none_or(|most| self.acks.unsettled() < usize::from(most)) {
                 age.dry(now);
             }
         }
@@ -24,7 +25,7 @@
         }
         if now - self.asked_depth >= LOOK {
             self.asked_depth = now;
-            for index in 0..self.ages.len() {
+            for index in self.consumed() {
                 if self.ages[index].is_unsure(now, LOOK) {
                     self.declare(index, true, false);
                 }
@@ -74,7 +75,7 @@
                 self.blind_from = now - blind;
             }
             self.asked_depth = now;
-            for index in 0..self.ages.len() {
+            for index in self.consumed() {
                 self.ages[index].doubt();
                 self.declare(index, true, false);
             }
@@ -140,7 +141,7 @@
                     let select = confirm::Select { nowait: false };
                     self.send(AMQPClass::Confirm(confirm::AMQPMethod::Select(select)));
                 }
-                self.consuming = 0;
+                self.is_open = true;
                 self.ages.iter_mut().for_each(Age::restart);
                 if !self.draining {
                     // A window over the whole channel, as one consumer's can't be changed while it stands.
@@ -149,21 +150,18 @@
                     if let Some(count) = self.window.as_ref().map(Window::asked) {
                         self.qos(count, true);
                     }
-                    (0..self.config.consume.len()).for_each(|index| self.consume(index, now));
+                    self.consumed().into_iter().for_each(|index| self.consume(index, now));
                 }
             }
-            AMQPClass::Basic(basic::AMQPMethod::ConsumeOk(_)) => {
-                self.consuming += 1;
-                if self.consuming == self.config.consume.len() {
-                    self.phase = Phase::Ready;
-                    self.backoff.reset();
-                    tracing::info!("consuming");
-                }
+            AMQPClass::Basic(basic::AMQPMethod::ConsumeOk(ok)) => {
+                let index = self.queue_of(ok.consumer_tag.as_str());
+                self.standing.extend(index);
+                self.look_whether_ready();
             }
             AMQPClass::Queue(queue::AMQPMethod::DeclareOk(ok)) => {
-                let index = self.config.consume.iter().position(|c| c.queue == ok.queue.as_str());
-                // Before the consumers stand, this one is not among those told.
-                let own = u64::from(self.phase != Phase::Ready);
+                let index = self.queues.iter().position(|q| q.from.queue == ok.queue.as_str());
+                // Before its consumer stands, this one is not among those told.
+                let own = u64::from(index.is_none_or(|i| !self.standing.contains(&i)));
                 if let Some(age) = index.and_then(|i| self.ages.get_mut(i)) {
                     age.depth(u64::from(ok.message_count), u64::from(ok.consumer_count) + own, now);
                 }
@@ -179,7 +177,7 @@
             }
             AMQPClass::Basic(basic::AMQPMethod::CancelOk(ok)) => {
                 if let Some(index) = self.queue_of(ok.consumer_tag.as_str()) {
-                    self.stopping.remove(&index);
+                    self.stopped(index);
                 }
             }
             AMQPClass::Basic(basic::AMQPMethod::Cancel(cancel)) => {
@@ -187,10 +185,11 @@
                 tracing::warn!(consumer = cancel.consumer_tag.as_str(), "consumer cancelled by the broker");
                 let index = self.queue_of(cancel.consumer_tag.as_str());
                 if let Some(index) = index {
-                    self.stopping.remove(&index);
+                    self.stopped(index);
+                    self.standing.remove(&index);
                 }
-                if let Some(index) = index.filter(|_| !self.draining) {
-                    self.consuming = self.consuming.saturating_sub(1);
+                let consumed = |i: &usize| self.queues[*i].hold == Hold::Consumed;
+                if let Some(index) = index.filter(|i| !self.draining && consumed(i)) {
                     let pause = self.backoff.pause();
                     self.again.insert(index, now + pause);
                 }
@@ -205,21 +204,18 @@
 
     /// The place of the queue whose consumer has this tag.
     pub(super) fn queue_of(&self, tag: &str) -> Option<usize> {
-        tag.strip_prefix(TAG)?.parse().ok().filter(|index| *index < self.config.consume.len())
+        tag.strip_prefix(TAG)?.parse().ok().filter(|index| *index < self.queues.len())
     }
 
     /// Declares a queue, or only asks for its depth.
     pub(super) fn declare(&mut self, index: usize, passive: bool, durable: bool) {
-        let declare = queue::Declare {
-            passive,
-            durable,
-            ..stagehoist_amqp::declare(&self.config.consume[index].queue)
-        };
+        let declare =
+            queue::Declare { passive, durable, ..stagehoist_amqp::declare(&self.queues[index].from.queue) };
         self.send(AMQPClass::Queue(queue::AMQPMethod::Declare(declare)));
     }
 
     pub(super) fn consume(&mut self, index: usize, now: Micros) {
-        let Some(from) = self.config.consume.get(index).cloned() else { return };
+        let Some(from) = self.queues.get(index).map(|q| q.from.clone()) else { return };
         self.asked_depth = now;
         self.declare(index, from.declare.is_none(), from.declare.unwrap_or(false));
         self.qos(from.prefetch.unwrap_or(0), false);
--- a/crates/gateway/src/amqp/front/counters.rs
+++ b/crates/gateway/src/amqp/front/counters.rs
@@ -26,6 +26,8 @@
     /// Taken for a function that is leaving own shards, and refused for one of others.
     pub leaving_shard: u64,
     pub other_shard: u64,
+    /// Not taken, as their shard had gone when they came: given back to their queues.
+    pub given_back: u64,
     pub connections_lost: u64,
     pub channels_lost: u64,
 }
--- a/crates/gateway/src/amqp/front/deliveries.rs
+++ b/crates/gateway/src/amqp/front/deliveries.rs
@@ -1,5 +1,6 @@
 //! What becomes of a delivery.
 
+use super::queues::Hold;
 use super::*;
 use stagehoist_sharding::Place;
 
@@ -24,6 +25,9 @@
             window.delivered();
         }
         let queue = self.queue_of(deliver.consumer_tag.as_str()).unwrap_or(0);
+        if self.queues.get(queue).is_some_and(|q| q.hold == Hold::LetGo) {
+            return self.give_back(deliver.delivery_tag);
+        }
         let stamp = stamp(&message.properties);
         let mut waited = self.ages.get_mut(queue).map_or(0, |a| a.taken(stamp, deliver.redelivered, now));
         if stamp.is_none() && self.ages.get(queue).is_some_and(Age::is_doubted) {
--- a/crates/gateway/src/amqp/front/mod.rs
+++ b/crates/gateway/src/amqp/front/mod.rs
@@ -6,6 +6,7 @@
 mod consuming;
 mod counters;
 mod deliveries;
+mod queues;
 mod replies;
 
 pub use asking::Question;
@@ -14,11 +15,12 @@
 use super::message::{reply, stamp, Reader, Unusable};
 use crate::shards::Places;
 use crate::state::{Answer, Arrival, CallFigures, Ticket};
+use queues::Queue;
 use stagehoist::{Effect, Micros};
 use stagehoist_admission::{Advice, Age, Bounds, Held, Intake, Window};
 use stagehoist_amqp::{basic, channel, confirm, queue, short, tx};
 use stagehoist_amqp::{AMQPClass, Acks, Client, ClientEvent, ClientOptions, Message};
-use stagehoist_config::{Broker, Config};
+use stagehoist_config::{Broker, Config, Consume};
 use stagehoist_recovery::{Backoff, Key, Memory, Sent, Verdict};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
@@ -68,7 +70,11 @@
     phase: Phase,
     channel: u16,
     generation: u64,
-    consuming: usize,
+    /// Its channel stands.
+    is_open: bool,
+    queues: Vec<Queue>,
+    /// Queues whose consumer the broker has said to stand.
+    standing: BTreeSet<usize>,
     /// Queues whose consumer the broker cancelled, and when to consume again.
     again: BTreeMap<usize, Micros>,
     deliveries: HashMap<Ticket, Delivery>,
@@ -79,8 +85,9 @@
     next_ticket: Ticket,
     arrivals: Vec<Arrival>,
     draining: bool,
-    /// Queues whose consumer was told to stop and has not said so: deliveries of it may be on their way.
-    stopping: BTreeSet<usize>,
+    /// Queues whose consumer was told to stop and has not said so, as often as it was told: deliveries of it may be on
+    /// their way.
+    stopping: Vec<usize>,
     /// Deliveries of the present channel; their acknowledgements go out together, with the next replies.
     acks: Acks,
     /// Of the present channel, where a queue is consumed without a told prefetch.
@@ -101,12 +108,13 @@
     pub fn new(config: Rc<Config>, seed: u64, now: Micros) -> Front {
         let (most, keep) = config.answer_memory;
         let places = Places::new(&config);
+        let queues = queues::at_start(&config);
         let bounds = Bounds { calls: config.held_most, bytes: config.held_bytes_most };
         Front {
             reader: Reader::new(config.clone()),
             acks: Acks::default(),
             window: None,
-            ages: vec![Age::default(); config.consume.len()],
+            ages: vec![Age::default(); queues.len()],
             asked_depth: 0,
             blind_from: 0,
             intake: Intake::new(bounds),
@@ -119,7 +127,9 @@
             phase: Phase::Apart,
             channel: 0,
             generation: 0,
-            consuming: 0,
+            is_open: false,
+            queues,
+            standing: BTreeSet::new(),
             again: BTreeMap::new(),
             deliveries: HashMap::new(),
             replies: BTreeMap::new(),
@@ -128,7 +138,7 @@
             next_ticket: 1,
             arrivals: Vec::new(),
             draining: false,
-            stopping: BTreeSet::new(),
+            stopping: Vec::new(),
             places,
             counters: FrontCounters::default(),
         }
@@ -192,8 +202,9 @@
         };
         let again = self.again.values().min().copied();
         let confirm = self.confirm_due();
-        let look = self.ages.iter().any(|a| a.is_unsure(self.asked_depth + LOOK, LOOK));
-        let look = (look && self.phase == Phase::Ready).then_some(self.asked_depth + LOOK);
+        let unsure = |i: &usize| self.ages[*i].is_unsure(self.asked_depth + LOOK, LOOK);
+        let look = self.phase == Phase::Ready && self.consumed().iter().any(unsure);
+        let look = look.then_some(self.asked_depth + LOOK);
         let asking = self.asking.as_ref().and_then(asking::Asking::due);
         [client, waiting, again, confirm, look, asking].into_iter().flatten().min()
     }
@@ -217,11 +228,7 @@
         if !matches!(self.phase, Phase::Setup | Phase::Ready) {
             return;
         }
-        for index in 0..self.config.consume.len() {
-            let cancel = basic::Cancel { consumer_tag: short(&self.tag(index)), nowait: false };
-            self.basic(basic::AMQPMethod::Cancel(cancel));
-            self.stopping.insert(index);
-        }
+        self.consumed().into_iter().for_each(|index| self.cancel(index));
     }
 
     /// Whether all that was delivered is answered and acknowledged, and nothing more is on its way, after
--- /dev/null
+++ b/crates/gateway/src/amqp/front/queues.rs
@@ -0,0 +1,123 @@
+//! The queues of a front. Where own shards follow a list of front ends they come and go on the running channel. Each keeps its
+//! place, so that what comes late over a cancelled consumer is known by its tag; there are no more than divisions have shards.
+
+use super::*;
+use crate::shards::{queue, Owned};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Hold {
+    Consumed,
+    /// Its consumer is cancelled; what was on its way is taken.
+    Kept,
+    /// What comes over it still is given back: its workers aren't known here any more.
+    LetGo,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Queue {
+    pub from: Consume,
+    pub hold: Hold,
+}
+
+/// Queues at the start: as they are told, or none before the first list of front ends.
+pub(super) fn at_start(config: &Config) -> Vec<Queue> {
+    if config.front_ends_list.is_some() {
+        return Vec::new();
+    }
+    config.consume.iter().map(|from| Queue { from: from.clone(), hold: Hold::Consumed }).collect()
+}
+
+impl Front {
+    /// Places of queues that are consumed, or are to be.
+    pub(super) fn consumed(&self) -> Vec<usize> {
+        let consumed = |q: &(usize, &Queue)| q.1.hold == Hold::Consumed;
+        self.queues.iter().enumerate().filter(consumed).map(|q| q.0).collect()
+    }
+
+    /// Own shards changed: queues are consumed anew, or cancelled.
+    pub fn owns(&mut self, owned: &[Owned], now: Micros) {
+        // By queue: how it is held, and whether its calls are ones that leave.
+        let mut held: BTreeMap<String, (Hold, bool, Consume)> = BTreeMap::new();
+        let newest = owned.last().map(|o| o.generation);
+        for division in owned {
+            let old = Some(division.generation) != newest;
+            let own = division.own.iter().map(|s| (s, Hold::Consumed, old));
+            let leaving = division.leaving.iter().map(|s| (s, Hold::Consumed, true));
+            let kept = division.kept.iter().map(|s| (s, Hold::Kept, true));
+            for (shard, hold, left) in own.chain(leaving).chain(kept) {
+                for from in &self.config.consume {
+                    let name = queue(&from.queue, division.generation, *shard);
+                    held.insert(name.clone(), (hold, left, Consume { queue: name, ..from.clone() }));
+                }
+            }
+        }
+        let mut left = vec![false; self.queues.len()];
+        for index in 0..self.queues.len() {
+            let found = held.remove(&self.queues[index].from.queue);
+            let (hold, leaves) = found.map_or((Hold::LetGo, true), |h| (h.0, h.1));
+            left[index] = leaves;
+            self.hold(index, hold, now);
+        }
+        for (hold, leaves, from) in held.into_values() {
+            self.queues.push(Queue { from, hold: Hold::LetGo });
+            self.ages.push(Age::default());
+            left.push(leaves);
+            self.hold(self.queues.len() - 1, hold, now);
+        }
+        if let Some(places) = self.places.as_mut() {
+            places.owns(owned, left);
+        }
+        self.look_whether_ready();
+    }
+
+    fn hold(&mut self, index: usize, hold: Hold, now: Micros) {
+        let before = std::mem::replace(&mut self.queues[index].hold, hold);
+        let (was, is) = (before == Hold::Consumed, hold == Hold::Consumed);
+        if was == is || !self.is_open || self.draining {
+            return;
+        }
+        if is {
+            self.ages[index].restart();
+            return self.consume(index, now);
+        }
+        // One that the broker cancelled has no consumer to cancel.
+        if self.again.remove(&index).is_none() {
+            self.cancel(index);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, index: usize) {
+        let cancel = basic::Cancel { consumer_tag: short(&self.tag(index)), nowait: false };
+        self.basic(basic::AMQPMethod::Cancel(cancel));
+        self.standing.remove(&index);
+        self.stopping.push(index);
+    }
+
+    /// The consumer of a queue is gone, by a word of the broker or an answer to one.
+    pub(super) fn stopped(&mut self, index: usize) {
+        if let Some(at) = self.stopping.iter().position(|i| *i == index) {
+            self.stopping.swap_remove(at);
+        }
+    }
+
+    /// All consumers stand: messages come.
+    pub(super) fn look_whether_ready(&mut self) {
+        let consumed = self.consumed();
+        if self.phase == Phase::Setup
+            && !consumed.is_empty()
+            && consumed.iter().all(|i| self.standing.contains(i))
+        {
+            self.phase = Phase::Ready;
+            self.backoff.reset();
+            tracing::info!("consuming");
+        }
+    }
+
+    /// Gives a message back to its queue, untaken: another front end's consumer gets it.
+    pub(super) fn give_back(&mut self, tag: u64) {
+        self.counters.given_back += 1;
+        self.acks.remove(tag);
+        self.open.1 |= self.config.transactions;
+        self.basic(basic::AMQPMethod::Reject(basic::Reject { delivery_tag: tag, requeue: true }));
+    }
+}
--- a/crates/gateway/src/amqp/front/replies.rs
+++ b/crates/gateway/src/amqp/front/replies.rs
@@ -137,6 +137,7 @@
         self.generation += 1;
         self.again.clear();
         self.stopping.clear();
-        self.consuming = 0;
+        self.is_open = false;
+        self.standing.clear();
     }
 }
--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -51,8 +51,7 @@
                 done = &mut connecting => break done.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())),
                 said = from_driver.recv() => match said {
                     None => return,
-                    Some(ToLink::Answer(ticket, answer)) => front.answer(ticket, answer, clock.now()),
-                    Some(ToLink::Drain) => draining = true,
+                    Some(said) => draining |= said.take(&mut front, clock.now()),
                 },
             }
         };
@@ -89,8 +88,7 @@
                 came = asks.next(), if asks.are_on() => asks.take(came, &mut front, clock),
                 said = from_driver.recv() => match said {
                     None => return,
-                    Some(ToLink::Answer(ticket, answer)) => front.answer(ticket, answer, clock.now()),
-                    Some(ToLink::Drain) => draining = true,
+                    Some(said) => draining |= said.take(&mut front, clock.now()),
                 },
             }
         }
@@ -193,12 +191,9 @@
                     // All that is there, so that replies of one batch go out in one write.
                     let mut next = Some(first);
                     while let Some(said) = next {
-                        match said {
-                            ToLink::Answer(ticket, answer) => front.answer(ticket, answer, clock.now()),
-                            ToLink::Drain => {
-                                *draining = true;
-                                front.drain();
-                            }
+                        if said.take(front, clock.now()) {
+                            *draining = true;
+                            front.drain();
                         }
                         next = from_driver.try_recv().ok();
                     }
--- a/crates/gateway/src/list/consul.rs
+++ b/crates/gateway/src/list/consul.rs
@@ -2,13 +2,14 @@
 //! instance tells `kind`, `zone`, `cell`, `capacity`, `started` (Unix time in milliseconds) and `state draining`; one in
 //! maintenance mode drains, one with another critical check is left out.
 
-use super::ToList;
+use super::{Kind, ToList, LIST_MOST, WORKERS};
 use crate::clock::Clock;
 use crate::state::News;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::Request;
 use hyper_util::rt::TokioIo;
+use percent_encoding::{utf8_percent_encode, NON_ALPHANUMERIC};
 use serde::Deserialize;
 use stagehoist::Micros;
 use stagehoist_membership::blocking::{Answer, Blocking};
@@ -19,9 +20,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-/// Largest list read, in bytes.
-const LIST_MOST: usize = 64 << 20;
-
 #[derive(Deserialize)]
 struct Row {
     #[serde(rename = "Node")]
@@ -51,27 +49,35 @@
 }
 
 #[derive(Deserialize)]
-struct Check {
+pub(super) struct Check {
     #[serde(rename = "CheckID", default)]
     id: String,
     #[serde(rename = "Status", default)]
     status: String,
 }
 
+impl Check {
+    fn is_maintenance(&self) -> bool {
+        self.id.starts_with("_service_maintenance") || self.id == "_node_maintenance"
+    }
+
+    pub(super) fn is_critical(&self) -> bool {
+        self.status == "critical" || self.status == "maintenance"
+    }
+}
+
 /// Reads the body of an answer.
 pub fn parse(body: &[u8]) -> Result<Vec<Entry>, serde_json::Error> {
     let rows: Vec<Row> = serde_json::from_slice(body)?;
     let entry = |row: Row| {
-        let maintenance = |c: &Check| c.id.starts_with("_service_maintenance") || c.id == "_node_maintenance";
-        let critical = |c: &Check| c.status == "critical" || c.status == "maintenance";
-        if row.checks.iter().any(|c| critical(c) && !maintenance(c)) {
+        if row.checks.iter().any(|c| c.is_critical() && !c.is_maintenance()) {
             return None;
         }
         let address = if row.service.address.is_empty() { row.node.address } else { row.service.address };
         let meta = row.service.meta.unwrap_or_default();
         let text = |key: &str| meta.get(key).cloned().unwrap_or_default();
         let number = |key: &str| meta.get(key).and_then(|v| v.parse::<f64>().ok());
-        let maintained = row.checks.iter().any(|c| critical(c) && maintenance(c));
+        let maintained = row.checks.iter().any(|c| c.is_critical() && c.is_maintenance());
         Some(Entry {
             address: format!("{address}:{}", row.service.port),
             draining: maintained || text("state") == "draining",
@@ -93,6 +99,11 @@
     blocking: Blocking,
     spread: Backoff,
     watching: bool,
+    kind: Kind,
+    /// Least time from an answer to the next query.
+    pause: Micros,
+    /// What narrows the query.
+    filter: String,
     /// A query failed since the last answer: the source may have lost its place, and its numbers tell nothing.
     lost: bool,
 }
@@ -106,10 +117,31 @@
             blocking: Blocking::new(100_000, 5_000_000),
             spread: Backoff::new(1, 1, seed),
             watching,
+            kind: WORKERS,
+            pause: 0,
+            filter: String::new(),
             lost: false,
         }
     }
 
+    /// Follows another list than that of workers.
+    pub fn of(self, kind: Kind) -> Follower {
+        Follower { kind, ..self }
+    }
+
+    /// Asks again so long after a change at the earliest.
+    pub fn paced(self, pause: Micros) -> Follower {
+        Follower { pause, ..self }
+    }
+
+    /// Asks for rows of one zone alone. What a source that knows no filters gives beyond is left out later.
+    pub fn only_zone(self, zone: &str) -> Follower {
+        let quoted = zone.replace('\\', "\\\\").replace('"', "\\\"");
+        let expression = format!("Service.Meta.zone == \"{quoted}\"");
+        let encoded = utf8_percent_encode(&expression, NON_ALPHANUMERIC);
+        Follower { filter: format!("&filter={encoded}"), ..self }
+    }
+
     pub async fn run(
         mut self,
         clock: Clock,
@@ -144,11 +176,11 @@
                 },
             };
             let told = match got {
-                Ok(Ok((index, entries))) => {
+                Ok(Ok((index, told))) => {
                     // One after a failure is used whatever its number is.
                     let lost = std::mem::take(&mut self.lost);
                     let changed = if once { Answer::Changed } else { self.blocking.answered(index) };
-                    (changed == Answer::Changed || lost).then_some(News::List(entries))
+                    (changed == Answer::Changed || lost).then_some(told)
                 }
                 failed => {
                     let why = match failed {
@@ -158,10 +190,11 @@
                     tracing::warn!(
                         address = self.address,
                         why,
-                        "worker list can't be had; the old one stands"
+                        list = self.kind.what,
+                        "the list can't be had; the old one stands"
                     );
                     self.lost = true;
-                    let _ = news.send(News::ListFailed).await;
+                    let _ = news.send((self.kind.failed)()).await;
                     let part = self.spread.part();
                     let pause = self.blocking.failed(part);
                     tokio::time::sleep_until(clock.instant(clock.now() + pause)).await;
@@ -172,11 +205,14 @@
                 if news.send(told).await.is_err() {
                     return;
                 }
+                if self.pause > 0 {
+                    tokio::time::sleep_until(clock.instant(clock.now() + self.pause)).await;
+                }
             }
         }
     }
 
-    async fn query(&self, index: u64) -> Result<(Option<u64>, Vec<Entry>), String> {
+    async fn query(&self, index: u64) -> Result<(Option<u64>, News), String> {
         let text = |e: &dyn std::fmt::Display| e.to_string();
         let stream = TcpStream::connect(&self.address).await.map_err(|e| text(&e))?;
         let (mut sender, connection) =
@@ -185,9 +221,10 @@
             let _ = connection.await;
         });
         let uri = format!(
-            "/v1/health/service/{}?index={index}&wait={}ms",
-            percent_encoding::utf8_percent_encode(&self.service, percent_encoding::NON_ALPHANUMERIC),
-            self.wait / 1000
+            "/v1/health/service/{}?index={index}&wait={}ms{}",
+            utf8_percent_encode(&self.service, NON_ALPHANUMERIC),
+            self.wait / 1000,
+            self.filter
         );
         let request = Request::get(uri).header("host", &self.address).body(Empty::<Bytes>::new());
         let asked = async {
@@ -199,8 +236,8 @@
             let index = response.headers().get("x-consul-index");
             let index = index.and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
             let body = Limited::new(response.into_body(), LIST_MOST).collect().await.map_err(|e| text(&e))?;
-            let entries = parse(&body.to_bytes()).map_err(|e| text(&e))?;
-            Ok((index, entries))
+            let told = (self.kind.body)(&body.to_bytes()).map_err(|e| text(&e))?;
+            Ok((index, told))
         };
         let result = asked.await;
         driving.abort();
--- a/crates/gateway/src/list/file.rs
+++ b/crates/gateway/src/list/file.rs
@@ -5,11 +5,12 @@
 //! w1 127.0.0.1:9001 kind large zone hall-a capacity 4
 //! ```
 
-use super::ToList;
+use super::{Kind, ToList, LIST_MOST};
 use crate::state::News;
 use stagehoist::Micros;
 use stagehoist_membership::Entry;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::sync::mpsc;
 
 /// Reads a list; a malformed one gives its first line at fault and why.
@@ -48,35 +49,46 @@
     Ok(entries)
 }
 
+async fn read(path: &str) -> std::io::Result<String> {
+    let mut text = String::new();
+    let file = tokio::fs::File::open(path).await?;
+    file.take(LIST_MOST as u64 + 1).read_to_string(&mut text).await?;
+    match text.len() > LIST_MOST {
+        true => Err(std::io::ErrorKind::FileTooLarge.into()),
+        false => Ok(text),
+    }
+}
+
 pub(super) async fn follow(
     path: &str,
     poll: Micros,
+    kind: Kind,
     news: mpsc::Sender<News>,
     mut asks: mpsc::UnboundedReceiver<ToList>,
 ) {
     let mut last: Option<String> = None;
     let mut failing = false;
     loop {
-        let told = match tokio::fs::read_to_string(path).await {
+        let told = match read(path).await {
             Ok(text) if !failing && last.as_ref() == Some(&text) => None,
-            Ok(text) => match parse(&text) {
-                Ok(entries) => {
+            Ok(text) => match (kind.text)(&text) {
+                Ok(told) => {
                     last = Some(text);
                     failing = false;
-                    Some(News::List(entries))
+                    Some(told)
                 }
                 Err((line, what)) => {
                     if !failing {
-                        tracing::warn!(path, line, what, "worker list is malformed; the old one stands");
+                        tracing::warn!(path, line, what, list = kind.what, "malformed; the old one stands");
                     }
-                    (!std::mem::replace(&mut failing, true)).then_some(News::ListFailed)
+                    (!std::mem::replace(&mut failing, true)).then(kind.failed)
                 }
             },
             Err(e) => {
                 if !failing {
-                    tracing::warn!(path, error = %e, "can't read the worker list; the old one stands");
+                    tracing::warn!(path, error = %e, list = kind.what, "can't be read; the old one stands");
                 }
-                (!std::mem::replace(&mut failing, true)).then_some(News::ListFailed)
+                (!std::mem::replace(&mut failing, true)).then(kind.failed)
             }
         };
         if let Some(told) = told {
--- a/crates/gateway/src/list/mod.rs
+++ b/crates/gateway/src/list/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod consul;
 pub mod file;
+pub mod front_ends;
 
 use crate::clock::Clock;
 use crate::state::News;
@@ -17,6 +18,25 @@
     Fetch,
 }
 
+/// Largest list read, in bytes.
+const LIST_MOST: usize = 64 << 20;
+
+/// Which list is followed: its name in the log, how a body or a file of it is read, and what is told of one that fails.
+#[derive(Clone, Copy)]
+struct Kind {
+    what: &'static str,
+    body: fn(&[u8]) -> Result<News, serde_json::Error>,
+    text: fn(&str) -> Result<News, (usize, String)>,
+    failed: fn() -> News,
+}
+
+const WORKERS: Kind = Kind {
+    what: "workers",
+    body: |body| consul::parse(body).map(News::List),
+    text: |text| file::parse(text).map(News::List),
+    failed: || News::ListFailed,
+};
+
 /// Follows the list until the driver is gone. Where the configuration has `list-subscribe no`, following begins at once.
 pub async fn follow(
     config: Rc<Config>,
@@ -31,6 +51,6 @@
             let follower = consul::Follower::new(address, service, *wait, seed, watching);
             follower.run(clock, news, asks).await;
         }
-        ListSource::File { path, poll } => file::follow(path, *poll, news, asks).await,
+        ListSource::File { path, poll } => file::follow(path, *poll, WORKERS, news, asks).await,
     }
 }
--- a/crates/gateway/src/metrics_page.rs
+++ b/crates/gateway/src/metrics_page.rs
@@ -135,6 +135,15 @@
                 .absolute(f.leaving_shard);
             counter!("stagehoist_shard_calls_other_total", "front_end" => label()).absolute(f.other_shard);
         }
+        if let Some((others, changes)) = core.listed_front_ends() {
+            let label = || self.label.clone();
+            gauge!("stagehoist_shard_front_ends", "front_end" => label()).set(others as f64 + 1.0);
+            counter!("stagehoist_shard_changes_total", "front_end" => label()).absolute(changes);
+            counter!("stagehoist_shard_list_failures_total", "front_end" => label())
+                .absolute(c.front_ends_failed);
+            counter!("stagehoist_shard_calls_given_back_total", "front_end" => label())
+                .absolute(f.given_back);
+        }
         if let Some(stage) = core.recovery_stage() {
             gauge!("stagehoist_recovery_stage", "front_end" => self.label.clone()).set(stage as u8 as f64);
         }
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -1,11 +1,18 @@
 //! One front end's part of a divided fleet, without I/O: the queues that it consumes, the workers that its module is told of,
 //! and what it has to do with a function. Nothing of it exists where the configuration has no `shards`.
 
-use stagehoist::{Lifecycle, Micros, RosterForm, RosterRow, Settings, WorkerId};
+mod divided;
+mod listed;
+mod ownership;
+
+pub use divided::settings;
+pub use ownership::{Owned, Ownership};
+
+use stagehoist::{Lifecycle, Micros, RosterForm, RosterRow, WorkerId};
 use stagehoist_config::{Config, Consume, Sharding};
 use stagehoist_membership::Update;
 use stagehoist_sharding::{place, ranked, Assignment, Division, Homes, Key, Member, Place};
-use stagehoist_sharding::{Serving, Shard, TenantParts, Transition};
+use stagehoist_sharding::{Shard, Transition};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Added to the longest time that an attempt or a load may take, before a worker that left the subset is told gone.
@@ -21,6 +28,10 @@
 pub fn own(mut config: Config, number: u32) -> Config {
     let Some(sharding) = config.sharding.as_mut() else { return config };
     sharding.first += number;
+    if config.front_ends_list.is_some() {
+        // Its queues come and go with the list.
+        return config;
+    }
     let sharding = sharding.clone();
     let of_division = |d: &Division| -> Vec<(u32, Shard)> {
         owned(&config, &sharding, d).into_iter().map(|s| (d.generation(), s)).collect()
@@ -33,8 +44,11 @@
     config
 }
 
-/// Own shards by number alone: two owners each at least, none made up for.
+/// Own shards by number alone: two owners each at least, none made up for. Where a list is followed, none before it came.
 fn owned(config: &Config, sharding: &Sharding, division: &Division) -> Vec<Shard> {
+    if config.front_ends_list.is_some() {
+        return Vec::new();
+    }
     // The check refuses a number beyond the fleet.
     ranked(division, sharding.first, config.fleet_front_ends).unwrap_or_default()
 }
@@ -43,32 +57,6 @@
     Homes::new(division, sharding.calls, &sharding.hot).ok()
 }
 
-/// What the module is told of how many share its workers and its tenants' quotas, in a divided fleet.
-pub fn settings(config: &Config, settings: &mut Settings) {
-    let Some(sharding) = &config.sharding else { return };
-    let divisions = &sharding.divisions;
-    let serving = Serving::new(divisions, &sharding.zones).ranked(config.fleet_front_ends);
-    settings.front_ends = serving.worst();
-    let each: Vec<_> = divisions.each().filter_map(|d| Some((d, homes(sharding, d)?))).collect();
-    let own: Vec<Vec<Shard>> = divisions.each().map(|d| owned(config, sharding, d)).collect();
-    let own: Vec<&[Shard]> = own.iter().map(|o| &o[..]).collect();
-    for (tenant, quota) in config.tenants.iter().zip(&mut settings.tenant_quota) {
-        let names = sharding.tenants.get(&tenant.name).map_or(&[][..], |n| &n[..]);
-        let parts = |(d, homes): &(&Division, Homes)| TenantParts::new(d, homes, &sizes(sharding, names));
-        let parts: Vec<TenantParts> = each.iter().map(parts).collect();
-        let parts: Vec<&TenantParts> = parts.iter().collect();
-        // The module divides what it is told by the front ends that it is told.
-        *quota *= serving.share_of(&parts, &own) * f64::from(settings.front_ends);
-    }
-}
-
-/// A tenant's functions by their told calls, or alike where one of them has none told.
-fn sizes(sharding: &Sharding, names: &[String]) -> Vec<(Key, f64)> {
-    let calls = |name: &String| sharding.hot.iter().find(|h| h.name == *name).map_or(0.0, |h| h.calls);
-    let alike = names.iter().any(|n| calls(n) <= 0.0);
-    names.iter().map(|n| (Key::of(n), if alike { 1.0 } else { calls(n) })).collect()
-}
-
 /// The homes and own shards of the divisions served, the newest last; and of each own queue whether it is left.
 pub struct Places(Vec<(Homes, Vec<Shard>)>, Vec<bool>);
 
@@ -108,6 +96,8 @@
     /// In how many shards each of the subset is.
     subset: BTreeMap<WorkerId, usize>,
     transition: Transition,
+    /// None: own shards stand.
+    ownership: Option<Ownership>,
 }
 
 impl Shards {
@@ -120,6 +110,7 @@
             rows: BTreeMap::new(),
             subset: BTreeMap::new(),
             transition: Transition::new(longest + MARGIN),
+            ownership: Ownership::new(config),
         })
     }
 
@@ -147,14 +138,23 @@
         let mut rows: Vec<RosterRow> = update.rows.into_iter().map(|r| self.shared(r)).collect();
         let mine = |w: WorkerId| self.subset.contains_key(&w);
         rows = self.transition.listed(update.form, &rows, mine, now).rows;
-        // Workers that others' coming and going moved in or out.
+        rows.extend(self.moved(&before, &listed, now));
+        Update { form: update.form, rows }
+    }
+
+    /// Workers that the coming and going of others, or of own shards, moved in or out; but for those just listed.
+    fn moved(
+        &mut self,
+        before: &BTreeMap<WorkerId, usize>,
+        listed: &BTreeSet<WorkerId>,
+        now: Micros,
+    ) -> Vec<RosterRow> {
         let changed = |w: &&WorkerId| before.get(w) != self.subset.get(w) && !listed.contains(w);
         let entered = self.subset.keys().filter(changed).filter_map(|w| self.rows.get(w));
         let entered: Vec<RosterRow> = entered.map(|r| self.shared(r.1.clone())).collect();
         let left = before.keys().filter(|w| !self.subset.contains_key(w) && !listed.contains(w));
         let left: Vec<WorkerId> = left.copied().collect();
-        rows.extend(self.transition.moved(&entered, &left, now).rows);
-        Update { form: update.form, rows }
+        self.transition.moved(&entered, &left, now).rows
     }
 
     /// Tells gone what left long enough ago.
@@ -163,7 +163,8 @@
     }
 
     pub fn due(&self) -> Option<Micros> {
-        self.transition.due()
+        let handover = self.ownership.as_ref().and_then(Ownership::due);
+        self.transition.due().into_iter().chain(handover).min()
     }
 
     /// Workers of the subset, and those that drain as they left it.
--- /dev/null
+++ b/crates/gateway/src/shards/listed.rs
@@ -0,0 +1,46 @@
+//! Own shards that follow the list of front ends: what of it the module and the queues are told.
+
+use super::{Owned, Places, Shards};
+use crate::list::front_ends::Entry;
+use stagehoist::{Micros, RosterForm};
+use stagehoist_membership::Update;
+use std::collections::BTreeSet;
+
+impl Shards {
+    /// A whole list of front ends came. Gives own shards and what the module is told, where own shards changed.
+    pub fn front_ends(&mut self, list: &[Entry], now: Micros) -> Option<(Vec<Owned>, Update)> {
+        let owned = self.ownership.as_mut()?.listed(list, now)?;
+        Some(self.owns(owned, now))
+    }
+
+    /// The same as time passes: shards that were handed over go.
+    pub fn handed_over(&mut self, now: Micros) -> Option<(Vec<Owned>, Update)> {
+        let owned = self.ownership.as_mut()?.tick(now)?;
+        Some(self.owns(owned, now))
+    }
+
+    fn owns(&mut self, owned: Vec<Owned>, now: Micros) -> (Vec<Owned>, Update) {
+        for ((own, _), told) in self.served.iter_mut().zip(&owned) {
+            *own = told.served();
+        }
+        let before = std::mem::take(&mut self.subset);
+        self.subset = self.members();
+        let rows = self.moved(&before, &BTreeSet::new(), now);
+        (owned, Update { form: RosterForm::Delta, rows })
+    }
+
+    /// Other front ends counted, and lists that changed own shards; None: no list is followed.
+    pub fn listed(&self) -> Option<(usize, u64)> {
+        self.ownership.as_ref().map(|o| (o.others(), o.changes))
+    }
+}
+
+impl Places {
+    /// Own shards changed; `left` tells of each queue, by its place, whether it is left.
+    pub fn owns(&mut self, owned: &[Owned], left: Vec<bool>) {
+        for ((_, own), told) in self.0.iter_mut().zip(owned) {
+            *own = told.served();
+        }
+        self.1 = left;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shards/ownership.rs
@@ -0,0 +1,206 @@
+//! Which shards a front end of a divided fleet owns by the list of front ends, without I/O.
+//!
+//! Nothing is owned before the first whole list. A shard that comes is owned at once. One that goes is handed over: its queue
+//! is consumed a while longer, until whoever comes in its place knows the list too; then its calls and its workers are kept
+//! as long again, for what is under way over the cancelled queue. A list that fails changes nothing.
+
+use crate::list::front_ends::Entry;
+use stagehoist::Micros;
+use stagehoist_config::Config;
+use stagehoist_sharding::{Division, Divisions, FrontEnd, FrontEnds, Key, Member, Shard, MEMBERS_MOST};
+use std::collections::BTreeMap;
+
+/// Added to the time in which all know a list, before a queue is left; and the time of a `basic.cancel` and its answer.
+const MARGIN: Micros = 1_000_000;
+/// With more changes at once than this part of the list it is computed anew, which takes less.
+const ANEW: usize = 8;
+
+/// What a front end has of one division served, in ascending order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Owned {
+    pub generation: u32,
+    pub own: Vec<Shard>,
+    /// No more its own; their queues are consumed still.
+    pub leaving: Vec<Shard>,
+    /// Their queues are consumed no more; what still comes over them is taken.
+    pub kept: Vec<Shard>,
+}
+
+impl Owned {
+    /// Shards whose functions and workers are this front end's.
+    pub fn served(&self) -> Vec<Shard> {
+        let mut all = [&self.own[..], &self.leaving, &self.kept].concat();
+        all.sort_unstable();
+        all
+    }
+
+    /// Shards whose queues are consumed.
+    pub fn consumed(&self) -> impl Iterator<Item = Shard> + '_ {
+        self.own.iter().chain(&self.leaving).copied()
+    }
+}
+
+/// One front end's shards by the list of front ends.
+#[derive(Debug)]
+pub struct Ownership {
+    divisions: Divisions,
+    own: Member,
+    name: String,
+    /// Name of the own zone; None: zones aren't told, and all are of one.
+    zone: Option<String>,
+    handover: Micros,
+    /// None: no list came yet.
+    front_ends: Option<FrontEnds>,
+    /// The others of the own zone. What is believed of another zone changes nothing in one's own.
+    known: BTreeMap<Key, FrontEnd>,
+    /// Own shards, by generation, that went, and when; bounded by the divisions.
+    gone: BTreeMap<(u32, Shard), Micros>,
+    told: Vec<Owned>,
+    left_out: usize,
+    is_listed: bool,
+    /// Lists that changed own shards.
+    pub changes: u64,
+}
+
+impl Ownership {
+    /// None: front ends own by their numbers, or the fleet isn't divided. `first` in the configuration is this front end's number.
+    pub fn new(config: &Config) -> Option<Ownership> {
+        let (sharding, list) = (config.sharding.as_ref()?, config.front_ends_list.as_ref()?);
+        let zone = config.zone.clone().or_else(|| config.zones.first().cloned());
+        let at = config.zones.iter().position(|z| Some(z) == zone.as_ref()).unwrap_or(0);
+        let name = format!("{}-{}", list.name, sharding.first);
+        Some(Ownership {
+            divisions: sharding.divisions.clone(),
+            own: Member::new(&name, at as u16, 1.0),
+            name,
+            zone,
+            handover: list.interval() + MARGIN,
+            front_ends: None,
+            known: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            told: Vec::new(),
+            left_out: 0,
+            is_listed: true,
+            changes: 0,
+        })
+    }
+
+    /// Others of the own zone that are counted.
+    pub fn others(&self) -> usize {
+        self.known.len()
+    }
+
+    /// For how long a queue that goes is consumed, and what still comes over it is taken as long again.
+    pub fn handover(&self) -> Micros {
+        self.handover
+    }
+
+    /// Whether this front end counts another to its shards, and so a whole list came.
+    pub fn is_known(&self) -> bool {
+        self.front_ends.is_some()
+    }
+
+    /// A whole list came. Gives what is owned where that changed.
+    pub fn listed(&mut self, list: &[Entry], now: Micros) -> Option<Vec<Owned>> {
+        let listed = self.of_zone(list);
+        let changed: Vec<(Key, Option<FrontEnd>)> = {
+            let came = listed.iter().filter(|(key, f)| self.known.get(key) != Some(f));
+            let left = self.known.keys().filter(|key| !listed.contains_key(key));
+            left.map(|key| (*key, None)).chain(came.map(|(key, f)| (*key, Some(*f)))).collect()
+        };
+        match self.front_ends.as_mut() {
+            Some(known) if changed.len() <= listed.len() / ANEW => {
+                for (key, front_end) in changed {
+                    known.changed(key, front_end);
+                }
+            }
+            Some(_) if changed.is_empty() => {}
+            _ => {
+                let all = FrontEnds::of(&self.divisions, self.own, listed.values().copied());
+                self.front_ends = Some(all);
+            }
+        }
+        self.known = listed;
+        self.renew(now)
+    }
+
+    /// Time passes: what was handed over is let go.
+    pub fn tick(&mut self, now: Micros) -> Option<Vec<Owned>> {
+        self.due().filter(|due| *due <= now)?;
+        self.renew(now)
+    }
+
+    /// When [`Ownership::tick`] has something to tell.
+    pub fn due(&self) -> Option<Micros> {
+        let of = |d: &Owned| -> Option<Micros> {
+            let at = |s: &Shard| self.gone.get(&(d.generation, *s)).copied();
+            let leaving = d.leaving.iter().filter_map(at).map(|at| at + self.handover);
+            let kept = d.kept.iter().filter_map(at).map(|at| at + 2 * self.handover);
+            leaving.chain(kept).min()
+        };
+        self.told.iter().filter_map(of).min()
+    }
+
+    /// The other front ends of the own zone, at most so many that the table holds them beside this one; the same are left
+    /// out everywhere. A name that stands twice counts once, by the last line.
+    fn of_zone(&mut self, list: &[Entry]) -> BTreeMap<Key, FrontEnd> {
+        let mine = |e: &&Entry| self.zone.as_ref().is_none_or(|z| *z == e.zone);
+        let member = |e: &Entry| {
+            let member = Member::new(&e.name, self.own.zone, 1.0);
+            (member.key, FrontEnd { member, serves: e.serves })
+        };
+        let mut listed: BTreeMap<Key, FrontEnd> = list.iter().filter(mine).map(member).collect();
+        let is_listed = listed.remove(&self.own.key).is_some();
+        if self.is_listed && !is_listed {
+            tracing::warn!(name = self.name, "the list of front ends leaves this one out; it counts itself");
+        }
+        let over = listed.len().saturating_sub(MEMBERS_MOST - 1);
+        if over > 0 && over != self.left_out {
+            tracing::warn!(
+                left_out = over,
+                most = MEMBERS_MOST,
+                "the list of front ends is too long; the last by key are left out"
+            );
+        }
+        (self.is_listed, self.left_out) = (is_listed, over);
+        if let Some(first) = listed.keys().nth(MEMBERS_MOST - 1).copied() {
+            drop(listed.split_off(&first));
+        }
+        listed
+    }
+
+    /// What is owned now; given where it changed.
+    fn renew(&mut self, now: Micros) -> Option<Vec<Owned>> {
+        let front_ends = self.front_ends.as_ref()?;
+        let own_before: Vec<Vec<Shard>> = self.told.iter().map(|d| d.own.clone()).collect();
+        let mut told = Vec::new();
+        for (at, division) in self.divisions.served().map(Division::generation).enumerate() {
+            let own = front_ends.own(division).to_vec();
+            for shard in own_before.get(at).into_iter().flatten().filter(|s| !own.contains(s)) {
+                self.gone.insert((division, *shard), now);
+            }
+            self.gone.retain(|(generation, shard), _| *generation != division || !own.contains(shard));
+            let mut owned = Owned { generation: division, own, ..Owned::default() };
+            for ((_, shard), at) in self.gone.range((division, 0)..=(division, Shard::MAX)) {
+                match now - at {
+                    age if age < self.handover => owned.leaving.push(*shard),
+                    age if age < 2 * self.handover => owned.kept.push(*shard),
+                    _ => {}
+                }
+            }
+            told.push(owned);
+        }
+        let handover = self.handover;
+        self.gone.retain(|_, at| now - *at < 2 * handover);
+        if told == self.told {
+            return None;
+        }
+        let own: Vec<Vec<Shard>> = told.iter().map(|d| d.own.clone()).collect();
+        if own != own_before {
+            self.changes += 1;
+            tracing::info!(?own, others = self.known.len(), "own shards by the list of front ends");
+        }
+        self.told.clone_from(&told);
+        Some(told)
+    }
+}
--- a/crates/gateway/src/state/core/counters.rs
+++ b/crates/gateway/src/state/core/counters.rs
@@ -19,4 +19,6 @@
     pub batches: u64,
     /// Time spent in the module, in nanoseconds.
     pub module_ns: u64,
+    /// Lists of front ends that could not be had; what was known stands.
+    pub front_ends_failed: u64,
 }
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -160,7 +160,7 @@
             self.take(now, item, out);
         }
         self.look_at_start(now, out);
-        self.expire(now);
+        self.expire(now, out);
         while let Some(&(at, request, attempt)) = self.cuts.first() {
             if at > now {
                 break;
@@ -233,14 +233,13 @@
                     self.events.push(Event::Loaded { worker, function, outcome, took: now - sent, copies });
                 }
             }
-            News::List(entries) => {
-                self.listed(entries, now);
-            }
+            News::List(entries) => self.listed(entries, now),
             News::Roster { form, told } => {
                 let update = self.members.told(form, told, now);
                 self.tell(update, now);
             }
             News::Standing(standing) => self.take_standing(now, standing, out),
+            News::FrontEnds(list) => self.front_ends(list, now, out),
             News::ListFailed => {
                 let update = self.members.failed();
                 self.tell(update, now);
--- a/crates/gateway/src/state/core/workers.rs
+++ b/crates/gateway/src/state/core/workers.rs
@@ -2,7 +2,8 @@
 
 use super::super::Command;
 use super::Core;
-use crate::shards::Shards;
+use crate::list::front_ends::Entry as FrontEnd;
+use crate::shards::{Owned, Shards};
 use stagehoist::{Event, Lifecycle, Micros, RosterForm, WorkerId};
 use stagehoist_membership::{Entry, Update, WORKERS_MOST};
 use std::collections::{BTreeMap, VecDeque};
@@ -114,8 +115,31 @@
         self.shards.as_ref().and_then(|s| s.due())
     }
 
-    /// Workers that left own shards are gone after a while.
-    pub(super) fn expire(&mut self, now: Micros) {
+    /// A whole list of front ends came; workers of own shards are told before calls of them come.
+    pub(super) fn front_ends(&mut self, list: Option<Vec<FrontEnd>>, now: Micros, out: &mut Vec<Command>) {
+        let Some(list) = list else {
+            self.counters.front_ends_failed += 1;
+            return;
+        };
+        let changed = self.shards.as_mut().and_then(|s| s.front_ends(&list, now));
+        self.owns(changed, now, out);
+    }
+
+    /// Other front ends counted, and lists that changed own shards, where one is followed.
+    pub fn listed_front_ends(&self) -> Option<(usize, u64)> {
+        self.shards.as_ref()?.listed()
+    }
+
+    fn owns(&mut self, changed: Option<(Vec<Owned>, Update)>, now: Micros, out: &mut Vec<Command>) {
+        let Some((owned, update)) = changed else { return };
+        self.tell_module(update, now);
+        out.push(Command::Own(owned.into()));
+    }
+
+    /// Workers that left own shards are gone after a while, as are shards that were handed over.
+    pub(super) fn expire(&mut self, now: Micros, out: &mut Vec<Command>) {
+        let changed = self.shards.as_mut().and_then(|s| s.handed_over(now));
+        self.owns(changed, now, out);
         if let Some(update) = self.shards.as_mut().and_then(|s| s.expired(now)) {
             self.tell_module(update, now);
         }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -168,6 +168,8 @@
     },
     List(Vec<stagehoist_membership::Entry>),
     ListFailed,
+    /// A whole list of front ends, where the fleet is divided by it; None: it could not be had.
+    FrontEnds(Option<Vec<crate::list::front_ends::Entry>>),
     /// Workers with numbers of their own: the whole list, or what changed.
     Roster {
         form: RosterForm,
@@ -216,6 +218,8 @@
         worker: WorkerId,
         since: Option<Micros>,
     },
+    /// Own shards changed: queues to consume and to leave.
+    Own(Rc<[crate::shards::Owned]>),
     /// Follow the list, or stop.
     Watch(bool),
     /// Get the list once.
--- a/crates/gateway/src/ways.rs
+++ b/crates/gateway/src/ways.rs
@@ -24,6 +24,8 @@
     marker: Option<Marker>,
     to_link: mpsc::UnboundedSender<ToLink>,
     to_list: mpsc::UnboundedSender<ToList>,
+    /// Held for as long as the list of front ends is followed.
+    _to_front_ends: mpsc::UnboundedSender<ToList>,
     link_seen: watch::Receiver<LinkState>,
     gauges: Gauges,
     _tasks: JoinSet<()>,
@@ -62,8 +64,11 @@
             }
             link.await;
         });
+        let (_to_front_ends, ends) = mpsc::unbounded_channel();
+        tasks.spawn_local(list::front_ends::follow(config.clone(), seed, clock, news.clone(), ends));
         tasks.spawn_local(list::follow(config.clone(), seed, clock, news, asks));
-        AmqpWays { workers, marker, to_link, to_list, link_seen, gauges: Gauges::new(number), _tasks: tasks }
+        let gauges = Gauges::new(number);
+        AmqpWays { workers, marker, to_link, to_list, _to_front_ends, link_seen, gauges, _tasks: tasks }
     }
 }
 
@@ -104,6 +109,7 @@
             }
             Command::Unload { address, function, .. } => self.workers.unload(address, &function),
             Command::CloseIdle { worker } => self.workers.close_idle(worker),
+            Command::Own(owned) => drop(self.to_link.send(ToLink::Own(owned))),
             Command::Watch(on) => drop(self.to_list.send(ToList::Watch(on))),
             Command::Fetch => drop(self.to_list.send(ToList::Fetch)),
         }
--- /dev/null
+++ b/crates/gateway/tests/shards_sums.rs
@@ -0,0 +1,136 @@
+//! What is divided keeps its sum while front ends that follow a list come and go, hand over, and have lists that differ.
+
+mod world;
+
+use stagehoist_gateway::list::front_ends::Entry;
+use stagehoist_gateway::shards::{own, Owned, Ownership};
+use stagehoist_gateway::state::Figures;
+use stagehoist_sharding::{Homes, Key, Shard};
+use std::collections::BTreeSet;
+use world::*;
+
+const TENANTS: &str = "tenant one quota 100/s functions recurring\n\
+    tenant two quota 100/s functions recurring,free-times\ntenant all quota 100/s\n";
+
+fn zone(number: u32) -> &'static str {
+    ["north", "south"][number as usize % 2]
+}
+
+fn entries(numbers: impl IntoIterator<Item = u32>) -> Vec<Entry> {
+    let entry = |n| Entry { name: format!("front-end-{n}"), zone: zone(n).into(), serves: (1, 1) };
+    numbers.into_iter().map(entry).collect()
+}
+
+fn of(number: u32, fleet: u32, shards: u32) -> Config {
+    let text = format!(
+        "fleet-front-ends {fleet}\nzone-names north,south\nzone {}\nshards {shards} generation 1\n\
+         shard-front-ends-list file front-ends.list\n{TENANTS}",
+        zone(number)
+    );
+    own(Config::clone(&config(&text)), number)
+}
+
+struct Fleet {
+    /// For each front end: its config's parts of the tenants' quotas, and the part of a worker.
+    quotas: Vec<f64>,
+    of_worker: f64,
+    homes: Vec<BTreeSet<Shard>>,
+    shards: u32,
+}
+
+impl Fleet {
+    fn new(fleet: u32, shards: u32) -> Fleet {
+        let config = of(0, fleet, shards);
+        let settings = Figures::from(&config).settings;
+        for n in 1..fleet.min(4) {
+            let other = Figures::from(&of(n, fleet, shards)).settings;
+            assert_eq!(
+                (other.front_ends, &other.tenant_quota),
+                (settings.front_ends, &settings.tenant_quota)
+            );
+        }
+        let told = config.sharding.as_ref().unwrap();
+        let homes = Homes::new(told.divisions.old(), told.calls, &told.hot).unwrap();
+        let of = |names: &[&str]| names.iter().flat_map(|n| homes.of(Key::of(n))).collect();
+        let homes = vec![of(&["recurring"]), of(&["recurring", "free-times"]), (0..shards).collect()];
+        // The first tenant is that of the common lines; what the module gives is its quota over its front ends.
+        let each = f64::from(settings.front_ends);
+        let quotas = settings.tenant_quota[2..].iter().map(|q| q / each).collect();
+        Fleet { quotas, of_worker: 1.0 / each, homes, shards }
+    }
+
+    /// Of the told whole, what is given at most: of a tenant's quota, and of what a worker may take.
+    fn given(&self, served: &[BTreeSet<Shard>]) -> (f64, f64) {
+        let of = |(quota, homes): (&f64, &BTreeSet<Shard>)| {
+            quota * served.iter().filter(|own| !own.is_disjoint(homes)).count() as f64 / 100.0
+        };
+        let tenants = self.quotas.iter().zip(&self.homes).map(of).fold(0.0, f64::max);
+        let of_shard = |s: Shard| served.iter().filter(|own| own.contains(&s)).count() as f64;
+        (tenants, (0..self.shards).map(of_shard).fold(0.0, f64::max) * self.of_worker)
+    }
+}
+
+fn served(owned: &[Owned]) -> BTreeSet<Shard> {
+    owned.iter().flat_map(Owned::served).collect()
+}
+
+/// All have the same list, of whichever front ends are alive: never more than the whole, and most of it.
+#[test]
+fn the_sum_is_kept_with_any_list_that_all_have() {
+    for (fleet, shards) in [(8, 4), (24, 8), (48, 12)] {
+        let all = Fleet::new(fleet, shards);
+        let mut most = (0.0f64, 0.0f64);
+        for step in 0..40u32 {
+            // From all to few, in different orders.
+            let alive: Vec<u32> =
+                (0..fleet).filter(|n| n.wrapping_mul(2_654_435_761 + 2 * step) % 40 >= step).collect();
+            let list = entries(alive.iter().copied());
+            let own = |n: &u32| {
+                let mut it = Ownership::new(&of(*n, fleet, shards)).unwrap();
+                served(&it.listed(&list, 0).unwrap())
+            };
+            let given = all.given(&alive.iter().map(own).collect::<Vec<_>>());
+            most = (most.0.max(given.0), most.1.max(given.1));
+        }
+        println!(
+            "{fleet} front ends, {shards} shards: quota {:.3}, worker {:.3} of the whole",
+            most.0, most.1
+        );
+        assert!(most.0 <= 1.0 + 1e-9 && most.1 <= 1.0 + 1e-9, "{most:?}");
+        assert!(most.0 > 0.5 && most.1 > 0.5, "far too little is given: {most:?}");
+    }
+}
+
+/// Front ends come and go, each sees each list at another time, and what goes is handed over.
+#[test]
+fn the_sum_is_kept_while_lists_differ() {
+    for (fleet, shards) in [(8, 4), (24, 8), (48, 12)] {
+        let all = Fleet::new(fleet, shards);
+        let mut most = (0.0f64, 0.0f64);
+        let mut front_ends: Vec<Ownership> =
+            (0..fleet).map(|n| Ownership::new(&of(n, fleet, shards)).unwrap()).collect();
+        let mut own = vec![BTreeSet::new(); fleet as usize];
+        let second = 1_000_000i64;
+        for step in 0..120u32 {
+            // One is away at a time, and each knows of it within a second, the first at once.
+            let list = entries((0..fleet).filter(|n| step % 3 == 0 || *n != step * 7 % fleet));
+            for part in 0..4 {
+                let now = i64::from(step) * 4 * second + i64::from(part) * second / 4;
+                for (n, it) in front_ends.iter_mut().enumerate() {
+                    let word = match n % 4 == part {
+                        true => it.listed(&list, now),
+                        false => it.tick(now),
+                    };
+                    own[n] = word.map_or(std::mem::take(&mut own[n]), |w| served(&w));
+                }
+                let given = all.given(&own);
+                most = (most.0.max(given.0), most.1.max(given.1));
+            }
+        }
+        println!(
+            "{fleet} front ends, {shards} shards: quota {:.3}, worker {:.3} of the whole",
+            most.0, most.1
+        );
+        assert!(most.0 <= 1.0 + 1e-9 && most.1 <= 1.0 + 1e-9, "{most:?}");
+    }
+}
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -157,7 +157,7 @@
             Command::Unload { worker, function, .. } => self.executors.unload(worker, &function),
             Command::CloseIdle { worker } => self.executors.close_idle(worker),
             // The bus is always followed.
-            Command::Watch(_) | Command::Fetch => {}
+            Command::Watch(_) | Command::Fetch | Command::Own(_) => {}
             // No attempt waits for a mark here.
             Command::Leaving { .. } => {}
         }
