What is divided leaves room for front ends whose lists differ

With lists that differ by one front end away and one back, and what goes handed over, up to two front ends more than Serving::most had a shard: 1.667, 1.250 and 1.167 of a worker's and of a tenant's whole were given (8 front ends and 4 shards, 24 and 8, 48 and 12).

--- a/crates/gateway/src/shards/divided.rs
+++ b/crates/gateway/src/shards/divided.rs
@@ -5,6 +5,10 @@
 use stagehoist_config::{Config, Sharding};
 use stagehoist_sharding::{Division, Divisions, Homes, Key, Serving, Shard, TenantParts};
 
+/// Front ends that a shard may have beyond the most by one list that all have, while some know the next and what goes is
+/// handed over: two for each front end that comes as another goes meanwhile, and as many again.
+const MOVING: u32 = 4;
+
 /// What the module is told of how many share its workers and its tenants' quotas, in a divided fleet.
 pub fn settings(config: &Config, settings: &mut Settings) {
     let Some(sharding) = &config.sharding else { return };
@@ -12,7 +16,9 @@
     let serving = Serving::new(divisions, &sharding.zones);
     let is_listed = config.front_ends_list.is_some();
     let serving = if is_listed { serving } else { serving.ranked(config.fleet_front_ends) };
-    settings.front_ends = serving.worst();
+    let all = sharding.zones.iter().map(|z| z.1).fold(0, u32::saturating_add).max(1);
+    let moving = |most: u32| if is_listed { most.saturating_add(MOVING).min(all) } else { most };
+    settings.front_ends = moving(serving.worst());
     let each: Vec<_> = divisions.each().filter_map(|d| Some((d, homes(sharding, d)?))).collect();
     let own: Vec<Vec<Shard>> = divisions.each().map(|d| owned(config, sharding, d)).collect();
     let own: Vec<&[Shard]> = own.iter().map(|o| &o[..]).collect();
@@ -23,7 +29,7 @@
         let parts: Vec<&TenantParts> = parts.iter().collect();
         // The module divides what it is told by the front ends that it is told.
         let share = match is_listed {
-            true => 1.0 / f64::from(having(&serving, divisions, &parts)),
+            true => 1.0 / f64::from(moving(having(&serving, divisions, &parts))),
             false => serving.share_of(&parts, &own),
         };
         *quota *= share * f64::from(settings.front_ends);
