--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -39,6 +39,8 @@
     next_index: u64,
     lag: Duration,
     failing: bool,
+    /// Tags of instances, by their names.
+    tags: BTreeMap<String, Vec<String>>,
 }
 
 /// The list, changed from any thread.
@@ -58,7 +60,8 @@
     /// An empty list.
     pub fn new() -> Registry {
         let versions = VecDeque::from([(Instant::now(), 1, Arc::new(View::new()))]);
-        let state = State { versions, next_index: 2, lag: Duration::ZERO, failing: false };
+        let state =
+            State { versions, next_index: 2, lag: Duration::ZERO, failing: false, tags: BTreeMap::new() };
         Registry { state: Arc::new(Mutex::new(state)), changed: watch::channel(0).0 }
     }
 
@@ -86,6 +89,11 @@
         self.change(|view| drop(view.insert(worker.name.clone(), worker)));
     }
 
+    /// Tells an instance's tags, from now on and in what was shown before alike; it is put after them.
+    pub fn tag(&self, name: &str, tags: &[&str]) {
+        self.lock().tags.insert(name.into(), tags.iter().map(|t| (*t).into()).collect());
+    }
+
     /// Removes a worker.
     pub fn remove(&self, name: &str) {
         self.change(|view| drop(view.remove(name)));
@@ -191,8 +199,9 @@
                 _ = tokio::time::sleep_until(until.into()) => {}
             }
         };
+        let tags = self.lock().tags.clone();
         let rows: Vec<serde_json::Value> =
-            view.values().filter_map(|w| row(service, w, addresses.get(&w.name)?)).collect();
+            view.values().filter_map(|w| row(service, w, addresses.get(&w.name)?, &tags)).collect();
         let mut response = Response::new(Full::new(Bytes::from(serde_json::Value::from(rows).to_string())));
         let headers = response.headers_mut();
         headers.insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
@@ -211,7 +220,12 @@
     text.strip_suffix('s')?.parse().ok().map(Duration::from_secs)
 }
 
-fn row(service: &str, worker: &Listed, address: &str) -> Option<serde_json::Value> {
+fn row(
+    service: &str,
+    worker: &Listed,
+    address: &str,
+    tags: &BTreeMap<String, Vec<String>>,
+) -> Option<serde_json::Value> {
     let (host, port) = address.rsplit_once(':')?;
     let port: u16 = port.parse().ok()?;
     Some(serde_json::json!({
@@ -221,6 +235,7 @@
             "Service": service,
             "Address": host,
             "Port": port,
+            "Tags": tags.get(&worker.name).cloned().unwrap_or_default(),
             "Meta": {
                 "zone": worker.zone,
                 "kind": worker.kind,
