An empty list of front ends changes nothing; pages of own shards by a list

A source that names nobody, not even this front end, lost what it knew: by it each front end would have taken all shards.

--- a/crates/gateway/src/amqp/front/queues.rs
+++ b/crates/gateway/src/amqp/front/queues.rs
@@ -51,11 +51,11 @@
                 }
             }
         }
-        let mut left = vec![false; self.queues.len()];
+        let mut left = Vec::new();
         for index in 0..self.queues.len() {
             let found = held.remove(&self.queues[index].from.queue);
             let (hold, leaves) = found.map_or((Hold::LetGo, true), |h| (h.0, h.1));
-            left[index] = leaves;
+            left.push(leaves);
             self.hold(index, hold, now);
         }
         for (hold, leaves, from) in held.into_values() {
--- a/crates/gateway/src/state/core/workers.rs
+++ b/crates/gateway/src/state/core/workers.rs
@@ -117,7 +117,8 @@
 
     /// A whole list of front ends came; workers of own shards are told before calls of them come.
     pub(super) fn front_ends(&mut self, list: Option<Vec<FrontEnd>>, now: Micros, out: &mut Vec<Command>) {
-        let Some(list) = list else {
+        // One that names nobody, not even this front end, is a source that lost what it knew: all would take all shards.
+        let Some(list) = list.filter(|l| !l.is_empty()) else {
             self.counters.front_ends_failed += 1;
             return;
         };
--- a/crates/gateway/tests/shards_turns.rs
+++ b/crates/gateway/tests/shards_turns.rs
@@ -67,10 +67,10 @@
         assert!(core.subset().unwrap().0 > 0);
     }
     assert_eq!(shards.concat().iter().collect::<BTreeSet<_>>().len(), 4);
-    // The list fails and stalls: nothing changes however long.
+    // The list fails, is empty and stalls: nothing changes however long.
     for core in &mut all {
-        let stalled = turn(core, now + 60_000 * MS, vec![News::FrontEnds(None), News::FrontEnds(None)]);
-        assert!(stalled.own.is_empty());
+        let lost = vec![News::FrontEnds(None), News::FrontEnds(Some(Vec::new()))];
+        assert!(turn(core, now + 60_000 * MS, lost).own.is_empty());
         assert_eq!(core.counters.front_ends_failed, 3);
     }
     let later = now + 60_001 * MS;
