Scale tests divide by the sharding package; the proof of the division as rows

Cause: `--shards` divided by a hash of its own, and took the list as divided at its source, which it is not.

Change: a divided scene is built by Division, Homes (1,000 told functions), Assignment over seven zones and FrontEnds, stand-ins among them; a front end is told the whole list and takes its part by Transition. Rows `proof-*` (time a call, control, memory over an hour and its growth, bytes), `fleet-*` (busiest shard, hot function, hot and empty shard, cold starts with real code) and `move-*`, each with a control. Rows of the list no longer shrink with `--shards`, so four more are short in the divided small test: stricter, as nothing divides the list today. Rows run in three lanes, processes of their own; events of `quick` have 100 to 3,000 workers.

--- a/crates/scale/src/events/mod.rs
+++ b/crates/scale/src/events/mod.rs
@@ -60,7 +60,7 @@
 }
 
 fn scene(plan: &Plan, workers: u32, changes: Changes) -> Scene {
-    let shards = plan.shards.filter(|_| !plan.control).map(|count| Shards { count, served: 1 });
+    let shards = plan.shards.filter(|_| !plan.control).map(Shards::of);
     // The control: every worker is gone from the event on, and none comes back.
     let changes = match plan.control {
         true => vec![(times(plan).0, Change::Gone((0..workers).collect()))],
@@ -71,8 +71,9 @@
 
 fn points(plan: &Plan, changes: Changes, figure: impl Fn(&Outcome) -> f64) -> Vec<Point> {
     let whole: &[u32] =
-        plan.pick(&[140, 420, 1400], &[300, 1000, 3000, 10_000], &[300, 1000, 3000, 10_000, 30_000]);
-    let sizes = if plan.shards.is_some() && !plan.control { &[3000, 10_000, 30_000][..] } else { whole };
+        plan.pick(&[140, 420, 1400], &[100, 300, 1000, 3000], &[300, 1000, 3000, 10_000, 30_000]);
+    let sizes =
+        if plan.shards.is_some() && !plan.control { &[1000, 3000, 10_000, 30_000][..] } else { whole };
     let point = |&n: &u32| Point { size: f64::from(n), value: figure(&played(&scene(plan, n, changes))) };
     sizes.iter().map(point).collect()
 }
--- a/crates/scale/src/front_end/list_state.rs
+++ b/crates/scale/src/front_end/list_state.rs
@@ -30,7 +30,7 @@
         ListState { places: vec![place; workers as usize] }
     }
 
-    fn row(&self, scene: &Scene, at: u32) -> RosterRow {
+    pub fn row(&self, scene: &Scene, at: u32) -> RosterRow {
         let place = &self.places[at as usize];
         RosterRow {
             worker: scene.worker(at, place.replaced),
--- a/crates/scale/src/front_end/mod.rs
+++ b/crates/scale/src/front_end/mod.rs
@@ -1,5 +1,7 @@
 //! One front end with real code: the decision module, the list as it is kept, names of functions; workers without sockets.
 
+mod division;
+mod due;
 mod hall;
 mod list_state;
 mod outcome;
@@ -9,11 +11,14 @@
 mod rows;
 mod scene;
 mod sockets;
+mod subset;
 
+pub use division::{function_name, homes, rates, Divided, Played, Shards, RARE, TOLD};
 pub use outcome::Outcome;
 pub use play::play;
 pub use rows::MEASURES;
-pub use scene::{hash, Change, Fault, Scene, Shards, IDLE_CLOSE, KEEP, LOAD};
+pub use scene::{function, hash, Change, Fault, Scene, IDLE_CLOSE, KEEP, LOAD};
+pub use subset::Subset;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/crates/scale/src/front_end/outcome.rs
+++ b/crates/scale/src/front_end/outcome.rs
@@ -5,6 +5,8 @@
 /// Counts are the same in every run of one seed; times are this machine's.
 pub struct Outcome {
     pub calls: u64,
+    /// Simulated, in which they came.
+    pub seconds: f64,
     pub served: u64,
     pub given_up: u64,
     pub attempts: u64,
@@ -32,6 +34,10 @@
     pub strange: u64,
     /// From a cold call's coming to the begin of its run, in microseconds.
     pub cold_wait: Histogram<u64>,
+    /// Calls of rare functions, and those of them that began on no standing copy.
+    pub rare: (u64, u64),
+    /// As `cold_wait`, of rare functions.
+    pub rare_wait: Histogram<u64>,
     /// Processor time that changes of the list took, in seconds, all front ends together; and how many there were.
     pub list: (f64, u64),
     /// The longest of them.
@@ -47,6 +53,7 @@
     fn default() -> Outcome {
         Outcome {
             calls: 0,
+            seconds: 0.0,
             served: 0,
             given_up: 0,
             attempts: 0,
@@ -62,6 +69,8 @@
             unavoidable: 0,
             strange: 0,
             cold_wait: histogram(),
+            rare: (0, 0),
+            rare_wait: histogram(),
             list: (0.0, 0),
             longest_list: 0.0,
         }
--- a/crates/scale/src/front_end/play.rs
+++ b/crates/scale/src/front_end/play.rs
@@ -1,10 +1,14 @@
 //! Plays a scene in simulated time: real front ends, workers without sockets, one event a batch as at 122 calls a second.
 
+use super::division::{Calls, Divided, Played};
+use super::due::Due;
 use super::hall::Hall;
 use super::list_state::{ListState, News, LAG};
 use super::outcome::Outcome;
-use super::player::{Due, Player};
-use super::scene::{hash, Change, Fault, Scene, KEEP, MS, SECOND};
+use super::player::Player;
+use super::scene::{function, Change, Fault, Scene, KEEP, MS, SECOND};
+use super::subset::Subset;
+use crate::letter;
 use crate::meter::{allocated, spent};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -13,9 +17,6 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 
-/// Draws of a function until one lies in a front end's shards.
-const DRAWS: usize = 100_000;
-
 pub struct Play<'a> {
     pub scene: &'a Scene,
     pub hall: Hall,
@@ -42,10 +43,20 @@
         due: BinaryHeap::new(),
         number: 0,
     };
+    let divided = scene.shards.as_ref().map(|s| Divided::of(s, scene.functions, scene.zipf));
+    let calls = |n| divided.as_ref().map(|d| d.calls(scene, n));
+    let calls: Vec<Option<Calls>> = (0..scene.front_ends).map(calls).collect();
     let mut list = ListState::new(scene.workers);
     let mut late: Vec<News> = Vec::new();
-    let mut players: Vec<Player> = (0..scene.front_ends).map(|n| Player::new(scene, n, began)).collect();
-    let whole = list.whole(scene);
+    let mut whole = list.whole(scene);
+    // The front ends of one shard are told its workers; how each takes them from the whole list is played with one.
+    let shard = scene.shards.as_ref().is_some_and(|s| s.played == Played::Shard);
+    if let Some(divided) = divided.as_deref().filter(|_| shard) {
+        whole.rows = Subset::new(divided, scene, 0).told(whole.form, &whole.rows, began);
+    }
+    let follows = divided.as_deref().filter(|_| !shard);
+    let new = |n| Player::new(scene, follows, n, began);
+    let mut players: Vec<Player> = (0..scene.front_ends).map(new).collect();
     players.iter_mut().for_each(|p| p.told(&mut play, &whole, began));
     play.out = Outcome::default();
     let ends = began + (scene.seconds * SECOND as f64) as Micros;
@@ -53,7 +64,7 @@
     let mut counting = false;
     let mut random = ChaCha8Rng::seed_from_u64(scene.seed);
     for n in 0..scene.front_ends {
-        let first = began + random.random_range(0..gap(scene).max(1));
+        let first = began + random.random_range(0..gap(scene, calls[n as usize].as_ref()).max(1));
         play.at(first, n, Due::Call);
     }
     for (n, (at, _)) in scene.changes.iter().enumerate() {
@@ -74,16 +85,21 @@
         }
         match due {
             Due::Call => {
-                let spread = random.random_range(0..2 * gap(scene).max(1));
+                let own = calls[at as usize].as_ref();
+                let spread = random.random_range(0..2 * gap(scene, own).max(1));
                 play.at(now + spread.max(1), at, Due::Call);
-                if let Some(function) = draw(scene, at, &law, &mut random) {
+                let drawn = match own {
+                    Some(own) => own.draw(random.random_range(0.0..1.0)),
+                    None => Some((function(law.sample(&mut random) as u64), false)),
+                };
+                if let Some((function, rare)) = drawn {
                     let before = called.insert(function, now);
                     play.out.unavoidable += u64::from(before.is_none_or(|t| now - t > KEEP));
                     if scene.fault == Some(Fault::WholeEachCall) {
                         let whole = list.whole(scene);
                         (0..100).for_each(|_| players[at as usize].told(&mut play, &whole, now));
                     }
-                    players[at as usize].call(&mut play, request(function), now);
+                    players[at as usize].call(&mut play, request(function), rare, now);
                 }
             }
             Due::Change(n) => {
@@ -106,6 +122,7 @@
         }
     }
     let mut out = play.out;
+    out.seconds = scene.seconds - scene.counts_from;
     let first = players.swap_remove(0);
     (out.kept, out.names, out.connections) = (first.kept(), first.names(), first.connections(ends));
     let before = allocated();
@@ -123,17 +140,13 @@
     }
 }
 
-fn gap(scene: &Scene) -> Micros {
-    (SECOND as f64 / scene.calls_per_second) as Micros
-}
-
-/// A function by Zipf's law, of those that a front end serves.
-fn draw(scene: &Scene, at: u32, law: &Zipf<f64>, random: &mut ChaCha8Rng) -> Option<FunctionId> {
-    let one = |random: &mut ChaCha8Rng| hash(law.sample(random) as u64) & ((1 << 40) - 1);
-    match &scene.shards {
-        None => Some(one(random)),
-        Some(shards) => (0..DRAWS).map(|_| one(random)).find(|&f| shards.serves(at, shards.of(f))),
-    }
+/// Mean time between two calls of a front end; one of a divided fleet has the part that is its own.
+fn gap(scene: &Scene, own: Option<&Calls>) -> Micros {
+    let rate = own.map_or(scene.calls_per_second, |own| {
+        // The whole fleet's traffic is as much more or less as one front end's.
+        own.rate * scene.calls_per_second / letter::CALLS_EACH
+    });
+    (SECOND as f64 / rate) as Micros
 }
 
 fn request(function: FunctionId) -> Request {
--- a/crates/scale/src/front_end/player.rs
+++ b/crates/scale/src/front_end/player.rs
@@ -1,48 +1,25 @@
 //! One real front end of a scene: the decision module, the list as it is kept, the names of functions.
 
+use super::division::{function_name, Divided};
+use super::due::Due;
 use super::list_state::News;
 use super::play::Play;
 use super::scene::{hash, Fault, Scene, IDLE_CLOSE, KEEP, MS};
+use super::subset::{worker_name, Subset};
 use crate::meter::spent;
 use stagehoist::*;
 use stagehoist_gateway::state::Names;
 use stagehoist_membership::{Members, Told};
+use stagehoist_sharding::MEMBERS_MOST;
 use std::collections::HashMap;
 use std::rc::Rc;
 
-/// What comes due in simulated time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Due {
-    Call,
-    /// An attempt ends.
-    End {
-        request: RequestId,
-        attempt: u16,
-        worker: WorkerId,
-        copy: u8,
-        took: Micros,
-    },
-    Loaded {
-        worker: WorkerId,
-        function: FunctionId,
-        took: Micros,
-    },
-    Timer {
-        token: u32,
-    },
-    /// By number among the scene's.
-    Change(usize),
-    /// By number among what the list tells late.
-    Told(usize),
-    /// A third of the workers from this place on are replaced.
-    Replace(u32),
-}
-
 /// In place of what was found of the copy: no process was there.
 const AWAY: u8 = u8::MAX;
 
 struct Open {
     function: FunctionId,
+    rare: bool,
     came: Micros,
     attempts: u16,
 }
@@ -51,6 +28,8 @@
     number: u32,
     front_end: FrontEnd,
     members: Members,
+    /// Where the fleet is divided.
+    subset: Option<Subset>,
     names: Names,
     calls: HashMap<RequestId, Open>,
     next: RequestId,
@@ -64,11 +43,19 @@
 }
 
 impl Player {
-    pub fn new(scene: &Scene, number: u32, now: Micros) -> Player {
+    /// Where `divided` is told it takes its own workers from the whole list.
+    pub fn new(scene: &Scene, divided: Option<&Divided>, number: u32, now: Micros) -> Player {
+        let members = Members::new(vec!["large".into()], Vec::new(), 0);
+        let mut settings = scene.settings();
+        if let Some(divided) = divided {
+            settings.front_ends = divided.serving;
+        }
         Player {
             number,
-            front_end: FrontEnd::new(scene.settings(), scene.seed ^ u64::from(number) << 32, now),
-            members: Members::new(vec!["large".into()], Vec::new(), 0),
+            front_end: FrontEnd::new(settings, scene.seed ^ u64::from(number) << 32, now),
+            // A divided front end still follows the whole list.
+            members: if divided.is_some() { members.at_most(MEMBERS_MOST) } else { members },
+            subset: divided.map(|d| Subset::new(d, scene, number)),
             names: Names::new(50_000, 10 * KEEP),
             calls: HashMap::new(),
             next: 0,
@@ -103,17 +90,8 @@
     /// The list, as far as this front end is told of it.
     pub fn told(&mut self, play: &mut Play, news: &News, now: Micros) {
         let scene = play.scene;
-        let told = |row: &&RosterRow| {
-            scene.shards.as_ref().is_none_or(|s| s.serves(self.number, s.of(u64::from(row.worker))))
-        };
-        let rows: Vec<RosterRow> = news
-            .rows
-            .iter()
-            .filter(told)
-            .map(|row| RosterRow { worker: self.alias(scene, row.worker), ..row.clone() })
-            .collect();
         let name = |row: &RosterRow| Told {
-            name: format!("s-{:08x}", row.worker),
+            name: worker_name(row.worker),
             address: format!(
                 "10.{}.{}.{}:7000",
                 row.worker >> 16 & 255,
@@ -122,22 +100,32 @@
             ),
             row: row.clone(),
         };
+        self.members.told(news.form, news.rows.iter().map(name).collect(), now);
+        let rows = match &mut self.subset {
+            Some(subset) => subset.told(news.form, &news.rows, now),
+            None => news.rows.clone(),
+        };
+        let own = |row: RosterRow| RosterRow { worker: self.alias(scene, row.worker), ..row };
+        let rows: Vec<RosterRow> = rows.into_iter().map(own).collect();
         if scene.fault == Some(Fault::ConnectionEach) {
             self.used.extend(rows.iter().map(|row| (row.worker, Micros::MAX / 2)));
         }
-        self.members.told(news.form, rows.iter().map(name).collect(), now);
-        self.turn(play, &[Event::Roster { form: news.form, rows: Rc::from(rows) }], now);
+        // What a divided front end isn't told needs no batch.
+        if self.subset.is_none() || !rows.is_empty() {
+            self.turn(play, &[Event::Roster { form: news.form, rows: Rc::from(rows) }], now);
+        }
     }
 
-    pub fn call(&mut self, play: &mut Play, request: Request, now: Micros) {
+    pub fn call(&mut self, play: &mut Play, request: Request, rare: bool, now: Micros) {
         self.next += 1;
         let (id, function) = (self.next, request.function);
         let before = self.called.insert(function, now);
         play.out.strange += u64::from(before.is_none_or(|t| now - t > KEEP));
         play.out.calls += 1;
-        self.names.called(function, &Rc::from(format!("function-{function:010x}")), now);
+        play.out.rare.0 += u64::from(rare);
+        self.names.called(function, &Rc::from(function_name(function)), now);
         self.names.purge(now);
-        self.calls.insert(id, Open { function, came: now, attempts: 0 });
+        self.calls.insert(id, Open { function, rare, came: now, attempts: 0 });
         self.turn(play, &[Event::Request(Request { id, ..request })], now);
     }
 
@@ -227,8 +215,13 @@
         }
         let met = play.hall.call(worker, open.function, now);
         if met.copy != 1 {
+            let wait = (now + met.wait - open.came).max(1) as u64;
             play.out.cold += 1;
-            let _ = play.out.cold_wait.record((now + met.wait - open.came).max(1) as u64);
+            let _ = play.out.cold_wait.record(wait);
+            if open.rare {
+                play.out.rare.1 += 1;
+                let _ = play.out.rare_wait.record(wait);
+            }
         }
         let (took, copy) = (met.wait + met.run, met.copy);
         play.at(now + took, self.number, Due::End { request, attempt, worker, copy, took });
--- a/crates/scale/src/front_end/rows.rs
+++ b/crates/scale/src/front_end/rows.rs
@@ -1,10 +1,12 @@
 //! Rows of one front end over workers and over functions.
 
-use super::{played, sockets, Change, Fault, Outcome, Scene, Shards};
+use super::list_state::ListState;
+use super::{played, sockets, Change, Divided, Fault, Outcome, Scene, Shards, Subset};
 use crate::fit::Point;
 use crate::letter::*;
 use crate::plan::{Measure, Plan};
 use crate::row::{Resource, Role, Row, Subject};
+use stagehoist::{RosterForm, RosterRow};
 
 pub const MEASURES: &[Measure] = &[
     Measure { name: "module-share", run: |p| Ok(module_share(p)) },
@@ -43,11 +45,13 @@
 }
 
 pub(super) fn scene(plan: &Plan, workers: u32, functions: u64, fault: Fault) -> Scene {
-    let shards = divided(plan).map(|count| Shards { count, served: 1 });
+    let shards = divided(plan).map(Shards::of);
     let fault = plan.control.then_some(fault);
     let seconds = match fault {
         // A hundred lists a call take long enough.
         Some(Fault::WholeEachCall) => 1.5,
+        // So many workers that seconds are enough.
+        Some(Fault::InstanceEach) => 6.0,
         // Each new name has all functions ranked anew.
         Some(Fault::NamesNeverRepeat) if functions >= FUNCTIONS as u64 => plan.pick(3.0, 90.0, 90.0),
         _ => seconds(plan),
@@ -68,6 +72,7 @@
         Some(_) => WORKERS as u32,
         // A hundred lists a call take long enough.
         None if plan.control && fault == Fault::WholeEachCall => 100,
+        None if plan.control && fault == Fault::InstanceEach => (1000.0 * INSTANCES / WORKERS) as u32,
         None => plan.pick(1000, 1000, 10_000),
     };
     let sizes: &[u64] = match divided(plan) {
@@ -149,7 +154,8 @@
         asked: FUNCTIONS,
         ..memory(plan).subject
     };
-    Row::new(subject, over_functions(plan, Fault::NamesNeverRepeat, |o| o.kept_bytes))
+    // The control: an instance is a worker of its own, and each function called ranks them all.
+    Row::new(subject, over_functions(plan, Fault::InstanceEach, |o| o.kept_bytes))
 }
 
 /// A scene in which workers are replaced by others with new names, one by one.
@@ -157,13 +163,26 @@
     let many = plan.pick(2, 3, 3);
     let from = seconds(plan) * 0.8;
     let plain = Scene { fault: None, ..scene(plan, workers, FUNCTIONS as u64, Fault::OwnNumbers) };
-    let served =
-        |&at: &u32| plain.shards.as_ref().is_none_or(|s| s.serves(0, s.of(u64::from(plain.worker(at, 1)))));
-    let places = (0..workers).filter(served).take(many).enumerate();
+    let places = landing(&plain, many).into_iter().enumerate();
     let change = |(n, at): (usize, u32)| (from + n as f64 * 2.0, Change::Replace(vec![at]));
     Scene { changes: places.map(change).collect(), ..plain }
 }
 
+/// Workers whose replacement by one with a new name is told to the module: any, or for a divided front end those that
+/// come to be of its own.
+fn landing(scene: &Scene, many: usize) -> Vec<u32> {
+    let Some(shards) = &scene.shards else { return (0..scene.workers).take(many).collect() };
+    let divided = Divided::of(shards, scene.functions, scene.zipf);
+    let mut subset = Subset::new(&divided, scene, 0);
+    let list = ListState::new(scene.workers);
+    subset.told(RosterForm::Full, &list.whole(scene).rows, 0);
+    let lands = |&at: &u32| {
+        let old = list.row(scene, at);
+        subset.would_have(&old, &RosterRow { worker: scene.worker(at, 1), ..old.clone() })
+    };
+    (0..scene.workers).filter(lands).take(many).collect()
+}
+
 fn over_replaced(plan: &Plan, figure: fn(&Outcome) -> f64) -> Vec<Point> {
     let sizes: &[u32] = match divided(plan) {
         Some(_) => workers(plan),
@@ -182,8 +201,8 @@
     // The control: every worker is replaced each day.
     let mut points = over_replaced(plan, |o| o.list.0 / o.list.1.max(1) as f64);
     let a_day = if plan.control { WORKERS } else { RESTARTED };
-    let shards = divided(plan).map_or(1.0, f64::from);
-    points.iter_mut().for_each(|p| p.value *= a_day / shards / DAY);
+    // Divided, fewer come to be a front end's own; each is counted as if it did.
+    points.iter_mut().for_each(|p| p.value *= a_day / DAY);
     Row::new(subject, points)
 }
 
--- a/crates/scale/src/front_end/scene.rs
+++ b/crates/scale/src/front_end/scene.rs
@@ -1,7 +1,8 @@
 //! What is played before real front ends: how many workers and functions, which calls, what happens to the list.
 
+use super::division::Shards;
 use crate::letter;
-use stagehoist::{ClassSettings, Effect, Micros, OnMiss, Settings, WorkerId};
+use stagehoist::{ClassSettings, Effect, FunctionId, Micros, OnMiss, Settings, WorkerId};
 use std::hash::Hasher;
 
 pub const MS: Micros = 1_000;
@@ -13,26 +14,6 @@
 /// A connection to a worker is closed after so long without a call.
 pub const IDLE_CLOSE: Micros = 10 * SECOND;
 
-/// A division of workers and functions; a front end that serves some shards is told of nothing else.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Shards {
-    pub count: u32,
-    /// How many of them each front end serves.
-    pub served: u32,
-}
-
-impl Shards {
-    /// The shard of a worker or function.
-    pub fn of(&self, number: u64) -> u32 {
-        (hash(number) % u64::from(self.count.max(1))) as u32
-    }
-
-    /// Whether a front end serves a shard.
-    pub fn serves(&self, front_end: u32, shard: u32) -> bool {
-        (shard + self.count - front_end % self.count) % self.count < self.served
-    }
-}
-
 /// What happens to the list of workers.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -61,6 +42,10 @@
     SlowStore,
     /// A connection to each worker of the list at its start, none kept after a call.
     ConnectionEach,
+    /// Each instance is a worker of its own: the list is so much longer.
+    InstanceEach,
+    /// Unused copies stand for a day, and so long is kept what was called.
+    KeepForEver,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -127,7 +112,7 @@
             may_cancel: true,
             may_order: true,
             connect_timeout: 250 * MS,
-            keep: KEEP,
+            keep: if self.fault == Some(Fault::KeepForEver) { letter::DAY as Micros * SECOND } else { KEEP },
             on_miss: OnMiss::Load,
             order_timeout: 10 * SECOND,
             memory_mb: vec![8000.0],
@@ -141,6 +126,11 @@
     }
 }
 
+/// The number of a function by its place among the most called ones, from 1.
+pub fn function(rank: u64) -> FunctionId {
+    hash(rank) & ((1 << 40) - 1)
+}
+
 /// A stable spread of a number.
 pub fn hash(number: u64) -> u64 {
     let mut hasher = fnv::FnvHasher::default();
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -4,8 +4,10 @@
 //! - [`letter`]: the fleet to come and what control may cost.
 //! - [`row`], [`fit`]: a row with its points, the curve through them, the figure at full size.
 //! - [`plan`]: which sizes, which seed, the negative control; all rows.
+//! - [`lanes`]: rows side by side.
 //! - [`report`]: the table, the ranking, the verdict.
 //! - [`front_end`]: one real front end over workers and functions, whole or divided.
+//! - [`proof`]: the same divided, beside the whole list; [`fleet`]: the divided fleet.
 //! - [`list`]: the list of workers as real bytes.
 //! - [`events`]: what an event of the whole fleet does to a front end.
 //! - [`traces`]: marks on disk, metrics, logs.
@@ -15,11 +17,14 @@
 pub mod error;
 pub mod events;
 pub mod fit;
+pub mod fleet;
 pub mod front_end;
+pub mod lanes;
 pub mod letter;
 pub mod list;
 pub mod meter;
 pub mod plan;
+pub mod proof;
 pub mod record;
 pub mod report;
 pub mod row;
--- a/crates/scale/src/list/follower.rs
+++ b/crates/scale/src/list/follower.rs
@@ -42,6 +42,12 @@
 }
 
 impl Follower {
+    /// With room for so many lines.
+    pub fn at_most(most: usize) -> Follower {
+        let plain = Follower::default();
+        Follower { members: plain.members.at_most(most), ..plain }
+    }
+
     fn tell(&mut self, update: Update) -> usize {
         let rows = update.rows.len();
         let event = Event::Roster { form: update.form, rows: Rc::from(update.rows) };
--- a/crates/scale/src/list/mod.rs
+++ b/crates/scale/src/list/mod.rs
@@ -7,4 +7,4 @@
 mod timed;
 
 pub use follower::{Follower, Read};
-pub use rows::MEASURES;
+pub use rows::{CHANGES_A_DAY, MEASURES};
--- a/crates/scale/src/list/rows.rs
+++ b/crates/scale/src/list/rows.rs
@@ -8,6 +8,7 @@
 use crate::letter::*;
 use crate::plan::{Measure, Plan};
 use crate::row::{Resource, Role, Row, Subject};
+use stagehoist_membership::WORKERS_MOST;
 
 pub const MEASURES: &[Measure] = &[
     Measure { name: "list-kept", run: list_kept },
@@ -46,15 +47,14 @@
     move |what| ScaleError::Measure { row, what }
 }
 
-/// Sizes of list up to the letter's; a divided front end is told of its part only.
+/// Sizes of list up to the letter's. A divided front end is told of the whole list too: it takes its part from it.
 pub fn sizes(plan: &Plan, asked: f64) -> Vec<(f64, u32)> {
     let parts = plan.pick(
         &[600.0, 200.0, 60.0, 20.0][..],
         &[100.0, 30.0, 10.0, 3.0, 1.0],
         &[100.0, 30.0, 10.0, 3.0, 1.0],
     );
-    let shards = plan.shards.filter(|_| !plan.control).map_or(1.0, f64::from);
-    let size = |part: &f64| (asked / part, (asked / part / shards).ceil().max(1.0) as u32);
+    let size = |part: &f64| (asked / part, (asked / part).ceil().max(1.0) as u32);
     parts.iter().map(size).collect()
 }
 
@@ -76,17 +76,19 @@
 
 /// Lines that are kept of a list: as many as there are, up to the bound.
 fn list_kept(plan: &Plan) -> Result<Row, ScaleError> {
+    // Divided, `workers-most` tells of room for the whole list: no shard may lose the last by name.
+    let most = plan.shards.filter(|_| !plan.control).map_or(WORKERS_MOST, |_| WORKERS as usize);
     let told = |lines: u32| {
-        let mut follower = Follower::default();
+        let mut follower = Follower::at_most(most);
         follower.consul(lines).rows.map(|_| follower.ready() as f64)
     };
-    let many = 12_000;
+    let many = (most as u32).saturating_add(2_000);
     let limit = told(many).map_err(failed("list-kept"))?;
     let subject = Subject {
         unit: "lines",
         resource: Resource::StateBytes,
         limit,
-        source: "lines kept of 12,000 told: WORKERS_MOST",
+        source: "lines kept of 2,000 more: WORKERS_MOST; divided 30,000 are told",
         formula: "workers",
         mechanism: "beyond the bound lines are left out, the last by name first",
         ..subject("list-kept")
--- a/crates/scale/src/list/source.rs
+++ b/crates/scale/src/list/source.rs
@@ -29,7 +29,7 @@
         mechanism: "each front end asks for itself; pauses between connections are short",
         ..subject(name)
     };
-    let lines = plan.shards.filter(|_| !plan.control).map_or(WORKERS, |s| WORKERS / f64::from(s)) as u32;
+    let lines = WORKERS as u32;
     // The control: a line for each instance.
     let times = if plan.control { INSTANCES / WORKERS } else { 1.0 };
     let mut follower = Follower::default();
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,7 +1,8 @@
 //! `stagehoist-scale quick | full | small`: rows with measured figures, the ranking, the verdict.
 
 use clap::{Parser, Subcommand};
-use stagehoist_scale::{measures, report, Plan, ScaleError, Size};
+use stagehoist_scale::plan::lanes;
+use stagehoist_scale::{lanes as apart, measures, report, Measure, Plan, Row, ScaleError, Size};
 use std::process::ExitCode;
 use std::time::Instant;
 
@@ -25,6 +26,9 @@
     /// Divided front ends: each serves one of so many shards.
     #[arg(long, global = true)]
     shards: Option<u32>,
+    /// One lane's rows, each as a line: a part of a run, started by it.
+    #[arg(long, global = true, hide = true)]
+    lane: Option<usize>,
 }
 
 #[derive(Clone, Subcommand)]
@@ -63,30 +67,54 @@
         }
     };
     let plan = Plan { size, seed: arguments.seed, control: arguments.control, shards: arguments.shards };
-    let asked = |name: &str| {
-        arguments.row.is_empty() || arguments.row.iter().any(|prefix| name.starts_with(prefix.as_str()))
-    };
+    if let Some(lane) = arguments.lane {
+        for measure in lanes().get(lane).into_iter().flatten() {
+            println!("{}", apart::line(&timed(measure, &plan)?)?);
+        }
+        return Ok(true);
+    }
+    println!("load {}", load());
+    let rows = rows(arguments, &plan)?;
+    if arguments.about {
+        rows.iter().for_each(|row| println!("{}", report::about(row)));
+    }
+    println!("\n{}", report::ranking(&rows));
+    println!("load {}", load());
+    let verdict = report::verdict(&rows, size);
+    println!("{verdict}");
+    Ok(verdict == "SCALE held")
+}
+
+fn load() -> String {
+    std::fs::read_to_string("/proc/loadavg").unwrap_or_default().trim().into()
+}
+
+fn timed(measure: &Measure, plan: &Plan) -> Result<Row, ScaleError> {
+    let began = Instant::now();
+    let row = (measure.run)(plan)?;
+    eprintln!("{} took {:.1} s", measure.name, began.elapsed().as_secs_f64());
+    Ok(row)
+}
+
+/// Those that were asked for one by one, all side by side.
+fn rows(arguments: &Arguments, plan: &Plan) -> Result<Vec<Row>, ScaleError> {
+    println!("{}", report::HEAD);
+    if arguments.row.is_empty() {
+        let rows = apart::run(plan)?;
+        rows.iter().for_each(|row| println!("{}", report::line(row)));
+        return Ok(rows);
+    }
     let all = measures();
     if let Some(unknown) = arguments.row.iter().find(|r| !all.iter().any(|m| m.name.starts_with(r.as_str())))
     {
         return Err(ScaleError::Unknown(unknown.clone()));
     }
-    println!("load {}", std::fs::read_to_string("/proc/loadavg").unwrap_or_default().trim());
-    println!("{}", report::HEAD);
+    let asked = |m: &&Measure| arguments.row.iter().any(|prefix| m.name.starts_with(prefix.as_str()));
     let mut rows = Vec::new();
-    for measure in all.iter().filter(|m| asked(m.name)) {
-        let began = Instant::now();
-        let row = (measure.run)(&plan)?;
+    for measure in all.iter().filter(asked) {
+        let row = timed(measure, plan)?;
         println!("{}", report::line(&row));
-        eprintln!("{} took {:.1} s", measure.name, began.elapsed().as_secs_f64());
         rows.push(row);
     }
-    if arguments.about {
-        rows.iter().for_each(|row| println!("{}", report::about(row)));
-    }
-    println!("\n{}", report::ranking(&rows));
-    println!("load {}", std::fs::read_to_string("/proc/loadavg").unwrap_or_default().trim());
-    let verdict = report::verdict(&rows, size);
-    println!("{verdict}");
-    Ok(verdict == "SCALE held")
+    Ok(rows)
 }
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -11,8 +11,9 @@
     let points: Vec<String> =
         row.points.iter().map(|p| format!("{}:{}", short(p.size), short(p.value))).collect();
     let verdict = if row.held() { "held" } else { "short" };
+    let beside = row.beside.map_or(String::new(), |b| format!(" (today: {})", short(b)));
     format!(
-        "| {} | {} {} | {} | {verdict} | {} | {} (residual {:.2}) | {} | {} |",
+        "| {} | {} {}{beside} | {} | {verdict} | {} | {} (residual {:.2}) | {} | {} |",
         s.name,
         short(row.figure),
         s.unit,
--- a/crates/scale/src/row.rs
+++ b/crates/scale/src/row.rs
@@ -1,9 +1,10 @@
 //! A row: what one part of the fleet costs, measured over sizes, beside the limit that it must meet.
 
 use crate::fit::{fit, Curve, Fit, Point};
+use serde::{Deserialize, Serialize};
 
 /// Whose cost it is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Role {
     FrontEnd,
     /// A replica of the record, leading or following.
@@ -16,7 +17,7 @@
     Event,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Resource {
     StateBytes,
     Messages,
@@ -81,6 +82,8 @@
     /// At the letter's size.
     pub figure: f64,
     pub mark: Mark,
+    /// The figure of the same run with the whole list, or as it is today, where one stands beside the row.
+    pub beside: Option<f64>,
 }
 
 impl Row {
@@ -98,7 +101,7 @@
                 (fit.curve.at(subject.asked).max(last), Mark::Extrapolated(subject.asked / largest))
             }
         };
-        Row { subject, points, fit, figure, mark }
+        Row { subject, points, fit, figure, mark, beside: None }
     }
 
     pub fn held(&self) -> bool {
--- a/crates/scale/tests/small.rs
+++ b/crates/scale/tests/small.rs
@@ -1,6 +1,8 @@
 //! Rows in small, judged by counts, and each with its negative control.
 
-use stagehoist_scale::{events, front_end, list, traces, Measure, Plan, Row, Size};
+use stagehoist_scale::plan::lanes;
+use stagehoist_scale::{events, fleet, front_end, lanes as apart, list, proof, traces};
+use stagehoist_scale::{measures as all_measures, Measure, Plan, Row, Size};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// One row at a time: bytes allocated are counted for the whole process.
@@ -16,8 +18,15 @@
 const CONTROL: Plan = Plan { control: true, ..WHOLE };
 
 fn measures() -> Vec<Measure> {
-    let parts =
-        [front_end::MEASURES, front_end::rare::MEASURES, list::MEASURES, traces::MEASURES, events::MEASURES];
+    let parts = [
+        front_end::MEASURES,
+        front_end::rare::MEASURES,
+        proof::MEASURES,
+        fleet::MEASURES,
+        list::MEASURES,
+        traces::MEASURES,
+        events::MEASURES,
+    ];
     parts.concat()
 }
 
@@ -34,14 +43,26 @@
     "descriptors",
     "strangers",
     "strangers-steep",
+    "proof-bytes-consul",
+    "fleet-hot-function",
+    "fleet-hot-shard",
     "list-kept",
     "list-whole-bus-instances",
     "list-whole-consul-instances",
     "list-bytes-consul",
     "source-herd-consul",
 ];
-/// Short also where front ends are divided.
-const SHORT_DIVIDED: &[&str] = &["strangers"];
+/// Short also where front ends are divided: the list comes whole to each of them, which takes its part from it.
+const SHORT_DIVIDED: &[&str] = &[
+    "strangers",
+    "proof-bytes-consul",
+    "fleet-hot-function",
+    "fleet-hot-shard",
+    "list-whole-bus-instances",
+    "list-whole-consul-instances",
+    "list-bytes-consul",
+    "source-herd-consul",
+];
 
 fn short(plan: &Plan) -> Vec<&'static str> {
     let _alone = alone();
@@ -68,6 +89,23 @@
     }
 }
 
+/// Side by side every row is measured once, and comes out of its lane as it went in.
+#[test]
+fn lanes_have_every_row_once_and_change_none() {
+    let mut named: Vec<&str> = lanes().concat().iter().map(|m| m.name).collect();
+    let mut all: Vec<&str> = all_measures().iter().map(|m| m.name).collect();
+    named.sort_unstable();
+    all.sort_unstable();
+    assert_eq!(named, all);
+    let _alone = alone();
+    for name in ["strangers", "proof-bytes-consul-divided", "move-zone"] {
+        let row = measured(name, &WHOLE);
+        let back = apart::row(&apart::line(&row).unwrap()).unwrap();
+        assert_eq!(format!("{row:?}"), format!("{back:?}"));
+    }
+    assert!(apart::row("{}").is_err());
+}
+
 #[test]
 fn every_row_has_its_points_over_its_span() {
     let _alone = alone();
@@ -120,6 +158,31 @@
     cold_needless_steep "cold-needless-steep",
     cold_p99 "cold-p99",
     cold_p99_steep "cold-p99-steep",
+    proof_call "proof-call",
+    proof_call_p50 "proof-call-p50",
+    proof_call_busiest "proof-call-busiest",
+    proof_control "proof-control",
+    proof_control_busiest "proof-control-busiest",
+    proof_memory "proof-memory",
+    proof_memory_growth "proof-memory-growth",
+    proof_bytes_bus "proof-bytes-bus",
+    proof_bytes_consul "proof-bytes-consul",
+    proof_bytes_consul_divided "proof-bytes-consul-divided",
+    fleet_busiest "fleet-busiest",
+    fleet_busiest_steep "fleet-busiest-steep",
+    fleet_hot_function "fleet-hot-function",
+    fleet_empty_shard "fleet-empty-shard",
+    fleet_hot_shard "fleet-hot-shard",
+    fleet_cold_p99 "fleet-cold-p99",
+    fleet_cold_p99_rare "fleet-cold-p99-rare",
+    fleet_cold_share "fleet-cold-share",
+    move_worker "move-worker",
+    move_worker_most "move-worker-most",
+    move_front_end "move-front-end",
+    move_front_end_most "move-front-end-most",
+    move_zone "move-zone",
+    move_rack "move-rack",
+    move_shard "move-shard",
     list_kept "list-kept",
     list_whole_bus "list-whole-bus",
     list_whole_bus_instances "list-whole-bus-instances",
