--- a/crates/scale/src/fleet/balance.rs
+++ b/crates/scale/src/fleet/balance.rs
@@ -1,4 +1,5 @@
-//! Calls of the busiest shard over the mean of all, by the homes of 170,000 functions. Exact: no call is drawn.
+//! Calls of the busiest shard over the mean of all, by the homes of 170,000 functions. Exact: no call is
+//! drawn.
 
 use crate::fit::Point;
 use crate::front_end::{function, function_name, homes, rates, TOLD};
@@ -45,7 +46,8 @@
     traffic.iter().fold(0.0, |a: f64, t| a.max(*t)) / mean
 }
 
-/// Over numbers of shards, up to the one that is asked for; the control tells of no function. Beside: none told.
+/// Over numbers of shards, up to the one that is asked for; the control tells of no function. Beside: none
+/// told.
 fn row(plan: &Plan, subject: Subject, rates: &[f64], silent: Option<u32>) -> Row {
     let told = if plan.control { 0 } else { TOLD };
     let count = proof::shards(plan);
@@ -75,8 +77,8 @@
     row(plan, subject("fleet-empty-shard", plan), &rates(FUNCTIONS as u64, 1.0), Some(0))
 }
 
-/// A shard that is told to weigh ten: ten times the functions, and ten times the workers. A worker's calls over the mean; the
-/// control doesn't tell the workers' division of it.
+/// A shard that is told to weigh ten: ten times the functions, and ten times the workers. A worker's calls
+/// over the mean; the control doesn't tell the workers' division of it.
 pub fn hot_shard(plan: &Plan) -> Row {
     let subject = Subject {
         unit: "of the mean of a worker",
--- a/crates/scale/src/fleet/cold.rs
+++ b/crates/scale/src/fleet/cold.rs
@@ -1,5 +1,6 @@
-//! One shard whole, the busiest: all its front ends with real code, its workers, its calls at their rates. Shards share nothing
-//! but workers that stand in, so that it stands for each; beside it the same calls and as many workers with today's fleet.
+//! One shard whole, the busiest: all its front ends with real code, its workers, its calls at their rates.
+//! Shards share nothing but workers that stand in, so that it stands for each; beside it the same calls and
+//! as many workers with today's fleet.
 
 use crate::fit::Point;
 use crate::front_end::{played, Divided, Fault, Outcome, Played, Scene, Shards};
--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -1,4 +1,5 @@
-//! The whole fleet divided into shards: what the busiest has, cold starts of rare functions, who moves at an event.
+//! The whole fleet divided into shards: what the busiest has, cold starts of rare functions, who moves at an
+//! event.
 
 mod balance;
 mod cold;
--- a/crates/scale/src/fleet/moves.rs
+++ b/crates/scale/src/fleet/moves.rs
@@ -1,4 +1,5 @@
-//! Members that move to another shard when something changes, beside those that change. Exact: counted by the package.
+//! Members that move to another shard when something changes, beside those that change. Exact: counted by the
+//! package.
 
 use crate::fit::Point;
 use crate::letter::*;
@@ -8,8 +9,8 @@
 use stagehoist_sharding::{Assignment, Division, Key, Member, Shard};
 use std::collections::HashMap;
 
-/// Others that one that comes or goes may move on average, and at most: a change of one in N moves about 1/N, never more than
-/// this factor of it.
+/// Others that one that comes or goes may move on average, and at most: a change of one in N moves about 1/N,
+/// never more than this factor of it.
 const MEAN: f64 = 2.0;
 const MOST: f64 = 24.0;
 /// Times the least possible part that one shard more may move.
@@ -31,7 +32,7 @@
         limit: MEAN,
         source: "one in N moves about 1/N: at most 2 others each on average, 24 at most (stated factor)",
         formula: "members with another home after it, over members that came or went",
-        mechanism: "rendezvous hashing with bounded load, zone by zone; limits rounded at another point for each shard",
+        mechanism: "rendezvous hashing with bounded load, by zone; limits rounded at another point for each",
         counted: true,
     }
 }
--- a/crates/scale/src/front_end/division.rs
+++ b/crates/scale/src/front_end/division.rs
@@ -24,7 +24,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Played {
-    /// Front ends of the whole fleet, the busiest first; each with all of its shards, those that it stands in for among them.
+    /// Front ends of the whole fleet, the busiest first; each with all of its shards, those that it stands in
+    /// for among them.
     Busiest,
     /// The one with the middle of calls a second.
     Usual,
--- a/crates/scale/src/front_end/play.rs
+++ b/crates/scale/src/front_end/play.rs
@@ -49,7 +49,8 @@
     let mut list = ListState::new(scene.workers);
     let mut late: Vec<News> = Vec::new();
     let mut whole = list.whole(scene);
-    // The front ends of one shard are told its workers; how each takes them from the whole list is played with one.
+    // The front ends of one shard are told its workers; how each takes them from the whole list is played
+    // with one.
     let shard = scene.shards.as_ref().is_some_and(|s| s.played == Played::Shard);
     if let Some(divided) = divided.as_deref().filter(|_| shard) {
         whole.rows = Subset::new(divided, scene, 0).told(whole.form, &whole.rows, began);
--- a/crates/scale/src/front_end/subset.rs
+++ b/crates/scale/src/front_end/subset.rs
@@ -1,4 +1,5 @@
-//! The workers of a front end's own shards, out of the whole list: as the product does it, by the sharding package.
+//! The workers of a front end's own shards, out of the whole list: as the product does it, by the sharding
+//! package.
 
 use super::division::Divided;
 use super::scene::{Scene, SECOND};
@@ -41,7 +42,8 @@
         }
     }
 
-    /// Rows for the module in place of those that the list tells; what drained long enough goes with them, not by itself.
+    /// Rows for the module in place of those that the list tells; what drained long enough goes with them,
+    /// not by itself.
     pub fn told(&mut self, form: RosterForm, rows: &[RosterRow], now: Micros) -> Vec<RosterRow> {
         if self.assignment.is_empty() {
             let ready = rows.iter().filter(|r| r.lifecycle == Lifecycle::Ready);
--- a/crates/scale/src/lanes.rs
+++ b/crates/scale/src/lanes.rs
@@ -1,5 +1,5 @@
-//! Rows side by side: each lane in a process of its own, as bytes allocated are counted for a whole process and processor time for
-//! a thread. A lane sends each of its rows as a line.
+//! Rows side by side: each lane in a process of its own, as bytes allocated are counted for a whole process
+//! and processor time for a thread. A lane sends each of its rows as a line.
 
 use crate::error::ScaleError;
 use crate::fit::Point;
--- a/crates/scale/src/list/rows.rs
+++ b/crates/scale/src/list/rows.rs
@@ -47,7 +47,8 @@
     move |what| ScaleError::Measure { row, what }
 }
 
-/// Sizes of list up to the letter's. A divided front end is told of the whole list too: it takes its part from it.
+/// Sizes of list up to the letter's. A divided front end is told of the whole list too: it takes its part
+/// from it.
 pub fn sizes(plan: &Plan, asked: f64) -> Vec<(f64, u32)> {
     let parts = plan.pick(
         &[600.0, 200.0, 60.0, 20.0][..],
--- a/crates/scale/src/plan.rs
+++ b/crates/scale/src/plan.rs
@@ -57,8 +57,8 @@
     parts.concat()
 }
 
-/// Rows that are measured side by side, those that share what they play in one lane: three, as the record's has processes of
-/// its own, so that a run takes half of eight cores.
+/// Rows that are measured side by side, those that share what they play in one lane: three, as the record's
+/// has processes of its own, so that a run takes half of eight cores.
 pub fn lanes() -> Vec<Vec<Measure>> {
     let one = [crate::front_end::MEASURES, crate::front_end::rare::MEASURES, crate::proof::MEASURES];
     let two =
--- a/crates/scale/src/proof/bytes.rs
+++ b/crates/scale/src/proof/bytes.rs
@@ -48,15 +48,15 @@
     ))
 }
 
-/// A service for each shard, which its front ends watch: not built; a worker would enter itself in its shards' services. The
-/// control: nobody does.
+/// A service for each shard, which its front ends watch: not built; a worker would enter itself in its
+/// shards' services. The control: nobody does.
 pub fn consul_divided(plan: &Plan) -> Result<Row, ScaleError> {
     let whole = list_row("list-bytes-consul", &Plan { control: false, ..*plan })?;
     let parts = if plan.control { 1.0 } else { f64::from(shards(plan)) };
     let row = told(
         whole,
         "proof-bytes-consul-divided",
-        "a shard's changes a day * bytes of its part of the list, to the front ends of the shard (assumed: not built)",
+        "a shard's changes a day * bytes of its part, to the shard's front ends (assumed: not built)",
         "would be: a service for each shard; both factors are one in so many shards",
     );
     let points = row.points.iter().map(|p| crate::Point { value: p.value / parts / parts, ..*p }).collect();
--- a/crates/scale/src/proof/hour.rs
+++ b/crates/scale/src/proof/hour.rs
@@ -12,7 +12,8 @@
 /// What memory may grow by from a length to four times of it, as a part of it: assumed for "flat".
 const FLAT: f64 = 0.05;
 
-/// As many are replaced, by new names, as of a day fall in; the front end is the one with the middle of calls.
+/// As many are replaced, by new names, as of a day fall in; the front end is the one with the middle of
+/// calls.
 fn over(plan: &Plan, seconds: f64, fault: Option<Fault>) -> Scene {
     let workers = if plan.control { 100 } else { WORKERS as u32 };
     let many = (RESTARTED * seconds / DAY).round() as u32;
@@ -32,8 +33,7 @@
         asked: APART,
         limit: CONTROL_MEMORY,
         source: "128 MB for control",
-        formula:
-            "whole list with its division + 8 bytes * own workers * own functions called within 8 keep-alives",
+        formula: "whole list with its division + 8 bytes * own workers * own functions of 8 keep-alives",
         mechanism: "division: few functions and workers; functions are forgotten, and names by their age",
         counted: true,
         ..subject(name)
--- a/crates/scale/tests/small.rs
+++ b/crates/scale/tests/small.rs
@@ -52,7 +52,8 @@
     "list-bytes-consul",
     "source-herd-consul",
 ];
-/// Short also where front ends are divided: the list comes whole to each of them, which takes its part from it.
+/// Short also where front ends are divided: the list comes whole to each of them, which takes its part from
+/// it.
 const SHORT_DIVIDED: &[&str] = &[
     "strangers",
     "proof-bytes-consul",
