--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -1,6 +1,7 @@
 //! The socket of a front: brokers tried in turn, with seeded pauses between attempts.
 
 use super::asks::{Asks, Marking};
+use super::told::publish_state;
 pub use super::told::{LinkState, ToLink};
 use super::Front;
 use crate::clock::{Alarm, Clock};
@@ -97,15 +98,6 @@
     }
 }
 
-fn publish_state(front: &Front, state: &watch::Sender<LinkState>, drained: bool) {
-    state.send_replace(LinkState {
-        ready: front.is_ready(),
-        drained,
-        at_work: front.at_work(),
-        counters: front.counters,
-    });
-}
-
 enum Ended {
     Over,
     Lost(String),
--- a/crates/gateway/src/amqp/told.rs
+++ b/crates/gateway/src/amqp/told.rs
@@ -1,7 +1,8 @@
 //! What driver and link tell each other.
 
-use super::FrontCounters;
+use super::{Front, FrontCounters};
 use crate::state::{Answer, Ticket};
+use tokio::sync::watch;
 
 /// What the driver says to its link.
 #[derive(Debug)]
@@ -19,3 +20,12 @@
     pub at_work: usize,
     pub counters: FrontCounters,
 }
+
+pub(super) fn publish_state(front: &Front, state: &watch::Sender<LinkState>, drained: bool) {
+    state.send_replace(LinkState {
+        ready: front.is_ready(),
+        drained,
+        at_work: front.at_work(),
+        counters: front.counters,
+    });
+}
