Nothing is consumed before the first list of workers, for a told time at most

Cause: a process of serve that starts while the list of workers fails consumed at once, and refused what it took with no-workers.

Change: the channel stands and waits, and consumes once the turn that took the first list is done, or list-initial-wait (10 s) after the start. An empty list is a list. A drain while it waits has nothing to cancel; a lost connection or channel waits on. Not with list-subscribe yes, where the list is asked for by calls alone. States and metrics say that it waits (stagehoist_amqp_awaits_list, stagehoist_worker_lists_total). Undivided fleets go the same way.

--- a/crates/config/src/build.rs
+++ b/crates/config/src/build.rs
@@ -201,6 +201,7 @@
         workers_most: workers_most as usize,
         list_subscribe: s.flag("list-subscribe", false),
         list_ask_within: s.duration("list-ask-within", 10 * S),
+        list_initial_wait: s.duration("list-initial-wait", 10 * S),
         kinds: s
             .all("worker-kind")
             .filter_map(|l| Some(Kind { name: l.text("name")?, memory: l.count("memory")? }))
--- a/crates/config/src/grammar.rs
+++ b/crates/config/src/grammar.rs
@@ -153,6 +153,7 @@
     one("workers-most", &[must("count", Kind::Count(1, MEMBERS_MOST as u64))]),
     one("list-subscribe", YES),
     one("list-ask-within", ANY_DURATION),
+    one("list-initial-wait", ANY_DURATION),
     Directive {
         name: "worker-kind",
         places: &[must("name", Kind::Text)],
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -140,6 +140,8 @@
     pub workers_most: usize,
     pub list_subscribe: bool,
     pub list_ask_within: i64,
+    /// How long the first list is waited for before anything is consumed.
+    pub list_initial_wait: i64,
     pub kinds: Vec<Kind>,
     pub zones: Vec<String>,
     pub zone: Option<String>,
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -111,6 +111,7 @@
         line(format!("workers-most {}", self.workers_most));
         line(format!("list-subscribe {}", yes(self.list_subscribe)));
         line(format!("list-ask-within {}", d(self.list_ask_within)));
+        line(format!("list-initial-wait {}", d(self.list_initial_wait)));
         for k in &self.kinds {
             line(format!("worker-kind {} memory {}", word(&k.name), show_size(k.memory)));
         }
--- /dev/null
+++ b/crates/gateway/src/amqp/front/awaiting.rs
@@ -0,0 +1,60 @@
+//! Before the first list of workers nothing is consumed: a call that nobody can run waits better in its queue, where other
+//! front ends take it, than in a refusal.
+
+use super::*;
+
+impl Front {
+    /// Consumes nothing before [`Front::listed`], or before this time where no list comes; before the first connection.
+    pub fn await_list(&mut self, until: Micros) {
+        self.list_by = Some(until);
+    }
+
+    /// Whether the first list is still awaited.
+    pub fn awaits_list(&self) -> bool {
+        self.list_by.is_some()
+    }
+
+    /// The first list of workers came.
+    pub fn listed(&mut self, now: Micros) {
+        if self.list_by.take().is_some() && self.phase == Phase::Awaiting {
+            self.begin(now);
+        }
+    }
+
+    /// When the wait for the list ends without one; only while it holds anything up.
+    pub(super) fn list_due(&self) -> Option<Micros> {
+        self.list_by.filter(|_| self.phase == Phase::Awaiting)
+    }
+
+    /// The channel stands and confirms: consumes, or waits for the list.
+    pub(super) fn channel_stands(&mut self, now: Micros) {
+        if self.list_by.is_some_and(|by| now < by) {
+            tracing::info!("waits for the first list of workers");
+            self.phase = Phase::Awaiting;
+        } else {
+            self.without_list(now);
+        }
+    }
+
+    /// Waited long enough: calls are answered as they can be, in the end by refusals.
+    pub(super) fn without_list(&mut self, now: Micros) {
+        if self.list_by.take().is_some() {
+            tracing::warn!("no list of workers came in time; consumes without");
+        }
+        self.begin(now);
+    }
+
+    fn begin(&mut self, now: Micros) {
+        self.phase = Phase::Setup;
+        if self.draining {
+            return;
+        }
+        // A window over the whole channel, as one consumer's can't be changed while it stands.
+        let free = self.config.consume.iter().any(|c| c.prefetch.is_none());
+        self.window = free.then(|| Window::new(now));
+        if let Some(count) = self.window.as_ref().map(Window::asked) {
+            self.qos(count, true);
+        }
+        (0..self.config.consume.len()).for_each(|index| self.consume(index, now));
+    }
+}
--- a/crates/gateway/src/amqp/front/consuming.rs
+++ b/crates/gateway/src/amqp/front/consuming.rs
@@ -48,6 +48,9 @@
         if matches!(self.phase, Phase::Waiting(at) if at <= now) {
             self.open_channel();
         }
+        if self.list_due().is_some_and(|by| by <= now) {
+            self.without_list(now);
+        }
         let due: Vec<usize> = self.again.iter().filter(|(_, at)| **at <= now).map(|(i, _)| *i).collect();
         for index in due {
             self.again.remove(&index);
@@ -142,15 +145,7 @@
                 }
                 self.consuming = 0;
                 self.ages.iter_mut().for_each(Age::restart);
-                if !self.draining {
-                    // A window over the whole channel, as one consumer's can't be changed while it stands.
-                    let free = self.config.consume.iter().any(|c| c.prefetch.is_none());
-                    self.window = free.then(|| Window::new(now));
-                    if let Some(count) = self.window.as_ref().map(Window::asked) {
-                        self.qos(count, true);
-                    }
-                    (0..self.config.consume.len()).for_each(|index| self.consume(index, now));
-                }
+                self.channel_stands(now);
             }
             AMQPClass::Basic(basic::AMQPMethod::ConsumeOk(_)) => {
                 self.consuming += 1;
--- a/crates/gateway/src/amqp/front/mod.rs
+++ b/crates/gateway/src/amqp/front/mod.rs
@@ -3,6 +3,7 @@
 //! calls at work go on, and their messages are answered from memory when they are delivered again.
 
 mod asking;
+mod awaiting;
 mod consuming;
 mod counters;
 mod deliveries;
@@ -52,6 +53,8 @@
     Opening,
     /// The channel is to be opened (again) at this time.
     Waiting(Micros),
+    /// The channel stands; consumes once the first list of workers came.
+    Awaiting,
     Setup,
     Ready,
 }
@@ -79,6 +82,8 @@
     next_ticket: Ticket,
     arrivals: Vec<Arrival>,
     draining: bool,
+    /// Until when the first list of workers is awaited; None: no more, or not at all.
+    list_by: Option<Micros>,
     /// Queues whose consumer was told to stop and has not said so: deliveries of it may be on their way.
     stopping: BTreeSet<usize>,
     /// Deliveries of the present channel; their acknowledgements go out together, with the next replies.
@@ -128,6 +133,7 @@
             next_ticket: 1,
             arrivals: Vec::new(),
             draining: false,
+            list_by: None,
             stopping: BTreeSet::new(),
             places,
             counters: FrontCounters::default(),
@@ -195,7 +201,7 @@
         let look = self.ages.iter().any(|a| a.is_unsure(self.asked_depth + LOOK, LOOK));
         let look = (look && self.phase == Phase::Ready).then_some(self.asked_depth + LOOK);
         let asking = self.asking.as_ref().and_then(asking::Asking::due);
-        [client, waiting, again, confirm, look, asking].into_iter().flatten().min()
+        [client, waiting, again, confirm, look, asking, self.list_due()].into_iter().flatten().min()
     }
 
     /// The connection is gone.
--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -35,6 +35,10 @@
     state: watch::Sender<LinkState>,
 ) {
     let mut front = Front::new(config.clone(), seed, clock.now());
+    // Where the module asks for the list itself it does so for calls alone, which would never come.
+    if config.list_initial_wait > 0 && !config.list_subscribe {
+        front.await_list(clock.now() + config.list_initial_wait);
+    }
     let mut asks = Asks::new(marking, &mut front);
     let mut turn = 0usize;
     let mut draining = false;
@@ -53,6 +57,7 @@
                 said = from_driver.recv() => match said {
                     None => return,
                     Some(ToLink::Answer(ticket, answer)) => front.answer(ticket, answer, clock.now()),
+                    Some(ToLink::Listed) => front.listed(clock.now()),
                     Some(ToLink::Drain) => draining = true,
                 },
             }
@@ -91,6 +96,7 @@
                 said = from_driver.recv() => match said {
                     None => return,
                     Some(ToLink::Answer(ticket, answer)) => front.answer(ticket, answer, clock.now()),
+                    Some(ToLink::Listed) => front.listed(clock.now()),
                     Some(ToLink::Drain) => draining = true,
                 },
             }
@@ -187,6 +193,7 @@
                     while let Some(said) = next {
                         match said {
                             ToLink::Answer(ticket, answer) => front.answer(ticket, answer, clock.now()),
+                            ToLink::Listed => front.listed(clock.now()),
                             ToLink::Drain => {
                                 *draining = true;
                                 front.drain();
--- a/crates/gateway/src/amqp/told.rs
+++ b/crates/gateway/src/amqp/told.rs
@@ -8,6 +8,8 @@
 #[derive(Debug)]
 pub enum ToLink {
     Answer(Ticket, Answer),
+    /// The first list of workers came.
+    Listed,
     /// Take no more messages.
     Drain,
 }
@@ -16,6 +18,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LinkState {
     pub ready: bool,
+    /// Consumes nothing before the first list of workers.
+    pub awaits_list: bool,
     pub drained: bool,
     pub at_work: usize,
     pub counters: FrontCounters,
@@ -24,6 +28,7 @@
 pub(super) fn publish_state(front: &Front, state: &watch::Sender<LinkState>, drained: bool) {
     state.send_replace(LinkState {
         ready: front.is_ready(),
+        awaits_list: front.awaits_list(),
         drained,
         at_work: front.at_work(),
         counters: front.counters,
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -26,6 +26,9 @@
     /// All choices of a turn were carried out.
     fn turned(&mut self) {}
 
+    /// The first list of workers came, and the turn that took it is done.
+    fn listed(&mut self) {}
+
     /// Called four times a second.
     fn tend(&mut self, core: &Core);
 
@@ -39,6 +42,11 @@
     /// Whether callers are being served.
     fn is_serving(&mut self) -> bool;
 
+    /// Whether no calls are taken as the first list of workers is awaited.
+    fn awaits_list(&mut self) -> bool {
+        false
+    }
+
     /// Whether sockets are read before attempts are cut when this process did not run for a while: only where what is read
     /// carries its age, which a link that dates messages by its queue does not give.
     fn reads_first(&self) -> bool {
@@ -64,6 +72,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FrontEndState {
     pub consuming: bool,
+    /// Consumes nothing before the first list of workers.
+    pub awaits_list: bool,
     pub ready_workers: usize,
     pub unanswered: usize,
     pub drained: bool,
@@ -86,6 +96,7 @@
     let mut drain_by: Option<Micros> = None;
     let mut alarm = Alarm::new(clock);
     let (mut told, mut keepers) = (None, link);
+    let mut listed = false;
     if let Some(link) = keepers.as_mut() {
         // What is known already is news to the front end.
         link.standing.mark_changed();
@@ -131,6 +142,7 @@
                 ways.tend(&core);
                 state.send_replace(FrontEndState {
                     consuming: ways.is_serving(),
+                    awaits_list: ways.awaits_list(),
                     ready_workers: core.ready_workers(),
                     unanswered: core.unanswered(),
                     drained: false,
@@ -147,6 +159,9 @@
                 ways.carry_out(command);
             }
             ways.turned();
+            if core.counters.lists > 0 && !std::mem::replace(&mut listed, true) {
+                ways.listed();
+            }
             if let (Some(sender), Some(news)) = (&told, core.told()) {
                 tell(sender, news);
             }
--- a/crates/gateway/src/metrics_page.rs
+++ b/crates/gateway/src/metrics_page.rs
@@ -101,6 +101,7 @@
             ("stagehoist_unloads_ordered_total", c.unloads),
             ("stagehoist_probes_total", c.probes),
             ("stagehoist_batches_total", c.batches),
+            ("stagehoist_worker_lists_total", c.lists),
             ("stagehoist_module_microseconds_total", c.module_ns / 1000),
             ("stagehoist_amqp_delivered_total", f.delivered),
             ("stagehoist_amqp_redelivered_total", f.redelivered),
@@ -124,6 +125,7 @@
             ("stagehoist_attempts_out", core.out() as f64),
             ("stagehoist_workers_ready", core.ready_workers() as f64),
             ("stagehoist_amqp_consuming", f64::from(u8::from(link.ready))),
+            ("stagehoist_amqp_awaits_list", f64::from(u8::from(link.awaits_list))),
         ] {
             gauge!(name, "front_end" => self.label.clone()).set(value);
         }
--- a/crates/gateway/src/state/core/counters.rs
+++ b/crates/gateway/src/state/core/counters.rs
@@ -17,6 +17,8 @@
     pub unloads: u64,
     pub probes: u64,
     pub batches: u64,
+    /// Whole lists of workers that came, empty ones too.
+    pub lists: u64,
     /// Time spent in the module, in nanoseconds.
     pub module_ns: u64,
 }
--- a/crates/gateway/src/state/core/workers.rs
+++ b/crates/gateway/src/state/core/workers.rs
@@ -88,6 +88,7 @@
 
     /// A whole list came; what is over the bound is left out, at every front end the same.
     pub(super) fn listed(&mut self, entries: Vec<Entry>, now: Micros) {
+        self.counters.lists += 1;
         let update = self.members.listed(entries, now);
         if let Some(left_out) = self.members.over() {
             let most = self.figures.workers_most.unwrap_or(WORKERS_MOST);
--- a/crates/gateway/src/ways.rs
+++ b/crates/gateway/src/ways.rs
@@ -109,6 +109,10 @@
         }
     }
 
+    fn listed(&mut self) {
+        let _ = self.to_link.send(ToLink::Listed);
+    }
+
     fn tend(&mut self, core: &Core) {
         self.workers.sweep();
         let link = *self.link_seen.borrow_and_update();
@@ -129,6 +133,10 @@
         self.link_seen.borrow().ready
     }
 
+    fn awaits_list(&mut self) -> bool {
+        self.link_seen.borrow().awaits_list
+    }
+
     async fn changed(&mut self) {
         if self.link_seen.changed().await.is_err() {
             // The link ended; what it last showed stands.
