--- a/crates/gateway/src/amqp/front/mod.rs
+++ b/crates/gateway/src/amqp/front/mod.rs
@@ -7,6 +7,7 @@
 mod consuming;
 mod counters;
 mod deliveries;
+mod ending;
 mod replies;
 
 pub use asking::Question;
@@ -214,36 +215,4 @@
         self.client = None;
         self.phase = Phase::Apart;
     }
-
-    /// Take no more messages; what was delivered is answered.
-    pub fn drain(&mut self) {
-        if std::mem::replace(&mut self.draining, true) {
-            return;
-        }
-        if !matches!(self.phase, Phase::Setup | Phase::Ready) {
-            return;
-        }
-        for index in 0..self.config.consume.len() {
-            let cancel = basic::Cancel { consumer_tag: short(&self.tag(index)), nowait: false };
-            self.basic(basic::AMQPMethod::Cancel(cancel));
-            self.stopping.insert(index);
-        }
-    }
-
-    /// Whether all that was delivered is answered and acknowledged, and nothing more is on its way, after
-    /// [`Front::drain`].
-    ///
-    /// What is still under way when the connection ends comes to others as delivered before, and fails there if it
-    /// may not simply be repeated.
-    pub fn is_drained(&self) -> bool {
-        self.draining && self.stopping.is_empty() && self.unsettled() == 0
-    }
-
-    /// Ends the connection in order.
-    pub fn close(&mut self, now: Micros) {
-        self.flush(now);
-        if let Some(client) = self.client.as_mut() {
-            client.close(200, "drained");
-        }
-    }
 }
