--- a/crates/stage/src/play/mod.rs
+++ b/crates/stage/src/play/mod.rs
@@ -4,18 +4,19 @@
 mod change;
 mod end;
 mod fleet;
+mod ledger;
 mod loss;
 mod tenants;
 
 use crate::callers::Pace;
-use crate::day::{Calls, Day, Fleet, Pool, Trouble};
+use crate::day::{Calls, Day, Trouble};
 use crate::lateness::Lateness;
-use crate::layout::GIVE_UP;
 use crate::retired::Retirements;
 use crate::stack::{Stack, StageError};
+use ledger::{percentiles, pools};
 pub use loss::Loss;
 use serde::Serialize;
-use stagehoist_judge::rules::{judge, served_times, Charter, PoolRule, Verdict};
+use stagehoist_judge::rules::{judge, served_times, Charter, Verdict};
 use stagehoist_judge::tap::Trouble as Tapped;
 use stagehoist_judge::Story;
 use std::collections::{BTreeMap, VecDeque};
@@ -28,9 +29,6 @@
 /// Longest time for the stack to stand, and for the last answers after the last call.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Rounds of dealing in which lent lanes come back, where no process fails.
-const ROUNDS: Duration = Duration::from_millis(250);
-
 /// What happened on a day, as callers and sockets saw it.
 #[derive(Clone, Debug, Serialize)]
 pub struct Ledger {
@@ -212,38 +210,6 @@
     })
 }
 
-/// The pools of a day as the judge is told of them.
-fn pools(fleet: &Fleet) -> Vec<PoolRule> {
-    let reserved = |pool: &str| {
-        let own = fleet.reserves.iter().filter(|r| r.pool == pool);
-        own.map(|r| (r.tenant.clone(), r.lanes)).collect()
-    };
-    // A tenant has the lanes reserved for it at the latest when what was lent to a process that fails has come back: its lease
-    // has run out then, and the longest run that it may have begun, with the drift.
-    let lent = (fleet.view_lease + Duration::from_micros(GIVE_UP as u64)).mul_f64(1.01) + ROUNDS;
-    let rule = |pool: &Pool| PoolRule {
-        name: pool.name.clone(),
-        functions: pool.functions.clone(),
-        lanes: pool.lanes,
-        reservations: reserved(&pool.name),
-        within: lent.as_micros() as i64,
-    };
-    fleet.pools.iter().filter(|_| !fleet.without_pools).map(rule).collect()
-}
-
-fn percentiles(times: &[i64]) -> BTreeMap<String, f64> {
-    let Ok(mut histogram) = hdrhistogram::Histogram::<u64>::new(3) else { return BTreeMap::new() };
-    for time in times {
-        // The histogram grows by itself; only a count overflow could fail.
-        let _ = histogram.record((*time).max(1) as u64);
-    }
-    let of = |q: f64| histogram.value_at_quantile(q) as f64 / 1000.0;
-    [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("p99.9", 0.999), ("max", 1.0)]
-        .into_iter()
-        .map(|(name, q)| (name.to_string(), of(q)))
-        .collect()
-}
-
 impl Player<'_> {
     fn later(&mut self, after: Duration, undo: Undo) {
         self.undo.push((Instant::now() + after, undo));
