The refusal of a call of another shard tells the right shard

A call over the queue of a shard that is not its function's was refused with other-shard, and its caller left to compute the right one. The reply now has the headers shard and shard-generation, those of the queue that the call belongs to. In a change they are of the division over whose queue the call came: its caller sends by that one, while the other may not be consumed by all yet, or any more. The newest division, which Place::Elsewhere names, would be wrong for callers that have not gone over. A refusal that is given from memory tells the same. Calls of a spread function are sent to its shards in turn.

--- a/crates/gateway/src/amqp/front/deliveries.rs
+++ b/crates/gateway/src/amqp/front/deliveries.rs
@@ -3,7 +3,23 @@
 use super::*;
 use stagehoist_sharding::Place;
 
+/// The reason of a call that came over the queue of a shard that is not its function's.
+const OTHER_SHARD: &str = "other-shard";
+
 impl Front {
+    /// Generation and shard that a message should have been sent to.
+    fn home(
+        &self,
+        queue: usize,
+        properties: &BasicProperties,
+        routing_key: &str,
+        ticket: Ticket,
+    ) -> Option<(u32, Shard)> {
+        let function = Reader::function(properties, routing_key).ok()?;
+        // Calls of a function that is spread over shards are sent to each of them in turn.
+        self.places.as_ref()?.home(queue, &function, ticket)
+    }
+
     pub(super) fn reject(&mut self, tag: u64) {
         self.counters.rejected += 1;
         self.acks.remove(tag);
@@ -61,6 +77,7 @@
             published: None,
             nacks: 0,
             held: None,
+            home: None,
         };
         let routing_key = deliver.routing_key.as_str();
         let asked = self.reader.read(properties, routing_key, message.size, waited);
@@ -85,7 +102,9 @@
             }
             Verdict::Resend(answer) => {
                 self.counters.from_memory += 1;
-                self.deliveries.insert(ticket, Delivery { answer: Some(answer), ..delivery });
+                let elsewhere = answer.reason() == OTHER_SHARD;
+                let home = elsewhere.then(|| self.home(queue, properties, routing_key, ticket)).flatten();
+                self.deliveries.insert(ticket, Delivery { answer: Some(answer), home, ..delivery });
                 self.publish(ticket, now);
             }
             Verdict::Settle { doubtful } => {
@@ -118,15 +137,17 @@
                     Ok(asked) => match self.places.as_ref().map(|p| p.over(queue, &asked.function)) {
                         // It may have run where it was before, and has no workers of its group here.
                         Some(Place::Elsewhere(_)) if asks => return self.fail_unknown(ticket, now),
-                        Some(Place::Elsewhere(shard)) => {
+                        Some(Place::Elsewhere(_)) => {
                             self.counters.other_shard += 1;
+                            let home = self.home(queue, properties, routing_key, ticket);
+                            self.deliveries.entry(ticket).and_modify(|d| d.home = home);
                             tracing::info!(
                                 correlation = &*correlation,
-                                shard,
-                                reason = "other-shard",
+                                ?home,
+                                reason = OTHER_SHARD,
                                 "not taken"
                             );
-                            let answer = Answer::Refused { reason: "other-shard", retry_after: 0 };
+                            let answer = Answer::Refused { reason: OTHER_SHARD, retry_after: 0 };
                             return self.answer(ticket, answer, now);
                         }
                         place => {
--- a/crates/gateway/src/amqp/front/mod.rs
+++ b/crates/gateway/src/amqp/front/mod.rs
@@ -13,15 +13,16 @@
 pub use asking::Question;
 pub use counters::FrontCounters;
 
-use super::message::{reply, stamp, Reader, Unusable};
+use super::message::{reply, stamp, with_home, Reader, Unusable};
 use crate::shards::Places;
 use crate::state::{Answer, Arrival, CallFigures, Ticket};
 use stagehoist::{Effect, Micros};
 use stagehoist_admission::{Advice, Age, Bounds, Held, Intake, Window};
 use stagehoist_amqp::{basic, channel, confirm, queue, short, tx};
-use stagehoist_amqp::{AMQPClass, Acks, Client, ClientEvent, ClientOptions, Message};
+use stagehoist_amqp::{AMQPClass, Acks, BasicProperties, Client, ClientEvent, ClientOptions, Message};
 use stagehoist_config::{Broker, Config};
 use stagehoist_recovery::{Backoff, Key, Memory, Sent, Verdict};
+use stagehoist_sharding::Shard;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -45,6 +46,8 @@
     nacks: u32,
     /// Its room among the held calls.
     held: Option<Held>,
+    /// Generation and shard that it should have been sent to, where it is refused for that.
+    home: Option<(u32, Shard)>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/amqp/front/replies.rs
+++ b/crates/gateway/src/amqp/front/replies.rs
@@ -60,7 +60,10 @@
     pub(super) fn publish(&mut self, ticket: Ticket, now: Micros) {
         let Some(delivery) = self.deliveries.get_mut(&ticket) else { return };
         let (Some(answer), Some(client)) = (&delivery.answer, self.client.as_mut()) else { return };
-        let (properties, body) = reply(answer, &delivery.correlation);
+        let (mut properties, body) = reply(answer, &delivery.correlation);
+        if let Some(home) = delivery.home {
+            properties = with_home(properties, home);
+        }
         let publish = basic::Publish {
             exchange: short(""),
             routing_key: short(&delivery.reply_to),
--- a/crates/gateway/src/amqp/message.rs
+++ b/crates/gateway/src/amqp/message.rs
@@ -5,7 +5,8 @@
 //! the broker's header `timestamp_in_ms`, else the publisher's `timestamp`, else by its place in the queue. Of a reply: the
 //! headers `outcome` (`served`, `refused`, `failed`), `reason`, and `retry-after-ms` with a refusal. Where there is a fleet, the
 //! header `generation` tells which use of a function's name a call is for, and what is retired is answered with
-//! `retired-generation`, `retired-at` (milliseconds since 1970), `retired-reason` and, where told, `successor`.
+//! `retired-generation`, `retired-at` (milliseconds since 1970), `retired-reason` and, where told, `successor`. In a divided fleet a
+//! refusal with `other-shard` has `shard` and `shard-generation`: those of the queue that the call belongs to.
 
 use crate::fleet::Closed;
 use crate::state::Answer;
@@ -13,6 +14,7 @@
 use stagehoist::Micros;
 use stagehoist_amqp::{header_int, header_text, long, short, AMQPValue, BasicProperties, FieldTable};
 use stagehoist_config::{ends_numbered, Config};
+use stagehoist_sharding::Shard;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -217,3 +219,11 @@
     }
     (properties.with_headers(headers).with_delivery_mode(1), body)
 }
+
+/// The same properties, and the shard that the call should have been sent to, with its division's generation.
+pub fn with_home(properties: BasicProperties, (generation, shard): (u32, Shard)) -> BasicProperties {
+    let mut headers = properties.headers().clone().unwrap_or_default();
+    headers.insert(short("shard"), AMQPValue::LongLongInt(shard.into()));
+    headers.insert(short("shard-generation"), AMQPValue::LongLongInt(generation.into()));
+    properties.with_headers(headers)
+}
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -69,8 +69,9 @@
     names.iter().map(|n| (Key::of(n), if alike { 1.0 } else { calls(n) })).collect()
 }
 
-/// The homes and own shards of the divisions served, the newest last; and of each own queue whether it is left.
-pub struct Places(Vec<(Homes, Vec<Shard>)>, Vec<bool>);
+/// The homes and own shards of the divisions served, the newest last; of each own queue whether it is left; and the divisions'
+/// generations.
+pub struct Places(Vec<(Homes, Vec<Shard>)>, Vec<bool>, Vec<u32>);
 
 impl Places {
     pub fn new(config: &Config) -> Option<Places> {
@@ -83,7 +84,7 @@
             shard(c).is_some_and(|s| older.iter().any(|g| c.queue.ends_with(&queue("", *g, s))))
         };
         let left = config.consume.iter().map(left).collect();
-        Some(Places(sharding.divisions.served().filter_map(of).collect(), left))
+        Some(Places(sharding.divisions.served().filter_map(of).collect(), left, generations))
     }
 
     /// What the front end has to do with a function that was asked for over one of its queues, by that queue's place in the
@@ -95,6 +96,14 @@
         }
     }
 
+    /// Generation and shard that a call should have been sent to, by the division over whose queue it came: its caller sends by
+    /// that one. Where a change is under way the other may not be served by all yet, or any more.
+    pub fn home(&self, queue: usize, function: &str, call: u64) -> Option<(u32, Shard)> {
+        let left = self.1.get(queue).is_some_and(|left| *left);
+        let at = if left { 0 } else { self.0.len().checked_sub(1)? };
+        Some((*self.2.get(at)?, self.0.get(at)?.0.for_call(Key::of(function), call)))
+    }
+
     pub fn of(&self, function: &str) -> Place {
         place(self.0.iter().map(|(homes, own)| (homes, &own[..])), Key::of(function), 0)
     }
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -29,6 +29,8 @@
     pub number: u64,
     pub channel: u16,
     pub answers: Vec<(String, String, String)>,
+    /// Of each answer.
+    pub headers: Vec<FieldTable>,
 }
 
 pub struct World {
@@ -48,7 +50,7 @@
         let mut broker = Broker::new(BrokerOptions::default());
         let number = broker.connect(0);
         let client = Client::new(ClientOptions::default(), 0);
-        let caller = Caller { client, number, channel: 0, answers: Vec::new() };
+        let caller = Caller { client, number, channel: 0, answers: Vec::new(), headers: Vec::new() };
         let mut world = World {
             broker,
             front: Front::new(config(more), 1, 1_000_000),
@@ -114,6 +116,7 @@
                     let id = m.properties.correlation_id().as_ref().unwrap().as_str().to_string();
                     let text = |key| header_text(&headers, key).unwrap_or_default();
                     self.caller.answers.push((id, text("outcome"), text("reason")));
+                    self.caller.headers.push(headers);
                 }
             }
             if !moved {
@@ -148,6 +151,18 @@
         function: &str,
         body: &'static [u8],
         edit: impl FnOnce(BasicProperties) -> BasicProperties,
+    ) {
+        self.send(id, function, body, edit);
+        self.settle();
+    }
+
+    /// The caller publishes; no byte is carried yet.
+    pub fn send(
+        &mut self,
+        id: &str,
+        function: &str,
+        body: &'static [u8],
+        edit: impl FnOnce(BasicProperties) -> BasicProperties,
     ) {
         let mut headers = FieldTable::default();
         headers.insert(short("function"), long(function));
@@ -163,7 +178,6 @@
         };
         let channel = self.caller.channel;
         self.caller.client.publish(channel, publish, &edit(properties), &Bytes::from_static(body));
-        self.settle();
     }
 
     pub fn arrivals(&mut self) -> Vec<Arrival> {
