A front says that it awaits its list only where nothing else is missing

It said so without a connection too; the test of a drain could then end before the channel stood. Now states and stagehoist_amqp_awaits_list tell the list as the cause alone.

--- a/crates/gateway/src/amqp/front/awaiting.rs
+++ b/crates/gateway/src/amqp/front/awaiting.rs
@@ -9,9 +9,9 @@
         self.list_by = Some(until);
     }
 
-    /// Whether the first list is still awaited.
+    /// Whether all stands but the first list, and messages wait for that alone.
     pub fn awaits_list(&self) -> bool {
-        self.list_by.is_some()
+        self.phase == Phase::Awaiting
     }
 
     /// The first list of workers came.
--- a/crates/gateway/src/amqp/told.rs
+++ b/crates/gateway/src/amqp/told.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LinkState {
     pub ready: bool,
-    /// Consumes nothing before the first list of workers.
+    /// All stands, but nothing is consumed before the first list of workers.
     pub awaits_list: bool,
     pub drained: bool,
     pub at_work: usize,
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -72,7 +72,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FrontEndState {
     pub consuming: bool,
-    /// Consumes nothing before the first list of workers.
+    /// All stands, but nothing is consumed before the first list of workers.
     pub awaits_list: bool,
     pub ready_workers: usize,
     pub unanswered: usize,
