--- a/crates/cli/tests/fleet_days.rs
+++ b/crates/cli/tests/fleet_days.rs
@@ -4,7 +4,9 @@
 mod alone;
 
 use alone::alone;
-use stagehoist_stage::{play, Day, Ledger};
+use stagehoist_judge::{judge, Capture, Peer, Record, Story, Way, What};
+use stagehoist_stage::{play, record_on, Day, Ledger, Stack};
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::Duration;
 
@@ -51,3 +53,69 @@
     assert!(ledger.verdict.sent > 3_000, "{ledger:?}");
     assert_eq!(ledger.answers.get("refused: other-shard"), None, "{ledger:?}");
 }
+
+/// The first request of this kind that a front end sent to a worker at this time or later, and where.
+fn request<'a>(capture: &'a Capture, kind: &str, worker: Option<&str>, from: i64) -> &'a Record {
+    let sent = |r: &&Record| {
+        let Peer::Worker(name) = &capture.links[r.link].peer else { return false };
+        let What::Bytes(Way::Out, bytes) = &r.what else { return false };
+        let line = bytes.split(|b| *b == b'\r').next().unwrap_or_default();
+        r.at >= from
+            && worker.is_none_or(|w| w == name)
+            && line.starts_with(b"POST ")
+            && line.ends_with(format!("{kind} HTTP/1.1").as_bytes())
+    };
+    capture.records.iter().find(sent).unwrap()
+}
+
+/// The capture in which a request was sent so many times more, each on a connection of its own.
+fn repeated(capture: &Capture, request: &Record, times: u64) -> Capture {
+    let mut doctored = capture.clone();
+    let after = capture.records.iter().position(|r| r.at > request.at).unwrap();
+    let newest = capture.records.iter().map(|r| r.connection).max().unwrap();
+    let copy = |connection| {
+        [What::Opened, request.what.clone()].map(|what| Record { connection, what, ..request.clone() })
+    };
+    doctored.records.splice(after..after, (newest + 1..=newest + times).flat_map(copy));
+    doctored
+}
+
+/// Workers load nothing by themselves here: rule 5 is judged by the orders of all front ends, and rule 4 by what a worker that
+/// comes back cold is sent. A capture in which one front end sent too much breaks each.
+#[test]
+fn in_a_divided_fleet_loads_stay_in_their_ration_and_cold_workers_are_spared() {
+    let _alone = alone();
+    let day = include_str!("../../../days/shards-load.day");
+    let day = Day::parse("shards-load", day).unwrap().shortened(Duration::from_secs(16));
+    let mut stack = Stack::start(day, Path::new(env!("CARGO_BIN_EXE_stagehoist"))).unwrap();
+    stack.wait_ready(Duration::from_secs(20)).unwrap();
+    let (ledger, capture, charter) = record_on(&mut stack, &mut |_| {}).unwrap();
+    for rule in &ledger.verdict.rules {
+        assert!(rule.kept, "{rule:#?}");
+    }
+    assert_eq!(ledger.mishaps, Vec::<String>::new());
+    assert_eq!(ledger.verdict.unanswered, ledger.verdict.not_owed);
+    let story = Story::read(&capture);
+    let loading: BTreeSet<u32> = story.loads.iter().map(|l| l.front_end).collect();
+    assert!(loading.len() >= 12, "few front ends order loads: {loading:?}");
+    assert!(ledger.verdict.rules[3].checks > 10, "{:?}", ledger.verdict.rules[3]);
+    assert!(ledger.verdict.rules[4].checks > 100, "{:?}", ledger.verdict.rules[4]);
+
+    let kept = |capture: &Capture, rule: u8| {
+        let verdict = judge(&Story::read(capture), &charter);
+        verdict.rules.iter().find(|r| r.rule == rule).unwrap().kept
+    };
+    // Twelve within ten seconds are free: all but a few of these are over any ration of a front end with its part of the calls.
+    let load = request(&capture, "/load", None, 0);
+    assert!(!kept(&repeated(&capture, load, 150), 5), "rule 5 sees no load too many");
+    let start = charter.starts.iter().find(|s| s.worker == "w1").unwrap();
+    let told = |f: u32| {
+        let told = story.told.get(&(f, start.worker.clone()))?;
+        told.iter().find(|t| t.by_list && t.ready && t.at >= start.at).map(|t| t.at)
+    };
+    // One of the front ends that knew that it is back.
+    let informed = (0..24).filter_map(told).max().unwrap();
+    let call = request(&capture, "/infer", Some(&start.worker), informed);
+    assert!(call.at < start.at + 6_000_000, "no call while it was cold");
+    assert!(!kept(&repeated(&capture, call, 1000), 4), "rule 4 sees no burst");
+}
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -21,6 +21,6 @@
 pub use lateness::Lateness;
 pub use layout::Layout;
 pub use measure::{measure, Measured};
-pub use play::{play, play_on, Ledger, Progress};
+pub use play::{play, play_on, record_on, Ledger, Progress};
 pub use retired::Seen;
 pub use stack::{Stack, StageError};
--- a/crates/stage/src/play/mod.rs
+++ b/crates/stage/src/play/mod.rs
@@ -18,7 +18,7 @@
 use serde::Serialize;
 use stagehoist_judge::rules::{judge, served_times, Charter, Verdict};
 use stagehoist_judge::tap::Trouble as Tapped;
-use stagehoist_judge::Story;
+use stagehoist_judge::{Capture, Story};
 use std::collections::{BTreeMap, VecDeque};
 use std::path::Path;
 use std::sync::atomic::Ordering;
@@ -127,6 +127,14 @@
 
 /// Plays the stack's day and judges it. The stack has ended after it.
 pub fn play_on(stack: &mut Stack, show: &mut dyn FnMut(Progress<'_>)) -> Result<Ledger, StageError> {
+    record_on(stack, show).map(|played| played.0)
+}
+
+/// The same, and gives what was judged and by what: a checker is shown to see a fault by a capture that was doctored.
+pub fn record_on(
+    stack: &mut Stack,
+    show: &mut dyn FnMut(Progress<'_>),
+) -> Result<(Ledger, Capture, Charter), StageError> {
     let day = stack.day.drawn(stack.day.seed);
     let drawn = day.drawn_text().lines().map(str::to_string).collect();
     let charter = stack.layout.charter();
@@ -196,7 +204,7 @@
     }
     let story = Story::read(&capture);
     let verdict = judge(&story, &charter);
-    Ok(Ledger {
+    let ledger = Ledger {
         verdict,
         latency_ms: percentiles(&served_times(&story)),
         mishaps,
@@ -207,7 +215,8 @@
         loss: lost.map(|lost| lost.told(&story, &day.fleet)),
         tenants: tenants(&story, &day.fleet),
         drawn,
-    })
+    };
+    Ok((ledger, capture, charter))
 }
 
 impl Player<'_> {
