--- a/crates/cli/tests/fleet_days.rs
+++ b/crates/cli/tests/fleet_days.rs
@@ -80,8 +80,8 @@
     doctored
 }
 
-/// Workers load nothing by themselves here: rule 5 is judged by the orders of all front ends, and rule 4 by what a worker that
-/// comes back cold is sent. A capture in which one front end sent too much breaks each.
+/// Workers load nothing by themselves here: rule 5 is judged by the orders of all front ends, and rule 4 by what
+/// workers that come back cold are sent. A capture in which one front end sent too much breaks each.
 #[test]
 fn in_a_divided_fleet_loads_stay_in_their_ration_and_cold_workers_are_spared() {
     let _alone = alone();
@@ -105,7 +105,7 @@
         let verdict = judge(&Story::read(capture), &charter);
         verdict.rules.iter().find(|r| r.rule == rule).unwrap().kept
     };
-    // Twelve within ten seconds are free: all but a few of these are over any ration of a front end with its part of the calls.
+    // Twelve within ten seconds are free: most of these are over any ration of a front end with its part of the calls.
     let load = request(&capture, "/load", None, 0);
     assert!(!kept(&repeated(&capture, load, 150), 5), "rule 5 sees no load too many");
     let start = charter.starts.iter().find(|s| s.worker == "w1").unwrap();
--- a/crates/gateway/src/amqp/front/awaiting.rs
+++ b/crates/gateway/src/amqp/front/awaiting.rs
@@ -1,10 +1,11 @@
-//! Before the first list of workers nothing is consumed: a call that nobody can run waits better in its queue, where other
-//! front ends take it, than in a refusal.
+//! Before the first list of workers nothing is consumed: a call that nobody can run waits better in its
+//! queue, where other front ends take it, than in a refusal.
 
 use super::*;
 
 impl Front {
-    /// Consumes nothing before [`Front::listed`], or before this time where no list comes; before the first connection.
+    /// Consumes nothing before [`Front::listed`], or before this time where no list comes. Is called before
+    /// the first connection.
     pub fn await_list(&mut self, until: Micros) {
         self.list_by = Some(until);
     }
--- a/crates/gateway/src/amqp/message.rs
+++ b/crates/gateway/src/amqp/message.rs
@@ -5,8 +5,9 @@
 //! the broker's header `timestamp_in_ms`, else the publisher's `timestamp`, else by its place in the queue. Of a reply: the
 //! headers `outcome` (`served`, `refused`, `failed`), `reason`, and `retry-after-ms` with a refusal. Where there is a fleet, the
 //! header `generation` tells which use of a function's name a call is for, and what is retired is answered with
-//! `retired-generation`, `retired-at` (milliseconds since 1970), `retired-reason` and, where told, `successor`. In a divided fleet a
-//! refusal with `other-shard` has `shard` and `shard-generation`: those of the queue that the call belongs to.
+//! `retired-generation`, `retired-at` (milliseconds since 1970), `retired-reason` and, where told, `successor`. In a
+//! divided fleet a refusal with `other-shard` has `shard` and `shard-generation`: those of the queue that the
+//! call belongs to.
 
 use crate::fleet::Closed;
 use crate::state::Answer;
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -69,8 +69,8 @@
     names.iter().map(|n| (Key::of(n), if alike { 1.0 } else { calls(n) })).collect()
 }
 
-/// The homes and own shards of the divisions served, the newest last; of each own queue whether it is left; and the divisions'
-/// generations.
+/// The homes and own shards of the divisions served, the newest last; of each own queue whether it is left; and
+/// the divisions' generations.
 pub struct Places(Vec<(Homes, Vec<Shard>)>, Vec<bool>, Vec<u32>);
 
 impl Places {
@@ -96,8 +96,8 @@
         }
     }
 
-    /// Generation and shard that a call should have been sent to, by the division over whose queue it came: its caller sends by
-    /// that one. Where a change is under way the other may not be served by all yet, or any more.
+    /// Generation and shard that a call should have been sent to, by the division over whose queue it came: its
+    /// caller sends by that one. In a change the other may not be served by all yet, or any more.
     pub fn home(&self, queue: usize, function: &str, call: u64) -> Option<(u32, Shard)> {
         let left = self.1.get(queue).is_some_and(|left| *left);
         let at = if left { 0 } else { self.0.len().checked_sub(1)? };
--- a/crates/gateway/tests/first_list.rs
+++ b/crates/gateway/tests/first_list.rs
@@ -1,5 +1,5 @@
-//! Before the first list of workers nothing is consumed, for a told time at most: the front without sockets, each crossing
-//! forced.
+//! Before the first list of workers nothing is consumed, for a told time at most: the front without sockets, each
+//! crossing forced.
 
 mod common;
 mod world;
--- a/crates/gateway/tests/first_list_sockets.rs
+++ b/crates/gateway/tests/first_list_sockets.rs
@@ -1,20 +1,19 @@
-//! Before the first list of workers nothing is consumed, over sockets: a stand-in broker, a list that fails as the front end
-//! starts, and a worker that answers all it is asked.
+//! Before the first list of workers nothing is consumed, over sockets: a stand-in broker, a list that fails
+//! as the front end starts, and a worker that answers all it is asked.
 
-use bytes::Bytes;
-use stagehoist_amqp::{basic, header_text, long, queue, short, AMQPClass, BasicProperties, Client};
-use stagehoist_amqp::{ClientEvent, ClientOptions, FieldTable};
+mod caller;
+
+use caller::{Caller, LONG};
 use stagehoist_config::parse;
 use stagehoist_gateway::driver::FrontEndState;
 use stagehoist_gateway::{metrics_page, serve, Running};
 use stagehoist_standin::broker::{self, Broker, BrokerOptions, Faults, Handle};
 use stagehoist_standin::list::{Listed, Registry};
-use std::io::{ErrorKind, Read, Write};
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 use tokio::task::LocalSet;
 
-const LONG: Duration = Duration::from_secs(30);
 /// A call may wait for a list on a slow machine.
 const PATIENT: &str = "aim 20s give-up 60s";
 /// Where nobody can run it, a call is held no longer than this.
@@ -120,104 +119,6 @@
     }
 }
 
-struct Caller {
-    client: Client,
-    socket: TcpStream,
-    begin: Instant,
-    channel: u16,
-}
-
-impl Caller {
-    /// With the queue of calls and one for replies.
-    fn new(address: &str) -> Caller {
-        let socket = TcpStream::connect(address).unwrap();
-        socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
-        let client = Client::new(ClientOptions::default(), 0);
-        let mut caller = Caller { client, socket, begin: Instant::now(), channel: 0 };
-        caller.until(|e| matches!(e, ClientEvent::Open).then_some(()));
-        caller.channel = caller.client.open_channel().unwrap();
-        caller.declare("calls", false);
-        caller.declare("replies", false);
-        let consume = basic::Consume { no_ack: true, ..stagehoist_amqp::consume("replies", "r") };
-        caller.client.send(caller.channel, AMQPClass::Basic(basic::AMQPMethod::Consume(consume)));
-        caller
-    }
-
-    /// Carries bytes until an event is the wanted one.
-    fn until<T>(&mut self, wanted: impl Fn(ClientEvent) -> Option<T>) -> T {
-        let by = Instant::now() + LONG;
-        let mut bytes = [0; 4096];
-        loop {
-            let out = self.client.output().split();
-            self.socket.write_all(&out).unwrap();
-            let now = self.begin.elapsed().as_micros() as i64;
-            self.client.wrote(out.len(), now);
-            if let Ok(n) = self.socket.read(&mut bytes) {
-                self.client.receive(&bytes[..n], now);
-            }
-            while let Some(event) = self.client.event() {
-                if let Some(found) = wanted(event) {
-                    return found;
-                }
-            }
-            assert!(Instant::now() < by, "not heard in time");
-        }
-    }
-
-    /// Waits until the broker closes the connection.
-    fn ended(&mut self) {
-        let by = Instant::now() + LONG;
-        let mut bytes = [0; 4096];
-        loop {
-            match self.socket.read(&mut bytes) {
-                Ok(0) => return,
-                Err(e) if !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return,
-                _ => assert!(Instant::now() < by, "the broker did not restart"),
-            }
-        }
-    }
-
-    /// Messages ready in a queue, and its consumers.
-    fn declare(&mut self, name: &str, passive: bool) -> (u32, u32) {
-        let declare = queue::Declare { passive, ..stagehoist_amqp::declare(name) };
-        self.client.send(self.channel, AMQPClass::Queue(queue::AMQPMethod::Declare(declare)));
-        self.until(|e| match e {
-            ClientEvent::Method(_, AMQPClass::Queue(queue::AMQPMethod::DeclareOk(ok))) => {
-                Some((ok.message_count, ok.consumer_count))
-            }
-            _ => None,
-        })
-    }
-
-    fn call(&mut self) {
-        let mut headers = FieldTable::default();
-        headers.insert(short("function"), long("f"));
-        let properties = BasicProperties::default()
-            .with_headers(headers)
-            .with_correlation_id(short("a"))
-            .with_reply_to(short("replies"));
-        let publish = basic::Publish {
-            exchange: short(""),
-            routing_key: short("calls"),
-            mandatory: false,
-            immediate: false,
-        };
-        self.client.publish(self.channel, publish, &properties, &Bytes::from_static(b"{}"));
-    }
-
-    /// Outcome and reason of the next reply.
-    fn reply(&mut self) -> (String, String) {
-        self.until(|e| match e {
-            ClientEvent::Delivered(_, m) => {
-                let headers = m.properties.headers().clone().unwrap_or_default();
-                let text = |key| header_text(&headers, key).unwrap_or_default();
-                Some((text("outcome"), text("reason")))
-            }
-            _ => None,
-        })
-    }
-}
-
 /// The value of a front end's gauge on the page.
 fn shown(running: &Running, gauge: &str) -> Option<f64> {
     let address = running.metrics.unwrap();
@@ -229,7 +130,8 @@
     line.rsplit(' ').next()?.parse().ok()
 }
 
-/// The call is there before the list is: it is served by a worker of the first list, and not refused for want of one.
+/// The call is there before the list is: it is served by a worker of the first list, and not refused for
+/// want of one.
 #[test]
 fn a_call_that_came_before_the_first_list_is_served_by_it() {
     let mut w = World::new(PATIENT, "list-initial-wait 5m\nlisten metrics 127.0.0.1:0\n", true);
@@ -257,7 +159,7 @@
     w.running.join().unwrap();
 }
 
-/// That nobody is there is what an empty list says: calls are refused at once, long before the wait would end.
+/// That nobody is there is what an empty list says: calls are refused, long before the wait would end.
 #[test]
 fn an_empty_list_is_a_list() {
     let mut w = World::new(USUAL, "list-initial-wait 5m\n", false);
--- a/crates/gateway/tests/front_killed.rs
+++ b/crates/gateway/tests/front_killed.rs
@@ -1,12 +1,12 @@
-//! A process that is killed while a reply is on its way, cut at each byte, and the front end that is delivered the message next:
-//! what the caller gets of both.
+//! A process that is killed while a reply is on its way, cut at each byte, and the front end that is delivered the
+//! message next: what the caller gets of both.
 
 mod world;
 
 use world::{config, Front, World};
 
-/// The outcomes of a call whose front dies once so many bytes of its reply left (all where there are fewer), and how many
-/// bytes there were.
+/// The outcomes of a call whose front dies once so many bytes of its reply left (all where there are fewer), and
+/// how many bytes there were.
 fn killed_after(bytes: usize, more: &str) -> (Vec<String>, usize) {
     let mut w = World::new(more);
     w.publish("a", "recurring", |p| p);
@@ -36,8 +36,8 @@
     }
 }
 
-/// What `replies confirm` can't promise: the broker passed the reply on and has no acknowledgement yet, so that the message
-/// comes to another front end, which does not know of the reply. Nothing runs twice.
+/// What `replies confirm` can't promise: the broker passed the reply on and has no acknowledgement yet, so that the
+/// message comes to another front end, which does not know of the reply. Nothing runs twice.
 #[test]
 fn with_confirms_a_process_that_is_killed_before_its_acknowledgement_leaves_a_second_answer() {
     let (_, length) = killed_after(0, "");
--- a/crates/gateway/tests/shards_home.rs
+++ b/crates/gateway/tests/shards_home.rs
@@ -70,8 +70,8 @@
     assert_eq!(told(&w.caller.headers[0]), (Some(generation.into()), Some(shard.into())));
 }
 
-/// In a change the caller's own division counts, as the other may not be consumed by all yet, or any more; over the whole fleet
-/// somebody consumes the queue that is told.
+/// In a change the caller's own division counts, as the other may not be consumed by all yet, or any more; over the
+/// whole fleet somebody consumes the queue that is told.
 #[test]
 fn in_a_change_the_home_is_that_of_the_division_that_the_call_was_sent_by() {
     for (stage, generations) in [("announced", vec![3]), ("both", vec![3, 4]), ("closing", vec![4])] {
