--- a/crates/gateway/src/amqp/front/mod.rs
+++ b/crates/gateway/src/amqp/front/mod.rs
@@ -3,25 +3,28 @@
 //! calls at work go on, and their messages are answered from memory when they are delivered again.
 
 mod asking;
+mod awaiting;
 mod consuming;
 mod counters;
 mod deliveries;
+mod ending;
 mod queues;
 mod replies;
 
 pub use asking::Question;
 pub use counters::FrontCounters;
 
-use super::message::{reply, stamp, Reader, Unusable};
+use super::message::{reply, stamp, with_home, Reader, Unusable};
 use crate::shards::Places;
 use crate::state::{Answer, Arrival, CallFigures, Ticket};
 use queues::Queue;
 use stagehoist::{Effect, Micros};
 use stagehoist_admission::{Advice, Age, Bounds, Held, Intake, Window};
 use stagehoist_amqp::{basic, channel, confirm, queue, short, tx};
-use stagehoist_amqp::{AMQPClass, Acks, Client, ClientEvent, ClientOptions, Message};
+use stagehoist_amqp::{AMQPClass, Acks, BasicProperties, Client, ClientEvent, ClientOptions, Message};
 use stagehoist_config::{Broker, Config, Consume};
 use stagehoist_recovery::{Backoff, Key, Memory, Sent, Verdict};
+use stagehoist_sharding::Shard;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -45,6 +48,8 @@
     nacks: u32,
     /// Its room among the held calls.
     held: Option<Held>,
+    /// Generation and shard that it should have been sent to, where it is refused for that.
+    home: Option<(u32, Shard)>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +59,8 @@
     Opening,
     /// The channel is to be opened (again) at this time.
     Waiting(Micros),
+    /// The channel stands; consumes once the first list of workers came.
+    Awaiting,
     Setup,
     Ready,
 }
@@ -85,6 +92,8 @@
     next_ticket: Ticket,
     arrivals: Vec<Arrival>,
     draining: bool,
+    /// Until when the first list of workers is awaited; None: no more, or not at all.
+    list_by: Option<Micros>,
     /// Queues whose consumer was told to stop and has not said so, as often as it was told: deliveries of it may be on
     /// their way.
     stopping: Vec<usize>,
@@ -138,6 +147,7 @@
             next_ticket: 1,
             arrivals: Vec::new(),
             draining: false,
+            list_by: None,
             stopping: Vec::new(),
             places,
             counters: FrontCounters::default(),
@@ -206,7 +216,7 @@
         let look = self.phase == Phase::Ready && self.consumed().iter().any(unsure);
         let look = look.then_some(self.asked_depth + LOOK);
         let asking = self.asking.as_ref().and_then(asking::Asking::due);
-        [client, waiting, again, confirm, look, asking].into_iter().flatten().min()
+        [client, waiting, again, confirm, look, asking, self.list_due()].into_iter().flatten().min()
     }
 
     /// The connection is gone.
@@ -219,32 +229,4 @@
         self.client = None;
         self.phase = Phase::Apart;
     }
-
-    /// Take no more messages; what was delivered is answered.
-    pub fn drain(&mut self) {
-        if std::mem::replace(&mut self.draining, true) {
-            return;
-        }
-        if !matches!(self.phase, Phase::Setup | Phase::Ready) {
-            return;
-        }
-        self.consumed().into_iter().for_each(|index| self.cancel(index));
-    }
-
-    /// Whether all that was delivered is answered and acknowledged, and nothing more is on its way, after
-    /// [`Front::drain`].
-    ///
-    /// What is still under way when the connection ends comes to others as delivered before, and fails there if it
-    /// may not simply be repeated.
-    pub fn is_drained(&self) -> bool {
-        self.draining && self.stopping.is_empty() && self.unsettled() == 0
-    }
-
-    /// Ends the connection in order.
-    pub fn close(&mut self, now: Micros) {
-        self.flush(now);
-        if let Some(client) = self.client.as_mut() {
-            client.close(200, "drained");
-        }
-    }
 }
--- a/crates/gateway/src/amqp/front/queues.rs
+++ b/crates/gateway/src/amqp/front/queues.rs
@@ -2,7 +2,7 @@
 //! place, so that what comes late over a cancelled consumer is known by its tag; there are no more than divisions have shards.
 
 use super::*;
-use crate::shards::{queue, Owned};
+use crate::shards::{queue, Arrives, Owned};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Hold {
@@ -17,6 +17,8 @@
 pub(super) struct Queue {
     pub from: Consume,
     pub hold: Hold,
+    /// The place of its division among those served.
+    pub division: usize,
 }
 
 /// Queues at the start: as they are told, or none before the first list of front ends.
@@ -24,7 +26,8 @@
     if config.front_ends_list.is_some() {
         return Vec::new();
     }
-    config.consume.iter().map(|from| Queue { from: from.clone(), hold: Hold::Consumed }).collect()
+    let queue = |from: &Consume| Queue { from: from.clone(), hold: Hold::Consumed, division: 0 };
+    config.consume.iter().map(queue).collect()
 }
 
 impl Front {
@@ -36,36 +39,36 @@
 
     /// Own shards changed: queues are consumed anew, or cancelled.
     pub fn owns(&mut self, owned: &[Owned], now: Micros) {
-        // By queue: how it is held, and whether its calls are ones that leave.
-        let mut held: BTreeMap<String, (Hold, bool, Consume)> = BTreeMap::new();
-        let newest = owned.last().map(|o| o.generation);
-        for division in owned {
-            let old = Some(division.generation) != newest;
+        // By queue: how it is held, its division, and whether its calls are ones that leave.
+        let mut held: BTreeMap<String, (Hold, Arrives, Consume)> = BTreeMap::new();
+        for (at, division) in owned.iter().enumerate() {
+            let old = at + 1 < owned.len();
             let own = division.own.iter().map(|s| (s, Hold::Consumed, old));
             let leaving = division.leaving.iter().map(|s| (s, Hold::Consumed, true));
             let kept = division.kept.iter().map(|s| (s, Hold::Kept, true));
             for (shard, hold, left) in own.chain(leaving).chain(kept) {
                 for from in &self.config.consume {
                     let name = queue(&from.queue, division.generation, *shard);
-                    held.insert(name.clone(), (hold, left, Consume { queue: name, ..from.clone() }));
+                    held.insert(name.clone(), (hold, (at, left), Consume { queue: name, ..from.clone() }));
                 }
             }
         }
-        let mut left = Vec::new();
+        let mut arrives = Vec::new();
         for index in 0..self.queues.len() {
             let found = held.remove(&self.queues[index].from.queue);
-            let (hold, leaves) = found.map_or((Hold::LetGo, true), |h| (h.0, h.1));
-            left.push(leaves);
+            let division = self.queues[index].division;
+            let (hold, told) = found.map_or((Hold::LetGo, (division, true)), |h| (h.0, h.1));
+            arrives.push(told);
             self.hold(index, hold, now);
         }
-        for (hold, leaves, from) in held.into_values() {
-            self.queues.push(Queue { from, hold: Hold::LetGo });
+        for (hold, told, from) in held.into_values() {
+            self.queues.push(Queue { from, hold: Hold::LetGo, division: told.0 });
             self.ages.push(Age::default());
-            left.push(leaves);
+            arrives.push(told);
             self.hold(self.queues.len() - 1, hold, now);
         }
         if let Some(places) = self.places.as_mut() {
-            places.owns(owned, left);
+            places.owns(owned, arrives);
         }
         self.look_whether_ready();
     }
--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -1,6 +1,7 @@
 //! The socket of a front: brokers tried in turn, with seeded pauses between attempts.
 
 use super::asks::{Asks, Marking};
+use super::told::publish_state;
 pub use super::told::{LinkState, ToLink};
 use super::Front;
 use crate::clock::{Alarm, Clock};
@@ -34,6 +35,10 @@
     state: watch::Sender<LinkState>,
 ) {
     let mut front = Front::new(config.clone(), seed, clock.now());
+    // Where the module asks for the list itself it does so for calls alone, which would never come.
+    if config.list_initial_wait > 0 && !config.list_subscribe {
+        front.await_list(clock.now() + config.list_initial_wait);
+    }
     let mut asks = Asks::new(marking, &mut front);
     let mut turn = 0usize;
     let mut draining = false;
@@ -95,15 +100,6 @@
     }
 }
 
-fn publish_state(front: &Front, state: &watch::Sender<LinkState>, drained: bool) {
-    state.send_replace(LinkState {
-        ready: front.is_ready(),
-        drained,
-        at_work: front.at_work(),
-        counters: front.counters,
-    });
-}
-
 enum Ended {
     Over,
     Lost(String),
