Look at a port without listening on it, as processes started beside keep a copy

Cause: in a whole run of the tests `reports_that_change_all_the_time_cost_many_times_as_many_messages` ended with a broken pipe; its replica said "can't listen on 127.0.0.1:28493: Address already in use". `port()` of scale/record/cluster.rs looked whether a port is free by listening on it for an instant. A process that another thread starts in that instant has a copy of the socket until its program begins, and the port stays in use. Ruled out: outgoing connections (they take ports from 32,768 on), two looks at one port (each number is given once).

Change: the look binds with SO_REUSEADDR and does not listen, so that a copy stands in nobody's way.

--- a/crates/scale/src/record/cluster.rs
+++ b/crates/scale/src/record/cluster.rs
@@ -6,8 +6,9 @@
 use super::relay::{Passed, Relays};
 use super::replica::{self, State};
 use super::{members, Settings};
+use socket2::{Domain, Socket, Type};
 use std::collections::BTreeMap;
-use std::net::TcpListener;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -62,6 +63,17 @@
     pub joined: usize,
 }
 
+/// Whether a port of this host may be listened on. The look does not listen itself: a process that is started
+/// beside it has a copy of the socket until its program begins, and would keep the port in use over the look.
+pub fn is_free(port: u16) -> bool {
+    let bound = || {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], port)).into())
+    };
+    bound().is_ok()
+}
+
 /// A port that nobody listens on; no two of one process.
 fn port() -> Outcome<u16> {
     static NEXT: AtomicU16 = AtomicU16::new(0);
@@ -71,7 +83,7 @@
         if port >= PORTS.end {
             return Err(Fault::Ports);
         }
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+        if is_free(port) {
             return Ok(port);
         }
     }
