--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -7,8 +7,9 @@
 use stagehoist_standin::platform::{judge, Answered, Asked, Client, EventBus, Executor, Told, What};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 pub const LOOK: u64 = 1500;
@@ -33,6 +34,8 @@
     pub listen: SocketAddr,
     pub asked: Vec<Asked>,
     pub told: Told,
+    /// Lines of the command's log since it started.
+    pub log: Arc<Mutex<Vec<String>>>,
 }
 
 pub fn config(executors: &[Executor], bus: SocketAddr, sockets: u64) -> serde_json::Value {
@@ -61,6 +64,29 @@
                 "loads_within": 10000.0}}})
 }
 
+/// Starts the command: its process, where it listens, and its log from then on.
+pub fn command(config: &Path) -> (Child, SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_stagehoist"))
+        .args(["--log", "info", "platform"])
+        .env("GW_CONFIG", config)
+        .env_remove("GW_LISTEN")
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let listen = loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).unwrap() > 0, "ended before it started");
+        if let Some(at) = line.find("listen=") {
+            break line[at + 7..].split(' ').next().unwrap().parse().unwrap();
+        }
+    };
+    let lines = Arc::new(Mutex::new(Vec::new()));
+    let said = lines.clone();
+    std::thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| said.lock().unwrap().push(l)));
+    (child, listen, lines)
+}
+
 /// Every class told so.
 pub fn config_classes(told: &mut serde_json::Value, field: &str, value: u64) {
     for class in told["settings"]["classes"].as_array_mut().unwrap() {
@@ -87,25 +113,11 @@
         let mut told = config(&all, bus.address, sockets);
         edit(&mut told);
         std::fs::write(&path, told.to_string()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_stagehoist"))
-            .args(["--log", "info", "platform"])
-            .env("GW_CONFIG", &path)
-            .env_remove("GW_LISTEN")
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap());
-        let listen = loop {
-            let mut line = String::new();
-            assert!(log.read_line(&mut line).unwrap() > 0, "ended before it started");
-            if let Some(at) = line.find("listen=") {
-                break line[at + 7..].split(' ').next().unwrap().parse().unwrap();
-            }
-        };
-        std::thread::spawn(move || log.lines().for_each(drop));
+        let (child, listen, log) = command(&path);
         let told = Told { grace: ms(250), ration: (6.0, 0.1, ms(10_000)), ..Told::default() };
         let asked = Vec::new();
-        let stage = Stage { _folder: folder, config: path, executors: all, bus, child, listen, asked, told };
+        let stage =
+            Stage { _folder: folder, config: path, executors: all, bus, child, listen, asked, told, log };
         let mut client = stage.client().await;
         client.raw(&array(&[b"HEALTH", b"8", b""])).await.unwrap();
         assert_eq!(client.wait(1, ms(5000)).await[0].word, "serving");
@@ -147,6 +159,11 @@
         kill_process(Pid::from_raw(self.child.id() as i32).unwrap(), signal).unwrap();
     }
 
+    /// How many lines of its log have all of these words.
+    pub fn logged(&self, words: &[&str]) -> usize {
+        self.log.lock().unwrap().iter().filter(|line| words.iter().all(|w| line.contains(w))).count()
+    }
+
     pub fn verdict(&self, answers: &[Answered]) {
         let seen: Vec<_> = self.executors.iter().map(|e| (e.id, e.seen())).collect();
         let broken = judge(&self.asked, answers, &seen, &self.told);
--- a/crates/config/src/grammar.rs
+++ b/crates/config/src/grammar.rs
@@ -1,6 +1,7 @@
 //! The directives: their arguments by place and by key, with kinds and ranges.
 
 use crate::fleet_grammar::FLEET;
+use crate::front_ends_list::FRONT_ENDS_LIST;
 use crate::sharding::SHARDING;
 use crate::value::Kind;
 use stagehoist_sharding::MEMBERS_MOST;
@@ -153,6 +154,7 @@
     one("workers-most", &[must("count", Kind::Count(1, MEMBERS_MOST as u64))]),
     one("list-subscribe", YES),
     one("list-ask-within", ANY_DURATION),
+    one("list-initial-wait", ANY_DURATION),
     Directive {
         name: "worker-kind",
         places: &[must("name", Kind::Text)],
@@ -237,5 +239,5 @@
 
 /// All directives.
 pub fn directives() -> impl Iterator<Item = &'static Directive> {
-    DIRECTIVES.iter().chain(FLEET).chain(SHARDING)
+    DIRECTIVES.iter().chain(FLEET).chain(SHARDING).chain(FRONT_ENDS_LIST)
 }
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -1,6 +1,7 @@
 //! What a configuration says, as values.
 
 use crate::fleet::Fleet;
+use crate::front_ends_list::FrontEndsList;
 use crate::marks::Marks;
 use crate::sharding::Sharding;
 use stagehoist::{Effect, OnMiss, ReportVia, RetryBudget};
@@ -140,6 +141,8 @@
     pub workers_most: usize,
     pub list_subscribe: bool,
     pub list_ask_within: i64,
+    /// How long the first list is waited for before anything is consumed.
+    pub list_initial_wait: i64,
     pub kinds: Vec<Kind>,
     pub zones: Vec<String>,
     pub zone: Option<String>,
@@ -176,6 +179,8 @@
     pub marks: Option<Marks>,
     /// None: the fleet isn't divided.
     pub sharding: Option<Sharding>,
+    /// None: front ends own shards by their numbers.
+    pub front_ends_list: Option<FrontEndsList>,
     /// None: front ends share nothing.
     pub fleet: Option<Fleet>,
 }
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -111,6 +111,7 @@
         line(format!("workers-most {}", self.workers_most));
         line(format!("list-subscribe {}", yes(self.list_subscribe)));
         line(format!("list-ask-within {}", d(self.list_ask_within)));
+        line(format!("list-initial-wait {}", d(self.list_initial_wait)));
         for k in &self.kinds {
             line(format!("worker-kind {} memory {}", word(&k.name), show_size(k.memory)));
         }
@@ -164,6 +165,9 @@
         if let Some(sharding) = &self.sharding {
             sharding.lines(&self.zones).into_iter().for_each(&mut line);
         }
+        if let Some(list) = &self.front_ends_list {
+            line(list.line());
+        }
         if let Some(fleet) = &self.fleet {
             fleet.lines().into_iter().for_each(line);
         }
--- a/crates/gateway/src/amqp/front/mod.rs
+++ b/crates/gateway/src/amqp/front/mod.rs
@@ -3,23 +3,28 @@
 //! calls at work go on, and their messages are answered from memory when they are delivered again.
 
 mod asking;
+mod awaiting;
 mod consuming;
 mod counters;
 mod deliveries;
+mod ending;
+mod queues;
 mod replies;
 
 pub use asking::Question;
 pub use counters::FrontCounters;
 
-use super::message::{reply, stamp, Reader, Unusable};
+use super::message::{reply, stamp, with_home, Reader, Unusable};
 use crate::shards::Places;
 use crate::state::{Answer, Arrival, CallFigures, Ticket};
+use queues::Queue;
 use stagehoist::{Effect, Micros};
 use stagehoist_admission::{Advice, Age, Bounds, Held, Intake, Window};
 use stagehoist_amqp::{basic, channel, confirm, queue, short, tx};
-use stagehoist_amqp::{AMQPClass, Acks, Client, ClientEvent, ClientOptions, Message};
-use stagehoist_config::{Broker, Config};
+use stagehoist_amqp::{AMQPClass, Acks, BasicProperties, Client, ClientEvent, ClientOptions, Message};
+use stagehoist_config::{Broker, Config, Consume};
 use stagehoist_recovery::{Backoff, Key, Memory, Sent, Verdict};
+use stagehoist_sharding::Shard;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -43,6 +48,8 @@
     nacks: u32,
     /// Its room among the held calls.
     held: Option<Held>,
+    /// Generation and shard that it should have been sent to, where it is refused for that.
+    home: Option<(u32, Shard)>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,6 +59,8 @@
     Opening,
     /// The channel is to be opened (again) at this time.
     Waiting(Micros),
+    /// The channel stands; consumes once the first list of workers came.
+    Awaiting,
     Setup,
     Ready,
 }
@@ -68,7 +77,11 @@
     phase: Phase,
     channel: u16,
     generation: u64,
-    consuming: usize,
+    /// Its channel stands.
+    is_open: bool,
+    queues: Vec<Queue>,
+    /// Queues whose consumer the broker has said to stand.
+    standing: BTreeSet<usize>,
     /// Queues whose consumer the broker cancelled, and when to consume again.
     again: BTreeMap<usize, Micros>,
     deliveries: HashMap<Ticket, Delivery>,
@@ -79,8 +92,11 @@
     next_ticket: Ticket,
     arrivals: Vec<Arrival>,
     draining: bool,
-    /// Queues whose consumer was told to stop and has not said so: deliveries of it may be on their way.
-    stopping: BTreeSet<usize>,
+    /// Until when the first list of workers is awaited; None: no more, or not at all.
+    list_by: Option<Micros>,
+    /// Queues whose consumer was told to stop and has not said so, as often as it was told: deliveries of it may be on
+    /// their way.
+    stopping: Vec<usize>,
     /// Deliveries of the present channel; their acknowledgements go out together, with the next replies.
     acks: Acks,
     /// Of the present channel, where a queue is consumed without a told prefetch.
@@ -101,12 +117,13 @@
     pub fn new(config: Rc<Config>, seed: u64, now: Micros) -> Front {
         let (most, keep) = config.answer_memory;
         let places = Places::new(&config);
+        let queues = queues::at_start(&config);
         let bounds = Bounds { calls: config.held_most, bytes: config.held_bytes_most };
         Front {
             reader: Reader::new(config.clone()),
             acks: Acks::default(),
             window: None,
-            ages: vec![Age::default(); config.consume.len()],
+            ages: vec![Age::default(); queues.len()],
             asked_depth: 0,
             blind_from: 0,
             intake: Intake::new(bounds),
@@ -119,7 +136,9 @@
             phase: Phase::Apart,
             channel: 0,
             generation: 0,
-            consuming: 0,
+            is_open: false,
+            queues,
+            standing: BTreeSet::new(),
             again: BTreeMap::new(),
             deliveries: HashMap::new(),
             replies: BTreeMap::new(),
@@ -128,7 +147,8 @@
             next_ticket: 1,
             arrivals: Vec::new(),
             draining: false,
-            stopping: BTreeSet::new(),
+            list_by: None,
+            stopping: Vec::new(),
             places,
             counters: FrontCounters::default(),
         }
@@ -192,10 +212,11 @@
         };
         let again = self.again.values().min().copied();
         let confirm = self.confirm_due();
-        let look = self.ages.iter().any(|a| a.is_unsure(self.asked_depth + LOOK, LOOK));
-        let look = (look && self.phase == Phase::Ready).then_some(self.asked_depth + LOOK);
+        let unsure = |i: &usize| self.ages[*i].is_unsure(self.asked_depth + LOOK, LOOK);
+        let look = self.phase == Phase::Ready && self.consumed().iter().any(unsure);
+        let look = look.then_some(self.asked_depth + LOOK);
         let asking = self.asking.as_ref().and_then(asking::Asking::due);
-        [client, waiting, again, confirm, look, asking].into_iter().flatten().min()
+        [client, waiting, again, confirm, look, asking, self.list_due()].into_iter().flatten().min()
     }
 
     /// The connection is gone.
@@ -208,36 +229,4 @@
         self.client = None;
         self.phase = Phase::Apart;
     }
-
-    /// Take no more messages; what was delivered is answered.
-    pub fn drain(&mut self) {
-        if std::mem::replace(&mut self.draining, true) {
-            return;
-        }
-        if !matches!(self.phase, Phase::Setup | Phase::Ready) {
-            return;
-        }
-        for index in 0..self.config.consume.len() {
-            let cancel = basic::Cancel { consumer_tag: short(&self.tag(index)), nowait: false };
-            self.basic(basic::AMQPMethod::Cancel(cancel));
-            self.stopping.insert(index);
-        }
-    }
-
-    /// Whether all that was delivered is answered and acknowledged, and nothing more is on its way, after
-    /// [`Front::drain`].
-    ///
-    /// What is still under way when the connection ends comes to others as delivered before, and fails there if it
-    /// may not simply be repeated.
-    pub fn is_drained(&self) -> bool {
-        self.draining && self.stopping.is_empty() && self.unsettled() == 0
-    }
-
-    /// Ends the connection in order.
-    pub fn close(&mut self, now: Micros) {
-        self.flush(now);
-        if let Some(client) = self.client.as_mut() {
-            client.close(200, "drained");
-        }
-    }
 }
--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -1,6 +1,7 @@
 //! The socket of a front: brokers tried in turn, with seeded pauses between attempts.
 
 use super::asks::{Asks, Marking};
+use super::told::publish_state;
 pub use super::told::{LinkState, ToLink};
 use super::Front;
 use crate::clock::{Alarm, Clock};
@@ -34,6 +35,10 @@
     state: watch::Sender<LinkState>,
 ) {
     let mut front = Front::new(config.clone(), seed, clock.now());
+    // Where the module asks for the list itself it does so for calls alone, which would never come.
+    if config.list_initial_wait > 0 && !config.list_subscribe {
+        front.await_list(clock.now() + config.list_initial_wait);
+    }
     let mut asks = Asks::new(marking, &mut front);
     let mut turn = 0usize;
     let mut draining = false;
@@ -51,8 +56,7 @@
                 done = &mut connecting => break done.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())),
                 said = from_driver.recv() => match said {
                     None => return,
-                    Some(ToLink::Answer(ticket, answer)) => front.answer(ticket, answer, clock.now()),
-                    Some(ToLink::Drain) => draining = true,
+                    Some(said) => draining |= said.take(&mut front, clock.now()),
                 },
             }
         };
@@ -89,23 +93,13 @@
                 came = asks.next(), if asks.are_on() => asks.take(came, &mut front, clock),
                 said = from_driver.recv() => match said {
                     None => return,
-                    Some(ToLink::Answer(ticket, answer)) => front.answer(ticket, answer, clock.now()),
-                    Some(ToLink::Drain) => draining = true,
+                    Some(said) => draining |= said.take(&mut front, clock.now()),
                 },
             }
         }
     }
 }
 
-fn publish_state(front: &Front, state: &watch::Sender<LinkState>, drained: bool) {
-    state.send_replace(LinkState {
-        ready: front.is_ready(),
-        drained,
-        at_work: front.at_work(),
-        counters: front.counters,
-    });
-}
-
 enum Ended {
     Over,
     Lost(String),
@@ -193,12 +187,9 @@
                     // All that is there, so that replies of one batch go out in one write.
                     let mut next = Some(first);
                     while let Some(said) = next {
-                        match said {
-                            ToLink::Answer(ticket, answer) => front.answer(ticket, answer, clock.now()),
-                            ToLink::Drain => {
-                                *draining = true;
-                                front.drain();
-                            }
+                        if said.take(front, clock.now()) {
+                            *draining = true;
+                            front.drain();
                         }
                         next = from_driver.try_recv().ok();
                     }
--- a/crates/gateway/src/amqp/told.rs
+++ b/crates/gateway/src/amqp/told.rs
@@ -1,21 +1,54 @@
 //! What driver and link tell each other.
 
-use super::FrontCounters;
+use super::{Front, FrontCounters};
+use crate::shards::Owned;
 use crate::state::{Answer, Ticket};
+use stagehoist::Micros;
+use std::rc::Rc;
+use tokio::sync::watch;
 
 /// What the driver says to its link.
 #[derive(Debug)]
 pub enum ToLink {
     Answer(Ticket, Answer),
+    /// The first list of workers came.
+    Listed,
+    /// Own shards changed.
+    Own(Rc<[Owned]>),
     /// Take no more messages.
     Drain,
 }
 
+impl ToLink {
+    /// Tells the front; gives whether it is to drain.
+    pub(super) fn take(self, front: &mut Front, now: Micros) -> bool {
+        match self {
+            ToLink::Answer(ticket, answer) => front.answer(ticket, answer, now),
+            ToLink::Listed => front.listed(now),
+            ToLink::Own(owned) => front.owns(&owned, now),
+            ToLink::Drain => return true,
+        }
+        false
+    }
+}
+
 /// What a link shows of itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LinkState {
     pub ready: bool,
+    /// All stands, but nothing is consumed before the first list of workers.
+    pub awaits_list: bool,
     pub drained: bool,
     pub at_work: usize,
     pub counters: FrontCounters,
 }
+
+pub(super) fn publish_state(front: &Front, state: &watch::Sender<LinkState>, drained: bool) {
+    state.send_replace(LinkState {
+        ready: front.is_ready(),
+        awaits_list: front.awaits_list(),
+        drained,
+        at_work: front.at_work(),
+        counters: front.counters,
+    });
+}
--- a/crates/gateway/src/metrics_page.rs
+++ b/crates/gateway/src/metrics_page.rs
@@ -101,6 +101,7 @@
             ("stagehoist_unloads_ordered_total", c.unloads),
             ("stagehoist_probes_total", c.probes),
             ("stagehoist_batches_total", c.batches),
+            ("stagehoist_worker_lists_total", c.lists),
             ("stagehoist_module_microseconds_total", c.module_ns / 1000),
             ("stagehoist_amqp_delivered_total", f.delivered),
             ("stagehoist_amqp_redelivered_total", f.redelivered),
@@ -124,6 +125,7 @@
             ("stagehoist_attempts_out", core.out() as f64),
             ("stagehoist_workers_ready", core.ready_workers() as f64),
             ("stagehoist_amqp_consuming", f64::from(u8::from(link.ready))),
+            ("stagehoist_amqp_awaits_list", f64::from(u8::from(link.awaits_list))),
         ] {
             gauge!(name, "front_end" => self.label.clone()).set(value);
         }
@@ -135,6 +137,15 @@
                 .absolute(f.leaving_shard);
             counter!("stagehoist_shard_calls_other_total", "front_end" => label()).absolute(f.other_shard);
         }
+        if let Some((others, changes)) = core.listed_front_ends() {
+            let label = || self.label.clone();
+            gauge!("stagehoist_shard_front_ends", "front_end" => label()).set(others as f64 + 1.0);
+            counter!("stagehoist_shard_changes_total", "front_end" => label()).absolute(changes);
+            counter!("stagehoist_shard_list_failures_total", "front_end" => label())
+                .absolute(c.front_ends_failed);
+            counter!("stagehoist_shard_calls_given_back_total", "front_end" => label())
+                .absolute(f.given_back);
+        }
         if let Some(stage) = core.recovery_stage() {
             gauge!("stagehoist_recovery_stage", "front_end" => self.label.clone()).set(stage as u8 as f64);
         }
--- a/crates/gateway/src/state/core/calls.rs
+++ b/crates/gateway/src/state/core/calls.rs
@@ -101,7 +101,7 @@
         }
         let lane = if let Entry::Go(lane) = entry { Some(lane) } else { None };
         self.by_ticket.insert(ticket, id);
-        let (attempts, last, answered, ran) = (Vec::new(), None, false, false);
+        let (attempts, last, answered, ran_since) = (Vec::new(), None, false, None);
         let call = Call {
             ticket,
             arrival,
@@ -111,7 +111,7 @@
             attempts,
             last,
             answered,
-            ran,
+            ran_since,
             lane,
             span,
         };
@@ -181,8 +181,9 @@
             );
         });
         call.last = Some(outcome);
-        call.ran |=
-            !matches!(outcome, Outcome::ConnectFailed | Outcome::Miss | Outcome::Full | Outcome::Moot);
+        if !matches!(outcome, Outcome::ConnectFailed | Outcome::Miss | Outcome::Full | Outcome::Moot) {
+            call.ran_since = Some(call.ran_since.unwrap_or(flight.sent).min(flight.sent));
+        }
         let (ticket, taken, function) = (call.ticket, call.taken, call.arrival.function.clone());
         let mut concluded = call.answered;
         if !concluded && self.part.is_some() && self.ends_closed(request, outcome, now) {
@@ -217,41 +218,4 @@
         self.announce(now, flight.worker, result.draining);
         self.events.push(Event::Ended(ended));
     }
-
-    /// Why a call is turned away or failed, as far as it shows from outside the module; for people, not for choices.
-    pub(super) fn reason(&self, request: RequestId, now: Micros) -> &'static str {
-        let Some(call) = self.calls.get(&request) else { return "over" };
-        if call.attempts.iter().any(Option::is_some) {
-            return "no-answer-in-time";
-        }
-        match call.last {
-            Some(Outcome::Error) => "worker-error",
-            Some(Outcome::Reset) => "connection-broke",
-            Some(Outcome::Timeout | Outcome::Cancelled) => "no-answer-in-time",
-            Some(Outcome::Full) => "workers-full",
-            Some(Outcome::ConnectFailed) => "workers-unreachable",
-            Some(Outcome::Miss) => "not-loaded-in-time",
-            _ if self.members.ready() == 0 => "no-workers",
-            _ if now >= call.deadline - (call.deadline - call.taken) / 4 => "held-until-too-late",
-            _ => "can-not-finish-in-time",
-        }
-    }
-
-    pub(super) fn answer(&mut self, request: RequestId, answer: Answer, now: Micros, out: &mut Vec<Command>) {
-        let Some(call) = self.calls.get(&request) else { return };
-        if call.answered {
-            return;
-        }
-        let (word, reason) = (answer.outcome(), answer.reason());
-        match answer {
-            Answer::Failed { .. } | Answer::Retired(_) => self.counters.failed += 1,
-            _ => self.counters.refused += 1,
-        }
-        call.span.in_scope(|| {
-            tracing::debug!(outcome = word, reason, took_us = now - call.taken, "answered");
-        });
-        out.push(Command::Answer { ticket: call.ticket, answer, took: now - call.taken });
-        self.note_end(request, now, false);
-        self.close_call(request);
-    }
 }
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -12,7 +12,7 @@
 use crate::line::End;
 use links::{Link, State};
 use stagehoist::{Lifecycle, Micros, RequestId, RosterForm, WorkerId};
-use stagehoist_gateway::state::News;
+use stagehoist_gateway::state::{News, Ticket};
 use stagehoist_membership::Told;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -44,18 +44,34 @@
     pub not_up: u64,
     pub broken: u64,
     pub poisoned: u64,
+    /// Attempts that were not begun as their client could not be heard.
+    pub unheard: u64,
+    /// Attempts that were not begun as it was too late for them.
+    pub too_late: u64,
 }
 
 /// Those whose requests are sent on.
 pub trait Callers {
-    /// Whether the client of the request with this id cancelled it or is gone, by all that has reached this
-    /// process.
-    fn is_cancelled(&self, id: u64) -> bool;
+    /// Whether the client of this call still waits for it, by all that has reached this process.
+    fn ask(&self, ticket: Ticket) -> Caller;
+}
+
+/// What is known of a call's client in the instant before an attempt begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Caller {
+    /// Its socket was read to its end, and it waits.
+    Waits,
+    /// It cancelled the call or is gone.
+    Left,
+    /// Its socket was not read to its end: what it cancelled may lie there, so nothing begins for it.
+    Unheard,
 }
 
 struct Flying {
     link: Rc<Link>,
     id: (u64, Rc<str>),
+    ticket: Ticket,
+    begin_by: Micros,
 }
 
 /// All executors of a front end.
--- a/crates/platform/src/executors/orders.rs
+++ b/crates/platform/src/executors/orders.rs
@@ -45,7 +45,12 @@
         if !queued {
             return Err(Outcome::ConnectFailed);
         }
-        let flying = Flying { link: link.clone(), id: (id, attempt.correlation) };
+        let flying = Flying {
+            link: link.clone(),
+            id: (id, attempt.correlation),
+            ticket: attempt.ticket,
+            begin_by: attempt.begin_by,
+        };
         self.flying.borrow_mut().insert((attempt.request, attempt.attempt), flying);
         self.mark(link);
         Ok(())
@@ -95,6 +100,8 @@
             Some(link) => {
                 let what = What::Load { worker, function, sent };
                 link.line.borrow_mut().hold(name, copies, what, sent);
+                // Its task sets an alarm for when this counts as lost.
+                link.wake.notify_one();
                 self.mark(link);
             }
             None => {
--- a/crates/platform/tests/crossings/stage.rs
+++ b/crates/platform/tests/crossings/stage.rs
@@ -11,6 +11,8 @@
 use stagehoist_platform::clients::{Clients, Shared};
 use stagehoist_platform::executors::{Executors, Limits};
 use stagehoist_platform::session::Catalog;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -26,6 +28,10 @@
     pub listen: SocketAddr,
     pub shared: Rc<Shared>,
     pub news: mpsc::Receiver<News>,
+    /// Tickets of requests that clients asked for, by number.
+    pub tickets: RefCell<HashMap<u32, Ticket>>,
+    /// When attempts must have begun.
+    pub begin_by: Cell<Micros>,
 }
 
 /// Runs a test on the front end's one thread.
@@ -38,13 +44,18 @@
 impl Stage {
     /// With so many connections at most, and room for so much news.
     pub fn new(links: usize, line: usize) -> Stage {
+        Stage::with(links, line, 8_000_000)
+    }
+
+    /// With orders that count as lost after so long.
+    pub fn with(links: usize, line: usize, order_timeout: Micros) -> Stage {
         let (sender, news) = mpsc::channel(line);
         let shared = Rc::new(Shared::new(Clock::new(), sender));
         let limits = Limits {
             streams: 32,
             idle_close: 60_000_000,
             connect_timeout: 8_000_000,
-            order_timeout: 8_000_000,
+            order_timeout,
             report: Vec::new(),
             classes: vec!["look".into()],
         };
@@ -57,7 +68,15 @@
         let listener = tokio::net::TcpListener::from_std(listener).unwrap();
         tokio::task::spawn_local(clients.clone().accept(Rc::new(listener)));
         let executors = Rc::new(Executors::new(shared.clone(), clients.clone(), limits, bounds));
-        Stage { executors, clients, listen, shared, news }
+        Stage {
+            executors,
+            clients,
+            listen,
+            shared,
+            news,
+            tickets: RefCell::default(),
+            begin_by: Cell::new(Micros::MAX),
+        }
     }
 
     /// Executor 1 is ready at an address.
@@ -98,10 +117,18 @@
             address: "".into(),
             class: 0,
             function: "7f3a9c21e0b4d655".into(),
+            begin_by: self.begin_by.get(),
             due: self.shared.clock.now() + 60_000_000 as Micros,
             body,
             content_type: None,
             correlation: format!("{request:016x}").into(),
+            // Those that no client asked for have tickets that none is given.
+            ticket: self
+                .tickets
+                .borrow()
+                .get(&request)
+                .copied()
+                .unwrap_or(Ticket::MAX - Ticket::from(request)),
             mark: None,
         });
     }
@@ -117,7 +144,10 @@
         loop {
             let item = tokio::time::timeout(WAIT, self.news.recv()).await.expect("in time").unwrap();
             match item {
-                News::Call(arrival) if *arrival.correlation == *format!("{n:016x}") => return arrival.ticket,
+                News::Call(arrival) if *arrival.correlation == *format!("{n:016x}") => {
+                    self.tickets.borrow_mut().insert(n, arrival.ticket);
+                    return arrival.ticket;
+                }
                 _ => {}
             }
         }
--- a/crates/stage/src/play/mod.rs
+++ b/crates/stage/src/play/mod.rs
@@ -4,20 +4,21 @@
 mod change;
 mod end;
 mod fleet;
+mod ledger;
 mod loss;
 mod tenants;
 
 use crate::callers::Pace;
-use crate::day::{Calls, Day, Fleet, Pool, Trouble};
+use crate::day::{Calls, Day, Trouble};
 use crate::lateness::Lateness;
-use crate::layout::GIVE_UP;
 use crate::retired::Retirements;
 use crate::stack::{Stack, StageError};
+use ledger::{percentiles, pools};
 pub use loss::Loss;
 use serde::Serialize;
-use stagehoist_judge::rules::{judge, served_times, Charter, PoolRule, Verdict};
+use stagehoist_judge::rules::{judge, served_times, Charter, Verdict};
 use stagehoist_judge::tap::Trouble as Tapped;
-use stagehoist_judge::Story;
+use stagehoist_judge::{Capture, Story};
 use std::collections::{BTreeMap, VecDeque};
 use std::path::Path;
 use std::sync::atomic::Ordering;
@@ -28,9 +29,6 @@
 /// Longest time for the stack to stand, and for the last answers after the last call.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Rounds of dealing in which lent lanes come back, where no process fails.
-const ROUNDS: Duration = Duration::from_millis(250);
-
 /// What happened on a day, as callers and sockets saw it.
 #[derive(Clone, Debug, Serialize)]
 pub struct Ledger {
@@ -129,6 +127,14 @@
 
 /// Plays the stack's day and judges it. The stack has ended after it.
 pub fn play_on(stack: &mut Stack, show: &mut dyn FnMut(Progress<'_>)) -> Result<Ledger, StageError> {
+    record_on(stack, show).map(|played| played.0)
+}
+
+/// The same, and gives what was judged and by what: a checker is shown to see a fault by a capture that was doctored.
+pub fn record_on(
+    stack: &mut Stack,
+    show: &mut dyn FnMut(Progress<'_>),
+) -> Result<(Ledger, Capture, Charter), StageError> {
     let day = stack.day.drawn(stack.day.seed);
     let drawn = day.drawn_text().lines().map(str::to_string).collect();
     let charter = stack.layout.charter();
@@ -198,7 +204,7 @@
     }
     let story = Story::read(&capture);
     let verdict = judge(&story, &charter);
-    Ok(Ledger {
+    let ledger = Ledger {
         verdict,
         latency_ms: percentiles(&served_times(&story)),
         mishaps,
@@ -209,39 +215,8 @@
         loss: lost.map(|lost| lost.told(&story, &day.fleet)),
         tenants: tenants(&story, &day.fleet),
         drawn,
-    })
-}
-
-/// The pools of a day as the judge is told of them.
-fn pools(fleet: &Fleet) -> Vec<PoolRule> {
-    let reserved = |pool: &str| {
-        let own = fleet.reserves.iter().filter(|r| r.pool == pool);
-        own.map(|r| (r.tenant.clone(), r.lanes)).collect()
     };
-    // A tenant has the lanes reserved for it at the latest when what was lent to a process that fails has come back: its lease
-    // has run out then, and the longest run that it may have begun, with the drift.
-    let lent = (fleet.view_lease + Duration::from_micros(GIVE_UP as u64)).mul_f64(1.01) + ROUNDS;
-    let rule = |pool: &Pool| PoolRule {
-        name: pool.name.clone(),
-        functions: pool.functions.clone(),
-        lanes: pool.lanes,
-        reservations: reserved(&pool.name),
-        within: lent.as_micros() as i64,
-    };
-    fleet.pools.iter().filter(|_| !fleet.without_pools).map(rule).collect()
-}
-
-fn percentiles(times: &[i64]) -> BTreeMap<String, f64> {
-    let Ok(mut histogram) = hdrhistogram::Histogram::<u64>::new(3) else { return BTreeMap::new() };
-    for time in times {
-        // The histogram grows by itself; only a count overflow could fail.
-        let _ = histogram.record((*time).max(1) as u64);
-    }
-    let of = |q: f64| histogram.value_at_quantile(q) as f64 / 1000.0;
-    [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("p99.9", 0.999), ("max", 1.0)]
-        .into_iter()
-        .map(|(name, q)| (name.to_string(), of(q)))
-        .collect()
+    Ok((ledger, capture, charter))
 }
 
 impl Player<'_> {
