One reading of where a list is, for workers and for front ends

Cause: `shard-front-ends-list` read its source, and which keys go with which, in a copy of what `worker-list` does. Change: `list_source` serves both; each names its default service and the keys that are Consul's alone. Texts and defaults are as they were.

--- a/crates/config/src/build.rs
+++ b/crates/config/src/build.rs
@@ -3,6 +3,7 @@
 use crate::fleet::fleet;
 use crate::front_ends_list::front_ends_list;
 use crate::lexer::Line;
+use crate::list_source::list_source;
 use crate::marks::marks;
 use crate::model::{Class, Config, Consume, Function, Kind, ListSource, Listen, ListenWhat, Tenant};
 use crate::parts::{broker, effect};
@@ -84,24 +85,7 @@
             })
         })
         .collect();
-    let list = s.one("worker-list").and_then(|line| {
-        let place = line.text("where")?;
-        Some(if line.text("source")? == "file" {
-            ListSource::File { path: place, poll: line.duration("poll").unwrap_or(250 * MS) }
-        } else {
-            let address = place.strip_prefix("http://").unwrap_or(&place).trim_end_matches('/').to_string();
-            let service = line.text("service").unwrap_or_else(|| "workers".into());
-            ListSource::Consul { address, service, wait: line.duration("wait").unwrap_or(10 * S) }
-        })
-    });
-    if let Some(line) = s.one("worker-list") {
-        let file = line.text("source").as_deref() == Some("file");
-        let wrong: &[&str] = if file { &["service", "wait"] } else { &["poll"] };
-        for key in wrong.iter().filter(|k| line.get(k).is_some()) {
-            let other = if file { "consul" } else { "file" };
-            stray.push((line.place(key), format!("{key} with this source"), format!("it with {other} only")));
-        }
-    }
+    let list = s.one("worker-list").and_then(|l| list_source(l, "workers", &["service", "wait"], &mut stray));
     let zones: Vec<String> = s
         .text("zone-names", "names")
         .map_or(vec![], |n| n.split(',').map(|z| z.trim().to_string()).collect());
--- a/crates/config/src/front_ends_list.rs
+++ b/crates/config/src/front_ends_list.rs
@@ -1,6 +1,7 @@
 //! The list of front ends that a divided fleet follows.
 
 use crate::grammar::{may, must, Directive, Often, H, MS, S};
+use crate::list_source::list_source;
 use crate::model::ListSource;
 use crate::source::Source;
 use crate::value::{show_duration as d, Kind};
@@ -65,27 +66,15 @@
     stray: &mut Vec<(Position, String, String)>,
 ) -> Option<FrontEndsList> {
     let line = s.one("shard-front-ends-list")?;
+    let source = list_source(line, "front-ends", &["service", "wait", "pause"], stray)?;
     let mut told = |at: Position, what: &str, expected: &str| stray.push((at, what.into(), expected.into()));
     if s.one("shards").is_none() {
         told(line.at.clone(), "shard-front-ends-list without shards", "a shards line");
     }
-    let (place, file) = (line.text("where")?, line.text("source")? == "file");
-    let (wrong, other): (&[&str], _) =
-        if file { (&["service", "wait", "pause"], "consul") } else { (&["poll"], "file") };
-    for key in wrong.iter().filter(|k| line.get(k).is_some()) {
-        told(line.place(key), &format!("{key} with this source"), &format!("it with {other} only"));
-    }
     let name = line.text("name").unwrap_or_else(|| "front-end".into());
     if name.contains(|c: char| c.is_whitespace() || c == '#') {
         told(line.place("name"), "no name of an entry", "a word; the entry of front end 7 is WORD-7");
     }
-    let source = if file {
-        ListSource::File { path: place, poll: line.duration("poll").unwrap_or(250 * MS) }
-    } else {
-        let address = place.strip_prefix("http://").unwrap_or(&place).trim_end_matches('/').to_string();
-        let service = line.text("service").unwrap_or_else(|| "front-ends".into());
-        ListSource::Consul { address, service, wait: line.duration("wait").unwrap_or(10 * S) }
-    };
     let same = match (&source, workers) {
         (ListSource::File { path, .. }, Some(ListSource::File { path: workers, .. })) => path == workers,
         (
@@ -97,6 +86,7 @@
     if same {
         told(line.place("where"), "the list of workers as that of front ends", "a list of its own");
     }
-    let pause = if file { 0 } else { line.duration("pause").unwrap_or(S) };
+    let is_file = matches!(source, ListSource::File { .. });
+    let pause = if is_file { 0 } else { line.duration("pause").unwrap_or(S) };
     Some(FrontEndsList { source, pause, name })
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,6 +18,7 @@
 mod front_ends_list;
 mod grammar;
 mod lexer;
+mod list_source;
 mod marks;
 mod model;
 mod nearest;
