Queues that are consumed are walked without a list made for each turn

In `Ownership::listed` an arm for no changes could not be reached, as the arm before it takes that case. Change: an iterator, collected only where queues are changed meanwhile; the arm is gone. Behaviour is as it was.

--- a/crates/gateway/src/amqp/front/awaiting.rs
+++ b/crates/gateway/src/amqp/front/awaiting.rs
@@ -56,6 +56,7 @@
         if let Some(count) = self.window.as_ref().map(Window::asked) {
             self.qos(count, true);
         }
-        self.consumed().into_iter().for_each(|index| self.consume(index, now));
+        let consumed: Vec<usize> = self.consumed().collect();
+        consumed.into_iter().for_each(|index| self.consume(index, now));
     }
 }
--- a/crates/gateway/src/amqp/front/consuming.rs
+++ b/crates/gateway/src/amqp/front/consuming.rs
@@ -25,7 +25,7 @@
         }
         if now - self.asked_depth >= LOOK {
             self.asked_depth = now;
-            for index in self.consumed() {
+            for index in self.consumed().collect::<Vec<_>>() {
                 if self.ages[index].is_unsure(now, LOOK) {
                     self.declare(index, true, false);
                 }
@@ -78,7 +78,7 @@
                 self.blind_from = now - blind;
             }
             self.asked_depth = now;
-            for index in self.consumed() {
+            for index in self.consumed().collect::<Vec<_>>() {
                 self.ages[index].doubt();
                 self.declare(index, true, false);
             }
--- a/crates/gateway/src/amqp/front/ending.rs
+++ b/crates/gateway/src/amqp/front/ending.rs
@@ -11,7 +11,8 @@
         if !matches!(self.phase, Phase::Setup | Phase::Ready) {
             return;
         }
-        self.consumed().into_iter().for_each(|index| self.cancel(index));
+        let consumed: Vec<usize> = self.consumed().collect();
+        consumed.into_iter().for_each(|index| self.cancel(index));
     }
 
     /// Whether all that was delivered is answered and acknowledged, and nothing more is on its way, after
--- a/crates/gateway/src/amqp/front/mod.rs
+++ b/crates/gateway/src/amqp/front/mod.rs
@@ -212,8 +212,8 @@
         };
         let again = self.again.values().min().copied();
         let confirm = self.confirm_due();
-        let unsure = |i: &usize| self.ages[*i].is_unsure(self.asked_depth + LOOK, LOOK);
-        let look = self.phase == Phase::Ready && self.consumed().iter().any(unsure);
+        let unsure = |i: usize| self.ages[i].is_unsure(self.asked_depth + LOOK, LOOK);
+        let look = self.phase == Phase::Ready && self.consumed().any(unsure);
         let look = look.then_some(self.asked_depth + LOOK);
         let asking = self.asking.as_ref().and_then(asking::Asking::due);
         [client, waiting, again, confirm, look, asking, self.list_due()].into_iter().flatten().min()
--- a/crates/gateway/src/amqp/front/queues.rs
+++ b/crates/gateway/src/amqp/front/queues.rs
@@ -32,9 +32,9 @@
 
 impl Front {
     /// Places of queues that are consumed, or are to be.
-    pub(super) fn consumed(&self) -> Vec<usize> {
+    pub(super) fn consumed(&self) -> impl Iterator<Item = usize> + '_ {
         let consumed = |q: &(usize, &Queue)| q.1.hold == Hold::Consumed;
-        self.queues.iter().enumerate().filter(consumed).map(|q| q.0).collect()
+        self.queues.iter().enumerate().filter(consumed).map(|q| q.0)
     }
 
     /// Own shards changed: queues are consumed anew, or cancelled.
@@ -105,10 +105,9 @@
 
     /// All consumers stand: messages come.
     pub(super) fn look_whether_ready(&mut self) {
-        let consumed = self.consumed();
         if self.phase == Phase::Setup
-            && !consumed.is_empty()
-            && consumed.iter().all(|i| self.standing.contains(i))
+            && self.consumed().next().is_some()
+            && self.consumed().all(|i| self.standing.contains(&i))
         {
             self.phase = Phase::Ready;
             self.backoff.reset();
--- a/crates/gateway/src/shards/ownership.rs
+++ b/crates/gateway/src/shards/ownership.rs
@@ -114,7 +114,6 @@
                     known.changed(key, front_end);
                 }
             }
-            Some(_) if changed.is_empty() => {}
             _ => {
                 let all = FrontEnds::of(&self.divisions, self.own, listed.values().copied());
                 self.front_ends = Some(all);
