Deal the workers of a first whole list at once, not one by one

Cause: `Shards::heard` put each worker of a whole list into the division by itself. One of 30,000 workers took 2.6 s, in which no call is decided, though `Assignment::of` deals a whole list in tens of milliseconds. Change: a division that knows nobody is dealt the ready workers of the list at once; the rest goes its way as before. A list of which much changes at once (a region gone) is still dealt one by one.

--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -11,7 +11,7 @@
 use stagehoist::{Lifecycle, Micros, RosterForm, RosterRow, WorkerId};
 use stagehoist_config::{Config, Consume, Sharding};
 use stagehoist_membership::Update;
-use stagehoist_sharding::{place, ranked, Assignment, Division, Homes, Key, Member, Place};
+use stagehoist_sharding::{place, ranked, Assignment, Division, Divisions, Homes, Key, Member, Place};
 use stagehoist_sharding::{Shard, Transition};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -101,8 +101,14 @@
     }
 }
 
+/// A worker as the division takes it.
+fn member(key: Key, row: &RosterRow) -> Member {
+    Member::keyed(key, u16::from(row.zone), row.capacity)
+}
+
 /// The workers of own shards, as the module is told of them.
 pub struct Shards {
+    divisions: Divisions,
     /// Own shards of each division served, and all workers that are ready in them.
     served: Vec<(Vec<Shard>, Assignment)>,
     rows: BTreeMap<WorkerId, (Key, RosterRow)>,
@@ -119,6 +125,7 @@
         let longest = config.classes.iter().map(|c| c.give_up).max().unwrap_or(0).max(config.load_timeout);
         let of = |d: &Division| (owned(config, sharding, d), Assignment::new(d));
         Some(Shards {
+            divisions: sharding.divisions.clone(),
             served: sharding.divisions.served().map(of).collect(),
             rows: BTreeMap::new(),
             subset: BTreeMap::new(),
@@ -142,9 +149,17 @@
             let left: Vec<WorkerId> = self.rows.keys().filter(|w| !listed.contains(w)).copied().collect();
             left.into_iter().for_each(|w| self.goes(w));
         }
+        let key = |w: WorkerId| name(w).map_or(Key::numbered(u64::from(w)), Key::of);
+        // Dealt one by one a list that nobody knew yet takes many times as long, and no call is decided meanwhile.
+        for (division, (_, assignment)) in self.divisions.served().zip(&mut self.served) {
+            if assignment.is_empty() {
+                let ready = update.rows.iter().filter(|r| r.lifecycle == Lifecycle::Ready);
+                let members = ready.map(|r| member(key(r.worker), r));
+                *assignment = Assignment::of(division, members).0;
+            }
+        }
         for row in &update.rows {
-            let key = name(row.worker).map_or(Key::numbered(u64::from(row.worker)), Key::of);
-            self.comes(key, row);
+            self.comes(key(row.worker), row);
         }
         let before = std::mem::take(&mut self.subset);
         self.subset = self.members();
@@ -211,8 +226,7 @@
         for (_, assignment) in &mut self.served {
             match row.lifecycle {
                 Lifecycle::Ready => {
-                    let member = Member::keyed(key, u16::from(row.zone), row.capacity);
-                    if let Err(over) = assignment.insert(member) {
+                    if let Err(over) = assignment.insert(member(key, row)) {
                         tracing::warn!(%over, worker = row.worker, "a worker is left out");
                     }
                 }
