--- a/crates/gateway/tests/shards_whole.rs
+++ b/crates/gateway/tests/shards_whole.rs
@@ -12,7 +12,7 @@
 
 fn row(worker: WorkerId) -> RosterRow {
     // Some drain, so that those that are ready aren't all.
-    let lifecycle = if worker % 11 == 0 { Lifecycle::Draining } else { Lifecycle::Ready };
+    let lifecycle = if worker.is_multiple_of(11) { Lifecycle::Draining } else { Lifecycle::Ready };
     let capacity = f64::from(1 + worker % 3);
     RosterRow { worker, kind: 0, lifecycle, zone: 0, started: 0, cell: 0, capacity }
 }
