--- a/crates/gateway/src/shards/listed.rs
+++ b/crates/gateway/src/shards/listed.rs
@@ -1,6 +1,6 @@
 //! Own shards that follow the list of front ends: what of it the module and the queues are told.
 
-use super::{Arrives, Owned, Places, Shards};
+use super::{Owned, Shards};
 use crate::list::front_ends::Entry;
 use stagehoist::{Micros, RosterForm};
 use stagehoist_membership::Update;
@@ -34,13 +34,3 @@
         self.ownership.as_ref().map(|o| (o.others(), o.changes))
     }
 }
-
-impl Places {
-    /// Own shards changed; `queues` tells what each queue is, by its place.
-    pub fn owns(&mut self, owned: &[Owned], queues: Vec<Arrives>) {
-        for ((_, own), told) in self.0.iter_mut().zip(owned) {
-            *own = told.served();
-        }
-        self.1 = queues;
-    }
-}
