Front ends stand in for a shard only where hardly anybody is at home

Change: front ends fill up to a quarter of a share (one at least in each zone, as before), workers to 7/8 as before.

--- a/crates/sharding/src/assignment.rs
+++ b/crates/sharding/src/assignment.rs
@@ -2,7 +2,7 @@
 //! zone, old or from the other side of a cut, changes nothing in its own.
 
 use crate::division::{Division, Table};
-use crate::limits::UNIT;
+use crate::limits::{Part, FLOOR, UNIT};
 use crate::pool::Before;
 use crate::zone::Zone;
 use crate::{Key, Shard};
@@ -63,13 +63,20 @@
 #[derive(Clone, Debug)]
 pub struct Assignment {
     table: Arc<Table>,
+    /// What of its share of a zone a shard has at least, stand-ins counted.
+    floor: Part,
     zones: BTreeMap<u16, Zone>,
     members: BTreeMap<Key, Member>,
 }
 
 impl Assignment {
     pub fn new(division: &Division) -> Assignment {
-        Assignment { table: division.table.clone(), zones: BTreeMap::new(), members: BTreeMap::new() }
+        Assignment::with_floor(division, FLOOR)
+    }
+
+    pub(crate) fn with_floor(division: &Division, floor: Part) -> Assignment {
+        let table = division.table.clone();
+        Assignment { table, floor, zones: BTreeMap::new(), members: BTreeMap::new() }
     }
 
     /// A whole list, in any order; of two members with one key the one with the smaller zone and weight
@@ -81,7 +88,7 @@
     }
 
     /// Nobody is a member yet: a whole list becomes all. Gives how many were left out over the bounds.
-    fn fill(&mut self, list: impl IntoIterator<Item = Member>) -> usize {
+    pub(crate) fn fill(&mut self, list: impl IntoIterator<Item = Member>) -> usize {
         let mut list: Vec<Member> = list.into_iter().collect();
         list.sort_by_key(|m| (m.key, m.zone, m.weight));
         list.dedup_by_key(|m| m.key);
@@ -94,7 +101,7 @@
         list.truncate(MEMBERS_MOST);
         for zone in zones {
             let members = list.iter().filter(|m| m.zone == zone).map(|m| (m.key, m.weight));
-            self.zones.insert(zone, Zone::new(&self.table, zone, members));
+            self.zones.insert(zone, Zone::new(&self.table, self.floor, zone, members));
         }
         self.members = list.into_iter().map(|m| (m.key, m)).collect();
         told - self.members.len()
@@ -160,7 +167,7 @@
         for (zone, members) in zones {
             match members.is_empty() {
                 true => self.zones.remove(&zone),
-                false => self.zones.insert(zone, Zone::new(&self.table, zone, members)),
+                false => self.zones.insert(zone, Zone::new(&self.table, self.floor, zone, members)),
             };
         }
         left_out
@@ -185,8 +192,9 @@
     /// A member comes or changes; zones that are divided `anew` afterwards aren't kept up.
     fn put(&mut self, member: Member, anew: &BTreeSet<u16>) -> Before {
         let mut before = self.take(member.key, anew);
-        let table = &self.table;
-        let zone = self.zones.entry(member.zone).or_insert_with(|| Zone::new(table, member.zone, []));
+        let (table, floor) = (&self.table, self.floor);
+        let empty = || Zone::new(table, floor, member.zone, []);
+        let zone = self.zones.entry(member.zone).or_insert_with(empty);
         if !anew.contains(&member.zone) {
             for (key, from) in zone.insert(member.key, member.weight) {
                 before.entry(key).or_insert(from);
--- a/crates/sharding/src/ownership.rs
+++ b/crates/sharding/src/ownership.rs
@@ -4,6 +4,7 @@
 use crate::change::Divisions;
 use crate::division::{Division, DivisionError};
 use crate::homes::Homes;
+use crate::limits::FLOOR_FRONT_ENDS;
 use crate::{Key, Shard};
 
 /// A front end as the list of members tells it.
@@ -44,7 +45,10 @@
         let assign = |d: &Division| {
             let serves = |f: &&FrontEnd| (f.serves.0..=f.serves.1).contains(&d.generation());
             let others = list.iter().filter(serves).map(|f| f.member.alike());
-            (d.generation(), Assignment::of(d, [own.alike()].into_iter().chain(others)).0)
+            let mut all = Assignment::with_floor(d, FLOOR_FRONT_ENDS);
+            // Over the bounds they aren't counted.
+            all.fill([own.alike()].into_iter().chain(others));
+            (d.generation(), all)
         };
         let served: Vec<_> = divisions.served().map(assign).collect();
         let mut all = FrontEnds { own: own.key, served, shards: Vec::new() };
--- a/crates/sharding/src/pool.rs
+++ b/crates/sharding/src/pool.rs
@@ -8,7 +8,7 @@
 //! rank.
 
 use crate::division::{Table, SHARD_WEIGHT_MOST};
-use crate::limits::{rounding, share, turn, FLOOR, LIMIT};
+use crate::limits::{rounding, share, turn, Part, LIMIT};
 use crate::{Key, Shard};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -17,6 +17,7 @@
 pub(crate) struct Pool {
     table: Arc<Table>,
     turn: i64,
+    floor: Part,
     items: BTreeMap<Key, Item>,
     slots: Vec<Slot>,
     /// What all members weigh, and what one does on average.
@@ -84,10 +85,15 @@
 pub(crate) type Before = BTreeMap<Key, Option<Shard>>;
 
 impl Pool {
-    pub fn new(table: Arc<Table>, zone: u16, members: impl IntoIterator<Item = (Key, i64)>) -> Pool {
+    pub fn new(
+        table: Arc<Table>,
+        floor: Part,
+        zone: u16,
+        members: impl IntoIterator<Item = (Key, i64)>,
+    ) -> Pool {
         let slots = vec![Slot::default(); table.shards() as usize];
         let turn = turn(&table, zone);
-        let mut pool = Pool { table, turn, items: BTreeMap::new(), slots, total: 0, mean: 0 };
+        let mut pool = Pool { table, turn, floor, items: BTreeMap::new(), slots, total: 0, mean: 0 };
         for (key, weight) in members {
             pool.items.insert(key, Item { weight, shard: 0, score: 0 });
         }
@@ -169,7 +175,7 @@
         let mut risen = Vec::new();
         for (shard, (slot, weight)) in self.slots.iter_mut().zip(&self.table.weights).enumerate() {
             let of = |part| share(&self.table, *weight, total, part);
-            let (limit, floor) = *shares[*weight as usize].get_or_insert_with(|| (of(LIMIT), of(FLOOR)));
+            let (limit, floor) = *shares[*weight as usize].get_or_insert_with(|| (of(LIMIT), of(self.floor)));
             let limit = limit + slot.rounding;
             if limit > slot.limit && !slot.waiting.is_empty() {
                 risen.push(shard as Shard);
--- a/crates/sharding/src/zone.rs
+++ b/crates/sharding/src/zone.rs
@@ -1,6 +1,7 @@
 //! One zone's members in shards: each at home in one, and stand-ins where a shard has few.
 
 use crate::division::Table;
+use crate::limits::Part;
 use crate::pool::{Before, Pool};
 use crate::{Key, Shard};
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,8 +15,13 @@
 }
 
 impl Zone {
-    pub fn new(table: &Arc<Table>, zone: u16, members: impl IntoIterator<Item = (Key, i64)>) -> Zone {
-        let pool = Pool::new(table.clone(), zone, members);
+    pub fn new(
+        table: &Arc<Table>,
+        floor: Part,
+        zone: u16,
+        members: impl IntoIterator<Item = (Key, i64)>,
+    ) -> Zone {
+        let pool = Pool::new(table.clone(), floor, zone, members);
         let mut zone = Zone { pool, stand_ins: BTreeMap::new() };
         for shard in 0..table.shards() {
             zone.choose(shard);
