Told functions are dealt by sizes around a quarter of a shard's mean, within 17/16

Change: a quarter of the mean is the middle of a class; a shard gets at most 17/16 of its part of what is told. Told functions have other homes for it.

--- a/crates/sharding/src/homes.rs
+++ b/crates/sharding/src/homes.rs
@@ -14,16 +14,26 @@
 /// traffic.
 const PARTS: u64 = 4;
 /// A shard gets at most this part of the told traffic, its own share being 1, where the order of sizes allows
-/// it.
-const LIMIT: (u64, u64) = (9, 8);
+/// it. What isn't told comes by chance beside it: with 9/8 the busiest of 300 shards had up to 1.26 of the mean.
+const LIMIT: (u64, u64) = (17, 16);
 /// The told part of all traffic is rounded up to one of so many steps.
 const STEPS: u64 = 16;
 
-/// The middle of its half octave.
-fn rounded(x: u64) -> u64 {
-    let Some(class) = (u128::from(x) * u128::from(x)).checked_ilog2() else { return 0 };
-    let middle = if class.is_multiple_of(2) { 1_189 } else { 1_682 };
-    ((middle << (class / 2)) / 1_000u128) as u64
+/// The middle of its half octave. `most` is one, as the parts of functions that are spread lie just below it: in classes that begin
+/// anywhere they would all be off in the same direction, and with them the sums of all shards.
+fn rounded(x: u64, most: u64) -> u64 {
+    let (x, mut octave, mut half) = (u128::from(x), u128::from(most.max(1)), false);
+    while octave < x {
+        octave *= 2;
+    }
+    loop {
+        // Down by the square root of two, and the bound by the fourth, in whole numbers.
+        let middle = if half { octave * 181 / 256 } else { octave };
+        if x * 256 >= middle * 215 {
+            return middle as u64;
+        }
+        (octave, half) = (if half { octave / 2 } else { octave }, !half);
+    }
 }
 
 /// A function with told traffic.
@@ -55,6 +65,7 @@
         let milli = |calls: f64| if calls.is_finite() { (calls * 1e3).clamp(0.0, 1e15) as u64 } else { 0 };
         let told: u64 = hot.iter().map(|f| milli(f.calls)).sum();
         let all = milli(calls).max(told).max(1);
+        let most = all / (u64::from(shards) * PARTS);
         let mut parts = Vec::with_capacity(hot.len());
         let mut names = BTreeSet::new();
         for f in hot {
@@ -67,7 +78,7 @@
             if !names.insert(key) {
                 return Err(DivisionError::ToldTwice { name: f.name.clone() });
             }
-            parts.push((rounded(milli(f.calls) / u64::from(spread)), key, spread));
+            parts.push((rounded(milli(f.calls) / u64::from(spread), most), key, spread));
         }
         // Large parts first, by their rounded sizes, so that a small change of one mostly changes nothing.
         parts.sort_by_key(|p| (std::cmp::Reverse(p.0), p.1.rank()));
--- a/crates/sharding/tests/balance.rs
+++ b/crates/sharding/tests/balance.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::{division, drawn, even, zipf};
-use stagehoist_sharding::{Assignment, Division, Homes, HotFunction, Key, Member};
+use stagehoist_sharding::{
+    Assignment, Division, Divisions, FrontEnd, FrontEnds, Homes, HotFunction, Key, Member,
+};
 use std::collections::BTreeMap;
 
 const FUNCTIONS: usize = 170_000;
@@ -72,7 +74,10 @@
 /// Traffic by shard with the first `told` functions told, by Zipf's law. A spread function's calls are drawn
 /// among its shards.
 fn traffic(shards: u32, told: usize, exponent: f64) -> (Vec<f64>, usize) {
-    let part = zipf(FUNCTIONS, exponent);
+    traffic_of(shards, told, &zipf(FUNCTIONS, exponent))
+}
+
+fn traffic_of(shards: u32, told: usize, part: &[f64]) -> (Vec<f64>, usize) {
     let name = |rank: usize| format!("function-{rank}");
     let hot: Vec<HotFunction> =
         (0..told).map(|r| HotFunction { name: name(r), calls: part[r] * CALLS, spread: None }).collect();
@@ -117,6 +122,19 @@
     assert!(worst(&traffic) <= 1.25, "{}", worst(&traffic));
 }
 
+/// One function with a tenth of all calls, told as the others are. In classes of sizes that begin anywhere, and not at a quarter of a
+/// shard's mean, it was 1.27.
+#[test]
+fn one_function_with_a_tenth_of_all_calls() {
+    let mut part = zipf(FUNCTIONS, 1.0);
+    let others = 1.0 - part[0];
+    part.iter_mut().skip(1).for_each(|p| *p *= 0.9 / others);
+    part[0] = 0.1;
+    let (traffic, _) = traffic_of(300, 1_000, &part);
+    println!("a function with a tenth: {:.3} of the mean at most", worst(&traffic));
+    assert!(worst(&traffic) <= 1.25, "{}", worst(&traffic));
+}
+
 /// How many a shard has, stand-ins among them, and how many shards a member has, at most and at least.
 fn spans(list: &[Member]) -> [usize; 4] {
     let (all, _) = Assignment::of(&division(300), list.iter().copied());
@@ -140,3 +158,28 @@
     let [few, many, shards, beside] = spans(&even("w", 30_000, 7));
     assert!(few >= 85 && many <= 125 && shards <= 6 && beside <= 1_800, "{few} {many} {shards} {beside}");
 }
+
+/// Front ends as they own by a list: hardly one has a second shard beside its own, and then its calls are at most three times the mean,
+/// while those of a front end without are at most twice. With stand-ins up to 7/8 of a share 972 had two to four, and the busiest 464 calls a second.
+#[test]
+fn no_front_end_has_many_times_the_mean() {
+    let all = even("front-end", 7_200, 7);
+    let known = all[1..].iter().map(|m| FrontEnd { member: *m, serves: (1, 1) });
+    let known = FrontEnds::of(&Divisions::only(division(300)), all[0], known);
+    let front_ends = known.served().next().unwrap().1;
+    let (traffic, _) = traffic(300, 1_000, 1.0);
+    let each = |s: u32| traffic[s as usize] * CALLS / front_ends.of_shard(s).len() as f64;
+    let (mut beside, mut alone, mut standing_in) = (0, 0.0f64, 0.0f64);
+    for member in &all {
+        let shards = front_ends.shards(member.key);
+        let calls = shards.iter().map(|s| each(*s)).sum();
+        match shards.len() {
+            1 => alone = alone.max(calls),
+            2 => (beside, standing_in) = (beside + 1, standing_in.max(calls)),
+            many => panic!("{many} shards"),
+        }
+    }
+    println!("{beside} stand in, with {standing_in:.0} calls a second at most, the others {alone:.0}; mean 122");
+    let mean = CALLS / 7_200.0;
+    assert!(beside <= 150 && alone <= 2.0 * mean && standing_in <= 3.0 * mean, "{beside} {alone} {standing_in}");
+}
