The scale tests' divided front end takes its workers by the product's own code

Need: crates/scale had a copy of gateway's choice of own workers, which had already drifted from it (rows, ids, drains), so the proof measured a model.

--- a/crates/gateway/tests/shards.rs
+++ b/crates/gateway/tests/shards.rs
@@ -93,7 +93,7 @@
 }
 
 fn told(shards: &mut Shards, form: RosterForm, rows: Vec<RosterRow>, now: i64) -> Vec<RosterRow> {
-    shards.heard(Update { form, rows }, |_| None, now).rows
+    shards.heard(Update { form, rows }, |_| None::<&str>, now).rows
 }
 
 /// Over the fleet each worker's capacity is told once, in parts, to the front ends of each shard.
--- a/crates/scale/src/front_end/mod.rs
+++ b/crates/scale/src/front_end/mod.rs
@@ -18,7 +18,6 @@
 pub use play::play;
 pub use rows::MEASURES;
 pub use scene::{function, hash, Change, Fault, Scene, IDLE_CLOSE, KEEP, LOAD};
-pub use subset::Subset;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/crates/scale/src/front_end/rows.rs
+++ b/crates/scale/src/front_end/rows.rs
@@ -1,12 +1,13 @@
 //! Rows of one front end over workers and over functions.
 
 use super::list_state::ListState;
-use super::{played, sockets, Change, Divided, Fault, Outcome, Scene, Shards, Subset};
+use super::subset::Candidates;
+use super::{played, sockets, Change, Divided, Fault, Outcome, Scene, Shards};
 use crate::fit::Point;
 use crate::letter::*;
 use crate::plan::{Measure, Plan};
 use crate::row::{Resource, Role, Row, Subject};
-use stagehoist::{RosterForm, RosterRow};
+use stagehoist::RosterRow;
 
 pub const MEASURES: &[Measure] = &[
     Measure { name: "module-share", run: |p| Ok(module_share(p)) },
@@ -173,12 +174,11 @@
 fn landing(scene: &Scene, many: usize) -> Vec<u32> {
     let Some(shards) = &scene.shards else { return (0..scene.workers).take(many).collect() };
     let divided = Divided::of(shards, scene.functions, scene.zipf);
-    let mut subset = Subset::new(&divided, scene, 0);
     let list = ListState::new(scene.workers);
-    subset.told(RosterForm::Full, &list.whole(scene).rows, 0);
+    let mut candidates = Candidates::new(&divided, scene, 0, &list.whole(scene).rows);
     let lands = |&at: &u32| {
         let old = list.row(scene, at);
-        subset.would_have(&old, &RosterRow { worker: scene.worker(at, 1), ..old.clone() })
+        candidates.would_have(&old, &RosterRow { worker: scene.worker(at, 1), ..old.clone() })
     };
     (0..scene.workers).filter(lands).take(many).collect()
 }
