Four tests of queues and hand-over see the line that they are about

The one told to stop twice is the last to be told; a drain after a list that came before the channel stood; a list that gives nothing; and of the front ends that made up for a dead one the test follows one that took something over (it followed one that had not), by each step of the hand-over.

--- a/crates/gateway/tests/shards_queues.rs
+++ b/crates/gateway/tests/shards_queues.rs
@@ -72,6 +72,10 @@
     let mut w = world();
     assert!(!w.front.is_ready());
     assert_eq!((consumers(&w), w.broker.consumers_of("calls").len()), (vec![0, 0, 0, 0], 0));
+    // Nor is it ready by a list that gives it nothing.
+    w.front.owns(&owned(&[], &[], &[]), w.now);
+    w.settle();
+    assert!(!w.front.is_ready());
     w.front.owns(&owned(&[0, 1], &[], &[]), w.now);
     w.settle();
     assert!(w.front.is_ready());
@@ -116,6 +120,10 @@
         (consumers(&w), w.front.counters.channels_lost, w.front.is_ready()),
         (vec![0, 0, 0, 1], 0, true)
     );
+    // Nobody was told to stop who had not begun: a drain has one answer to wait for.
+    w.front.drain();
+    w.settle();
+    assert!(w.front.is_drained());
 }
 
 /// The delivery lies in the socket when its queue is cancelled.
@@ -171,9 +179,10 @@
 #[test]
 fn a_drain_beside_a_change_waits_for_all_that_is_on_its_way() {
     let mut w = world();
-    w.front.owns(&owned(&[0], &[], &[]), w.now);
+    w.front.owns(&owned(&[0, 1], &[], &[]), w.now);
     w.settle();
-    w.front.owns(&owned(&[1], &[], &[0]), w.now);
+    // The one that is told to stop twice is the last to be told: its first answer isn't that to the drain.
+    w.front.owns(&owned(&[0], &[], &[1]), w.now);
     w.front.owns(&owned(&[0, 1], &[], &[]), w.now);
     w.front.drain();
     w.push_front();
--- a/crates/gateway/tests/shards_turns.rs
+++ b/crates/gateway/tests/shards_turns.rs
@@ -7,7 +7,6 @@
 use stagehoist_gateway::list::front_ends::Entry;
 use stagehoist_gateway::shards::{own, Owned, Shards};
 use stagehoist_gateway::state::{Command, Core, Figures, News};
-use stagehoist_sharding::Shard;
 use std::collections::BTreeSet;
 use world::*;
 
@@ -57,14 +56,15 @@
         .collect();
     let names: Vec<String> = (0..40).map(|i| format!("w{i}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
-    let mut shards = Vec::new();
+    let (mut shards, mut workers) = (Vec::new(), Vec::new());
     for core in &mut all {
         assert!(turn(core, now, vec![News::List(entries(&names))]).own.is_empty());
         assert_eq!(core.subset(), Some((0, 0)), "no worker is told before the first list");
         assert!(turn(core, now, vec![News::FrontEnds(None)]).own.is_empty());
         let told = turn(core, now, vec![News::FrontEnds(Some(whole.clone()))]).own;
         shards.push(told[0][0].own.clone());
-        assert!(core.subset().unwrap().0 > 0);
+        workers.push(core.subset().unwrap().0);
+        assert!(workers.last().is_some_and(|n| *n > 0));
     }
     assert_eq!(shards.concat().iter().collect::<BTreeSet<_>>().len(), 4);
     // The list fails, is empty and stalls: nothing changes however long.
@@ -74,29 +74,32 @@
         assert_eq!(core.counters.front_ends_failed, 3);
     }
     let later = now + 60_001 * MS;
-    let mut after = BTreeSet::new();
+    let (mut after, mut gained) = (BTreeSet::new(), 0);
     for (n, core) in all.iter_mut().enumerate().skip(1) {
         let before = core.subset().unwrap().0;
         let told = turn(core, later, vec![News::FrontEnds(Some(whole[1..].to_vec()))]);
         let own = told.own.first().map_or(shards[n].clone(), |o| o[0].own.clone());
         assert!(own.len() == shards[n].len() || core.subset().unwrap().0 > before, "{n}: workers come too");
+        gained = if own.len() > shards[n].len() { n } else { gained };
         after.extend(own);
     }
     assert_eq!(after.len(), 4, "of {:?} the shards {:?} lack an owner", shards, shards[0]);
     // It is back. What it takes again is handed over, and then its workers drain and are gone.
     let back = later + 10_000 * MS;
-    let core = &mut all[(1..4).max_by_key(|n| shards_gained(&shards[*n], &after)).unwrap()];
+    assert_ne!(gained, 0, "nobody took the shards over");
+    let core = &mut all[gained];
     let mut at = back;
     let mut told = turn(core, at, vec![News::FrontEnds(Some(whole))]);
-    let mut steps = Vec::new();
+    let (mut steps, mut owned) = (Vec::new(), told.own.concat());
     while let Some(due) = told.due.filter(|d| *d < back + 60_000 * MS) {
         at = due.max(at + 1);
         told = turn(core, at, vec![]);
+        owned.extend(told.own.concat());
         steps.push((at - back, core.subset().unwrap()));
     }
-    assert_eq!(core.subset().unwrap().1, 0, "{steps:?}");
-}
-
-fn shards_gained(own: &[Shard], all: &BTreeSet<Shard>) -> usize {
-    all.len() - own.len()
+    let held: Vec<(bool, bool)> = owned.iter().map(|o| (o.leaving.is_empty(), o.kept.is_empty())).collect();
+    assert_eq!(held, [(false, true), (true, false), (true, true)], "{owned:?}");
+    assert_eq!(owned[2].own, shards[gained]);
+    assert!(steps.iter().any(|(_, (_, draining))| *draining > 0), "{steps:?}");
+    assert_eq!(core.subset(), Some((workers[gained], 0)), "{steps:?}");
 }
