--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -10,11 +10,12 @@
 pub use ownership::{Owned, Ownership};
 pub use places::{Arrives, Places};
 
+use fnv::FnvHashSet;
 use stagehoist::{Lifecycle, Micros, RosterForm, RosterRow, WorkerId};
 use stagehoist_config::{Config, Consume, Sharding};
 use stagehoist_membership::Update;
 use stagehoist_sharding::{ranked, Assignment, Division, Divisions, Homes, Key, Member, Shard, Transition};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Added to the longest time that an attempt or a load may take, before a worker that left the subset is told gone.
 const MARGIN: Micros = 1_000_000;
@@ -113,7 +114,7 @@
         if update.form == RosterForm::Failed {
             return update;
         }
-        let listed: BTreeSet<WorkerId> = update.rows.iter().map(|r| r.worker).collect();
+        let listed: FnvHashSet<WorkerId> = update.rows.iter().map(|r| r.worker).collect();
         let mut changes = BTreeMap::new();
         if update.form != RosterForm::Delta {
             let left: Vec<WorkerId> = self.rows.keys().filter(|w| !listed.contains(w)).copied().collect();
@@ -137,7 +138,7 @@
     fn moved(
         &mut self,
         before: &BTreeMap<WorkerId, usize>,
-        listed: &BTreeSet<WorkerId>,
+        listed: &FnvHashSet<WorkerId>,
         now: Micros,
     ) -> Vec<RosterRow> {
         let changed = |w: &&WorkerId| before.get(w) != self.subset.get(w) && !listed.contains(w);
@@ -194,11 +195,11 @@
         if row.lifecycle == Lifecycle::Gone {
             return self.goes(row.worker, changes);
         }
-        let known = self.rows.insert(row.worker, (key, row.clone()));
         // Who was left out may find room now.
-        if self.left_out == 0 && known.as_ref().is_some_and(|k| k.0 == key && k.1 == *row) {
+        if self.left_out == 0 && self.rows.get(&row.worker).is_some_and(|k| k.0 == key && k.1 == *row) {
             return;
         }
+        self.rows.insert(row.worker, (key, row.clone()));
         self.ids.insert(key, row.worker);
         changes.insert(key, (row.lifecycle == Lifecycle::Ready).then(|| member(key, row)));
     }
--- a/crates/gateway/src/shards/listed.rs
+++ b/crates/gateway/src/shards/listed.rs
@@ -2,9 +2,9 @@
 
 use super::{Owned, Shards};
 use crate::list::front_ends::Entry;
+use fnv::FnvHashSet;
 use stagehoist::{Micros, RosterForm};
 use stagehoist_membership::Update;
-use std::collections::BTreeSet;
 
 impl Shards {
     /// A whole list of front ends came. Gives own shards and what the module is told, where own shards changed.
@@ -25,7 +25,7 @@
         }
         let before = std::mem::take(&mut self.subset);
         self.subset = self.members();
-        let rows = self.moved(&before, &BTreeSet::new(), now);
+        let rows = self.moved(&before, &FnvHashSet::default(), now);
         (owned, Update { form: RosterForm::Delta, rows })
     }
 
