--- a/crates/sharding/src/ownership.rs
+++ b/crates/sharding/src/ownership.rs
@@ -4,6 +4,7 @@
 use crate::change::Divisions;
 use crate::division::{Division, DivisionError};
 use crate::homes::Homes;
+use crate::limits::FLOOR_FRONT_ENDS;
 use crate::{Key, Shard};
 
 /// A front end as the list of members tells it.
@@ -44,7 +45,10 @@
         let assign = |d: &Division| {
             let serves = |f: &&FrontEnd| (f.serves.0..=f.serves.1).contains(&d.generation());
             let others = list.iter().filter(serves).map(|f| f.member.alike());
-            (d.generation(), Assignment::of(d, [own.alike()].into_iter().chain(others)).0)
+            let mut all = Assignment::with_floor(d, FLOOR_FRONT_ENDS);
+            // Over the bounds they aren't counted.
+            all.fill([own.alike()].into_iter().chain(others));
+            (d.generation(), all)
         };
         let served: Vec<_> = divisions.served().map(assign).collect();
         let mut all = FrontEnds { own: own.key, served, shards: Vec::new() };
@@ -64,15 +68,17 @@
     /// One front end came, changed or went. Gives whether own shards changed. Over the bounds it isn't
     /// counted.
     pub fn changed(&mut self, key: Key, now: Option<FrontEnd>) -> bool {
-        if key == self.own {
-            return false;
-        }
+        self.apply(&[(key, now)])
+    }
+
+    /// The same of many at once.
+    pub fn apply(&mut self, changes: &[(Key, Option<FrontEnd>)]) -> bool {
         for (generation, assignment) in &mut self.served {
-            match now.filter(|f| (f.serves.0..=f.serves.1).contains(generation)) {
-                // A full table goes on with those it has; the list's reader counts what it leaves out.
-                Some(f) => drop(assignment.insert(f.member.alike())),
-                None => drop(assignment.remove(key)),
-            }
+            let serves = |f: &FrontEnd| (f.serves.0..=f.serves.1).contains(generation);
+            let others = changes.iter().filter(|c| c.0 != self.own);
+            let changes = others.map(|(key, now)| (*key, now.filter(serves).map(|f| f.member.alike())));
+            // A full table goes on with those it has; the list's reader counts what it leaves out.
+            assignment.apply(&changes.collect());
         }
         let before = self.shards.clone();
         self.renew();
