--- a/crates/cli/tests/fleet_days.rs
+++ b/crates/cli/tests/fleet_days.rs
@@ -3,7 +3,7 @@
 
 mod alone;
 
-use alone::alone;
+use alone::{alone, beside_few};
 use stagehoist_judge::{judge, Capture, Peer, Record, Story, Way, What};
 use stagehoist_stage::{play, record_on, Day, Ledger, Stack};
 use std::collections::BTreeSet;
@@ -12,7 +12,7 @@
 
 /// Plays a day as a seed draws it; every rule must be kept.
 fn judged(name: &str, text: &str, seed: u64, seconds: u64) -> Ledger {
-    let _alone = alone();
+    let _seat = beside_few();
     let mut day = Day::parse(name, text).unwrap().shortened(Duration::from_secs(seconds));
     day.seed = seed;
     let ledger = play(&day, Path::new(env!("CARGO_BIN_EXE_stagehoist")), &mut |_| {}).unwrap();
