--- a/crates/cli/tests/fleet_days.rs
+++ b/crates/cli/tests/fleet_days.rs
@@ -4,7 +4,7 @@
 mod alone;
 
 use alone::{alone, beside_few};
-use stagehoist_judge::{judge, Capture, Peer, Record, Story, Way, What};
+use stagehoist_judge::{judge, Capture, Charter, Peer, Record, Story, Way, What};
 use stagehoist_stage::{play, record_on, Day, Ledger, Stack};
 use std::collections::BTreeSet;
 use std::path::Path;
@@ -80,13 +80,9 @@
     doctored
 }
 
-/// Workers load nothing by themselves here: rule 5 is judged by the orders of all front ends, and rule 4 by what
-/// workers that come back cold are sent. A capture in which one front end sent too much breaks each.
-#[test]
-fn in_a_divided_fleet_loads_stay_in_their_ration_and_cold_workers_are_spared() {
-    let _alone = alone();
-    let day = include_str!("../../../days/shards-load.day");
-    let day = Day::parse("shards-load", day).unwrap().shortened(Duration::from_secs(16));
+/// A day whose front ends order all loads, on a stack that stands still; every rule kept.
+fn ordering(name: &str, text: &str, seconds: u64) -> (Stack, Ledger, Capture, Charter) {
+    let day = Day::parse(name, text).unwrap().shortened(Duration::from_secs(seconds));
     let mut stack = Stack::start(day, Path::new(env!("CARGO_BIN_EXE_stagehoist"))).unwrap();
     stack.wait_ready(Duration::from_secs(20)).unwrap();
     let (ledger, capture, charter) = record_on(&mut stack, &mut |_| {}).unwrap();
@@ -95,6 +91,29 @@
     }
     assert_eq!(ledger.mishaps, Vec::<String>::new());
     assert_eq!(ledger.verdict.unanswered, ledger.verdict.not_owed);
+    (stack, ledger, capture, charter)
+}
+
+/// Machines die and stop for longer than the list of front ends shows them: others own their shards, and hand them back.
+#[test]
+fn where_owners_follow_a_list_shards_change_hands_and_the_rules_are_kept() {
+    let _seat = beside_few();
+    let (stack, ledger, _, _) = ordering("shards-list", include_str!("../../../days/shards-list.day"), 16);
+    assert_eq!(ledger.answers.get("refused: other-shard"), None, "{ledger:?}");
+    assert!(ledger.verdict.rules[3].checks > 10, "{:?}", ledger.verdict.rules[3]);
+    assert!(ledger.verdict.rules[4].checks > 100, "{:?}", ledger.verdict.rules[4]);
+    // Each comes to own its shards once, each of the sixteen processes that start anew once more.
+    let times: usize = (0..24).map(|front_end| stack.times_owning(front_end)).sum();
+    assert!(times > 24 + 16, "shards did not change hands: {times}");
+}
+
+/// Workers load nothing by themselves here: rule 5 is judged by the orders of all front ends, and rule 4 by what
+/// workers that come back cold are sent. A capture in which one front end sent too much breaks each.
+#[test]
+fn in_a_divided_fleet_loads_stay_in_their_ration_and_cold_workers_are_spared() {
+    let _alone = alone();
+    let (_, ledger, capture, charter) =
+        ordering("shards-load", include_str!("../../../days/shards-load.day"), 16);
     let story = Story::read(&capture);
     let loading: BTreeSet<u32> = story.loads.iter().map(|l| l.front_end).collect();
     assert!(loading.len() >= 12, "few front ends order loads: {loading:?}");
--- a/crates/stage/src/day/check.rs
+++ b/crates/stage/src/day/check.rs
@@ -32,6 +32,9 @@
             let what = format!("{} front ends on {} machines", self.front_ends, self.machines);
             fault(1, what, "as many front ends on each machine".into());
         }
+        if self.owners_listed && self.division.is_none() {
+            fault(1, "owners by a list on a day without shards".into(), "shards and a number".into());
+        }
         let sizes = self.division.map(|d| (1, d.shards)).into_iter();
         let changes = self.troubles.iter().filter_map(|t| match t.trouble {
             Trouble::Shards { to } => Some((t.line, to)),
@@ -49,6 +52,9 @@
             if self.division.is_none() {
                 fault(line, "a change of shards on a day without them".into(), "shards and a number".into());
             }
+            if self.owners_listed && line != 1 {
+                fault(line, "a change of shards beside a list of owners".into(), "owners number".into());
+            }
             if !fleet.pools.is_empty() {
                 fault(line, "shards beside pools".into(), "one of both".into());
             }
--- a/crates/stage/src/day/mod.rs
+++ b/crates/stage/src/day/mod.rs
@@ -49,6 +49,8 @@
     pub machines: u32,
     /// The shards that the fleet is divided into as it begins; None: not divided.
     pub division: Option<Division>,
+    /// Front ends own shards by a list of those that live, and not by their numbers.
+    pub owners_listed: bool,
     /// What the processes share.
     pub fleet: Fleet,
     /// In the order of the moments from which they may come.
@@ -69,6 +71,7 @@
             stamps: true,
             machines: 0,
             division: None,
+            owners_listed: false,
             fleet: Fleet::default(),
             troubles: Vec::new(),
         }
@@ -116,6 +119,13 @@
             "front-ends" => self.front_ends = w.number("", "a number of front ends")?,
             "machines" => self.machines = w.number("", "a number of machines")?,
             "shards" => self.division = Some(Division::new(w.number("", "a number of shards")?)),
+            "owners" => {
+                self.owners_listed = match w.word("list or number")? {
+                    "list" => true,
+                    "number" => false,
+                    _ => return w.wrong("list or number"),
+                };
+            }
             "seed" => self.seed = w.number("", "a whole number")?,
             "rate" => self.rate = w.number("/s", "a rate such as 150/s")?,
             "on-miss" => {
@@ -148,7 +158,7 @@
             _ if self.fleet.line(w)? => {}
             _ => {
                 return w.wrong(
-                    "halls, workers, front-ends, machines, shards, seed, rate, on-miss, replies, stamps, length, keepers, view-lease, \
+                    "halls, workers, front-ends, machines, shards, owners, seed, rate, on-miss, replies, stamps, length, keepers, view-lease, \
                      remember, retire-mode, pool, reserve, tenant, marks, recover or at",
                 )
             }
--- a/crates/stage/src/division/tests.rs
+++ b/crates/stage/src/division/tests.rs
@@ -75,6 +75,13 @@
     assert_eq!(faults("shards 0\n"), ["1: 0 shards"]);
     assert_eq!(faults("workers 4\nfront-ends 24\nshards 5\n"), ["1: 5 shards"]);
     assert_eq!(faults("at 1s shards 2\n"), ["1: a change of shards on a day without them"]);
+    assert_eq!(faults("owners list\n"), ["1: owners by a list on a day without shards"]);
+    assert_eq!(
+        faults(&format!("{DAY}owners list\nat 1s shards 9\n")),
+        ["7: a change of shards beside a list of owners"]
+    );
+    assert_eq!(faults(&format!("{DAY}owners us\n")), ["6: \"us\""]);
+    assert!(Day::parse("day", &format!("{DAY}owners list\n")).unwrap().owners_listed);
     let stands = faults(&format!("{DAY}at 1s machine 3 kill for 1s\n"));
     assert!(stands.len() == 1 && stands[0].ends_with("names a machine that does not stand"), "{stands:?}");
     let day = Day::parse("day", &format!("{DAY}at 1s machine 2 stop for 1s\n")).unwrap();
--- a/crates/stage/src/layout.rs
+++ b/crates/stage/src/layout.rs
@@ -90,12 +90,20 @@
         layout
     }
 
+    fn halls(&self) -> Vec<String> {
+        let set: std::collections::BTreeSet<_> = self.workers.iter().map(|w| w.hall.clone()).collect();
+        set.into_iter().collect()
+    }
+
+    /// The hall of a front end.
+    pub fn hall(&self, front_end: u32) -> String {
+        let halls = self.halls();
+        halls[front_end as usize % halls.len()].clone()
+    }
+
     /// The configuration of one front end's process.
     pub fn config(&self, day: &Day, front_end: u32, broker: &str, list: &str) -> String {
-        let halls: Vec<String> = {
-            let set: std::collections::BTreeSet<_> = self.workers.iter().map(|w| w.hall.clone()).collect();
-            set.into_iter().collect()
-        };
+        let halls = self.halls();
         let calls = |name| day.division.map_or(String::new(), |_| Division::of_function(name, day));
         let shards = day.division.map_or(String::new(), |d| d.line(day, front_end));
         format!(
@@ -141,7 +149,7 @@
             fleet = day.front_ends,
             seed = day.seed + u64::from(front_end) * 101,
             halls = halls.join(","),
-            zone = halls[front_end as usize % halls.len()],
+            zone = self.hall(front_end),
         )
     }
 
--- a/crates/stage/src/play/mod.rs
+++ b/crates/stage/src/play/mod.rs
@@ -5,6 +5,7 @@
 mod end;
 mod fleet;
 mod ledger;
+mod listing;
 mod loss;
 mod tenants;
 
@@ -113,6 +114,8 @@
     /// Numbers of shards that are still to come in force, the first under way, and how far it is.
     changes: VecDeque<u32>,
     change: Option<change::Change>,
+    /// The list of front ends, where owners follow one.
+    listing: listing::Listing,
     /// Since everything lost its power.
     lost: Option<loss::Watch>,
 }
@@ -151,6 +154,7 @@
         surges: Vec::new(),
         changes: VecDeque::new(),
         change: None,
+        listing: listing::Listing::default(),
         lost: None,
     };
     let mut troubles = day.troubles.iter().peekable();
@@ -162,6 +166,7 @@
         }
         player.end_due()?;
         player.watch();
+        player.list_front_ends()?;
         player.change()?;
         if start.elapsed() >= shown + Duration::from_secs(1) {
             shown = start.elapsed();
@@ -179,6 +184,7 @@
     while Instant::now() < by || !player.undo.is_empty() {
         player.end_due()?;
         player.watch();
+        player.list_front_ends()?;
         std::thread::sleep(Duration::from_millis(5));
     }
     let unchanged = player.changes.len();
--- a/crates/stage/src/stack/front_ends.rs
+++ b/crates/stage/src/stack/front_ends.rs
@@ -1,11 +1,23 @@
 //! The front ends' processes.
 
 use super::{Stack, StageError};
+use crate::day::Day;
 use crate::division::{Addresses, Division};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+/// The list of front ends in the stack's folder.
+const LIST: &str = "front-ends.list";
+
+/// What the configuration tells of the list of front ends, where owners follow one.
+pub(super) fn owners_line(day: &Day, folder: &Path) -> String {
+    match day.owners_listed {
+        true => format!("shard-front-ends-list file {} poll 100ms\n", folder.join(LIST).display()),
+        false => String::new(),
+    }
+}
+
 impl Stack {
     pub(super) fn spawn(&self, config: &Path) -> Result<Child, StageError> {
         let log = config.with_extension("log");
@@ -87,6 +99,21 @@
         Ok(())
     }
 
+    /// Tells the front ends of the list of those that live.
+    pub fn list_front_ends(&self, listed: &[u32]) -> Result<(), StageError> {
+        let generation = self.day.division.map_or(1, |d| d.generation);
+        let line =
+            |f: &u32| format!("front-end-{f} generations {generation} zone {}\n", self.layout.hall(*f));
+        let text: String = listed.iter().map(line).collect();
+        let (path, whole) = (self.folder.path().join(LIST), self.folder.path().join("front-ends.next"));
+        std::fs::write(&whole, text).and_then(|()| std::fs::rename(&whole, &path)).map_err(StageError::Config)
+    }
+
+    /// How often a front end's own shards changed by that list, the first time counted.
+    pub fn times_owning(&self, front_end: u32) -> usize {
+        self.whole_log(front_end).matches("own shards by the list of front ends").count()
+    }
+
     /// Tells the callers where to send by the division that front ends are told of.
     pub fn address(&mut self) -> Result<(), StageError> {
         self.addresses.send_replace(Addresses::of(&self.day).map_err(StageError::Division)?);
--- a/crates/stage/src/stack/start.rs
+++ b/crates/stage/src/stack/start.rs
@@ -1,6 +1,7 @@
 //! How a stack comes to stand.
 
 use super::fleet::Between;
+use super::front_ends::owners_line;
 use super::host::{host, listen, run_worker, StartWorker};
 use super::{unix_ms, FrontEnd, Stack, StageError, WorkerStand};
 use crate::callers::{self, Counts, Pace, Told};
@@ -114,6 +115,7 @@
                 }
             })?);
         }
+        let owners = owners_line(&day, folder.path());
         for front_end in 0..day.front_ends {
             let mut addresses = BTreeMap::new();
             for (name, stand) in &workers {
@@ -128,7 +130,7 @@
             let (broker, _) = tap(Some(front_end), Peer::Broker, &broker_address)?;
             let path = folder.path().join(format!("front-end-{front_end}.conf"));
             let shared = &between.lines[front_end as usize];
-            let text = layout.config(&day, front_end, &broker, &list) + shared;
+            let text = layout.config(&day, front_end, &broker, &list) + shared + &owners;
             std::fs::write(&path, text).map_err(StageError::Config)?;
             configs.push(path);
         }
@@ -200,6 +202,9 @@
             folder,
             _hosts: hosts,
         };
+        if stack.day.owners_listed {
+            stack.list_front_ends(&(0..stack.day.front_ends).collect::<Vec<_>>())?;
+        }
         for config in configs {
             let process = stack.spawn(&config)?;
             stack.front_ends.push(FrontEnd { process, config });
