--- a/crates/stage/src/division/tests.rs
+++ b/crates/stage/src/division/tests.rs
@@ -80,7 +80,7 @@
         faults(&format!("{DAY}owners list\nat 1s shards 9\n")),
         ["7: a change of shards beside a list of owners"]
     );
-    assert_eq!(faults(&format!("{DAY}owners us\n")), ["6: \"us\""]);
+    assert_eq!(faults(&format!("{DAY}owners us\n")), ["6: found \"us\""]);
     assert!(Day::parse("day", &format!("{DAY}owners list\n")).unwrap().owners_listed);
     let stands = faults(&format!("{DAY}at 1s machine 3 kill for 1s\n"));
     assert!(stands.len() == 1 && stands[0].ends_with("names a machine that does not stand"), "{stands:?}");
