--- /dev/null
+++ b/crates/cli/tests/outages/drains.rs
@@ -0,0 +1,115 @@
+//! Drains that the list can't tell of: rule 3 by the clock of the pages, for sends and for orders to load.
+
+use crate::rig::{Rig, Shape, Verdict};
+use crate::traffic::Load;
+use stagehoist_emulator::platform::bus::{Resumption, SubscriptionFault};
+use std::time::{Duration, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+/// Of what is served before an outage, so much is to be served within it.
+const SERVED_PART: f64 = 0.9;
+/// Broken rules shown of each play.
+const MAX_SHOWN: usize = 8;
+
+fn shape(front_ends: usize, seed: u64) -> Shape {
+    Shape {
+        front_ends,
+        executors: 10,
+        run: 20 * MS,
+        load: 60 * MS,
+        places: 0,
+        longest_deadline: 2000 * MS,
+        seed,
+    }
+}
+
+fn load(front_ends: usize) -> Load {
+    Load {
+        rate: 90.0 / front_ends as f64,
+        functions: 30,
+        new_function_after: 12,
+        allow: 1200 * MS,
+        unsafe_part: 0.3,
+        cancelled_part: 0.0,
+    }
+}
+
+/// Two executors drain as the outage begins and two deep inside it. Gives the verdict, and the part served before the outage
+/// and from its fifth second on.
+async fn outage_with_drains(kind: SubscriptionFault, front_ends: usize, seed: u64) -> (Verdict, f64, f64) {
+    let mut rig = Rig::start(shape(front_ends, seed), &[]).await;
+    rig.begin_traffic(load(front_ends));
+    tokio::time::sleep(1000 * MS).await;
+    let usual = Instant::now();
+    tokio::time::sleep(2000 * MS).await;
+    let began = Instant::now();
+    rig.begin_outage(kind);
+    rig.begin_drain(0);
+    rig.begin_drain(1);
+    tokio::time::sleep(300 * MS).await;
+    rig.publish_drain(0);
+    rig.publish_drain(1);
+    tokio::time::sleep(6000 * MS).await;
+    rig.begin_drain(2);
+    rig.begin_drain(3);
+    tokio::time::sleep(100 * MS).await;
+    rig.publish_drain(2);
+    rig.publish_drain(3);
+    tokio::time::sleep(2000 * MS).await;
+    let ended = Instant::now();
+    rig.end_outage(Resumption::Events);
+    tokio::time::sleep(1500 * MS).await;
+    let verdict = rig.finish().await;
+    let before = verdict.served(usual, began);
+    let within = verdict.served(began + 5000 * MS, ended);
+    (verdict, before, within)
+}
+
+/// What an outage with drains came to, and what of it is wrong.
+struct Report {
+    line: String,
+    sends: usize,
+    orders: usize,
+    wrong: Vec<String>,
+}
+
+async fn report(kind: SubscriptionFault, front_ends: usize, seed: u64) -> Report {
+    let (verdict, before, within) = outage_with_drains(kind, front_ends, seed).await;
+    let count = |text: &str| verdict.broken.iter().filter(|broken| broken.contains(text)).count();
+    let (sends, orders) = (count("3: Run"), count("3: Hold"));
+    let line = format!(
+        "{kind:?}, {front_ends} front ends, seed {seed}: {sends} sends and {orders} orders to load past the grace; \
+         served {before:.3} before and {within:.3} from the fifth second on; {} probes for {} requests",
+        verdict.probes,
+        verdict.requests.len()
+    );
+    let mut wrong: Vec<String> = verdict.broken.into_iter().take(MAX_SHOWN).collect();
+    if within < SERVED_PART * before {
+        wrong.push(format!("served {before:.3} before the outage and {within:.3} within"));
+    }
+    Report { line, sends, orders, wrong }
+}
+
+/// Plays each case on a thread of its own, and fails with all that went wrong.
+fn all_keep_the_rules(cases: impl IntoIterator<Item = (SubscriptionFault, usize, u64)>) {
+    let play = |(kind, front_ends, seed)| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(report(kind, front_ends, seed))
+    };
+    let threads: Vec<_> = cases.into_iter().map(|case| std::thread::spawn(move || play(case))).collect();
+    let reports: Vec<Report> = threads.into_iter().map(|thread| thread.join().unwrap()).collect();
+    let (mut sends, mut orders, mut wrong) = (0, 0, Vec::new());
+    for report in reports {
+        println!("{}", report.line);
+        sends += report.sends;
+        orders += report.orders;
+        wrong.extend(report.wrong);
+    }
+    assert!(wrong.is_empty(), "{sends} sends and {orders} orders to load past the grace: {wrong:#?}");
+}
+
+#[test]
+fn drains_within_an_outage_of_discovery_are_kept_for_sends_and_for_orders_to_load() {
+    use SubscriptionFault::{Refusing, Silent};
+    all_keep_the_rules([(Silent, 1, 1), (Refusing, 1, 1), (Silent, 3, 1), (Refusing, 3, 1)]);
+}
--- /dev/null
+++ b/crates/cli/tests/outages/front_end.rs
@@ -0,0 +1,95 @@
+//! One front end of the rig: its process, its event bus, and the file that it is started with.
+
+use crate::rig::address;
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
+use stagehoist_emulator::platform::process::{start_front_end, Log, StartedFrontEnd};
+use stagehoist_emulator::platform::EventBus;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Child;
+use std::time::{Duration, Instant};
+
+/// Where front ends listen; the number of the front end is added.
+const LISTEN_PORT: u16 = 5000;
+/// Where their buses listen.
+const BUS_PORT: u16 = 6000;
+/// How often the end of a process is looked for.
+const EXIT_POLL: Duration = Duration::from_millis(10);
+
+/// One front end.
+pub struct FrontEnd {
+    pub number: usize,
+    pub listen: SocketAddr,
+    pub bus: EventBus,
+    pub config: PathBuf,
+    environment: Vec<(String, String)>,
+    process: Option<Child>,
+    /// Logs of all its processes, one after the other.
+    pub logs: Vec<Log>,
+}
+
+impl FrontEnd {
+    /// A front end that is not started yet, with a bus of its own.
+    pub async fn new(number: usize, folder: &Path, environment: Vec<(String, String)>) -> FrontEnd {
+        let listen = address(LISTEN_PORT + number as u16);
+        let bus = EventBus::start_at(address(BUS_PORT + number as u16), 1).await.unwrap();
+        let config = folder.join(format!("n{number}.json"));
+        FrontEnd { number, listen, bus, config, environment, process: None, logs: Vec::new() }
+    }
+
+    /// Starts its process with this configuration.
+    pub fn start(&mut self, mut config: Value) {
+        config["name"] = format!("n{}", self.number).into();
+        config["listen"] = self.listen.to_string().into();
+        std::fs::write(&self.config, config.to_string()).unwrap();
+        let program = Path::new(env!("CARGO_BIN_EXE_stagehoist"));
+        let StartedFrontEnd { child, log, .. } =
+            start_front_end(program, &self.config, &self.environment).unwrap();
+        self.process = Some(child);
+        self.logs.push(log);
+    }
+
+    /// Sends its process a signal.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.process {
+            let _ = kill_process(Pid::from_raw(child.id() as i32).unwrap(), signal);
+        }
+    }
+
+    /// Waits for the end of its process, and kills it at `by`.
+    pub async fn end_by(&mut self, by: Instant) {
+        let Some(mut child) = self.process.take() else { return };
+        while Instant::now() < by {
+            if child.try_wait().unwrap().is_some() {
+                return;
+            }
+            tokio::time::sleep(EXIT_POLL).await;
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
+    /// Whether its process ended though nobody ended it.
+    pub fn has_crashed(&mut self) -> bool {
+        self.process.as_mut().is_some_and(|child| child.try_wait().unwrap().is_some())
+    }
+
+    /// How many lines of its logs have all of these words.
+    pub fn logged(&self, words: &[&str]) -> usize {
+        let count = |log: &Log| {
+            let lines = log.lock().unwrap();
+            lines.iter().filter(|line| words.iter().all(|word| line.contains(word))).count()
+        };
+        self.logs.iter().map(count).sum()
+    }
+}
+
+impl Drop for FrontEnd {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.process.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/outages/main.rs
@@ -0,0 +1,7 @@
+//! Front ends while discovery is out of reach: processes of the command between emulated clients, executors and an event bus
+//! for each, judged by what crossed their sockets.
+
+mod drains;
+mod front_end;
+mod rig;
+mod traffic;
--- /dev/null
+++ b/crates/cli/tests/outages/rig.rs
@@ -0,0 +1,349 @@
+//! Several front ends with an event bus each, before the same executors; and the judgement of what crossed their sockets.
+
+use crate::front_end::FrontEnd;
+use crate::traffic::{ask, Ledger, Load, Phase};
+use serde_json::Value;
+use stagehoist_emulator::platform::bus::{record, Resumption, SubscriptionFault};
+use stagehoist_emulator::platform::configuration::{document, host};
+use stagehoist_emulator::platform::judge::{SlowStart, Start};
+use stagehoist_emulator::platform::{
+    judge, notified_at, Executor, Intake, ObservedRequest, Outage, RuleSettings, SentRequest,
+};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Where executors listen; each has one port for each front end.
+const EXECUTOR_PORT: u16 = 10_000;
+/// Front ends of one rig at most.
+const MAX_FRONT_ENDS: u16 = 64;
+/// Every so many-th executor holds a function at the start.
+const COPY_SPREAD: u64 = 3;
+/// States of an executor on the event bus.
+const READY: u8 = 0;
+const DRAINING: u8 = 1;
+const GONE: u8 = 2;
+/// The grace after a drain, as the configuration has it.
+const GRACE: Duration = Duration::from_millis(250);
+/// Orders to load of one front end: free ones, the part for each request, and the window.
+const LOAD_BUDGET: (f64, f64, Duration) = (6.0, 0.1, Duration::from_secs(10));
+
+static RIGS: AtomicU8 = AtomicU8::new(1);
+
+thread_local! {
+    static HOST: std::cell::Cell<u8> = const { std::cell::Cell::new(0) };
+}
+
+/// An address of this rig alone: the system gives none of them out, nor connects from them. A rig lives on the thread that
+/// made it.
+pub fn address(port: u16) -> SocketAddr {
+    let [_, _, c, d] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 128 + HOST.get() % 64, c, d.clamp(1, 254)], port))
+}
+
+/// What a rig is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub front_ends: usize,
+    pub executors: usize,
+    /// Time of a run.
+    pub run: Duration,
+    /// Time of a load.
+    pub load: Duration,
+    /// Requests that an executor runs at a time; 0: any number.
+    pub places: usize,
+    /// The longest time that the settings say a client waits.
+    pub longest_deadline: Duration,
+    pub seed: u64,
+}
+
+/// An executor of the rig, over its restarts.
+struct Slot {
+    executor: Executor,
+    /// What its earlier processes saw.
+    earlier: Vec<ObservedRequest>,
+    /// When its drain was written to the buses.
+    drained_at: Option<Instant>,
+    ready_again: Option<Instant>,
+    state: u8,
+    started_ms: u64,
+}
+
+/// The whole arrangement.
+pub struct Rig {
+    pub shape: Shape,
+    _folder: tempfile::TempDir,
+    slots: Vec<Slot>,
+    pub front_ends: Vec<FrontEnd>,
+    outages: Vec<Outage>,
+    outage: Option<(Instant, SubscriptionFault)>,
+    starts: Vec<Start>,
+    phases: Vec<watch::Sender<Phase>>,
+    clients: Vec<JoinHandle<Ledger>>,
+}
+
+/// What a run of the rig came to.
+pub struct Verdict {
+    pub broken: Vec<String>,
+    /// What was asked, with whether it was served.
+    pub requests: Vec<(SentRequest, bool)>,
+    /// Questions to executors without work, over all front ends.
+    pub probes: usize,
+}
+
+impl Verdict {
+    /// Part of the requests between two moments that were served.
+    pub fn served(&self, from: Instant, to: Instant) -> f64 {
+        let within = self.requests.iter().filter(|(request, _)| (from..to).contains(&request.at));
+        let served = within.clone().filter(|(_, served)| *served).count();
+        served as f64 / within.count().max(1) as f64
+    }
+}
+
+impl Rig {
+    /// Starts everything but clients. `environment` is for the processes of the front ends.
+    pub async fn start(shape: Shape, environment: &[(String, String)]) -> Rig {
+        HOST.set(RIGS.fetch_add(1, Ordering::Relaxed));
+        let folder = tempfile::tempdir().unwrap();
+        let mut slots = Vec::new();
+        for index in 0..shape.executors {
+            let executor = start_executor(&shape, index).await;
+            let (earlier, drained_at, ready_again) = (Vec::new(), None, None);
+            slots.push(Slot { executor, earlier, drained_at, ready_again, state: READY, started_ms: 0 });
+        }
+        let mut front_ends = Vec::new();
+        for number in 0..shape.front_ends {
+            front_ends.push(FrontEnd::new(number, folder.path(), environment.to_vec()).await);
+        }
+        let phases = front_ends.iter().map(|_| watch::channel(Phase::Open).0).collect();
+        let (outages, starts, clients) = (Vec::new(), Vec::new(), Vec::new());
+        let mut rig =
+            Rig { shape, _folder: folder, slots, front_ends, outages, outage: None, starts, phases, clients };
+        for number in 0..shape.front_ends {
+            rig.write_known(number);
+            rig.start_front_end(number);
+        }
+        rig
+    }
+
+    fn write_known(&self, number: usize) {
+        let records: Vec<_> = self.slots.iter().map(|slot| slot.record(number)).collect();
+        self.front_ends[number].bus.known(&records);
+    }
+
+    /// Starts the process of a front end with the list as it stands now.
+    pub fn start_front_end(&mut self, number: usize) {
+        let config = self.configuration(number);
+        self.front_ends[number].start(config);
+    }
+
+    fn configuration(&self, number: usize) -> Value {
+        let word = |state: u8| ["ready", "draining"][usize::from(state)];
+        let listed = self.slots.iter().filter(|slot| slot.state != GONE);
+        let hosts = listed
+            .map(|slot| host(slot.executor.id, slot.executor.addresses[number], word(slot.state)))
+            .collect();
+        let front_end = &self.front_ends[number];
+        let mut config = document(hosts, front_end.bus.address, 512);
+        let last = front_end.bus.last();
+        config["known"]["offset"] = last.into();
+        config["known"]["batch"][0]["offset"] = last.into();
+        config["seed"] = format!("{:016x}", self.shape.seed.wrapping_mul(31) + number as u64).into();
+        config["settings"]["balancers"] = self.shape.front_ends.into();
+        let longest = self.shape.longest_deadline.as_millis() as f64;
+        for class in config["settings"]["classes"].as_array_mut().unwrap() {
+            class["hard_limit"] = longest.into();
+            class["aim"] = (longest / 2.0).min(800.0).into();
+        }
+        config
+    }
+
+    /// Has clients ask at every front end, for functions of which every third executor has a copy.
+    pub fn begin_traffic(&mut self, load: Load) {
+        for (index, slot) in self.slots.iter().enumerate() {
+            let held =
+                (0..load.functions).filter(|function| function % COPY_SPREAD == index as u64 % COPY_SPREAD);
+            let keys: Vec<String> = held.map(|function| format!("{function:016x}")).collect();
+            slot.executor.holds(&keys.iter().map(String::as_str).collect::<Vec<_>>());
+        }
+        for front_end in &self.front_ends {
+            let phase = self.phases[front_end.number].subscribe();
+            let asking = ask(front_end.number, front_end.listen, load, self.shape.seed, phase);
+            self.clients.push(tokio::spawn(asking));
+        }
+    }
+
+    /// What the clients of a front end may do from now on.
+    pub fn set_phase(&self, number: usize, phase: Phase) {
+        self.phases[number].send_replace(phase);
+    }
+
+    /// Discovery is out of reach of every front end.
+    pub fn begin_outage(&mut self, kind: SubscriptionFault) {
+        self.outage = Some((Instant::now(), kind));
+        self.front_ends.iter().for_each(|front_end| front_end.bus.mood(kind));
+    }
+
+    /// It is back, and tells what happened meanwhile in this form.
+    pub fn end_outage(&mut self, resumption: Resumption) {
+        for front_end in &self.front_ends {
+            front_end.bus.resume_with(resumption);
+            front_end.bus.mood(SubscriptionFault::Well);
+        }
+        if let Some((began, kind)) = self.outage.take() {
+            self.outages.push(Outage { began, ended: Instant::now(), kind });
+        }
+    }
+
+    /// An executor drains; the list does not tell yet.
+    pub fn begin_drain(&mut self, index: usize) {
+        self.slots[index].executor.set_intake(Intake::Draining);
+    }
+
+    /// The drain of an executor is written to the buses.
+    pub fn publish_drain(&mut self, index: usize) {
+        self.slots[index].drained_at = Some(Instant::now());
+        self.publish(index, DRAINING);
+    }
+
+    /// An executor hangs, or no longer.
+    pub fn set_hung(&mut self, index: usize, is_hung: bool) {
+        let intake = if is_hung { Intake::Hung } else { Intake::Open };
+        self.slots[index].executor.set_intake(intake);
+    }
+
+    /// A drained executor ends.
+    pub fn remove(&mut self, index: usize) {
+        self.slots[index].executor.end();
+        self.publish(index, GONE);
+    }
+
+    /// It is started anew at its addresses, cold.
+    pub async fn restart(&mut self, index: usize) {
+        let mut executor = start_executor(&self.shape, index).await;
+        std::mem::swap(&mut self.slots[index].executor, &mut executor);
+        executor.end();
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let slot = &mut self.slots[index];
+        slot.earlier.extend(executor.seen());
+        slot.started_ms = now.as_millis() as u64;
+        slot.ready_again = Some(Instant::now());
+        self.starts.push(Start { executor: slot.executor.id, at: Instant::now() });
+        self.publish(index, READY);
+    }
+
+    fn publish(&mut self, index: usize, state: u8) {
+        self.slots[index].state = state;
+        let slot = &self.slots[index];
+        for front_end in &self.front_ends {
+            front_end.bus.change(&[slot.record(front_end.number)]);
+        }
+    }
+
+    /// Ends the clients once all that they asked has had its time, and judges what crossed the sockets.
+    pub async fn finish(mut self) -> Verdict {
+        if let Some((began, kind)) = self.outage.take() {
+            self.outages.push(Outage { began, ended: Instant::now(), kind });
+        }
+        self.phases.iter().for_each(|phase| {
+            phase.send_replace(Phase::Over);
+        });
+        let mut ledgers = Vec::new();
+        for clients in std::mem::take(&mut self.clients) {
+            ledgers.push(clients.await.unwrap());
+        }
+        let mut broken = Vec::new();
+        for front_end in &mut self.front_ends {
+            if front_end.has_crashed() {
+                broken.push(format!("n{} crashed", front_end.number));
+            }
+        }
+        let seen: Vec<_> = self.slots.iter().map(Slot::seen).collect();
+        for (number, ledger) in ledgers.iter().enumerate() {
+            let own: Vec<_> = seen.iter().map(|(id, seen)| (*id, of_front_end(seen, number))).collect();
+            let found = judge(&ledger.asked, &ledger.answers, &own, &self.rules(number));
+            broken.extend(found.into_iter().map(|text| format!("n{number}: {text}")));
+        }
+        broken.extend(self.slow_start().broken(&seen));
+        let is_probe = |seen: &&ObservedRequest| {
+            matches!(seen.what, stagehoist_emulator::platform::ExecutorRequest::Probe)
+        };
+        let probes = seen.iter().flat_map(|(_, seen)| seen).filter(is_probe).count();
+        let requests = ledgers.into_iter().flat_map(with_outcome).collect();
+        Verdict { broken, requests, probes }
+    }
+
+    /// The rules by which one front end is judged: each asks its bus again at a time of its own.
+    fn rules(&self, number: usize) -> RuleSettings {
+        let asked = self.front_ends[number].bus.asked();
+        let drains = self.slots.iter().filter_map(|slot| {
+            let at = slot.drained_at?;
+            Some((slot.executor.id, notified_at(at, &self.outages, &asked)))
+        });
+        let ready_again = self.slots.iter().filter_map(|slot| Some((slot.executor.id, slot.ready_again?)));
+        RuleSettings {
+            drained: drains.collect(),
+            ready_again: ready_again.collect(),
+            grace: GRACE,
+            ration: LOAD_BUDGET,
+            slow_start: None,
+        }
+    }
+
+    /// What executors that start may get from all front ends together.
+    fn slow_start(&self) -> SlowStart {
+        let window = Duration::from_secs(1);
+        const CAPACITY: f64 = 8.0;
+        SlowStart {
+            starts: self.starts.clone(),
+            start_capacity: 0.3,
+            warm_up: Duration::from_secs(5),
+            overload_factor: 2.0,
+            window,
+            full_capacity: CAPACITY * window.as_secs_f64() / self.shape.run.as_secs_f64(),
+        }
+    }
+
+    /// Log lines of every front end, for a run that went wrong.
+    pub fn logs(&self) -> Vec<String> {
+        let lines = |front_end: &FrontEnd| {
+            let logs = front_end.logs.iter().flat_map(|log| log.lock().unwrap().clone());
+            logs.map(|line| format!("n{} {line}", front_end.number)).collect::<Vec<_>>()
+        };
+        self.front_ends.iter().flat_map(lines).collect()
+    }
+}
+
+impl Slot {
+    fn record(&self, front_end: usize) -> Vec<u8> {
+        record(self.executor.id, self.executor.addresses[front_end], self.state, self.started_ms)
+    }
+
+    fn seen(&self) -> (u32, Vec<ObservedRequest>) {
+        let seen = self.earlier.iter().cloned().chain(self.executor.seen()).collect();
+        (self.executor.id, seen)
+    }
+}
+
+async fn start_executor(shape: &Shape, index: usize) -> Executor {
+    let port = |front_end: usize| EXECUTOR_PORT + index as u16 * MAX_FRONT_ENDS + front_end as u16;
+    let addresses: Vec<SocketAddr> = (0..shape.front_ends).map(|n| address(port(n))).collect();
+    let executor = Executor::start_at(&addresses, index as u32 + 1, shape.run, shape.load).await.unwrap();
+    executor.set_places(shape.places);
+    executor
+}
+
+fn of_front_end(seen: &[ObservedRequest], number: usize) -> Vec<ObservedRequest> {
+    seen.iter().filter(|seen| seen.front_end == number).cloned().collect()
+}
+
+fn with_outcome(ledger: Ledger) -> Vec<(SentRequest, bool)> {
+    let served: BTreeMap<&str, bool> =
+        ledger.answers.iter().map(|answer| (&*answer.tag, answer.word == "200")).collect();
+    let is_served = |request: &SentRequest| served.get(&*request.tag).copied().unwrap_or(false);
+    let outcomes: Vec<bool> = ledger.asked.iter().map(is_served).collect();
+    ledger.asked.into_iter().zip(outcomes).collect()
+}
--- /dev/null
+++ b/crates/cli/tests/outages/traffic.rs
@@ -0,0 +1,208 @@
+//! Clients of one front end: requests at a rate, written on one connection after the other; what was asked and answered.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use stagehoist_emulator::platform::client::array;
+use stagehoist_emulator::platform::{Answered, Client, SentRequest};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// A request that crosses the close of its connection within this time is sent again, once.
+const CROSSING: Duration = Duration::from_millis(50);
+/// Pause after a connection that was not accepted.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// Requests open on one connection at most.
+const MAX_OPEN: usize = 32;
+/// Numbers of requests that one front end's clients may use.
+const NUMBERS: u64 = 1 << 24;
+
+/// What clients do.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// Requests a second at each front end.
+    pub rate: f64,
+    /// Functions that are called at first.
+    pub functions: u64,
+    /// A function is called for the first time after each so many requests; 0: never.
+    pub new_function_after: u64,
+    /// How long clients wait.
+    pub allow: Duration,
+    /// Part of the requests that may not run twice.
+    pub unsafe_part: f64,
+    /// Part of the requests that are cancelled soon.
+    pub cancelled_part: f64,
+}
+
+/// Which clients may connect and ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// They connect where they need to.
+    Open,
+    /// They use open connections alone.
+    OpenConnections,
+    /// They ask nothing more.
+    Over,
+}
+
+/// What clients of one front end saw.
+#[derive(Default)]
+pub struct Ledger {
+    pub asked: Vec<SentRequest>,
+    pub answers: Vec<Answered>,
+}
+
+struct Connection {
+    client: Client,
+    /// Positions of its requests in the ledger.
+    requests: Vec<usize>,
+}
+
+/// Asks until the phase is over and all that was asked has had its time.
+pub async fn ask(
+    front_end: usize,
+    to: SocketAddr,
+    load: Load,
+    seed: u64,
+    mut phase: watch::Receiver<Phase>,
+) -> Ledger {
+    let mut traffic = Traffic {
+        ledger: Ledger::default(),
+        random: ChaCha8Rng::seed_from_u64(seed ^ (front_end as u64) << 32),
+        front_end,
+        next: 1,
+        load,
+    };
+    let mut connection: Option<Connection> = None;
+    loop {
+        let pause = Duration::from_secs_f64(traffic.random.random_range(0.0..2.0) / load.rate);
+        tokio::time::sleep(pause).await;
+        let now = *phase.borrow_and_update();
+        if now == Phase::Over {
+            break;
+        }
+        if connection.as_ref().is_some_and(|open| open.client.closed().is_some()) {
+            let crossed = connection.take().map(|closed| traffic.collect(closed)).unwrap_or_default();
+            connection = traffic.connect(to, now).await;
+            if let Some(open) = connection.as_mut() {
+                for index in crossed {
+                    traffic.ask_again(open, index).await;
+                }
+            }
+        }
+        if connection.is_none() {
+            connection = traffic.connect(to, now).await;
+        }
+        if let Some(open) = connection.as_mut() {
+            traffic.ask_one(open).await;
+        }
+    }
+    if let Some(mut open) = connection {
+        let answers = open.requests.len();
+        open.client.wait(answers, load.allow + CROSSING).await;
+        traffic.collect(open);
+    }
+    traffic.ledger
+}
+
+struct Traffic {
+    ledger: Ledger,
+    random: ChaCha8Rng,
+    front_end: usize,
+    next: u64,
+    load: Load,
+}
+
+impl Traffic {
+    async fn connect(&mut self, to: SocketAddr, phase: Phase) -> Option<Connection> {
+        if phase != Phase::Open {
+            return None;
+        }
+        match Client::connect(to).await {
+            Ok(client) => Some(Connection { client, requests: Vec::new() }),
+            Err(_) => {
+                tokio::time::sleep(RECONNECT_PAUSE).await;
+                None
+            }
+        }
+    }
+
+    /// Takes the answers of a connection that is over; gives the requests that are to be sent again, which no longer
+    /// stand in the ledger as they were.
+    fn collect(&mut self, connection: Connection) -> Vec<SentRequest> {
+        let answers = connection.client.answers();
+        let closed = connection.client.closed();
+        let mut crossed = Vec::new();
+        for &position in &connection.requests {
+            let request = &self.ledger.asked[position];
+            let is_answered = answers.iter().any(|answer| answer.tag == request.tag);
+            let has_crossed = closed.is_some_and(|at| request.at + CROSSING > at);
+            if !is_answered && has_crossed && request.left.is_none() {
+                crossed.push(position);
+            }
+        }
+        self.ledger.answers.extend(answers);
+        // From the end, so that the positions before stand.
+        let again = crossed.iter().rev().map(|&position| self.ledger.asked.remove(position));
+        again.collect()
+    }
+
+    async fn ask_one(&mut self, connection: &mut Connection) {
+        let open = connection.requests.len().saturating_sub(connection.client.answers().len());
+        if open >= MAX_OPEN {
+            return;
+        }
+        let n = self.front_end as u64 * NUMBERS + self.next;
+        self.next += 1;
+        let is_unsafe = self.random.random_bool(self.load.unsafe_part);
+        let first_calls = self.next.checked_div(self.load.new_function_after).unwrap_or(0);
+        let function = self.random.random_range(0..self.load.functions + first_calls);
+        let request = SentRequest {
+            at: Instant::now(),
+            id: format!("{n:016x}"),
+            tag: n.to_string(),
+            allow: self.load.allow,
+            is_unsafe,
+            body: format!("{function:x}").into_bytes(),
+            left: None,
+        };
+        self.write(connection, request).await;
+        if self.random.random_bool(self.load.cancelled_part) {
+            self.cancel_last(connection).await;
+        }
+    }
+
+    async fn ask_again(&mut self, connection: &mut Connection, crossed: SentRequest) {
+        // A number that no other request has: of the upper half.
+        let tag = (NUMBERS * 512 + crossed.tag.parse::<u64>().unwrap_or(0)).to_string();
+        if crossed.tag.len() < tag.len() {
+            self.write(connection, SentRequest { at: Instant::now(), tag, ..crossed }).await;
+        }
+    }
+
+    async fn write(&mut self, connection: &mut Connection, request: SentRequest) {
+        let function = String::from_utf8_lossy(&request.body).into_owned();
+        let fields = format!(
+            "ref={},allow={},project=acme,lookup={function:0>16},effort=20,extras=memory_mb:64;lanes:4",
+            request.id,
+            request.allow.as_millis()
+        );
+        let class = if request.is_unsafe { "book" } else { "look" };
+        let tag = request.tag.parse().unwrap_or(0);
+        if connection.client.request(tag, class, &fields, &request.body).await.is_ok() {
+            connection.requests.push(self.ledger.asked.len());
+            self.ledger.asked.push(request);
+        }
+    }
+
+    async fn cancel_last(&mut self, connection: &mut Connection) {
+        let Some(&position) = connection.requests.last() else { return };
+        let pause = Duration::from_millis(self.random.random_range(0..30));
+        tokio::time::sleep(pause).await;
+        let request = &mut self.ledger.asked[position];
+        let left = Instant::now();
+        if connection.client.raw(&array(&[b"ABORT", request.tag.as_bytes()])).await.is_ok() {
+            request.left = Some(left);
+        }
+    }
+}
