--- a/crates/cli/tests/outages/drains.rs
+++ b/crates/cli/tests/outages/drains.rs
@@ -27,7 +27,7 @@
     Load {
         rate: 90.0 / front_ends as f64,
         functions: 30,
-        new_function_after: 12,
+        new_function_after: 8,
         allow: 1200 * MS,
         unsafe_part: 0.3,
         cancelled_part: 0.0,
@@ -111,5 +111,5 @@
 #[test]
 fn drains_within_an_outage_of_discovery_are_kept_for_sends_and_for_orders_to_load() {
     use SubscriptionFault::{Refusing, Silent};
-    all_keep_the_rules([(Silent, 1, 1), (Refusing, 1, 1), (Silent, 3, 1), (Refusing, 3, 1)]);
+    all_keep_the_rules([(Silent, 1, 1), (Refusing, 1, 2), (Silent, 3, 3), (Refusing, 3, 4), (Silent, 8, 5)]);
 }
--- a/crates/cli/tests/outages/traffic.rs
+++ b/crates/cli/tests/outages/traffic.rs
@@ -14,6 +14,8 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
 /// Requests open on one connection at most.
 const MAX_OPEN: usize = 32;
+/// Part of the requests that call the newest function.
+const NEWEST_PART: f64 = 0.2;
 /// Numbers of requests that one front end's clients may use.
 const NUMBERS: u64 = 1 << 24;
 
@@ -156,7 +158,9 @@
         self.next += 1;
         let is_unsafe = self.random.random_bool(self.load.unsafe_part);
         let first_calls = self.next.checked_div(self.load.new_function_after).unwrap_or(0);
-        let function = self.random.random_range(0..self.load.functions + first_calls);
+        let functions = self.load.functions + first_calls;
+        let is_newest = self.random.random_bool(NEWEST_PART);
+        let function = if is_newest { functions - 1 } else { self.random.random_range(0..functions) };
         let request = SentRequest {
             at: Instant::now(),
             id: format!("{n:016x}"),
