--- a/crates/core/src/interface/action.rs
+++ b/crates/core/src/interface/action.rs
@@ -13,6 +13,8 @@
         worker: WorkerId,
         /// Time limit of the attempt; 0: as long as the request has.
         timeout: Micros,
+        /// No byte of it is written after this time; [`Micros::MAX`]: whenever it can be.
+        start_by: Micros,
     },
     /// Answer that the request was rejected and had no effect.
     Reject {
@@ -77,6 +79,8 @@
         function: FunctionId,
         /// Copies to hold at least; 0 only asks how many there are.
         copies: u8,
+        /// No byte of the order is written after this time; [`Micros::MAX`]: whenever it can be.
+        start_by: Micros,
     },
     /// Unload the idle copies of a function.
     Unload {
--- a/crates/core/src/interface/event.rs
+++ b/crates/core/src/interface/event.rs
@@ -108,6 +108,19 @@
         /// Its entries.
         endpoints: Rc<[Endpoint]>,
     },
+    /// The source of the endpoint list vouches for it up to this time, by the clock of the events. What the source would
+    /// have reported after that counts as known, though it did not come. Without this event a list is valid for ever.
+    EndpointListValid {
+        /// Until when; may be in the past.
+        until: Micros,
+    },
+    /// The first connection to a worker was established, or the last one closed.
+    WorkerConnection {
+        /// The worker.
+        worker: WorkerId,
+        /// Whether there is a connection now.
+        is_open: bool,
+    },
     /// A request arrived.
     Request(Request),
     /// The first part of a streamed answer arrived; the request can no longer be rejected.
--- a/crates/core/src/policy/completion.rs
+++ b/crates/core/src/policy/completion.rs
@@ -15,6 +15,7 @@
         let is_it = |attempt: &Attempt| (attempt.request, attempt.number) == (end.request, end.attempt);
         if let Some(position) = in_flight.iter().position(is_it) {
             let attempt = in_flight.swap_remove(position);
+            self.on_attempt_examined(index, end.outcome, attempt.sent_at, now, actions);
             self.record_served(index, &attempt, end, now);
             self.learn(index, &attempt, end, now, actions);
         }
--- a/crates/core/src/policy/dispatch.rs
+++ b/crates/core/src/policy/dispatch.rs
@@ -3,6 +3,7 @@
 use super::call::{CallGroup, QueuePosition};
 use super::placement::{FleetHealth, Placement};
 use super::prediction::{copy_slots, MAX_STRETCH, QUEUE_ALLOWANCE};
+use super::worker::Worker;
 use super::{FrontEnd, WantedLoad};
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -38,7 +39,8 @@
     }
 
     fn fleet_health(&self, now: Micros) -> FleetHealth {
-        let ready = self.workers.iter().filter(|worker| worker.ready);
+        let takes_work = |worker: &&Worker| worker.ready && !self.is_withdrawn(worker, now);
+        let ready = self.workers.iter().filter(takes_work);
         let healthy = ready.clone().filter(|worker| worker.is_healthy(now)).count();
         let ready = ready.count();
         FleetHealth { ready, ejections_doubted: healthy * 2 < ready }
@@ -133,6 +135,12 @@
             self.update_wanted_load(id, &placement, now);
         }
         match placement {
+            Placement::Send(prediction)
+                if !self.is_confirmed(&self.workers[prediction.worker_index], now) =>
+            {
+                self.ask(prediction.worker_index, Some(id), now, actions);
+                return true;
+            }
             Placement::Send(prediction) => self.send(id, prediction, now, actions),
             Placement::WaitUntil(until) if until <= now => self.conclude(id, actions),
             Placement::WaitUntil(until) if until > objective_at && !is_past_objective => {
--- a/crates/core/src/policy/endpoints.rs
+++ b/crates/core/src/policy/endpoints.rs
@@ -2,6 +2,7 @@
 
 use super::beliefs::Beliefs;
 use super::function::ranked;
+use super::numbers::hash_fraction;
 use super::worker::Worker;
 use super::FrontEnd;
 use crate::interface::*;
@@ -12,6 +13,39 @@
 /// Start time of a worker of which no list has told yet.
 const NEVER_STARTED: Micros = -1;
 
+/// Pauses before a failed subscription is tried again, as parts of the longest time between polls: the shortest, and the
+/// longest after doublings.
+const MIN_PAUSE_DIVISOR: Micros = 16;
+const MAX_PAUSE_DIVISOR: Micros = 2;
+/// The longest time between polls, where none is configured.
+const DEFAULT_POLL_WITHIN: Micros = 10_000_000;
+/// Most doublings of a pause.
+const MAX_DOUBLINGS: u32 = 8;
+
+/// The subscription to endpoint updates.
+#[derive(Default)]
+pub(super) struct Subscription {
+    /// It was asked for, and did not fail since.
+    is_on: bool,
+    /// When it is asked for again after a failure.
+    pub retry_at: Option<Micros>,
+    /// Failures since the last list.
+    failures: u32,
+}
+
+impl Subscription {
+    /// It could not be had, or broke: it is asked for again after a pause that no two front ends share.
+    fn failed(&mut self, settings: &Settings, seed: u64, now: Micros) {
+        let within = if settings.poll_within > 0 { settings.poll_within } else { DEFAULT_POLL_WITHIN };
+        let pause = (within / MIN_PAUSE_DIVISOR) << self.failures.min(MAX_DOUBLINGS);
+        let spread = 0.5 + 0.5 * hash_fraction(seed, u64::from(self.failures));
+        let pause = (pause.min(within / MAX_PAUSE_DIVISOR) as f64 * spread) as Micros;
+        self.failures = self.failures.saturating_add(1);
+        self.is_on = false;
+        self.retry_at = settings.subscribe_endpoints.then_some(now + pause);
+    }
+}
+
 impl FrontEnd {
     pub(super) fn on_endpoints(
         &mut self,
@@ -21,13 +55,11 @@
         actions: &mut Vec<Action>,
     ) {
         if update == EndpointUpdate::Failed {
-            self.endpoints_subscribed = false;
+            self.subscription.failed(&self.settings, self.seed, now);
             return;
         }
-        if self.settings.subscribe_endpoints && !self.endpoints_subscribed {
-            self.endpoints_subscribed = true;
-            actions.push(Action::SubscribeEndpoints { on: true });
-        }
+        self.subscription.failures = 0;
+        self.subscribe(actions);
         if update != EndpointUpdate::Delta {
             self.remove_unlisted(endpoints, now);
         }
@@ -39,6 +71,22 @@
         self.fleet_capacity = ready.map(|worker| worker.endpoint.capacity).sum();
     }
 
+    /// Subscribes to endpoint updates where that is needed.
+    fn subscribe(&mut self, actions: &mut Vec<Action>) {
+        if self.settings.subscribe_endpoints && !self.subscription.is_on {
+            self.subscription.is_on = true;
+            actions.push(Action::SubscribeEndpoints { on: true });
+        }
+    }
+
+    /// Subscribes again, once the pause after a failure is over: nothing else brings a list any more.
+    pub(super) fn resubscribe(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        if self.subscription.retry_at.is_some_and(|at| at <= now) {
+            self.subscription.retry_at = None;
+            self.subscribe(actions);
+        }
+    }
+
     fn remove_unlisted(&mut self, endpoints: &[Endpoint], now: Micros) {
         let listed: BTreeSet<WorkerId> = endpoints.iter().map(|endpoint| endpoint.worker).collect();
         for worker in &mut self.workers {
@@ -59,6 +107,7 @@
             worker.beliefs = Beliefs::restarted(now);
         }
         worker.ready = endpoint.lifecycle == Lifecycle::Ready;
+        worker.confirmation.listed();
         worker.endpoint = endpoint.clone();
         worker.listed_at = now;
         self.changed_workers.insert(index);
--- a/crates/core/src/policy/loading.rs
+++ b/crates/core/src/policy/loading.rs
@@ -1,6 +1,7 @@
 //! Loading: which functions get a further copy, and at which worker (rule 5).
 
 use super::beliefs::CachedCopy;
+use super::confirmation::Standing;
 use super::homes::{lacks_copy, HomeRank};
 use super::load_budget::LoadOrder;
 use super::worker::Worker;
@@ -24,7 +25,8 @@
 impl FrontEnd {
     pub(super) fn on_loaded(&mut self, load: &LoadEnd, now: Micros) {
         let LoadOrder { worker, function } = load.order;
-        self.load_budget.order_ended(load.order, load.outcome == Outcome::ConnectFailed, now);
+        let never_arrived = matches!(load.outcome, Outcome::ConnectFailed | Outcome::Superseded);
+        self.load_budget.order_ended(load.order, never_arrived, now);
         let Some(&index) = self.worker_index.get(&worker) else { return };
         let beliefs = &mut self.workers[index].beliefs;
         beliefs.load_orders.remove(&function);
@@ -40,7 +42,9 @@
             let copy =
                 CachedCopy { ready_at: now, expires_at: now + retention, used_at, copies: load.copies };
             beliefs.copies.insert(function, copy);
-        } else if load.outcome != Outcome::Timeout && known.is_none_or(|copy| copy.ready_at <= now) {
+        } else if !matches!(load.outcome, Outcome::Timeout | Outcome::Superseded)
+            && known.is_none_or(|copy| copy.ready_at <= now)
+        {
             beliefs.copies.insert(function, CachedCopy::absent(now, retention));
         }
         if load.outcome == Outcome::Full {
@@ -72,7 +76,7 @@
         let mut remaining_demand = self.fleet_demand(function, now);
         for &index in &function.ranked_workers {
             let worker = &self.workers[index];
-            if !worker.ready {
+            if !worker.ready || self.is_withdrawn(worker, now) {
                 continue;
             }
             let is_usable = worker.beliefs.ejected_until <= now;
@@ -109,7 +113,11 @@
             if !is_wanted {
                 self.wanted_loads.remove(&function);
             } else if let Some(index) = self.worker_for_load(function, wanted.request, now) {
-                self.load(index, function, now, actions);
+                if self.is_confirmed(&self.workers[index], now) {
+                    self.load(index, function, now, actions);
+                } else {
+                    self.ask(index, None, now, actions);
+                }
             }
         }
     }
@@ -125,6 +133,7 @@
             worker.beliefs.expected_copy(function, now).is_none()
                 && !self.load_budget.is_outstanding(order)
                 && takes_load(worker, now)
+                && self.standing(worker, now) != Standing::Barred
         };
         let rated = (0..self.workers.len()).filter(can_load).map(|index| {
             let prediction = self.predict(index, call, load_time, HomeRank::NotHome, now);
@@ -135,7 +144,7 @@
         best.map(|(_, prediction)| prediction.worker_index)
     }
 
-    /// Orders a load: from ready workers only (rule 3), one at a time from each, within the budget (rule 5).
+    /// Orders a load: from ready and confirmed workers only (rule 3), one at a time from each, within the budget (rule 5).
     pub(super) fn load(
         &mut self,
         index: usize,
@@ -147,18 +156,20 @@
         let id = worker.endpoint.worker;
         let is_allowed = self.settings.may_order_loads
             && worker.ready
+            && self.is_confirmed(worker, now)
             && worker.beliefs.load_orders.is_empty()
             && self.load_budget.allows(now, &self.settings);
         if !is_allowed {
             return;
         }
+        let start_by = self.new_work_until(worker);
         if let Some(unused) = self.copy_to_unload(worker, function) {
             actions.push(Action::Unload { worker: id, function: unused });
             self.workers[index].beliefs.copies.remove(&unused);
         }
         self.workers[index].beliefs.load_orders.insert(function, now);
         self.load_budget.order_given(LoadOrder { worker: id, function }, now, &self.settings);
-        actions.push(Action::Load { worker: id, function, copies: 1 });
+        actions.push(Action::Load { worker: id, function, copies: 1, start_by });
     }
 
     /// The function whose copies make place for another's: the longest unused, where memory is short.
--- a/crates/core/src/policy/maintenance.rs
+++ b/crates/core/src/policy/maintenance.rs
@@ -23,6 +23,8 @@
     pub(super) fn maintain(&mut self, now: Micros, actions: &mut Vec<Action>) {
         self.conclude_expired(now, actions);
         self.load_budget.expire(now, &self.settings);
+        self.log_list_age(now, actions);
+        self.resubscribe(now, actions);
         self.expire_arrivals(now);
         self.mean_error_rate = self.mean_error_rate();
         let is_idle = self.queue.is_empty();
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -13,6 +13,7 @@
 //! | new workers | `slow_start`: what a warming worker may get (rule 4) |
 //! | loads | `loading`: which functions are loaded where; `load_budget`: their limit (rule 5) |
 //! | faults | `outliers`: ejection of workers, health checks |
+//! | old lists | `confirmation`: which workers may get new work while the endpoint list is old (rule 3) |
 //!
 //! A request is sent in `send` alone, a function is loaded in `load` alone, and a request is answered without having
 //! been served in `settle` alone: the five rules are checked there.
@@ -21,6 +22,7 @@
 mod beliefs;
 mod call;
 mod completion;
+mod confirmation;
 mod dispatch;
 mod endpoints;
 mod function;
@@ -48,6 +50,8 @@
 
 use crate::interface::*;
 use call::{CallGroup, Deadline, PendingCall, QueuePosition};
+use confirmation::ListValidity;
+use endpoints::Subscription;
 use function::Function;
 use load_budget::LoadBudget;
 use numbers::DecayingSum;
@@ -92,8 +96,8 @@
     workers: Vec<Worker>,
     worker_index: BTreeMap<WorkerId, usize>,
     functions: BTreeMap<FunctionId, Function>,
-    /// Endpoint updates are subscribed to.
-    endpoints_subscribed: bool,
+    subscription: Subscription,
+    list_validity: ListValidity,
 
     pending: BTreeMap<RequestId, PendingCall>,
     queue: BTreeSet<QueuePosition>,
@@ -171,6 +175,8 @@
     fn on_event(&mut self, event: &Event, now: Micros, actions: &mut Vec<Action>) {
         match event {
             Event::Endpoints { update, endpoints } => self.on_endpoints(*update, endpoints, now, actions),
+            Event::EndpointListValid { until } => self.list_validity.until = *until,
+            Event::WorkerConnection { worker, is_open } => self.on_worker_connection(*worker, *is_open, now),
             Event::Request(request) => self.on_request(request, now),
             Event::AttemptEnded(end) => {
                 self.on_attempt_ended(end, now, actions);
@@ -188,8 +194,9 @@
                 self.on_loaded(&load, now);
                 self.note_changed(*worker);
             }
-            Event::HealthChecked { worker, outcome, report, .. } => {
+            Event::HealthChecked { worker, outcome, elapsed, report } => {
                 self.on_health_checked(*worker, *outcome, report, now, actions);
+                self.on_question_answered(*worker, *outcome, now - elapsed, now, actions);
                 self.note_changed(*worker);
             }
             Event::Started { request, .. } => self.on_started(*request),
--- a/crates/core/src/policy/send.rs
+++ b/crates/core/src/policy/send.rs
@@ -8,7 +8,7 @@
 use crate::interface::*;
 
 impl FrontEnd {
-    /// Sends a request. Nothing is sent to a worker that is not ready (rule 3), beyond a warming worker's limit
+    /// Sends a request. Nothing is sent to a worker that is not ready, or not confirmed while the list is old (rule 3), beyond a warming worker's limit
     /// (rule 4), for a request that is over (rule 1) or that may not have another attempt (rule 2).
     pub(super) fn send(
         &mut self,
@@ -23,11 +23,13 @@
         let is_allowed = worker.ready
             && self.may_send_again(id, now)
             && self.is_in_scope(call, worker)
+            && self.is_confirmed(worker, now)
             && self.has_slow_start_capacity(index, call, now);
         if !is_allowed {
             return;
         }
         let relative_work = self.relative_work(call.request.class);
+        let start_by = self.new_work_until(worker);
         self.dequeue(id);
         let Some(call) = self.pending.get_mut(&id) else { return };
         let function = call.request.function;
@@ -37,7 +39,7 @@
         self.count_attempt(index, function, number > 0, now);
         self.record_sent_work(index, prediction.base_run, relative_work, now);
         self.expect_copy(index, function, &prediction, now);
-        actions.push(Action::Send { request: id, worker, timeout: 0 });
+        actions.push(Action::Send { request: id, worker, timeout: 0, start_by });
         self.workers[index].in_flight.push(Attempt {
             request: id,
             number,
--- a/crates/core/src/policy/timers.rs
+++ b/crates/core/src/policy/timers.rs
@@ -30,6 +30,9 @@
     fn next_decision(&self, now: Micros) -> Micros {
         let tick = self.settings.tick;
         let mut next = now + self.settings.idle_retention.max(MAX_IDLE);
+        if let Some(retry_at) = self.subscription.retry_at {
+            next = next.min(retry_at);
+        }
         if let Some(deadline) = self.deadlines.first() {
             next = next.min(deadline.at);
         }
@@ -43,6 +46,9 @@
         if self.workers.iter().any(|worker| worker.in_flight.len() > 1) {
             next = next.min(now + tick * BUSY_TICKS);
         }
+        if !self.queued_by_group.is_empty() {
+            next = next.min(self.next_question(now));
+        }
         next.max(now + tick)
     }
 }
--- a/crates/core/src/policy/worker.rs
+++ b/crates/core/src/policy/worker.rs
@@ -2,6 +2,7 @@
 
 use super::attempt_counter::AttemptCounter;
 use super::beliefs::Beliefs;
+use super::confirmation::Confirmation;
 use super::numbers::{decay, DecayingSum};
 use super::prediction::Prediction;
 use crate::interface::*;
@@ -45,6 +46,7 @@
     pub recent_load: DecayingSum,
     pub attempts: AttemptCounter,
     pub beliefs: Beliefs,
+    pub confirmation: Confirmation,
 }
 
 impl Worker {
--- a/crates/core/src/policy/worker_search.rs
+++ b/crates/core/src/policy/worker_search.rs
@@ -1,6 +1,7 @@
 //! The search for a worker for one request: which workers it may go to, in the order of their ranks.
 
 use super::call::{AttemptRecord, Execution, PendingCall};
+use super::confirmation::Standing;
 use super::function::Function;
 use super::homes::{lacks_copy, HomeRank};
 use super::numbers::GAIN;
@@ -80,29 +81,34 @@
         }
         let copy_chance = if lacks_copy { 0.0 } else { self.copy_chance };
         let home = if is_home { HomeRank::Home { copy_chance } } else { HomeRank::NotHome };
-        let prediction = front_end.predict(index, self.call, self.load_time, home, self.now);
+        let standing = front_end.standing(worker, self.now);
+        let mut prediction = front_end.predict(index, self.call, self.load_time, home, self.now);
+        prediction.cost += front_end.question_cost(standing);
         // An idempotent request may go back to a copy after an error, if no other can be in time. Covers one that
         // fails often and holds the only copy. Could harm where errors come of too much work.
         let may_have_run_here =
             self.attempts_at(worker).any(|attempt| attempt.execution == Execution::MayHaveRun);
         if may_have_run_here {
-            if prediction.has_capacity && prediction.finish <= self.call.objective_at {
+            let takes_requests = prediction.has_capacity && standing != Standing::Barred;
+            if takes_requests && prediction.finish <= self.call.objective_at {
                 self.candidates.same_worker = Some(prediction);
             }
             return;
         }
-        let has_capacity =
-            prediction.has_capacity && front_end.has_slow_start_capacity(index, self.call, self.now);
+        let has_capacity = prediction.has_capacity
+            && standing != Standing::Barred
+            && front_end.has_slow_start_capacity(index, self.call, self.now);
         self.candidates.offer(prediction, !copy_expected && !is_home, has_capacity);
     }
 
-    /// Whether the worker takes requests and is neither ejected nor out of its retry budget.
+    /// Whether the worker takes requests and is neither withdrawn nor ejected nor out of its retry budget.
     fn may_use(&self, worker: &Worker) -> bool {
         let effect = self.front_end.settings.classes[self.call.request.class as usize].effect;
         // A request without idempotency that may have run ends in failure: not where errors were seen recently.
         let is_error_prone = worker.beliefs.error_rate > GAIN / 2.0 + self.front_end.mean_error_rate;
         let is_well = worker.is_healthy(self.now) && !(effect == Effect::NonIdempotent && is_error_prone);
         worker.ready
+            && !self.front_end.is_withdrawn(worker, self.now)
             && (is_well || self.health.ejections_doubted)
             && self.front_end.allows_attempt(self.call, &worker.attempts, self.now)
     }
--- a/crates/core/src/wire/encode.rs
+++ b/crates/core/src/wire/encode.rs
@@ -78,7 +78,7 @@
 
     fn action(&mut self, action: &Action, tail: &mut Vec<u8>) {
         match action {
-            Action::Send { request, worker, timeout } => {
+            Action::Send { request, worker, timeout, .. } => {
                 let record = self.code(code::SEND).put(3, &request.to_be_bytes());
                 record.millis(7, *timeout).put(15, &worker.to_be_bytes())
             }
@@ -104,7 +104,7 @@
                 self.code(code::SUBSCRIBE_ENDPOINTS).put(3, &[u8::from(*on)])
             }
             Action::FetchEndpoints => self.code(code::FETCH_ENDPOINTS),
-            Action::Load { worker, function, copies } => {
+            Action::Load { worker, function, copies, .. } => {
                 let record = self.code(code::LOAD).put(3, &worker.to_be_bytes());
                 record.put(7, &function.to_be_bytes()).put(15, &[*copies])
             }
--- a/crates/gateway/src/state/core/answers.rs
+++ b/crates/gateway/src/state/core/answers.rs
@@ -39,6 +39,7 @@
             Some(Outcome::ConnectFailed) => "workers-unreachable",
             Some(Outcome::Miss) => "not-loaded-in-time",
             _ if self.endpoints.ready_count() == 0 => "no-workers",
+            _ if now > self.list_valid_until => "endpoint-list-old",
             _ if now >= call.deadline - (call.deadline - call.taken) / 4 => "held-until-too-late",
             _ => "can-not-finish-in-time",
         }
--- a/crates/gateway/src/state/core/execute.rs
+++ b/crates/gateway/src/state/core/execute.rs
@@ -5,6 +5,25 @@
 use stagehoist::{Action, AttemptEnd, CopyReport, Effect, Event, Micros, Outcome, RequestId, WorkerId};
 use std::rc::Rc;
 
+/// The module's choice to send a request.
+pub(super) struct SendOrder {
+    pub request: RequestId,
+    pub worker: WorkerId,
+    /// Time limit of the attempt; 0: as long as the request has.
+    pub timeout: Micros,
+    /// No byte of it is written after this time.
+    pub start_by: Micros,
+}
+
+/// The module's choice to load a function.
+struct LoadCopies {
+    worker: WorkerId,
+    function: u64,
+    copies: u8,
+    /// No byte of it is written after this time.
+    start_by: Micros,
+}
+
 impl Core {
     pub(super) fn expire_load_orders(&mut self, now: Micros) {
         let lost: Vec<_> = self
@@ -26,7 +45,10 @@
 
     pub(super) fn execute(&mut self, now: Micros, action: Action, commands: &mut Vec<Command>) {
         match action {
-            Action::Send { request, worker, timeout } => self.send(now, request, worker, timeout, commands),
+            Action::Send { request, worker, timeout, start_by } => {
+                let order = SendOrder { request, worker, timeout, start_by };
+                self.send(now, order, commands);
+            }
             Action::Reject { request, retry_after } => {
                 let reason = self.reason(request, now);
                 let retry_after = retry_after.min(self.settings.max_retry_after);
@@ -47,8 +69,9 @@
                 commands.push(Command::HealthCheck { worker, address: self.address(worker) });
             }
             Action::CloseIdle { worker } => commands.push(Command::CloseIdle { worker }),
-            Action::Load { worker, function, copies } => {
-                self.order_load(now, worker, function, copies, commands);
+            Action::Load { worker, function, copies, start_by } => {
+                let order = LoadCopies { worker, function, copies, start_by };
+                self.order_load(now, order, commands);
             }
             Action::Unload { worker, function } => {
                 let Some(function) = self.names.name(function) else { return };
@@ -63,14 +86,8 @@
         }
     }
 
-    fn order_load(
-        &mut self,
-        now: Micros,
-        worker: WorkerId,
-        function: u64,
-        copies: u8,
-        commands: &mut Vec<Command>,
-    ) {
+    fn order_load(&mut self, now: Micros, order: LoadCopies, commands: &mut Vec<Command>) {
+        let LoadCopies { worker, function, copies, start_by } = order;
         let Some(name) = self.names.name(function) else {
             // No call of it for so long that its name is gone: as if nothing had been heard.
             let lost = Event::Loaded { worker, function, outcome: Outcome::Timeout, elapsed: 0, copies: 0 };
@@ -85,7 +102,7 @@
         self.counters.loads += 1;
         tracing::debug!(worker = self.endpoints.name(worker), function = &*name, copies, "load");
         let address = self.address(worker);
-        commands.push(Command::Load { worker, address, function, name, copies });
+        commands.push(Command::Load { worker, address, function, name, copies, start_by });
     }
 
     /// The module knows workers by their numbers, people by their names.
@@ -95,14 +112,8 @@
         tracing::info!(text, worker, "module");
     }
 
-    pub(super) fn send(
-        &mut self,
-        now: Micros,
-        request: RequestId,
-        worker: WorkerId,
-        timeout: Micros,
-        commands: &mut Vec<Command>,
-    ) {
+    pub(super) fn send(&mut self, now: Micros, order: SendOrder, commands: &mut Vec<Command>) {
+        let SendOrder { request, worker, timeout, start_by } = order;
         let closed = self.is_closed_call(request, now);
         let address = self.address(worker);
         let Some(call) = self.calls.get_mut(&request) else { return };
@@ -115,7 +126,7 @@
         }
         let due = if timeout > 0 { call.deadline.min(now + timeout) } else { call.deadline };
         let effect = self.settings.settings.classes.get(usize::from(call.class)).map(|class| class.effect);
-        let begin_by = begin_by(call, effect);
+        let start_by = start_by.min(begin_by(call, effect));
         call.attempts.push(Some(AttemptInFlight { worker, sent_at: now, deadline: due }));
         self.attempt_deadlines.insert((due, request, attempt));
         self.counters.attempts += 1;
@@ -134,7 +145,7 @@
             content_type: call.arrival.content_type.clone(),
             correlation: call.arrival.correlation.clone(),
             ticket: call.ticket,
-            start_by: begin_by,
+            start_by,
             intent: call.arrival.identity.map(|identity| (identity, call.ticket)),
         }));
     }
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -78,6 +78,8 @@
     settings: CoreSettings,
     names: Names,
     endpoints: EndpointSet,
+    /// Until when the source of the list vouches for it.
+    list_valid_until: Micros,
     calls: HashMap<RequestId, Call>,
     by_ticket: HashMap<Ticket, RequestId>,
     next_request: RequestId,
@@ -120,6 +122,7 @@
             endpoints: EndpointSet::new(kinds, zones, figures.announcement_retention)
                 .with_max_workers(figures.max_workers.unwrap_or(MAX_WORKERS)),
             settings: figures,
+            list_valid_until: Micros::MAX,
             calls: HashMap::new(),
             by_ticket: HashMap::new(),
             next_request: 1,
@@ -287,6 +290,13 @@
             }
             Input::ClusterStatus(status) => self.on_cluster_status(now, status, commands),
             Input::FrontEndList(list) => self.on_front_end_list(list, now, commands),
+            Input::EndpointListValid { until } => {
+                self.list_valid_until = until;
+                self.events.push(Event::EndpointListValid { until });
+            }
+            Input::WorkerConnection { worker, is_open } => {
+                self.events.push(Event::WorkerConnection { worker, is_open });
+            }
             Input::EndpointListFailed => {
                 let update = self.endpoints.on_list_failure();
                 self.apply_endpoint_change(update, now);
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -168,6 +168,15 @@
     },
     EndpointList(Vec<stagehoist_endpoints::ListedWorker>),
     EndpointListFailed,
+    /// The source of the list vouches for it up to this time: [`stagehoist::Event::EndpointListValid`].
+    EndpointListValid {
+        until: Micros,
+    },
+    /// The first connection to a worker was established, or the last one closed.
+    WorkerConnection {
+        worker: WorkerId,
+        is_open: bool,
+    },
     /// A whole list of front ends, where the fleet is divided by it; None: it could not be had.
     FrontEndList(Option<Vec<crate::discovery::front_ends::Entry>>),
     /// Workers with numbers of their own: the whole list, or what changed.
@@ -204,6 +213,8 @@
         function: FunctionId,
         name: Rc<str>,
         copies: u8,
+        /// No byte of it is written after this time.
+        start_by: Micros,
     },
     Unload {
         worker: WorkerId,
--- a/crates/gateway/src/transport.rs
+++ b/crates/gateway/src/transport.rs
@@ -113,7 +113,7 @@
                 }
             }
             Command::HealthCheck { worker, address } => self.workers.probe(worker, address),
-            Command::Load { worker, address, function, name, copies } => {
+            Command::Load { worker, address, function, name, copies, .. } => {
                 self.workers.load((worker, address), (function, &name), copies)
             }
             Command::Unload { address, function, .. } => self.workers.unload(address, &function),
--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -1,9 +1,10 @@
 //! Clients accepted within bounds.
 
-use super::{sockets, ClientConnection, Clients};
+use super::{ClientConnection, Clients};
 use crate::bounds;
 use crate::descriptors::{is_want, DescriptorHolder, Refusal};
 use crate::session::Session;
+use crate::sockets;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
--- a/crates/platform/src/clients/cancelled.rs
+++ b/crates/platform/src/clients/cancelled.rs
@@ -2,8 +2,9 @@
 //! before it last waited.
 
 use super::finish::Socket;
-use super::{sockets, ClientConnection, Clients};
+use super::{ClientConnection, Clients};
 use crate::executors::{ClientLookup, ClientPresence};
+use crate::sockets;
 use stagehoist::Micros;
 use stagehoist_gateway::state::Ticket;
 use std::rc::Rc;
--- a/crates/platform/src/clients/exchange.rs
+++ b/crates/platform/src/clients/exchange.rs
@@ -1,7 +1,8 @@
 //! One client's connection: read into its session, its answers written, closed in order.
 
-use super::{finish::Socket, sockets, ClientConnection, Clients};
+use super::{finish::Socket, ClientConnection, Clients};
 use crate::shared::Shared;
+use crate::sockets::{self, uninterrupted};
 use stagehoist_gateway::state::Input;
 use std::io;
 use std::rc::Rc;
@@ -88,7 +89,7 @@
     /// False once the client is gone.
     fn read(&self, connection: &Rc<ClientConnection>) -> bool {
         let mut scratch = self.shared.scratch.borrow_mut();
-        let n = match connection.stream.try_read(&mut scratch) {
+        let n = match uninterrupted(|| connection.stream.try_read(&mut scratch)) {
             Ok(0) => return false,
             Ok(n) => n,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
@@ -140,7 +141,7 @@
     pub(super) fn flush(&self, connection: &ClientConnection) -> bool {
         let mut session = connection.session.borrow_mut();
         while !session.output().is_empty() {
-            match connection.stream.try_write(session.output()) {
+            match uninterrupted(|| connection.stream.try_write(session.output())) {
                 Ok(n) => session.wrote(n, self.shared.clock.now()),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
                 Err(_) => return false,
@@ -159,7 +160,7 @@
         let mut dropped = 0;
         while dropped < LINGER_LIMITS.1 && stream.readable().await.is_ok() {
             let mut scratch = shared.scratch.borrow_mut();
-            match stream.try_read(&mut scratch) {
+            match uninterrupted(|| stream.try_read(&mut scratch)) {
                 Ok(0) => return,
                 Ok(n) => dropped += n,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/crates/platform/src/clients/finish.rs
+++ b/crates/platform/src/clients/finish.rs
@@ -1,6 +1,7 @@
 //! The end of a process: whatever reached it whole is answered, and no close resets what was written.
 
-use super::{sockets, ClientConnection, Clients};
+use super::{ClientConnection, Clients};
+use crate::sockets;
 use stagehoist_gateway::state::{Answer, Input, Ticket};
 use std::io;
 use std::rc::Rc;
@@ -76,7 +77,6 @@
                 Ok(0) => return Socket::Over,
                 Ok(n) => inputs.extend(self.receive(connection, &scratch[..n])),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Socket::Dry,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return Socket::Over,
             }
         }
@@ -94,7 +94,6 @@
             match sockets::write(&connection.stream, session.output()) {
                 Ok(n) => session.wrote(n, self.shared.clock.now()),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return false,
             }
         }
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -5,7 +5,6 @@
 mod cancelled;
 mod exchange;
 mod finish;
-mod sockets;
 
 use crate::bounds::Bounds;
 use crate::session::{Catalog, Session};
--- a/crates/platform/src/connection/ending.rs
+++ b/crates/platform/src/connection/ending.rs
@@ -79,15 +79,18 @@
         self.queue.retain(|item| item.tag != Some(tag) || item.done > 0);
     }
 
-    /// Orders that waited here for longer than they count are not begun any more.
+    /// Orders that waited here for longer than they count, or than they may, are not begun any more.
     pub fn withdraw_overdue(&mut self, now: Micros, order: Micros, inputs: &mut Vec<Input>) {
-        let over = |o: &PendingExchange| {
-            o.started_at.is_none() && matches!(o.exchange, Exchange::Load { sent, .. } if now - sent >= order)
+        let outcome = |o: &PendingExchange| match o.exchange {
+            Exchange::Load { sent, .. } if now - sent >= order => Some(Outcome::Timeout),
+            Exchange::Load { start_by, .. } if now > start_by => Some(Outcome::Superseded),
+            _ => None,
         };
-        let tags: Vec<Tag> = self.pending.iter().filter(|(_, o)| over(o)).map(|(t, _)| *t).collect();
-        for tag in tags {
+        let unbegun = self.pending.iter().filter(|(_, o)| o.started_at.is_none());
+        let over: Vec<(Tag, Outcome)> = unbegun.filter_map(|(tag, o)| Some((*tag, outcome(o)?))).collect();
+        for (tag, outcome) in over {
             self.unqueue(tag);
-            self.finish(tag, Outcome::Timeout, now, inputs);
+            self.finish(tag, outcome, now, inputs);
         }
     }
 
@@ -124,10 +127,11 @@
         for (tag, begun) in tags {
             let order = self.pending.get(&tag).is_some_and(|o| matches!(o.exchange, Exchange::Load { .. }));
             let outcome = match how {
-                // That an order never arrived is reported by `ConnectFailed` alone, and costs its worker nothing.
-                Closure::NoDescriptors if !order => Outcome::Full,
+                // An order that never left says nothing about its worker, nor of copies there.
+                Closure::LocalFailure if order => Outcome::Superseded,
+                Closure::LocalFailure => Outcome::Full,
                 _ if !begun => Outcome::ConnectFailed,
-                Closure::NotConnected | Closure::NoDescriptors => Outcome::ConnectFailed,
+                Closure::NotConnected => Outcome::ConnectFailed,
                 Closure::Broken => Outcome::Reset,
                 Closure::ProtocolViolated => Outcome::Error,
             };
--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -41,9 +41,21 @@
 /// What an answer is awaited for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Exchange {
-    Attempt { request: RequestId, attempt: u16 },
-    Probe { worker: WorkerId, sent: Micros },
-    Load { worker: WorkerId, function: FunctionId, sent: Micros },
+    Attempt {
+        request: RequestId,
+        attempt: u16,
+    },
+    Probe {
+        worker: WorkerId,
+        sent: Micros,
+    },
+    /// No byte of the order is written after `start_by`.
+    Load {
+        worker: WorkerId,
+        function: FunctionId,
+        sent: Micros,
+        start_by: Micros,
+    },
 }
 
 impl Exchange {
@@ -77,8 +89,8 @@
 pub enum Closure {
     /// Refused, or not up in time: nothing was written.
     NotConnected,
-    /// It had no descriptor of this process: nothing was written, and it speaks against no executor.
-    NoDescriptors,
+    /// This machine itself kept it down, as for want of a descriptor: nothing was written, and it speaks against no executor.
+    LocalFailure,
     /// It broke or was closed.
     Broken,
     /// What came can't be read.
--- a/crates/platform/src/connection/reading.rs
+++ b/crates/platform/src/connection/reading.rs
@@ -125,7 +125,7 @@
                 let (outcome, report) = (result.outcome, result.report);
                 Input::HealthChecked { worker, sent, outcome, report, draining: None }
             }
-            Exchange::Load { worker, function, sent } => {
+            Exchange::Load { worker, function, sent, .. } => {
                 Input::Loaded { worker, function, sent, outcome: result.outcome, copies }
             }
         });
--- a/crates/platform/src/executors/commands.rs
+++ b/crates/platform/src/executors/commands.rs
@@ -4,10 +4,21 @@
 use super::{Executors, InFlight};
 use crate::connection::{Closure, Exchange};
 use crate::fields;
-use stagehoist::{FunctionId, Outcome, RequestId, WorkerId};
+use stagehoist::{FunctionId, Micros, Outcome, RequestId, WorkerId};
 use stagehoist_gateway::state::{Attempt, AttemptResult, Input};
 use std::rc::Rc;
 
+/// An order to hold copies of a function.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadCommand<'a> {
+    pub worker: WorkerId,
+    pub function: FunctionId,
+    pub name: &'a str,
+    pub copies: u8,
+    /// No byte of it is written after this time.
+    pub start_by: Micros,
+}
+
 impl Executors {
     fn note_unwritten(&self, connection: Rc<Connection>) {
         if !connection.dirty.replace(true) {
@@ -102,20 +113,23 @@
     }
 
     /// Orders copies of a function; the answer comes as [`Input::Loaded`].
-    pub fn load(self: &Rc<Self>, worker: WorkerId, function: FunctionId, name: &str, copies: u8) {
+    pub fn load(self: &Rc<Self>, order: LoadCommand<'_>) {
+        let LoadCommand { worker, function, name, copies, start_by } = order;
         let sent = self.shared.clock.now();
         let ready = self.executors.borrow().get(&worker).is_some_and(|e| e.ready);
         let connection = if ready || copies == 0 { self.pick(worker, None) } else { None };
         match connection {
             Some(connection) => {
-                let what = Exchange::Load { worker, function, sent };
+                let what = Exchange::Load { worker, function, sent, start_by };
                 connection.line.borrow_mut().send_load(name, copies, what, sent);
                 // Its task sets an alarm for when this counts as lost.
                 connection.wake.notify_one();
                 self.note_unwritten(connection);
             }
             None => {
-                let (outcome, copies) = (Outcome::ConnectFailed, 0);
+                // For want of a connection of its own it never left; one that is not listed takes none.
+                let outcome = if ready { Outcome::Superseded } else { Outcome::ConnectFailed };
+                let copies = 0;
                 self.late_inputs.borrow_mut().push_back(Input::Loaded {
                     worker,
                     function,
--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -2,11 +2,11 @@
 
 use super::Executors;
 use crate::connection::{Closure, ConnectionState};
-use socket2::SockRef;
+use crate::sockets::{self, uninterrupted};
 use stagehoist::WorkerId;
 use stagehoist_gateway::state::Input;
 use std::cell::{Cell, RefCell};
-use std::io::{self, Read};
+use std::io;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -46,12 +46,12 @@
 
 impl Executors {
     pub(super) async fn talk(self: Rc<Self>, connection: Rc<Connection>, address: Rc<str>) {
-        let (stream, wants) = self.handshake(&connection, &address).await;
+        let (stream, is_local_failure) = self.handshake(&connection, &address).await;
         match stream.filter(|s| s.set_nodelay(true).is_ok() && connection.state.get() == State::Connecting) {
             None => {
                 self.count(|c| c.not_up += 1);
-                connection.state.set(State::Over(if wants {
-                    Closure::NoDescriptors
+                connection.state.set(State::Over(if is_local_failure {
+                    Closure::LocalFailure
                 } else {
                     Closure::NotConnected
                 }));
@@ -60,7 +60,7 @@
                 self.count(|c| c.connected += 1);
                 let stream = Rc::new(stream);
                 *connection.stream.borrow_mut() = Some(stream.clone());
-                connection.state.set(State::Up);
+                self.note_connected(&connection);
                 self.read_clients_first().await;
                 self.flush(&connection);
                 self.pass_on_late();
@@ -141,7 +141,7 @@
 
     fn read(&self, connection: &Connection, stream: &TcpStream, inputs: &mut Vec<Input>) {
         let mut scratch = self.shared.scratch.borrow_mut();
-        match stream.try_read(&mut scratch) {
+        match uninterrupted(|| stream.try_read(&mut scratch)) {
             Ok(0) => connection.end(Closure::Broken),
             Ok(n) => {
                 self.received(connection, &scratch[..n], inputs);
@@ -169,29 +169,43 @@
     fn read_remaining(&self, connection: &Connection, stream: &TcpStream, inputs: &mut Vec<Input>) {
         let mut scratch = self.shared.scratch.borrow_mut();
         let mut left = MAX_UNREAD_INPUT;
-        while let Ok(n) = (&*SockRef::from(stream)).read(&mut scratch) {
+        while let Ok(n) = sockets::read(stream, &mut scratch) {
             left = left.saturating_sub(n);
             if n == 0 || left == 0 || !self.received(connection, &scratch[..n], inputs) {
                 return;
             }
         }
     }
+
+    /// The connection is up; the first to its executor is reported.
+    fn note_connected(&self, connection: &Connection) {
+        let executors = self.executors.borrow();
+        let executor = executors.get(&connection.worker);
+        let is_first = executor.is_some_and(|executor| !executor.is_connected());
+        connection.state.set(State::Up);
+        if is_first && !connection.moved.get() {
+            let opened = Input::WorkerConnection { worker: connection.worker, is_open: true };
+            self.late_inputs.borrow_mut().push_back(opened);
+        }
+    }
+
     async fn ended(&self, connection: &Rc<Connection>) {
         let how = match connection.state.get() {
             State::Over(how) => how,
             _ => Closure::Broken,
         };
+        let was_up = connection.stream.borrow().is_some();
         connection.state.set(State::Over(how));
         if let (Closure::ProtocolViolated, Some(stream)) = (how, &*connection.stream.borrow()) {
             // What was written and not read there yet is dropped with it.
             let _ = stream.set_zero_linger();
         }
         *connection.stream.borrow_mut() = None;
-        if how != Closure::NoDescriptors {
+        if how != Closure::LocalFailure {
             self.shared.descriptors.freed();
         }
         match how {
-            Closure::NotConnected | Closure::NoDescriptors => {}
+            Closure::NotConnected | Closure::LocalFailure => {}
             Closure::Broken => self.count(|c| c.broken += 1),
             Closure::ProtocolViolated => self.count(|c| c.poisoned += 1),
         }
@@ -202,6 +216,9 @@
             let mut executors = self.executors.borrow_mut();
             if let Some(executor) = executors.get_mut(&connection.worker) {
                 executor.links.retain(|l| !Rc::ptr_eq(l, connection));
+                if was_up && !executor.is_connected() {
+                    inputs.push(Input::WorkerConnection { worker: connection.worker, is_open: false });
+                }
                 if !executor.ready && executor.links.is_empty() {
                     executors.remove(&connection.worker);
                 }
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -7,6 +7,8 @@
 mod selection;
 mod writing;
 
+pub use commands::LoadCommand;
+
 use crate::bounds::Bounds;
 use crate::clients::Shared;
 use crate::connection::Closure;
@@ -24,6 +26,13 @@
     links: Vec<Rc<Connection>>,
 }
 
+impl Executor {
+    /// Whether a connection to its present address is up.
+    fn is_connected(&self) -> bool {
+        self.links.iter().any(|link| link.state.get() == State::Up && !link.moved.get())
+    }
+}
+
 /// Settings that the executors' side needs.
 #[derive(Clone, Debug)]
 pub struct Limits {
--- a/crates/platform/src/executors/selection.rs
+++ b/crates/platform/src/executors/selection.rs
@@ -4,11 +4,9 @@
 use super::Executors;
 use crate::connection::{Closure, ConnectionState};
 use crate::descriptors::DescriptorHolder;
-use socket2::SockRef;
+use crate::sockets;
 use stagehoist::WorkerId;
 use std::cell::{Cell, RefCell};
-use std::io;
-use std::mem::MaybeUninit;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -113,9 +111,5 @@
 /// Whether the other side closed a connection on which nothing more is to be read: what the socket knows already, asked without waiting.
 pub(super) fn is_dead(connection: &Connection) -> bool {
     let Some(stream) = connection.stream.borrow().clone() else { return true };
-    match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit(); 1]) {
-        Ok(0) => true,
-        Ok(_) => false,
-        Err(e) => e.kind() != io::ErrorKind::WouldBlock,
-    }
+    sockets::is_closed(&stream)
 }
--- a/crates/platform/src/executors/writing.rs
+++ b/crates/platform/src/executors/writing.rs
@@ -4,6 +4,7 @@
 use super::selection::is_dead;
 use super::{ClientPresence, Executors};
 use crate::connection::{Closure, ConnectionState};
+use crate::sockets::uninterrupted;
 use stagehoist::RequestId;
 use std::io;
 
@@ -34,7 +35,7 @@
             }
             bytes.clear();
             line.fill(&mut bytes);
-            match stream.try_write(&bytes) {
+            match uninterrupted(|| stream.try_write(&bytes)) {
                 Ok(n) => line.on_written(n, self.shared.clock.now()),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return connection.wake.notify_one(),
                 Err(_) => return connection.end(Closure::Broken),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod run;
 pub mod session;
 pub mod shared;
+mod sockets;
 pub mod stalls;
 pub mod subscription;
 pub mod watch;
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -4,7 +4,7 @@
 use crate::clients::{Clients, Shared};
 use crate::config::{ConfigError, PlatformSettings};
 use crate::descriptors;
-use crate::executors::{Executors, Limits};
+use crate::executors::{Executors, Limits, LoadCommand};
 use crate::reload;
 use crate::replay::Replay;
 use crate::session::Catalog;
@@ -166,8 +166,8 @@
             Command::Attempt(attempt) => self.executors.attempt(attempt),
             Command::Abort { request, attempt } => self.executors.abort(request, attempt),
             Command::HealthCheck { worker, .. } => self.executors.probe(worker),
-            Command::Load { worker, function, name, copies, .. } => {
-                self.executors.load(worker, function, &name, copies)
+            Command::Load { worker, function, name, copies, start_by, .. } => {
+                self.executors.load(LoadCommand { worker, function, name: &name, copies, start_by });
             }
             Command::Unload { worker, function, .. } => self.executors.unload(worker, &function),
             Command::CloseIdle { worker } => self.executors.close_idle(worker),
--- a/crates/platform/src/subscription.rs
+++ b/crates/platform/src/subscription.rs
@@ -13,6 +13,10 @@
 const HEAD: usize = 9;
 /// A frame is sent each second; after so much longer silence the connection is abandoned.
 pub const SILENCE: Micros = 1_600_000;
+/// After it fell silent, what the bus would have told counts as told within this time of its last frame.
+pub const TOLD_AFTER_SILENCE: Micros = 4_000_000;
+/// After a break, within this time.
+pub const TOLD_AFTER_BREAK: Micros = 2_000_000;
 /// Pauses between connections: at once, then doubling up to the longest.
 const PAUSE: (Micros, Micros) = (50_000, 400_000);
 /// Events that could not be read and are asked for a second time; beyond them none is.
@@ -57,6 +61,21 @@
     heartbeats: HeartbeatNumbering,
     /// While all events are told anew.
     replay: Option<Replay>,
+    /// The events taken are all that counts as told up to then.
+    valid_until: Micros,
+}
+
+/// How a connection to the event bus ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SubscriptionEnd {
+    /// Nothing came for too long.
+    Silent,
+    /// The bus closed it, or it broke.
+    Broken,
+    /// What came can't be used: there are events that were not taken.
+    Unusable,
+    /// This side left it for another address.
+    Moved,
 }
 
 impl EventSubscription {
@@ -72,6 +91,30 @@
             unreadable: BTreeSet::new(),
             heartbeats: HeartbeatNumbering::Unknown,
             replay: None,
+            valid_until: now + TOLD_AFTER_SILENCE,
+        }
+    }
+
+    /// Up to when the events that were taken are all that counts as told. What the bus holds later may count though it never
+    /// came.
+    pub fn valid_until(&self) -> Micros {
+        self.valid_until
+    }
+
+    /// A connection ended; `late` is for how long that may have waited to be seen, as this process did not run.
+    pub fn ended(&mut self, how: SubscriptionEnd, now: Micros, late: Micros) {
+        let limit = match how {
+            SubscriptionEnd::Silent | SubscriptionEnd::Moved => return,
+            SubscriptionEnd::Broken => now - late + TOLD_AFTER_BREAK,
+            SubscriptionEnd::Unusable => now - late,
+        };
+        self.valid_until = self.valid_until.min(limit);
+    }
+
+    /// A frame shows that the bus is there, and that all before it was taken.
+    fn on_frame(&mut self, read_at: Micros) {
+        if self.replay.is_none() {
+            self.valid_until = self.valid_until.max(read_at + TOLD_AFTER_SILENCE);
         }
     }
 
@@ -85,6 +128,8 @@
         self.buffer = BytesMut::new();
         self.received_at = now;
         self.opened = Some(now);
+        // Once the bus is asked again, all that it holds counts as told.
+        self.valid_until = self.valid_until.min(now);
         match &mut self.replay {
             Some(replay) => {
                 replay.restart();
@@ -113,11 +158,11 @@
         }
     }
 
-    /// Takes what the socket gave; inputs are pushed in their order. After an error the connection is to be abandoned.
+    /// Takes what the socket gave, by `read_at` at the latest; inputs are pushed in their order. After an error the connection is to be abandoned.
     pub fn feed(
         &mut self,
         bytes: &[u8],
-        now: Micros,
+        (now, read_at): (Micros, Micros),
         inputs: &mut Vec<EndpointEvent>,
     ) -> Result<(), SubscriptionError> {
         self.buffer.extend_from_slice(bytes);
@@ -137,13 +182,18 @@
             (self.received_at, self.failures) = (now, 0);
             if self.replay.is_some() {
                 self.replayed(number, kind, &frame, inputs)?;
+                self.on_frame(read_at);
                 continue;
             }
             if kind == 0 {
                 self.on_heartbeat(number)?;
+                if number <= self.last || self.heartbeats != HeartbeatNumbering::LastEvent {
+                    self.on_frame(read_at);
+                }
                 continue;
             }
             if number <= self.last {
+                self.on_frame(read_at);
                 continue;
             }
             let event = self.read(number, kind, &frame)?;
@@ -154,6 +204,7 @@
                 return Err(SubscriptionError::Gap { expected, got: number });
             }
             self.on_event(event, inputs);
+            self.on_frame(read_at);
         }
     }
 
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -3,8 +3,11 @@
 
 use crate::clients::Shared;
 use crate::descriptors::{is_want, Refusal};
+use crate::endpoint_events::EndpointEvent;
 use crate::executors::Executors;
-use crate::subscription::EventSubscription;
+use crate::sockets::uninterrupted;
+use crate::subscription::{EventSubscription, SubscriptionEnd};
+use stagehoist::Micros;
 use stagehoist_gateway::state::Input;
 use std::collections::VecDeque;
 use std::io;
@@ -25,6 +28,8 @@
 ) {
     // Read and not yet handed to the driver. It outlives the connection: the next one is asked for later events only.
     let mut waiting = VecDeque::new();
+    // Until when the list was last reported to be valid.
+    let mut reported = Micros::MIN;
     loop {
         // Made in the instant in which the one before it was let go of, with nothing awaited between: whatever else may want
         // its descriptor, the event subscription has it.
@@ -36,6 +41,7 @@
             }
             shared.descriptors.release_one();
         }
+        report_validity(&subscription, &mut reported, &mut waiting);
         if !hand_over(&shared.inputs, &mut waiting).await {
             return;
         }
@@ -53,14 +59,32 @@
         };
         let Some(stream) = stream else { continue };
         let asks = subscription.connected(shared.clock.now());
-        let why = tokio::select! {
-            why = listen(&shared, &executors, &mut subscription, &mut waiting, &stream, &asks) => why,
+        report_validity(&subscription, &mut reported, &mut waiting);
+        // The bus is asked whether or not the driver has room just now.
+        hand_over_now(&shared.inputs, &mut waiting);
+        let listening = Listener {
+            shared: &shared,
+            executors: &executors,
+            subscription: &mut subscription,
+            waiting: &mut waiting,
+            reported: &mut reported,
+        };
+        let (end, why) = tokio::select! {
+            ended = listening.run(&stream, &asks) => match ended {
+                Some(ended) => ended,
+                None => return,
+            },
             changed = address.changed() => match changed {
-                Ok(()) => "told anew where it is".to_string(),
+                Ok(()) => (SubscriptionEnd::Moved, "told anew where it is".to_string()),
                 Err(_) => return,
             },
         };
-        tracing::info!(subscription = %to, last = subscription.last(), why, "connecting to the event bus again");
+        let (now, late) = shared.read_time();
+        subscription.ended(end, now, late);
+        let valid_ms = (subscription.valid_until() - now) / 1000;
+        tracing::info!(
+            subscription = %to, last = subscription.last(), why, valid_ms, "connecting to the event bus again"
+        );
     }
 }
 
@@ -84,53 +108,100 @@
     true
 }
 
-async fn listen(
-    shared: &Shared,
-    executors: &Rc<Executors>,
-    subscription: &mut EventSubscription,
-    waiting: &mut VecDeque<Input>,
-    stream: &TcpStream,
-    asks: &[u8],
-) -> String {
-    let mut asks = asks;
-    while !asks.is_empty() {
-        if stream.writable().await.is_err() {
-            return "broke".into();
+/// Gives the driver what it has room for now.
+fn hand_over_now(inputs: &mpsc::Sender<Input>, waiting: &mut VecDeque<Input>) {
+    while !waiting.is_empty() {
+        let Ok(permit) = inputs.try_reserve() else { return };
+        if let Some(item) = waiting.pop_front() {
+            permit.send(item);
         }
-        match stream.try_write(asks) {
-            Ok(n) => asks = &asks[n..],
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return e.to_string(),
+    }
+}
+
+/// Tells the driver until when the list is valid, where that changed: after the events that were read before it.
+fn report_validity(subscription: &EventSubscription, reported: &mut Micros, waiting: &mut VecDeque<Input>) {
+    let until = subscription.valid_until();
+    if until != *reported {
+        *reported = until;
+        // One that was not handed over yet is out of date.
+        if matches!(waiting.back(), Some(Input::EndpointListValid { .. })) {
+            waiting.pop_back();
         }
+        waiting.push_back(Input::EndpointListValid { until });
     }
-    let mut events = Vec::new();
-    loop {
-        let silent = shared.clock.instant(subscription.silent_at());
-        let ready = tokio::time::timeout_at(silent, stream.readable()).await;
-        let fed = {
-            let mut scratch = shared.scratch.borrow_mut();
-            // Also after the time ran out: this process itself may have been late.
-            match stream.try_read(&mut scratch) {
-                Ok(0) => return "closed".into(),
-                Ok(n) => subscription.feed(&scratch[..n], shared.clock.now(), &mut events),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock && ready.is_err() => return "silent".into(),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
-                Err(e) => return e.to_string(),
-            }
-        };
-        // Without a pause between the event subscription' number and this: what counts as known is withdrawn from and on its way.
-        for event in events.drain(..) {
-            let withdrawn = executors.apply(event.kind, &event.endpoints);
-            waiting.push_back(Input::EndpointUpdate { kind: event.kind, endpoints: event.endpoints });
-            waiting.extend(withdrawn);
+}
+
+/// One connection to the event bus.
+struct Listener<'a> {
+    shared: &'a Shared,
+    executors: &'a Rc<Executors>,
+    subscription: &'a mut EventSubscription,
+    /// Read and not yet handed to the driver.
+    waiting: &'a mut VecDeque<Input>,
+    reported: &'a mut Micros,
+}
+
+impl Listener<'_> {
+    /// Asks for what is missing and takes what comes until the connection is over: how and why. None once there is no driver.
+    async fn run(mut self, stream: &TcpStream, asks: &[u8]) -> Option<(SubscriptionEnd, String)> {
+        if let Err(error) = write_all(stream, asks).await {
+            return Some((SubscriptionEnd::Broken, error.to_string()));
         }
-        if let Err(error) = fed {
-            return error.to_string();
+        let mut events = Vec::new();
+        loop {
+            let silent = self.shared.clock.instant(self.subscription.silent_at());
+            let ready = tokio::time::timeout_at(silent, stream.readable()).await;
+            let end = self.read(stream, ready.is_err(), &mut events);
+            // Without a pause between the event's number and this: what counts as known is withdrawn from and on its way.
+            for event in events.drain(..) {
+                let withdrawn = self.executors.apply(event.kind, &event.endpoints);
+                self.waiting
+                    .push_back(Input::EndpointUpdate { kind: event.kind, endpoints: event.endpoints });
+                self.waiting.extend(withdrawn);
+            }
+            report_validity(self.subscription, self.reported, self.waiting);
+            if end.is_some() {
+                return end;
+            }
+            if !hand_over(&self.shared.inputs, self.waiting).await {
+                return None;
+            }
         }
-        if !hand_over(&shared.inputs, waiting).await {
-            return "over".into();
+    }
+
+    /// Reads what lies in the socket; how and why the connection is over, if it is.
+    fn read(
+        &mut self,
+        stream: &TcpStream,
+        is_silent: bool,
+        events: &mut Vec<EndpointEvent>,
+    ) -> Option<(SubscriptionEnd, String)> {
+        let mut scratch = self.shared.scratch.borrow_mut();
+        // Also after the time ran out: this process itself may have been late.
+        let read = match uninterrupted(|| stream.try_read(&mut scratch)) {
+            Ok(0) => return Some((SubscriptionEnd::Broken, "closed".into())),
+            Ok(n) => n,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                return is_silent.then(|| (SubscriptionEnd::Silent, "silent".into()));
+            }
+            Err(e) => return Some((SubscriptionEnd::Broken, e.to_string())),
+        };
+        let (now, late) = self.shared.read_time();
+        let fed = self.subscription.feed(&scratch[..read], (now, now - late), events);
+        fed.err().map(|error| (SubscriptionEnd::Unusable, error.to_string()))
+    }
+}
+
+async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        stream.writable().await?;
+        match uninterrupted(|| stream.try_write(bytes)) {
+            Ok(n) => bytes = &bytes[n..],
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
         }
     }
+    Ok(())
 }
 
 #[cfg(test)]
--- a/crates/scale-tests/src/list/follower.rs
+++ b/crates/scale-tests/src/list/follower.rs
@@ -57,7 +57,7 @@
 
     fn feed(&mut self, bytes: &[u8]) -> Result<usize, String> {
         let mut news = Vec::new();
-        self.bus.feed(bytes, self.now, &mut news).map_err(|e| e.to_string())?;
+        self.bus.feed(bytes, (self.now, self.now), &mut news).map_err(|e| e.to_string())?;
         let mut rows = 0;
         for event in news {
             let update = self.members.apply(event.kind, event.endpoints, self.now);
