Soak of outages, drains, restarts and faults of machines; the list vouches only while connected

The soak draws everything from a seed and judges from the sockets; fault-shim, preloaded into front ends, steps their wall clocks and has socket calls fail, be interrupted or short, and connections that they made break. An event counts once it is in the bus, whoever is connected; the relief of the pages lasts no longer than the outage, which nobody sees who is not connected. So the list vouches while a connection stands that was not silent for 1.6 s, and not beyond.

Two breaks that it showed first were the rig's own: an executor that hung did not note what had come to it until it read on.

Starts of executors are dated by a wall clock that may step; one that is reported while a front end runs now counts from its event (start_times.rs).

--- a/crates/cli/tests/outages/drains.rs
+++ b/crates/cli/tests/outages/drains.rs
@@ -38,7 +38,7 @@
 /// Two executors drain as the outage begins and two deep inside it. Gives the verdict, and the part served before the outage
 /// and from its fifth second on.
 async fn outage_with_drains(kind: SubscriptionFault, front_ends: usize, seed: u64) -> (Verdict, f64, f64) {
-    let mut rig = Rig::start(shape(front_ends, seed), &[]).await;
+    let mut rig = Rig::start(shape(front_ends, seed), |_| Vec::new()).await;
     rig.begin_traffic(load(front_ends));
     tokio::time::sleep(1000 * MS).await;
     let usual = Instant::now();
--- a/crates/cli/tests/outages/front_end.rs
+++ b/crates/cli/tests/outages/front_end.rs
@@ -39,13 +39,15 @@
     }
 
     /// Starts its process with this configuration.
-    pub fn start(&mut self, mut config: Value) {
+    pub async fn start(&mut self, mut config: Value) {
         config["name"] = format!("n{}", self.number).into();
         config["listen"] = self.listen.to_string().into();
         std::fs::write(&self.config, config.to_string()).unwrap();
         let program = Path::new(env!("CARGO_BIN_EXE_stagehoist"));
-        let StartedFrontEnd { child, log, .. } =
-            start_front_end(program, &self.config, &self.environment).unwrap();
+        let (file, environment) = (self.config.clone(), self.environment.clone());
+        // The emulated systems go on meanwhile.
+        let starting = tokio::task::spawn_blocking(move || start_front_end(program, &file, &environment));
+        let StartedFrontEnd { child, log, .. } = starting.await.unwrap().unwrap();
         self.process = Some(child);
         self.logs.push(log);
     }
@@ -74,15 +76,6 @@
     pub fn has_crashed(&mut self) -> bool {
         self.process.as_mut().is_some_and(|child| child.try_wait().unwrap().is_some())
     }
-
-    /// How many lines of its logs have all of these words.
-    pub fn logged(&self, words: &[&str]) -> usize {
-        let count = |log: &Log| {
-            let lines = log.lock().unwrap();
-            lines.iter().filter(|line| words.iter().all(|word| line.contains(word))).count()
-        };
-        self.logs.iter().map(count).sum()
-    }
 }
 
 impl Drop for FrontEnd {
--- a/crates/cli/tests/outages/main.rs
+++ b/crates/cli/tests/outages/main.rs
@@ -4,4 +4,5 @@
 mod drains;
 mod front_end;
 mod rig;
+mod soak;
 mod traffic;
--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -2,6 +2,7 @@
 
 use crate::front_end::FrontEnd;
 use crate::traffic::{ask, Ledger, Load, Phase};
+use rustix::process::Signal;
 use serde_json::Value;
 use stagehoist_emulator::platform::bus::{record, Resumption, SubscriptionFault};
 use stagehoist_emulator::platform::configuration::{document, host};
@@ -12,6 +13,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -60,6 +62,40 @@
     pub seed: u64,
 }
 
+/// How late the thread of the emulated systems was: what they note is dated so much too late at worst.
+struct Lateness {
+    worst: Arc<Mutex<Duration>>,
+    task: JoinHandle<()>,
+}
+
+impl Lateness {
+    const INTERVAL: Duration = Duration::from_millis(5);
+
+    fn start() -> Lateness {
+        let worst = Arc::new(Mutex::new(Duration::ZERO));
+        let seen = worst.clone();
+        let task = tokio::spawn(async move {
+            loop {
+                let due = Instant::now() + Lateness::INTERVAL;
+                tokio::time::sleep_until(due.into()).await;
+                let mut worst = seen.lock().unwrap();
+                *worst = worst.max(due.elapsed());
+            }
+        });
+        Lateness { worst, task }
+    }
+
+    fn worst(&self) -> Duration {
+        *self.worst.lock().unwrap()
+    }
+}
+
+impl Drop for Lateness {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 /// An executor of the rig, over its restarts.
 struct Slot {
     executor: Executor,
@@ -83,6 +119,7 @@
     starts: Vec<Start>,
     phases: Vec<watch::Sender<Phase>>,
     clients: Vec<JoinHandle<Ledger>>,
+    lateness: Lateness,
 }
 
 /// What a run of the rig came to.
@@ -92,6 +129,10 @@
     pub requests: Vec<(SentRequest, bool)>,
     /// Questions to executors without work, over all front ends.
     pub probes: usize,
+    /// The longest time for which the emulated systems themselves did not run.
+    pub lateness: Duration,
+    /// Log lines of all front ends.
+    pub logs: Vec<String>,
 }
 
 impl Verdict {
@@ -104,8 +145,8 @@
 }
 
 impl Rig {
-    /// Starts everything but clients. `environment` is for the processes of the front ends.
-    pub async fn start(shape: Shape, environment: &[(String, String)]) -> Rig {
+    /// Starts everything but clients. `environment`, by the number of the front end, is for the processes of the front ends.
+    pub async fn start(shape: Shape, environment: impl Fn(usize) -> Vec<(String, String)>) -> Rig {
         HOST.set(RIGS.fetch_add(1, Ordering::Relaxed));
         let folder = tempfile::tempdir().unwrap();
         let mut slots = Vec::new();
@@ -116,15 +157,25 @@
         }
         let mut front_ends = Vec::new();
         for number in 0..shape.front_ends {
-            front_ends.push(FrontEnd::new(number, folder.path(), environment.to_vec()).await);
+            front_ends.push(FrontEnd::new(number, folder.path(), environment(number)).await);
         }
         let phases = front_ends.iter().map(|_| watch::channel(Phase::Open).0).collect();
         let (outages, starts, clients) = (Vec::new(), Vec::new(), Vec::new());
-        let mut rig =
-            Rig { shape, _folder: folder, slots, front_ends, outages, outage: None, starts, phases, clients };
+        let mut rig = Rig {
+            shape,
+            _folder: folder,
+            slots,
+            front_ends,
+            outages,
+            outage: None,
+            starts,
+            phases,
+            clients,
+            lateness: Lateness::start(),
+        };
         for number in 0..shape.front_ends {
             rig.write_known(number);
-            rig.start_front_end(number);
+            rig.start_front_end(number).await;
         }
         rig
     }
@@ -135,9 +186,14 @@
     }
 
     /// Starts the process of a front end with the list as it stands now.
-    pub fn start_front_end(&mut self, number: usize) {
+    pub async fn start_front_end(&mut self, number: usize) {
         let config = self.configuration(number);
-        self.front_ends[number].start(config);
+        self.front_ends[number].start(config).await;
+    }
+
+    /// Has a front end read its configuration again, so many times in a row.
+    pub fn reload(&self, number: usize, times: usize) {
+        (0..times).for_each(|_| self.front_ends[number].signal(Signal::HUP));
     }
 
     fn configuration(&self, number: usize) -> Value {
@@ -273,7 +329,11 @@
         };
         let probes = seen.iter().flat_map(|(_, seen)| seen).filter(is_probe).count();
         let requests = ledgers.into_iter().flat_map(with_outcome).collect();
-        Verdict { broken, requests, probes }
+        let (lateness, logs) = (self.lateness.worst(), self.logs());
+        if logs.iter().any(|line| line.contains("panicked")) {
+            broken.push("a front end panicked".into());
+        }
+        Verdict { broken, requests, probes, lateness, logs }
     }
 
     /// The rules by which one front end is judged: each asks its bus again at a time of its own.
@@ -307,8 +367,7 @@
         }
     }
 
-    /// Log lines of every front end, for a run that went wrong.
-    pub fn logs(&self) -> Vec<String> {
+    fn logs(&self) -> Vec<String> {
         let lines = |front_end: &FrontEnd| {
             let logs = front_end.logs.iter().flat_map(|log| log.lock().unwrap().clone());
             logs.map(|line| format!("n{} {line}", front_end.number)).collect::<Vec<_>>()
--- /dev/null
+++ b/crates/cli/tests/outages/soak.rs
@@ -0,0 +1,279 @@
+//! A soak: everything is drawn from a seed, front ends and executors, outages of discovery, drains and restarts around
+//! them, steps of wall clocks, system calls that fail, signals in series, crowds. A seed is enough to play a run again:
+//! `SOAK_FIRST=17 SOAK_SEEDS=1 cargo test -p stagehoist-cli --test outages soak -- --nocapture`. By hand it runs for as many seeds as
+//! `SOAK_SEEDS` says, `SOAK_AT_ONCE` of them at a time.
+
+use crate::rig::{Rig, Shape, Verdict};
+use crate::traffic::{Load, Phase};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use stagehoist_emulator::platform::bus::{Resumption, SubscriptionFault};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+const MS: Duration = Duration::from_millis(1);
+/// Seeds that CI plays, and how many at once.
+const SEEDS: u64 = 12;
+const AT_ONCE: u64 = 4;
+/// How long a run lasts before its clients end.
+const LENGTH_MS: u64 = 12_000;
+/// What SIGKILL leaves beyond the longest deadline, which counts as 3 s at most.
+const KILL_BEYOND: Duration = Duration::from_millis(700);
+const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// For so long after SIGTERM new connections come.
+const STILL_CONNECTING: Duration = Duration::from_millis(300);
+/// Idle connections of a crowd.
+const CROWD: usize = 150;
+/// Broken rules shown of a run.
+const MAX_SHOWN: usize = 6;
+
+/// Something that happens in a run.
+#[derive(Clone, Copy, Debug)]
+enum Happening {
+    OutageBegins(SubscriptionFault),
+    OutageEnds(Resumption),
+    DrainBegins(usize),
+    DrainPublished(usize),
+    Removed(usize),
+    Restarted(usize),
+    Hangs(usize, bool),
+    Terminated(usize),
+    NoNewConnections(usize),
+    Killed(usize),
+    StartedAgain(usize),
+    Reloaded(usize, usize),
+    CrowdComes(usize),
+    CrowdLeaves,
+}
+
+/// A run, as drawn.
+struct Plan {
+    shape: Shape,
+    load: Load,
+    /// For the fault shim, by front end; empty where it is not preloaded.
+    faults: Vec<String>,
+    happenings: Vec<(Duration, Happening)>,
+}
+
+fn draw(seed: u64) -> Plan {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let front_ends = [1, 1, 2, 3, 3, 5, 8, 12, 20, 30][random.random_range(0..10)];
+    let executors = random.random_range(6..=12);
+    let longest = [300, 600, 1200, 2000, 3000][random.random_range(0..5)];
+    let shape = Shape {
+        front_ends,
+        executors,
+        run: random.random_range(5..=40) * MS,
+        load: random.random_range(20..=150) * MS,
+        places: [0, 0, 4, 8][random.random_range(0..4)],
+        longest_deadline: longest as u32 * MS,
+        seed,
+    };
+    let load = Load {
+        rate: random.random_range(50.0..150.0) / front_ends as f64,
+        functions: random.random_range(10..50),
+        new_function_after: random.random_range(20..60),
+        allow: longest as u32 * MS,
+        unsafe_part: random.random_range(0.0..0.5),
+        cancelled_part: [0.0, 0.05, 0.1][random.random_range(0..3)],
+    };
+    let faults = (0..front_ends).map(|number| draw_faults(seed, number, &mut random)).collect();
+    let mut happenings = Vec::new();
+    draw_outages(&mut random, &mut happenings);
+    draw_drains(executors, &mut random, &mut happenings);
+    draw_signals(&shape, &mut random, &mut happenings);
+    happenings.sort_by_key(|(at, _)| *at);
+    Plan { shape, load, faults, happenings }
+}
+
+fn draw_faults(seed: u64, number: usize, random: &mut ChaCha8Rng) -> String {
+    let mut plan = Vec::new();
+    if random.random_bool(0.5) {
+        plan.push(format!("seed={seed}{number},sockets={}", random.random_range(500..10_000)));
+        plan.push(format!(
+            "from={},to={}",
+            random.random_range(500..4000),
+            random.random_range(4000..11_000)
+        ));
+    }
+    if random.random_bool(0.5) {
+        let step = |random: &mut ChaCha8Rng| {
+            let by = [-3_600_000, -7000, -2000, 2000, 7000, 3_600_000][random.random_range(0..6)];
+            format!("{}:{by}", random.random_range(500..10_000))
+        };
+        plan.push(format!("steps={};{}", step(random), step(random)));
+    }
+    plan.join(",")
+}
+
+fn draw_outages(random: &mut ChaCha8Rng, happenings: &mut Vec<(Duration, Happening)>) {
+    use SubscriptionFault::{Closing, Refusing, Silent, Unreachable};
+    let mut at = random.random_range(1500..3000);
+    for _ in 0..random.random_range(1..=2) {
+        let kind = [Silent, Refusing, Closing, Unreachable][random.random_range(0..4)];
+        let length = random.random_range(500..8000);
+        let resumption = [Resumption::Events, Resumption::WholeList][random.random_range(0..2)];
+        happenings.push((at * MS, Happening::OutageBegins(kind)));
+        happenings.push(((at + length) * MS, Happening::OutageEnds(resumption)));
+        at += length + random.random_range(300..2500);
+    }
+}
+
+fn draw_drains(executors: usize, random: &mut ChaCha8Rng, happenings: &mut Vec<(Duration, Happening)>) {
+    for index in 0..random.random_range(1..=executors / 3) {
+        let at = random.random_range(1000..9000);
+        let published = at + random.random_range(0..1000);
+        happenings.push((at * MS, Happening::DrainBegins(index)));
+        happenings.push((published * MS, Happening::DrainPublished(index)));
+        if random.random_bool(0.6) {
+            let removed = published + random.random_range(500..3000);
+            happenings.push((removed * MS, Happening::Removed(index)));
+            if random.random_bool(0.8) {
+                let restarted = removed + random.random_range(200..2000);
+                happenings.push((restarted * MS, Happening::Restarted(index)));
+            }
+        }
+    }
+    if random.random_bool(0.4) {
+        let (index, at) = (executors - 1, random.random_range(1000..8000));
+        happenings.push((at * MS, Happening::Hangs(index, true)));
+        happenings.push(((at + random.random_range(300..3000)) * MS, Happening::Hangs(index, false)));
+    }
+}
+
+fn draw_signals(shape: &Shape, random: &mut ChaCha8Rng, happenings: &mut Vec<(Duration, Happening)>) {
+    let kill_after = shape.longest_deadline.min(MAX_COUNTED_DEADLINE) + KILL_BEYOND;
+    for number in 0..shape.front_ends {
+        if random.random_bool(0.3) {
+            let at = random.random_range(1500..7000) * MS;
+            happenings.push((at, Happening::Terminated(number)));
+            happenings.push((at + STILL_CONNECTING, Happening::NoNewConnections(number)));
+            happenings.push((at + kill_after, Happening::Killed(number)));
+            let again = at + kill_after + random.random_range(1..300) * MS;
+            happenings.push((again, Happening::StartedAgain(number)));
+        } else if random.random_bool(0.3) {
+            let at = random.random_range(1500..9000) * MS;
+            happenings.push((at, Happening::Reloaded(number, random.random_range(1..8))));
+        }
+    }
+    if random.random_bool(0.3) {
+        let number = random.random_range(0..shape.front_ends);
+        happenings.push((random.random_range(1000..6000) * MS, Happening::CrowdComes(number)));
+        happenings.push((random.random_range(6000..11_000) * MS, Happening::CrowdLeaves));
+    }
+}
+
+async fn play(seed: u64) -> (Plan, Verdict) {
+    let plan = draw(seed);
+    let environment = |number: usize| shim_environment(&plan.faults[number]);
+    let mut rig = Rig::start(plan.shape, environment).await;
+    rig.begin_traffic(plan.load);
+    let start = Instant::now();
+    let mut crowd = Vec::new();
+    for (at, happening) in &plan.happenings {
+        tokio::time::sleep_until((start + *at).into()).await;
+        happen(&mut rig, *happening, &mut crowd).await;
+    }
+    tokio::time::sleep_until((start + LENGTH_MS as u32 * MS).into()).await;
+    let verdict = rig.finish().await;
+    (plan, verdict)
+}
+
+async fn happen(rig: &mut Rig, happening: Happening, crowd: &mut Vec<TcpStream>) {
+    match happening {
+        Happening::OutageBegins(kind) => rig.begin_outage(kind),
+        Happening::OutageEnds(resumption) => rig.end_outage(resumption),
+        Happening::DrainBegins(index) => rig.begin_drain(index),
+        Happening::DrainPublished(index) => rig.publish_drain(index),
+        Happening::Removed(index) => rig.remove(index),
+        Happening::Restarted(index) => rig.restart(index).await,
+        Happening::Hangs(index, is_hung) => rig.set_hung(index, is_hung),
+        Happening::Terminated(number) => rig.front_ends[number].signal(Signal::TERM),
+        Happening::NoNewConnections(number) => rig.set_phase(number, Phase::OpenConnections),
+        Happening::Killed(number) => rig.front_ends[number].end_by(Instant::now()).await,
+        Happening::StartedAgain(number) => {
+            rig.start_front_end(number).await;
+            rig.set_phase(number, Phase::Open);
+        }
+        Happening::Reloaded(number, times) => rig.reload(number, times),
+        Happening::CrowdComes(number) => {
+            for _ in 0..CROWD {
+                crowd.extend(TcpStream::connect(rig.front_ends[number].listen).await);
+            }
+        }
+        Happening::CrowdLeaves => crowd.clear(),
+    }
+}
+
+/// What has a process fail as planned.
+fn shim_environment(plan: &str) -> Vec<(String, String)> {
+    if plan.is_empty() {
+        return Vec::new();
+    }
+    let preload = shim().to_string_lossy().into_owned();
+    vec![("LD_PRELOAD".into(), preload), ("FAULT_SHIM".into(), plan.into())]
+}
+
+/// The library that cargo built beside this test.
+fn shim() -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    let library = test.parent().unwrap().join("libstagehoist_fault_shim.so");
+    assert!(library.is_file(), "{} was not built", library.display());
+    library
+}
+
+/// Plays one seed; gives what went wrong.
+fn run(seed: u64) -> Vec<String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let (plan, verdict) = runtime.block_on(play(seed));
+    let start = verdict.requests.first().map_or(Instant::now(), |(request, _)| request.at);
+    let served = verdict.served(start, start + LENGTH_MS as u32 * MS * 2);
+    let Shape { front_ends, executors, longest_deadline, .. } = plan.shape;
+    println!(
+        "seed {seed}: {front_ends} front ends, {executors} executors, deadline {longest_deadline:?}, {} requests, served \
+         {served:.3}, {} probes, {} broken rules, emulation late by {:?}",
+        verdict.requests.len(),
+        verdict.probes,
+        verdict.broken.len(),
+        verdict.lateness
+    );
+    if verdict.broken.is_empty() {
+        return Vec::new();
+    }
+    let kept = std::env::temp_dir().join(format!("outage-soak-{seed}.log"));
+    let happenings = plan.happenings.iter().map(|(at, happening)| format!("{at:?} {happening:?}"));
+    let faults = plan.faults.iter().map(|faults| format!("faults {faults}"));
+    let lines: Vec<String> =
+        happenings.chain(faults).chain(verdict.broken.clone()).chain(verdict.logs).collect();
+    std::fs::write(&kept, lines.join("\n")).unwrap();
+    let shown = verdict.broken.into_iter().take(MAX_SHOWN);
+    shown.map(|text| format!("seed {seed} ({}): {text}", kept.display())).collect()
+}
+
+fn number(variable: &str, usual: u64) -> u64 {
+    std::env::var(variable).map_or(usual, |text| text.parse().unwrap())
+}
+
+#[test]
+fn soak_of_outages_drains_restarts_and_faults_of_machines_keeps_every_rule() {
+    let (first, seeds) = (number("SOAK_FIRST", 1), number("SOAK_SEEDS", SEEDS));
+    let next = AtomicU64::new(first);
+    let play_some = || {
+        let mut wrong = Vec::new();
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= first + seeds {
+                return wrong;
+            }
+            wrong.extend(run(seed));
+        }
+    };
+    let wrong: Vec<String> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..number("SOAK_AT_ONCE", AT_ONCE)).map(|_| scope.spawn(play_some)).collect();
+        threads.into_iter().flat_map(|thread| thread.join().unwrap()).collect()
+    });
+    assert!(wrong.is_empty(), "{} rules broken, shown in part: {wrong:#?}", wrong.len());
+}
--- a/crates/emulator/src/platform/executor.rs
+++ b/crates/emulator/src/platform/executor.rs
@@ -75,7 +75,7 @@
     Open,
     /// It finishes what it runs, rejects runs and orders to load, and answers questions about its health with `DOWN`.
     Draining,
-    /// It reads and answers nothing.
+    /// It reads, and does and answers nothing until it no longer hangs.
     Hung,
 }
 
@@ -129,6 +129,13 @@
 }
 
 impl Party {
+    /// Returns once the executor does not hang.
+    async fn awake(&self) {
+        while self.state.lock().unwrap().intake == Intake::Hung {
+            tokio::time::sleep(HUNG_POLL).await;
+        }
+    }
+
     fn note(&self, what: ExecutorRequest) {
         let seen = ObservedRequest { at: Instant::now(), front_end: self.front_end, what };
         self.state.lock().unwrap().seen.push(seen);
@@ -256,9 +263,6 @@
         if !matches!(got, Ok(n) if n > 0) {
             break;
         }
-        while state.lock().unwrap().intake == Intake::Hung {
-            tokio::time::sleep(HUNG_POLL).await;
-        }
         let words: Vec<&str> = line.trim_end_matches(['\r', '\n']).split(' ').collect();
         match words[..] {
             ["RUN", id, fields, length] => {
@@ -288,6 +292,7 @@
                 };
                 let (state, to_write, party) = (state.clone(), to_write.clone(), party.clone());
                 tasks.spawn(async move {
+                    party.awake().await;
                     let word = if rejects {
                         "BUSY"
                     } else if !holds {
@@ -325,14 +330,20 @@
                 } else {
                     format!("{tag} UP stats=inflight:{out};x0:0.1 0\r\n\r\n")
                 };
-                let _ = to_write.send(answer.into_bytes()).await;
+                let (party, to_write) = (party.clone(), to_write.clone());
+                tasks.spawn(async move {
+                    party.awake().await;
+                    let _ = to_write.send(answer.into_bytes()).await;
+                });
             }
             ["HOLD", tag, fields] => {
                 let (key, copies) = (field(fields, "key"), field(fields, "copies").parse().unwrap_or(0));
                 party.note(ExecutorRequest::Hold { key: key.clone(), copies });
                 let (state, to_write, tag) = (state.clone(), to_write.clone(), tag.to_string());
                 let rejects = copies > 0 && state.lock().unwrap().intake == Intake::Draining;
+                let party = party.clone();
                 tokio::spawn(async move {
+                    party.awake().await;
                     if copies > 0 && !rejects {
                         tokio::time::sleep(load).await;
                         state.lock().unwrap().copies.insert(key.clone());
--- /dev/null
+++ b/crates/fault-shim/src/calls.rs
@@ -0,0 +1,240 @@
+//! The functions that stand in for those of the C library.
+
+use crate::plan::{clock_offset, file_fault, socket_fault};
+use crate::real::Real;
+use libc::{c_int, c_void, clockid_t, epoll_event, size_t, sockaddr, socklen_t, ssize_t, timespec};
+use std::sync::atomic::{AtomicBool, Ordering};
+
+const NANOS_PER_SECOND: i64 = 1_000_000_000;
+/// Descriptors of which it is known who made the connection.
+const MAX_DESCRIPTORS: usize = 1 << 16;
+/// Of the calls on a connection that go wrong, every so many-th finds it broken; the others are interrupted or short.
+const BREAKS_EVERY: u64 = 16;
+
+/// Connections that this process made, by descriptor.
+static OWN: [AtomicBool; MAX_DESCRIPTORS] = [const { AtomicBool::new(false) }; MAX_DESCRIPTORS];
+
+fn set_own(descriptor: c_int, is_own: bool) {
+    if let Some(own) = usize::try_from(descriptor).ok().and_then(|index| OWN.get(index)) {
+        own.store(is_own, Ordering::Relaxed);
+    }
+}
+
+fn is_own(descriptor: c_int) -> bool {
+    let own = usize::try_from(descriptor).ok().and_then(|index| OWN.get(index));
+    own.is_some_and(|own| own.load(Ordering::Relaxed))
+}
+
+fn set_errno(errno: c_int) {
+    // SAFETY: the location of the calling thread's errno is valid for as long as the thread runs.
+    unsafe { *libc::__errno_location() = errno };
+}
+
+/// One of these, by the number drawn.
+fn pick(number: u64, errnos: &[c_int]) -> c_int {
+    errnos[(number % errnos.len() as u64) as usize]
+}
+
+fn fail(number: u64, errnos: &[c_int]) -> c_int {
+    set_errno(pick(number, errnos));
+    -1
+}
+
+/// What becomes of a read or a write that goes wrong.
+enum Transfer {
+    /// It fails, with errno set.
+    Failed,
+    /// So many bytes are passed on at most.
+    Short(size_t),
+}
+
+fn transfer_fault(descriptor: c_int, number: u64, length: size_t) -> Transfer {
+    if number.is_multiple_of(BREAKS_EVERY) && is_own(descriptor) {
+        // SAFETY: shutting down takes any descriptor; what it can't shut down it refuses.
+        unsafe { libc::shutdown(descriptor, libc::SHUT_RDWR) };
+        set_errno(pick(number / BREAKS_EVERY, &[libc::ETIMEDOUT, libc::EHOSTUNREACH]));
+        return Transfer::Failed;
+    }
+    if number.is_multiple_of(2) {
+        set_errno(libc::EINTR);
+        return Transfer::Failed;
+    }
+    Transfer::Short(1 + (number as size_t / 2) % length.max(1))
+}
+
+type ClockGettime = unsafe extern "C" fn(clockid_t, *mut timespec) -> c_int;
+type Accept4 = unsafe extern "C" fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int;
+type Socket = unsafe extern "C" fn(c_int, c_int, c_int) -> c_int;
+type Connect = unsafe extern "C" fn(c_int, *const sockaddr, socklen_t) -> c_int;
+type EpollWait = unsafe extern "C" fn(c_int, *mut epoll_event, c_int, c_int) -> c_int;
+type Recv = unsafe extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t;
+type Send = unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t;
+type Sync = unsafe extern "C" fn(c_int) -> c_int;
+type Pwrite64 = unsafe extern "C" fn(c_int, *const c_void, size_t, libc::off64_t) -> ssize_t;
+
+// SAFETY, of all nine: the types above are those of the C library's headers.
+static CLOCK_GETTIME: Real<ClockGettime> = unsafe { Real::new(c"clock_gettime") };
+static ACCEPT4: Real<Accept4> = unsafe { Real::new(c"accept4") };
+static SOCKET: Real<Socket> = unsafe { Real::new(c"socket") };
+static CONNECT: Real<Connect> = unsafe { Real::new(c"connect") };
+static EPOLL_WAIT: Real<EpollWait> = unsafe { Real::new(c"epoll_wait") };
+static RECV: Real<Recv> = unsafe { Real::new(c"recv") };
+static SEND: Real<Send> = unsafe { Real::new(c"send") };
+static FSYNC: Real<Sync> = unsafe { Real::new(c"fsync") };
+static FDATASYNC: Real<Sync> = unsafe { Real::new(c"fdatasync") };
+static PWRITE64: Real<Pwrite64> = unsafe { Real::new(c"pwrite64") };
+
+/// # Safety
+/// As `clock_gettime(2)`.
+#[no_mangle]
+pub unsafe extern "C" fn clock_gettime(clock: clockid_t, time: *mut timespec) -> c_int {
+    // SAFETY: passed on as given.
+    let result = unsafe { CLOCK_GETTIME.get()(clock, time) };
+    let is_wall = clock == libc::CLOCK_REALTIME || clock == libc::CLOCK_REALTIME_COARSE;
+    // The plan reads the monotonic clock, which never comes here again.
+    let offset = if is_wall && result == 0 { clock_offset() } else { 0 };
+    if offset != 0 {
+        // SAFETY: the call succeeded, so that `time` is valid.
+        let time = unsafe { &mut *time };
+        let nanos = time.tv_nsec + offset % NANOS_PER_SECOND;
+        time.tv_sec += offset / NANOS_PER_SECOND + nanos.div_euclid(NANOS_PER_SECOND);
+        time.tv_nsec = nanos.rem_euclid(NANOS_PER_SECOND);
+    }
+    result
+}
+
+/// # Safety
+/// As `accept4(2)`.
+#[no_mangle]
+pub unsafe extern "C" fn accept4(
+    descriptor: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    if let Some(number) = socket_fault() {
+        return fail(number, &[libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EINTR]);
+    }
+    // SAFETY: passed on as given.
+    let accepted = unsafe { ACCEPT4.get()(descriptor, address, length, flags) };
+    set_own(accepted, false);
+    accepted
+}
+
+/// # Safety
+/// As `socket(2)`.
+#[no_mangle]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    if let Some(number) = socket_fault() {
+        return fail(number, &[libc::ENFILE, libc::ENOBUFS]);
+    }
+    // SAFETY: passed on as given.
+    unsafe { SOCKET.get()(domain, kind, protocol) }
+}
+
+/// # Safety
+/// As `connect(2)`.
+#[no_mangle]
+pub unsafe extern "C" fn connect(descriptor: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    if let Some(number) = socket_fault() {
+        return fail(number, &[libc::ENOBUFS, libc::EADDRNOTAVAIL, libc::ENETUNREACH]);
+    }
+    set_own(descriptor, true);
+    // SAFETY: passed on as given.
+    unsafe { CONNECT.get()(descriptor, address, length) }
+}
+
+/// # Safety
+/// As `epoll_wait(2)`.
+#[no_mangle]
+pub unsafe extern "C" fn epoll_wait(
+    descriptor: c_int,
+    events: *mut epoll_event,
+    max_events: c_int,
+    timeout: c_int,
+) -> c_int {
+    if let Some(number) = socket_fault() {
+        return fail(number, &[libc::EINTR]);
+    }
+    // SAFETY: passed on as given.
+    unsafe { EPOLL_WAIT.get()(descriptor, events, max_events, timeout) }
+}
+
+/// # Safety
+/// As `recv(2)`.
+#[no_mangle]
+pub unsafe extern "C" fn recv(
+    descriptor: c_int,
+    buffer: *mut c_void,
+    length: size_t,
+    flags: c_int,
+) -> ssize_t {
+    let mut limit = length;
+    if let Some(number) = socket_fault() {
+        match transfer_fault(descriptor, number, length) {
+            Transfer::Failed => return -1,
+            Transfer::Short(most) => limit = most,
+        }
+    }
+    // SAFETY: passed on as given, with a part of the buffer at most.
+    unsafe { RECV.get()(descriptor, buffer, limit.min(length), flags) }
+}
+
+/// # Safety
+/// As `send(2)`.
+#[no_mangle]
+pub unsafe extern "C" fn send(
+    descriptor: c_int,
+    buffer: *const c_void,
+    length: size_t,
+    flags: c_int,
+) -> ssize_t {
+    let mut limit = length;
+    if let Some(number) = socket_fault() {
+        match transfer_fault(descriptor, number, length) {
+            Transfer::Failed => return -1,
+            Transfer::Short(most) => limit = most,
+        }
+    }
+    // SAFETY: passed on as given, with a part of the buffer at most.
+    unsafe { SEND.get()(descriptor, buffer, limit.min(length), flags) }
+}
+
+/// # Safety
+/// As `fsync(2)`.
+#[no_mangle]
+pub unsafe extern "C" fn fsync(descriptor: c_int) -> c_int {
+    if let Some(number) = file_fault() {
+        return fail(number, &[libc::EIO, libc::ENOSPC]);
+    }
+    // SAFETY: passed on as given.
+    unsafe { FSYNC.get()(descriptor) }
+}
+
+/// # Safety
+/// As `fdatasync(2)`.
+#[no_mangle]
+pub unsafe extern "C" fn fdatasync(descriptor: c_int) -> c_int {
+    if let Some(number) = file_fault() {
+        return fail(number, &[libc::EIO, libc::ENOSPC]);
+    }
+    // SAFETY: passed on as given.
+    unsafe { FDATASYNC.get()(descriptor) }
+}
+
+/// # Safety
+/// As `pwrite(2)`.
+#[no_mangle]
+pub unsafe extern "C" fn pwrite64(
+    descriptor: c_int,
+    buffer: *const c_void,
+    length: size_t,
+    offset: libc::off64_t,
+) -> ssize_t {
+    if let Some(number) = file_fault() {
+        set_errno(pick(number, &[libc::EIO, libc::ENOSPC]));
+        return -1;
+    }
+    // SAFETY: passed on as given.
+    unsafe { PWRITE64.get()(descriptor, buffer, length, offset) }
+}
--- /dev/null
+++ b/crates/fault-shim/src/lib.rs
@@ -0,0 +1,22 @@
+//! System calls that fail for a moment, and a wall clock that steps: a library for `LD_PRELOAD`, for tests alone.
+//!
+//! The environment variable `FAULT_SHIM` tells what happens, as `name=value` pairs between commas; without it every call goes
+//! through unchanged:
+//!
+//! | name | meaning |
+//! | --- | --- |
+//! | `seed` | for what is drawn |
+//! | `sockets` | calls on sockets, of a million, that fail, are interrupted or are short |
+//! | `files` | writes and syncs of files, of a million, that fail with `EIO` or `ENOSPC` |
+//! | `from`, `to` | milliseconds after the start between which they do |
+//! | `steps` | steps of the wall clock, `AT:BY` in milliseconds, between semicolons; the monotonic clock runs on |
+//!
+//! A connection that this process made may break: the call fails with `ETIMEDOUT` or `EHOSTUNREACH` and the connection is
+//! shut down. Accepted connections never break, as their requests would be lost with them.
+#![warn(missing_docs)]
+
+mod calls;
+mod plan;
+mod real;
+
+pub use plan::{Plan, PlanError, Step};
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`connection`]: an executor's connection, many requests at once.
 //! - [`subscription`], [`replay`], [`endpoint_events`]: the event bus' frames and what they say of executors.
 //! - [`bounds`]: how descriptors and memory are shared out, so that the process lives.
+//! - [`start_times`]: when executors started, whatever wall clocks say.
 //! - [`stalls`]: for how long this process itself did not run.
 //! - [`reload`]: a configuration read again at a signal, until it can be read.
 //!
@@ -34,6 +35,7 @@
 pub mod shared;
 mod sockets;
 pub mod stalls;
+pub mod start_times;
 pub mod subscription;
 pub mod watch;
 
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -8,6 +8,7 @@
 use crate::reload;
 use crate::replay::Replay;
 use crate::session::Catalog;
+use crate::start_times::StartTimes;
 use crate::subscription::EventSubscription;
 use crate::watch::watch_events;
 use stagehoist::{EndpointUpdate, Micros};
@@ -88,7 +89,8 @@
     let (events, last) = &settings.known;
     let _ = inputs.send(Input::EndpointUpdate { kind: EndpointUpdate::Full, endpoints: Vec::new() }).await;
     // As one: the line takes only so many before the driver runs, and the first turn has to have them all.
-    let known = Replay::all(events);
+    let mut known = Replay::all(events);
+    let starts = StartTimes::initial(&mut known.endpoints, clock.now());
     executors.apply(known.kind, &known.endpoints);
     let _ = inputs.send(Input::EndpointUpdate { kind: known.kind, endpoints: known.endpoints }).await;
     drop(inputs);
@@ -98,6 +100,7 @@
         shared.clone(),
         executors.clone(),
         EventSubscription::new(*last, clock.now()),
+        starts,
         bus_seen,
     ));
     let listener = Rc::new(listener);
--- a/crates/platform/src/subscription.rs
+++ b/crates/platform/src/subscription.rs
@@ -13,10 +13,6 @@
 const HEAD: usize = 9;
 /// A frame is sent each second; after so much longer silence the connection is abandoned.
 pub const SILENCE: Micros = 1_600_000;
-/// After it fell silent, what the bus would have told counts as told within this time of its last frame.
-pub const TOLD_AFTER_SILENCE: Micros = 4_000_000;
-/// After a break, within this time.
-pub const TOLD_AFTER_BREAK: Micros = 2_000_000;
 /// Pauses between connections: at once, then doubling up to the longest.
 const PAUSE: (Micros, Micros) = (50_000, 400_000);
 /// Events that could not be read and are asked for a second time; beyond them none is.
@@ -65,19 +61,6 @@
     valid_until: Micros,
 }
 
-/// How a connection to the event bus ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SubscriptionEnd {
-    /// Nothing came for too long.
-    Silent,
-    /// The bus closed it, or it broke.
-    Broken,
-    /// What came can't be used: there are events that were not taken.
-    Unusable,
-    /// This side left it for another address.
-    Moved,
-}
-
 impl EventSubscription {
     /// Events up to `last` are known.
     pub fn new(last: u64, now: Micros) -> EventSubscription {
@@ -91,30 +74,27 @@
             unreadable: BTreeSet::new(),
             heartbeats: HeartbeatNumbering::Unknown,
             replay: None,
-            valid_until: now + TOLD_AFTER_SILENCE,
+            valid_until: now,
         }
     }
 
-    /// Up to when the events that were taken are all that counts as told. What the bus holds later may count though it never
-    /// came.
+    /// Up to when the events that were taken are all that counts as told: for as long as a connection stands that was not silent
+    /// for too long. An event counts as told once it is in the bus, and the pages' relief while the bus is out of reach (2 s
+    /// after a break, 4 s after a silence) can't be used: it ends with the outage, which may be over for a moment unseen.
     pub fn valid_until(&self) -> Micros {
         self.valid_until
     }
 
-    /// A connection ended; `late` is for how long that may have waited to be seen, as this process did not run.
-    pub fn ended(&mut self, how: SubscriptionEnd, now: Micros, late: Micros) {
-        let limit = match how {
-            SubscriptionEnd::Silent | SubscriptionEnd::Moved => return,
-            SubscriptionEnd::Broken => now - late + TOLD_AFTER_BREAK,
-            SubscriptionEnd::Unusable => now - late,
-        };
-        self.valid_until = self.valid_until.min(limit);
+    /// The connection ended, `late` ago at most. The bus may be there for others, so that from now on nothing vouches for the
+    /// events that were taken.
+    pub fn ended(&mut self, now: Micros, late: Micros) {
+        self.valid_until = self.valid_until.min(now - late);
     }
 
     /// A frame shows that the bus is there, and that all before it was taken.
     fn on_frame(&mut self, read_at: Micros) {
         if self.replay.is_none() {
-            self.valid_until = self.valid_until.max(read_at + TOLD_AFTER_SILENCE);
+            self.valid_until = self.valid_until.max(read_at + SILENCE);
         }
     }
 
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -6,8 +6,9 @@
 use crate::endpoint_events::EndpointEvent;
 use crate::executors::Executors;
 use crate::sockets::uninterrupted;
-use crate::subscription::{EventSubscription, SubscriptionEnd};
-use stagehoist::Micros;
+use crate::start_times::StartTimes;
+use crate::subscription::EventSubscription;
+use stagehoist::{EndpointUpdate, Micros};
 use stagehoist_gateway::state::Input;
 use std::collections::VecDeque;
 use std::io;
@@ -24,6 +25,7 @@
     shared: Rc<Shared>,
     executors: Rc<Executors>,
     mut subscription: EventSubscription,
+    mut starts: StartTimes,
     mut address: watch::Receiver<SocketAddr>,
 ) {
     // Read and not yet handed to the driver. It outlives the connection: the next one is asked for later events only.
@@ -68,23 +70,21 @@
             subscription: &mut subscription,
             waiting: &mut waiting,
             reported: &mut reported,
+            starts: &mut starts,
         };
-        let (end, why) = tokio::select! {
+        let why = tokio::select! {
             ended = listening.run(&stream, &asks) => match ended {
-                Some(ended) => ended,
+                Some(why) => why,
                 None => return,
             },
             changed = address.changed() => match changed {
-                Ok(()) => (SubscriptionEnd::Moved, "told anew where it is".to_string()),
+                Ok(()) => "told anew where it is".to_string(),
                 Err(_) => return,
             },
         };
         let (now, late) = shared.read_time();
-        subscription.ended(end, now, late);
-        let valid_ms = (subscription.valid_until() - now) / 1000;
-        tracing::info!(
-            subscription = %to, last = subscription.last(), why, valid_ms, "connecting to the event bus again"
-        );
+        subscription.ended(now, late);
+        tracing::info!(subscription = %to, last = subscription.last(), why, "connecting to the event bus again");
     }
 }
 
@@ -139,29 +139,32 @@
     /// Read and not yet handed to the driver.
     waiting: &'a mut VecDeque<Input>,
     reported: &'a mut Micros,
+    starts: &'a mut StartTimes,
 }
 
 impl Listener<'_> {
-    /// Asks for what is missing and takes what comes until the connection is over: how and why. None once there is no driver.
-    async fn run(mut self, stream: &TcpStream, asks: &[u8]) -> Option<(SubscriptionEnd, String)> {
+    /// Asks for what is missing and takes what comes until the connection is over: why. None once there is no driver.
+    async fn run(mut self, stream: &TcpStream, asks: &[u8]) -> Option<String> {
         if let Err(error) = write_all(stream, asks).await {
-            return Some((SubscriptionEnd::Broken, error.to_string()));
+            return Some(error.to_string());
         }
         let mut events = Vec::new();
         loop {
             let silent = self.shared.clock.instant(self.subscription.silent_at());
             let ready = tokio::time::timeout_at(silent, stream.readable()).await;
-            let end = self.read(stream, ready.is_err(), &mut events);
+            let why = self.read(stream, ready.is_err(), &mut events);
             // Without a pause between the event's number and this: what counts as known is withdrawn from and on its way.
-            for event in events.drain(..) {
+            for mut event in events.drain(..) {
+                let is_full = event.kind != EndpointUpdate::Delta;
+                self.starts.apply(&mut event.endpoints, is_full, self.shared.clock.now());
                 let withdrawn = self.executors.apply(event.kind, &event.endpoints);
                 self.waiting
                     .push_back(Input::EndpointUpdate { kind: event.kind, endpoints: event.endpoints });
                 self.waiting.extend(withdrawn);
             }
             report_validity(self.subscription, self.reported, self.waiting);
-            if end.is_some() {
-                return end;
+            if why.is_some() {
+                return why;
             }
             if !hand_over(&self.shared.inputs, self.waiting).await {
                 return None;
@@ -169,26 +172,26 @@
         }
     }
 
-    /// Reads what lies in the socket; how and why the connection is over, if it is.
+    /// Reads what lies in the socket; why the connection is over, if it is.
     fn read(
         &mut self,
         stream: &TcpStream,
         is_silent: bool,
         events: &mut Vec<EndpointEvent>,
-    ) -> Option<(SubscriptionEnd, String)> {
+    ) -> Option<String> {
         let mut scratch = self.shared.scratch.borrow_mut();
         // Also after the time ran out: this process itself may have been late.
         let read = match uninterrupted(|| stream.try_read(&mut scratch)) {
-            Ok(0) => return Some((SubscriptionEnd::Broken, "closed".into())),
+            Ok(0) => return Some("closed".into()),
             Ok(n) => n,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                return is_silent.then(|| (SubscriptionEnd::Silent, "silent".into()));
+                return is_silent.then(|| "silent".into());
             }
-            Err(e) => return Some((SubscriptionEnd::Broken, e.to_string())),
+            Err(e) => return Some(e.to_string()),
         };
         let (now, late) = self.shared.read_time();
         let fed = self.subscription.feed(&scratch[..read], (now, now - late), events);
-        fed.err().map(|error| (SubscriptionEnd::Unusable, error.to_string()))
+        fed.err().map(|error| error.to_string())
     }
 }
 
--- a/crates/platform/src/watch/tests.rs
+++ b/crates/platform/src/watch/tests.rs
@@ -71,7 +71,13 @@
         let filler = Input::ClientGone(0);
         shared.inputs.send(filler).await.unwrap();
         let bus = EventSubscription::new(1, shared.clock.now());
-        let following = tokio::task::spawn_local(watch_events(shared.clone(), executors, bus, seen));
+        let following = tokio::task::spawn_local(watch_events(
+            shared.clone(),
+            executors,
+            bus,
+            StartTimes::default(),
+            seen,
+        ));
         let (mut stream, last) = asked(&old).await;
         assert_eq!(last, 1);
         let three = [drains(2, 7), drains(3, 8), drains(4, 9)].concat();
