--- a/crates/cli/tests/outages/drains.rs
+++ b/crates/cli/tests/outages/drains.rs
@@ -17,6 +17,7 @@
         executors: 10,
         run: 20 * MS,
         load: 60 * MS,
+        capacity: 8,
         places: 0,
         longest_deadline: 2000 * MS,
         seed,
--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -4,7 +4,7 @@
 use crate::traffic::{ask, Ledger, Load, Phase};
 use rustix::process::Signal;
 use serde_json::Value;
-use stagehoist_emulator::platform::bus::{record, Resumption, SubscriptionFault};
+use stagehoist_emulator::platform::bus::{record_of_capacity, Resumption, SubscriptionFault};
 use stagehoist_emulator::platform::configuration::{document, host};
 use stagehoist_emulator::platform::judge::{SlowStart, Start};
 use stagehoist_emulator::platform::{
@@ -55,7 +55,9 @@
     pub run: Duration,
     /// Time of a load.
     pub load: Duration,
-    /// Requests that an executor runs at a time; 0: any number.
+    /// Requests that an executor runs at a time at full speed.
+    pub capacity: u32,
+    /// Requests that it takes at a time; 0: any number.
     pub places: usize,
     /// The longest time that the settings say a client waits.
     pub longest_deadline: Duration,
@@ -181,7 +183,8 @@
     }
 
     fn write_known(&self, number: usize) {
-        let records: Vec<_> = self.slots.iter().map(|slot| slot.record(number)).collect();
+        let records: Vec<_> =
+            self.slots.iter().map(|slot| slot.record(number, self.shape.capacity)).collect();
         self.front_ends[number].bus.known(&records);
     }
 
@@ -199,9 +202,13 @@
     fn configuration(&self, number: usize) -> Value {
         let word = |state: u8| ["ready", "draining"][usize::from(state)];
         let listed = self.slots.iter().filter(|slot| slot.state != GONE);
-        let hosts = listed
-            .map(|slot| host(slot.executor.id, slot.executor.addresses[number], word(slot.state)))
-            .collect();
+        let entry = |slot: &Slot| {
+            let mut entry = host(slot.executor.id, slot.executor.addresses[number], word(slot.state));
+            entry["share"] = f64::from(self.shape.capacity).into();
+            entry["born_ms"] = slot.started_ms.into();
+            entry
+        };
+        let hosts = listed.map(entry).collect();
         let front_end = &self.front_ends[number];
         let mut config = document(hosts, front_end.bus.address, 512);
         let last = front_end.bus.last();
@@ -295,7 +302,7 @@
         self.slots[index].state = state;
         let slot = &self.slots[index];
         for front_end in &self.front_ends {
-            front_end.bus.change(&[slot.record(front_end.number)]);
+            front_end.bus.change(&[slot.record(front_end.number, self.shape.capacity)]);
         }
     }
 
@@ -356,14 +363,14 @@
     /// What executors that start may get from all front ends together.
     fn slow_start(&self) -> SlowStart {
         let window = Duration::from_secs(1);
-        const CAPACITY: f64 = 8.0;
         SlowStart {
             starts: self.starts.clone(),
             start_capacity: 0.3,
             warm_up: Duration::from_secs(5),
             overload_factor: 2.0,
             window,
-            full_capacity: CAPACITY * window.as_secs_f64() / self.shape.run.as_secs_f64(),
+            full_capacity: f64::from(self.shape.capacity) * window.as_secs_f64()
+                / self.shape.run.as_secs_f64(),
         }
     }
 
@@ -377,8 +384,9 @@
 }
 
 impl Slot {
-    fn record(&self, front_end: usize) -> Vec<u8> {
-        record(self.executor.id, self.executor.addresses[front_end], self.state, self.started_ms)
+    fn record(&self, front_end: usize, capacity: u32) -> Vec<u8> {
+        let Executor { id, addresses, .. } = &self.executor;
+        record_of_capacity(*id, addresses[front_end], self.state, self.started_ms, capacity)
     }
 
     fn seen(&self) -> (u32, Vec<ObservedRequest>) {
--- a/crates/cli/tests/outages/soak.rs
+++ b/crates/cli/tests/outages/soak.rs
@@ -63,10 +63,13 @@
     let front_ends = [1, 1, 2, 3, 3, 5, 8, 12, 20, 30][random.random_range(0..10)];
     let executors = random.random_range(6..=12);
     let longest = [300, 600, 1200, 2000, 3000][random.random_range(0..5)];
+    // Of small executors with long runs, those that start stand few requests.
+    let (capacity, longest_run) = [(8, 40), (8, 40), (2, 80), (1, 60)][random.random_range(0..4)];
     let shape = Shape {
         front_ends,
         executors,
-        run: random.random_range(5..=40) * MS,
+        run: random.random_range(5..=longest_run) * MS,
+        capacity,
         load: random.random_range(20..=150) * MS,
         places: [0, 0, 4, 8][random.random_range(0..4)],
         longest_deadline: longest as u32 * MS,
@@ -231,9 +234,10 @@
     let (plan, verdict) = runtime.block_on(play(seed));
     let start = verdict.requests.first().map_or(Instant::now(), |(request, _)| request.at);
     let served = verdict.served(start, start + LENGTH_MS as u32 * MS * 2);
-    let Shape { front_ends, executors, longest_deadline, .. } = plan.shape;
+    let Shape { front_ends, executors, longest_deadline, run, capacity, .. } = plan.shape;
     println!(
-        "seed {seed}: {front_ends} front ends, {executors} executors, deadline {longest_deadline:?}, {} requests, served \
+        "seed {seed}: {front_ends} front ends, {executors} executors of {capacity}, runs of {run:?}, deadline \
+         {longest_deadline:?}, {} requests, served \
          {served:.3}, {} probes, {} broken rules, emulation late by {:?}",
         verdict.requests.len(),
         verdict.probes,
--- a/crates/emulator/src/platform/bus.rs
+++ b/crates/emulator/src/platform/bus.rs
@@ -71,14 +71,28 @@
     task: tokio::task::JoinHandle<()>,
 }
 
+/// The capacity of executors whose record names none.
+pub const USUAL_CAPACITY: u32 = 8;
+
 /// A record of an executor as the event subscription writes it; state 0 ready, 1 draining, 2 gone.
 pub fn record(id: u32, address: SocketAddr, state: u8, started_ms: u64) -> Vec<u8> {
+    record_of_capacity(id, address, state, started_ms, USUAL_CAPACITY)
+}
+
+/// The same of an executor with this capacity.
+pub fn record_of_capacity(
+    id: u32,
+    address: SocketAddr,
+    state: u8,
+    started_ms: u64,
+    capacity: u32,
+) -> Vec<u8> {
     let SocketAddr::V4(v4) = address else { return Vec::new() };
     let mut b = id.to_be_bytes().to_vec();
     b.extend(v4.ip().octets());
     b.extend(v4.port().to_be_bytes());
     b.extend([state, 0, 0, 0, 0]);
-    b.extend(8000u32.to_be_bytes());
+    b.extend((capacity * 1000).to_be_bytes());
     b.extend(started_ms.to_be_bytes());
     b
 }
