Old lists in two named files, health checks by their name; the fault shim leaves pipes alone

list_validity.rs holds how old the list is and what came of it, confirmation.rs who gets new work; a question is a health check, as elsewhere in the module.

--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -278,6 +278,11 @@
         self.slots[index].executor.set_intake(intake);
     }
 
+    /// An executor closes its connections, as one does that forgets them.
+    pub fn close_connections(&self, index: usize) {
+        self.slots[index].executor.close_connections();
+    }
+
     /// A drained executor ends.
     pub fn remove(&mut self, index: usize) {
         self.slots[index].executor.end();
--- a/crates/cli/tests/outages/soak.rs
+++ b/crates/cli/tests/outages/soak.rs
@@ -40,6 +40,7 @@
     Removed(usize),
     Restarted(usize),
     Hangs(usize, bool),
+    ClosesConnections(usize),
     Terminated(usize),
     NoNewConnections(usize),
     Killed(usize),
@@ -140,6 +141,10 @@
             }
         }
     }
+    for _ in 0..random.random_range(0..4) {
+        let (index, at) = (random.random_range(0..executors), random.random_range(1000..11_000));
+        happenings.push((at * MS, Happening::ClosesConnections(index)));
+    }
     if random.random_bool(0.4) {
         let (index, at) = (executors - 1, random.random_range(1000..8000));
         happenings.push((at * MS, Happening::Hangs(index, true)));
@@ -194,6 +199,7 @@
         Happening::Removed(index) => rig.remove(index),
         Happening::Restarted(index) => rig.restart(index).await,
         Happening::Hangs(index, is_hung) => rig.set_hung(index, is_hung),
+        Happening::ClosesConnections(index) => rig.close_connections(index),
         Happening::Terminated(number) => rig.front_ends[number].signal(Signal::TERM),
         Happening::NoNewConnections(number) => rig.set_phase(number, Phase::OpenConnections),
         Happening::Killed(number) => rig.front_ends[number].end_by(Instant::now()).await,
--- a/crates/core/src/policy/dispatch.rs
+++ b/crates/core/src/policy/dispatch.rs
@@ -138,7 +138,7 @@
             Placement::Send(prediction)
                 if !self.is_confirmed(&self.workers[prediction.worker_index], now) =>
             {
-                self.ask(prediction.worker_index, Some(id), now, actions);
+                self.start_check(prediction.worker_index, Some(id), now, actions);
                 return true;
             }
             Placement::Send(prediction) => self.send(id, prediction, now, actions),
--- a/crates/core/src/policy/loading.rs
+++ b/crates/core/src/policy/loading.rs
@@ -116,7 +116,7 @@
                 if self.is_confirmed(&self.workers[index], now) {
                     self.load(index, function, now, actions);
                 } else {
-                    self.ask(index, None, now, actions);
+                    self.start_check(index, None, now, actions);
                 }
             }
         }
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -13,7 +13,7 @@
 //! | new workers | `slow_start`: what a warming worker may get (rule 4) |
 //! | loads | `loading`: which functions are loaded where; `load_budget`: their limit (rule 5) |
 //! | faults | `outliers`: ejection of workers, health checks |
-//! | old lists | `confirmation`: which workers may get new work while the endpoint list is old (rule 3) |
+//! | old lists | `list_validity`: how old the endpoint list is; `confirmation`: which workers may get new work while the endpoint list is old (rule 3) |
 //!
 //! A request is sent in `send` alone, a function is loaded in `load` alone, and a request is answered without having
 //! been served in `settle` alone: the five rules are checked there.
@@ -29,6 +29,7 @@
 mod homes;
 mod intake;
 mod learning;
+mod list_validity;
 mod load_budget;
 mod loading;
 mod maintenance;
@@ -50,10 +51,10 @@
 
 use crate::interface::*;
 use call::{CallGroup, Deadline, PendingCall, QueuePosition};
-pub use confirmation::ConfirmationCounters;
-use confirmation::ListValidity;
 use endpoints::Subscription;
 use function::Function;
+pub use list_validity::ConfirmationCounters;
+use list_validity::ListValidity;
 use load_budget::LoadBudget;
 use numbers::DecayingSum;
 use priority::{TenantQuotas, WorkPrice};
@@ -197,7 +198,7 @@
             }
             Event::HealthChecked { worker, outcome, elapsed, report } => {
                 self.on_health_checked(*worker, *outcome, report, now, actions);
-                self.on_question_answered(*worker, *outcome, now - elapsed, now, actions);
+                self.on_check_ended(*worker, *outcome, now - elapsed, now, actions);
                 self.note_changed(*worker);
             }
             Event::Started { request, .. } => self.on_started(*request),
--- a/crates/core/src/policy/timers.rs
+++ b/crates/core/src/policy/timers.rs
@@ -47,7 +47,7 @@
             next = next.min(now + tick * BUSY_TICKS);
         }
         if !self.queued_by_group.is_empty() {
-            next = next.min(self.next_question(now));
+            next = next.min(self.next_check(now));
         }
         next.max(now + tick)
     }
--- a/crates/core/src/policy/worker_search.rs
+++ b/crates/core/src/policy/worker_search.rs
@@ -83,7 +83,7 @@
         let home = if is_home { HomeRank::Home { copy_chance } } else { HomeRank::NotHome };
         let standing = front_end.standing(worker, self.now);
         let mut prediction = front_end.predict(index, self.call, self.load_time, home, self.now);
-        prediction.cost += front_end.question_cost(standing);
+        prediction.cost += front_end.check_cost(standing);
         // An idempotent request may go back to a copy after an error, if no other can be in time. Covers one that
         // fails often and holds the only copy. Could harm where errors come of too much work.
         let may_have_run_here =
--- a/crates/emulator/src/platform/executor.rs
+++ b/crates/emulator/src/platform/executor.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 
 /// How long an address may take to be free again.
 const BIND_TIMEOUT: Duration = Duration::from_secs(2);
@@ -116,6 +116,8 @@
     pub address: SocketAddr,
     pub addresses: Vec<SocketAddr>,
     state: Arc<Mutex<State>>,
+    /// Closes the connections that are open.
+    closing: watch::Sender<()>,
     tasks: Vec<tokio::task::JoinHandle<()>>,
 }
 
@@ -123,6 +125,7 @@
 #[derive(Clone)]
 struct Party {
     state: Arc<Mutex<State>>,
+    closing: watch::Receiver<()>,
     front_end: usize,
     run: Duration,
     load: Duration,
@@ -181,14 +184,15 @@
         load: Duration,
     ) -> std::io::Result<Executor> {
         let state = Arc::new(Mutex::new(State::default()));
+        let (closing, closed) = watch::channel(());
         let (mut listening, mut tasks) = (Vec::new(), Vec::new());
         for (front_end, address) in addresses.iter().enumerate() {
             let listener = bind(*address).await?;
             listening.push(listener.local_addr()?);
-            let party = Party { state: state.clone(), front_end, run, load };
+            let party = Party { state: state.clone(), closing: closed.clone(), front_end, run, load };
             tasks.push(tokio::spawn(accept(listener, party)));
         }
-        Ok(Executor { id, address: listening[0], addresses: listening, state, tasks })
+        Ok(Executor { id, address: listening[0], addresses: listening, state, closing, tasks })
     }
 
     /// Copies that stand.
@@ -219,6 +223,11 @@
         self.state.lock().unwrap().places = places;
     }
 
+    /// Closes every open connection, whatever is on it; it goes on and takes new ones.
+    pub fn close_connections(&self) {
+        self.closing.send_replace(());
+    }
+
     /// The process ends: its connections are reset, new ones refused.
     pub fn end(&self) {
         self.tasks.iter().for_each(tokio::task::JoinHandle::abort);
@@ -237,7 +246,8 @@
 }
 
 async fn serve(stream: TcpStream, conn: u64, party: Party) {
-    let Party { state, run, load, .. } = party.clone();
+    let Party { state, run, load, mut closing, .. } = party.clone();
+    closing.mark_unchanged();
     let _ = stream.set_nodelay(true);
     let (read, mut write) = stream.into_split();
     let (to_write, mut lines) = mpsc::channel::<Vec<u8>>(1024);
@@ -259,6 +269,7 @@
         let got = tokio::select! {
             got = read.read_line(&mut line) => got,
             () = ended.notified() => break,
+            _ = closing.changed() => break,
         };
         if !matches!(got, Ok(n) if n > 0) {
             break;
--- a/crates/fault-shim/src/calls.rs
+++ b/crates/fault-shim/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::plan::{clock_offset, connections_break, file_fault, socket_fault};
 use crate::real::Real;
 use libc::{c_int, c_void, clockid_t, epoll_event, size_t, sockaddr, socklen_t, ssize_t, timespec};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 
 const NANOS_PER_SECOND: i64 = 1_000_000_000;
 /// Descriptors of which it is known who made the connection.
@@ -11,18 +11,38 @@
 /// Of the calls on a connection that go wrong, every so many-th finds it broken; the others are interrupted or short.
 const BREAKS_EVERY: u64 = 16;
 
-/// Connections that this process made, by descriptor.
-static OWN: [AtomicBool; MAX_DESCRIPTORS] = [const { AtomicBool::new(false) }; MAX_DESCRIPTORS];
+/// What a descriptor is known to be.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+enum Kind {
+    /// No network connection: a pipe between threads, for one. Its reads and writes always go through.
+    Other,
+    /// A connection that this process made.
+    Connected,
+    /// A connection that it accepted.
+    Accepted,
+}
+
+/// Kinds by descriptor.
+static KINDS: [AtomicU8; MAX_DESCRIPTORS] = [const { AtomicU8::new(Kind::Other as u8) }; MAX_DESCRIPTORS];
 
-fn set_own(descriptor: c_int, is_own: bool) {
-    if let Some(own) = usize::try_from(descriptor).ok().and_then(|index| OWN.get(index)) {
-        own.store(is_own, Ordering::Relaxed);
+fn set_kind(descriptor: c_int, kind: Kind) {
+    if let Some(known) = usize::try_from(descriptor).ok().and_then(|index| KINDS.get(index)) {
+        known.store(kind as u8, Ordering::Relaxed);
     }
 }
 
-fn is_own(descriptor: c_int) -> bool {
-    let own = usize::try_from(descriptor).ok().and_then(|index| OWN.get(index));
-    own.is_some_and(|own| own.load(Ordering::Relaxed))
+fn is_kind(descriptor: c_int, kind: Kind) -> bool {
+    let known = usize::try_from(descriptor).ok().and_then(|index| KINDS.get(index));
+    known.is_some_and(|known| known.load(Ordering::Relaxed) == kind as u8)
+}
+
+/// A number for a read or write on a network connection that is to go wrong.
+fn connection_fault(descriptor: c_int) -> Option<u64> {
+    if is_kind(descriptor, Kind::Other) {
+        return None;
+    }
+    socket_fault()
 }
 
 fn set_errno(errno: c_int) {
@@ -49,7 +69,7 @@
 }
 
 fn transfer_fault(descriptor: c_int, number: u64, length: size_t) -> Transfer {
-    if connections_break() && number.is_multiple_of(BREAKS_EVERY) && is_own(descriptor) {
+    if connections_break() && number.is_multiple_of(BREAKS_EVERY) && is_kind(descriptor, Kind::Connected) {
         // SAFETY: shutting down takes any descriptor; what it can't shut down it refuses.
         unsafe { libc::shutdown(descriptor, libc::SHUT_RDWR) };
         set_errno(pick(number / BREAKS_EVERY, &[libc::ETIMEDOUT, libc::EHOSTUNREACH]));
@@ -117,7 +137,7 @@
     }
     // SAFETY: passed on as given.
     let accepted = unsafe { ACCEPT4.get()(descriptor, address, length, flags) };
-    set_own(accepted, false);
+    set_kind(accepted, Kind::Accepted);
     accepted
 }
 
@@ -129,7 +149,9 @@
         return fail(number, &[libc::ENFILE, libc::ENOBUFS]);
     }
     // SAFETY: passed on as given.
-    unsafe { SOCKET.get()(domain, kind, protocol) }
+    let opened = unsafe { SOCKET.get()(domain, kind, protocol) };
+    set_kind(opened, Kind::Other);
+    opened
 }
 
 /// # Safety
@@ -139,7 +161,7 @@
     if let Some(number) = socket_fault() {
         return fail(number, &[libc::ENOBUFS, libc::EADDRNOTAVAIL, libc::ENETUNREACH]);
     }
-    set_own(descriptor, true);
+    set_kind(descriptor, Kind::Connected);
     // SAFETY: passed on as given.
     unsafe { CONNECT.get()(descriptor, address, length) }
 }
@@ -170,7 +192,7 @@
     flags: c_int,
 ) -> ssize_t {
     let mut limit = length;
-    if let Some(number) = socket_fault() {
+    if let Some(number) = connection_fault(descriptor) {
         match transfer_fault(descriptor, number, length) {
             Transfer::Failed => return -1,
             Transfer::Short(most) => limit = most,
@@ -190,7 +212,7 @@
     flags: c_int,
 ) -> ssize_t {
     let mut limit = length;
-    if let Some(number) = socket_fault() {
+    if let Some(number) = connection_fault(descriptor) {
         match transfer_fault(descriptor, number, length) {
             Transfer::Failed => return -1,
             Transfer::Short(most) => limit = most,
