--- a/crates/core/tests/rules/confirmation.rs
+++ b/crates/core/tests/rules/confirmation.rs
@@ -263,3 +263,31 @@
     pauses.dedup();
     assert!(pauses.len() > 5, "{pauses:?}");
 }
+
+#[test]
+fn what_is_sent_as_a_worker_returns_does_not_show_that_it_never_left() {
+    let mut bench = with_old_list(PROBES, &[1]);
+    bench.step(0, vec![Event::WorkerConnection { worker: 1, is_open: true }]);
+    let (mut failures, mut id) = (0, 0);
+    while failures < 2 {
+        id += 1;
+        let checks = asked(&bench.step(20 * MS, vec![request(id, 0, 9)]));
+        failures += checks.len();
+        bench.step(0, checks.into_iter().map(|worker| answered(worker, Outcome::Error, 0)).collect());
+    }
+    let reopened = [false, true].map(|is_open| Event::WorkerConnection { worker: 1, is_open });
+    bench.step(20 * MS, reopened.to_vec());
+    let mut sent = Vec::new();
+    while sent.is_empty() {
+        id += 1;
+        let checks = asked(&bench.step(20 * MS, vec![request(id, 0, 9)]));
+        let passed = checks.into_iter().map(|worker| answered(worker, Outcome::Ok, 0)).collect();
+        sent = sends(&bench.step(0, passed));
+    }
+    let answers = sent.iter().map(|&(id, worker)| ended(id, 0, worker, Outcome::Ok)).collect();
+    bench.step(50 * MS, answers);
+    // It is still taken for cold: of a burst it gets a part only.
+    let burst = (1000..1012).map(|id| request(id, 0, u64::from(id))).collect();
+    let burst = sends(&bench.step(0, burst)).len();
+    assert!(burst < 6, "{burst} of a burst of twelve to one that has just started");
+}
