Failing tests: requests lost by front ends with a small share of a core

The rig holds up to 3,200 executors, replaced by tenths of the fleet, and says in the settings how many front ends the whole fleet has, so that one front end sees the same of calls, limits and capacity at every size. The fault shim gives a process a share of a core: its thread sleeps before it waits or touches a socket. The judge takes an answer as lost half a second after its time where a play says so.

recv and send of the shim share their fault in one function.

--- a/crates/cli/tests/outages/drains.rs
+++ b/crates/cli/tests/outages/drains.rs
@@ -3,6 +3,7 @@
 use crate::rig::{Rig, Shape, Verdict};
 use crate::traffic::Load;
 use stagehoist_emulator::platform::bus::{Resumption, SubscriptionFault};
+use stagehoist_emulator::platform::judge::SLACK;
 use std::time::{Duration, Instant};
 
 const MS: Duration = Duration::from_millis(1);
@@ -20,12 +21,15 @@
         capacity: 8,
         places: 0,
         longest_deadline: 2000 * MS,
+        fleet_front_ends: front_ends,
+        answer_slack: SLACK,
         seed,
     }
 }
 
 fn load(front_ends: usize) -> Load {
     Load {
+        clients: 1,
         rate: 90.0 / front_ends as f64,
         functions: 30,
         // Orders to load stay within the budget of one front end, which a single one has to itself.
--- a/crates/cli/tests/outages/front_end.rs
+++ b/crates/cli/tests/outages/front_end.rs
@@ -1,10 +1,12 @@
 //! One front end of the rig: its process, its event bus, and the file that it is started with.
 
 use crate::rig::address;
+use crate::usage::Usage;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
+use stagehoist_emulator::platform::client::array;
 use stagehoist_emulator::platform::process::{start_front_end, Log, StartedFrontEnd};
-use stagehoist_emulator::platform::EventBus;
+use stagehoist_emulator::platform::{Client, EventBus};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Child;
@@ -14,6 +16,9 @@
 const LISTEN_PORT: u16 = 5000;
 /// Where their buses listen.
 const BUS_PORT: u16 = 6000;
+/// How long a start may take, and how often it is asked whether it is over.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+const HEALTH_POLL: Duration = Duration::from_millis(20);
 /// How often the end of a process is looked for.
 const EXIT_POLL: Duration = Duration::from_millis(10);
 
@@ -50,6 +55,32 @@
         let StartedFrontEnd { child, log, .. } = starting.await.unwrap().unwrap();
         self.process = Some(child);
         self.logs.push(log);
+        self.serving().await;
+    }
+
+    /// Waits until it says that it serves: clients come no sooner.
+    async fn serving(&self) {
+        let by = Instant::now() + START_TIMEOUT;
+        while Instant::now() < by {
+            if self.says_that_it_serves().await {
+                return;
+            }
+            tokio::time::sleep(HEALTH_POLL).await;
+        }
+    }
+
+    async fn says_that_it_serves(&self) -> bool {
+        let Ok(mut client) = Client::connect(self.listen).await else { return false };
+        if client.raw(&array(&[b"HEALTH", b"1", b""])).await.is_err() {
+            return false;
+        }
+        let answers = client.wait(1, START_TIMEOUT).await;
+        answers.first().is_some_and(|answer| answer.word == "serving")
+    }
+
+    /// What its process has used.
+    pub fn usage(&self) -> Option<Usage> {
+        Usage::of(self.process.as_ref()?.id())
     }
 
     /// Sends its process a signal.
--- a/crates/cli/tests/outages/machine.rs
+++ b/crates/cli/tests/outages/machine.rs
@@ -3,6 +3,7 @@
 
 use crate::rig::{Rig, Shape, Verdict};
 use crate::traffic::Load;
+use stagehoist_emulator::platform::judge::SLACK;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,7 @@
 }
 
 const LOAD: Load = Load {
+    clients: 1,
     rate: 60.0,
     functions: 20,
     new_function_after: 0,
@@ -43,6 +45,8 @@
         capacity: 8,
         places: 0,
         longest_deadline: 2000 * MS,
+        fleet_front_ends: 2,
+        answer_slack: SLACK,
         seed,
     }
 }
--- a/crates/cli/tests/outages/main.rs
+++ b/crates/cli/tests/outages/main.rs
@@ -4,6 +4,8 @@
 mod drains;
 mod front_end;
 mod machine;
+mod processor_share;
 mod rig;
 mod soak;
 mod traffic;
+mod usage;
--- /dev/null
+++ b/crates/cli/tests/outages/processor_share.rs
@@ -0,0 +1,199 @@
+//! Front ends with a small share of a core, before fleets of different sizes: what can't be done in time is refused in
+//! time, and what a front end needs does not grow with the fleet.
+
+use crate::machine::shim_environment;
+use crate::rig::{Rig, Shape, Verdict};
+use crate::traffic::Load;
+use crate::usage::Usage;
+use std::time::{Duration, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+/// Executors of the usual fleet, for one front end.
+const USUAL_FLEET: usize = 12;
+/// Clients of a front end: more requests wait than one connection may have open.
+const CLIENTS: usize = 4;
+/// An answer so long after its time is lost.
+const LOST_AFTER: Duration = Duration::from_millis(500);
+/// A tenth of the fleet is replaced each so often: it drains, is gone after a while, and starts anew after another.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(3000);
+const DRAIN_TIME: Duration = Duration::from_millis(1000);
+const AWAY_TIME: Duration = Duration::from_millis(500);
+/// Broken rules shown of a play.
+const MAX_SHOWN: usize = 6;
+
+/// One play.
+#[derive(Clone, Copy, Debug)]
+struct Play {
+    executors: usize,
+    /// Share of a core of the front end.
+    share: f64,
+    /// Requests a second.
+    rate: f64,
+    length: Duration,
+    seed: u64,
+}
+
+/// What a play came to.
+struct Outcome {
+    play: Play,
+    verdict: Verdict,
+    served: f64,
+    lost: usize,
+    usage: Usage,
+    connections: usize,
+}
+
+fn shape(play: &Play) -> Shape {
+    Shape {
+        front_ends: 1,
+        executors: play.executors,
+        run: 20 * MS,
+        load: 60 * MS,
+        capacity: 8,
+        places: 0,
+        longest_deadline: 2000 * MS,
+        fleet_front_ends: play.executors.div_ceil(USUAL_FLEET),
+        answer_slack: LOST_AFTER,
+        seed: play.seed,
+    }
+}
+
+fn load(play: &Play) -> Load {
+    Load {
+        clients: CLIENTS,
+        rate: play.rate,
+        functions: 30,
+        new_function_after: 20,
+        allow: 1200 * MS,
+        unsafe_part: 0.3,
+        cancelled_part: 0.05,
+    }
+}
+
+async fn replace_tenths(rig: &mut Rig, executors: usize, until: Instant) {
+    let tenth = (executors / 10).max(1);
+    let mut first = 0;
+    let mut at = Instant::now() + REPLACEMENT_INTERVAL;
+    while at + DRAIN_TIME + AWAY_TIME < until && first + tenth <= executors {
+        tokio::time::sleep_until(at.into()).await;
+        let indices = first..first + tenth;
+        indices.clone().for_each(|index| rig.begin_drain(index));
+        rig.publish_drains(indices.clone());
+        tokio::time::sleep(DRAIN_TIME).await;
+        rig.remove_all(indices.clone());
+        tokio::time::sleep(AWAY_TIME).await;
+        rig.restart_all(indices).await;
+        first += tenth;
+        at += REPLACEMENT_INTERVAL;
+    }
+    tokio::time::sleep_until(until.into()).await;
+}
+
+async fn run(play: Play) -> Outcome {
+    let plan = if play.share < 1.0 { format!("share={}", play.share) } else { String::new() };
+    let mut rig = Rig::start(shape(&play), |_| shim_environment(&plan)).await;
+    rig.begin_traffic(load(&play));
+    let start = Instant::now();
+    let end = start + play.length;
+    replace_tenths(&mut rig, play.executors, end).await;
+    let usage = rig.front_ends[0].usage().unwrap_or_default();
+    let connections = rig.executor_connections();
+    let verdict = rig.finish().await;
+    let served = verdict.served(start, end);
+    let lost = verdict.broken.iter().filter(|broken| broken.starts_with("n0: 1:")).count();
+    Outcome { play, verdict, served, lost, usage, connections }
+}
+
+/// Plays all, each on a thread of its own, so many at once.
+fn run_all(plays: &[Play], at_once: usize) -> Vec<Outcome> {
+    let mut outcomes = Vec::new();
+    for some in plays.chunks(at_once) {
+        let start = |play: Play| {
+            std::thread::spawn(move || {
+                let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+                runtime.block_on(run(play))
+            })
+        };
+        let threads: Vec<_> = some.iter().map(|play| start(*play)).collect();
+        outcomes.extend(threads.into_iter().map(|thread| thread.join().unwrap()));
+    }
+    outcomes.iter().for_each(Outcome::print);
+    outcomes
+}
+
+impl Outcome {
+    fn print(&self) {
+        let Play { executors, share, rate, seed, .. } = self.play;
+        println!(
+            "{executors} executors, {share} of a core, {rate} requests a second, seed {seed}: served {:.3} of {}, {} \
+             lost, {} broken rules, {:.2} s of processor, {} KiB, {} descriptors, {} connections, emulation late by {:?}",
+            self.served,
+            self.verdict.requests.len(),
+            self.lost,
+            self.verdict.broken.len(),
+            self.usage.processor.as_secs_f64(),
+            self.usage.peak_kib,
+            self.usage.descriptors,
+            self.connections,
+            self.verdict.lateness
+        );
+    }
+}
+
+/// All broken rules of all plays.
+fn broken(outcomes: &[Outcome]) -> Vec<String> {
+    let of = |outcome: &Outcome| {
+        let executors = outcome.play.executors;
+        let shown = outcome.verdict.broken.iter().take(MAX_SHOWN);
+        shown.map(|text| format!("{executors} executors: {text}")).collect::<Vec<_>>()
+    };
+    outcomes.iter().flat_map(of).collect()
+}
+
+fn number(variable: &str, usual: u64) -> u64 {
+    std::env::var(variable).map_or(usual, |text| text.parse().unwrap())
+}
+
+/// A front end that can't do all that is asked refuses in time. By hand `SHARE_SEEDS=5`.
+#[test]
+fn a_front_end_with_too_little_of_a_core_loses_no_request_whatever_the_fleet() {
+    let seeds = number("SHARE_SEEDS", 1);
+    let play = |share, rate, executors, seed| Play { executors, share, rate, length: 8000 * MS, seed };
+    let of_seed = |seed| {
+        let sizes = [12, 100, 800, 3200];
+        sizes
+            .into_iter()
+            .flat_map(move |executors| [play(0.02, 60.0, executors, seed), play(0.01, 15.0, executors, seed)])
+    };
+    let plays: Vec<Play> = (1..=seeds).flat_map(of_seed).collect();
+    let outcomes = run_all(&plays, 4);
+    let broken = broken(&outcomes);
+    let lost: usize = outcomes.iter().map(|outcome| outcome.lost).sum();
+    assert!(broken.is_empty(), "{lost} lost: {broken:#?}");
+}
+
+/// With three hundredths of a core thousands of executors cost little of what a dozen leave. By hand `SHARE_SEEDS=10`.
+#[test]
+fn thousands_of_executors_cost_no_more_than_a_seventh_of_the_service_of_a_busy_front_end() {
+    const SERVED_PART: f64 = 0.85;
+    let seeds = number("SHARE_SEEDS", 1);
+    let of_seed = |seed| {
+        [USUAL_FLEET, 3200].map(|executors| Play {
+            executors,
+            share: 0.03,
+            rate: 30.0,
+            length: 8000 * MS,
+            seed,
+        })
+    };
+    let plays: Vec<Play> = (1..=seeds).flat_map(of_seed).collect();
+    let outcomes = run_all(&plays, 2);
+    let mut wrong = broken(&outcomes);
+    for pair in outcomes.chunks(2) {
+        let [usual, large] = [pair[0].served, pair[1].served];
+        if large < SERVED_PART * usual {
+            wrong.push(format!("served {usual:.3} with the usual fleet and {large:.3} with 3,200 executors"));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -12,6 +12,7 @@
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -22,6 +23,11 @@
 const EXECUTOR_PORT: u16 = 10_000;
 /// Front ends of one rig at most.
 const MAX_FRONT_ENDS: u16 = 64;
+/// Executors that find a port at one host, and the hosts that a rig has for them.
+const EXECUTORS_IN_BLOCK: usize = 800;
+const EXECUTOR_BLOCKS: u8 = 4;
+/// Rigs of one process at a time at most.
+const MAX_RIGS: u8 = 32;
 /// Every so many-th executor holds a function at the start.
 const COPY_SPREAD: u64 = 3;
 /// States of an executor on the event bus.
@@ -42,8 +48,14 @@
 /// An address of this rig alone: the system gives none of them out, nor connects from them. A rig lives on the thread that
 /// made it.
 pub fn address(port: u16) -> SocketAddr {
+    address_in_block(0, port)
+}
+
+/// An address of one of the blocks that a rig has for its executors.
+fn address_in_block(block: u8, port: u16) -> SocketAddr {
     let [_, _, c, d] = std::process::id().to_be_bytes();
-    SocketAddr::from(([127, 128 + HOST.get() % 64, c, d.clamp(1, 254)], port))
+    let host = 128 + HOST.get() % MAX_RIGS * EXECUTOR_BLOCKS + block;
+    SocketAddr::from(([127, host, c, d.clamp(1, 254)], port))
 }
 
 /// What a rig is made of.
@@ -61,6 +73,10 @@
     pub places: usize,
     /// The longest time that the settings say a client waits.
     pub longest_deadline: Duration,
+    /// Front ends of the whole fleet by the settings; only some of them are played.
+    pub fleet_front_ends: usize,
+    /// So long after its time an answer is lost.
+    pub answer_slack: Duration,
     pub seed: u64,
 }
 
@@ -101,8 +117,9 @@
 /// An executor of the rig, over its restarts.
 struct Slot {
     executor: Executor,
-    /// What its earlier processes saw.
+    /// What its earlier processes saw, and the connections that came to them.
     earlier: Vec<ObservedRequest>,
+    earlier_connections: usize,
     /// When its drain was written to the buses.
     drained_at: Option<Instant>,
     ready_again: Option<Instant>,
@@ -110,6 +127,12 @@
     started_ms: u64,
 }
 
+/// A client of a front end, and what it will have seen.
+struct FrontEndClient {
+    front_end: usize,
+    ledger: JoinHandle<Ledger>,
+}
+
 /// The whole arrangement.
 pub struct Rig {
     pub shape: Shape,
@@ -120,7 +143,7 @@
     outage: Option<(Instant, SubscriptionFault)>,
     starts: Vec<Start>,
     phases: Vec<watch::Sender<Phase>>,
-    clients: Vec<JoinHandle<Ledger>>,
+    clients: Vec<FrontEndClient>,
     lateness: Lateness,
 }
 
@@ -154,8 +177,15 @@
         let mut slots = Vec::new();
         for index in 0..shape.executors {
             let executor = start_executor(&shape, index).await;
-            let (earlier, drained_at, ready_again) = (Vec::new(), None, None);
-            slots.push(Slot { executor, earlier, drained_at, ready_again, state: READY, started_ms: 0 });
+            slots.push(Slot {
+                executor,
+                earlier: Vec::new(),
+                earlier_connections: 0,
+                drained_at: None,
+                ready_again: None,
+                state: READY,
+                started_ms: 0,
+            });
         }
         let mut front_ends = Vec::new();
         for number in 0..shape.front_ends {
@@ -215,7 +245,7 @@
         config["known"]["offset"] = last.into();
         config["known"]["batch"][0]["offset"] = last.into();
         config["seed"] = format!("{:016x}", self.shape.seed.wrapping_mul(31) + number as u64).into();
-        config["settings"]["balancers"] = self.shape.front_ends.into();
+        config["settings"]["balancers"] = self.shape.fleet_front_ends.into();
         let longest = self.shape.longest_deadline.as_millis() as f64;
         for class in config["settings"]["classes"].as_array_mut().unwrap() {
             class["hard_limit"] = longest.into();
@@ -233,9 +263,13 @@
             slot.executor.holds(&keys.iter().map(String::as_str).collect::<Vec<_>>());
         }
         for front_end in &self.front_ends {
-            let phase = self.phases[front_end.number].subscribe();
-            let asking = ask(front_end.number, front_end.listen, load, self.shape.seed, phase);
-            self.clients.push(tokio::spawn(asking));
+            for client in 0..load.clients {
+                let phase = self.phases[front_end.number].subscribe();
+                let number = front_end.number * load.clients + client;
+                let asking = ask(number, front_end.listen, load, self.shape.seed, phase);
+                let ledger = tokio::spawn(asking);
+                self.clients.push(FrontEndClient { front_end: front_end.number, ledger });
+            }
         }
     }
 
@@ -268,8 +302,14 @@
 
     /// The drain of an executor is written to the buses.
     pub fn publish_drain(&mut self, index: usize) {
-        self.slots[index].drained_at = Some(Instant::now());
-        self.publish(index, DRAINING);
+        self.publish_drains(index..index + 1);
+    }
+
+    /// The drains of several executors are written to the buses as one event.
+    pub fn publish_drains(&mut self, indices: Range<usize>) {
+        let now = Instant::now();
+        self.slots[indices.clone()].iter_mut().for_each(|slot| slot.drained_at = Some(now));
+        self.publish(indices, DRAINING);
     }
 
     /// An executor hangs, or no longer.
@@ -285,32 +325,59 @@
 
     /// A drained executor ends.
     pub fn remove(&mut self, index: usize) {
-        self.slots[index].executor.end();
-        self.publish(index, GONE);
+        self.remove_all(index..index + 1);
+    }
+
+    /// Several drained executors end.
+    pub fn remove_all(&mut self, indices: Range<usize>) {
+        self.slots[indices.clone()].iter().for_each(|slot| slot.executor.end());
+        self.publish(indices, GONE);
     }
 
     /// It is started anew at its addresses, cold.
     pub async fn restart(&mut self, index: usize) {
+        self.restart_all(index..index + 1).await;
+    }
+
+    /// Several are started anew.
+    pub async fn restart_all(&mut self, indices: Range<usize>) {
+        for index in indices.clone() {
+            self.start_anew(index).await;
+        }
+        let now = Instant::now();
+        for slot in &mut self.slots[indices.clone()] {
+            slot.ready_again = Some(now);
+            self.starts.push(Start { executor: slot.executor.id, at: now });
+        }
+        self.publish(indices, READY);
+    }
+
+    async fn start_anew(&mut self, index: usize) {
         let mut executor = start_executor(&self.shape, index).await;
         std::mem::swap(&mut self.slots[index].executor, &mut executor);
         executor.end();
         let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
         let slot = &mut self.slots[index];
         slot.earlier.extend(executor.seen());
+        slot.earlier_connections += executor.connections();
         slot.started_ms = now.as_millis() as u64;
-        slot.ready_again = Some(Instant::now());
-        self.starts.push(Start { executor: slot.executor.id, at: Instant::now() });
-        self.publish(index, READY);
     }
 
-    fn publish(&mut self, index: usize, state: u8) {
-        self.slots[index].state = state;
-        let slot = &self.slots[index];
+    /// Writes the state of some executors to the buses as one event.
+    fn publish(&mut self, indices: Range<usize>, state: u8) {
+        let slots = &mut self.slots[indices];
+        slots.iter_mut().for_each(|slot| slot.state = state);
         for front_end in &self.front_ends {
-            front_end.bus.change(&[slot.record(front_end.number, self.shape.capacity)]);
+            let record = |slot: &Slot| slot.record(front_end.number, self.shape.capacity);
+            front_end.bus.change(&slots.iter().map(record).collect::<Vec<_>>());
         }
     }
 
+    /// Connections that front ends made to executors.
+    pub fn executor_connections(&self) -> usize {
+        self.slots.iter().map(|slot| slot.earlier_connections + slot.executor.connections()).sum()
+    }
+
     /// Ends the clients once all that they asked has had its time, and judges what crossed the sockets.
     pub async fn finish(mut self) -> Verdict {
         if let Some((began, kind)) = self.outage.take() {
@@ -319,9 +386,12 @@
         self.phases.iter().for_each(|phase| {
             phase.send_replace(Phase::Over);
         });
-        let mut ledgers = Vec::new();
-        for clients in std::mem::take(&mut self.clients) {
-            ledgers.push(clients.await.unwrap());
+        let mut ledgers: Vec<Ledger> = self.front_ends.iter().map(|_| Ledger::default()).collect();
+        for client in std::mem::take(&mut self.clients) {
+            let Ledger { asked, answers } = client.ledger.await.unwrap();
+            let ledger = &mut ledgers[client.front_end];
+            ledger.asked.extend(asked);
+            ledger.answers.extend(answers);
         }
         let mut broken = Vec::new();
         for front_end in &mut self.front_ends {
@@ -362,6 +432,7 @@
             grace: GRACE,
             ration: LOAD_BUDGET,
             slow_start: None,
+            answer_slack: Some(self.shape.answer_slack),
         }
     }
 
@@ -401,8 +472,10 @@
 }
 
 async fn start_executor(shape: &Shape, index: usize) -> Executor {
-    let port = |front_end: usize| EXECUTOR_PORT + index as u16 * MAX_FRONT_ENDS + front_end as u16;
-    let addresses: Vec<SocketAddr> = (0..shape.front_ends).map(|n| address(port(n))).collect();
+    let (block, place) = (index / EXECUTORS_IN_BLOCK, index % EXECUTORS_IN_BLOCK);
+    let port = |front_end: usize| EXECUTOR_PORT + place as u16 * MAX_FRONT_ENDS + front_end as u16;
+    let of_front_end = |number| address_in_block(block as u8, port(number));
+    let addresses: Vec<SocketAddr> = (0..shape.front_ends).map(of_front_end).collect();
     let executor = Executor::start_at(&addresses, index as u32 + 1, shape.run, shape.load).await.unwrap();
     executor.set_places(shape.places);
     executor
--- a/crates/cli/tests/outages/soak.rs
+++ b/crates/cli/tests/outages/soak.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use stagehoist_emulator::platform::bus::{Resumption, SubscriptionFault};
+use stagehoist_emulator::platform::judge::SLACK;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
@@ -74,9 +75,12 @@
         load: random.random_range(20..=150) * MS,
         places: [0, 0, 4, 8][random.random_range(0..4)],
         longest_deadline: longest as u32 * MS,
+        fleet_front_ends: front_ends,
+        answer_slack: SLACK,
         seed,
     };
     let load = Load {
+        clients: 1,
         rate: random.random_range(50.0..150.0) / front_ends as f64,
         functions: random.random_range(10..50),
         new_function_after: random.random_range(20..60),
--- a/crates/cli/tests/outages/traffic.rs
+++ b/crates/cli/tests/outages/traffic.rs
@@ -1,4 +1,4 @@
-//! Clients of one front end: requests at a rate, written on one connection after the other; what was asked and answered.
+//! One client of a front end: requests at a rate, written on one connection after the other; what was asked and answered.
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -16,12 +16,14 @@
 const MAX_OPEN: usize = 32;
 /// Part of the requests that call the newest function.
 const NEWEST_PART: f64 = 0.2;
-/// Numbers of requests that one front end's clients may use.
+/// Numbers of requests that one client may use.
 const NUMBERS: u64 = 1 << 24;
 
 /// What clients do.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
+    /// Clients of each front end, each with a connection at a time.
+    pub clients: usize,
     /// Requests a second at each front end.
     pub rate: f64,
     /// Functions that are called at first.
@@ -47,7 +49,7 @@
     Over,
 }
 
-/// What clients of one front end saw.
+/// What clients saw.
 #[derive(Default)]
 pub struct Ledger {
     pub asked: Vec<SentRequest>,
@@ -62,7 +64,7 @@
 
 /// Asks until the phase is over and all that was asked has had its time.
 pub async fn ask(
-    front_end: usize,
+    number: usize,
     to: SocketAddr,
     load: Load,
     seed: u64,
@@ -70,14 +72,15 @@
 ) -> Ledger {
     let mut traffic = Traffic {
         ledger: Ledger::default(),
-        random: ChaCha8Rng::seed_from_u64(seed ^ (front_end as u64) << 32),
-        front_end,
+        random: ChaCha8Rng::seed_from_u64(seed ^ (number as u64) << 32),
+        number,
         next: 1,
         load,
     };
     let mut connection: Option<Connection> = None;
     loop {
-        let pause = Duration::from_secs_f64(traffic.random.random_range(0.0..2.0) / load.rate);
+        let pause =
+            Duration::from_secs_f64(traffic.random.random_range(0.0..2.0) * load.clients as f64 / load.rate);
         tokio::time::sleep(pause).await;
         let now = *phase.borrow_and_update();
         if now == Phase::Over {
@@ -110,7 +113,7 @@
 struct Traffic {
     ledger: Ledger,
     random: ChaCha8Rng,
-    front_end: usize,
+    number: usize,
     next: u64,
     load: Load,
 }
@@ -154,7 +157,7 @@
         if open >= MAX_OPEN {
             return;
         }
-        let n = self.front_end as u64 * NUMBERS + self.next;
+        let n = self.number as u64 * NUMBERS + self.next;
         self.next += 1;
         let is_unsafe = self.random.random_bool(self.load.unsafe_part);
         let first_calls = self.next.checked_div(self.load.new_function_after).unwrap_or(0);
--- a/crates/emulator/src/platform/judge.rs
+++ b/crates/emulator/src/platform/judge.rs
@@ -48,6 +48,8 @@
     pub grace: Duration,
     /// Orders to load: free ones, the share of requests, the window.
     pub ration: (f64, f64, Duration),
+    /// So long after its time an answer is late; [`SLACK`] where nothing else is told.
+    pub answer_slack: Option<Duration>,
 }
 
 /// Everything that broke a rule, in words; empty where all were kept.
@@ -58,12 +60,15 @@
     told: &RuleSettings,
 ) -> Vec<String> {
     let mut broken = Vec::new();
+    let answer_slack = told.answer_slack.unwrap_or(SLACK);
     for a in asked {
         let got: Vec<_> = answers.iter().filter(|x| x.tag == a.tag).collect();
         match got[..] {
             [] if a.left.is_some() => {}
             [] => broken.push(format!("1: {} was never answered", a.id)),
-            [one] if one.at > a.at + a.allow + SLACK => broken.push(format!("1: {} was answered late", a.id)),
+            [one] if one.at > a.at + a.allow + answer_slack => {
+                broken.push(format!("1: {} was answered late", a.id))
+            }
             [one] if one.word == "200" && one.body != a.body => {
                 broken.push(format!("1: {} got what none made", a.id))
             }
--- a/crates/fault-shim/src/calls.rs
+++ b/crates/fault-shim/src/calls.rs
@@ -1,9 +1,11 @@
 //! The functions that stand in for those of the C library.
 
-use crate::plan::{clock_offset, connections_break, file_fault, socket_fault};
+use crate::plan::{clock_offset, connections_break, file_fault, idle_part, socket_fault};
 use crate::real::Real;
 use libc::{c_int, c_void, clockid_t, epoll_event, size_t, sockaddr, socklen_t, ssize_t, timespec};
+use std::cell::Cell;
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
 
 const NANOS_PER_SECOND: i64 = 1_000_000_000;
 /// Descriptors of which it is known who made the connection.
@@ -11,6 +13,9 @@
 /// Of the calls on a connection that go wrong, every so many-th finds it broken; the others are interrupted or short.
 const BREAKS_EVERY: u64 = 16;
 
+/// A sleep shorter than this, in nanoseconds, is put together with the next.
+const MIN_SLEEP: i64 = 500_000;
+
 /// What a descriptor is known to be.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[repr(u8)]
@@ -45,6 +50,31 @@
     socket_fault()
 }
 
+thread_local! {
+    /// Processor time of this thread up to which it has slept for what it used, in nanoseconds.
+    static PACED: Cell<i64> = const { Cell::new(0) };
+}
+
+/// Sleeps for the processor time that this thread used since it last did, so that it gets a share of a core alone.
+fn pace() {
+    let Some(idle_part) = idle_part() else { return };
+    let used = processor_time();
+    let debt = ((used - PACED.get()) as f64 * idle_part) as i64;
+    if debt < MIN_SLEEP {
+        return;
+    }
+    std::thread::sleep(Duration::from_nanos(debt as u64));
+    PACED.set(processor_time());
+}
+
+/// Processor time of this thread, in nanoseconds.
+fn processor_time() -> i64 {
+    let mut time = timespec { tv_sec: 0, tv_nsec: 0 };
+    // SAFETY: `time` is valid, and the clock is the calling thread's own.
+    unsafe { CLOCK_GETTIME.get()(libc::CLOCK_THREAD_CPUTIME_ID, &mut time) };
+    time.tv_sec * NANOS_PER_SECOND + time.tv_nsec
+}
+
 fn set_errno(errno: c_int) {
     // SAFETY: the location of the calling thread's errno is valid for as long as the thread runs.
     unsafe { *libc::__errno_location() = errno };
@@ -60,26 +90,21 @@
     -1
 }
 
-/// What becomes of a read or a write that goes wrong.
-enum Transfer {
-    /// It fails, with errno set.
-    Failed,
-    /// So many bytes are passed on at most.
-    Short(size_t),
-}
-
-fn transfer_fault(descriptor: c_int, number: u64, length: size_t) -> Transfer {
+/// How many bytes of a read or a write are passed on at most; None where it fails, with errno set.
+fn transfer_limit(descriptor: c_int, length: size_t) -> Option<size_t> {
+    pace();
+    let Some(number) = connection_fault(descriptor) else { return Some(length) };
     if connections_break() && number.is_multiple_of(BREAKS_EVERY) && is_kind(descriptor, Kind::Connected) {
         // SAFETY: shutting down takes any descriptor; what it can't shut down it refuses.
         unsafe { libc::shutdown(descriptor, libc::SHUT_RDWR) };
         set_errno(pick(number / BREAKS_EVERY, &[libc::ETIMEDOUT, libc::EHOSTUNREACH]));
-        return Transfer::Failed;
+        return None;
     }
     if number.is_multiple_of(2) {
         set_errno(libc::EINTR);
-        return Transfer::Failed;
+        return None;
     }
-    Transfer::Short(1 + (number as size_t / 2) % length.max(1))
+    Some((1 + (number as size_t / 2) % length.max(1)).min(length))
 }
 
 type ClockGettime = unsafe extern "C" fn(clockid_t, *mut timespec) -> c_int;
@@ -132,6 +157,7 @@
     length: *mut socklen_t,
     flags: c_int,
 ) -> c_int {
+    pace();
     if let Some(number) = socket_fault() {
         return fail(number, &[libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EINTR]);
     }
@@ -145,6 +171,7 @@
 /// As `socket(2)`.
 #[no_mangle]
 pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    pace();
     if let Some(number) = socket_fault() {
         return fail(number, &[libc::ENFILE, libc::ENOBUFS]);
     }
@@ -158,6 +185,7 @@
 /// As `connect(2)`.
 #[no_mangle]
 pub unsafe extern "C" fn connect(descriptor: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    pace();
     if let Some(number) = socket_fault() {
         return fail(number, &[libc::ENOBUFS, libc::EADDRNOTAVAIL, libc::ENETUNREACH]);
     }
@@ -175,6 +203,7 @@
     max_events: c_int,
     timeout: c_int,
 ) -> c_int {
+    pace();
     if let Some(number) = socket_fault() {
         return fail(number, &[libc::EINTR]);
     }
@@ -191,15 +220,9 @@
     length: size_t,
     flags: c_int,
 ) -> ssize_t {
-    let mut limit = length;
-    if let Some(number) = connection_fault(descriptor) {
-        match transfer_fault(descriptor, number, length) {
-            Transfer::Failed => return -1,
-            Transfer::Short(most) => limit = most,
-        }
-    }
+    let Some(limit) = transfer_limit(descriptor, length) else { return -1 };
     // SAFETY: passed on as given, with a part of the buffer at most.
-    unsafe { RECV.get()(descriptor, buffer, limit.min(length), flags) }
+    unsafe { RECV.get()(descriptor, buffer, limit, flags) }
 }
 
 /// # Safety
@@ -211,15 +234,9 @@
     length: size_t,
     flags: c_int,
 ) -> ssize_t {
-    let mut limit = length;
-    if let Some(number) = connection_fault(descriptor) {
-        match transfer_fault(descriptor, number, length) {
-            Transfer::Failed => return -1,
-            Transfer::Short(most) => limit = most,
-        }
-    }
+    let Some(limit) = transfer_limit(descriptor, length) else { return -1 };
     // SAFETY: passed on as given, with a part of the buffer at most.
-    unsafe { SEND.get()(descriptor, buffer, limit.min(length), flags) }
+    unsafe { SEND.get()(descriptor, buffer, limit, flags) }
 }
 
 /// # Safety
--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -11,8 +11,10 @@
 //! | `files` | writes and syncs of files, of a million, that fail with `EIO` or `ENOSPC` |
 //! | `from`, `to` | milliseconds after the start between which they do |
 //! | `steps` | steps of the wall clock, `AT:BY` in milliseconds, between semicolons; the monotonic clock runs on |
+//! | `share` | the share of a core that each thread gets, over 0 and up to 1 |
 //!
-//! A connection that this process made breaks so: the call fails with `ETIMEDOUT` or `EHOSTUNREACH` and the connection is
+//! With a share of a core a thread sleeps before it waits or touches a socket, for the processor time that it used since:
+//! what is computed late is seen late. A connection that this process made breaks so: the call fails with `ETIMEDOUT` or `EHOSTUNREACH` and the connection is
 //! shut down. Accepted connections never break, as their requests would be lost with them.
 #![warn(missing_docs)]
 
--- a/crates/fault-shim/src/plan.rs
+++ b/crates/fault-shim/src/plan.rs
@@ -27,6 +27,20 @@
     from: Duration,
     to: Option<Duration>,
     steps: Vec<Step>,
+    share: Option<Share>,
+}
+
+/// A share of a processor core.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Share(f64);
+
+impl Eq for Share {}
+
+impl Share {
+    fn parse(text: &str) -> Option<Share> {
+        let share: f64 = text.parse().ok()?;
+        (share > 0.0 && share <= 1.0).then_some(Share(share))
+    }
 }
 
 /// A plan that can't be read.
@@ -60,6 +74,7 @@
                 "files" => plan.files = number()?,
                 "from" => plan.from = Duration::from_millis(number()?),
                 "to" => plan.to = Some(Duration::from_millis(number()?)),
+                "share" => plan.share = Some(Share::parse(value).ok_or_else(wrong)?),
                 "steps" => plan.steps = steps(value).ok_or_else(wrong)?,
                 _ => return Err(wrong()),
             }
@@ -83,6 +98,12 @@
         self.steps.iter().filter(|step| step.at <= elapsed).map(|step| step.by).sum()
     }
 
+    /// For how long a thread that has its share of a core sleeps, relative to the processor time that it uses; None where
+    /// it has a whole core.
+    pub fn idle_part(&self) -> Option<f64> {
+        self.share.map(|share| 1.0 / share.0 - 1.0).filter(|idle| *idle > 0.0)
+    }
+
     fn is_on(&self, elapsed: Duration) -> bool {
         elapsed >= self.from && self.to.is_none_or(|to| elapsed < to)
     }
@@ -117,6 +138,11 @@
     running.plan.clock_offset(running.start.elapsed())
 }
 
+/// For how long a thread sleeps, relative to the processor time that it uses; None where it has a whole core.
+pub fn idle_part() -> Option<f64> {
+    running().plan.idle_part()
+}
+
 /// Whether connections that this process made may break.
 pub fn connections_break() -> bool {
     running().plan.breaks
