A request says how long its client waits as of the write that carries it

Seen: front ends with 3% of a core before 3,200 executors told executors to wait 0.4 to 1.1 s longer than their clients did (0.15 s is allowed), as the number was put together when the attempt was chosen and written after whatever lay between. Cause: send_request wrote the line as of its queueing; nothing looked at it again. Now the number is put in as of each write until the first byte is out, and an attempt whose client's time is over is taken back before its first byte. Checked: the codec's test, which fails without update_wait; crossings tests.

--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use stagehoist::{FunctionId, Micros, RequestId, WorkerId};
 use std::collections::{HashMap, VecDeque};
+use std::ops::Range;
 
 /// Longest body of an answer.
 pub const MAX_ANSWER: usize = 64 << 10;
@@ -16,6 +17,17 @@
 /// Ids kept that were abandoned: as many as may be on their way at once, twice over.
 const STOPPED: usize = 64;
 
+/// What a request says beside its body.
+#[derive(Clone, Copy, Debug)]
+pub struct RunRequest<'a> {
+    /// The name of its class.
+    pub class: &'a str,
+    /// The function.
+    pub function: &'a str,
+    /// When its client's time ends.
+    pub deadline: Micros,
+}
+
 /// Why an executor's bytes can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ProtocolViolation {
@@ -82,6 +94,31 @@
     tag: Option<Tag>,
     bytes: Vec<u8>,
     done: usize,
+    wait: Option<Wait>,
+}
+
+/// Where a request says how long its client waits.
+#[derive(Debug)]
+struct Wait {
+    /// When the client's time ends.
+    deadline: Micros,
+    /// The place of the number in its bytes.
+    digits: Range<usize>,
+}
+
+impl Outgoing {
+    /// Has a request that was not begun say how long its client waits from now on.
+    fn update_wait(&mut self, now: Micros) {
+        let Some(wait) = self.wait.as_mut().filter(|_| self.done == 0) else { return };
+        let left = remaining_ms(wait.deadline, now);
+        self.bytes.splice(wait.digits.clone(), left.bytes());
+        wait.digits.end = wait.digits.start + left.len();
+    }
+}
+
+/// For how many milliseconds a client waits still, as its request says it.
+fn remaining_ms(deadline: Micros, now: Micros) -> String {
+    ((deadline - now) / 1000).max(1).to_string()
 }
 
 /// How a connection ended, for what was on it.
@@ -149,11 +186,11 @@
         self.pending.contains_key(&tag) || self.stopped.contains(&id) || written()
     }
 
-    /// Queues a request. False where one with this id is open here.
+    /// Queues a request, which says how long its client waits once it is written. False where one with this id is open here.
     pub fn send_request(
         &mut self,
         id: (u64, &str),
-        fields: &str,
+        run: &RunRequest<'_>,
         body: &[u8],
         what: Exchange,
         now: Micros,
@@ -161,13 +198,15 @@
         if self.has(id.0) {
             return false;
         }
-        let head = format!("RUN {} {fields} {}\r\n", id.1, body.len());
-        let mut bytes = Vec::with_capacity(head.len() + body.len() + 2);
-        bytes.extend_from_slice(head.as_bytes());
-        bytes.extend_from_slice(body);
-        bytes.extend_from_slice(b"\r\n");
+        let before = format!("RUN {} class={},key={},wait=", id.1, run.class, run.function);
+        let left = remaining_ms(run.deadline, now);
+        let digits = before.len()..before.len() + left.len();
+        let after = format!(" {}\r\n", body.len());
+        let bytes = [before.as_bytes(), left.as_bytes(), after.as_bytes(), body, b"\r\n"].concat();
         self.attempts += 1;
-        self.push(Some((Tag::Call(id.0), what)), bytes, now);
+        let tag = self.open(Tag::Call(id.0), what, now);
+        let wait = Some(Wait { deadline: run.deadline, digits });
+        self.queue.push_back(Outgoing { tag: Some(tag), bytes, done: 0, wait });
         true
     }
 
@@ -197,11 +236,15 @@
 
     fn push(&mut self, opens: Option<(Tag, Exchange)>, bytes: Vec<u8>, now: Micros) {
         self.active = now;
-        let tag = opens.map(|(tag, what)| {
-            self.pending.insert(tag, PendingExchange { exchange: what, started_at: None, written_at: None });
-            tag
-        });
-        self.queue.push_back(Outgoing { tag, bytes, done: 0 });
+        let tag = opens.map(|(tag, what)| self.open(tag, what, now));
+        self.queue.push_back(Outgoing { tag, bytes, done: 0, wait: None });
+    }
+
+    /// From now on an answer under this number is awaited.
+    fn open(&mut self, tag: Tag, exchange: Exchange, now: Micros) -> Tag {
+        self.active = now;
+        self.pending.insert(tag, PendingExchange { exchange, started_at: None, written_at: None });
+        tag
     }
 
     /// Whether something waits to be written.
@@ -227,8 +270,9 @@
     }
 
     /// Gathers what goes into one write.
-    pub fn fill(&self, out: &mut Vec<u8>) {
-        for item in &self.queue {
+    pub fn fill(&mut self, out: &mut Vec<u8>, now: Micros) {
+        for item in &mut self.queue {
+            item.update_wait(now);
             out.extend_from_slice(&item.bytes[item.done..]);
             if out.len() >= MAX_WRITE {
                 return;
--- a/crates/platform/src/executors/commands.rs
+++ b/crates/platform/src/executors/commands.rs
@@ -2,7 +2,7 @@
 
 use super::connection::Connection;
 use super::{Executors, InFlight};
-use crate::connection::{Closure, Exchange};
+use crate::connection::{Closure, Exchange, RunRequest};
 use crate::fields;
 use stagehoist::{FunctionId, Micros, Outcome, RequestId, WorkerId};
 use stagehoist_gateway::state::{Attempt, AttemptResult, Input};
@@ -49,12 +49,11 @@
         }
         let Some(connection) = self.pick(attempt.worker, Some(id)) else { return Err(Outcome::Full) };
         let now = self.shared.clock.now();
-        let wait = ((attempt.deadline - now) / 1000).max(1);
-        let list = format!("class={class},key={},wait={wait}", attempt.function);
+        let run = RunRequest { class, function: &attempt.function, deadline: attempt.deadline };
         let what = Exchange::Attempt { request: attempt.request, attempt: attempt.attempt };
         let queued = connection.line.borrow_mut().send_request(
             (id, &attempt.correlation),
-            &list,
+            &run,
             &attempt.body,
             what,
             now,
@@ -66,7 +65,7 @@
             connection: connection.clone(),
             id: (id, attempt.correlation),
             ticket: attempt.ticket,
-            begin_by: attempt.start_by,
+            begin_by: attempt.start_by.min(attempt.deadline),
         };
         self.in_flight_attempts.borrow_mut().insert((attempt.request, attempt.attempt), flying);
         self.note_unwritten(connection);
--- a/crates/platform/src/executors/writing.rs
+++ b/crates/platform/src/executors/writing.rs
@@ -34,7 +34,7 @@
                 return;
             }
             bytes.clear();
-            line.fill(&mut bytes);
+            line.fill(&mut bytes, self.shared.clock.now());
             match uninterrupted(|| stream.try_write(&bytes)) {
                 Ok(n) => line.on_written(n, self.shared.clock.now()),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return connection.wake.notify_one(),
--- a/crates/platform/tests/codecs/lines.rs
+++ b/crates/platform/tests/codecs/lines.rs
@@ -1,9 +1,9 @@
 //! Executors' answers, spoilt ones, and what is abandoned on a line.
 
-use crate::tools::{ends, feed, line, write_all, MS};
+use crate::tools::{ends, feed, line, write_all, MS, RUN};
 use stagehoist::Outcome;
 use stagehoist_gateway::state::Input;
-use stagehoist_platform::connection::{Closure, Exchange, ProtocolViolation};
+use stagehoist_platform::connection::{Closure, Exchange, ProtocolViolation, RunRequest};
 
 #[test]
 fn answers_come_in_any_order_and_what_belongs_to_nothing_is_passed_over() {
@@ -35,7 +35,13 @@
     ] {
         let (mut line, mut news) = line();
         assert_eq!(feed(&mut line, text.as_bytes(), &mut news), Err(why), "{text:.40}");
-        line.send_request((9, "0000000000000009"), "-", b"", Exchange::Attempt { request: 9, attempt: 1 }, 0);
+        line.send_request(
+            (9, "0000000000000009"),
+            &RUN,
+            b"",
+            Exchange::Attempt { request: 9, attempt: 1 },
+            0,
+        );
         line.end(Closure::ProtocolViolated, MS, &mut news);
         let outcomes: Vec<_> = ends(&news).iter().map(|e| (e.0, e.1)).collect();
         use Outcome::*;
@@ -82,15 +88,15 @@
     // Its late answer is passed over.
     feed(&mut line, b"0000000000000001 OK - 0\r\n\r\n", &mut news).unwrap();
     assert!(news.is_empty());
-    line.send_request((5, "0000000000000005"), "-", b"x", Exchange::Attempt { request: 5, attempt: 0 }, 0);
+    line.send_request((5, "0000000000000005"), &RUN, b"x", Exchange::Attempt { request: 5, attempt: 0 }, 0);
     line.stop(5, "0000000000000005", 20 * MS, 250 * MS);
     assert_eq!(write_all(&mut line, 20 * MS), "");
     // An executor that takes nothing new: what waits is withdrawn, what was begun goes on.
-    line.send_request((6, "0000000000000006"), "-", b"x", Exchange::Attempt { request: 6, attempt: 0 }, 0);
+    line.send_request((6, "0000000000000006"), &RUN, b"x", Exchange::Attempt { request: 6, attempt: 0 }, 0);
     let mut bytes = Vec::new();
-    line.fill(&mut bytes);
+    line.fill(&mut bytes, 21 * MS);
     line.on_written(1, 21 * MS);
-    line.send_request((7, "0000000000000007"), "-", b"x", Exchange::Attempt { request: 7, attempt: 0 }, 0);
+    line.send_request((7, "0000000000000007"), &RUN, b"x", Exchange::Attempt { request: 7, attempt: 0 }, 0);
     line.withdraw(22 * MS, &mut news);
     assert_eq!(ends(&news), [(7, Outcome::ConnectFailed, vec![])]);
     assert!(!write_all(&mut line, 23 * MS).contains("RUN 0000000000000007"));
@@ -100,3 +106,17 @@
     feed(&mut line, b"0000000000000003 OK - 0\r\n\r\n", &mut news).unwrap();
     assert!(!line.is_silent());
 }
+
+#[test]
+fn a_request_says_how_long_its_client_waits_from_when_it_is_written() {
+    let (mut line, _) = line();
+    let run = RunRequest { class: "look", function: "07", deadline: 1200 * MS };
+    let what = Exchange::Attempt { request: 9, attempt: 0 };
+    line.send_request((9, "0000000000000009"), &run, b"body", what, 0);
+    let mut bytes = Vec::new();
+    line.fill(&mut bytes, 250 * MS);
+    assert_eq!(bytes, b"RUN 0000000000000009 class=look,key=07,wait=950 4\r\nbody\r\n");
+    // Once a part of it was written the rest stays as it was begun.
+    line.on_written(bytes.len() - 3, 250 * MS);
+    assert_eq!(write_all(&mut line, 500 * MS), "y\r\n");
+}
--- a/crates/platform/tests/codecs/tools.rs
+++ b/crates/platform/tests/codecs/tools.rs
@@ -3,7 +3,7 @@
 use bytes::BytesMut;
 use stagehoist::{Micros, Outcome};
 use stagehoist_gateway::state::Input;
-use stagehoist_platform::connection::{ConnectionState, Exchange, ProtocolViolation};
+use stagehoist_platform::connection::{ConnectionState, Exchange, ProtocolViolation, RunRequest};
 use stagehoist_platform::resp::{encode, Decoder};
 use stagehoist_platform::session::{Catalog, ClientEvent, Session};
 use stagehoist_platform::PlatformSettings;
@@ -53,11 +53,14 @@
 
 pub const GOOD: &str = "ref=9b1f03aa5c7e2d41,allow=1500,project=acme,lookup=7f3a9c21e0b4d655,effort=8.2,extras=memory_mb:512;lanes:2";
 
+/// A request whose client waits for no more than a moment.
+pub const RUN: RunRequest<'static> = RunRequest { class: "look", function: "07", deadline: 0 };
+
 pub fn line() -> (ConnectionState, Vec<Input>) {
     let mut line = ConnectionState::new(0);
     for n in 1..=3u64 {
         let what = Exchange::Attempt { request: n as u32, attempt: 0 };
-        assert!(line.send_request((n, &format!("{n:016x}")), "class=look,key=07", b"b", what, 0));
+        assert!(line.send_request((n, &format!("{n:016x}")), &RUN, b"b", what, 0));
     }
     write_all(&mut line, 0);
     (line, Vec::new())
@@ -65,7 +68,7 @@
 
 pub fn write_all(line: &mut ConnectionState, now: Micros) -> String {
     let mut bytes = Vec::new();
-    line.fill(&mut bytes);
+    line.fill(&mut bytes, now);
     line.on_written(bytes.len(), now);
     String::from_utf8_lossy(&bytes).into_owned()
 }
--- a/crates/platform/tests/crossings/attempt.rs
+++ b/crates/platform/tests/crossings/attempt.rs
@@ -3,7 +3,7 @@
 use stagehoist::{Action, Endpoint, EndpointUpdate, Event, Lifecycle, Micros};
 use stagehoist_endpoints::NumberedEndpoint as Row;
 use stagehoist_gateway::state::{module, Arrival, Command, Core, DecisionPolicy, FunctionProperties, Input};
-use stagehoist_platform::connection::{Closure, ConnectionState, Exchange};
+use stagehoist_platform::connection::{Closure, ConnectionState, Exchange, RunRequest};
 use stagehoist_platform::PlatformSettings;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -128,7 +128,7 @@
     fn write(&mut self, worker: u32) {
         let Some(line) = self.lines.get_mut(&worker) else { return };
         let mut bytes = Vec::new();
-        line.fill(&mut bytes);
+        line.fill(&mut bytes, self.now);
         line.on_written(bytes.len(), self.now);
         self.runs += String::from_utf8_lossy(&bytes).matches("RUN ").count();
     }
@@ -190,8 +190,9 @@
             Command::Attempt(a) => {
                 self.after += usize::from(self.over);
                 let what = Exchange::Attempt { request: a.request, attempt: a.attempt };
+                let run = RunRequest { class: "look", function: &a.function, deadline: a.deadline };
                 let line = self.lines.entry(a.worker).or_insert_with(|| ConnectionState::new(START));
-                if !line.send_request((ID, &a.correlation), "-", &a.body, what, self.now) {
+                if !line.send_request((ID, &a.correlation), &run, &a.body, what, self.now) {
                     let result =
                         stagehoist_gateway::state::AttemptResult::without_answer(stagehoist::Outcome::Full);
                     return news.push(Input::AttemptEnded { request: a.request, attempt: a.attempt, result });
--- a/crates/platform/tests/crossings/lines.rs
+++ b/crates/platform/tests/crossings/lines.rs
@@ -2,13 +2,16 @@
 
 use stagehoist::{Micros, Outcome};
 use stagehoist_gateway::state::Input;
-use stagehoist_platform::connection::{ConnectionState, Exchange, ProtocolViolation};
+use stagehoist_platform::connection::{ConnectionState, Exchange, ProtocolViolation, RunRequest};
 
 const MS: Micros = 1000;
 
+/// A request whose client waits for no more than a moment.
+const RUN: RunRequest<'static> = RunRequest { class: "look", function: "07", deadline: 0 };
+
 fn run(line: &mut ConnectionState, id: u64) -> bool {
     let what = Exchange::Attempt { request: id as u32, attempt: 0 };
-    line.send_request((id, &format!("{id:016x}")), "-", b"body", what, 0)
+    line.send_request((id, &format!("{id:016x}")), &RUN, b"body", what, 0)
 }
 
 fn hold(line: &mut ConnectionState, sent: Micros) {
@@ -23,7 +26,7 @@
 /// Writes so many bytes, or all that waits.
 fn write(line: &mut ConnectionState, most: usize, now: Micros) -> String {
     let mut bytes = Vec::new();
-    line.fill(&mut bytes);
+    line.fill(&mut bytes, now);
     bytes.truncate(most);
     line.on_written(bytes.len(), now);
     String::from_utf8(bytes).unwrap()
@@ -114,7 +117,10 @@
     run(&mut line, 2);
     line.stop(2, "0000000000000002", MS, 250 * MS);
     line.withdraw(MS, &mut news);
-    assert_eq!(first + &write(&mut line, usize::MAX, MS), "RUN 0000000000000001 - 4\r\nbody\r\n");
+    assert_eq!(
+        first + &write(&mut line, usize::MAX, MS),
+        "RUN 0000000000000001 class=look,key=07,wait=1 4\r\nbody\r\n"
+    );
     assert!(run(&mut line, 1));
 }
 
@@ -132,7 +138,7 @@
     // withdrawn, and the connection ends with the last that began.
     let (mut line, mut news) = (ConnectionState::new(0), Vec::new());
     (1..=4).for_each(|id| assert!(run(&mut line, id)));
-    let whole = "RUN 0000000000000001 - 4\r\nbody\r\n".len();
+    let whole = "RUN 0000000000000001 class=look,key=07,wait=1 4\r\nbody\r\n".len();
     write(&mut line, 2 * whole, 0);
     line.send_health_check(false, Exchange::Probe { worker: 3, sent: 0 }, 0);
     write(&mut line, 9, 0);
