--- a/crates/cli/tests/outages/processor_share.rs
+++ b/crates/cli/tests/outages/processor_share.rs
@@ -197,3 +197,56 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// What a front end may need with a larger fleet, by the terms of the platform.
+struct GrowthLimit {
+    factor: f64,
+    base: f64,
+    for_thousand_executors: f64,
+}
+
+impl GrowthLimit {
+    fn with(&self, usual: f64, executors: usize) -> f64 {
+        self.factor * usual + self.base + self.for_thousand_executors * executors as f64 / 1000.0
+    }
+}
+
+const PROCESSOR_SECONDS: GrowthLimit = GrowthLimit { factor: 1.4, base: 0.02, for_thousand_executors: 0.03 };
+const MEMORY_MB: GrowthLimit = GrowthLimit { factor: 1.5, base: 8.0, for_thousand_executors: 4.0 };
+const DESCRIPTORS: GrowthLimit = GrowthLimit { factor: 2.0, base: 40.0, for_thousand_executors: 0.0 };
+const CONNECTIONS: GrowthLimit = GrowthLimit { factor: 2.5, base: 40.0, for_thousand_executors: 0.0 };
+
+/// Sixteen times the executors, for the same traffic. By hand `SHARE_SEEDS=3`.
+#[test]
+fn what_a_front_end_needs_does_not_grow_with_the_fleet() {
+    const USUAL: usize = 200;
+    const SERVED_PART: f64 = 0.85;
+    let seeds = number("SHARE_SEEDS", 1);
+    let of_seed = |seed| {
+        let play = |executors| Play { executors, share: 1.0, rate: 60.0, length: 12_000 * MS, seed };
+        [12, USUAL, 800, 3200].map(play)
+    };
+    let plays: Vec<Play> = (1..=seeds).flat_map(of_seed).collect();
+    let outcomes = run_all(&plays, 4);
+    let mut wrong = broken(&outcomes);
+    for outcomes in outcomes.chunks(4) {
+        let usual = &outcomes[1];
+        for large in &outcomes[2..] {
+            let mut check = |what: &str, limit: GrowthLimit, value: fn(&Outcome) -> f64| {
+                let (most, needed) = (limit.with(value(usual), large.play.executors), value(large));
+                if needed > most {
+                    let executors = large.play.executors;
+                    wrong.push(format!("{executors} executors: {what} {needed:.2}, at most {most:.2}"));
+                }
+            };
+            check("processor seconds", PROCESSOR_SECONDS, |o| o.usage.processor.as_secs_f64());
+            check("megabytes", MEMORY_MB, |o| o.usage.peak_kib as f64 / 1000.0);
+            check("descriptors", DESCRIPTORS, |o| o.usage.descriptors as f64);
+            check("connections", CONNECTIONS, |o| o.connections as f64);
+            if large.served < SERVED_PART * usual.served {
+                wrong.push(format!("served {:.3} of {:.3}", large.served, usual.served));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
--- a/crates/core/src/policy/completion.rs
+++ b/crates/core/src/policy/completion.rs
@@ -11,10 +11,13 @@
 impl FrontEnd {
     pub(super) fn on_attempt_ended(&mut self, end: &AttemptEnd, now: Micros, actions: &mut Vec<Action>) {
         let Some(&index) = self.worker_index.get(&end.worker) else { return };
+        self.touch(index);
+        self.start_slot(index, now);
         let in_flight = &mut self.workers[index].in_flight;
         let is_it = |attempt: &Attempt| (attempt.request, attempt.number) == (end.request, end.attempt);
         if let Some(position) = in_flight.iter().position(is_it) {
             let attempt = in_flight.swap_remove(position);
+            self.count_in_flight(index);
             self.on_attempt_examined(index, end.outcome, attempt.sent_at, now, actions);
             self.record_served(index, &attempt, end, now);
             self.learn(index, &attempt, end, now, actions);
--- a/crates/core/src/policy/confirmation.rs
+++ b/crates/core/src/policy/confirmation.rs
@@ -58,6 +58,11 @@
 }
 
 impl Confirmation {
+    /// Whether a check is under way, was failed, or is to be waited for.
+    pub fn is_unconfirmed(&self, now: Micros) -> bool {
+        self.check_started_at.is_some() || self.failures > 0 || self.next_check_at >= now
+    }
+
     /// The list named the worker: what it failed before does not count any more.
     pub fn listed(&mut self) {
         self.failures = 0;
@@ -166,6 +171,7 @@
             return;
         }
         worker.confirmation.check_started_at = Some(now);
+        self.fleet.unconfirmed.insert(index);
         self.list_validity.checks += 1;
         self.list_validity.counters.checks += 1;
         actions.push(Action::HealthCheck { worker: worker.endpoint.worker });
@@ -181,6 +187,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(&index) = self.worker_index.get(&worker) else { return };
+        self.touch(index);
         let confirmation = &mut self.workers[index].confirmation;
         let check_started_at =
             confirmation.check_started_at.take_if(|check_started_at| sent_at >= *check_started_at);
@@ -202,6 +209,7 @@
     /// Pauses the checks of a worker, the longer the more it failed.
     fn check_failed(&mut self, index: usize, is_counted: bool, now: Micros, actions: &mut Vec<Action>) {
         let grace = self.settings.drain_grace.max(MIN_LIFETIME_TICKS * self.settings.tick);
+        self.fleet.unconfirmed.insert(index);
         let worker = &mut self.workers[index];
         let confirmation = &mut worker.confirmation;
         if is_counted {
@@ -289,7 +297,8 @@
             return Micros::MAX;
         }
         let check_wait = self.check_wait();
-        let due = self.workers.iter().filter(|worker| worker.ready).filter_map(|worker| {
+        let unconfirmed = self.fleet.unconfirmed.iter().map(|&index| &self.workers[index]);
+        let due = unconfirmed.filter(|worker| worker.ready).filter_map(|worker| {
             let confirmation = &worker.confirmation;
             let looks_elsewhere =
                 confirmation.check_started_at.map(|check_started_at| check_started_at + check_wait);
--- a/crates/core/src/policy/dispatch.rs
+++ b/crates/core/src/policy/dispatch.rs
@@ -3,7 +3,6 @@
 use super::call::{CallGroup, QueuePosition};
 use super::placement::{FleetHealth, Placement};
 use super::prediction::{copy_slots, MAX_STRETCH, QUEUE_ALLOWANCE};
-use super::worker::Worker;
 use super::{FrontEnd, WantedLoad};
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,10 +38,14 @@
     }
 
     fn fleet_health(&self, now: Micros) -> FleetHealth {
-        let takes_work = |worker: &&Worker| worker.ready && !self.is_withdrawn(worker, now);
-        let ready = self.workers.iter().filter(takes_work);
-        let healthy = ready.clone().filter(|worker| worker.is_healthy(now)).count();
-        let ready = ready.count();
+        let (mut ready, mut healthy) = (self.fleet.ready(), self.fleet.healthy());
+        if self.is_list_old(now) {
+            let unconfirmed = self.fleet.unconfirmed.iter().map(|&index| &self.workers[index]);
+            for worker in unconfirmed.filter(|worker| worker.ready && self.is_withdrawn(worker, now)) {
+                ready -= 1;
+                healthy -= usize::from(worker.is_healthy(now));
+            }
+        }
         FleetHealth { ready, ejections_doubted: healthy * 2 < ready }
     }
 
@@ -184,7 +187,7 @@
         let Some(function) = self.functions.get(&group.function) else { return false };
         let is_home = || {
             let mut homes = function.ranked_workers.iter().take(function.home_count.get());
-            homes.any(|&home| home == index)
+            homes.any(|&home| home as usize == index)
         };
         match worker.beliefs.expected_copy(group.function, now) {
             Some(copy) => {
--- a/crates/core/src/policy/endpoints.rs
+++ b/crates/core/src/policy/endpoints.rs
@@ -1,7 +1,7 @@
 //! Endpoint lists: which workers there are and whether they take requests (rule 3).
 
 use super::beliefs::Beliefs;
-use super::function::ranked;
+use super::fleet::{ListedState, WorkerTime};
 use super::numbers::hash_fraction;
 use super::worker::Worker;
 use super::FrontEnd;
@@ -66,9 +66,8 @@
         for endpoint in endpoints {
             self.update_endpoint(endpoint, now);
         }
-        self.rank_workers();
-        let ready = self.workers.iter().filter(|worker| worker.ready);
-        self.fleet_capacity = ready.map(|worker| worker.endpoint.capacity).sum();
+        self.rank_pending_functions(now);
+        self.fleet_capacity = self.fleet.capacity();
     }
 
     /// Subscribes to endpoint updates where that is needed.
@@ -89,12 +88,16 @@
 
     fn remove_unlisted(&mut self, endpoints: &[Endpoint], now: Micros) {
         let listed: BTreeSet<WorkerId> = endpoints.iter().map(|endpoint| endpoint.worker).collect();
-        for worker in &mut self.workers {
-            if !listed.contains(&worker.endpoint.worker) {
-                worker.ready = false;
-                worker.endpoint.lifecycle = Lifecycle::Gone;
-                worker.listed_at = now;
+        for index in 0..self.workers.len() {
+            let worker = &mut self.workers[index];
+            if listed.contains(&worker.endpoint.worker) {
+                continue;
             }
+            let before = ListedState { listed_at: worker.listed_at };
+            worker.ready = false;
+            worker.endpoint.lifecycle = Lifecycle::Gone;
+            worker.listed_at = now;
+            self.count_listed(index, &before, now);
         }
     }
 
@@ -102,6 +105,7 @@
         let known = self.worker_index.get(&endpoint.worker).copied();
         let index = known.unwrap_or_else(|| self.add_worker(endpoint, now));
         let worker = &mut self.workers[index];
+        let before = ListedState { listed_at: worker.listed_at };
         if endpoint.started > worker.endpoint.started {
             worker.warming_since = (endpoint.started > 0).then_some(endpoint.started);
             worker.beliefs = Beliefs::restarted(now);
@@ -110,6 +114,7 @@
         worker.confirmation.listed();
         worker.endpoint = endpoint.clone();
         worker.listed_at = now;
+        self.count_listed(index, &before, now);
         self.changed_workers.insert(index);
     }
 
@@ -117,31 +122,31 @@
     /// in a further one.
     fn add_worker(&mut self, endpoint: &Endpoint, now: Micros) -> usize {
         let reuse_after = REUSE_AFTER * self.settings.idle_retention.max(self.settings.retry_budget.window);
-        let is_reusable = |worker: &Worker| {
-            worker.endpoint.lifecycle == Lifecycle::Gone
-                && worker.in_flight.is_empty()
-                && now - worker.listed_at > reuse_after
-        };
-        let index = self.workers.iter().position(is_reusable).unwrap_or(self.workers.len());
+        let long_gone = self.fleet.gone.iter().take_while(|gone| now - gone.at > reuse_after);
+        let free = long_gone.map(|gone| gone.index).filter(|&index| self.workers[index].in_flight.is_empty());
+        let index = free.min().unwrap_or(self.workers.len());
+        self.ranking_version += 1;
         self.worker_index.insert(endpoint.worker, index);
         let endpoint = Endpoint { started: NEVER_STARTED, ..endpoint.clone() };
-        let worker = Worker { endpoint, checked_at: now, ..Default::default() };
+        let worker = Worker { endpoint, checked_at: now, first_listed_at: now, ..Default::default() };
         if index < self.workers.len() {
-            let replaced = std::mem::replace(&mut self.workers[index], worker);
-            self.worker_index.remove(&replaced.endpoint.worker);
-            self.functions.values_mut().for_each(|function| function.ranked_workers.clear());
+            self.replace_worker(index, worker);
         } else {
             self.workers.push(worker);
         }
         index
     }
 
-    /// Ranks the workers for each function whose ranks are not of all workers.
-    fn rank_workers(&mut self) {
-        for (&id, function) in &mut self.functions {
-            if function.ranked_workers.len() != self.workers.len() {
-                function.ranked_workers = ranked(id, &self.workers);
-            }
-        }
+    /// Puts a worker in the place of one that is long gone.
+    fn replace_worker(&mut self, index: usize, worker: Worker) {
+        let replaced = std::mem::replace(&mut self.workers[index], worker);
+        self.worker_index.remove(&replaced.endpoint.worker);
+        self.fleet.gone.remove(&WorkerTime { at: replaced.listed_at, index });
+        self.fleet.unconfirmed.remove(&index);
+        // The sums hold the former one until this one is counted.
+        let worker = &mut self.workers[index];
+        worker.contribution = replaced.contribution;
+        worker.due_at = replaced.due_at;
+        worker.is_touched = replaced.is_touched;
     }
 }
--- /dev/null
+++ b/crates/core/src/policy/fleet.rs
@@ -0,0 +1,240 @@
+//! The fleet as a whole: sums over all workers, kept as single workers change, and what is due of them by time. No
+//! decision goes over all workers, so that the cost of an event does not grow with the fleet.
+
+use super::beliefs::Beliefs;
+use super::numbers::ExactSum;
+use super::worker::Worker;
+use super::FrontEnd;
+use crate::interface::*;
+use std::collections::BTreeSet;
+
+/// Fleets of up to so many workers are looked at whole where a decision goes over workers; of larger ones, so many are.
+pub(super) const MAX_CONSIDERED: usize = 256;
+/// A worker whose slowdown and error rate are so near to the usual has nothing left to decay.
+const REST_TOLERANCE: f64 = 1e-6;
+
+/// What one worker adds to the sums.
+#[derive(Clone, Copy, Default, PartialEq)]
+pub(super) struct Contribution {
+    is_ready: bool,
+    is_healthy: bool,
+    is_warming: bool,
+    capacity: f64,
+    established_capacity: f64,
+    error_rate: f64,
+}
+
+impl Contribution {
+    fn of(worker: &Worker, now: Micros) -> Contribution {
+        let of_ready = |value: f64| if worker.ready { value } else { 0.0 };
+        let capacity = worker.endpoint.capacity;
+        Contribution {
+            is_ready: worker.ready,
+            is_healthy: worker.ready && worker.is_healthy(now),
+            is_warming: worker.warming_since.is_some(),
+            capacity: of_ready(capacity),
+            established_capacity: if worker.is_established(now) { capacity } else { 0.0 },
+            error_rate: of_ready(worker.beliefs.error_rate),
+        }
+    }
+}
+
+/// A worker, by index, and a time.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct WorkerTime {
+    pub at: Micros,
+    pub index: usize,
+}
+
+/// Sums over the workers, and what is due of them.
+#[derive(Default)]
+pub(super) struct Fleet {
+    ready: usize,
+    healthy: usize,
+    capacity: ExactSum,
+    established_capacity: ExactSum,
+    error_rate: ExactSum,
+    /// Workers that changed since they were last counted.
+    touched: Vec<usize>,
+    /// When workers change by themselves.
+    due: BTreeSet<WorkerTime>,
+    pub warming: BTreeSet<usize>,
+    /// Workers with several attempts in flight.
+    pub busy: BTreeSet<usize>,
+    /// Ready workers, by when they were last health-checked.
+    pub checked: BTreeSet<WorkerTime>,
+    /// Workers that are gone, by when the list last told of them.
+    pub gone: BTreeSet<WorkerTime>,
+    /// Workers with a confirmation that is under way or failed.
+    pub unconfirmed: BTreeSet<usize>,
+    /// The first worker of those that warm up that is considered next, where they are many.
+    next_warming: usize,
+}
+
+impl Fleet {
+    /// Workers that take requests by the list.
+    pub fn ready(&self) -> usize {
+        self.ready
+    }
+
+    /// Of those, workers that are not ejected.
+    pub fn healthy(&self) -> usize {
+        self.healthy
+    }
+
+    /// Capacity of the ready workers.
+    pub fn capacity(&self) -> f64 {
+        self.capacity.value()
+    }
+
+    /// Capacity of the established workers.
+    pub fn established_capacity(&self) -> f64 {
+        self.established_capacity.value()
+    }
+
+    /// Mean error rate of the ready workers.
+    pub fn mean_error_rate(&self) -> f64 {
+        self.error_rate.value() / self.ready.max(1) as f64
+    }
+
+    /// The next worker that is due.
+    fn pop_due(&mut self, now: Micros) -> Option<usize> {
+        self.due.pop_first_if(|due| due.at <= now).map(|due| due.index)
+    }
+
+    /// Some of the workers that warm up, in turn; all where they are few.
+    pub fn warming_in_turn(&mut self) -> Vec<usize> {
+        let from_next = self.warming.range(self.next_warming..);
+        let before = self.warming.range(..self.next_warming);
+        let some: Vec<usize> = from_next.chain(before).copied().take(MAX_CONSIDERED).collect();
+        self.next_warming = some.last().map_or(0, |last| last + 1);
+        some
+    }
+
+    fn replace(&mut self, index: usize, old: Contribution, new: Contribution) {
+        self.ready = self.ready + usize::from(new.is_ready) - usize::from(old.is_ready);
+        self.healthy = self.healthy + usize::from(new.is_healthy) - usize::from(old.is_healthy);
+        self.capacity.replace(old.capacity, new.capacity);
+        self.established_capacity.replace(old.established_capacity, new.established_capacity);
+        self.error_rate.replace(old.error_rate, new.error_rate);
+        if new.is_warming {
+            self.warming.insert(index);
+        } else {
+            self.warming.remove(&index);
+        }
+    }
+}
+
+/// The part of a set before its end that satisfies a condition, one after the other.
+trait PopFirstIf<T> {
+    fn pop_first_if(&mut self, condition: impl FnOnce(&T) -> bool) -> Option<T>;
+}
+
+impl<T: Ord> PopFirstIf<T> for BTreeSet<T> {
+    fn pop_first_if(&mut self, condition: impl FnOnce(&T) -> bool) -> Option<T> {
+        if !self.first().is_some_and(condition) {
+            return None;
+        }
+        self.pop_first()
+    }
+}
+
+impl FrontEnd {
+    /// A worker changes: it is counted anew before the next decisions.
+    pub(super) fn touch(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        if !worker.is_touched {
+            worker.is_touched = true;
+            self.fleet.touched.push(index);
+        }
+    }
+
+    /// Counts the workers that changed.
+    pub(super) fn count_touched(&mut self, now: Micros) {
+        let last_batch = self.sweep.at;
+        for index in std::mem::take(&mut self.fleet.touched) {
+            self.workers[index].is_touched = false;
+            self.count(index, last_batch, now);
+        }
+    }
+
+    /// Brings the sums up to date with a worker. What is over by `since` has had its consequences.
+    pub(super) fn count(&mut self, index: usize, since: Micros, now: Micros) {
+        let due_at = self.next_change(index, since);
+        let worker = &mut self.workers[index];
+        let contribution = Contribution::of(worker, now);
+        if contribution != worker.contribution {
+            self.fleet.replace(index, worker.contribution, contribution);
+            worker.contribution = contribution;
+        }
+        if due_at != worker.due_at {
+            if let Some(at) = worker.due_at {
+                self.fleet.due.remove(&WorkerTime { at, index });
+            }
+            self.fleet.due.extend(due_at.map(|at| WorkerTime { at, index }));
+            worker.due_at = due_at;
+        }
+    }
+
+    /// When a worker changes by itself, after `since`.
+    fn next_change(&self, index: usize, since: Micros) -> Option<Micros> {
+        let worker = &self.workers[index];
+        let beliefs = &worker.beliefs;
+        let warm_at = worker.warming_since.map(|warming_since| warming_since + self.settings.warm_up);
+        let first_order = beliefs.load_orders.values().min();
+        let lost_at = first_order.map(|given_at| given_at + self.lost_order_after() + 1);
+        let has_rested = self.workers.len() > MAX_CONSIDERED && is_at_rest(beliefs);
+        let decays_at = (!has_rested).then(|| beliefs.slowdown_at + self.belief_decay_interval() + 1);
+        let opens = [beliefs.full_until, beliefs.ejected_until, beliefs.loading_until];
+        let opens = opens.into_iter().filter(|until| *until > since);
+        warm_at.into_iter().chain(lost_at).chain(decays_at).chain(opens).min()
+    }
+
+    /// Refreshes the workers whose time has come.
+    pub(super) fn refresh_due_workers(&mut self, now: Micros) {
+        while let Some(index) = self.fleet.pop_due(now) {
+            self.workers[index].due_at = None;
+            self.refresh_worker(index, now);
+            self.count(index, now, now);
+        }
+    }
+
+    /// A worker's entry in the list changed from `before`: the sums that the next events go by change with it.
+    pub(super) fn count_listed(&mut self, index: usize, before: &ListedState, now: Micros) {
+        let old = WorkerTime { at: before.listed_at, index };
+        self.fleet.gone.remove(&old);
+        let worker = &self.workers[index];
+        let (is_gone, is_ready) = (worker.endpoint.lifecycle == Lifecycle::Gone, worker.ready);
+        let (listed_at, checked_at) = (worker.listed_at, worker.checked_at);
+        if is_gone {
+            self.fleet.gone.insert(WorkerTime { at: listed_at, index });
+            self.ranking_version += 1;
+        }
+        let check = WorkerTime { at: checked_at, index };
+        if is_ready {
+            self.fleet.checked.insert(check);
+        } else {
+            self.fleet.checked.remove(&check);
+        }
+        self.count(index, self.sweep.at, now);
+    }
+
+    /// Notes how many attempts are in flight at a worker.
+    pub(super) fn count_in_flight(&mut self, index: usize) {
+        if self.workers[index].in_flight.len() > 1 {
+            self.fleet.busy.insert(index);
+        } else {
+            self.fleet.busy.remove(&index);
+        }
+    }
+}
+
+/// What the sums hold of a worker's entry in the list.
+pub(super) struct ListedState {
+    pub listed_at: Micros,
+}
+
+/// Whether nothing that is believed of a worker decays any more.
+fn is_at_rest(beliefs: &Beliefs) -> bool {
+    (beliefs.slowdown - 1.0).abs() < REST_TOLERANCE && beliefs.error_rate < REST_TOLERANCE
+}
--- a/crates/core/src/policy/function.rs
+++ b/crates/core/src/policy/function.rs
@@ -1,8 +1,8 @@
 //! A function as one front end knows it: state without decisions.
 
 use super::attempt_counter::AttemptCounter;
-use super::numbers::{hash, percentile_99, update_average, DecayingSum, GAIN};
-use super::worker::Worker;
+use super::numbers::{percentile_99, update_average, DecayingSum, GAIN};
+use super::ranking::Ranking;
 use crate::interface::*;
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -30,8 +30,10 @@
     /// Calls that arrived here, decaying over twice the retention time.
     pub recent_calls: DecayingSum,
     pub attempts: AttemptCounter,
-    /// Indices of all workers in the order of their ranks for this function.
-    pub ranked_workers: Vec<usize>,
+    /// The workers that it may go to without a known copy.
+    pub ranked_workers: Vec<u32>,
+    /// Of which workers they were ranked, and how deep.
+    pub ranking: Ranking,
     /// Work of its pending requests.
     pub pending_work: f64,
     /// How many of `ranked_workers` were homes, as last weighed.
@@ -62,10 +64,3 @@
         percentile_99(&self.recent_runs, PROFILE_RUNS)
     }
 }
-
-/// Indices of the workers in the order of their ranks for a function.
-pub(super) fn ranked(function: FunctionId, workers: &[Worker]) -> Vec<usize> {
-    let mut order: Vec<usize> = (0..workers.len()).collect();
-    order.sort_by_cached_key(|&index| hash(function, u64::from(workers[index].endpoint.worker)));
-    order
-}
--- a/crates/core/src/policy/homes.rs
+++ b/crates/core/src/policy/homes.rs
@@ -45,9 +45,17 @@
 
     /// Demand for a function that a worker takes as its home.
     pub(super) fn home_capacity(&self, function: &Function, worker: &Worker, now: Micros) -> f64 {
-        (function.concurrency as f64).min(worker.endpoint.capacity)
-            * HOME_FILL
-            * self.capacity_share(worker, now)
+        self.usual_home_capacity(function, worker.endpoint.capacity) * self.capacity_share(worker, now)
+    }
+
+    /// The same of an established worker.
+    pub(super) fn usual_home_capacity(&self, function: &Function, capacity: f64) -> f64 {
+        (function.concurrency as f64).min(capacity) * HOME_FILL
+    }
+
+    /// The fleet's demand for a function that the ranks kept here hold.
+    pub(super) fn kept_demand(&self, function: &Function, now: Micros) -> f64 {
+        self.fleet_demand(function, now) * function.ranking.kept_part
     }
 }
 
--- a/crates/core/src/policy/intake.rs
+++ b/crates/core/src/policy/intake.rs
@@ -1,7 +1,6 @@
 //! Intake of requests: deadlines, expected work and value of a new request, and what its arrival tells of demand.
 
 use super::call::{Deadline, PendingCall};
-use super::function::ranked;
 use super::numbers::{decay, update_average, GAIN};
 use super::queue::EnqueueReason;
 use super::FrontEnd;
@@ -28,6 +27,7 @@
             update_average(&mut self.class_mean_work[request.class as usize], work.max(1) as f64, GAIN);
         }
         self.update_function(request, now);
+        self.rank(request.function, now);
         let budget = request.budget.max(0);
         let margin = (DEADLINE_MARGIN_TICKS * self.settings.tick).min(budget / MAX_DEADLINE_MARGIN_DIVISOR);
         let deadline = now + budget - margin;
@@ -54,9 +54,6 @@
         function.recent_calls.add(1.0, now, 2 * self.settings.idle_retention);
         function.class = request.class;
         function.declared_load_time = request.load_time;
-        if function.ranked_workers.len() != self.workers.len() {
-            function.ranked_workers = ranked(request.function, &self.workers);
-        }
         function.memory_mb = request.memory_mb.max(0.0);
         function.concurrency = request.concurrency.clamp(1.0, MAX_CONCURRENCY) as usize;
     }
--- a/crates/core/src/policy/learning.rs
+++ b/crates/core/src/policy/learning.rs
@@ -40,7 +40,7 @@
             Outcome::Ok => self.learn_from_answer(index, attempt, end, now),
             Miss => {
                 let absent = CachedCopy::absent(now, self.settings.idle_retention);
-                self.workers[index].beliefs.copies.insert(attempt.function, absent);
+                self.set_copy(index, attempt.function, absent);
             }
             Full => self.learn_full(index, attempt, now),
             Error if end.copy.state == CopyReport::LOAD_FAILED => {
@@ -83,7 +83,8 @@
         let copies = beliefs.copies.get(&attempt.function).map_or(1, |copy| copy.copies.max(1));
         let expires_at = now + self.settings.idle_retention;
         let copy = CachedCopy { ready_at: now, expires_at, used_at: now, copies };
-        beliefs.copies.insert(attempt.function, copy);
+        self.set_copy(index, attempt.function, copy);
+        let beliefs = &mut self.workers[index].beliefs;
         let Some(function) = self.functions.get_mut(&attempt.function) else { return };
         if end.copy.state == CopyReport::LOAD_STARTED {
             let run = attempt.predicted.base_run * beliefs.slowdown * attempt.predicted.slowdown;
--- a/crates/core/src/policy/loading.rs
+++ b/crates/core/src/policy/loading.rs
@@ -28,6 +28,7 @@
         let never_arrived = matches!(load.outcome, Outcome::ConnectFailed | Outcome::Superseded);
         self.load_budget.order_ended(load.order, never_arrived, now);
         let Some(&index) = self.worker_index.get(&worker) else { return };
+        self.touch(index);
         let beliefs = &mut self.workers[index].beliefs;
         beliefs.load_orders.remove(&function);
         if load.outcome == Outcome::Ok {
@@ -36,19 +37,18 @@
             }
         }
         let known = beliefs.copies.get(&function);
+        let is_awaited = known.is_some_and(|copy| copy.ready_at > now);
         let retention = self.settings.idle_retention;
         if load.copies > 0 {
             let used_at = known.map_or(0, |copy| copy.used_at);
             let copy =
                 CachedCopy { ready_at: now, expires_at: now + retention, used_at, copies: load.copies };
-            beliefs.copies.insert(function, copy);
-        } else if !matches!(load.outcome, Outcome::Timeout | Outcome::Superseded)
-            && known.is_none_or(|copy| copy.ready_at <= now)
-        {
-            beliefs.copies.insert(function, CachedCopy::absent(now, retention));
+            self.set_copy(index, function, copy);
+        } else if !matches!(load.outcome, Outcome::Timeout | Outcome::Superseded) && !is_awaited {
+            self.set_copy(index, function, CachedCopy::absent(now, retention));
         }
         if load.outcome == Outcome::Full {
-            beliefs.full_until = now + self.shortest_objective / FULL_PAUSE_DIVISOR;
+            self.workers[index].beliefs.full_until = now + self.shortest_objective / FULL_PAUSE_DIVISOR;
         }
     }
 
@@ -73,16 +73,17 @@
         let other_run = class_run.unwrap_or(objective / DEFAULT_RUN_DIVISOR);
         // p = d - sum(a * capacity / l); as a = d / l over the sum of 1 / l, it is d times one less a share.
         let (mut served, mut inverse_loads) = (0.0, 0.0);
-        let mut remaining_demand = self.fleet_demand(function, now);
-        for &index in &function.ranked_workers {
+        let mut remaining_demand = self.kept_demand(function, now);
+        let mut homes = 0;
+        let mut add = |index: usize, remaining_demand: &mut f64| {
             let worker = &self.workers[index];
             if !worker.ready || self.is_withdrawn(worker, now) {
-                continue;
+                return;
             }
             let is_usable = worker.beliefs.ejected_until <= now;
-            let is_home = remaining_demand > 0.0 && !lacks_copy(worker, id, now) && is_usable;
+            let is_home = *remaining_demand > 0.0 && !lacks_copy(worker, id, now) && is_usable;
             if is_usable {
-                remaining_demand -= self.home_capacity(function, worker, now);
+                *remaining_demand -= self.home_capacity(function, worker, now);
             }
             let has_copy = is_usable && worker.beliefs.expected_copy(id, now).is_some();
             if is_home || has_copy || worker.beliefs.load_orders.contains_key(&id) {
@@ -92,6 +93,16 @@
                 served += worker.endpoint.capacity.max(1.0) * objective / load / load;
                 inverse_loads += 1.0 / load;
             }
+        };
+        for &index in &function.ranked_workers {
+            if remaining_demand <= 0.0 {
+                break;
+            }
+            add(index as usize, &mut remaining_demand);
+            homes += 1;
+        }
+        for index in self.holders_beyond(id, function, homes) {
+            add(index, &mut remaining_demand);
         }
         let served_share = if inverse_loads > 0.0 { served / inverse_loads } else { 0.0 };
         function.pending_work * (1.0 - served_share)
@@ -101,6 +112,7 @@
     pub(super) fn order_loads(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if self.wanted_loads.is_empty()
             || !self.load_budget.allows(now, &self.settings)
+            || self.fleet.ready() == 0
             || !self.workers.iter().any(|worker| takes_load(worker, now))
         {
             return;
@@ -135,7 +147,7 @@
                 && takes_load(worker, now)
                 && self.standing(worker, now) != Standing::Barred
         };
-        let rated = (0..self.workers.len()).filter(can_load).map(|index| {
+        let rated = self.considered_workers(function).filter(can_load).map(|index| {
             let prediction = self.predict(index, call, load_time, HomeRank::NotHome, now);
             let is_barred = !self.has_slow_start_capacity(index, call, now);
             (is_barred, prediction)
@@ -167,7 +179,9 @@
             actions.push(Action::Unload { worker: id, function: unused });
             self.workers[index].beliefs.copies.remove(&unused);
         }
+        self.touch(index);
         self.workers[index].beliefs.load_orders.insert(function, now);
+        self.holders.entry(function).or_default().insert(index);
         self.load_budget.order_given(LoadOrder { worker: id, function }, now, &self.settings);
         actions.push(Action::Load { worker: id, function, copies: 1, start_by });
     }
--- a/crates/core/src/policy/maintenance.rs
+++ b/crates/core/src/policy/maintenance.rs
@@ -26,14 +26,13 @@
         self.log_list_age(now, actions);
         self.resubscribe(now, actions);
         self.expire_arrivals(now);
-        self.mean_error_rate = self.mean_error_rate();
-        let is_idle = self.queue.is_empty();
-        for index in 0..self.workers.len() {
-            self.refresh_worker(index, now);
-        }
-        self.handle_silent_workers(is_idle, now, actions);
-        let established = self.workers.iter().filter(|worker| worker.is_established(now));
-        self.served_work.established_capacity = established.map(|worker| worker.endpoint.capacity).sum();
+        self.count_touched(now);
+        self.mean_error_rate = self.fleet.mean_error_rate();
+        self.refresh_due_workers(now);
+        self.changed_workers.extend(self.fleet.warming_in_turn());
+        self.handle_silent_workers(self.queue.is_empty(), now, actions);
+        self.count_touched(now);
+        self.served_work.established_capacity = self.fleet.established_capacity();
         if self.served_work.window_start + self.settings.overload_window.max(1) <= now {
             self.end_window(now);
         }
@@ -59,28 +58,32 @@
         }
     }
 
-    fn mean_error_rate(&self) -> f64 {
-        let ready = self.workers.iter().filter(|worker| worker.ready);
-        let sum = ready.clone().map(|worker| worker.beliefs.error_rate).sum::<f64>();
-        sum / ready.count().max(1) as f64
+    /// Time after which a load order without an answer counts as lost.
+    pub(super) fn lost_order_after(&self) -> Micros {
+        self.settings.load_timeout + self.settings.tick * LOST_ORDER_TICKS
+    }
+
+    /// Beliefs that nothing confirms decay each time that this is over.
+    pub(super) fn belief_decay_interval(&self) -> Micros {
+        self.settings.idle_retention.max(1) / BELIEF_DECAYS
     }
 
     /// Ends what is over at a worker, and marks it as changed where it may take requests again.
-    fn refresh_worker(&mut self, index: usize, now: Micros) {
-        let settings = &self.settings;
+    pub(super) fn refresh_worker(&mut self, index: usize, now: Micros) {
+        let (lost_after, decay_interval) = (self.lost_order_after(), self.belief_decay_interval());
+        let warm_up = self.settings.warm_up;
         let last_sweep = self.sweep.at;
         let worker = &mut self.workers[index];
-        worker.warming_since = worker.warming_since.filter(|since| now < since + settings.warm_up);
+        worker.warming_since = worker.warming_since.filter(|since| now < since + warm_up);
         let beliefs = &mut worker.beliefs;
-        let lost_after = settings.load_timeout + settings.tick * LOST_ORDER_TICKS;
         beliefs.load_orders.retain(|_, given_at| now - *given_at <= lost_after);
         let is_just_over = |until: &Micros| (last_sweep + 1..=now).contains(until);
         let opens = [beliefs.full_until, beliefs.ejected_until, beliefs.loading_until];
-        if opens.iter().any(is_just_over) || worker.warming_since.is_some() {
+        if opens.iter().any(is_just_over) {
             self.changed_workers.insert(index);
         }
         // What nothing confirms decays.
-        if now - beliefs.slowdown_at > settings.idle_retention.max(1) / BELIEF_DECAYS {
+        if now - beliefs.slowdown_at > decay_interval {
             beliefs.slowdown_at = now;
             beliefs.slowdown += BELIEF_DECAY * (1.0 - beliefs.slowdown);
             beliefs.error_rate *= 1.0 - BELIEF_DECAY;
@@ -93,7 +96,8 @@
         let min_overdue = self.shortest_objective;
         let mut silent = Vec::new();
         let mut overdue = Vec::new();
-        for (index, worker) in self.workers.iter_mut().enumerate() {
+        for &index in &self.fleet.busy {
+            let worker = &mut self.workers[index];
             if !is_silent(worker, min_overdue, now) {
                 continue;
             }
@@ -110,14 +114,30 @@
         }
     }
 
+    /// Forgets copies that are gone for long.
+    fn forget_expired_copies(&mut self, now: Micros) {
+        let retention = self.settings.idle_retention.max(1);
+        let workers = &mut self.workers;
+        self.holders.retain(|id, holders| {
+            holders.retain(|&index| {
+                let beliefs = &mut workers[index].beliefs;
+                if beliefs.copies.get(id).is_some_and(|copy| copy.expires_at + retention <= now) {
+                    beliefs.copies.remove(id);
+                }
+                beliefs.copies.contains_key(id) || beliefs.load_orders.contains_key(id)
+            });
+            !holders.is_empty()
+        });
+    }
+
     fn end_window(&mut self, now: Micros) {
         let retention = self.settings.idle_retention.max(1);
+        self.forget_expired_copies(now);
         self.functions
             .retain(|_, function| now - function.recent_calls.updated_at < FUNCTION_RETENTIONS * retention);
         self.wanted_loads.retain(|function, _| self.functions.contains_key(function));
-        for worker in &mut self.workers {
-            worker.beliefs.copies.retain(|_, copy| copy.expires_at + retention > now);
-        }
+        let workers = &self.workers;
+        self.fleet.unconfirmed.retain(|&index| workers[index].confirmation.is_unconfirmed(now));
         self.store_slowdown = self.store_slowdown.map(|slowdown| slowdown + BELIEF_DECAY * (1.0 - slowdown));
         self.served_work.end_window(now, self.settings.overload_window.max(1));
     }
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -12,6 +12,7 @@
 //! | repetition | `retries`: whether another attempt may be sent (rule 2), hedged requests |
 //! | new workers | `slow_start`: what a warming worker may get (rule 4) |
 //! | loads | `loading`: which functions are loaded where; `load_budget`: their limit (rule 5) |
+//! | all workers | `fleet`: sums over them and what is due, so that no decision goes over all of them; `ranking`: which of them a function may go to |
 //! | faults | `outliers`: ejection of workers, health checks |
 //! | old lists | `list_validity`: how old the endpoint list is; `confirmation`: which workers may get new work while the endpoint list is old (rule 3) |
 //!
@@ -25,6 +26,7 @@
 mod confirmation;
 mod dispatch;
 mod endpoints;
+mod fleet;
 mod function;
 mod homes;
 mod intake;
@@ -39,6 +41,7 @@
 mod prediction;
 mod priority;
 mod queue;
+mod ranking;
 mod reports;
 mod retries;
 mod send;
@@ -52,6 +55,7 @@
 use crate::interface::*;
 use call::{CallGroup, Deadline, PendingCall, QueuePosition};
 use endpoints::Subscription;
+use fleet::Fleet;
 use function::Function;
 pub use list_validity::ConfirmationCounters;
 use list_validity::ListValidity;
@@ -96,8 +100,13 @@
     shortest_objective: Micros,
 
     workers: Vec<Worker>,
+    fleet: Fleet,
     worker_index: BTreeMap<WorkerId, usize>,
     functions: BTreeMap<FunctionId, Function>,
+    /// By function: workers, by index, of which a copy or a load order is known, or was.
+    holders: BTreeMap<FunctionId, BTreeSet<usize>>,
+    /// Changes whenever workers are added or removed: ranks of an earlier one are out of date.
+    ranking_version: u64,
     subscription: Subscription,
     list_validity: ListValidity,
 
@@ -162,7 +171,6 @@
 
     /// Takes a batch of events, in their order, and appends what is to be done to `actions`.
     pub fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
-        self.start_due_slots(now);
         for event in events {
             self.on_event(event, now, actions);
         }
--- a/crates/core/src/policy/numbers.rs
+++ b/crates/core/src/policy/numbers.rs
@@ -42,6 +42,28 @@
     *average = Some(average.map_or(sample, |mean| mean + gain * (sample - mean)));
 }
 
+/// A sum of which each part can be taken off again: exact, so that nothing is left over however often that happens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ExactSum {
+    /// In units of 2^-60.
+    units: i128,
+}
+
+impl ExactSum {
+    const UNITS_IN_ONE: f64 = (1u64 << 60) as f64;
+
+    /// The sum.
+    pub fn value(self) -> f64 {
+        self.units as f64 / Self::UNITS_IN_ONE
+    }
+
+    /// Takes off one amount and adds another.
+    pub fn replace(&mut self, old: f64, new: f64) {
+        let units = |amount: f64| (amount * Self::UNITS_IN_ONE) as i128;
+        self.units += units(new) - units(old);
+    }
+}
+
 /// A sum of amounts that decays exponentially with time.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct DecayingSum {
--- a/crates/core/src/policy/outliers.rs
+++ b/crates/core/src/policy/outliers.rs
@@ -1,5 +1,6 @@
 //! Outlier ejection and health checks: workers that are gone, restarting, silent or fail more often than the others.
 
+use super::fleet::WorkerTime;
 use super::numbers::GAIN;
 use super::FrontEnd;
 use crate::interface::*;
@@ -41,6 +42,7 @@
         let min_ejection = (self.settings.connect_timeout * MIN_EJECTION_CONNECT_TIMEOUTS)
             .max(self.settings.tick * MIN_EJECTION_TICKS);
         let max_ejection = (self.settings.idle_retention / 2).max(min_ejection);
+        self.touch(index);
         let worker = &mut self.workers[index];
         let beliefs = &mut worker.beliefs;
         beliefs.error_rate += GAIN * (1.0 - beliefs.error_rate);
@@ -70,6 +72,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(&index) = self.worker_index.get(&worker) else { return };
+        self.touch(index);
         match outcome {
             Outcome::Ok => self.on_report(index, report, now),
             Outcome::ConnectFailed | Outcome::Reset => {
@@ -88,15 +91,19 @@
         }
         let checks_per_request =
             (MAX_HEALTH_CHECK_COST / settings.price_health_check.max(MAX_HEALTH_CHECK_COST)).min(1.0);
-        let ready = self.workers.iter().filter(|worker| worker.ready).count();
+        let ready = self.fleet.ready();
         let request_interval = self.arrivals_window() as f64 / self.arrivals.len() as f64;
         let affordable = (request_interval * ready as f64 / checks_per_request) as Micros;
         let interval = affordable.max(self.shortest_objective / MAX_CHECKS_PER_OBJECTIVE);
-        for worker in &mut self.workers {
-            if worker.ready && now - worker.checked_at >= interval {
-                worker.checked_at = now;
-                actions.push(Action::HealthCheck { worker: worker.endpoint.worker });
-            }
+        let due = self.fleet.checked.iter().take_while(|check| now - check.at >= interval);
+        let mut due: Vec<usize> = due.map(|check| check.index).collect();
+        due.sort_unstable();
+        for index in due {
+            let worker = &mut self.workers[index];
+            self.fleet.checked.remove(&WorkerTime { at: worker.checked_at, index });
+            self.fleet.checked.insert(WorkerTime { at: now, index });
+            worker.checked_at = now;
+            actions.push(Action::HealthCheck { worker: worker.endpoint.worker });
         }
     }
 }
--- a/crates/core/src/policy/placement.rs
+++ b/crates/core/src/policy/placement.rs
@@ -41,8 +41,9 @@
         }
         let mut search = self.search(call, function, health, now);
         function.home_count.set(0);
-        for (rank, &index) in function.ranked_workers.iter().enumerate() {
-            search.consider(rank, index);
+        let looked_at = search.consider_ranked();
+        for index in self.holders_beyond(call.request.function, function, looked_at) {
+            search.consider(looked_at, index);
         }
         let candidates = search.candidates;
         // While copies are loaded, another load only when the priority asks for it, lest loads crowd the store.
@@ -75,7 +76,7 @@
             // Never 0, else a home would be none, and no answer from one could raise it again.
             copy_chance: self.home_hit_rate.unwrap_or(DEFAULT_HOME_HIT_RATE).max(f64::MIN_POSITIVE),
             reserved_for_copy: misses_answer && self.reserves_last_attempt(call, function, now),
-            remaining_demand: self.fleet_demand(function, now),
+            remaining_demand: self.kept_demand(function, now),
             candidates: Candidates::default(),
         }
     }
@@ -84,8 +85,9 @@
     /// nobody would try a home and learn of a copy.
     fn reserves_last_attempt(&self, call: &PendingCall, function: &Function, now: Micros) -> bool {
         let is_last = call.attempts.len() as u32 + 1 >= self.settings.max_attempts;
-        let is_ordered =
-            |&index: &usize| self.workers[index].beliefs.load_orders.contains_key(&call.request.function);
+        let is_ordered = |&index: &u32| {
+            self.workers[index as usize].beliefs.load_orders.contains_key(&call.request.function)
+        };
         is_last
             && (!call.attempts.is_empty() && self.load_budget.allows(now, &self.settings)
                 || function.ranked_workers.iter().any(is_ordered))
--- /dev/null
+++ b/crates/core/src/policy/ranking.rs
@@ -0,0 +1,124 @@
+//! Ranking: the workers that a function may go to where it is not known to be loaded, in an order that all front ends
+//! share, and the workers that are known to hold it.
+//!
+//! Of a large fleet only the first ranks are kept. A function that fills more workers than are kept goes to a sample of
+//! its first ranks, another at each front end, so that all of them together use them all.
+
+use super::beliefs::CachedCopy;
+use super::fleet::MAX_CONSIDERED;
+use super::function::Function;
+use super::numbers::hash;
+use super::worker::Worker;
+use super::FrontEnd;
+use crate::interface::*;
+use std::collections::BTreeSet;
+
+/// Ranks are kept to so many times the depth that the fleet's demand for the function fills.
+const DEPTH_MARGIN: f64 = 2.0;
+/// The depth is reduced once so many times less would do.
+const DEPTH_REDUCTION: usize = 4;
+
+/// How the workers were ranked for a function.
+#[derive(Clone, Copy, Default)]
+pub(super) struct Ranking {
+    /// The version of the fleet; 0: never.
+    version: u64,
+    /// How many ranks those kept are a sample of.
+    depth: usize,
+    /// Part of them that is kept.
+    pub kept_part: f64,
+}
+
+impl FrontEnd {
+    /// Ranks the workers for a function, where its ranks are out of date.
+    pub(super) fn rank(&mut self, id: FunctionId, now: Micros) {
+        let Some(function) = self.functions.get(&id) else { return };
+        let depth = self.ranking_depth(function, now);
+        let ranking = function.ranking;
+        let fits = depth <= ranking.depth && ranking.depth <= depth * DEPTH_REDUCTION;
+        if ranking.version == self.ranking_version && fits {
+            return;
+        }
+        let Ranked { workers, sampled } = ranked(id, &self.workers, depth, self.seed);
+        let kept_part = workers.len() as f64 / sampled.max(1) as f64;
+        let Some(function) = self.functions.get_mut(&id) else { return };
+        function.ranked_workers = workers;
+        function.ranking = Ranking { version: self.ranking_version, depth, kept_part };
+    }
+
+    /// Ranks the workers for the functions of pending requests.
+    pub(super) fn rank_pending_functions(&mut self, now: Micros) {
+        let functions: BTreeSet<FunctionId> =
+            self.pending.values().map(|call| call.request.function).collect();
+        functions.into_iter().for_each(|function| self.rank(function, now));
+    }
+
+    /// How many ranks a function may go to: a power of two beyond those that its demand fills.
+    fn ranking_depth(&self, function: &Function, now: Micros) -> usize {
+        if self.workers.len() <= MAX_CONSIDERED {
+            return MAX_CONSIDERED;
+        }
+        let mean_capacity = self.fleet_capacity / self.fleet.ready().max(1) as f64;
+        let home_capacity = self.usual_home_capacity(function, mean_capacity).max(f64::MIN_POSITIVE);
+        let homes = self.fleet_demand(function, now) / home_capacity;
+        let depth = (homes * DEPTH_MARGIN).min(self.workers.len() as f64) as usize;
+        depth.next_power_of_two().max(MAX_CONSIDERED)
+    }
+
+    /// Workers known to hold a function, or ordered to, that come after the first ranks of it; in the order of ranks.
+    pub(super) fn holders_beyond(&self, id: FunctionId, function: &Function, ranks: usize) -> Vec<usize> {
+        let key = |index: usize| (hash(id, u64::from(self.workers[index].endpoint.worker)), index);
+        let last = ranks.checked_sub(1).map(|last| key(function.ranked_workers[last] as usize));
+        let is_beyond = |key: &(u64, usize)| last.is_none_or(|last| *key > last);
+        let holders = self.holders.get(&id).into_iter().flatten();
+        let mut holders: Vec<_> = holders.map(|&index| key(index)).filter(is_beyond).collect();
+        holders.sort_unstable();
+        holders.into_iter().map(|(_, index)| index).take(MAX_CONSIDERED).collect()
+    }
+
+    /// Workers at which a function may be loaded: all of a small fleet, else the first ranks.
+    pub(super) fn considered_workers(&self, id: FunctionId) -> Box<dyn Iterator<Item = usize> + '_> {
+        match self.functions.get(&id) {
+            Some(function) if self.workers.len() > MAX_CONSIDERED => {
+                Box::new(function.ranked_workers.iter().map(|&index| index as usize))
+            }
+            _ => Box::new(0..self.workers.len()),
+        }
+    }
+
+    /// What is believed of a function's copies at a worker.
+    pub(super) fn set_copy(&mut self, index: usize, id: FunctionId, copy: CachedCopy) {
+        self.workers[index].beliefs.copies.insert(id, copy);
+        self.holders.entry(id).or_default().insert(index);
+    }
+}
+
+/// Workers ranked for a function.
+struct Ranked {
+    /// Indices in the order of their ranks.
+    workers: Vec<u32>,
+    /// Of how many ranks they are a sample.
+    sampled: usize,
+}
+
+/// Ranks workers for a function: all of a small fleet, else a sample of the first ranks.
+fn ranked(id: FunctionId, workers: &[Worker], depth: usize, seed: u64) -> Ranked {
+    let number = |index: usize| u64::from(workers[index].endpoint.worker);
+    let mut order: Vec<(u64, u32)> = (0..workers.len())
+        .filter(|&index| {
+            workers.len() <= MAX_CONSIDERED || workers[index].endpoint.lifecycle != Lifecycle::Gone
+        })
+        .map(|index| (hash(id, number(index)), index as u32))
+        .collect();
+    if order.len() > depth {
+        order.select_nth_unstable(depth);
+        order.truncate(depth);
+    }
+    let sampled = order.len();
+    if order.len() > MAX_CONSIDERED {
+        order.select_nth_unstable_by_key(MAX_CONSIDERED, |&(_, index)| hash(seed, number(index as usize)));
+        order.truncate(MAX_CONSIDERED);
+    }
+    order.sort_unstable();
+    Ranked { workers: order.into_iter().map(|(_, index)| index).collect(), sampled }
+}
--- a/crates/core/src/policy/send.rs
+++ b/crates/core/src/policy/send.rs
@@ -30,6 +30,8 @@
         }
         let relative_work = self.relative_work(call.request.class);
         let start_by = self.new_work_until(worker);
+        self.touch(index);
+        self.start_slot(index, now);
         self.dequeue(id);
         let Some(call) = self.pending.get_mut(&id) else { return };
         let function = call.request.function;
@@ -49,6 +51,7 @@
             predicted: prediction,
             overdue_handled: false,
         });
+        self.count_in_flight(index);
     }
 
     fn count_attempt(&mut self, index: usize, function: FunctionId, is_retry: bool, now: Micros) {
@@ -80,10 +83,10 @@
         } else if self.settings.on_miss == OnMiss::Load {
             let ready_at = now + prediction.load_wait;
             let copy = CachedCopy { ready_at, expires_at: ready_at + retention, used_at: now, copies: 1 };
-            beliefs.copies.insert(function, copy);
             if !(prediction.at_home && homes_have_copies) {
                 beliefs.loading_until = ready_at;
             }
+            self.set_copy(index, function, copy);
         }
     }
 }
--- a/crates/core/src/policy/slow_start.rs
+++ b/crates/core/src/policy/slow_start.rs
@@ -35,9 +35,10 @@
         let usual = if self.served_work.usual > 0.0 { self.served_work.usual } else { self.arriving_work() };
         let limit = SAFETY_MARGIN * share * self.settings.overload_factor * usual * worker.endpoint.capacity;
         let work = self.relative_work(call.request.class);
-        let seed = self.seed ^ worker.slot_usage.slot as u64;
+        let usage = self.slot_usage(worker, now);
+        let seed = self.seed ^ usage.slot as u64;
         let drawn = hash_fraction(seed, u64::from(worker.endpoint.worker));
-        worker.slot_usage.work + work <= limit + work * drawn
+        usage.work + work <= limit + work * drawn
     }
 
     /// Requests that arrive in a window for each unit of the fleet's capacity, at this front end.
@@ -48,16 +49,20 @@
         rate * self.settings.overload_window as f64 / self.fleet_capacity.max(1.0) / front_ends
     }
 
-    /// Starts the slots that are due. What is in flight may arrive in any until it has ended.
-    pub(super) fn start_due_slots(&mut self, now: Micros) {
+    /// What a worker has got in the present slot. What is in flight as it begins may arrive in any until it has ended.
+    fn slot_usage(&self, worker: &Worker, now: Micros) -> SlotUsage {
         let window = self.settings.overload_window.max(1);
-        for worker in &mut self.workers {
-            let phase = hash_fraction(self.seed, u64::from(worker.endpoint.worker));
-            let slot = (now + (phase * window as f64) as Micros) / window;
-            if worker.slot_usage.slot != slot {
-                let work = worker.in_flight.iter().map(|attempt| attempt.relative_work).sum();
-                worker.slot_usage = SlotUsage { slot, work };
-            }
+        let phase = hash_fraction(self.seed, u64::from(worker.endpoint.worker));
+        let slot = (now + (phase * window as f64) as Micros) / window;
+        // The first slot of a worker that was just listed begins with the next batch.
+        if worker.slot_usage.slot == slot || worker.first_listed_at == now {
+            return worker.slot_usage;
         }
+        SlotUsage { slot, work: worker.in_flight.iter().map(|attempt| attempt.relative_work).sum() }
+    }
+
+    /// Starts the present slot of a worker, where it has not: before anything changes that is in flight there.
+    pub(super) fn start_slot(&mut self, index: usize, now: Micros) {
+        self.workers[index].slot_usage = self.slot_usage(&self.workers[index], now);
     }
 }
--- a/crates/core/src/policy/timers.rs
+++ b/crates/core/src/policy/timers.rs
@@ -43,7 +43,7 @@
         if !self.queued_by_group.is_empty() {
             next = next.min(now + self.shortest_objective / SWEEPS_PER_OBJECTIVE);
         }
-        if self.workers.iter().any(|worker| worker.in_flight.len() > 1) {
+        if !self.fleet.busy.is_empty() {
             next = next.min(now + tick * BUSY_TICKS);
         }
         if !self.queued_by_group.is_empty() {
--- a/crates/core/src/policy/worker.rs
+++ b/crates/core/src/policy/worker.rs
@@ -3,6 +3,7 @@
 use super::attempt_counter::AttemptCounter;
 use super::beliefs::Beliefs;
 use super::confirmation::Confirmation;
+use super::fleet::Contribution;
 use super::numbers::{decay, DecayingSum};
 use super::prediction::Prediction;
 use crate::interface::*;
@@ -37,7 +38,8 @@
     /// When it began to warm up; `None` once it counts as established.
     pub warming_since: Option<Micros>,
     pub slot_usage: SlotUsage,
-    /// When the endpoint list last told of it.
+    /// When the endpoint list first told of it, and last.
+    pub first_listed_at: Micros,
     pub listed_at: Micros,
     pub in_flight: Vec<Attempt>,
     /// When it was last health-checked.
@@ -47,6 +49,12 @@
     pub attempts: AttemptCounter,
     pub beliefs: Beliefs,
     pub confirmation: Confirmation,
+    /// What the sums over the fleet hold of it.
+    pub contribution: Contribution,
+    /// When it changes by itself.
+    pub due_at: Option<Micros>,
+    /// It changed since it was last counted.
+    pub is_touched: bool,
 }
 
 impl Worker {
--- a/crates/core/src/policy/worker_search.rs
+++ b/crates/core/src/policy/worker_search.rs
@@ -57,6 +57,19 @@
 }
 
 impl Search<'_> {
+    /// Considers the workers in the order of their ranks, as far as those without a copy are of use; gives how many.
+    pub fn consider_ranked(&mut self) -> usize {
+        let function = self.function;
+        for (rank, &index) in function.ranked_workers.iter().enumerate() {
+            let wants_no_load = self.misses_answer || self.candidates.load_with_capacity.is_some();
+            if self.remaining_demand <= 0.0 && wants_no_load {
+                return rank;
+            }
+            self.consider(rank, index as usize);
+        }
+        function.ranked_workers.len()
+    }
+
     /// Considers the worker at a rank for the function.
     pub fn consider(&mut self, rank: usize, index: usize) {
         let front_end = self.front_end;
--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -15,6 +15,7 @@
 pub use entry::{ListedWorker, NumberedEndpoint, Update};
 
 use stagehoist::{Endpoint, EndpointUpdate, Lifecycle, Micros, WorkerId};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Most workers kept where nothing else is configured ([`EndpointSet::with_max_workers`]); entries beyond are left out, the last by name first.
@@ -65,6 +66,8 @@
     ids: BTreeMap<String, WorkerId>,
     /// Told gone, in order of time.
     departed: VecDeque<Departure>,
+    /// Workers that are ready; None until they are counted after a change.
+    ready: Cell<Option<usize>>,
 }
 
 impl EndpointSet {
@@ -81,6 +84,7 @@
             workers: BTreeMap::new(),
             ids: BTreeMap::new(),
             departed: VecDeque::new(),
+            ready: Cell::new(None),
         }
     }
 
@@ -108,12 +112,16 @@
 
     /// Workers that are ready as far as is known.
     pub fn ready_count(&self) -> usize {
-        self.workers.values().filter(|k| k.endpoint.lifecycle == Lifecycle::Ready).count()
+        let count = || self.workers.values().filter(|k| k.endpoint.lifecycle == Lifecycle::Ready).count();
+        let ready = self.ready.get().unwrap_or_else(count);
+        self.ready.set(Some(ready));
+        ready
     }
 
     /// Workers known by their own numbers: the whole list, or what changed. The gone are forgotten after
     /// [`GONE_RETENTION`].
     pub fn apply(&mut self, kind: EndpointUpdate, workers: Vec<NumberedEndpoint>, now: Micros) -> Update {
+        self.ready.set(None);
         if kind != EndpointUpdate::Delta {
             self.mark_unlisted_gone(&workers, now);
         }
@@ -180,6 +188,7 @@
 
     /// A worker said in an answer whether it drains. Gives what the module must be told, if that is inputs.
     pub fn on_announcement(&mut self, worker: WorkerId, draining: bool, now: Micros) -> Option<Update> {
+        self.ready.set(None);
         let known = self.workers.get_mut(&worker)?;
         if known.listed != Lifecycle::Ready || known.announced.is_some() == draining {
             return None;
--- a/crates/endpoints/src/list.rs
+++ b/crates/endpoints/src/list.rs
@@ -30,6 +30,7 @@
 
     /// A whole list came. Of two entries with one name the first counts.
     pub fn apply_list(&mut self, mut entries: Vec<ListedWorker>, now: Micros) -> Update {
+        self.ready.set(None);
         entries.sort_by(|a, b| a.name.cmp(&b.name));
         entries.dedup_by(|b, a| a.name == b.name);
         self.omitted = entries.len().saturating_sub(self.max_workers);
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -20,6 +20,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
+#[derive(Default)]
 struct Executor {
     address: Rc<str>,
     ready: bool,
@@ -90,6 +91,8 @@
     limits: Limits,
     bounds: Bounds,
     executors: RefCell<HashMap<WorkerId, Executor>>,
+    /// Executors that take requests.
+    ready: Cell<usize>,
     in_flight_attempts: RefCell<HashMap<(RequestId, u16), InFlight>>,
     links: Cell<usize>,
     dirty: RefCell<Vec<Rc<Connection>>>,
@@ -112,6 +115,7 @@
             limits,
             bounds,
             executors: RefCell::default(),
+            ready: Cell::new(0),
             in_flight_attempts: RefCell::default(),
             links: Cell::new(0),
             dirty: RefCell::default(),
@@ -141,40 +145,60 @@
     }
 
     /// What the event bus told. What waits for an executor that takes nothing new is withdrawn at once.
-    pub fn apply(&self, form: EndpointUpdate, settings: &[NumberedEndpoint]) -> Vec<Input> {
-        let now = self.shared.clock.now();
+    pub fn apply(&self, form: EndpointUpdate, endpoints: &[NumberedEndpoint]) -> Vec<Input> {
         let mut inputs = Vec::new();
         let mut executors = self.executors.borrow_mut();
         if form != EndpointUpdate::Delta {
-            let listed: HashSet<WorkerId> = settings.iter().map(|t| t.endpoint.worker).collect();
-            executors.iter_mut().filter(|(w, _)| !listed.contains(w)).for_each(|(_, e)| e.ready = false);
+            let listed: HashSet<WorkerId> = endpoints.iter().map(|listed| listed.endpoint.worker).collect();
+            let unlisted: Vec<WorkerId> =
+                executors.keys().filter(|worker| !listed.contains(worker)).copied().collect();
+            for worker in unlisted {
+                if let Some(executor) = executors.get_mut(&worker) {
+                    self.set_ready(executor, false);
+                }
+                self.withdraw(&mut executors, worker, &mut inputs);
+            }
         }
-        for t in settings {
-            let ready = t.endpoint.lifecycle == Lifecycle::Ready;
-            let entry = executors.entry(t.endpoint.worker).or_insert_with(|| Executor {
-                address: "".into(),
-                ready,
-                links: Vec::new(),
-            });
-            entry.ready = ready;
-            if ready && *entry.address != *t.address {
-                entry.address = t.address.as_str().into();
+        for listed in endpoints {
+            let executor = executors.entry(listed.endpoint.worker).or_default();
+            let is_ready = listed.endpoint.lifecycle == Lifecycle::Ready;
+            self.set_ready(executor, is_ready);
+            if is_ready && *executor.address != *listed.address {
+                executor.address = listed.address.as_str().into();
                 // What stands at the old address is no longer this executor: nothing new goes there.
-                entry.links.iter().for_each(|l| l.moved.set(true));
+                executor.links.iter().for_each(|link| link.moved.set(true));
             }
+            self.withdraw(&mut executors, listed.endpoint.worker, &mut inputs);
         }
-        let over = |e: &Executor, l: &Connection| !e.ready || l.moved.get();
-        for connection in executors.values().flat_map(|e| e.links.iter().filter(|l| over(e, l))) {
-            connection.line.borrow_mut().withdraw(now, &mut inputs);
-            if connection.line.borrow().is_idle()
-                || (connection.moved.get() && connection.state.get() == State::Connecting)
-            {
+        self.on_ended(&inputs);
+        inputs
+    }
+
+    fn set_ready(&self, executor: &mut Executor, is_ready: bool) {
+        let ready = self.ready.get() - usize::from(executor.ready) + usize::from(is_ready);
+        self.ready.set(ready);
+        executor.ready = is_ready;
+    }
+
+    /// Withdraws what waits for an executor on connections that get nothing new, and forgets one that is over.
+    fn withdraw(
+        &self,
+        executors: &mut HashMap<WorkerId, Executor>,
+        worker: WorkerId,
+        inputs: &mut Vec<Input>,
+    ) {
+        let now = self.shared.clock.now();
+        let Some(executor) = executors.get(&worker) else { return };
+        for connection in executor.links.iter().filter(|link| !executor.ready || link.moved.get()) {
+            connection.line.borrow_mut().withdraw(now, inputs);
+            let is_moving = connection.moved.get() && connection.state.get() == State::Connecting;
+            if is_moving || connection.line.borrow().is_idle() {
                 connection.end(Closure::Broken);
             }
         }
-        executors.retain(|_, e| e.ready || !e.links.is_empty());
-        self.on_ended(&inputs);
-        inputs
+        if !executor.ready && executor.links.is_empty() {
+            executors.remove(&worker);
+        }
     }
 
     /// These attempts are over.
--- a/crates/platform/src/executors/selection.rs
+++ b/crates/platform/src/executors/selection.rs
@@ -56,7 +56,7 @@
         let (chosen, spare) = {
             let executors = self.executors.borrow();
             let executor = executors.get(&worker)?;
-            let each = self.bounds.each(executors.values().filter(|e| e.ready).count());
+            let each = self.bounds.each(self.ready.get());
             let usable = |l: &&Rc<Connection>| {
                 let line = l.line.borrow();
                 let room = line.attempts() < self.limits.streams && !id.is_some_and(|id| line.has(id));
