A front end that falls behind refuses early and loses nothing

They were refused or failed more than half a second after their time. Cause: requests were dated by a stall detector that saw a pause only for 10 ms after its end, decided on as if answers left at once, and taken without end; answers were written after attempts, at the end of batches of any length. Now: what is read is dated by the checks between which it came; the loop's lag is taken from a request's time; a loop that is behind refuses what its lag, or the requests in progress by the rate at which they complete, would make late; a batch takes 20 ms, answers go first. Signals and list events are dated by the earliest time, as before. Logged: lag percentiles in the state line, a line for a second far behind with the first requests refused.

--- a/crates/cli/tests/outages/processor_share.rs
+++ b/crates/cli/tests/outages/processor_share.rs
@@ -5,6 +5,7 @@
 use crate::rig::{Rig, Shape, Verdict};
 use crate::traffic::Load;
 use crate::usage::Usage;
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 const MS: Duration = Duration::from_millis(1);
@@ -106,6 +107,9 @@
 
 /// Plays all, each on a thread of its own, so many at once.
 fn run_all(plays: &[Play], at_once: usize) -> Vec<Outcome> {
+    // Processor time is measured, and thousands of listeners take descriptors: one test at a time.
+    static ALONE: Mutex<()> = Mutex::new(());
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     let mut outcomes = Vec::new();
     for some in plays.chunks(at_once) {
         let start = |play: Play| {
@@ -137,6 +141,9 @@
             self.connections,
             self.verdict.lateness
         );
+        if std::env::var_os("SHARE_LOGS").is_some() {
+            self.verdict.logs.iter().for_each(|line| println!("{line}"));
+        }
     }
 }
 
--- a/crates/core/src/policy/fleet.rs
+++ b/crates/core/src/policy/fleet.rs
@@ -10,6 +10,8 @@
 
 /// Fleets of up to so many workers are looked at whole where a decision goes over workers; of larger ones, so many are.
 pub(super) const MAX_CONSIDERED: usize = 256;
+/// Of the workers that warm up in a larger fleet, so many are considered in each batch.
+const MAX_WARMING_CONSIDERED: usize = 16;
 /// A worker whose slowdown and error rate are so near to the usual has nothing left to decay.
 const REST_TOLERANCE: f64 = 1e-6;
 
@@ -102,11 +104,12 @@
         self.due.pop_first_if(|due| due.at <= now).map(|due| due.index)
     }
 
-    /// Some of the workers that warm up, in turn; all where they are few.
-    pub fn warming_in_turn(&mut self) -> Vec<usize> {
+    /// The workers that warm up, of a fleet of `workers`: all of a small one, some in turn of a larger one.
+    pub fn warming_in_turn(&mut self, workers: usize) -> Vec<usize> {
+        let most = if workers <= MAX_CONSIDERED { usize::MAX } else { MAX_WARMING_CONSIDERED };
         let from_next = self.warming.range(self.next_warming..);
         let before = self.warming.range(..self.next_warming);
-        let some: Vec<usize> = from_next.chain(before).copied().take(MAX_CONSIDERED).collect();
+        let some: Vec<usize> = from_next.chain(before).copied().take(most).collect();
         self.next_warming = some.last().map_or(0, |last| last + 1);
         some
     }
--- a/crates/core/src/policy/maintenance.rs
+++ b/crates/core/src/policy/maintenance.rs
@@ -29,7 +29,7 @@
         self.count_touched(now);
         self.mean_error_rate = self.fleet.mean_error_rate();
         self.refresh_due_workers(now);
-        self.changed_workers.extend(self.fleet.warming_in_turn());
+        self.changed_workers.extend(self.fleet.warming_in_turn(self.workers.len()));
         self.handle_silent_workers(self.queue.is_empty(), now, actions);
         self.count_touched(now);
         self.served_work.established_capacity = self.fleet.established_capacity();
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -14,8 +14,13 @@
 
 /// Inputs that wait for the driver; a full queue holds back reading from sockets.
 pub const INPUT_QUEUE_CAPACITY: usize = 16_384;
-/// Inputs in one batch at most, so that answers are not kept back behind a flood.
+/// Inputs in one batch at most, and at least where they are there.
 const MAX_BATCH: usize = 4096;
+const MIN_BATCH: usize = 8;
+/// A batch is to take no longer than this, in microseconds: its answers are written at its end.
+const BATCH_TIME: f64 = 20_000.0;
+/// Weight of a batch in the mean time of an input.
+const INPUT_TIME_GAIN: f64 = 0.2;
 /// A timer that rings later than this means that this process did not run: what lies in the sockets is read first.
 const MAX_OVERSLEEP: Micros = 20_000;
 /// How often [`Transport::on_tick`] is called.
@@ -117,8 +122,9 @@
         if driver.report.is_some() {
             driver.core.record_activity(driver.clock.now());
         }
-        if has_work {
-            driver.process_batch();
+        if has_work && driver.process_batch() {
+            // Sockets are read between batches.
+            tokio::task::yield_now().await;
         }
         if driver.is_drain_over() {
             driver.finish().await;
@@ -147,6 +153,8 @@
     endpoints_ready: bool,
     batch: Vec<Input>,
     commands: Vec<Command>,
+    /// Mean time that an input of a batch takes, in microseconds.
+    input_time: f64,
 }
 
 impl<T: Transport> Driver<T> {
@@ -172,9 +180,15 @@
             endpoints_ready: false,
             batch: Vec::new(),
             commands: Vec::new(),
+            input_time: 0.0,
         }
     }
 
+    /// Inputs that a batch may have.
+    fn max_batch(&self) -> usize {
+        ((BATCH_TIME / self.input_time.max(1.0)) as usize).clamp(MIN_BATCH, MAX_BATCH)
+    }
+
     /// Waits for an input or a time that is due; whether a batch is to be processed.
     async fn wait(&mut self) -> bool {
         // The end of a drain is a time to wake up for like any other.
@@ -223,7 +237,8 @@
 
     /// Takes the inputs that are here.
     fn gather(&mut self) {
-        while self.batch.len() < MAX_BATCH {
+        let most = self.max_batch();
+        while self.batch.len() < most {
             match self.inputs.try_recv() {
                 Ok(input) => self.batch.push(input),
                 Err(_) => return,
@@ -252,7 +267,10 @@
         });
     }
 
-    fn process_batch(&mut self) {
+    /// Processes the batch; whether more inputs wait than it had room for.
+    fn process_batch(&mut self) -> bool {
+        let (start, inputs) = (self.clock.now(), self.batch.len());
+        let is_full = inputs >= self.max_batch();
         self.core.process(self.clock.now(), &mut self.batch, &mut self.commands);
         self.execute_commands();
         if self.core.counters.endpoint_lists > 0 && !self.endpoints_ready {
@@ -262,6 +280,9 @@
         if let (Some(sender), Some(report)) = (&self.report, self.core.session_report()) {
             publish_report(sender, report);
         }
+        let time = (self.clock.now() - start) as f64 / inputs.max(1) as f64;
+        self.input_time += INPUT_TIME_GAIN * (time - self.input_time);
+        is_full
     }
 
     fn execute_commands(&mut self) {
--- a/crates/platform/src/clients/calls.rs
+++ b/crates/platform/src/clients/calls.rs
@@ -50,6 +50,15 @@
             self.count(|c| c.rejected_at_intake += 1);
             return None;
         }
+        let lag = self.shared.lag.borrow().expected(now);
+        let in_progress = self.calls.borrow().len();
+        if self.shared.lag.borrow().refuses(asked.budget - late, in_progress, now) {
+            self.shared.lag.borrow_mut().note_refused(asked.reference);
+            let answer = Answer::Refused { reason: "loop-behind", retry_after: 0 };
+            connection.session.borrow_mut().answer(ticket, &answer, now);
+            self.count(|c| c.rejected_at_intake += 1);
+            return None;
+        }
         self.held_bytes.set(self.held_bytes.get() + bytes);
         self.references.borrow_mut().insert(asked.reference, ticket);
         let held = AcceptedCall { connection: connection.clone(), reference: asked.reference, bytes };
@@ -60,8 +69,8 @@
             function: asked.function,
             properties: Some(asked.figures),
             tenant: asked.tenant,
-            // What it may have waited in its socket is taken off with its age.
-            budget: asked.budget.min(ends.saturating_add(late)),
+            // What it may have waited in its socket is taken off with its age; what its answer is to wait, here.
+            budget: (asked.budget - lag).min(ends.saturating_add(late)),
             read_at: now - late,
             is_repeat: false,
             client_verified: connection.session.borrow().is_known(),
@@ -81,6 +90,7 @@
         }
         self.held_bytes.set(self.held_bytes.get().saturating_sub(held.bytes));
         self.references.borrow_mut().remove(&held.reference);
+        self.shared.lag.borrow_mut().completions.record(self.shared.clock.now());
         Some(held)
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`subscription`], [`replay`], [`endpoint_events`]: the event bus' frames and what they say of executors.
 //! - [`bounds`]: how descriptors and memory are shared out, so that the process lives.
 //! - [`start_times`]: when executors started, whatever wall clocks say.
+//! - [`completion_rate`]: how long requests in progress take.
+//! - [`loop_lag`]: how far the loop is behind, and what is refused for it.
 //! - [`stalls`]: for how long this process itself did not run.
 //! - [`reload`]: a configuration read again at a signal, until it can be read.
 //!
@@ -18,6 +20,7 @@
 
 pub mod bounds;
 pub mod clients;
+pub mod completion_rate;
 pub mod config;
 pub mod connection;
 mod deferred;
@@ -26,6 +29,7 @@
 pub mod executors;
 pub mod fields;
 mod flatten;
+pub mod loop_lag;
 pub mod reload;
 pub mod replay;
 pub mod request;
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -182,8 +182,9 @@
     }
 
     fn flush(&mut self) {
-        self.executors.flush_all();
+        // Answers end what clients wait for, so they go first.
         self.clients.flush_all();
+        self.executors.flush_all();
         if self.closes.is_none() && !self.clients.is_serving() {
             // The first turn took the events of the start.
             self.clients.serve(true);
@@ -209,6 +210,7 @@
                 module_us_a_call = spent / 1000 / calls.max(1),
                 client_connections = self.clients.connections(), executor_connections = self.executors.connections(),
                 list_valid_ms, refused_list_old = c.refused_list_old, old_list = ?core.confirmation_counters(),
+                lag_us = %self.shared.lag.borrow().summary(), refused_behind = self.shared.lag.borrow().refused,
                 stalled_ms = totals.sum / 1000, longest_stall_ms = totals.longest / 1000,
                 client = ?self.clients.counters.get(), executor = ?self.executors.counters.get(),
                 "state"
@@ -218,7 +220,7 @@
     }
 
     fn drain(&mut self) -> Micros {
-        let (now, late) = self.shared.read_time();
+        let (now, late) = self.shared.earliest_time();
         self.clients.serve(false);
         self.clients.ends_by(now - late + self.drain_most - DRAIN_SPARE);
         self.closes = Some(now + STILL_COMING);
--- a/crates/platform/src/shared.rs
+++ b/crates/platform/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the process knows of itself, shared by all its tasks.
 
 use crate::descriptors::Descriptors;
+use crate::loop_lag::{LagReport, LoopLag};
 use crate::stalls::{StallDetector, CHECK_INTERVAL};
 use stagehoist::Micros;
 use stagehoist_gateway::clock::Clock;
@@ -19,6 +20,8 @@
     pub clock: Clock,
     /// For how long this process itself did not run.
     pub stalls: RefCell<StallDetector>,
+    /// How far the loop is behind.
+    pub lag: RefCell<LoopLag>,
     /// To the driver.
     pub inputs: mpsc::Sender<Input>,
     /// One buffer for the reads of all connections.
@@ -33,6 +36,7 @@
         Shared {
             clock,
             stalls: RefCell::new(StallDetector::new(clock.now())),
+            lag: RefCell::new(LoopLag::new(clock.now())),
             inputs,
             scratch: RefCell::new(vec![0; READ_BUFFER]),
             descriptors: Descriptors::default(),
@@ -45,6 +49,12 @@
         (now, self.stalls.borrow().delay(now))
     }
 
+    /// The time, and how long what is read now, or a signal, may have waited at most because this process did not run.
+    pub fn earliest_time(&self) -> (Micros, Micros) {
+        let now = self.clock.now();
+        (now, self.stalls.borrow().longest_delay(now))
+    }
+
     /// Checks for stalls until dropped.
     pub async fn check_stalls(self: Rc<Self>) {
         let mut interval = tokio::time::interval(Duration::from_micros(CHECK_INTERVAL as u64));
@@ -52,7 +62,11 @@
         loop {
             interval.tick().await;
             let now = self.clock.now();
-            self.stalls.borrow_mut().check(now);
+            let late = self.stalls.borrow_mut().check(now);
+            if let Some(report) = self.lag.borrow_mut().record(late, now) {
+                let LagReport { worst, refused, named } = report;
+                tracing::warn!(worst_ms = worst / 1000, refused, ?named, "loop behind");
+            }
         }
     }
 }
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -82,7 +82,7 @@
                 Err(_) => return,
             },
         };
-        let (now, late) = shared.read_time();
+        let (now, late) = shared.earliest_time();
         subscription.ended(now, late);
         tracing::info!(subscription = %to, last = subscription.last(), why, "connecting to the event bus again");
     }
@@ -189,7 +189,7 @@
             }
             Err(e) => return Some(e.to_string()),
         };
-        let (now, late) = self.shared.read_time();
+        let (now, late) = self.shared.earliest_time();
         let fed = self.subscription.feed(&scratch[..read], (now, now - late), events);
         fed.err().map(|error| error.to_string())
     }
