--- a/crates/cli/tests/outages/main.rs
+++ b/crates/cli/tests/outages/main.rs
@@ -2,6 +2,7 @@
 //! for each, judged by what crossed their sockets.
 
 mod drains;
+mod fleet_soak;
 mod front_end;
 mod machine;
 mod processor_share;
--- a/crates/cli/tests/outages/processor_share.rs
+++ b/crates/cli/tests/outages/processor_share.rs
@@ -3,6 +3,7 @@
 
 use crate::machine::shim_environment;
 use crate::rig::{Rig, Shape, Verdict};
+use crate::soak::number;
 use crate::traffic::Load;
 use crate::usage::Usage;
 use std::sync::{Mutex, PoisonError};
@@ -157,10 +158,6 @@
     outcomes.iter().flat_map(of).collect()
 }
 
-fn number(variable: &str, usual: u64) -> u64 {
-    std::env::var(variable).map_or(usual, |text| text.parse().unwrap())
-}
-
 /// A front end that can't do all that is asked refuses in time. By hand `SHARE_SEEDS=5`.
 #[test]
 fn a_front_end_with_too_little_of_a_core_loses_no_request_whatever_the_fleet() {
--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -8,7 +8,7 @@
 use stagehoist_emulator::platform::configuration::{document, host};
 use stagehoist_emulator::platform::judge::{SlowStart, Start};
 use stagehoist_emulator::platform::{
-    judge, notified_at, Executor, Intake, ObservedRequest, Outage, RuleSettings, SentRequest,
+    judge, notified_at, Executor, Fault, Intake, ObservedRequest, Outage, RuleSettings, SentRequest,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -318,6 +318,16 @@
         self.slots[index].executor.set_intake(intake);
     }
 
+    /// Nobody listens at an executor's addresses any more; the list does not tell.
+    pub fn vanish(&mut self, index: usize) {
+        self.slots[index].executor.end();
+    }
+
+    /// The next answers of an executor are spoilt.
+    pub fn spoil(&mut self, index: usize, faults: Vec<Fault>) {
+        self.slots[index].executor.spoil(faults);
+    }
+
     /// An executor closes its connections, as one does that forgets them.
     pub fn close_connections(&self, index: usize) {
         self.slots[index].executor.close_connections();
--- a/crates/cli/tests/outages/soak.rs
+++ b/crates/cli/tests/outages/soak.rs
@@ -11,6 +11,8 @@
 use rustix::process::Signal;
 use stagehoist_emulator::platform::bus::{Resumption, SubscriptionFault};
 use stagehoist_emulator::platform::judge::SLACK;
+use stagehoist_emulator::platform::Fault;
+use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
@@ -32,8 +34,8 @@
 const MAX_SHOWN: usize = 6;
 
 /// Something that happens in a run.
-#[derive(Clone, Copy, Debug)]
-enum Happening {
+#[derive(Clone, Debug)]
+pub enum Happening {
     OutageBegins(SubscriptionFault),
     OutageEnds(Resumption),
     DrainBegins(usize),
@@ -49,15 +51,23 @@
     Reloaded(usize, usize),
     CrowdComes(usize),
     CrowdLeaves,
+    /// Several executors drain, and the list tells at once.
+    SeveralDrain(Range<usize>),
+    SeveralRemoved(Range<usize>),
+    SeveralRestarted(Range<usize>),
+    /// Nobody listens at an executor's addresses any more, and the list does not tell.
+    Vanishes(usize),
+    /// The next answers of an executor are spoilt.
+    Spoils(usize, Vec<Fault>),
 }
 
 /// A run, as drawn.
-struct Plan {
-    shape: Shape,
-    load: Load,
+pub struct Plan {
+    pub shape: Shape,
+    pub load: Load,
     /// For the fault shim, by front end; empty where it is not preloaded.
-    faults: Vec<String>,
-    happenings: Vec<(Duration, Happening)>,
+    pub faults: Vec<String>,
+    pub happenings: Vec<(Duration, Happening)>,
 }
 
 fn draw(seed: u64) -> Plan {
@@ -97,7 +107,7 @@
     Plan { shape, load, faults, happenings }
 }
 
-fn draw_faults(seed: u64, number: usize, random: &mut ChaCha8Rng) -> String {
+pub fn draw_faults(seed: u64, number: usize, random: &mut ChaCha8Rng) -> String {
     let mut plan = Vec::new();
     if random.random_bool(0.5) {
         plan.push(format!("seed={seed}{number},breaks=1,sockets={}", random.random_range(500..10_000)));
@@ -117,7 +127,7 @@
     plan.join(",")
 }
 
-fn draw_outages(random: &mut ChaCha8Rng, happenings: &mut Vec<(Duration, Happening)>) {
+pub fn draw_outages(random: &mut ChaCha8Rng, happenings: &mut Vec<(Duration, Happening)>) {
     use SubscriptionFault::{Closing, Refusing, Silent, Unreachable};
     let mut at = random.random_range(1500..3000);
     for _ in 0..random.random_range(1..=2) {
@@ -156,7 +166,7 @@
     }
 }
 
-fn draw_signals(shape: &Shape, random: &mut ChaCha8Rng, happenings: &mut Vec<(Duration, Happening)>) {
+pub fn draw_signals(shape: &Shape, random: &mut ChaCha8Rng, happenings: &mut Vec<(Duration, Happening)>) {
     let kill_after = shape.longest_deadline.min(MAX_COUNTED_DEADLINE) + KILL_BEYOND;
     for number in 0..shape.front_ends {
         if random.random_bool(0.3) {
@@ -178,8 +188,7 @@
     }
 }
 
-async fn play(seed: u64) -> (Plan, Verdict) {
-    let plan = draw(seed);
+async fn play(plan: Plan) -> (Plan, Verdict) {
     let environment = |number: usize| shim_environment(&plan.faults[number]);
     let mut rig = Rig::start(plan.shape, environment).await;
     rig.begin_traffic(plan.load);
@@ -187,7 +196,7 @@
     let mut crowd = Vec::new();
     for (at, happening) in &plan.happenings {
         tokio::time::sleep_until((start + *at).into()).await;
-        happen(&mut rig, *happening, &mut crowd).await;
+        happen(&mut rig, happening.clone(), &mut crowd).await;
     }
     tokio::time::sleep_until((start + LENGTH_MS as u32 * MS).into()).await;
     let verdict = rig.finish().await;
@@ -218,18 +227,26 @@
             }
         }
         Happening::CrowdLeaves => crowd.clear(),
+        Happening::SeveralDrain(indices) => {
+            indices.clone().for_each(|index| rig.begin_drain(index));
+            rig.publish_drains(indices);
+        }
+        Happening::SeveralRemoved(indices) => rig.remove_all(indices),
+        Happening::SeveralRestarted(indices) => rig.restart_all(indices).await,
+        Happening::Vanishes(index) => rig.vanish(index),
+        Happening::Spoils(index, faults) => rig.spoil(index, faults),
     }
 }
 
-/// Plays one seed; gives what went wrong.
-fn run(seed: u64) -> Vec<String> {
+/// Plays the plan of one seed; gives what went wrong.
+pub fn run(name: &str, seed: u64, plan: Plan) -> Vec<String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let (plan, verdict) = runtime.block_on(play(seed));
+    let (plan, verdict) = runtime.block_on(play(plan));
     let start = verdict.requests.first().map_or(Instant::now(), |(request, _)| request.at);
     let served = verdict.served(start, start + LENGTH_MS as u32 * MS * 2);
     let Shape { front_ends, executors, longest_deadline, run, capacity, .. } = plan.shape;
     println!(
-        "seed {seed}: {front_ends} front ends, {executors} executors of {capacity}, runs of {run:?}, deadline \
+        "{name}, seed {seed}: {front_ends} front ends, {executors} executors of {capacity}, runs of {run:?}, deadline \
          {longest_deadline:?}, {} requests, served \
          {served:.3}, {} probes, {} broken rules, emulation late by {:?}",
         verdict.requests.len(),
@@ -240,23 +257,28 @@
     if verdict.broken.is_empty() {
         return Vec::new();
     }
-    let kept = std::env::temp_dir().join(format!("outage-soak-{seed}.log"));
+    let kept = std::env::temp_dir().join(format!("{name}-{seed}.log"));
     let happenings = plan.happenings.iter().map(|(at, happening)| format!("{at:?} {happening:?}"));
     let faults = plan.faults.iter().map(|faults| format!("faults {faults}"));
     let lines: Vec<String> =
         happenings.chain(faults).chain(verdict.broken.clone()).chain(verdict.logs).collect();
     std::fs::write(&kept, lines.join("\n")).unwrap();
     let shown = verdict.broken.into_iter().take(MAX_SHOWN);
-    shown.map(|text| format!("seed {seed} ({}): {text}", kept.display())).collect()
+    shown.map(|text| format!("{name}, seed {seed} ({}): {text}", kept.display())).collect()
 }
 
-fn number(variable: &str, usual: u64) -> u64 {
+pub fn number(variable: &str, usual: u64) -> u64 {
     std::env::var(variable).map_or(usual, |text| text.parse().unwrap())
 }
 
 #[test]
 fn soak_of_outages_drains_restarts_and_faults_of_machines_keeps_every_rule() {
-    let (first, seeds) = (number("SOAK_FIRST", 1), number("SOAK_SEEDS", SEEDS));
+    run_seeds("outage-soak", number("SOAK_SEEDS", SEEDS), number("SOAK_AT_ONCE", AT_ONCE), draw);
+}
+
+/// Plays the plans of so many seeds, some of them at once.
+pub fn run_seeds(name: &str, seeds: u64, at_once: u64, draw: fn(u64) -> Plan) {
+    let first = number("SOAK_FIRST", 1);
     let next = AtomicU64::new(first);
     let play_some = || {
         let mut wrong = Vec::new();
@@ -265,11 +287,11 @@
             if seed >= first + seeds {
                 return wrong;
             }
-            wrong.extend(run(seed));
+            wrong.extend(run(name, seed, draw(seed)));
         }
     };
     let wrong: Vec<String> = std::thread::scope(|scope| {
-        let threads: Vec<_> = (0..number("SOAK_AT_ONCE", AT_ONCE)).map(|_| scope.spawn(play_some)).collect();
+        let threads: Vec<_> = (0..at_once).map(|_| scope.spawn(play_some)).collect();
         threads.into_iter().flat_map(|thread| thread.join().unwrap()).collect()
     });
     assert!(wrong.is_empty(), "{} rules broken, shown in part: {wrong:#?}", wrong.len());
