--- a/crates/core/src/policy/confirmation.rs
+++ b/crates/core/src/policy/confirmation.rs
@@ -13,7 +13,6 @@
 
 use super::beliefs::Beliefs;
 use super::call::CallGroup;
-use super::numbers::{hash_fraction, update_average, GAIN};
 use super::worker::Worker;
 use super::FrontEnd;
 use crate::interface::*;
@@ -22,39 +21,27 @@
 /// Part of the grace of a drain that is left unused, for the way to the worker's socket.
 const TRANSIT_MARGIN_DIVISOR: Micros = 8;
 /// A confirmation counts for so many ticks of the clock at least.
-const MIN_LIFETIME_TICKS: Micros = 10;
-/// Pauses between checks of a worker that fails them, as parts of the grace: the shortest, and the longest after doublings.
-const MIN_PAUSE_DIVISOR: Micros = 8;
-const MAX_PAUSE_FACTOR: Micros = 2;
-/// Most doublings of a pause.
-const MAX_DOUBLINGS: u32 = 8;
+pub(super) const MIN_LIFETIME_TICKS: Micros = 10;
 /// Failed checks in a row after which a worker is withdrawn.
-const WITHDRAWAL_FAILURES: u32 = 2;
-/// A request waits for a check for so many times the usual time of one, and so many ticks, before it looks elsewhere.
-const CHECK_WAIT_FACTOR: f64 = 4.0;
-const MIN_CHECK_WAIT_TICKS: Micros = 10;
-/// A check counts as unanswered after so many connect timeouts, if nothing ended it before.
-const CHECK_TIMEOUT_FACTOR: Micros = 4;
-/// Shortest time after which it does.
-const MIN_CHECK_TIMEOUT: Micros = 1_000_000;
+pub(super) const WITHDRAWAL_FAILURES: u32 = 2;
 
 /// What a worker showed of itself.
 #[derive(Default)]
 pub(super) struct Confirmation {
     /// When it last took work, by itself.
-    confirmed_at: Micros,
+    pub confirmed_at: Micros,
     /// When the check under way began.
-    check_started_at: Option<Micros>,
+    pub check_started_at: Option<Micros>,
     /// Checks in a row that it failed or left unanswered.
-    failures: u32,
+    pub failures: u32,
     /// When it failed the first of them.
-    failing_since: Micros,
+    pub failing_since: Micros,
     /// It is not checked again before this time.
-    next_check_at: Micros,
+    pub next_check_at: Micros,
     /// Since when there is a connection to it without a break.
-    connected_since: Option<Micros>,
+    pub connected_since: Option<Micros>,
     /// Queued requests that wait for the check, by group.
-    waiting: BTreeSet<CallGroup>,
+    pub waiting: BTreeSet<CallGroup>,
 }
 
 impl Confirmation {
@@ -126,118 +113,8 @@
         has_failed && self.standing(worker, now) == Standing::Barred
     }
 
-    /// What the wait for a check adds to the cost of a worker, in microseconds.
-    pub(super) fn check_cost(&self, standing: Standing) -> f64 {
-        match standing {
-            Standing::Confirmed => 0.0,
-            Standing::Checkable | Standing::Barred => self.usual_check_time(),
-        }
-    }
-
-    fn usual_check_time(&self) -> f64 {
-        self.list_validity.mean_check_time.unwrap_or(self.settings.tick as f64)
-    }
-
-    fn check_wait(&self) -> Micros {
-        let answers = (CHECK_WAIT_FACTOR * self.usual_check_time()) as Micros;
-        answers.max(MIN_CHECK_WAIT_TICKS * self.settings.tick)
-    }
-
-    fn check_timeout(&self) -> Micros {
-        (CHECK_TIMEOUT_FACTOR * self.settings.connect_timeout).max(MIN_CHECK_TIMEOUT)
-    }
-
-    /// Checks whether a worker takes work, once at a time; the request is considered again with the result.
-    pub(super) fn start_check(
-        &mut self,
-        index: usize,
-        request: Option<RequestId>,
-        now: Micros,
-        actions: &mut Vec<Action>,
-    ) {
-        match request {
-            Some(_) => self.list_validity.counters.withheld_requests += 1,
-            None => self.list_validity.counters.withheld_loads += 1,
-        }
-        let group = request.and_then(|id| self.pending.get(&id)).map(|call| call.group());
-        let timeout = self.check_timeout();
-        let worker = &mut self.workers[index];
-        worker.confirmation.waiting.extend(group);
-        let is_under_way = worker
-            .confirmation
-            .check_started_at
-            .is_some_and(|check_started_at| now - check_started_at <= timeout);
-        if is_under_way {
-            return;
-        }
-        worker.confirmation.check_started_at = Some(now);
-        self.fleet.unconfirmed.insert(index);
-        self.list_validity.checks += 1;
-        self.list_validity.counters.checks += 1;
-        actions.push(Action::HealthCheck { worker: worker.endpoint.worker });
-    }
-
-    /// A health check ended.
-    pub(super) fn on_check_ended(
-        &mut self,
-        worker: WorkerId,
-        outcome: Outcome,
-        sent_at: Micros,
-        now: Micros,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(&index) = self.worker_index.get(&worker) else { return };
-        self.touch(index);
-        let confirmation = &mut self.workers[index].confirmation;
-        let check_started_at =
-            confirmation.check_started_at.take_if(|check_started_at| sent_at >= *check_started_at);
-        if outcome == Outcome::Ok {
-            if let Some(check_started_at) = check_started_at {
-                let elapsed = (now - check_started_at).max(1) as f64;
-                update_average(&mut self.list_validity.mean_check_time, elapsed, GAIN);
-            }
-            self.confirm(index, sent_at, now, actions);
-        } else if check_started_at.is_some() {
-            // What this front end could not send tells nothing of the worker.
-            let is_own_failure = matches!(outcome, Outcome::Full | Outcome::Superseded);
-            self.check_failed(index, !is_own_failure, now, actions);
-        }
-        let waiting = std::mem::take(&mut self.workers[index].confirmation.waiting);
-        self.changed_groups.extend(waiting);
-    }
-
-    /// Pauses the checks of a worker, the longer the more it failed.
-    fn check_failed(&mut self, index: usize, is_counted: bool, now: Micros, actions: &mut Vec<Action>) {
-        let grace = self.settings.drain_grace.max(MIN_LIFETIME_TICKS * self.settings.tick);
-        self.fleet.unconfirmed.insert(index);
-        let worker = &mut self.workers[index];
-        let confirmation = &mut worker.confirmation;
-        if is_counted {
-            self.list_validity.counters.failed_checks += 1;
-            if confirmation.failures == 0 {
-                confirmation.failing_since = now;
-            }
-            confirmation.failures = confirmation.failures.saturating_add(1);
-            if confirmation.failures == WITHDRAWAL_FAILURES {
-                self.list_validity.counters.withdrawals += 1;
-                let failing = (now - confirmation.failing_since) / 1000;
-                let text = format!(
-                    "withdraw worker {} as it fails health checks for {failing} ms",
-                    worker.endpoint.worker
-                );
-                actions.push(Action::Log { text });
-            }
-        }
-        let doublings = confirmation.failures.saturating_sub(1).min(MAX_DOUBLINGS);
-        let pause = ((grace / MIN_PAUSE_DIVISOR) << doublings).min(MAX_PAUSE_FACTOR * grace);
-        // Front ends that check together do not check again together.
-        let seed = self.seed ^ now as u64;
-        let spread = 0.5 + hash_fraction(seed, u64::from(worker.endpoint.worker));
-        confirmation.next_check_at = now + (pause as f64 * spread) as Micros;
-    }
-
     /// A worker took work, or said that it does, at some time since `sent_at`.
-    fn confirm(&mut self, index: usize, sent_at: Micros, now: Micros, actions: &mut Vec<Action>) {
+    pub(super) fn confirm(&mut self, index: usize, sent_at: Micros, now: Micros, actions: &mut Vec<Action>) {
         let is_list_old = self.is_list_old(now);
         let worker = &mut self.workers[index];
         let confirmation = &mut worker.confirmation;
@@ -290,21 +167,4 @@
         let Some(&index) = self.worker_index.get(&worker) else { return };
         self.workers[index].confirmation.connected_since = is_open.then_some(now);
     }
-
-    /// When a queued request may look elsewhere, or a worker may be checked again.
-    pub(super) fn next_check(&self, now: Micros) -> Micros {
-        if !self.is_list_old(now) {
-            return Micros::MAX;
-        }
-        let check_wait = self.check_wait();
-        let unconfirmed = self.fleet.unconfirmed.iter().map(|&index| &self.workers[index]);
-        let due = unconfirmed.filter(|worker| worker.ready).filter_map(|worker| {
-            let confirmation = &worker.confirmation;
-            let looks_elsewhere =
-                confirmation.check_started_at.map(|check_started_at| check_started_at + check_wait);
-            let is_due = |at: &Micros| *at >= now;
-            looks_elsewhere.or(Some(confirmation.next_check_at)).filter(is_due)
-        });
-        due.min().map_or(Micros::MAX, |at| at + 1)
-    }
 }
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -14,7 +14,7 @@
 //! | loads | `loading`: which functions are loaded where; `load_budget`: their limit (rule 5) |
 //! | all workers | `fleet`: sums over them and what is due, so that no decision goes over all of them; `ranking`: which of them a function may go to |
 //! | faults | `outliers`: ejection of workers, health checks |
-//! | old lists | `list_validity`: how old the endpoint list is; `confirmation`: which workers may get new work while the endpoint list is old (rule 3) |
+//! | old lists | `list_validity`: how old the endpoint list is; `confirmation`: which workers may get new work while the endpoint list is old (rule 3); `worker_checks`: their health checks |
 //!
 //! A request is sent in `send` alone, a function is loaded in `load` alone, and a request is answered without having
 //! been served in `settle` alone: the five rules are checked there.
@@ -50,6 +50,7 @@
 mod slow_start;
 mod timers;
 mod worker;
+mod worker_checks;
 mod worker_search;
 
 use crate::interface::*;
