--- a/crates/cli/tests/outages/processor_share.rs
+++ b/crates/cli/tests/outages/processor_share.rs
@@ -2,11 +2,10 @@
 //! time, and what a front end needs does not grow with the fleet.
 
 use crate::machine::shim_environment;
-use crate::rig::{Rig, Shape, Verdict};
+use crate::rig::{one_large_fleet, Rig, Shape, Verdict};
 use crate::soak::number;
 use crate::traffic::Load;
 use crate::usage::Usage;
-use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 const MS: Duration = Duration::from_millis(1);
@@ -108,9 +107,7 @@
 
 /// Plays all, each on a thread of its own, so many at once.
 fn run_all(plays: &[Play], at_once: usize) -> Vec<Outcome> {
-    // Processor time is measured, and thousands of listeners take descriptors: one test at a time.
-    static ALONE: Mutex<()> = Mutex::new(());
-    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let _alone = one_large_fleet();
     let mut outcomes = Vec::new();
     for some in plays.chunks(at_once) {
         let start = |play: Play| {
