--- a/crates/scale-tests/src/front_end/rows.rs
+++ b/crates/scale-tests/src/front_end/rows.rs
@@ -26,6 +26,9 @@
 
 /// Processor time that a call may take, so that 122 a second stay within the share told.
 const ROOM: f64 = COLD_START - super::LOAD as f64 / 1e6;
+/// Seconds for which a function that nobody calls is kept: eight keep-alives.
+const FUNCTION_RETENTION: f64 = 8.0 * super::KEEP as f64 / 1e6;
+const HOURS_A_DAY: f64 = 24.0;
 /// Numbers of workers; the last is the letter's where all sizes are run. A divided front end is notified of few of them.
 fn workers(plan: &Plan) -> &'static [u32] {
     match divided(plan) {
@@ -53,8 +56,6 @@
         Some(Fault::WholeEachCall) => 1.5,
         // So many workers that seconds are enough.
         Some(Fault::InstanceEach) => 6.0,
-        // Each new name has all functions ranked anew.
-        Some(Fault::NamesNeverRepeat) if functions >= FUNCTIONS as u64 => plan.pick(3.0, 90.0, 90.0),
         _ => seconds(plan),
     };
     Scene { shards, fault, ..Scene::one(workers, functions, seconds, plan.seed) }
@@ -145,7 +146,8 @@
         counted: true,
         ..subject("memory")
     };
-    Row::new(subject, over_workers(plan, Fault::NamesNeverRepeat, |o| o.kept_bytes))
+    // The control: names never repeat, and what is kept of functions stands for a day.
+    Row::new(subject, kept_for_a_day(plan, over_workers(plan, Fault::NamesNeverRepeat, |o| o.kept_bytes)))
 }
 
 fn memory_functions(plan: &Plan) -> Row {
@@ -155,8 +157,15 @@
         asked: FUNCTIONS,
         ..memory(plan).subject
     };
-    // The control: an instance is a worker of its own, and each function called ranks them all.
-    Row::new(subject, over_functions(plan, Fault::InstanceEach, |o| o.kept_bytes))
+    // The control: an instance is a worker of its own, and what is kept of functions stands for a day.
+    Row::new(subject, kept_for_a_day(plan, over_functions(plan, Fault::InstanceEach, |o| o.kept_bytes)))
+}
+
+/// In a control: as if functions were forgotten after a day and not after eight keep-alives.
+fn kept_for_a_day(plan: &Plan, mut points: Vec<Point>) -> Vec<Point> {
+    let times = if plan.control { DAY / FUNCTION_RETENTION } else { 1.0 };
+    points.iter_mut().for_each(|point| point.value *= times);
+    points
 }
 
 /// A scene in which workers are replaced by others with new names, one by one.
@@ -198,9 +207,9 @@
         mechanism: "none: a new name empties every function's order",
         ..subject("replaced-share")
     };
-    // The control: every worker is replaced each day.
+    // The control: every worker is replaced each hour.
     let mut points = over_replaced(plan, |o| o.list.0 / o.list.1.max(1) as f64);
-    let a_day = if plan.control { WORKERS } else { RESTARTED };
+    let a_day = if plan.control { WORKERS * HOURS_A_DAY } else { RESTARTED };
     // Divided, fewer come to be a front end's own; each is counted as if it did.
     points.iter_mut().for_each(|p| p.value *= a_day / DAY);
     Row::new(subject, points)
@@ -216,5 +225,9 @@
         mechanism: "none: a new name empties every function's order",
         ..subject("replaced-pause")
     };
-    Row::new(subject, over_replaced(plan, |o| o.list.0 / o.list.1.max(1) as f64))
+    // The control: ten changes come as one.
+    let mut points = over_replaced(plan, |o| o.list.0 / o.list.1.max(1) as f64);
+    let changes = if plan.control { 10.0 } else { 1.0 };
+    points.iter_mut().for_each(|p| p.value *= changes);
+    Row::new(subject, points)
 }
