--- a/crates/scale-tests/src/front_end/rows.rs
+++ b/crates/scale-tests/src/front_end/rows.rs
@@ -225,9 +225,9 @@
         mechanism: "none: a new name empties every function's order",
         ..subject("replaced-pause")
     };
-    // The control: ten changes come as one.
+    // The control: a hundred changes come as one.
     let mut points = over_replaced(plan, |o| o.list.0 / o.list.1.max(1) as f64);
-    let changes = if plan.control { 10.0 } else { 1.0 };
+    let changes = if plan.control { 100.0 } else { 1.0 };
     points.iter_mut().for_each(|p| p.value *= changes);
     Row::new(subject, points)
 }
