--- a/crates/core/src/policy/worker.rs
+++ b/crates/core/src/policy/worker.rs
@@ -38,8 +38,9 @@
     /// When it began to warm up; `None` once it counts as established.
     pub warming_since: Option<Micros>,
     pub slot_usage: SlotUsage,
-    /// When the endpoint list first told of it, and last.
+    /// When the endpoint list first told of it.
     pub first_listed_at: Micros,
+    /// When the endpoint list last told of it.
     pub listed_at: Micros,
     pub in_flight: Vec<Attempt>,
     /// When it was last health-checked.
