Emulated event bus: empty frames each second whatever comes, and events told slowly

The platform's bus writes an empty frame each second from the connection on; ours wrote one a second after the last event, so that one that tells often wrote none. Events that were missed can be told with a pause between two. The judge says how long after its drain an executor got new work.

--- a/crates/emulator/src/platform/bus.rs
+++ b/crates/emulator/src/platform/bus.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
 
 /// How the event subscription behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -41,12 +42,19 @@
     }
 }
 
+/// How often an empty frame is written, whatever events come between.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause between events that are told slowly: shorter than the silence after which a follower connects again.
+pub const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(400);
+
 /// What a follower is told when it asks after an outage.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Resumption {
     /// The events after the one that it has.
     #[default]
     Events,
+    /// The same with a pause between two of them.
+    SlowEvents,
     /// The whole list in one event.
     WholeList,
 }
@@ -282,19 +290,25 @@
     let mut last = u64::from_be_bytes(last);
     let mut is_first = true;
     state.lock().unwrap().asked.push(Instant::now());
+    let mut heartbeats = tokio::time::interval(HEARTBEAT_INTERVAL);
+    heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    heartbeats.reset();
     loop {
-        let (due, mood) = {
+        let (due, mood, resumption) = {
             let mut s = state.lock().unwrap();
             let due = s.due(last, is_first);
             let mood = s.mood;
             if mood == SubscriptionFault::Cut && !due.is_empty() {
                 s.mood = SubscriptionFault::Well;
             }
-            (due, mood)
+            (due, mood, s.resumption)
         };
         if !mood.is_outage() {
             is_first = false;
-            for (number, kind, payload) in due {
+            for (index, (number, kind, payload)) in due.into_iter().enumerate() {
+                if index > 0 && resumption == Resumption::SlowEvents {
+                    tokio::time::sleep(SLOW_EVENT_PAUSE).await;
+                }
                 let bytes = frame(number, kind, &payload);
                 if mood == SubscriptionFault::Cut {
                     let _ = stream.write_all(&bytes[..bytes.len() / 2]).await;
@@ -311,8 +325,9 @@
         }
         let mut byte = [0u8; 1];
         tokio::select! {
+            biased;
             _ = changed.changed() => {}
-            _ = tokio::time::sleep(Duration::from_secs(1)) => {
+            _ = heartbeats.tick() => {
                 if !state.lock().unwrap().mood.is_outage() && stream.write_all(&frame(last, 0, &[])).await.is_err() {
                     return;
                 }
--- a/crates/emulator/src/platform/judge.rs
+++ b/crates/emulator/src/platform/judge.rs
@@ -109,10 +109,12 @@
         for s in seen {
             let new = matches!(s.what, ExecutorRequest::Run { .. })
                 || matches!(s.what, ExecutorRequest::Hold { copies, .. } if copies > 0);
-            let late = told.drained.get(id).is_some_and(|at| s.at > *at + told.grace + SLACK);
+            let notified = told.drained.get(id).copied();
+            let late = notified.filter(|at| s.at > *at + told.grace + SLACK);
             let is_ready_again = told.ready_again.get(id).is_some_and(|at| s.at >= *at);
-            if new && late && !is_ready_again {
-                broken.push(format!("3: {:?} to executor {id:08x} after it drained", s.what));
+            if let (true, Some(at), false) = (new, late, is_ready_again) {
+                let since = s.at - at;
+                broken.push(format!("3: {:?} to executor {id:08x} {since:?} after it drained", s.what));
             }
             orders
                 .extend(matches!(s.what, ExecutorRequest::Hold { copies, .. } if copies > 0).then_some(s.at));
