Emulated event bus: no empty frame while there is something to tell

After a silence on a standing connection the bus wrote an empty frame, which says that nothing is new, before the events that had been kept back. Followers that go by such frames were told a list that was not so. The telling of one follower is a type of its own with short functions.

--- a/crates/emulator/src/platform/bus.rs
+++ b/crates/emulator/src/platform/bus.rs
@@ -282,57 +282,93 @@
     }
 }
 
+/// Serves one follower until its connection ends.
 async fn tell(mut stream: TcpStream, state: Arc<Mutex<State>>, mut changed: watch::Receiver<u64>) {
     let mut last = [0u8; 8];
     if stream.read_exact(&mut last).await.is_err() {
         return;
     }
-    let mut last = u64::from_be_bytes(last);
-    let mut is_first = true;
     state.lock().unwrap().asked.push(Instant::now());
+    let mut follower = Follower { stream, state, last: u64::from_be_bytes(last), is_first: true };
     let mut heartbeats = tokio::time::interval(HEARTBEAT_INTERVAL);
     heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     heartbeats.reset();
+    let mut is_heartbeat_due = false;
     loop {
-        let (due, mood, resumption) = {
-            let mut s = state.lock().unwrap();
-            let due = s.due(last, is_first);
-            let mood = s.mood;
-            if mood == SubscriptionFault::Cut && !due.is_empty() {
-                s.mood = SubscriptionFault::Well;
-            }
-            (due, mood, s.resumption)
-        };
-        if !mood.is_outage() {
-            is_first = false;
-            for (index, (number, kind, payload)) in due.into_iter().enumerate() {
-                if index > 0 && resumption == Resumption::SlowEvents {
-                    tokio::time::sleep(SLOW_EVENT_PAUSE).await;
-                }
-                let bytes = frame(number, kind, &payload);
-                if mood == SubscriptionFault::Cut {
-                    let _ = stream.write_all(&bytes[..bytes.len() / 2]).await;
-                    return;
-                }
-                let times = if mood == SubscriptionFault::Twice { 2 } else { 1 };
-                for _ in 0..times {
-                    if stream.write_all(&bytes).await.is_err() {
-                        return;
-                    }
-                }
-                last = number;
-            }
+        if follower.tell_missed().await.is_err() {
+            return;
+        }
+        if is_heartbeat_due && follower.write_heartbeat().await.is_err() {
+            return;
         }
         let mut byte = [0u8; 1];
-        tokio::select! {
+        is_heartbeat_due = tokio::select! {
             biased;
-            _ = changed.changed() => {}
-            _ = heartbeats.tick() => {
-                if !state.lock().unwrap().mood.is_outage() && stream.write_all(&frame(last, 0, &[])).await.is_err() {
-                    return;
+            _ = changed.changed() => false,
+            _ = heartbeats.tick() => true,
+            _ = follower.stream.read(&mut byte) => return,
+        };
+    }
+}
+
+/// A connection of a follower, and the last event that was told on it.
+struct Follower {
+    stream: TcpStream,
+    state: Arc<Mutex<State>>,
+    last: u64,
+    is_first: bool,
+}
+
+impl Follower {
+    fn mood(&self) -> SubscriptionFault {
+        self.state.lock().unwrap().mood
+    }
+
+    /// Writes the events that are missing, unless an outage keeps them back.
+    async fn tell_missed(&mut self) -> std::io::Result<()> {
+        let mood = self.mood();
+        if mood.is_outage() {
+            return Ok(());
+        }
+        let (due, resumption) = {
+            let state = self.state.lock().unwrap();
+            (state.due(self.last, self.is_first), state.resumption)
+        };
+        self.is_first = false;
+        if mood == SubscriptionFault::Cut && !due.is_empty() {
+            self.state.lock().unwrap().mood = SubscriptionFault::Well;
+        }
+        for (index, (number, kind, payload)) in due.into_iter().enumerate() {
+            if index > 0 && resumption == Resumption::SlowEvents {
+                tokio::time::sleep(SLOW_EVENT_PAUSE).await;
+                if self.mood().is_outage() {
+                    return Ok(());
                 }
             }
-            _ = stream.read(&mut byte) => return,
+            self.write_event(&frame(number, kind, &payload), mood).await?;
+            self.last = number;
+        }
+        Ok(())
+    }
+
+    async fn write_event(&mut self, bytes: &[u8], mood: SubscriptionFault) -> std::io::Result<()> {
+        if mood == SubscriptionFault::Cut {
+            self.stream.write_all(&bytes[..bytes.len() / 2]).await?;
+            return Err(std::io::ErrorKind::ConnectionAborted.into());
+        }
+        let times = if mood == SubscriptionFault::Twice { 2 } else { 1 };
+        for _ in 0..times {
+            self.stream.write_all(bytes).await?;
+        }
+        Ok(())
+    }
+
+    /// Writes an empty frame, if there is nothing more to tell.
+    async fn write_heartbeat(&mut self) -> std::io::Result<()> {
+        let is_up_to_date = self.state.lock().unwrap().due(self.last, false).is_empty();
+        if self.mood().is_outage() || !is_up_to_date {
+            return Ok(());
         }
+        self.stream.write_all(&frame(self.last, 0, &[])).await
     }
 }
