Load reports in larger fleets are asked only of workers with copies

Seen: what_a_front_end_needs_does_not_grow_with_the_fleet with 45 s in place of 12 s: 1,353 connections made with 800 executors where 1,012 are allowed (389 with 200).

Cause: where load reports come by health checks, these went round all ready workers. In a fleet of over 256 each check opened a connection, and the round came back too late for its reports to count.

Change: in fleets of over 256 workers the round is of those that are believed to hold a copy.

The test's length can be told. With a thousand workers the module checked workers without a copy before (new test red).

--- a/crates/cli/tests/outages/processor_share.rs
+++ b/crates/cli/tests/outages/processor_share.rs
@@ -217,14 +217,15 @@
 const DESCRIPTORS: GrowthLimit = GrowthLimit { factor: 2.0, base: 40.0, for_thousand_executors: 0.0 };
 const CONNECTIONS: GrowthLimit = GrowthLimit { factor: 2.5, base: 40.0, for_thousand_executors: 0.0 };
 
-/// Sixteen times the executors, for the same traffic. By hand `SHARE_SEEDS=3`.
+/// Sixteen times the executors, for the same traffic. By hand `SHARE_SEEDS=3 SHARE_SECONDS=45`.
 #[test]
 fn what_a_front_end_needs_does_not_grow_with_the_fleet() {
     const USUAL: usize = 200;
     const SERVED_PART: f64 = 0.85;
     let seeds = number("SHARE_SEEDS", 1);
+    let length = Duration::from_secs(number("SHARE_SECONDS", 12));
     let of_seed = |seed| {
-        let play = |executors| Play { executors, share: 1.0, rate: 60.0, length: 12_000 * MS, seed };
+        let play = |executors| Play { executors, share: 1.0, rate: 60.0, length, seed };
         [12, USUAL, 800, 3200].map(play)
     };
     let plays: Vec<Play> = (1..=seeds).flat_map(of_seed).collect();
--- a/crates/core/src/policy/fleet.rs
+++ b/crates/core/src/policy/fleet.rs
@@ -63,7 +63,7 @@
     pub warming: BTreeSet<usize>,
     /// Workers with several attempts in flight.
     pub busy: BTreeSet<usize>,
-    /// Ready workers, by when they were last health-checked.
+    /// Workers whose load reports are asked for in turn, by when they were last health-checked.
     pub checked: BTreeSet<WorkerTime>,
     /// Workers that are gone, by when the list last told of them.
     pub gone: BTreeSet<WorkerTime>,
@@ -208,16 +208,15 @@
         self.fleet.gone.remove(&old);
         let worker = &self.workers[index];
         let (is_gone, is_ready) = (worker.endpoint.lifecycle == Lifecycle::Gone, worker.ready);
-        let (listed_at, checked_at) = (worker.listed_at, worker.checked_at);
+        let listed_at = worker.listed_at;
         if is_gone {
             self.fleet.gone.insert(WorkerTime { at: listed_at, index });
             self.ranking_version += 1;
         }
-        let check = WorkerTime { at: checked_at, index };
         if is_ready {
-            self.fleet.checked.insert(check);
+            self.join_check_round(index);
         } else {
-            self.fleet.checked.remove(&check);
+            self.fleet.checked.remove(&WorkerTime { at: worker.checked_at, index });
         }
         self.count(index, self.sweep.at, now);
     }
--- a/crates/core/src/policy/outliers.rs
+++ b/crates/core/src/policy/outliers.rs
@@ -1,6 +1,6 @@
 //! Outlier ejection and health checks: workers that are gone, restarting, silent or fail more often than the others.
 
-use super::fleet::WorkerTime;
+use super::fleet::{WorkerTime, MAX_CONSIDERED};
 use super::numbers::GAIN;
 use super::FrontEnd;
 use crate::interface::*;
@@ -82,6 +82,20 @@
         }
     }
 
+    /// Has the load reports of a worker asked for in turn, if it is of use to this front end.
+    pub(super) fn join_check_round(&mut self, index: usize) {
+        let worker = &self.workers[index];
+        if worker.ready && self.reports_matter(index) {
+            self.fleet.checked.insert(WorkerTime { at: worker.checked_at, index });
+        }
+    }
+
+    /// Whether the load of a worker matters to this front end: in a larger fleet only where it is believed to hold a
+    /// copy, as a round of all workers would open a connection for each check and come back too late.
+    fn reports_matter(&self, index: usize) -> bool {
+        self.workers.len() <= MAX_CONSIDERED || !self.workers[index].beliefs.copies.is_empty()
+    }
+
     /// Health-checks the workers in turn, where load reports come that way, within what the checks may cost.
     pub(super) fn send_health_checks(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let settings = &self.settings;
@@ -91,9 +105,9 @@
         }
         let checks_per_request =
             (MAX_HEALTH_CHECK_COST / settings.price_health_check.max(MAX_HEALTH_CHECK_COST)).min(1.0);
-        let ready = self.fleet.ready();
+        let workers = self.fleet.checked.len();
         let request_interval = self.arrivals_window() as f64 / self.arrivals.len() as f64;
-        let affordable = (request_interval * ready as f64 / checks_per_request) as Micros;
+        let affordable = (request_interval * workers as f64 / checks_per_request) as Micros;
         let interval = affordable.max(self.shortest_objective / MAX_CHECKS_PER_OBJECTIVE);
         let due = self.fleet.checked.iter().take_while(|check| now - check.at >= interval);
         let mut due: Vec<usize> = due.map(|check| check.index).collect();
@@ -101,9 +115,11 @@
         for index in due {
             let worker = &mut self.workers[index];
             self.fleet.checked.remove(&WorkerTime { at: worker.checked_at, index });
-            self.fleet.checked.insert(WorkerTime { at: now, index });
             worker.checked_at = now;
-            actions.push(Action::HealthCheck { worker: worker.endpoint.worker });
+            if self.reports_matter(index) {
+                self.fleet.checked.insert(WorkerTime { at: now, index });
+                actions.push(Action::HealthCheck { worker: self.workers[index].endpoint.worker });
+            }
         }
     }
 }
--- a/crates/core/src/policy/ranking.rs
+++ b/crates/core/src/policy/ranking.rs
@@ -90,6 +90,7 @@
     pub(super) fn set_copy(&mut self, index: usize, id: FunctionId, copy: CachedCopy) {
         self.workers[index].beliefs.copies.insert(id, copy);
         self.holders.entry(id).or_default().insert(index);
+        self.join_check_round(index);
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/rules/load_reports.rs
@@ -0,0 +1,51 @@
+//! Load reports by health checks: which workers are asked.
+
+use crate::support::*;
+use stagehoist::*;
+use std::collections::BTreeSet;
+
+const FUNCTIONS: u32 = 5;
+const STEPS: u32 = 2000;
+const REQUEST_INTERVAL_STEPS: u32 = 5;
+
+/// Workers that get requests, and those that are health-checked, over ten seconds with forty requests a second.
+fn used_and_checked(workers: u32) -> (BTreeSet<WorkerId>, BTreeSet<WorkerId>) {
+    let more = "limits.probes=true\nload_info.via=on_probe\nload_info.fields=rif\n";
+    let ids: Vec<WorkerId> = (1..=workers).collect();
+    let mut bench = Bench::new(more, &ids);
+    let (mut used, mut checked) = (BTreeSet::new(), BTreeSet::new());
+    let mut running: Vec<Event> = Vec::new();
+    for step in 0..STEPS {
+        let mut events = std::mem::take(&mut running);
+        if step % REQUEST_INTERVAL_STEPS == 0 {
+            let id = step / REQUEST_INTERVAL_STEPS + 1;
+            events.push(request(id, 0, u64::from(id % FUNCTIONS)));
+        }
+        let actions = bench.step(5 * MS, events);
+        for (id, worker) in sends(&actions) {
+            used.insert(worker);
+            running.push(ended(id, 0, worker, Outcome::Ok));
+        }
+        for action in &actions {
+            let Action::HealthCheck { worker } = action else { continue };
+            checked.insert(*worker);
+            let report = Some([0.0; 4]);
+            running.push(Event::HealthChecked { worker: *worker, outcome: Outcome::Ok, elapsed: MS, report });
+        }
+    }
+    (used, checked)
+}
+
+/// A round of all workers would open a connection for each check.
+#[test]
+fn with_a_thousand_workers_only_those_with_copies_are_asked_for_load_reports() {
+    let (used, checked) = used_and_checked(1000);
+    assert!(!checked.is_empty());
+    assert!(checked.is_subset(&used), "checked without a copy: {}", checked.difference(&used).count());
+}
+
+#[test]
+fn with_a_hundred_workers_all_are_asked_for_load_reports_in_turn() {
+    let (_, checked) = used_and_checked(100);
+    assert_eq!(checked.len(), 100);
+}
--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -5,6 +5,7 @@
 mod drawn;
 mod five_rules;
 mod learning;
+mod load_reports;
 mod placement;
 mod queueing;
 mod support;
