Emulated event bus: it moves to another address, and tells followers whose connection stands at once

Slow telling is for followers that ask again, for whom it counts at once; the others are told as the silence ends, and not at their next empty frame.

--- a/crates/emulator/src/platform/bus.rs
+++ b/crates/emulator/src/platform/bus.rs
@@ -27,13 +27,15 @@
     Closing,
     /// Open connections fall silent, and new ones never come up: nobody accepts them and the backlog is full.
     Unreachable,
+    /// Open connections fall silent and new ones are refused, as of a bus that has moved.
+    Retired,
 }
 
 impl SubscriptionFault {
     /// Followers are not told anything.
     pub fn is_outage(self) -> bool {
-        use SubscriptionFault::{Closing, Refusing, Silent, Unreachable};
-        matches!(self, Silent | Refusing | Closing | Unreachable)
+        use SubscriptionFault::{Closing, Refusing, Retired, Silent, Unreachable};
+        matches!(self, Silent | Refusing | Closing | Unreachable | Retired)
     }
 
     /// Followers see their connections end when it begins.
@@ -44,6 +46,8 @@
 
 /// How often an empty frame is written, whatever events come between.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// For so long the connections of a bus that has moved stay open.
+const RETIREMENT: Duration = Duration::from_millis(1500);
 /// Pause between events that are told slowly: shorter than the silence after which a follower connects again.
 pub const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(400);
 
@@ -53,7 +57,8 @@
     /// The events after the one that it has.
     #[default]
     Events,
-    /// The same with a pause between two of them.
+    /// The same with a pause between two of them. Followers whose connection stood are told at once: the pages' relief
+    /// for a silence lasts for them until they are told, while it ends for those that ask again.
     SlowEvents,
     /// The whole list in one event.
     WholeList,
@@ -156,6 +161,8 @@
     pub fn mood(&self, mood: SubscriptionFault) {
         self.state.lock().unwrap().mood = mood;
         self.moods.send_replace(mood);
+        // Followers whose connection stands are told what they missed.
+        self.changed.send_modify(|_| {});
     }
 
     /// What followers are told that ask from now on.
@@ -184,6 +191,28 @@
         other.state.lock().unwrap().events = events;
         other.changed.send_replace(*self.changed.borrow());
     }
+
+    /// Moves to another address: a bus there goes on with all that this one holds and is in the same mood. This one
+    /// tells nothing further, accepts nobody, and closes its connections after a while.
+    pub async fn move_to(&mut self, address: SocketAddr) -> std::io::Result<()> {
+        let new = EventBus::start_at(address, self.last()).await?;
+        self.copy_to(&new);
+        let mood = {
+            let (old, mut state) = (self.state.lock().unwrap(), new.state.lock().unwrap());
+            state.resumption = old.resumption;
+            state.asked.clone_from(&old.asked);
+            state.records.clone_from(&old.records);
+            old.mood
+        };
+        new.mood(mood);
+        let old = std::mem::replace(self, new);
+        old.mood(SubscriptionFault::Retired);
+        tokio::spawn(async move {
+            tokio::time::sleep(RETIREMENT).await;
+            drop(old);
+        });
+        Ok(())
+    }
 }
 
 impl Drop for EventBus {
@@ -231,7 +260,7 @@
             tasks.abort_all();
         }
         match now {
-            SubscriptionFault::Refusing => listener = None,
+            SubscriptionFault::Refusing | SubscriptionFault::Retired => listener = None,
             SubscriptionFault::Unreachable if crowd.is_empty() => {
                 drop(listener.take());
                 let Some(full) = full_backlog(address, &mut crowd).await else { return };
@@ -330,16 +359,17 @@
         if mood.is_outage() {
             return Ok(());
         }
-        let (due, resumption) = {
+        let (due, is_slow) = {
             let state = self.state.lock().unwrap();
-            (state.due(self.last, self.is_first), state.resumption)
+            let is_slow = self.is_first && state.resumption == Resumption::SlowEvents;
+            (state.due(self.last, self.is_first), is_slow)
         };
         self.is_first = false;
         if mood == SubscriptionFault::Cut && !due.is_empty() {
             self.state.lock().unwrap().mood = SubscriptionFault::Well;
         }
         for (index, (number, kind, payload)) in due.into_iter().enumerate() {
-            if index > 0 && resumption == Resumption::SlowEvents {
+            if index > 0 && is_slow {
                 tokio::time::sleep(SLOW_EVENT_PAUSE).await;
                 if self.mood().is_outage() {
                     return Ok(());
