Soaks: requests with milliseconds left, executors that drop them, and buses that move

Clients may wait for 1 to 60 ms only; executors may drop without a word what they could not finish in its time; event buses move with a new configuration, also within outages.

--- a/crates/cli/tests/outages/drains.rs
+++ b/crates/cli/tests/outages/drains.rs
@@ -20,6 +20,7 @@
         load: 60 * MS,
         capacity: 8,
         places: 0,
+        drops_expired: false,
         longest_deadline: 2000 * MS,
         fleet_front_ends: front_ends,
         answer_slack: SLACK,
@@ -37,6 +38,7 @@
         allow: 1200 * MS,
         unsafe_part: 0.3,
         cancelled_part: 0.0,
+        short_part: 0.0,
     }
 }
 
--- a/crates/cli/tests/outages/fleet_soak.rs
+++ b/crates/cli/tests/outages/fleet_soak.rs
@@ -50,6 +50,7 @@
         capacity: 8,
         load: random.random_range(20..=150) * MS,
         places: [0, 0, 8][random.random_range(0..3)],
+        drops_expired: random.random_bool(0.5),
         longest_deadline: longest,
         fleet_front_ends: front_ends.max(executors / USUAL_FLEET),
         answer_slack: LOST_AFTER,
@@ -63,6 +64,7 @@
         allow: longest,
         unsafe_part: random.random_range(0.0..0.5),
         cancelled_part: [0.0, 0.05, 0.1][random.random_range(0..3)],
+        short_part: [0.0, 0.0, 0.1, 0.3][random.random_range(0..4)],
     };
     let faults = (0..front_ends).map(|number| draw_machine(seed, number, share, &mut random)).collect();
     let mut happenings = Vec::new();
--- a/crates/cli/tests/outages/front_end.rs
+++ b/crates/cli/tests/outages/front_end.rs
@@ -16,6 +16,8 @@
 const LISTEN_PORT: u16 = 5000;
 /// Where their buses listen.
 const BUS_PORT: u16 = 6000;
+/// Where they move: the next place is so much higher.
+const BUS_MOVE: u16 = 64;
 /// How long a start may take, and how often it is asked whether it is over.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 const HEALTH_POLL: Duration = Duration::from_millis(20);
@@ -29,6 +31,7 @@
     pub bus: EventBus,
     pub config: PathBuf,
     environment: Vec<(String, String)>,
+    bus_moves: u16,
     process: Option<Child>,
     /// Logs of all its processes, one after the other.
     pub logs: Vec<Log>,
@@ -40,14 +43,12 @@
         let listen = address(LISTEN_PORT + number as u16);
         let bus = EventBus::start_at(address(BUS_PORT + number as u16), 1).await.unwrap();
         let config = folder.join(format!("n{number}.json"));
-        FrontEnd { number, listen, bus, config, environment, process: None, logs: Vec::new() }
+        FrontEnd { number, listen, bus, config, environment, bus_moves: 0, process: None, logs: Vec::new() }
     }
 
     /// Starts its process with this configuration.
-    pub async fn start(&mut self, mut config: Value) {
-        config["name"] = format!("n{}", self.number).into();
-        config["listen"] = self.listen.to_string().into();
-        std::fs::write(&self.config, config.to_string()).unwrap();
+    pub async fn start(&mut self, config: Value) {
+        self.write(config);
         let program = Path::new(env!("CARGO_BIN_EXE_stagehoist"));
         let (file, environment) = (self.config.clone(), self.environment.clone());
         // The emulated systems go on meanwhile.
@@ -58,6 +59,26 @@
         self.serving().await;
     }
 
+    /// Writes its configuration.
+    fn write(&self, mut config: Value) {
+        config["name"] = format!("n{}", self.number).into();
+        config["listen"] = self.listen.to_string().into();
+        std::fs::write(&self.config, config.to_string()).unwrap();
+    }
+
+    /// Its bus goes on at another address.
+    pub async fn move_bus(&mut self) {
+        self.bus_moves += 1;
+        let port = BUS_PORT + self.bus_moves * BUS_MOVE + self.number as u16;
+        self.bus.move_to(address(port)).await.unwrap();
+    }
+
+    /// Has its process read another configuration.
+    pub fn reload(&self, config: Value) {
+        self.write(config);
+        self.signal(Signal::HUP);
+    }
+
     /// Waits until it says that it serves: clients come no sooner.
     async fn serving(&self) {
         let by = Instant::now() + START_TIMEOUT;
--- a/crates/cli/tests/outages/machine.rs
+++ b/crates/cli/tests/outages/machine.rs
@@ -34,6 +34,7 @@
     allow: Duration::from_millis(1200),
     unsafe_part: 0.3,
     cancelled_part: 0.0,
+    short_part: 0.0,
 };
 
 fn shape(seed: u64) -> Shape {
@@ -44,6 +45,7 @@
         load: 40 * MS,
         capacity: 8,
         places: 0,
+        drops_expired: false,
         longest_deadline: 2000 * MS,
         fleet_front_ends: 2,
         answer_slack: SLACK,
--- a/crates/cli/tests/outages/processor_share.rs
+++ b/crates/cli/tests/outages/processor_share.rs
@@ -52,6 +52,7 @@
         load: 60 * MS,
         capacity: 8,
         places: 0,
+        drops_expired: false,
         longest_deadline: 2000 * MS,
         fleet_front_ends: play.executors.div_ceil(USUAL_FLEET),
         answer_slack: LOST_AFTER,
@@ -68,6 +69,7 @@
         allow: 1200 * MS,
         unsafe_part: 0.3,
         cancelled_part: 0.05,
+        short_part: 0.0,
     }
 }
 
--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -77,6 +77,8 @@
     pub capacity: u32,
     /// Requests that it takes at a time; 0: any number.
     pub places: usize,
+    /// Whether it drops requests without a word whose time is shorter than a run.
+    pub drops_expired: bool,
     /// The longest time that the settings say a client waits.
     pub longest_deadline: Duration,
     /// Front ends of the whole fleet by the settings; only some of them are played.
@@ -235,6 +237,13 @@
         (0..times).for_each(|_| self.front_ends[number].signal(Signal::HUP));
     }
 
+    /// The bus of a front end moves, and its new configuration tells where.
+    pub async fn move_bus(&mut self, number: usize) {
+        self.front_ends[number].move_bus().await;
+        let config = self.configuration(number);
+        self.front_ends[number].reload(config);
+    }
+
     fn configuration(&self, number: usize) -> Value {
         let word = |state: u8| ["ready", "draining"][usize::from(state)];
         let listed = self.slots.iter().filter(|slot| slot.state != GONE);
@@ -494,6 +503,7 @@
     let addresses: Vec<SocketAddr> = (0..shape.front_ends).map(of_front_end).collect();
     let executor = Executor::start_at(&addresses, index as u32 + 1, shape.run, shape.load).await.unwrap();
     executor.set_places(shape.places);
+    executor.set_drops_expired(shape.drops_expired);
     executor
 }
 
--- a/crates/cli/tests/outages/soak.rs
+++ b/crates/cli/tests/outages/soak.rs
@@ -6,6 +6,7 @@
 use crate::machine::shim_environment;
 use crate::rig::{Rig, Shape, Verdict};
 use crate::traffic::{Load, Phase};
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
@@ -28,6 +29,8 @@
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
 /// For so long after SIGTERM new connections come.
 const STILL_CONNECTING: Duration = Duration::from_millis(300);
+/// Moves of event buses in a run at most.
+const MAX_BUS_MOVES: usize = 4;
 /// Idle connections of a crowd.
 const CROWD: usize = 150;
 /// Broken rules shown of a run.
@@ -49,6 +52,7 @@
     Killed(usize),
     StartedAgain(usize),
     Reloaded(usize, usize),
+    BusMoves(usize),
     CrowdComes(usize),
     CrowdLeaves,
     /// Several executors drain, and the list tells at once.
@@ -84,6 +88,7 @@
         capacity,
         load: random.random_range(20..=150) * MS,
         places: [0, 0, 4, 8][random.random_range(0..4)],
+        drops_expired: random.random_bool(0.5),
         longest_deadline: longest as u32 * MS,
         fleet_front_ends: front_ends,
         answer_slack: SLACK,
@@ -97,6 +102,7 @@
         allow: longest as u32 * MS,
         unsafe_part: random.random_range(0.0..0.5),
         cancelled_part: [0.0, 0.05, 0.1][random.random_range(0..3)],
+        short_part: [0.0, 0.0, 0.1, 0.3][random.random_range(0..4)],
     };
     let faults = (0..front_ends).map(|number| draw_faults(seed, number, &mut random)).collect();
     let mut happenings = Vec::new();
@@ -169,6 +175,8 @@
 
 pub fn draw_signals(shape: &Shape, random: &mut ChaCha8Rng, happenings: &mut Vec<(Duration, Happening)>) {
     let kill_after = shape.longest_deadline.min(MAX_COUNTED_DEADLINE) + KILL_BEYOND;
+    // Those that go on: a new configuration comes to no process that ends or has just started.
+    let mut lasting = Vec::new();
     for number in 0..shape.front_ends {
         if random.random_bool(0.3) {
             let at = random.random_range(1500..7000) * MS;
@@ -177,11 +185,18 @@
             happenings.push((at + kill_after, Happening::Killed(number)));
             let again = at + kill_after + random.random_range(1..300) * MS;
             happenings.push((again, Happening::StartedAgain(number)));
-        } else if random.random_bool(0.3) {
+            continue;
+        }
+        lasting.push(number);
+        if random.random_bool(0.3) {
             let at = random.random_range(1500..9000) * MS;
             happenings.push((at, Happening::Reloaded(number, random.random_range(1..8))));
         }
     }
+    for _ in 0..random.random_range(0..=MAX_BUS_MOVES) {
+        let Some(number) = lasting.choose(random) else { break };
+        happenings.push((random.random_range(1500..10_000) * MS, Happening::BusMoves(*number)));
+    }
     if random.random_bool(0.3) {
         let number = random.random_range(0..shape.front_ends);
         happenings.push((random.random_range(1000..6000) * MS, Happening::CrowdComes(number)));
@@ -222,6 +237,7 @@
             rig.set_phase(number, Phase::Open);
         }
         Happening::Reloaded(number, times) => rig.reload(number, times),
+        Happening::BusMoves(number) => rig.move_bus(number).await,
         Happening::CrowdComes(number) => {
             for _ in 0..CROWD {
                 crowd.extend(TcpStream::connect(rig.front_ends[number].listen).await);
--- a/crates/cli/tests/outages/traffic.rs
+++ b/crates/cli/tests/outages/traffic.rs
@@ -16,6 +16,8 @@
 const MAX_OPEN: usize = 32;
 /// Part of the requests that call the newest function.
 const NEWEST_PART: f64 = 0.2;
+/// The longest wait of a client that waits for a moment only.
+const MAX_SHORT_ALLOW_MS: u64 = 60;
 /// Numbers of requests that one client may use.
 const NUMBERS: u64 = 1 << 24;
 
@@ -36,6 +38,8 @@
     pub unsafe_part: f64,
     /// Part of the requests that are cancelled soon.
     pub cancelled_part: f64,
+    /// Part of the requests whose clients wait for a moment only.
+    pub short_part: f64,
 }
 
 /// Which clients may connect and ask.
@@ -164,11 +168,12 @@
         let functions = self.load.functions + first_calls;
         let is_newest = self.random.random_bool(NEWEST_PART);
         let function = if is_newest { functions - 1 } else { self.random.random_range(0..functions) };
+        let allow = self.draw_allow();
         let request = SentRequest {
             at: Instant::now(),
             id: format!("{n:016x}"),
             tag: n.to_string(),
-            allow: self.load.allow,
+            allow,
             is_unsafe,
             body: format!("{function:x}").into_bytes(),
             left: None,
@@ -179,6 +184,13 @@
         }
     }
 
+    fn draw_allow(&mut self) -> Duration {
+        if self.load.short_part > 0.0 && self.random.random_bool(self.load.short_part) {
+            return Duration::from_millis(self.random.random_range(1..=MAX_SHORT_ALLOW_MS));
+        }
+        self.load.allow
+    }
+
     async fn ask_again(&mut self, connection: &mut Connection, crossed: SentRequest) {
         // A number that no other request has: of the upper half.
         let tag = (NUMBERS * 512 + crossed.tag.parse::<u64>().unwrap_or(0)).to_string();
--- a/crates/emulator/src/platform/executor.rs
+++ b/crates/emulator/src/platform/executor.rs
@@ -97,6 +97,8 @@
     intake: Intake,
     /// Requests that it runs at a time; 0: any number. Beyond them it answers `BUSY`, and `DOWN` to questions.
     places: usize,
+    /// Requests whose time is shorter than a run are dropped without a word.
+    drops_expired: bool,
 }
 
 impl State {
@@ -223,6 +225,11 @@
         self.state.lock().unwrap().places = places;
     }
 
+    /// Whether requests whose time is shorter than a run are dropped without a word.
+    pub fn set_drops_expired(&self, drops_expired: bool) {
+        self.state.lock().unwrap().drops_expired = drops_expired;
+    }
+
     /// Closes every open connection, whatever is on it; it goes on and takes new ones.
     pub fn close_connections(&self) {
         self.closing.send_replace(());
@@ -296,6 +303,9 @@
                 let stop = Arc::new(Notify::new());
                 let (rejects, holds, fault) = {
                     let mut s = state.lock().unwrap();
+                    if s.drops_expired && wait < run {
+                        continue;
+                    }
                     let rejects = s.rejects();
                     let holds = s.copies.contains(&key) && !rejects;
                     s.running.insert((conn, id.clone()), stop.clone());
