Fleet soak: executors that connections never come up to

Up to one in twenty is cut off: its connections are reset and new ones stay unaccepted behind a full backlog. The backlog is a module of its own, as the event bus uses it too.

--- a/crates/cli/tests/outages/fleet_soak.rs
+++ b/crates/cli/tests/outages/fleet_soak.rs
@@ -20,6 +20,9 @@
 const USUAL_FLEET: usize = 12;
 /// A front end with less of a core than this is not restarted: its drain has to end in time too.
 const MIN_SHARE_FOR_RESTART: f64 = 0.1;
+/// One of so many executors is cut off at most, and so many in all.
+const CUT_OFF_PART: usize = 20;
+const MAX_CUT_OFF: usize = 20;
 /// What becomes of spoilt answers.
 const FAULTS: [Fault; 12] = [
     Fault::Noise,
@@ -127,9 +130,14 @@
         let (index, at) = (random.random_range(first..executors), random.random_range(1000..11_000));
         happenings.push((at * MS, Happening::ClosesConnections(index)));
     }
+    for index in first..first + random.random_range(0..=(executors / CUT_OFF_PART).min(MAX_CUT_OFF)) {
+        happenings.push((random.random_range(1000..10_000) * MS, Happening::CutOff(index)));
+    }
     let (index, at) = (executors - 1, random.random_range(1000..8000));
     if random.random_bool(0.3) {
-        happenings.push((at * MS, Happening::Vanishes(index)));
+        let gone =
+            if random.random_bool(0.5) { Happening::Vanishes(index) } else { Happening::CutOff(index) };
+        happenings.push((at * MS, gone));
     } else if random.random_bool(0.5) {
         happenings.push((at * MS, Happening::Hangs(index, true)));
         happenings.push(((at + random.random_range(300..3000)) * MS, Happening::Hangs(index, false)));
--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -338,6 +338,11 @@
         self.slots[index].executor.end();
     }
 
+    /// An executor's machine is cut off: connections to it never come up; the list does not tell.
+    pub fn cut_off(&mut self, index: usize) {
+        self.slots[index].executor.cut_off();
+    }
+
     /// The next answers of an executor are spoilt.
     pub fn spoil(&mut self, index: usize, faults: Vec<Fault>) {
         self.slots[index].executor.spoil(faults);
--- a/crates/cli/tests/outages/soak.rs
+++ b/crates/cli/tests/outages/soak.rs
@@ -61,6 +61,8 @@
     SeveralRestarted(Range<usize>),
     /// Nobody listens at an executor's addresses any more, and the list does not tell.
     Vanishes(usize),
+    /// Connections to an executor never come up any more, and the list does not tell.
+    CutOff(usize),
     /// The next answers of an executor are spoilt.
     Spoils(usize, Vec<Fault>),
 }
@@ -251,6 +253,7 @@
         Happening::SeveralRemoved(indices) => rig.remove_all(indices),
         Happening::SeveralRestarted(indices) => rig.restart_all(indices).await,
         Happening::Vanishes(index) => rig.vanish(index),
+        Happening::CutOff(index) => rig.cut_off(index),
         Happening::Spoils(index, faults) => rig.spoil(index, faults),
     }
 }
--- a/crates/emulator/src/platform/bus.rs
+++ b/crates/emulator/src/platform/bus.rs
@@ -1,12 +1,13 @@
 //! An event bus: numbered events as frames, told from the number that a follower has; it breaks, falls silent, goes out of
 //! reach and moves on command.
 
+use super::backlog::full_backlog;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
@@ -295,22 +296,6 @@
     }
 }
 
-/// A listener that nobody accepts from, its backlog filled: further connections never come up.
-async fn full_backlog(address: SocketAddr, crowd: &mut Vec<TcpStream>) -> Option<TcpListener> {
-    let socket = TcpSocket::new_v4().ok()?;
-    socket.set_reuseaddr(true).ok()?;
-    socket.bind(address).ok()?;
-    let listener = socket.listen(1).ok()?;
-    // One more than fits never comes up.
-    loop {
-        let connecting = TcpStream::connect(address);
-        match tokio::time::timeout(Duration::from_millis(100), connecting).await {
-            Ok(Ok(stream)) => crowd.push(stream),
-            _ => return Some(listener),
-        }
-    }
-}
-
 /// Serves one follower until its connection ends.
 async fn tell(mut stream: TcpStream, state: Arc<Mutex<State>>, mut changed: watch::Receiver<u64>) {
     let mut last = [0u8; 8];
--- a/crates/emulator/src/platform/executor.rs
+++ b/crates/emulator/src/platform/executor.rs
@@ -1,6 +1,7 @@
 //! An executor: it holds copies, runs requests for a told time, loads on order, and spoils answers on command. All that
 //! crosses its sockets is noted with its time.
 
+use super::backlog::full_backlog;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -160,6 +161,18 @@
     }
 }
 
+async fn never_accept(address: SocketAddr) {
+    let mut crowd = Vec::new();
+    let _listener = loop {
+        // The listener that was there may take a moment to go.
+        match full_backlog(address, &mut crowd).await {
+            Some(listener) => break listener,
+            None => tokio::time::sleep(HUNG_POLL).await,
+        }
+    };
+    std::future::pending().await
+}
+
 async fn accept(listener: TcpListener, party: Party) {
     let mut tasks = tokio::task::JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
@@ -235,6 +248,12 @@
         self.closing.send_replace(());
     }
 
+    /// Its machine is cut off: its connections are reset, and new ones never come up.
+    pub fn cut_off(&mut self) {
+        self.end();
+        self.tasks = self.addresses.iter().map(|address| tokio::spawn(never_accept(*address))).collect();
+    }
+
     /// The process ends: its connections are reset, new ones refused.
     pub fn end(&self) {
         self.tasks.iter().for_each(tokio::task::JoinHandle::abort);
--- a/crates/emulator/src/platform/mod.rs
+++ b/crates/emulator/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! clients over RESP, executors over lines, the event bus, and a judge of the five rules by what the executors and
 //! clients saw on their sockets.
 
+mod backlog;
 pub mod bus;
 pub mod client;
 pub mod configuration;
