Front ends log what a late loop spent its time on; soaks with quiet times, hung executors and moves in a row

Judge: how late, with what answer. Soaks: executors that hang through a shutdown, moves of a bus in a row, and by hand a quiet time first (SOAK_QUIET_SECONDS).

--- a/crates/cli/tests/outages/processor_share.rs
+++ b/crates/cli/tests/outages/processor_share.rs
@@ -31,6 +31,8 @@
     /// Requests a second.
     rate: f64,
     length: Duration,
+    /// Part of the requests whose clients wait for a moment only.
+    short_part: f64,
     seed: u64,
 }
 
@@ -69,7 +71,7 @@
         allow: 1200 * MS,
         unsafe_part: 0.3,
         cancelled_part: 0.05,
-        short_part: 0.0,
+        short_part: play.short_part,
     }
 }
 
@@ -161,7 +163,14 @@
 #[test]
 fn a_front_end_with_too_little_of_a_core_loses_no_request_whatever_the_fleet() {
     let seeds = number("SHARE_SEEDS", 1);
-    let play = |share, rate, executors, seed| Play { executors, share, rate, length: 8000 * MS, seed };
+    let play = |share, rate, executors, seed| Play {
+        executors,
+        share,
+        rate,
+        length: 8000 * MS,
+        short_part: 0.0,
+        seed,
+    };
     let of_seed = |seed| {
         let sizes = [12, 100, 800, 3200];
         sizes
@@ -175,6 +184,19 @@
     assert!(broken.is_empty(), "{lost} lost: {broken:#?}");
 }
 
+/// Clients that wait for milliseconds are told of it in time, too. By hand `SHARE_SEEDS=5`.
+#[test]
+fn a_front_end_with_too_little_of_a_core_refuses_requests_of_milliseconds_in_time() {
+    let seeds = number("SHARE_SEEDS", 1);
+    let play =
+        |seed| Play { executors: 100, share: 0.02, rate: 60.0, length: 8000 * MS, short_part: 0.3, seed };
+    let plays: Vec<Play> = (1..=4 * seeds).map(play).collect();
+    let outcomes = run_all(&plays, 4);
+    let broken = broken(&outcomes);
+    let lost: usize = outcomes.iter().map(|outcome| outcome.lost).sum();
+    assert!(broken.is_empty(), "{lost} lost: {broken:#?}");
+}
+
 /// With three hundredths of a core thousands of executors cost little of what a dozen leave. By hand `SHARE_SEEDS=10`.
 #[test]
 fn thousands_of_executors_cost_no_more_than_a_seventh_of_the_service_of_a_busy_front_end() {
@@ -186,6 +208,7 @@
             share: 0.03,
             rate: 30.0,
             length: 8000 * MS,
+            short_part: 0.0,
             seed,
         })
     };
@@ -227,7 +250,7 @@
     let seeds = number("SHARE_SEEDS", 1);
     let length = Duration::from_secs(number("SHARE_SECONDS", 12));
     let of_seed = |seed| {
-        let play = |executors| Play { executors, share: 1.0, rate: 60.0, length, seed };
+        let play = |executors| Play { executors, share: 1.0, rate: 60.0, length, short_part: 0.0, seed };
         [12, USUAL, 800, 3200].map(play)
     };
     let plays: Vec<Play> = (1..=seeds).flat_map(of_seed).collect();
--- a/crates/cli/tests/outages/soak.rs
+++ b/crates/cli/tests/outages/soak.rs
@@ -31,6 +31,13 @@
 const STILL_CONNECTING: Duration = Duration::from_millis(300);
 /// Moves of event buses in a run at most.
 const MAX_BUS_MOVES: usize = 4;
+/// Traffic before a quiet time.
+const BEFORE_QUIET: Duration = Duration::from_secs(2);
+/// Moves of a bus one after the other, and the longest time between two.
+const MAX_MOVES_IN_ROW: usize = 3;
+const MAX_MOVE_INTERVAL_MS: u64 = 400;
+/// Executors that hang through a shutdown at most.
+const MAX_HUNG_AT_SHUTDOWN: usize = 4;
 /// Idle connections of a crowd.
 const CROWD: usize = 150;
 /// Broken rules shown of a run.
@@ -187,6 +194,9 @@
             happenings.push((at + kill_after, Happening::Killed(number)));
             let again = at + kill_after + random.random_range(1..300) * MS;
             happenings.push((again, Happening::StartedAgain(number)));
+            if random.random_bool(0.3) {
+                draw_hung_through(shape, at..at + kill_after, random, happenings);
+            }
             continue;
         }
         lasting.push(number);
@@ -197,7 +207,11 @@
     }
     for _ in 0..random.random_range(0..=MAX_BUS_MOVES) {
         let Some(number) = lasting.choose(random) else { break };
-        happenings.push((random.random_range(1500..10_000) * MS, Happening::BusMoves(*number)));
+        let mut at = random.random_range(1500..10_000);
+        for _ in 0..random.random_range(1..=MAX_MOVES_IN_ROW) {
+            happenings.push((Duration::from_millis(at), Happening::BusMoves(*number)));
+            at += random.random_range(20..=MAX_MOVE_INTERVAL_MS);
+        }
     }
     if random.random_bool(0.3) {
         let number = random.random_range(0..shape.front_ends);
@@ -206,10 +220,29 @@
     }
 }
 
+/// Some executors hang from before one moment to another.
+fn draw_hung_through(
+    shape: &Shape,
+    time: Range<Duration>,
+    random: &mut ChaCha8Rng,
+    happenings: &mut Vec<(Duration, Happening)>,
+) {
+    for _ in 0..random.random_range(1..=MAX_HUNG_AT_SHUTDOWN) {
+        let index = random.random_range(shape.executors / 2..shape.executors);
+        let before = random.random_range(0..500) * MS;
+        happenings.push((time.start.saturating_sub(before), Happening::Hangs(index, true)));
+        happenings.push((time.end, Happening::Hangs(index, false)));
+    }
+}
+
 async fn play(plan: Plan) -> (Plan, Verdict) {
     let environment = |number: usize| shim_environment(&plan.faults[number]);
     let mut rig = Rig::start(plan.shape, environment).await;
     rig.begin_traffic(plan.load);
+    let quiet = Duration::from_secs(number("SOAK_QUIET_SECONDS", 0));
+    if !quiet.is_zero() {
+        be_quiet(&mut rig, quiet).await;
+    }
     let start = Instant::now();
     let mut crowd = Vec::new();
     for (at, happening) in &plan.happenings {
@@ -221,6 +254,16 @@
     (plan, verdict)
 }
 
+/// After some traffic there is none for a while.
+async fn be_quiet(rig: &mut Rig, quiet: Duration) {
+    let set_phase =
+        |rig: &Rig, phase| (0..rig.shape.front_ends).for_each(|number| rig.set_phase(number, phase));
+    tokio::time::sleep(BEFORE_QUIET).await;
+    set_phase(rig, Phase::Quiet);
+    tokio::time::sleep(quiet).await;
+    set_phase(rig, Phase::Open);
+}
+
 async fn happen(rig: &mut Rig, happening: Happening, crowd: &mut Vec<TcpStream>) {
     match happening {
         Happening::OutageBegins(kind) => rig.begin_outage(kind),
--- a/crates/cli/tests/outages/traffic.rs
+++ b/crates/cli/tests/outages/traffic.rs
@@ -47,6 +47,8 @@
 pub enum Phase {
     /// They connect where they need to.
     Open,
+    /// They keep their connections and ask nothing.
+    Quiet,
     /// They use open connections alone.
     OpenConnections,
     /// They ask nothing more.
@@ -87,8 +89,10 @@
             Duration::from_secs_f64(traffic.random.random_range(0.0..2.0) * load.clients as f64 / load.rate);
         tokio::time::sleep(pause).await;
         let now = *phase.borrow_and_update();
-        if now == Phase::Over {
-            break;
+        match now {
+            Phase::Over => break,
+            Phase::Quiet => continue,
+            Phase::Open | Phase::OpenConnections => {}
         }
         if connection.as_ref().is_some_and(|open| open.client.closed().is_some()) {
             let crossed = connection.take().map(|closed| traffic.collect(closed)).unwrap_or_default();
--- a/crates/emulator/src/platform/judge.rs
+++ b/crates/emulator/src/platform/judge.rs
@@ -67,7 +67,11 @@
             [] if a.left.is_some() => {}
             [] => broken.push(format!("1: {} was never answered", a.id)),
             [one] if one.at > a.at + a.allow + answer_slack => {
-                broken.push(format!("1: {} was answered late", a.id))
+                let late = one.at - (a.at + a.allow);
+                broken.push(format!(
+                    "1: {} was answered late, {} by {late:?} after {:?}",
+                    a.id, one.word, a.allow
+                ))
             }
             [one] if one.word == "200" && one.body != a.body => {
                 broken.push(format!("1: {} got what none made", a.id))
--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -3,6 +3,7 @@
 use super::{ClientConnection, Clients};
 use crate::bounds;
 use crate::descriptors::{is_want, DescriptorHolder, Refusal};
+use crate::poll_times::{TaskKind, TimedTask};
 use crate::session::Session;
 use crate::sockets;
 use std::cell::{Cell, RefCell};
@@ -65,7 +66,8 @@
         let (inputs, wake) = (RefCell::default(), Notify::new());
         let connection = Rc::new(ClientConnection { id, session, stream, inputs, wake, over, silent, dirty });
         self.conns.borrow_mut().insert(id, connection.clone());
-        tokio::task::spawn_local(self.clone().talk(connection));
+        let talking = self.clone().talk(connection);
+        tokio::task::spawn_local(TimedTask::new(TaskKind::Clients, self.shared.clone(), talking));
         full
     }
 
--- a/crates/platform/src/executors/selection.rs
+++ b/crates/platform/src/executors/selection.rs
@@ -4,6 +4,7 @@
 use super::Executors;
 use crate::connection::{Closure, ConnectionState};
 use crate::descriptors::DescriptorHolder;
+use crate::poll_times::{TaskKind, TimedTask};
 use crate::sockets;
 use stagehoist::WorkerId;
 use std::cell::{Cell, RefCell};
@@ -32,7 +33,8 @@
         });
         executor.links.push(connection.clone());
         self.links.set(self.links.get() + 1);
-        tokio::task::spawn_local(self.clone().talk(connection.clone(), executor.address.clone()));
+        let talking = self.clone().talk(connection.clone(), executor.address.clone());
+        tokio::task::spawn_local(TimedTask::new(TaskKind::Executors, self.shared.clone(), talking));
         Some(connection)
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,7 +13,7 @@
 //! - [`stalls`]: for how long this process itself did not run.
 //! - [`reload`]: a configuration read again at a signal, until it can be read.
 //!
-//! With sockets, thin: [`shared`], [`descriptors`], [`clients`], [`executors`], [`watch`], [`run()`].
+//! With sockets, thin: [`shared`], [`poll_times`], [`descriptors`], [`clients`], [`executors`], [`watch`], [`run()`].
 //!
 //! Nothing here decides about a call: that is the module's, in the `stagehoist` package.
 #![forbid(unsafe_code)]
@@ -30,6 +30,7 @@
 pub mod fields;
 mod flatten;
 pub mod loop_lag;
+pub mod poll_times;
 pub mod reload;
 pub mod replay;
 pub mod request;
--- a/crates/platform/src/loop_lag.rs
+++ b/crates/platform/src/loop_lag.rs
@@ -3,6 +3,7 @@
 //! own before decisions are made, so that what can't be done in time is refused in time.
 
 use crate::completion_rate::CompletionRate;
+use crate::poll_times::{PollTimes, TaskKind};
 use hdrhistogram::Histogram;
 use stagehoist::Micros;
 use std::fmt;
@@ -35,6 +36,7 @@
     began_at: Micros,
     worst: Micros,
     refused: u64,
+    turns: PollTimes,
 }
 
 /// How far the loop is behind.
@@ -60,6 +62,8 @@
     pub refused: u64,
     /// The first of them, by reference.
     pub named: Vec<String>,
+    /// What the loop spent this second on.
+    pub turns: PollTimes,
 }
 
 /// Percentiles of the lag since the start, in microseconds.
@@ -106,6 +110,7 @@
         (second.worst >= REPORTED_LAG || second.refused > 0).then(|| LagReport {
             worst: second.worst,
             refused: second.refused,
+            turns: second.turns,
             named: named.iter().map(|reference| format!("{reference:016x}")).collect(),
         })
     }
@@ -132,6 +137,11 @@
         lag > 0 && (lag > remaining / MAX_LAG_DIVISOR || is_crowded())
     }
 
+    /// A task had a turn of this length.
+    pub fn record_turn(&mut self, kind: TaskKind, elapsed: Micros) {
+        self.second.turns.record(kind, elapsed);
+    }
+
     /// A request was refused because of the lag.
     pub fn note_refused(&mut self, reference: u64) {
         self.refused += 1;
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -5,6 +5,7 @@
 use crate::config::{ConfigError, PlatformSettings};
 use crate::descriptors;
 use crate::executors::{Executors, Limits, LoadCommand};
+use crate::poll_times::{TaskKind, TimedTask};
 use crate::reload;
 use crate::replay::Replay;
 use crate::session::Catalog;
@@ -96,15 +97,12 @@
     drop(inputs);
     let mut tasks = JoinSet::new();
     let (bus_address, bus_seen) = watch::channel(settings.bus);
-    tasks.spawn_local(watch_events(
-        shared.clone(),
-        executors.clone(),
-        EventSubscription::new(*last, clock.now()),
-        starts,
-        bus_seen,
-    ));
+    let subscription = EventSubscription::new(*last, clock.now());
+    let following = watch_events(shared.clone(), executors.clone(), subscription, starts, bus_seen);
+    tasks.spawn_local(TimedTask::new(TaskKind::Endpoints, shared.clone(), following));
     let listener = Rc::new(listener);
-    let accepting = tasks.spawn_local(clients.clone().accept(listener.clone()));
+    let accepting = clients.clone().accept(listener.clone());
+    let accepting = tasks.spawn_local(TimedTask::new(TaskKind::Clients, shared.clone(), accepting));
     tasks.spawn_local(shared.clone().check_stalls());
     let (drain, draining) = watch::channel(false);
     tasks.spawn_local(async move {
@@ -120,7 +118,7 @@
     let drain_most = settings.longest_deadline().min(MAX_DEADLINE) + DRAIN_BEYOND;
     tracing::info!(name = settings.name, %listen, subscription = %settings.bus, workers = events.len(), "front end started");
     let transport = Platform {
-        shared,
+        shared: shared.clone(),
         clients,
         executors,
         listener,
@@ -141,7 +139,7 @@
         state,
         session: None,
     };
-    driver::run(parts).await;
+    TimedTask::new(TaskKind::Driver, shared, driver::run(parts)).await;
     tasks.shutdown().await;
     tracing::info!("front end ended");
     Ok(())
--- a/crates/platform/src/shared.rs
+++ b/crates/platform/src/shared.rs
@@ -64,8 +64,8 @@
             let now = self.clock.now();
             let late = self.stalls.borrow_mut().check(now);
             if let Some(report) = self.lag.borrow_mut().record(late, now) {
-                let LagReport { worst, refused, named } = report;
-                tracing::warn!(worst_ms = worst / 1000, refused, ?named, "loop behind");
+                let LagReport { worst, refused, named, turns } = report;
+                tracing::warn!(worst_ms = worst / 1000, refused, ?named, %turns, "loop behind");
             }
         }
     }
