--- a/crates/cli/tests/outages/drains.rs
+++ b/crates/cli/tests/outages/drains.rs
@@ -1,6 +1,6 @@
 //! Drains that the list can't tell of: rule 3 by the clock of the pages, for sends and for orders to load.
 
-use crate::rig::{Rig, Shape, Verdict};
+use crate::rig::{beside_others, Rig, Shape, Verdict};
 use crate::traffic::Load;
 use stagehoist_emulator::platform::bus::{Resumption, SubscriptionFault};
 use stagehoist_emulator::platform::judge::SLACK;
@@ -136,6 +136,7 @@
 /// A front end that is started anew inside an outage has the list of its start, which nothing vouches for.
 #[test]
 fn a_front_end_started_inside_an_outage_keeps_drains_that_begin_after_its_start() {
+    let _beside = beside_others();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     for kind in [SubscriptionFault::Refusing, SubscriptionFault::Unreachable] {
         let verdict = runtime.block_on(async {
@@ -163,6 +164,7 @@
 /// Two front ends through each kind of outage. By hand `OUTAGE_SEEDS=20`.
 #[test]
 fn every_kind_of_outage_keeps_the_rules_and_nine_tenths_of_the_service() {
+    let _beside = beside_others();
     use SubscriptionFault::{Closing, Refusing, Silent, Unreachable};
     let seeds: u64 = std::env::var("OUTAGE_SEEDS").map_or(1, |text| text.parse().unwrap());
     for seed in 100..100 + seeds {
@@ -172,6 +174,7 @@
 
 #[test]
 fn drains_within_an_outage_of_discovery_are_kept_for_sends_and_for_orders_to_load() {
+    let _beside = beside_others();
     use SubscriptionFault::{Refusing, Silent};
     let cases = [(Silent, 1, 1), (Refusing, 1, 2), (Silent, 3, 3), (Refusing, 3, 4), (Silent, 8, 5)];
     all_keep_the_rules(cases.map(|(kind, front_ends, seed)| Case::new(kind, front_ends, seed)));
@@ -180,6 +183,7 @@
 /// The first of the missed events says nothing of those after it.
 #[test]
 fn drains_that_a_bus_tells_slowly_after_an_outage_are_kept_from_its_first_event_on() {
+    let _beside = beside_others();
     use SubscriptionFault::{Closing, Refusing, Silent, Unreachable};
     let case = |(kind, seed)| Case { resumption: Resumption::SlowEvents, ..Case::new(kind, 2, seed) };
     all_keep_the_rules([(Silent, 6), (Refusing, 7), (Closing, 8), (Unreachable, 9)].map(case));
--- a/crates/cli/tests/outages/fleet_soak.rs
+++ b/crates/cli/tests/outages/fleet_soak.rs
@@ -2,7 +2,7 @@
 //! spoil their answers, beside the outages, signals, crowds and faults of machines of the other soak. Played again by
 //! `SOAK_FIRST=17 FLEET_SOAK_SEEDS=1 cargo test -p stagehoist-cli --test outages fleet_soak -- --nocapture`.
 
-use crate::rig::{one_large_fleet, Shape};
+use crate::rig::{alone, Shape};
 use crate::soak::{draw_faults, draw_outages, draw_signals, number, run_seeds, Happening, Plan};
 use crate::traffic::Load;
 use rand::{RngExt, SeedableRng};
@@ -146,6 +146,6 @@
 
 #[test]
 fn fleets_of_all_sizes_keep_every_rule_under_drawn_faults_and_shares_of_a_core() {
-    let _alone = one_large_fleet();
+    let _alone = alone();
     run_seeds("fleet-soak", number("FLEET_SOAK_SEEDS", SEEDS), number("SOAK_AT_ONCE", AT_ONCE), draw);
 }
--- a/crates/cli/tests/outages/machine.rs
+++ b/crates/cli/tests/outages/machine.rs
@@ -1,7 +1,7 @@
 //! Faults of the machine under a front end, without an outage: system calls that fail for a moment or are interrupted, and
 //! a wall clock that steps. None of it says anything about an executor, and nothing of it costs a call.
 
-use crate::rig::{Rig, Shape, Verdict};
+use crate::rig::{beside_others, Rig, Shape, Verdict};
 use crate::traffic::Load;
 use stagehoist_emulator::platform::judge::SLACK;
 use std::path::PathBuf;
@@ -82,10 +82,12 @@
 
 #[test]
 fn calls_on_sockets_that_fail_for_a_moment_cost_no_call_and_eject_no_executor() {
+    let _beside = beside_others();
     is_untouched_by("seed=5,sockets=50000");
 }
 
 #[test]
 fn a_wall_clock_that_steps_by_seconds_or_an_hour_both_ways_changes_nothing() {
+    let _beside = beside_others();
     is_untouched_by("steps=500:3600000;1500:-7200000;2900:7000;4000:-9000");
 }
--- a/crates/cli/tests/outages/processor_share.rs
+++ b/crates/cli/tests/outages/processor_share.rs
@@ -2,7 +2,7 @@
 //! time, and what a front end needs does not grow with the fleet.
 
 use crate::machine::shim_environment;
-use crate::rig::{one_large_fleet, Rig, Shape, Verdict};
+use crate::rig::{alone, Rig, Shape, Verdict};
 use crate::soak::number;
 use crate::traffic::Load;
 use crate::usage::Usage;
@@ -111,7 +111,7 @@
 
 /// Plays all, each on a thread of its own, so many at once.
 fn run_all(plays: &[Play], at_once: usize) -> Vec<Outcome> {
-    let _alone = one_large_fleet();
+    let _alone = alone();
     let mut outcomes = Vec::new();
     for some in plays.chunks(at_once) {
         let start = |play: Play| {
--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -58,10 +58,17 @@
     SocketAddr::from(([127, host, c, d.clamp(1, 254)], port))
 }
 
-/// Held by a test with thousands of executors: their listeners take descriptors, and some measure processor time.
-pub fn one_large_fleet() -> MutexGuard<'static, ()> {
-    static LARGE_FLEET: Mutex<()> = Mutex::new(());
-    LARGE_FLEET.lock().unwrap_or_else(PoisonError::into_inner)
+static TESTS: RwLock<()> = RwLock::new(());
+
+/// Held by a test with thousands of executors: their listeners take descriptors, and some measure processor time, which
+/// costs more on a processor that others use too.
+pub fn alone() -> RwLockWriteGuard<'static, ()> {
+    TESTS.write().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Held by each other test.
+pub fn beside_others() -> RwLockReadGuard<'static, ()> {
+    TESTS.read().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// What a rig is made of.
--- a/crates/cli/tests/outages/soak.rs
+++ b/crates/cli/tests/outages/soak.rs
@@ -4,7 +4,7 @@
 //! `SOAK_SEEDS` says, `SOAK_AT_ONCE` of them at a time.
 
 use crate::machine::shim_environment;
-use crate::rig::{Rig, Shape, Verdict};
+use crate::rig::{beside_others, Rig, Shape, Verdict};
 use crate::traffic::{Load, Phase};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -336,6 +336,7 @@
 
 #[test]
 fn soak_of_outages_drains_restarts_and_faults_of_machines_keeps_every_rule() {
+    let _beside = beside_others();
     run_seeds("outage-soak", number("SOAK_SEEDS", SEEDS), number("SOAK_AT_ONCE", AT_ONCE), draw);
 }
 
