Fleet sums: without a trait for one call and a struct of one field

PopFirstIf was implemented for every set and called once; ListedState held one time. The sums and their order are as before: the recordings and drawn rules of the module pass unchanged.

--- a/crates/core/src/policy/endpoints.rs
+++ b/crates/core/src/policy/endpoints.rs
@@ -1,7 +1,7 @@
 //! Endpoint lists: which workers there are and whether they take requests (rule 3).
 
 use super::beliefs::Beliefs;
-use super::fleet::{ListedState, WorkerTime};
+use super::fleet::WorkerTime;
 use super::numbers::hash_fraction;
 use super::worker::Worker;
 use super::FrontEnd;
@@ -93,11 +93,11 @@
             if listed.contains(&worker.endpoint.worker) {
                 continue;
             }
-            let before = ListedState { listed_at: worker.listed_at };
+            let listed_before = worker.listed_at;
             worker.ready = false;
             worker.endpoint.lifecycle = Lifecycle::Gone;
             worker.listed_at = now;
-            self.count_listed(index, &before, now);
+            self.count_listed(index, listed_before, now);
         }
     }
 
@@ -105,7 +105,7 @@
         let known = self.worker_index.get(&endpoint.worker).copied();
         let index = known.unwrap_or_else(|| self.add_worker(endpoint, now));
         let worker = &mut self.workers[index];
-        let before = ListedState { listed_at: worker.listed_at };
+        let listed_before = worker.listed_at;
         if endpoint.started > worker.endpoint.started {
             worker.warming_since = (endpoint.started > 0).then_some(endpoint.started);
             worker.beliefs = Beliefs::restarted(now);
@@ -114,7 +114,7 @@
         worker.confirmation.listed();
         worker.endpoint = endpoint.clone();
         worker.listed_at = now;
-        self.count_listed(index, &before, now);
+        self.count_listed(index, listed_before, now);
         self.changed_workers.insert(index);
     }
 
--- a/crates/core/src/policy/fleet.rs
+++ b/crates/core/src/policy/fleet.rs
@@ -101,7 +101,8 @@
 
     /// The next worker that is due.
     fn pop_due(&mut self, now: Micros) -> Option<usize> {
-        self.due.pop_first_if(|due| due.at <= now).map(|due| due.index)
+        self.due.first().filter(|due| due.at <= now)?;
+        self.due.pop_first().map(|due| due.index)
     }
 
     /// The workers that warm up, of a fleet of `workers`: all of a small one, some in turn of a larger one.
@@ -128,20 +129,6 @@
     }
 }
 
-/// The part of a set before its end that satisfies a condition, one after the other.
-trait PopFirstIf<T> {
-    fn pop_first_if(&mut self, condition: impl FnOnce(&T) -> bool) -> Option<T>;
-}
-
-impl<T: Ord> PopFirstIf<T> for BTreeSet<T> {
-    fn pop_first_if(&mut self, condition: impl FnOnce(&T) -> bool) -> Option<T> {
-        if !self.first().is_some_and(condition) {
-            return None;
-        }
-        self.pop_first()
-    }
-}
-
 impl FrontEnd {
     /// A worker changes: it is counted anew before the next decisions.
     pub(super) fn touch(&mut self, index: usize) {
@@ -202,18 +189,16 @@
         }
     }
 
-    /// A worker's entry in the list changed from `before`: the sums that the next events go by change with it.
-    pub(super) fn count_listed(&mut self, index: usize, before: &ListedState, now: Micros) {
-        let old = WorkerTime { at: before.listed_at, index };
-        self.fleet.gone.remove(&old);
+    /// A worker's entry in the list changed, the last time at `listed_before`: the sums that the next events go by change
+    /// with it.
+    pub(super) fn count_listed(&mut self, index: usize, listed_before: Micros, now: Micros) {
+        self.fleet.gone.remove(&WorkerTime { at: listed_before, index });
         let worker = &self.workers[index];
-        let (is_gone, is_ready) = (worker.endpoint.lifecycle == Lifecycle::Gone, worker.ready);
-        let listed_at = worker.listed_at;
-        if is_gone {
-            self.fleet.gone.insert(WorkerTime { at: listed_at, index });
+        if worker.endpoint.lifecycle == Lifecycle::Gone {
+            self.fleet.gone.insert(WorkerTime { at: worker.listed_at, index });
             self.ranking_version += 1;
         }
-        if is_ready {
+        if worker.ready {
             self.join_check_round(index);
         } else {
             self.fleet.checked.remove(&WorkerTime { at: worker.checked_at, index });
@@ -231,11 +216,6 @@
     }
 }
 
-/// What the sums hold of a worker's entry in the list.
-pub(super) struct ListedState {
-    pub listed_at: Micros,
-}
-
 /// Whether nothing that is believed of a worker decays any more.
 fn is_at_rest(beliefs: &Beliefs) -> bool {
     (beliefs.slowdown - 1.0).abs() < REST_TOLERANCE && beliefs.error_rate < REST_TOLERANCE
