Platform and emulator: state of one second in one place, a moved bus takes the whole state

LoopLag kept the named requests of a second beside the second. A bus that moves copied its state field by field after copying its events. The judge's rule 3 goes by the time since the drain in place of a tuple of three conditions; the bound is the same. The reasons of denied attempts are private, as nobody else uses them.

--- a/crates/emulator/src/platform/bus.rs
+++ b/crates/emulator/src/platform/bus.rs
@@ -65,6 +65,7 @@
     WholeList,
 }
 
+#[derive(Clone)]
 struct State {
     events: Vec<(u64, u8, Vec<u8>)>,
     mood: SubscriptionFault,
@@ -197,14 +198,9 @@
     /// tells nothing further, accepts nobody, and closes its connections after a while.
     pub async fn move_to(&mut self, address: SocketAddr) -> std::io::Result<()> {
         let new = EventBus::start_at(address, self.last()).await?;
-        self.copy_to(&new);
-        let mood = {
-            let (old, mut state) = (self.state.lock().unwrap(), new.state.lock().unwrap());
-            state.resumption = old.resumption;
-            state.asked.clone_from(&old.asked);
-            state.records.clone_from(&old.records);
-            old.mood
-        };
+        let state = self.state.lock().unwrap().clone();
+        let mood = state.mood;
+        *new.state.lock().unwrap() = state;
         new.mood(mood);
         let old = std::mem::replace(self, new);
         old.mood(SubscriptionFault::Retired);
--- a/crates/emulator/src/platform/judge.rs
+++ b/crates/emulator/src/platform/judge.rs
@@ -113,11 +113,10 @@
         for s in seen {
             let new = matches!(s.what, ExecutorRequest::Run { .. })
                 || matches!(s.what, ExecutorRequest::Hold { copies, .. } if copies > 0);
-            let notified = told.drained.get(id).copied();
-            let late = notified.filter(|at| s.at > *at + told.grace + SLACK);
+            let since = told.drained.get(id).map(|at| s.at.saturating_duration_since(*at));
+            let late = since.filter(|since| *since > told.grace + SLACK);
             let is_ready_again = told.ready_again.get(id).is_some_and(|at| s.at >= *at);
-            if let (true, Some(at), false) = (new, late, is_ready_again) {
-                let since = s.at - at;
+            if let Some(since) = late.filter(|_| new && !is_ready_again) {
                 broken.push(format!("3: {:?} to executor {id:08x} {since:?} after it drained", s.what));
             }
             orders
--- a/crates/platform/src/executors/egress.rs
+++ b/crates/platform/src/executors/egress.rs
@@ -17,7 +17,7 @@
 
 /// Why an attempt does not begin, though its client waits as far as is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Denial {
+pub(super) enum Denial {
     /// Its client's socket was not read to its end.
     ClientUnread,
     /// Its time, its client's, or that of the news of its executor is over.
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -9,7 +9,7 @@
 mod writing;
 
 pub use commands::LoadCommand;
-pub use egress::{Denial, EgressCounters};
+pub use egress::EgressCounters;
 
 use crate::bounds::Bounds;
 use crate::clients::Shared;
--- a/crates/platform/src/loop_lag.rs
+++ b/crates/platform/src/loop_lag.rs
@@ -31,11 +31,13 @@
 const DIGITS: u8 = 2;
 
 /// Observations of one second.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Debug, Default)]
 struct Second {
     began_at: Micros,
     worst: Micros,
     refused: u64,
+    /// The first requests that were refused.
+    named: Vec<u64>,
     turns: PollTimes,
 }
 
@@ -45,8 +47,6 @@
     last_at: Micros,
     histogram: Histogram<u32>,
     second: Second,
-    /// The first requests that were refused in this second.
-    named: Vec<u64>,
     /// Requests refused because of it.
     pub refused: u64,
     /// Requests that were taken and are over.
@@ -89,7 +89,6 @@
             last_at: 0,
             histogram: histogram.expect("the bounds of the histogram are constants that it takes"),
             second: Second::default(),
-            named: Vec::new(),
             refused: 0,
             completions: CompletionRate::new(now),
         }
@@ -106,12 +105,11 @@
             return None;
         }
         let second = std::mem::replace(&mut self.second, Second { began_at: now, ..Second::default() });
-        let named = std::mem::take(&mut self.named);
         (second.worst >= REPORTED_LAG || second.refused > 0).then(|| LagReport {
             worst: second.worst,
             refused: second.refused,
             turns: second.turns,
-            named: named.iter().map(|reference| format!("{reference:016x}")).collect(),
+            named: second.named.iter().map(|reference| format!("{reference:016x}")).collect(),
         })
     }
 
@@ -146,8 +144,8 @@
     pub fn note_refused(&mut self, reference: u64) {
         self.refused += 1;
         self.second.refused += 1;
-        if self.named.len() < MAX_NAMED {
-            self.named.push(reference);
+        if self.second.named.len() < MAX_NAMED {
+            self.second.named.push(reference);
         }
     }
 
