--- a/review/common/kit.rs
+++ b/review/common/kit.rs
@@ -135,6 +135,8 @@
     pub draining: bool,
     /// Each MISS is written a second time after this time.
     pub second_miss_ms: Option<u64>,
+    /// The same for BUSY.
+    pub second_busy_ms: Option<u64>,
     /// Requests that it runs at a time; beyond them it answers BUSY.
     pub places: usize,
     /// The run time of a request, where it differs: by its id.
@@ -149,6 +151,7 @@
             holds_all: false,
             draining: false,
             second_miss_ms: None,
+            second_busy_ms: None,
             places: usize::MAX,
             run_ms_of: BTreeMap::new(),
         }
@@ -321,11 +324,12 @@
         };
         if word != Word::Ok {
             self.answer(&id, &word, &[], &write);
-            if let (Word::Miss, Some(after)) = (&word, manner.second_miss_ms) {
+            let second = if word == Word::Miss { manner.second_miss_ms } else { manner.second_busy_ms };
+            if let Some(after) = second {
                 thread::spawn(move || {
                     sleep_ms(after);
-                    note(&format!("executor {} writes its MISS for {id} a second time", self.id));
-                    write_answer(&id, &Word::Miss, &[], &write);
+                    note(&format!("executor {} writes its {} for {id} a second time", self.id, word.text()));
+                    write_answer(&id, &word, &[], &write);
                 });
             }
             return;
@@ -458,10 +462,10 @@
     }
 
     pub fn cut(&self) {
-        self.is_cut.store(true, Ordering::SeqCst);
-        sleep_ms(5);
         // A full backlog: the system answers no new connection.
         unsafe { listen(self.listener.as_raw_fd(), 0) };
+        self.is_cut.store(true, Ordering::SeqCst);
+        sleep_ms(5);
         let mut crowd = self.crowd.lock().unwrap();
         while let Ok(stream) = TcpStream::connect_timeout(&self.address, Duration::from_millis(30)) {
             crowd.push(stream);
@@ -471,8 +475,9 @@
 
     pub fn heal(&self) {
         let mut crowd = self.crowd.lock().unwrap();
-        for _ in 0..crowd.len() {
-            let _ = self.listener.accept();
+        // What came up in the backlog meanwhile did not come up on a network that is cut.
+        while let Ok((stream, _)) = self.listener.accept() {
+            set_linger_zero(&stream);
         }
         crowd.clear();
         unsafe { listen(self.listener.as_raw_fd(), 128) };
@@ -637,6 +642,11 @@
 
 static CHILDREN: Mutex<Vec<i32>> = Mutex::new(Vec::new());
 
+/// Notes a process that is to be ended with the case.
+pub fn keep(process: u32) {
+    CHILDREN.lock().unwrap().push(process as i32);
+}
+
 /// Ends all processes that the case started.
 pub fn end_all() {
     for pid in CHILDREN.lock().unwrap().drain(..) {
