--- a/review/common/kit.rs
+++ b/review/common/kit.rs
@@ -768,12 +768,17 @@
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
     }
 
-    /// Resident memory in MB.
-    pub fn memory_mb(&self) -> f64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let line = text.lines().find(|l| l.starts_with("VmRSS:")).unwrap_or_default();
-        line.split_whitespace().nth(1).and_then(|kb| kb.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
-    }
+}
+
+pub fn signal(process: u32, signal: i32) {
+    unsafe { kill(process as i32, signal) };
+}
+
+/// Resident memory of a process's own in MB, without that of files.
+pub fn own_memory_mb(process: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = text.lines().find(|l| l.starts_with("RssAnon:")).unwrap_or_default();
+    line.split_whitespace().nth(1).and_then(|kb| kb.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
 }
 
 // ----------------------------------------------------------------------------------------------------------- client
