--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -13,7 +13,7 @@
 fn main() {
     open_record(Path::new(&std::env::args().nth(1).expect("the record's path")));
     let folder = temporary();
-    let manner = Manner { holds_all: true, run_ms: 50, ..Manner::default() };
+    let manner = Manner { holds_all: true, run_ms: 50, goes_on: true, ..Manner::default() };
     let executors: Vec<_> = (1..=EXECUTORS).map(|id| Executor::start(id, manner.clone())).collect();
     let links: Vec<_> = executors.iter().map(|executor| Link::to(executor.address)).collect();
     let hosts = executors.iter().zip(&links).map(|(executor, link)| Host::ready(executor.id, link.address));
@@ -66,12 +66,16 @@
         cannot_run("too few requests were still open when their clients gave up");
     }
     let mut breaks = Vec::new();
-    for seen in executors.iter().flat_map(|executor| executor.all_seen()) {
-        let Seen::Run { id, .. } = &seen.seen else { continue };
+    let all: Vec<At> = executors.iter().flat_map(|executor| executor.all_seen()).collect();
+    for seen in &all {
+        let Seen::Run { id, class, .. } = &seen.seen else { continue };
         let late = cancelled.iter().find(|(cancelled, at)| cancelled == id && seen.at > at + LIMIT_MS);
         if let Some((_, at)) = late {
             let (executor, after) = (seen.executor, seen.at - at);
-            breaks.push(format!("an attempt of {id} began at executor {executor} {after:.0} ms after its cancellation"));
+            let ran = all.iter().any(|s| s.executor == executor && s.seen == Seen::Ran { id: id.clone() });
+            let end = if ran { "ran to its end" } else { "did not run to its end" };
+            let what = format!("{class}, began at executor {executor} {after:.0} ms after its cancellation and {end}");
+            breaks.push(format!("an attempt of {id}, {what}"));
         }
     }
     conclude(&breaks, &folder);
--- a/review/common/kit.rs
+++ b/review/common/kit.rs
@@ -133,14 +133,10 @@
     pub holds_all: bool,
     /// Draining: it rejects new work and says DOWN.
     pub draining: bool,
-    /// Each MISS is written a second time after this time.
-    pub second_miss_ms: Option<u64>,
-    /// The same for BUSY.
-    pub second_busy_ms: Option<u64>,
     /// Requests that it runs at a time; beyond them it answers BUSY.
     pub places: usize,
-    /// The run time of a request, where it differs: by its id.
-    pub run_ms_of: BTreeMap<String, u64>,
+    /// Work that runs goes on after a STOP; it gets no answer.
+    pub goes_on: bool,
 }
 
 impl Default for Manner {
@@ -150,10 +146,8 @@
             load_ms: 900,
             holds_all: false,
             draining: false,
-            second_miss_ms: None,
-            second_busy_ms: None,
             places: usize::MAX,
-            run_ms_of: BTreeMap::new(),
+            goes_on: false,
         }
     }
 }
@@ -324,31 +318,21 @@
         };
         if word != Word::Ok {
             self.answer(&id, &word, &[], &write);
-            let second = if word == Word::Miss { manner.second_miss_ms } else { manner.second_busy_ms };
-            if let Some(after) = second {
-                thread::spawn(move || {
-                    sleep_ms(after);
-                    note(&format!("executor {} writes its {} for {id} a second time", self.id, word.text()));
-                    write_answer(&id, &word, &[], &write);
-                });
-            }
             return;
         }
         self.saw(Seen::Began { id: id.clone() });
-        let run_ms = manner.run_ms_of.get(&id).copied().unwrap_or(manner.run_ms);
         thread::spawn(move || {
-            let by = Instant::now() + Duration::from_millis(run_ms);
+            let by = Instant::now() + Duration::from_millis(manner.run_ms);
             while Instant::now() < by {
-                if stopped.load(Ordering::SeqCst) {
+                if stopped.load(Ordering::SeqCst) && !manner.goes_on {
                     return;
                 }
                 sleep_ms(1);
             }
-            if self.running.lock().unwrap().remove(&(connection, id.clone())).is_none() {
-                return;
-            }
             self.saw(Seen::Ran { id: id.clone() });
-            self.answer(&id, &Word::Ok, &body, &write);
+            if self.running.lock().unwrap().remove(&(connection, id.clone())).is_some() {
+                self.answer(&id, &Word::Ok, &body, &write);
+            }
         });
     }
 
