Executors: a connection is reset if an abandoned request may not have arrived there

Callers saw: during a partition a client cancels a request, disconnects, runs out of time, or its front end ends; when the partition is over, the request begins at its executor all the same, seconds later, `order-send` among them.

Cause: a written request is in the hands of this system, which sends it until the connection is reset. An abandoned request got a STOP behind it and nothing else. Its connection stayed open, or was closed in order as idle, and neither discards what the system still holds.

Fix: executors read their messages in order, so an answer to any message confirms those written before. A request abandoned before its arrival is confirmed is followed by a probe, if probes are permitted. Unless an answer confirms it within 80 ms, of the 100 ms in which an attempt may still begin, the connection is reset, which discards what was not sent. Sockets to executors are set to be reset by any close, also at a crash, and are closed in order only where nothing written could still start a request. The counter `unconfirmed` tells how often a connection was reset for this.

--- a/crates/platform/src/connection/ending.rs
+++ b/crates/platform/src/connection/ending.rs
@@ -1,6 +1,10 @@
 //! Ends exchanges: abandoned and withdrawn ones, and those that were open when the connection ended.
 
-use super::{Closure, ConnectionState, Exchange, PendingExchange, ProtocolViolation, Tag, MAX_ABANDONED};
+use super::delivery::Position;
+use super::{
+    AbandonedRequest, Closure, ConnectionState, Exchange, PendingExchange, ProtocolViolation, Tag,
+    MAX_ABANDONED,
+};
 use bytes::BytesMut;
 use stagehoist::{Micros, Outcome};
 use stagehoist_gateway::state::{AttemptResult, Input};
@@ -9,8 +13,10 @@
     /// Abandons a request. An unwritten request is removed from the queue. The connection counts as silent if the
     /// write of the request began at least `timeout` ago and nothing was read since. A partly written request is not
     /// completed, because the executor would then start it. In that case nothing more is written on the connection
-    /// ([`ConnectionState::is_truncated`]), and the caller must withdraw the requests queued on it. Returns true if
-    /// the connection is to be closed: it is truncated and awaits no answer to a request that was started.
+    /// ([`ConnectionState::is_truncated`]), and the caller must withdraw the requests queued on it. A completely
+    /// written request may still be on its way: the executor must confirm its arrival, or [`ConnectionState::expire`]
+    /// fails. Returns true if the connection is to be closed: it is truncated and awaits no answer to a request that
+    /// was started.
     pub fn abandon(&mut self, id: u64, text: &str, now: Micros, timeout: Micros) -> bool {
         let tag = Tag::Call(id);
         let Some(open) = self.pending.remove(&tag) else { return false };
@@ -19,22 +25,42 @@
             None => self.remove_queued(tag),
             Some(at) => {
                 self.is_silent |= self.last_read <= at && now - at >= timeout;
-                if open.completed_at.is_none() {
-                    self.is_truncated = true;
-                    self.queue.clear();
-                }
-                if !self.is_truncated {
-                    if self.abandoned.len() == MAX_ABANDONED {
-                        self.abandoned.pop_front();
+                match open.position {
+                    None => {
+                        self.is_truncated = true;
+                        self.queue.clear();
                     }
-                    self.abandoned.push_back(id);
-                    self.push(None, format!("STOP {text}\r\n").into_bytes(), now);
+                    Some(position) => self.stop(AbandonedRequest { id, position }, text, now),
                 }
             }
         }
         self.is_spent()
     }
 
+    /// Tells the executor to stop a completely written request, and to confirm that the request has arrived if that is
+    /// not known.
+    fn stop(&mut self, request: AbandonedRequest, text: &str, now: Micros) {
+        let is_unconfirmed = self.deliveries.on_abandoned(request.position, now);
+        if self.is_truncated {
+            return;
+        }
+        let is_checked = self.has_probe_after(request.position);
+        if self.abandoned.len() == MAX_ABANDONED {
+            self.abandoned.pop_front();
+        }
+        self.abandoned.push_back(request);
+        self.push(None, format!("STOP {text}\r\n").into_bytes(), now);
+        if is_unconfirmed && !is_checked && !self.forbids_probes {
+            self.send_probe("NOOP", Exchange::DeliveryCheck { sent: now }, now);
+        }
+    }
+
+    /// Whether an unanswered probe is or will be written behind this position.
+    fn has_probe_after(&self, position: Position) -> bool {
+        let is_after = |open: &PendingExchange| open.position.is_none_or(|probe| probe > position);
+        self.pending.values().any(|open| open.exchange.is_probe() && is_after(open))
+    }
+
     /// Withdraws a request that is not completely written and must not start any more. An unwritten request ends as
     /// `Full`; a partly written one ends as an error, and nothing more is written on the connection, as after
     /// [`ConnectionState::abandon`]. Returns true if the connection is to be closed.
@@ -55,13 +81,19 @@
         self.is_spent()
     }
 
-    /// Returns when the next pending load order counts as lost.
-    pub fn next_load_timeout(&self, load_timeout: Micros) -> Option<Micros> {
+    /// Returns when the next pending load order counts as lost, or the next abandoned request as undelivered.
+    pub fn next_timeout(&self, load_timeout: Micros) -> Option<Micros> {
         let due = |o: &PendingExchange| match o.exchange {
             Exchange::Load { sent, .. } => Some(sent + load_timeout),
             _ => None,
         };
-        self.pending.values().filter_map(due).min()
+        self.pending.values().filter_map(due).chain(self.deliveries.next_deadline()).min()
+    }
+
+    /// Whether no message that may still be on its way to the executor could start a request there.
+    pub fn is_settled(&self) -> bool {
+        let is_unstarted = |open: &PendingExchange| open.started_at.is_none() || open.is_delivery_check();
+        !self.deliveries.has_unconfirmed() && self.pending.values().all(is_unstarted)
     }
 
     /// Whether nothing more may be written on this connection.
@@ -71,7 +103,7 @@
 
     /// Whether the connection is truncated and awaits no answer to anything that was started.
     pub fn is_spent(&self) -> bool {
-        self.is_truncated && self.pending.values().all(|o| o.started_at.is_none())
+        self.is_truncated && self.pending.values().all(|o| o.started_at.is_none() || o.is_delivery_check())
     }
 
     /// Removes a queued message that is not started. A partly written message must be completed, because otherwise
@@ -101,10 +133,8 @@
     /// executor. Otherwise the outcome is `ConnectFailed`, and health checks stay queued.
     pub fn withdraw(&mut self, now: Micros, inputs: &mut Vec<Input>) {
         let outcome = if self.is_truncated { Outcome::Full } else { Outcome::ConnectFailed };
-        let unstarted = |o: &PendingExchange| {
-            o.started_at.is_none()
-                && (self.is_truncated || !matches!(o.exchange, Exchange::HealthCheck { .. }))
-        };
+        let unstarted =
+            |o: &PendingExchange| o.started_at.is_none() && (self.is_truncated || !o.exchange.is_probe());
         let tags: Vec<Tag> = self.pending.iter().filter(|(_, o)| unstarted(o)).map(|(t, _)| *t).collect();
         for tag in tags {
             self.remove_queued(tag);
@@ -146,7 +176,8 @@
     }
 
     /// Ends health checks and load orders that were not answered in time. Returns an error if the connection has to
-    /// be closed because an answer is incomplete or an overdue load order may still reach the executor.
+    /// be closed because an answer is incomplete, or an overdue load order or an abandoned request may still reach the
+    /// executor.
     pub fn expire(
         &mut self,
         now: Micros,
@@ -157,9 +188,12 @@
         if !self.buffer.is_empty() && now - self.last_read >= timeout {
             return Err(ProtocolViolation::Short);
         }
+        if self.deliveries.is_overdue(now) {
+            return Err(ProtocolViolation::Unconfirmed);
+        }
         let is_overdue = |o: &PendingExchange| match o.exchange {
             Exchange::Attempt { .. } => false,
-            Exchange::HealthCheck { sent, .. } => now - sent >= timeout,
+            Exchange::HealthCheck { sent, .. } | Exchange::DeliveryCheck { sent } => now - sent >= timeout,
             Exchange::Load { sent, .. } => now - sent >= load_timeout,
         };
         self.withdraw_overdue(now, load_timeout, inputs);
--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -2,11 +2,13 @@
 //! request of which no byte was written is known not to have run. Unparsable input ends the connection, and every
 //! request started on it may have run.
 
+mod delivery;
 mod ending;
 mod header;
 mod reading;
 
 use bytes::BytesMut;
+use delivery::{DeliveryTracker, Position};
 use stagehoist::{FunctionId, Micros, RequestId, WorkerId};
 use std::collections::{HashMap, VecDeque};
 use std::ops::Range;
@@ -42,6 +44,8 @@
     Short,
     #[error("the executor has sent nothing since a load order that timed out")]
     Silent,
+    #[error("the executor did not confirm in time that an abandoned request had arrived")]
+    Unconfirmed,
 }
 
 /// Identifies an exchange on the connection: the id that the client gave its request, or a tag of this process.
@@ -69,6 +73,10 @@
         sent: Micros,
         start_by: Micros,
     },
+    /// Confirms that everything written before it has arrived.
+    DeliveryCheck {
+        sent: Micros,
+    },
 }
 
 impl Exchange {
@@ -79,6 +87,18 @@
             _ => None,
         }
     }
+
+    /// Whether the executor answers it at once with its health.
+    fn is_probe(&self) -> bool {
+        matches!(self, Exchange::HealthCheck { .. } | Exchange::DeliveryCheck { .. })
+    }
+}
+
+/// A request that was started and abandoned, and is not answered.
+#[derive(Debug)]
+struct AbandonedRequest {
+    id: u64,
+    position: Position,
 }
 
 #[derive(Debug)]
@@ -88,6 +108,14 @@
     started_at: Option<Micros>,
     /// When its last byte was written.
     completed_at: Option<Micros>,
+    /// Its position among the written messages, once its last byte was written.
+    position: Option<Position>,
+}
+
+impl PendingExchange {
+    fn is_delivery_check(&self) -> bool {
+        matches!(self.exchange, Exchange::DeliveryCheck { .. })
+    }
 }
 
 #[derive(Debug)]
@@ -143,8 +171,10 @@
     queue: VecDeque<Outgoing>,
     pending: HashMap<Tag, PendingExchange>,
     attempts: usize,
-    /// Ids of requests that were started, abandoned and not answered since; the newest last.
-    abandoned: VecDeque<u64>,
+    /// The newest last.
+    abandoned: VecDeque<AbandonedRequest>,
+    deliveries: DeliveryTracker,
+    forbids_probes: bool,
     /// When bytes were last read.
     last_read: Micros,
     active_at: Micros,
@@ -160,14 +190,20 @@
         ConnectionState { last_read: now, active_at: now, ..ConnectionState::default() }
     }
 
+    /// Creates the state of a connection on which the settings permit no probes. The arrival of a request is then
+    /// confirmed by the answers to it and to later messages alone.
+    pub fn without_probes(now: Micros) -> ConnectionState {
+        ConnectionState { forbids_probes: true, ..ConnectionState::new(now) }
+    }
+
     /// Returns the number of open attempts.
     pub fn attempts(&self) -> usize {
         self.attempts
     }
 
-    /// Whether no answer is awaited and nothing is queued.
+    /// Whether no answer is awaited, except to delivery checks, and nothing is queued.
     pub fn is_idle(&self) -> bool {
-        self.pending.is_empty() && self.queue.is_empty()
+        self.pending.values().all(PendingExchange::is_delivery_check) && self.queue.is_empty()
     }
 
     /// Returns when bytes were last read or a message was last queued.
@@ -186,7 +222,7 @@
     pub fn has(&self, id: u64) -> bool {
         let tag = Tag::Call(id);
         let written = || self.queue.front().is_some_and(|item| item.tag == Some(tag));
-        self.pending.contains_key(&tag) || self.abandoned.contains(&id) || written()
+        self.pending.contains_key(&tag) || self.abandoned.iter().any(|request| request.id == id) || written()
     }
 
     /// Queues a request. Its stated client wait is updated when it is written. Returns false if a request with this
@@ -216,7 +252,11 @@
 
     /// Queues a health check; `report` requests the load report.
     pub fn send_health_check(&mut self, report: bool, exchange: Exchange, now: Micros) {
-        let (word, tag) = (if report { "INFO" } else { "NOOP" }, self.next_internal_tag());
+        self.send_probe(if report { "INFO" } else { "NOOP" }, exchange, now);
+    }
+
+    fn send_probe(&mut self, word: &str, exchange: Exchange, now: Micros) {
+        let tag = self.next_internal_tag();
         self.push(Some((Tag::Internal(tag), exchange)), format!("{word} {tag}\r\n").into_bytes(), now);
     }
 
@@ -247,7 +287,8 @@
     /// Registers a pending exchange under this tag.
     fn open(&mut self, tag: Tag, exchange: Exchange, now: Micros) -> Tag {
         self.active_at = now;
-        self.pending.insert(tag, PendingExchange { exchange, started_at: None, completed_at: None });
+        let pending = PendingExchange { exchange, started_at: None, completed_at: None, position: None };
+        self.pending.insert(tag, pending);
         tag
     }
 
@@ -304,8 +345,10 @@
             item.done += part;
             n -= part;
             if item.done == item.bytes.len() {
+                let position = self.deliveries.on_written();
                 if let Some(open) = item.tag.and_then(|t| self.pending.get_mut(&t)) {
                     open.completed_at = Some(now);
+                    open.position = Some(position);
                 }
                 self.queue.pop_front();
             }
--- a/crates/platform/src/connection/reading.rs
+++ b/crates/platform/src/connection/reading.rs
@@ -54,9 +54,7 @@
                 return Ok(());
             }
             let result = self.parse_answer(&header, report, at)?;
-            if let Some(Tag::Call(id)) = header.tag {
-                self.abandoned.retain(|s| *s != id);
-            }
+            self.confirm_delivery(header.tag);
             let frame = self.buffer.split_to(frame_length);
             if let Some((tag, mut result, copies)) = result {
                 if let Some(length) = header.length.filter(|_| result.outcome == Outcome::Ok) {
@@ -67,6 +65,22 @@
         }
     }
 
+    /// Records that the message which this answer belongs to has arrived.
+    fn confirm_delivery(&mut self, tag: Option<Tag>) {
+        let Some(tag) = tag else { return };
+        let mut position = self.pending.get(&tag).and_then(|open| open.position);
+        self.abandoned.retain(|request| {
+            let is_answered = tag == Tag::Call(request.id);
+            if is_answered {
+                position = position.max(Some(request.position));
+            }
+            !is_answered
+        });
+        if let Some(position) = position {
+            self.deliveries.confirm(position);
+        }
+    }
+
     /// Returns the result that an answer carries, and the pending exchange that it belongs to; None if nothing awaits
     /// it.
     fn parse_answer(
@@ -93,7 +107,7 @@
             return Ok(None);
         };
         let is_attempt = matches!(open.exchange, Exchange::Attempt { .. });
-        let is_probe = matches!(open.exchange, Exchange::HealthCheck { .. });
+        let is_probe = open.exchange.is_probe();
         let outcome = match header.word {
             Word::Ok if !is_probe => Outcome::Ok,
             Word::Miss if is_attempt => Outcome::Miss,
@@ -118,18 +132,19 @@
         let Some(open) = self.pending.remove(&tag) else { return };
         // An executor may reject a request before it is completely written. The rest is written all the same, because
         // the executor could not parse what follows otherwise.
-        inputs.push(match open.exchange {
+        match open.exchange {
             Exchange::Attempt { request, attempt } => {
                 self.attempts -= 1;
-                Input::AttemptEnded { request, attempt, result }
+                inputs.push(Input::AttemptEnded { request, attempt, result });
             }
             Exchange::HealthCheck { worker, sent } => {
                 let (outcome, report) = (result.outcome, result.report);
-                Input::HealthChecked { worker, sent, outcome, report, draining: None }
+                inputs.push(Input::HealthChecked { worker, sent, outcome, report, draining: None });
             }
             Exchange::Load { worker, function, sent, .. } => {
-                Input::Loaded { worker, function, sent, outcome: result.outcome, copies }
+                inputs.push(Input::Loaded { worker, function, sent, outcome: result.outcome, copies });
             }
-        });
+            Exchange::DeliveryCheck { .. } => {}
+        }
     }
 }
--- a/crates/platform/src/executors/commands.rs
+++ b/crates/platform/src/executors/commands.rs
@@ -83,6 +83,8 @@
         if must_close {
             return ended.connection.end(Closure::ProtocolViolated);
         }
+        // The connection's task sets a timer for the confirmation of the request's arrival.
+        ended.connection.wake.notify_one();
         self.mark_dirty(ended.connection);
     }
 
--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -1,9 +1,9 @@
 //! One connection to an executor: its handshake, reads, writes and end.
 
 use super::Executors;
-use crate::connection::{Closure, ConnectionState};
+use crate::connection::{Closure, ConnectionState, ProtocolViolation};
 use crate::sockets::{self, uninterrupted};
-use stagehoist::WorkerId;
+use stagehoist::{Micros, WorkerId};
 use stagehoist_gateway::state::Input;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -42,6 +42,13 @@
         }
         self.wake.notify_one();
     }
+
+    /// Lets the system send what it still holds after the socket is closed, if nothing of that could start a request.
+    pub fn release_settled(&self) {
+        if let Some(stream) = self.stream.borrow().as_ref().filter(|_| self.protocol.borrow().is_settled()) {
+            sockets::close_in_order(stream);
+        }
+    }
 }
 
 impl Executors {
@@ -58,6 +65,8 @@
             }
             Some(stream) => {
                 self.count(|c| c.connected += 1);
+                // However the connection or this process ends, the system sends no more of what it still holds.
+                let _ = stream.set_zero_linger();
                 let stream = Rc::new(stream);
                 *connection.stream.borrow_mut() = Some(stream.clone());
                 self.note_connected(&connection);
@@ -74,8 +83,8 @@
         let mut inputs = Vec::new();
         while connection.state.get() == State::Open {
             let wants_write = connection.protocol.borrow().wants_write();
-            let load_timeout = connection.protocol.borrow().next_load_timeout(self.limits.load_timeout);
-            let times_out_at = self.shared.clock.instant(load_timeout.unwrap_or_default());
+            let timeout = connection.protocol.borrow().next_timeout(self.limits.load_timeout);
+            let times_out_at = self.shared.clock.instant(timeout.unwrap_or_default());
             let mut is_writable = false;
             tokio::select! {
                 biased;
@@ -88,8 +97,8 @@
                     Ok(()) => is_writable = true,
                     Err(_) => connection.end(Closure::Broken),
                 },
-                () = tokio::time::sleep_until(times_out_at), if load_timeout.is_some() => {
-                    self.expire_loads(connection, stream, &mut inputs);
+                () = tokio::time::sleep_until(times_out_at), if timeout.is_some() => {
+                    self.expire(connection, stream, &mut inputs);
                 }
             }
             if is_writable {
@@ -106,19 +115,32 @@
         }
     }
 
-    /// Handles the timeout of a load order: reads the pending input first, then closes the connection or withdraws
-    /// the order.
-    fn expire_loads(&self, connection: &Connection, stream: &TcpStream, inputs: &mut Vec<Input>) {
+    /// Handles the timeout of a load order or of an abandoned request: reads the pending input first, then closes the
+    /// connection or withdraws the order.
+    fn expire(&self, connection: &Connection, stream: &TcpStream, inputs: &mut Vec<Input>) {
         self.read_remaining(connection, stream, inputs);
-        let (now, limits) = (self.shared.clock.now(), &self.limits);
-        if connection
-            .protocol
-            .borrow_mut()
-            .expire(now, limits.connect_timeout, limits.load_timeout, inputs)
-            .is_err()
-        {
-            connection.end(Closure::ProtocolViolated);
+        let now = self.shared.clock.now();
+        let result = self.expire_exchanges(&mut connection.protocol.borrow_mut(), now, inputs);
+        if let Err(violation) = result {
+            self.close_expired(connection, violation);
+        }
+    }
+
+    fn expire_exchanges(
+        &self,
+        protocol: &mut ConnectionState,
+        now: Micros,
+        inputs: &mut Vec<Input>,
+    ) -> Result<(), ProtocolViolation> {
+        protocol.expire(now, self.limits.connect_timeout, self.limits.load_timeout, inputs)
+    }
+
+    fn close_expired(&self, connection: &Connection, violation: ProtocolViolation) {
+        if violation == ProtocolViolation::Unconfirmed {
+            self.count(|c| c.unconfirmed += 1);
         }
+        tracing::debug!(worker = format!("s-{:08x}", connection.worker), why = %violation, "closing a connection to an executor");
+        connection.end(Closure::ProtocolViolated);
     }
 
     /// After a stall of this process, the input of the other sockets (above all a drain) is read and processed before
@@ -198,9 +220,8 @@
         };
         let was_up = connection.stream.borrow().is_some();
         connection.state.set(State::Closed(closure));
-        if let (Closure::ProtocolViolated, Some(stream)) = (closure, &*connection.stream.borrow()) {
-            // Data that the executor has not read yet is discarded.
-            let _ = stream.set_zero_linger();
+        if closure == Closure::Broken {
+            connection.release_settled();
         }
         *connection.stream.borrow_mut() = None;
         if closure != Closure::LocalFailure {
@@ -235,6 +256,13 @@
         }
     }
 
+    /// Lets the connections on which no request may start any more end in order when the process exits.
+    pub fn finish(&self) {
+        for executor in self.executors.borrow().values() {
+            executor.connections.iter().for_each(|connection| connection.release_settled());
+        }
+    }
+
     /// Ends health checks, load orders and incomplete answers that timed out, and closes idle connections.
     pub fn on_tick(&self) {
         let (now, late) = self.shared.read_time();
@@ -247,18 +275,18 @@
                 }
                 let mut protocol = connection.protocol.borrow_mut();
                 // After a stall of this process, its sockets are read before anything expires.
-                let expired = late == 0
-                    && protocol
-                        .expire(now, limits.connect_timeout, limits.load_timeout, &mut inputs)
-                        .is_err();
+                let expired = match late {
+                    0 => self.expire_exchanges(&mut protocol, now, &mut inputs),
+                    _ => Ok(()),
+                };
                 let is_idle = protocol.is_idle();
                 let is_unused = now - protocol.active_at() >= limits.idle_close - limits.idle_close / 8;
                 let accepts_none =
                     connection.has_moved.get() || protocol.is_silent() || protocol.is_truncated();
                 let can_close = is_idle && (is_unused || !executor.ready || accepts_none);
                 drop(protocol);
-                if expired {
-                    connection.end(Closure::ProtocolViolated);
+                if let Err(violation) = expired {
+                    self.close_expired(connection, violation);
                 } else if can_close {
                     connection.end(Closure::Broken);
                 }
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -42,6 +42,8 @@
 #[derive(Clone, Debug)]
 pub struct Limits {
     pub streams: usize,
+    /// Whether the settings permit probes.
+    pub may_probe: bool,
     pub idle_close: Micros,
     pub connect_timeout: Micros,
     pub load_timeout: Micros,
@@ -58,6 +60,8 @@
     pub not_up: u64,
     pub broken: u64,
     pub poisoned: u64,
+    /// Connections closed because an abandoned request on them was not known to have arrived; included in `poisoned`.
+    pub unconfirmed: u64,
     /// Connections reused for an attempt, a health check or a load order; `evicted` counts those closed to make room
     /// for others.
     pub reused: u64,
--- a/crates/platform/src/executors/selection.rs
+++ b/crates/platform/src/executors/selection.rs
@@ -22,9 +22,14 @@
         }
         let mut executors = self.executors.borrow_mut();
         let executor = executors.get_mut(&worker)?;
+        let now = self.shared.clock.now();
+        let protocol = match self.limits.may_probe {
+            true => ConnectionState::new(now),
+            false => ConnectionState::without_probes(now),
+        };
         let connection = Rc::new(Connection {
             worker,
-            protocol: RefCell::new(ConnectionState::new(self.shared.clock.now())),
+            protocol: RefCell::new(protocol),
             stream: RefCell::default(),
             wake: Notify::new(),
             state: Cell::new(State::Connecting),
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -81,6 +81,7 @@
     let clients = Rc::new(Clients::new(shared.clone(), Catalog::from(&settings), bounds));
     let limits = Limits {
         streams: settings.streams,
+        may_probe: settings.settings.may_health_check,
         idle_close: settings.idle_close,
         connect_timeout: settings.settings.connect_timeout.max(50_000),
         load_timeout: settings.settings.load_delay,
@@ -247,6 +248,7 @@
     async fn finish(&mut self) {
         self.accepting.abort();
         self.clients.finish(&self.listener).await;
+        self.executors.finish();
     }
 
     fn reads_before_timeouts(&self) -> bool {
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -84,6 +84,12 @@
     let _ = SockRef::from(stream).shutdown(Shutdown::Write);
 }
 
+/// Lets the system send what it still holds after the socket is closed, as is its default.
+pub fn close_in_order(stream: &TcpStream) {
+    // An error means that the peer is gone.
+    let _ = SockRef::from(stream).set_linger(None);
+}
+
 /// Returns the next pending connection, if any. A connection that the peer aborted, or a transient lack of resources
 /// in the system, does not hide those behind it.
 pub fn accept(listener: &TcpListener) -> Option<TcpStream> {
--- a/crates/platform/src/watch/tests.rs
+++ b/crates/platform/src/watch/tests.rs
@@ -38,6 +38,7 @@
     let bounds = Bounds::new(&Limits { cores: 1.0, memory_mb: 64.0, sockets: 256 });
     let limits = executors::Limits {
         streams: 1,
+        may_probe: true,
         idle_close: 1_000_000,
         connect_timeout: 50_000,
         load_timeout: 1_000_000,
--- a/crates/platform/tests/crossings/main.rs
+++ b/crates/platform/tests/crossings/main.rs
@@ -13,4 +13,5 @@
 mod queues;
 mod sockets;
 mod stage;
+mod undelivered;
 mod unheard;
--- a/crates/platform/tests/descriptors/stage.rs
+++ b/crates/platform/tests/descriptors/stage.rs
@@ -79,6 +79,7 @@
         let shared = Rc::new(Shared::new(Clock::new(), sender));
         let limits = Limits {
             streams: 1,
+            may_probe: true,
             idle_close: 60_000_000,
             connect_timeout: 8_000_000,
             load_timeout: 8_000_000,
