Workers: a connection that is closed during an exchange is reset

Callers of `serve` saw nothing, as their message was answered; but a worker could start a request after its deadline had passed, or after another attempt had answered it, if the network delivered it late.

An attempt is aborted, or an order times out, by dropping its connection, which closed the socket in order, and after that the system sends what it still holds: the whole request.

Fix: the socket of a worker is set to be reset by any close, also at a crash, and is closed in order only while no exchange is open on it, so that idle connections end as before.

--- a/crates/gateway/src/workers/exchange.rs
+++ b/crates/gateway/src/workers/exchange.rs
@@ -1,5 +1,6 @@
 //! HTTP exchanges with workers, one at a time on each connection, and reuse of idle connections.
 
+use super::stream::{InExchange, WorkerStream};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -17,6 +18,7 @@
 /// A connection whose socket closes when it is dropped.
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
+    in_exchange: InExchange,
     task: AbortHandle,
 }
 
@@ -64,13 +66,14 @@
 pub(super) async fn connect(config: &Config, address: &str) -> Option<Connection> {
     let limit = Duration::from_micros(config.connect_timeout as u64);
     let stream = tokio::time::timeout(limit, TcpStream::connect(address)).await.ok()?.ok()?;
-    stream.set_nodelay(true).ok()?;
+    let in_exchange = InExchange::default();
+    let stream = WorkerStream::new(stream, in_exchange.clone()).ok()?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let task = tokio::task::spawn_local(async move {
         // Its errors are reported to the pending request.
         let _ = connection.await;
     });
-    Some(Connection { sender, task: task.abort_handle() })
+    Some(Connection { sender, in_exchange, task: task.abort_handle() })
 }
 
 pub(super) fn take_idle(pools: &Pools, address: &str, idle_timeout: Duration) -> Option<Connection> {
@@ -117,6 +120,7 @@
         if !may_send() {
             return Err(ExchangeError::Closed);
         }
+        connection.in_exchange.set(true);
         match connection.sender.try_send_request(request).await {
             Ok(response) => break (response, connection),
             Err(mut e) => match e.take_message() {
@@ -134,7 +138,10 @@
     };
     let (head, body): (_, hyper::body::Incoming) = Response::into_parts(response);
     match Limited::new(body, max_body as usize).collect().await {
-        Ok(complete) => Ok((head.status, head.headers, complete.to_bytes(), connection)),
+        Ok(complete) => {
+            connection.in_exchange.set(false);
+            Ok((head.status, head.headers, complete.to_bytes(), connection))
+        }
         Err(e) if e.downcast_ref::<http_body_util::LengthLimitError>().is_some() => {
             Err(ExchangeError::Malformed)
         }
--- a/crates/gateway/src/workers/mod.rs
+++ b/crates/gateway/src/workers/mod.rs
@@ -17,5 +17,6 @@
 pub mod http_response;
 mod paths;
 mod pool;
+mod stream;
 
 pub use pool::Workers;
