Executors: a silent connection with an abandoned request alone is reset at once

The probe behind each abandoned request costs executors a little work. Where a connection has been silent for the connect timeout and carries nothing else, it is of no use to other requests and was closed at the next periodic check before arrivals had to be confirmed. It is now reset in the instant of the abandonment, without a probe.

--- a/crates/platform/src/connection/ending.rs
+++ b/crates/platform/src/connection/ending.rs
@@ -15,8 +15,8 @@
     /// completed, because the executor would then start it. In that case nothing more is written on the connection
     /// ([`ConnectionState::is_truncated`]), and the caller must withdraw the requests queued on it. A completely
     /// written request may still be on its way: the executor must confirm its arrival, or [`ConnectionState::expire`]
-    /// fails. Returns true if the connection is to be closed: it is truncated and awaits no answer to a request that
-    /// was started.
+    /// fails. Returns true if the connection is to be reset: it is truncated and awaits no answer to a request that
+    /// was started, or it is silent and of no use to other requests.
     pub fn abandon(&mut self, id: u64, text: &str, now: Micros, timeout: Micros) -> bool {
         let tag = Tag::Call(id);
         let Some(open) = self.pending.remove(&tag) else { return false };
@@ -30,7 +30,7 @@
                         self.is_truncated = true;
                         self.queue.clear();
                     }
-                    Some(position) => self.stop(AbandonedRequest { id, position }, text, now),
+                    Some(position) => return self.stop(AbandonedRequest { id, position }, text, now),
                 }
             }
         }
@@ -38,11 +38,14 @@
     }
 
     /// Tells the executor to stop a completely written request, and to confirm that the request has arrived if that is
-    /// not known.
-    fn stop(&mut self, request: AbandonedRequest, text: &str, now: Micros) {
+    /// not known. Returns true if the connection is to be reset instead, which stops the request as well.
+    fn stop(&mut self, request: AbandonedRequest, text: &str, now: Micros) -> bool {
         let is_unconfirmed = self.deliveries.on_abandoned(request.position, now);
         if self.is_truncated {
-            return;
+            return self.is_spent();
+        }
+        if is_unconfirmed && self.is_silent && self.is_idle() {
+            return true;
         }
         let is_checked = self.has_probe_after(request.position);
         if self.abandoned.len() == MAX_ABANDONED {
@@ -53,6 +56,7 @@
         if is_unconfirmed && !is_checked && !self.forbids_probes {
             self.send_probe("NOOP", Exchange::DeliveryCheck { sent: now }, now);
         }
+        false
     }
 
     /// Whether an unanswered probe is or will be written behind this position.
--- a/crates/platform/tests/crossings/undelivered.rs
+++ b/crates/platform/tests/crossings/undelivered.rs
@@ -31,14 +31,25 @@
 #[test]
 fn an_abandoned_request_must_be_confirmed_before_it_would_start_too_late() {
     let mut conn = with_written(ConnectionState::new(0), 1);
-    assert_eq!(abandon(&mut conn, 1, 500 * MS), "STOP 0000000000000001\r\nNOOP 1\r\n");
+    assert_eq!(abandon(&mut conn, 1, 200 * MS), "STOP 0000000000000001\r\nNOOP 1\r\n");
     assert!(!conn.is_settled());
     let due = conn.next_timeout(1000 * MS).unwrap();
-    assert!(due > 500 * MS && due < 500 * MS + MAX_LATE_START, "due at {due} us");
+    assert!(due > 200 * MS && due < 200 * MS + MAX_LATE_START, "due at {due} us");
     assert_eq!(expire(&mut conn, due - 1), Ok(()));
     assert_eq!(expire(&mut conn, due), Err(ProtocolViolation::Unconfirmed));
 }
 
+/// A connection that no other request uses is not worth a probe once it has been silent for the connect timeout.
+#[test]
+fn a_silent_connection_with_an_abandoned_request_alone_is_reset_at_once() {
+    for (others, is_reset) in [(0, true), (1, false)] {
+        let mut conn = with_written(ConnectionState::new(0), 1 + others);
+        assert_eq!(conn.abandon(1, "0000000000000001", 250 * MS, 250 * MS), is_reset);
+        assert_eq!(write(&mut conn, usize::MAX, 250 * MS).contains("NOOP"), !is_reset);
+        assert!(!conn.is_settled());
+    }
+}
+
 /// Messages arrive in order, so an answer confirms all messages before the one that it belongs to, and no others.
 #[test]
 fn an_answer_confirms_the_messages_before_its_own() {
