Policy: a ranking of a large fleet reads a compact table and collects few workers

Rankings read a table of ids, and collect only the workers whose hash is below a limit that twice the wanted number is expected to reach; if too few are found, all are collected.

--- a/crates/core/src/policy/endpoints.rs
+++ b/crates/core/src/policy/endpoints.rs
@@ -3,6 +3,7 @@
 use super::estimates::Estimates;
 use super::fleet::WorkerTime;
 use super::math::hash_fraction;
+use super::ranking::RankableWorker;
 use super::worker::Worker;
 use super::FrontEnd;
 use crate::interface::*;
@@ -135,6 +136,7 @@
         if index < self.workers.len() {
             self.replace_worker(index, worker);
         } else {
+            self.rankable_workers.push(RankableWorker::of(&worker));
             self.workers.push(worker);
         }
         index
--- a/crates/core/src/policy/fleet.rs
+++ b/crates/core/src/policy/fleet.rs
@@ -3,6 +3,7 @@
 
 use super::estimates::Estimates;
 use super::math::ExactSum;
+use super::ranking::RankableWorker;
 use super::worker::Worker;
 use super::FrontEnd;
 use crate::interface::*;
@@ -194,6 +195,7 @@
     pub(super) fn update_listing(&mut self, index: usize, previous_update: Micros, now: Micros) {
         self.fleet.gone.remove(&WorkerTime { at: previous_update, index });
         let worker = &self.workers[index];
+        self.rankable_workers[index] = RankableWorker::of(worker);
         if worker.endpoint.lifecycle == Lifecycle::Gone {
             self.fleet.gone.insert(WorkerTime { at: worker.list_updated_at, index });
             self.ranking_version += 1;
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -65,6 +65,7 @@
 use math::DecayingSum;
 use priority::{TenantQuotas, WorkPrice};
 use queue::Sweep;
+use ranking::RankableWorker;
 use served_work::ServedWork;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use worker::Worker;
@@ -104,6 +105,8 @@
     workers: Vec<Worker>,
     fleet: Fleet,
     worker_index: BTreeMap<WorkerId, usize>,
+    /// For each of `workers`, what rankings need to know of it.
+    rankable_workers: Vec<RankableWorker>,
     functions: BTreeMap<FunctionId, Function>,
     /// By function: indices of the workers with a known copy or load order. Workers whose copy or order has expired stay
     /// listed until the next cleanup.
--- a/crates/core/src/policy/ranking.rs
+++ b/crates/core/src/policy/ranking.rs
@@ -13,11 +13,39 @@
 use crate::interface::*;
 use std::collections::BTreeSet;
 
+#[cfg(test)]
+mod tests;
+
 /// The depth of a ranking is this multiple of the number of workers that the fleet's demand for the function fills.
 const DEPTH_MARGIN: f64 = 2.0;
 /// The depth is reduced once it exceeds the required depth by this factor.
 const DEPTH_REDUCTION: usize = 4;
 
+/// The workers that [`first_ranks`] collects beyond those that it needs, as a multiple of them.
+const FIRST_RANKS_MARGIN: f64 = 2.0;
+
+/// What a ranking needs to know of a worker. It is stored apart from the worker, so that a ranking of a large fleet
+/// reads little memory.
+#[derive(Clone, Copy)]
+pub(super) struct RankableWorker {
+    id: WorkerId,
+    is_gone: bool,
+}
+
+impl RankableWorker {
+    pub fn of(worker: &Worker) -> RankableWorker {
+        let Endpoint { worker: id, lifecycle, .. } = worker.endpoint;
+        RankableWorker { id, is_gone: lifecycle == Lifecycle::Gone }
+    }
+}
+
+/// A worker's rank for a function: workers with a lower hash come first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    hash: u64,
+    index: u32,
+}
+
 /// How the workers were ranked for a function.
 #[derive(Clone, Copy, Default)]
 pub(super) struct Ranking {
@@ -39,7 +67,7 @@
         if ranking.version == self.ranking_version && fits {
             return;
         }
-        let Ranked { workers, sampled_from } = ranked(id, &self.workers, depth, self.seed);
+        let Ranked { workers, sampled_from } = ranked(id, &self.rankable_workers, depth, self.seed);
         let stored_fraction = workers.len() as f64 / sampled_from.max(1) as f64;
         let Some(function) = self.functions.get_mut(&id) else { return };
         function.ranked_workers = workers;
@@ -106,23 +134,42 @@
 }
 
 /// Ranks workers for a function: all of a small fleet, else a sample of the first ranks.
-fn ranked(id: FunctionId, workers: &[Worker], depth: usize, seed: u64) -> Ranked {
-    let number = |index: usize| u64::from(workers[index].endpoint.worker);
-    let mut order: Vec<(u64, u32)> = (0..workers.len())
-        .filter(|&index| {
-            workers.len() <= MAX_CONSIDERED || workers[index].endpoint.lifecycle != Lifecycle::Gone
-        })
-        .map(|index| (hash(id, number(index)), index as u32))
-        .collect();
-    if order.len() > depth {
-        order.select_nth_unstable(depth);
-        order.truncate(depth);
+fn ranked(id: FunctionId, workers: &[RankableWorker], depth: usize, seed: u64) -> Ranked {
+    let mut ranks = first_ranks(id, workers, depth);
+    let sampled_from = ranks.len();
+    if ranks.len() > MAX_CONSIDERED {
+        let worker_id = |rank: &Rank| u64::from(workers[rank.index as usize].id);
+        ranks.select_nth_unstable_by_key(MAX_CONSIDERED, |rank| hash(seed, worker_id(rank)));
+        ranks.truncate(MAX_CONSIDERED);
     }
-    let sampled_from = order.len();
-    if order.len() > MAX_CONSIDERED {
-        order.select_nth_unstable_by_key(MAX_CONSIDERED, |&(_, index)| hash(seed, number(index as usize)));
-        order.truncate(MAX_CONSIDERED);
+    ranks.sort_unstable();
+    Ranked { workers: ranks.into_iter().map(|rank| rank.index).collect(), sampled_from }
+}
+
+/// Returns the first `depth` ranks, or all if there are fewer, in any order. Hashes are spread evenly, so in a large
+/// fleet only the workers below a limit are collected, and all workers only if those are too few.
+fn first_ranks(id: FunctionId, workers: &[RankableWorker], depth: usize) -> Vec<Rank> {
+    let collected_part = FIRST_RANKS_MARGIN * depth as f64 / workers.len().max(1) as f64;
+    let limit = (collected_part * u64::MAX as f64) as u64;
+    let mut ranks = ranks_up_to(limit, id, workers);
+    if ranks.len() < depth && limit < u64::MAX {
+        ranks = ranks_up_to(u64::MAX, id, workers);
     }
-    order.sort_unstable();
-    Ranked { workers: order.into_iter().map(|(_, index)| index).collect(), sampled_from }
+    if ranks.len() > depth {
+        ranks.select_nth_unstable(depth);
+        ranks.truncate(depth);
+    }
+    ranks
+}
+
+/// Returns the ranks with a hash of at most `limit`, in the order of the workers. Workers that are gone are left out
+/// of a large fleet.
+fn ranks_up_to(limit: u64, id: FunctionId, workers: &[RankableWorker]) -> Vec<Rank> {
+    let is_small_fleet = workers.len() <= MAX_CONSIDERED;
+    let rank = |(index, worker): (usize, &RankableWorker)| {
+        let hash = hash(id, u64::from(worker.id));
+        let is_ranked = hash <= limit && (is_small_fleet || !worker.is_gone);
+        is_ranked.then_some(Rank { hash, index: index as u32 })
+    };
+    workers.iter().enumerate().filter_map(rank).collect()
 }
