Platform: one value for a completely written message; one set-up for its tests

PendingExchange held the time and the position of a written message in two fields that were always set together; they are one WrittenMessage now. Three tests of crossings `undelivered` shared their first four lines, now with_first_aborted. No change of behaviour: the package's tests pass as before.

--- a/crates/platform/src/connection/ending.rs
+++ b/crates/platform/src/connection/ending.rs
@@ -25,12 +25,15 @@
             None => self.remove_queued(tag),
             Some(at) => {
                 self.is_silent |= self.last_read <= at && now - at >= timeout;
-                match open.position {
+                match open.written {
                     None => {
                         self.is_truncated = true;
                         self.queue.clear();
                     }
-                    Some(position) => return self.stop(AbandonedRequest { id, position }, text, now),
+                    Some(written) => {
+                        let request = AbandonedRequest { id, position: written.position };
+                        return self.stop(request, text, now);
+                    }
                 }
             }
         }
@@ -61,7 +64,7 @@
 
     /// Whether an unanswered probe is or will be written behind this position.
     fn has_probe_after(&self, position: Position) -> bool {
-        let is_after = |open: &PendingExchange| open.position.is_none_or(|probe| probe > position);
+        let is_after = |open: &PendingExchange| open.written.is_none_or(|probe| probe.position > position);
         self.pending.values().any(|open| open.exchange.is_probe() && is_after(open))
     }
 
@@ -70,7 +73,7 @@
     /// [`ConnectionState::abandon`]. Returns true if the connection is to be closed.
     pub fn withdraw_call(&mut self, id: u64, now: Micros, inputs: &mut Vec<Input>) -> bool {
         let tag = Tag::Call(id);
-        let Some(open) = self.pending.get(&tag).filter(|open| open.completed_at.is_none()) else {
+        let Some(open) = self.pending.get(&tag).filter(|open| open.written.is_none()) else {
             return false;
         };
         let outcome = if open.started_at.is_some() {
@@ -207,7 +210,7 @@
         let may_be_in_transit = |o: &PendingExchange| {
             matches!(o.exchange, Exchange::Load { .. })
                 && is_overdue(o)
-                && o.completed_at.is_none_or(|at| self.last_read <= at)
+                && o.written.is_none_or(|written| self.last_read <= written.at)
         };
         if self.pending.values().any(may_be_in_transit) {
             return Err(ProtocolViolation::Silent);
--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -106,10 +106,15 @@
     exchange: Exchange,
     /// When its first byte was written, if it was.
     started_at: Option<Micros>,
-    /// When its last byte was written.
-    completed_at: Option<Micros>,
-    /// Its position among the written messages, once its last byte was written.
-    position: Option<Position>,
+    /// Once its last byte was written.
+    written: Option<WrittenMessage>,
+}
+
+/// A message of which all bytes were written.
+#[derive(Clone, Copy, Debug)]
+struct WrittenMessage {
+    at: Micros,
+    position: Position,
 }
 
 impl PendingExchange {
@@ -287,7 +292,7 @@
     /// Registers a pending exchange under this tag.
     fn open(&mut self, tag: Tag, exchange: Exchange, now: Micros) -> Tag {
         self.active_at = now;
-        let pending = PendingExchange { exchange, started_at: None, completed_at: None, position: None };
+        let pending = PendingExchange { exchange, started_at: None, written: None };
         self.pending.insert(tag, pending);
         tag
     }
@@ -347,8 +352,7 @@
             if item.done == item.bytes.len() {
                 let position = self.deliveries.on_written();
                 if let Some(open) = item.tag.and_then(|t| self.pending.get_mut(&t)) {
-                    open.completed_at = Some(now);
-                    open.position = Some(position);
+                    open.written = Some(WrittenMessage { at: now, position });
                 }
                 self.queue.pop_front();
             }
--- a/crates/platform/src/connection/reading.rs
+++ b/crates/platform/src/connection/reading.rs
@@ -68,7 +68,8 @@
     /// Records that the message which this answer belongs to has arrived.
     fn confirm_delivery(&mut self, tag: Option<Tag>) {
         let Some(tag) = tag else { return };
-        let mut position = self.pending.get(&tag).and_then(|open| open.position);
+        let mut position =
+            self.pending.get(&tag).and_then(|open| open.written).map(|written| written.position);
         self.abandoned.retain(|request| {
             let is_answered = tag == Tag::Call(request.id);
             if is_answered {
--- a/crates/platform/tests/crossings/undelivered.rs
+++ b/crates/platform/tests/crossings/undelivered.rs
@@ -149,6 +149,15 @@
     peer
 }
 
+/// Returns a connection on which these requests were written and the first one was aborted.
+async fn with_first_aborted(requests: &[u32]) -> (Stage, Peer) {
+    let stage = Stage::new(1, 64);
+    let peer = connect(&stage, requests).await;
+    stage.executors.abort(1, 0);
+    stage.executors.flush_all();
+    (stage, peer)
+}
+
 /// Waits until the front end's side of the connection is closed; returns whether it was reset.
 async fn was_reset(stage: &Stage, peer: &mut Peer) -> bool {
     let mut bytes = [0; 1024];
@@ -172,10 +181,7 @@
 #[test]
 fn a_connection_whose_executor_does_not_confirm_an_abandoned_request_is_reset() {
     on_one_thread(async {
-        let mut stage = Stage::new(1, 64);
-        let mut peer = connect(&stage, &[1, 2]).await;
-        stage.executors.abort(1, 0);
-        stage.executors.flush_all();
+        let (mut stage, mut peer) = with_first_aborted(&[1, 2]).await;
         assert!(was_reset(&stage, &mut peer).await, "the connection was closed in order");
         assert_eq!(stage.end().await, (2, Outcome::Error));
         assert_eq!(stage.executors.counters.get().unconfirmed, 1);
@@ -186,10 +192,7 @@
 #[test]
 fn a_connection_that_is_closed_before_an_abandoned_request_is_confirmed_is_reset() {
     on_one_thread(async {
-        let stage = Stage::new(1, 64);
-        let mut peer = connect(&stage, &[1]).await;
-        stage.executors.abort(1, 0);
-        stage.executors.flush_all();
+        let (stage, mut peer) = with_first_aborted(&[1]).await;
         stage.executors.close_idle(1);
         assert!(was_reset(&stage, &mut peer).await, "the connection was closed in order");
     });
@@ -198,10 +201,7 @@
 #[test]
 fn a_connection_whose_executor_confirms_an_abandoned_request_is_kept_and_later_closed_in_order() {
     on_one_thread(async {
-        let mut stage = Stage::new(1, 64);
-        let mut peer = connect(&stage, &[1, 2]).await;
-        stage.executors.abort(1, 0);
-        stage.executors.flush_all();
+        let (mut stage, mut peer) = with_first_aborted(&[1, 2]).await;
         // The front end does not run before the answer is in its socket.
         block_until("the probe is missing", || peer.has("STOP 0000000000000001\r\nNOOP 1\r\n"));
         peer.stream.write_all(b"1 UP - 0\r\n\r\n").unwrap();
