--- a/crates/core/src/policy/ranking.rs
+++ b/crates/core/src/policy/ranking.rs
@@ -21,7 +21,7 @@
 /// The depth is reduced once it exceeds the required depth by this factor.
 const DEPTH_REDUCTION: usize = 4;
 
-/// The workers that [`first_ranks`] collects beyond those that it needs, as a multiple of them.
+/// Expected number of workers that [`first_ranks`] collects, as a multiple of the number that it needs.
 const FIRST_RANKS_MARGIN: f64 = 2.0;
 
 /// What a ranking needs to know of a worker. It is stored apart from the worker, so that a ranking of a large fleet
--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -106,7 +106,7 @@
     exchange: Exchange,
     /// When its first byte was written, if it was.
     started_at: Option<Micros>,
-    /// Once its last byte was written.
+    /// Set once its last byte was written.
     written: Option<WrittenMessage>,
 }
 
