Platform: one test for a started exchange; without_list goes

Read again: is_settled and is_spent had the same condition each for itself, now PendingExchange::is_started. The initial list is taken out of the settings at the start, so the one caller of without_list had nothing left to leave out.

--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -152,11 +152,6 @@
         PlatformSettings::parse_document::<IgnoredAny>(&text)
     }
 
-    /// Returns these settings without the initial list.
-    pub fn without_list(&self) -> PlatformSettings {
-        PlatformSettings { known: (Vec::new(), 0), ..self.clone() }
-    }
-
     /// Names the fields that differ in `new`. The address of the event bus is excluded, and so are the seed and the
     /// initial events, which are new each time.
     pub fn differs(&self, new: &PlatformSettings) -> Vec<String> {
--- a/crates/platform/src/connection/ending.rs
+++ b/crates/platform/src/connection/ending.rs
@@ -99,8 +99,7 @@
 
     /// Whether no message that may still be on its way to the executor could start a request there.
     pub fn is_settled(&self) -> bool {
-        let is_unstarted = |open: &PendingExchange| open.started_at.is_none() || open.is_delivery_check();
-        !self.deliveries.has_unconfirmed() && self.pending.values().all(is_unstarted)
+        !self.deliveries.has_unconfirmed() && !self.pending.values().any(PendingExchange::is_started)
     }
 
     /// Whether nothing more may be written on this connection.
@@ -110,7 +109,7 @@
 
     /// Whether the connection is truncated and awaits no answer to anything that was started.
     pub fn is_spent(&self) -> bool {
-        self.is_truncated && self.pending.values().all(|o| o.started_at.is_none() || o.is_delivery_check())
+        self.is_truncated && !self.pending.values().any(PendingExchange::is_started)
     }
 
     /// Removes a queued message that is not started. A partly written message must be completed, because otherwise
--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -121,6 +121,11 @@
     fn is_delivery_check(&self) -> bool {
         matches!(self.exchange, Exchange::DeliveryCheck { .. })
     }
+
+    /// Whether bytes of it were written, other than those of a delivery check, which starts nothing at the executor.
+    fn is_started(&self) -> bool {
+        self.started_at.is_some() && !self.is_delivery_check()
+    }
 }
 
 #[derive(Debug)]
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -120,7 +120,7 @@
             }
         }
     });
-    tasks.spawn_local(reload::reload_at_signals(settings.without_list(), hup, bus_address));
+    tasks.spawn_local(reload::reload_at_signals(settings.clone(), hup, bus_address));
     let core = Core::new(settings.core_settings(), settings.seed, clock.now());
     let drain_limit = settings.longest_deadline().min(MAX_DEADLINE) + DRAIN_MARGIN;
     tracing::info!(name = settings.name, %listen, subscription = %settings.bus, initial_events, "front end started");
