--- /dev/null
+++ b/crates/cli/tests/outages/flood.rs
@@ -0,0 +1,131 @@
+//! Clients that send at full speed for some seconds, on threads of their own, so that they do not delay the other
+//! emulated systems.
+
+use stagehoist_emulator::platform::client::array;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::timeout_at;
+
+/// Threads that the flooding clients of a run share.
+const THREADS: usize = 4;
+/// Size of a write of small messages, and of a read.
+const WRITE_SIZE: usize = 64 << 10;
+const READ_SIZE: usize = 64 << 10;
+/// Number of writes that a client prepares and repeats where its messages need not be new, so that it sends faster than a
+/// front end parses.
+const PREPARED_WRITES: usize = 4;
+/// Time within which a client is owed an answer or a close.
+const ANSWER_LIMIT: Duration = Duration::from_secs(3);
+/// The first id and function of the flooding clients, which no other client uses.
+const FIRST_NUMBER: u64 = 0xf100_0000_0000_0000;
+
+/// What the flooding clients send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flood {
+    Health,
+    /// Requests of classes that do not exist, each another one.
+    UnknownClasses,
+    /// Requests without an id and a time.
+    NoIdNoTime,
+}
+
+/// What became of the flooding clients.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FloodReport {
+    pub connections: usize,
+    pub bytes: u64,
+    /// Connections that got neither an answer nor a close in time.
+    pub unanswered: usize,
+}
+
+static NUMBERS: AtomicU64 = AtomicU64::new(FIRST_NUMBER);
+
+/// Floods a front end from `connections` connections at once until the given time; blocks the calling thread.
+pub fn run_flood(kind: Flood, connections: usize, to: SocketAddr, until: Instant) -> FloodReport {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(THREADS).enable_all().build();
+    runtime.unwrap().block_on(async {
+        let mut clients = JoinSet::new();
+        for _ in 0..connections {
+            clients.spawn(run_client(kind, to, until));
+        }
+        let mut total = FloodReport::default();
+        while let Some(report) = clients.join_next().await {
+            let report = report.unwrap();
+            total.connections += report.connections;
+            total.bytes += report.bytes;
+            total.unanswered += report.unanswered;
+        }
+        total
+    })
+}
+
+async fn run_client(kind: Flood, to: SocketAddr, until: Instant) -> FloodReport {
+    let mut report = FloodReport::default();
+    while Instant::now() < until {
+        let Ok(Ok(stream)) = timeout_at(until.into(), TcpStream::connect(to)).await else { continue };
+        report.connections += 1;
+        let connected_at = Instant::now();
+        let (read, write) = stream.into_split();
+        let reading = tokio::spawn(read_all(read, until));
+        report.bytes += write_all(kind, write, until).await;
+        let first_answer = reading.await.unwrap();
+        let answered_by = connected_at + ANSWER_LIMIT;
+        let is_late = first_answer.map_or(until >= answered_by, |at| at > answered_by);
+        report.unanswered += usize::from(is_late);
+    }
+    report
+}
+
+/// Writes until the end of the flood, or until the connection is closed. Returns the number of
+/// bytes written.
+async fn write_all(kind: Flood, mut write: OwnedWriteHalf, until: Instant) -> u64 {
+    let mut bytes = 0;
+    let prepared: Vec<Vec<u8>> = (0..PREPARED_WRITES).map(|_| next_messages(kind)).collect();
+    for messages in prepared.iter().cycle().take_while(|_| Instant::now() < until) {
+        match timeout_at(until.into(), write.write_all(messages)).await {
+            Ok(Ok(())) => bytes += messages.len() as u64,
+            _ => break,
+        }
+    }
+    bytes
+}
+
+/// Reads until the connection is closed or the flood ends. Returns when the first answer or the close was seen.
+async fn read_all(mut read: OwnedReadHalf, until: Instant) -> Option<Instant> {
+    let mut first = None;
+    let mut buffer = vec![0; READ_SIZE];
+    while let Ok(length) = timeout_at(until.into(), read.read(&mut buffer)).await {
+        first = first.or(Some(Instant::now()));
+        if !matches!(length, Ok(1..)) {
+            break;
+        }
+    }
+    first
+}
+
+fn next_messages(kind: Flood) -> Vec<u8> {
+    let mut messages = Vec::new();
+    while messages.len() < WRITE_SIZE {
+        messages.extend(next_message(kind));
+    }
+    messages
+}
+
+fn next_message(kind: Flood) -> Vec<u8> {
+    let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
+    let tag = (number - FIRST_NUMBER + 1).to_string();
+    let sound = format!("ref={number:016x},allow=1200,project=acme,lookup={number:016x},effort=20");
+    let request = |class: &str, fields: &str, body: &[u8]| {
+        array(&[b"REQ", tag.as_bytes(), class.as_bytes(), fields.as_bytes(), body])
+    };
+    match kind {
+        Flood::Health => array(&[b"HEALTH", tag.as_bytes(), b""]),
+        Flood::UnknownClasses => request(&format!("class-{number:x}"), &sound, b"x"),
+        Flood::NoIdNoTime => request("look", &format!("project=acme,lookup={number:016x}"), b"x"),
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/outages/floods.rs
@@ -0,0 +1,155 @@
+//! Peers that send at full speed for some seconds beside ordinary clients: the ordinary requests are answered in time.
+
+use crate::flood::{run_flood, Flood, FloodReport};
+use crate::machine::shim_environment;
+use crate::rig::{exclusive_lock, Rig, Shape, Verdict};
+use crate::soak::number;
+use crate::traffic::Load;
+use crate::usage::Usage;
+use std::time::{Duration, Instant};
+
+/// An answer this long after its deadline counts as lost.
+const LOST_AFTER: Duration = Duration::from_millis(500);
+/// Ordinary traffic before, during and after the flood.
+const QUIET_BEFORE: Duration = Duration::from_millis(2000);
+const FLOOD_LENGTH: Duration = Duration::from_millis(4000);
+const QUIET_AFTER: Duration = Duration::from_millis(2000);
+/// Maximum number of broken rules printed for a play.
+const MAX_PRINTED: usize = 4;
+/// Maximum fraction of the ordinary requests that are answered after their time.
+const LATE_PART: f64 = 0.01;
+/// Minimum fraction of the ordinary requests that are served beside unsound floods, at a whole core, relative to a play
+/// without a flood.
+const SERVED_BESIDE_UNSOUND: f64 = 0.85;
+
+const ORDINARY: Load = Load {
+    clients: 6,
+    rate: 60.0,
+    functions: 30,
+    new_function_after: 0,
+    allow: Duration::from_millis(1200),
+    unsafe_part: 0.3,
+    cancelled_part: 0.0,
+    short_part: 0.0,
+};
+
+/// Parameters of a play.
+#[derive(Clone, Copy, Debug)]
+struct Play {
+    /// None: a play without a flood, for comparison.
+    flood: Option<Flood>,
+    connections: usize,
+    /// Share of a core that the front end may use.
+    share: f64,
+    seed: u64,
+}
+
+struct Outcome {
+    play: Play,
+    verdict: Verdict,
+    served: f64,
+    lost: usize,
+    usage: Usage,
+    report: FloodReport,
+}
+
+async fn run(play: Play) -> Outcome {
+    let plan = if play.share < 1.0 { format!("share={}", play.share) } else { String::new() };
+    let shape = Shape { answer_slack: LOST_AFTER, ..Shape::usual(1, 12, play.seed) };
+    let mut rig = Rig::start(shape, |_| shim_environment(&plan)).await;
+    rig.begin_traffic(ORDINARY);
+    let start = Instant::now();
+    tokio::time::sleep(QUIET_BEFORE).await;
+    let (to, until) = (rig.front_ends[0].listen, Instant::now() + FLOOD_LENGTH);
+    let flood =
+        play.flood.map(|kind| std::thread::spawn(move || run_flood(kind, play.connections, to, until)));
+    tokio::time::sleep(FLOOD_LENGTH + QUIET_AFTER).await;
+    let usage = rig.front_ends[0].usage().unwrap_or_default();
+    let end = Instant::now();
+    let verdict = rig.finish().await;
+    let report = flood.map(|flood| flood.join().unwrap()).unwrap_or_default();
+    let served = verdict.served(start, end);
+    let lost = verdict.broken.iter().filter(|broken| broken.starts_with("n0: 1:")).count();
+    Outcome { play, verdict, served, lost, usage, report }
+}
+
+/// Performs the plays one after the other: a flood takes several cores of the machine.
+fn run_all(plays: &[Play]) -> Vec<Outcome> {
+    let _lock = exclusive_lock();
+    let perform = |play: &Play| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let outcome = runtime.block_on(run(*play));
+        outcome.print();
+        outcome
+    };
+    plays.iter().map(perform).collect()
+}
+
+impl Outcome {
+    fn name(&self) -> String {
+        let Play { flood, connections, share, seed } = self.play;
+        format!("{flood:?}, {connections} connections, {share} of a core, seed {seed}")
+    }
+
+    fn print(&self) {
+        println!(
+            "{}: served {:.3} of {}, {} lost, {} late, {} KiB, {:.2} s of processor, {:?}, emulation late by {:?}",
+            self.name(),
+            self.served,
+            self.verdict.requests.len(),
+            self.lost,
+            self.verdict.late,
+            self.usage.peak_kib,
+            self.usage.processor.as_secs_f64(),
+            self.report,
+            self.verdict.lateness,
+        );
+        if std::env::var_os("FLOOD_LOGS").is_some() {
+            self.verdict.logs.iter().for_each(|line| println!("{line}"));
+        }
+    }
+
+    /// Returns what must not have happened at any share of a core.
+    fn violations(&self) -> Vec<String> {
+        let mut violations: Vec<String> = self.verdict.broken.iter().take(MAX_PRINTED).cloned().collect();
+        if self.verdict.late as f64 > LATE_PART * self.verdict.requests.len() as f64 {
+            violations.push(format!("{} of {} late", self.verdict.late, self.verdict.requests.len()));
+        }
+        if self.report.unanswered > 0 {
+            violations.push(format!("{} flooding connections not answered", self.report.unanswered));
+        }
+        violations.iter().map(|text| format!("{}: {text}", self.name())).collect()
+    }
+}
+
+fn assert_floods_harm_nobody(floods: &[Flood], connections: &[usize], shares: &[f64], served_part: f64) {
+    let mut violations = Vec::new();
+    for seed in 1..=number("FLOOD_SEEDS", 1) {
+        let calm = Play { flood: None, connections: 0, share: 1.0, seed };
+        let mut plays = vec![calm];
+        for &flood in floods {
+            for &connections in connections {
+                let play = |share: &f64| Play { flood: Some(flood), connections, share: *share, seed };
+                plays.extend(shares.iter().map(play));
+            }
+        }
+        let outcomes = run_all(&plays);
+        let least = served_part * outcomes[0].served;
+        for outcome in &outcomes {
+            violations.extend(outcome.violations());
+            if outcome.play.share >= 1.0 && outcome.served < least {
+                let served = outcome.served;
+                violations.push(format!("{}: served {served:.3}, at least {least:.3}", outcome.name()));
+            }
+        }
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+/// Guards against a client whose socket never runs dry and that keeps the event loop to itself. For longer manual runs
+/// set `FLOOD_SEEDS=5`.
+#[test]
+fn clients_that_flood_a_front_end_with_unsound_requests_delay_no_other_client() {
+    let floods = [Flood::Health, Flood::UnknownClasses, Flood::NoIdNoTime];
+    assert_floods_harm_nobody(&floods, &[6, 300], &[1.0, 0.25], SERVED_BESIDE_UNSOUND);
+}
--- a/crates/cli/tests/outages/main.rs
+++ b/crates/cli/tests/outages/main.rs
@@ -3,6 +3,8 @@
 
 mod drains;
 mod fleet_soak;
+mod flood;
+mod floods;
 mod front_end;
 mod machine;
 mod processor_share;
--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -187,6 +187,8 @@
     pub broken: Vec<String>,
     /// Requests, each with whether it was served.
     pub requests: Vec<(SentRequest, bool)>,
+    /// Number of requests that were answered after their client's time.
+    pub late: usize,
     /// Number of probes of executors, from all front ends.
     pub probes: usize,
     /// Maximum scheduling delay of the emulated systems.
@@ -468,12 +470,13 @@
             matches!(seen.what, stagehoist_emulator::platform::ExecutorRequest::Probe)
         };
         let probes = seen.iter().flat_map(|(_, seen)| seen).filter(is_probe).count();
+        let late = ledgers.iter().map(late_answers).sum();
         let requests = ledgers.into_iter().flat_map(with_outcome).collect();
         let (lateness, logs) = (self.lateness.worst(), self.logs());
         if logs.iter().any(|line| line.contains("panicked")) {
             broken.push("a front end panicked".into());
         }
-        Verdict { broken, requests, probes, lateness, logs }
+        Verdict { broken, requests, late, probes, lateness, logs }
     }
 
     /// Returns the settings of the rules for one front end. They differ between front ends, because each subscribes to its bus
@@ -545,6 +548,17 @@
     seen.iter().filter(|seen| seen.front_end == number).cloned().collect()
 }
 
+/// Returns the number of requests that were answered after their client's time, or never.
+fn late_answers(ledger: &Ledger) -> usize {
+    let answered: BTreeMap<&str, Instant> =
+        ledger.answers.iter().map(|answer| (&*answer.tag, answer.at)).collect();
+    let is_late = |request: &&SentRequest| {
+        let due = request.at + request.allow + SLACK;
+        request.left.is_none() && answered.get(&*request.tag).is_none_or(|at| *at > due)
+    };
+    ledger.requests.iter().filter(is_late).count()
+}
+
 fn with_outcome(ledger: Ledger) -> Vec<(SentRequest, bool)> {
     let served: BTreeMap<&str, bool> =
         ledger.answers.iter().map(|answer| (&*answer.tag, answer.word == "200")).collect();
