Platform: a field list of over 4 KiB is refused before it is parsed

A request with 16 KiB of short fields cost some 4,000 parsed pairs and became a call. No field that the protocol names needs more than a few hundred bytes.

--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -12,6 +12,8 @@
 pub const ANSWER_TRANSIT: Micros = 5_000;
 /// Maximum of a numeric property of a call; a larger value is not plausible on any machine.
 const MAX_PROPERTY: f64 = 1e7;
+/// Maximum length of the field list, which holds the names and numbers of a dozen properties.
+const MAX_FIELD_LIST: usize = 4 << 10;
 
 /// The classes, tenants and memory sizes that requests may refer to.
 #[derive(Clone, Debug)]
@@ -53,6 +55,8 @@
     Words,
     #[error("the request's field list is malformed")]
     Fields,
+    #[error("the request's field list exceeds its maximum length")]
+    FieldListLength,
     #[error("the request's id is missing or is not 16 hex digits")]
     Id,
     #[error("the class is not configured")]
@@ -70,6 +74,9 @@
     let (4 | 5, Some(class), Some(list)) = (words.len(), words.get(2), words.get(3)) else {
         return Err(RequestError::Words);
     };
+    if list.len() > MAX_FIELD_LIST {
+        return Err(RequestError::FieldListLength);
+    }
     let fields = fields::parse(list).map_err(|_| RequestError::Fields)?;
     let get = |name| fields::get(&fields, name);
     let id = get("ref").ok_or(RequestError::Id)?;
