Gateway: the driver's tick is polled before its inputs

In a biased select an input queue that is never empty starved the branches behind it: no idle connection was closed, no health check expired and no state was logged for as long as inputs came.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -10,7 +10,7 @@
 use std::future::Future;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::time::Interval;
+use tokio::time::{Interval, MissedTickBehavior};
 
 /// Capacity of the input queue of the driver; while it is full, sockets are not read.
 pub const INPUT_QUEUE_CAPACITY: usize = 16_384;
@@ -176,7 +176,7 @@
             state: parts.state,
             report: session.as_ref().map(|session| session.report.clone()),
             session,
-            ticks: tokio::time::interval(TICK_INTERVAL),
+            ticks: tick_interval(),
             alarm: Alarm::new(parts.clock),
             drain_by: None,
             endpoints_ready: false,
@@ -214,6 +214,11 @@
                 self.batch.extend(status.map(Input::ClusterStatus));
                 true
             }
+            // Polled before the inputs, which may be pending all the time.
+            _ = self.ticks.tick() => {
+                self.on_tick();
+                false
+            }
             first = self.inputs.recv() => {
                 self.batch.extend(first);
                 self.gather();
@@ -223,10 +228,6 @@
                 self.gather_after_stall(due).await;
                 true
             }
-            _ = self.ticks.tick() => {
-                self.on_tick();
-                false
-            }
             () = self.transport.changed(), if self.drain_by.is_some() => false,
         }
     }
@@ -316,6 +317,13 @@
     }
 }
 
+/// A tick that is late is not made up for.
+fn tick_interval() -> Interval {
+    let mut ticks = tokio::time::interval(TICK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    ticks
+}
+
 async fn next_status(session: &mut Option<SessionHandle>) -> Option<ClusterStatus> {
     session.as_mut()?.next().await
 }
