Platform: connections to executors read in turns; thousands of unmatched answers end one

The same fault as at clients: an answer that nothing awaits makes no input, so an executor that sent such answers at full speed kept the loop. Each read of at most 16 KiB takes a turn now, and 4,096 unmatched answers in a row are a protocol violation: second copies and late answers are few, and the requests behind an endless run of them would wait for longer than their clients.

--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -19,6 +19,9 @@
 const MAX_WRITE: usize = 64 << 10;
 /// Maximum number of abandoned ids kept: twice the number of requests that may be in flight at once.
 const MAX_ABANDONED: usize = 64;
+/// Maximum number of consecutive answers that nothing awaits. A few are normal: second copies, and answers to abandoned
+/// requests.
+const MAX_UNEXPECTED: u32 = 4096;
 
 /// The header fields of a request.
 #[derive(Clone, Copy, Debug)]
@@ -42,6 +45,8 @@
     Length,
     #[error("an executor's answer was not complete before the timeout")]
     Short,
+    #[error("the executor keeps sending answers that nothing awaits")]
+    Unexpected,
     #[error("the executor has sent nothing since a load order that timed out")]
     Silent,
     #[error("the executor did not confirm in time that an abandoned request had arrived")]
@@ -174,6 +179,14 @@
     ProtocolViolated,
 }
 
+/// Numbers of answers that were parsed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerCounts {
+    pub answers: u32,
+    /// Answers among them that nothing awaits.
+    pub unexpected: u32,
+}
+
 /// The state of one connection.
 #[derive(Debug, Default)]
 pub struct ConnectionState {
@@ -192,6 +205,10 @@
     /// A partly written request is not completed: nothing more may be written.
     is_truncated: bool,
     next: u64,
+    /// Answers since [`ConnectionState::take_counts`].
+    counts: AnswerCounts,
+    /// Number of unexpected answers since the last expected one.
+    unexpected_in_a_row: u32,
 }
 
 impl ConnectionState {
@@ -206,6 +223,11 @@
         ConnectionState { forbids_probes: true, ..ConnectionState::new(now) }
     }
 
+    /// Returns the numbers of answers parsed since the last call.
+    pub fn take_counts(&mut self) -> AnswerCounts {
+        std::mem::take(&mut self.counts)
+    }
+
     /// Returns the number of open attempts.
     pub fn attempts(&self) -> usize {
         self.attempts
--- a/crates/platform/src/connection/reading.rs
+++ b/crates/platform/src/connection/reading.rs
@@ -1,7 +1,7 @@
 //! Parses the bytes of an executor, and matches answers to pending exchanges.
 
 use super::header::{is_header_byte, parse_header, parse_load_report, Header, Word};
-use super::{ConnectionState, Exchange, ProtocolViolation, Tag};
+use super::{ConnectionState, Exchange, ProtocolViolation, Tag, MAX_UNEXPECTED};
 use crate::fields;
 use bytes::{Bytes, BytesMut};
 use stagehoist::{CopyReport, Micros, Outcome};
@@ -54,7 +54,8 @@
                 return Ok(());
             }
             let result = self.parse_answer(&header, report, at)?;
-            self.confirm_delivery(header.tag);
+            let is_confirming = self.confirm_delivery(header.tag);
+            self.count_answer(result.is_some() || is_confirming)?;
             let frame = self.buffer.split_to(frame_length);
             if let Some((tag, mut result, copies)) = result {
                 if let Some(length) = header.length.filter(|_| result.outcome == Outcome::Ok) {
@@ -66,8 +67,9 @@
     }
 
     /// Records that the message which this answer belongs to has arrived.
-    fn confirm_delivery(&mut self, tag: Option<Tag>) {
-        let Some(tag) = tag else { return };
+    /// Returns whether there is such a message.
+    fn confirm_delivery(&mut self, tag: Option<Tag>) -> bool {
+        let Some(tag) = tag else { return false };
         let mut position =
             self.pending.get(&tag).and_then(|open| open.written).map(|written| written.position);
         self.abandoned.retain(|request| {
@@ -80,6 +82,22 @@
         if let Some(position) = position {
             self.deliveries.confirm(position);
         }
+        position.is_some()
+    }
+
+    /// Counts an answer. Returns an error if the executor has sent too many that nothing awaits.
+    fn count_answer(&mut self, is_expected: bool) -> Result<(), ProtocolViolation> {
+        self.counts.answers += 1;
+        if is_expected {
+            self.unexpected_in_a_row = 0;
+            return Ok(());
+        }
+        self.counts.unexpected += 1;
+        self.unexpected_in_a_row += 1;
+        match self.unexpected_in_a_row > MAX_UNEXPECTED {
+            true => Err(ProtocolViolation::Unexpected),
+            false => Ok(()),
+        }
     }
 
     /// Returns the result that an answer carries, and the pending exchange that it belongs to; None if nothing awaits
--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -2,6 +2,7 @@
 
 use super::Executors;
 use crate::connection::{Closure, ConnectionState, ProtocolViolation};
+use crate::read_turns::{ReadCost, Turn};
 use crate::sockets::{self, uninterrupted};
 use stagehoist::{Micros, WorkerId};
 use stagehoist_gateway::state::Input;
@@ -13,6 +14,8 @@
 
 /// Maximum number of bytes read from a connection after it ended.
 const MAX_UNREAD_INPUT: usize = 4 << 20;
+/// Number of bytes read in one turn.
+const READ_SIZE: usize = 16 << 10;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum State {
@@ -32,6 +35,8 @@
     pub dirty: Cell<bool>,
     /// The executor has a new address; this connection accepts nothing new.
     pub has_moved: Cell<bool>,
+    /// The connection's right to read.
+    pub turn: Rc<Turn>,
 }
 
 impl Connection {
@@ -86,11 +91,13 @@
             let timeout = connection.protocol.borrow().next_timeout(self.limits.load_timeout);
             let times_out_at = self.shared.clock.instant(timeout.unwrap_or_default());
             let mut is_writable = false;
+            let awaits_turn = connection.turn.is_waiting();
             tokio::select! {
                 biased;
                 () = connection.wake.notified() => {}
-                ready = stream.readable() => match ready {
-                    Ok(()) => self.read(connection, stream, &mut inputs),
+                () = connection.turn.granted(), if awaits_turn => {}
+                ready = stream.readable(), if !awaits_turn => match ready {
+                    Ok(()) => self.shared.read_turns.request(&connection.turn),
                     Err(_) => connection.end(Closure::Broken),
                 },
                 ready = stream.writable(), if wants_write => match ready {
@@ -101,6 +108,9 @@
                     self.expire(connection, stream, &mut inputs);
                 }
             }
+            if connection.turn.take() && connection.state.get() == State::Open {
+                self.read(connection, stream, &mut inputs);
+            }
             if is_writable {
                 self.yield_to_pending_reads().await;
                 self.flush(connection);
@@ -164,7 +174,7 @@
 
     fn read(&self, connection: &Connection, stream: &TcpStream, inputs: &mut Vec<Input>) {
         let mut read_buffer = self.shared.read_buffer.borrow_mut();
-        match uninterrupted(|| stream.try_read(&mut read_buffer)) {
+        match uninterrupted(|| stream.try_read(&mut read_buffer[..READ_SIZE])) {
             Ok(0) => connection.end(Closure::Broken),
             Ok(n) => {
                 self.receive(connection, &read_buffer[..n], inputs);
@@ -178,6 +188,9 @@
         let (now, late) = self.shared.read_time();
         let mut protocol = connection.protocol.borrow_mut();
         let result = protocol.receive(bytes, (now, now - late), &self.limits.report_fields, inputs);
+        let counts = protocol.take_counts();
+        let cost = ReadCost { bytes: bytes.len(), messages: counts.answers, unproductive: counts.unexpected };
+        self.shared.read_turns.charge(&connection.turn, cost);
         if protocol.is_spent() {
             connection.end(Closure::ProtocolViolated);
         }
@@ -224,6 +237,7 @@
             connection.release_settled();
         }
         *connection.stream.borrow_mut() = None;
+        self.shared.read_turns.remove(&connection.turn);
         if closure != Closure::LocalFailure {
             self.shared.descriptors.freed();
         }
--- a/crates/platform/src/executors/selection.rs
+++ b/crates/platform/src/executors/selection.rs
@@ -5,6 +5,7 @@
 use crate::connection::{Closure, ConnectionState};
 use crate::descriptors::DescriptorHolder;
 use crate::poll_times::{TaskKind, TimedTask};
+use crate::read_turns::SourceKind;
 use crate::sockets;
 use stagehoist::{Micros, WorkerId};
 use std::cell::{Cell, RefCell};
@@ -35,6 +36,7 @@
             state: Cell::new(State::Connecting),
             has_moved: Cell::new(false),
             dirty: Cell::new(false),
+            turn: self.shared.read_turns.add(SourceKind::Peer),
         });
         executor.connections.push(connection.clone());
         self.connected.borrow_mut().insert(worker);
--- a/crates/platform/tests/codecs/lines.rs
+++ b/crates/platform/tests/codecs/lines.rs
@@ -19,6 +19,17 @@
     assert!(conn.is_idle());
 }
 
+#[test]
+fn a_connection_ends_after_thousands_of_unmatched_answers_in_a_row_and_not_for_some_among_others() {
+    let (mut conn, mut inputs) = open_conn();
+    let unmatched = b"00000000000000ff OK - 2\r\nhi\r\n";
+    feed(&mut conn, &unmatched.repeat(4096), &mut inputs).unwrap();
+    feed(&mut conn, b"0000000000000002 OK - 2\r\nhi\r\n", &mut inputs).unwrap();
+    feed(&mut conn, &unmatched.repeat(4096), &mut inputs).unwrap();
+    assert_eq!(ends(&inputs), [(2, Outcome::Ok, b"hi".to_vec())]);
+    assert_eq!(feed(&mut conn, unmatched, &mut inputs), Err(ProtocolViolation::Unexpected));
+}
+
 #[test]
 fn malformed_answers_end_the_connection_and_all_its_requests_may_have_run() {
     let id = "0000000000000001";
