--- a/crates/cli/tests/outages/fleet_soak.rs
+++ b/crates/cli/tests/outages/fleet_soak.rs
@@ -58,6 +58,7 @@
         longest_deadline: longest,
         fleet_front_ends: front_ends.max(executors / USUAL_FLEET),
         answer_slack: LOST_AFTER,
+        flooding_peer: None,
         seed,
     };
     let load = Load {
--- a/crates/cli/tests/outages/floods.rs
+++ b/crates/cli/tests/outages/floods.rs
@@ -2,6 +2,7 @@
 
 use crate::flood::{run_flood, Flood, FloodReport};
 use crate::machine::shim_environment;
+use crate::peer_flood::FloodingPeer;
 use crate::rig::{exclusive_lock, Rig, Shape, Verdict};
 use crate::soak::number;
 use crate::traffic::Load;
@@ -40,6 +41,8 @@
 struct Play {
     /// None: a play without a flood, for comparison.
     flood: Option<Flood>,
+    /// The peer that floods instead of clients.
+    peer: Option<FloodingPeer>,
     connections: usize,
     /// Share of a core that the front end may use.
     share: f64,
@@ -57,7 +60,8 @@
 
 async fn run(play: Play) -> Outcome {
     let plan = if play.share < 1.0 { format!("share={}", play.share) } else { String::new() };
-    let shape = Shape { answer_slack: LOST_AFTER, ..Shape::usual(1, 12, play.seed) };
+    let shape =
+        Shape { answer_slack: LOST_AFTER, flooding_peer: play.peer, ..Shape::usual(1, 12, play.seed) };
     let mut rig = Rig::start(shape, |_| shim_environment(&plan)).await;
     rig.begin_traffic(ORDINARY);
     let start = Instant::now();
@@ -65,7 +69,10 @@
     let (to, until) = (rig.front_ends[0].listen, Instant::now() + FLOOD_LENGTH);
     let flood =
         play.flood.map(|kind| std::thread::spawn(move || run_flood(kind, play.connections, to, until)));
-    tokio::time::sleep(FLOOD_LENGTH + QUIET_AFTER).await;
+    rig.set_peer_flooding(true);
+    tokio::time::sleep(FLOOD_LENGTH).await;
+    rig.set_peer_flooding(false);
+    tokio::time::sleep(QUIET_AFTER).await;
     let usage = rig.front_ends[0].usage().unwrap_or_default();
     let end = Instant::now();
     let verdict = rig.finish().await;
@@ -89,15 +96,19 @@
 
 impl Play {
     fn name(&self) -> String {
-        let Play { flood, connections, share, seed } = self;
-        let flood = flood.map_or("no flood".into(), |flood| format!("{flood:?}"));
+        let Play { flood, peer, connections, share, seed } = self;
+        let flood = match (flood, peer) {
+            (Some(flood), _) => format!("{flood:?}"),
+            (None, Some(peer)) => format!("{peer:?}"),
+            (None, None) => "no flood".into(),
+        };
         format!("{flood}, {connections} connections, {share} of a core, seed {seed}")
     }
 
     /// Whether the play is to be performed. For manual runs of some plays set `FLOOD_PLAYS` to a part of their names.
     fn is_selected(&self) -> bool {
         let part = std::env::var("FLOOD_PLAYS").unwrap_or_default();
-        self.flood.is_none() || self.name().contains(&part)
+        (self.flood.is_none() && self.peer.is_none()) || self.name().contains(&part)
     }
 }
 
@@ -140,6 +151,7 @@
 /// The floods of a test, and what has to be served beside them.
 struct Floods<'a> {
     kinds: &'a [Flood],
+    peers: &'a [FloodingPeer],
     connections: &'a [usize],
     shares: &'a [f64],
     /// Minimum fraction of the ordinary requests that are served, relative to a play without a flood.
@@ -154,13 +166,19 @@
         let is_long = std::env::var_os("FLOOD_ALL").is_some();
         let connections = if is_long { &[6, 30, 300] } else { self.connections };
         let shares = if is_long { &[1.0, 0.25, 0.1] } else { self.shares };
-        let mut plays = vec![Play { flood: None, connections: 0, share: 1.0, seed }];
+        let mut plays = vec![Play { flood: None, peer: None, connections: 0, share: 1.0, seed }];
         for &flood in self.kinds {
             for &connections in connections {
-                let play = |share: &f64| Play { flood: Some(flood), connections, share: *share, seed };
+                let play =
+                    |share: &f64| Play { flood: Some(flood), peer: None, connections, share: *share, seed };
                 plays.extend(shares.iter().map(play));
             }
         }
+        for &peer in self.peers {
+            let play =
+                |share: &f64| Play { flood: None, peer: Some(peer), connections: 1, share: *share, seed };
+            plays.extend(shares.iter().map(play));
+        }
         plays
     }
 
@@ -187,6 +205,7 @@
 fn clients_that_flood_a_front_end_with_unsound_requests_delay_no_other_client() {
     let floods = Floods {
         kinds: &[Flood::Health, Flood::UnknownClasses, Flood::NoIdNoTime],
+        peers: &[],
         connections: &[6, 300],
         shares: &[1.0, 0.25],
         served_part: SERVED_BESIDE_UNSOUND,
@@ -206,6 +225,7 @@
             Flood::ManyFields,
             Flood::UnreadHealth,
         ],
+        peers: &[],
         connections: &[300],
         shares: &[0.25],
         served_part: SERVED_BESIDE_SOUND,
@@ -213,3 +233,17 @@
     };
     floods.assert_harmless();
 }
+
+/// Guards against an executor or an event bus whose connection never runs dry.
+#[test]
+fn an_executor_or_event_bus_that_floods_a_front_end_delays_no_client() {
+    let floods = Floods {
+        kinds: &[],
+        peers: &[FloodingPeer::Executor, FloodingPeer::Bus],
+        connections: &[],
+        shares: &[1.0, 0.25],
+        served_part: SERVED_BESIDE_UNSOUND,
+        served_from_share: 1.0,
+    };
+    floods.assert_harmless();
+}
--- a/crates/cli/tests/outages/main.rs
+++ b/crates/cli/tests/outages/main.rs
@@ -7,6 +7,7 @@
 mod floods;
 mod front_end;
 mod machine;
+mod peer_flood;
 mod processor_share;
 mod rig;
 mod soak;
--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -2,6 +2,7 @@
 //! traffic on their sockets.
 
 use crate::front_end::FrontEnd;
+use crate::peer_flood::{FloodingPeer, PeerFlood};
 use crate::traffic::{run_client, Ledger, Load, Phase};
 use rustix::process::Signal;
 use serde_json::Value;
@@ -22,6 +23,9 @@
 
 /// First port on which executors listen; each executor has one port for each front end.
 const EXECUTOR_PORT: u16 = 10_000;
+/// Port on which a flooding peer listens, and its id as an executor.
+const FLOODING_PEER_PORT: u16 = 7000;
+const FLOODING_EXECUTOR: u32 = 100_000;
 /// Maximum number of front ends of a rig.
 const MAX_FRONT_ENDS: u16 = 64;
 /// Number of executors whose ports fit on one loopback address, and number of such addresses of a rig.
@@ -93,6 +97,8 @@
     pub fleet_front_ends: usize,
     /// An answer this long after its deadline counts as lost.
     pub answer_slack: Duration,
+    /// A peer that can send at full speed: another executor, or the event bus of a rig without other events.
+    pub flooding_peer: Option<FloodingPeer>,
     pub seed: u64,
 }
 
@@ -110,6 +116,7 @@
             longest_deadline: Duration::from_secs(2),
             fleet_front_ends: front_ends,
             answer_slack: SLACK,
+            flooding_peer: None,
             seed,
         }
     }
@@ -180,6 +187,7 @@
     phases: Vec<watch::Sender<Phase>>,
     clients: Vec<FrontEndClient>,
     lateness: Lateness,
+    pub peer_flood: Option<PeerFlood>,
 }
 
 /// Result of a run of the rig.
@@ -242,6 +250,7 @@
             phases,
             clients,
             lateness: Lateness::start(),
+            peer_flood: shape.flooding_peer.map(|kind| PeerFlood::start(kind, address(FLOODING_PEER_PORT))),
         };
         for number in 0..shape.front_ends {
             rig.write_initial_list(number);
@@ -283,9 +292,15 @@
             entry["born_ms"] = slot.started_ms.into();
             entry
         };
-        let hosts = listed.map(entry).collect();
+        let mut hosts: Vec<Value> = listed.map(entry).collect();
         let front_end = &self.front_ends[number];
-        let mut config = document(hosts, front_end.bus.address, 512);
+        let mut bus = front_end.bus.address;
+        match self.peer_flood.as_ref().map(|peer| (peer.kind, peer.address)) {
+            Some((FloodingPeer::Executor, address)) => hosts.push(host(FLOODING_EXECUTOR, address, "ready")),
+            Some((FloodingPeer::Bus, address)) => bus = address,
+            None => {}
+        }
+        let mut config = document(hosts, bus, 512);
         let last = front_end.bus.last();
         config["known"]["offset"] = last.into();
         config["known"]["batch"][0]["offset"] = last.into();
@@ -318,6 +333,11 @@
         }
     }
 
+    /// Begins or ends the flood of the peer that can send at full speed.
+    pub fn set_peer_flooding(&self, is_flooding: bool) {
+        self.peer_flood.iter().for_each(|peer| peer.set_flooding(is_flooding));
+    }
+
     /// Sets the phase of the clients of a front end.
     pub fn set_phase(&self, number: usize, phase: Phase) {
         self.phases[number].send_replace(phase);
--- a/crates/cli/tests/outages/soak.rs
+++ b/crates/cli/tests/outages/soak.rs
@@ -102,6 +102,7 @@
         longest_deadline: longest as u32 * MS,
         fleet_front_ends: front_ends,
         answer_slack: SLACK,
+        flooding_peer: None,
         seed,
     };
     let load = Load {
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -5,6 +5,7 @@
 use crate::descriptors::{is_descriptor_limit, DescriptorUse};
 use crate::endpoint_events::EndpointEvent;
 use crate::executors::Executors;
+use crate::read_turns::{ReadCost, SourceKind, Turn};
 use crate::sockets::uninterrupted;
 use crate::start_times::StartTimes;
 use crate::subscription::EventSubscription;
@@ -19,6 +20,9 @@
 use tokio::sync::{mpsc, watch};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Number of bytes read in one turn, and the minimum length of a frame.
+const READ_SIZE: usize = 16 << 10;
+const MIN_FRAME: usize = 13;
 
 /// Watches the event bus until dropped. A change of `address`, even to the same value, causes a new connection at
 /// once.
@@ -34,6 +38,7 @@
     let mut queued = VecDeque::new();
     // The validity of the list that was last reported.
     let mut reported = Micros::MIN;
+    let turn = shared.read_turns.add(SourceKind::Peer);
     loop {
         // The new socket is created right after the previous one was closed, with no await between, so that nothing
         // else can take its descriptor.
@@ -73,6 +78,7 @@
             queued: &mut queued,
             reported: &mut reported,
             starts: &mut starts,
+            turn: &turn,
         };
         let why = tokio::select! {
             ended = connection.run(&stream, &request) => match ended {
@@ -142,6 +148,7 @@
     queued: &'a mut VecDeque<Input>,
     reported: &'a mut Micros,
     starts: &'a mut StartTimes,
+    turn: &'a Turn,
 }
 
 impl BusConnection<'_> {
@@ -155,6 +162,9 @@
         loop {
             let deadline = self.shared.clock.instant(self.subscription.silence_deadline());
             let ready = tokio::time::timeout_at(deadline, stream.readable()).await;
+            if ready.is_ok() {
+                self.shared.read_turns.acquire(self.turn).await;
+            }
             let why = self.read(stream, ready.is_err(), &mut events);
             // No await between the event's number and this: requests are withdrawn from the moment the event is read.
             for mut event in events.drain(..) {
@@ -183,7 +193,7 @@
     ) -> Option<String> {
         let mut read_buffer = self.shared.read_buffer.borrow_mut();
         // Also read after the timeout, because this process itself may have been late.
-        let length = match uninterrupted(|| stream.try_read(&mut read_buffer)) {
+        let length = match uninterrupted(|| stream.try_read(&mut read_buffer[..READ_SIZE])) {
             Ok(0) => return Some("the event bus closed the connection".into()),
             Ok(n) => n,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
@@ -191,6 +201,8 @@
             }
             Err(e) => return Some(e.to_string()),
         };
+        let cost = ReadCost { bytes: length, messages: (length / MIN_FRAME) as u32, unproductive: 0 };
+        self.shared.read_turns.charge(self.turn, cost);
         let (now, late) = self.shared.earliest_time();
         let result = self.subscription.feed(&read_buffer[..length], (now, now - late), events);
         result.err().map(|error| error.to_string())
--- a/crates/platform/src/watch/tests.rs
+++ b/crates/platform/src/watch/tests.rs
@@ -35,6 +35,7 @@
 fn test_setup(capacity: usize) -> (Rc<Shared>, Rc<Executors>, mpsc::Receiver<Input>) {
     let (inputs, incoming) = mpsc::channel(capacity);
     let shared = Rc::new(Shared::new(Clock::new(), inputs));
+    tokio::task::spawn_local(shared.clone().run_read_turns());
     let bounds = Bounds::new(&Limits { cores: 1.0, memory_mb: 64.0, sockets: 256 });
     let limits = executors::Limits {
         streams: 1,
