Platform: functions, unsent output and deferred requests are bounded by the memory limit

What operators saw: memory past its limit, the process killed. Up to 50,000 function names and their state were kept whatever memory_mb said, and each of hundreds of clients that do not read their answers could hold 128 KiB of output and, because the words' overhead was not counted, some 370 KiB of deferred requests.

An eighth of the memory is for functions now (700 bytes each), of which a quarter is reserved for clients of which a call was served; an eighth each for unsent output and deferred requests, divided by the number of clients. A call that is rejected for want of a name no longer writes a log line at info level.

--- a/crates/cli/tests/outages/fleet_soak.rs
+++ b/crates/cli/tests/outages/fleet_soak.rs
@@ -3,7 +3,7 @@
 //! other soak test. To repeat a run:
 //! `SOAK_FIRST=17 FLEET_SOAK_SEEDS=1 cargo test -p stagehoist-cli --test outages fleet_soak -- --nocapture`.
 
-use crate::rig::{exclusive_lock, Shape};
+use crate::rig::{exclusive_lock, ProcessLimits, Shape};
 use crate::soak::{draw_faults, draw_outages, draw_signals, number, run_seeds, Plan, PlannedEvent};
 use crate::traffic::Load;
 use rand::{RngExt, SeedableRng};
@@ -59,6 +59,7 @@
         fleet_front_ends: front_ends.max(executors / USUAL_FLEET),
         answer_slack: LOST_AFTER,
         flooding_peer: None,
+        limits: ProcessLimits::default(),
         seed,
     };
     let load = Load {
--- a/crates/cli/tests/outages/floods.rs
+++ b/crates/cli/tests/outages/floods.rs
@@ -3,7 +3,7 @@
 use crate::flood::{run_flood, Flood, FloodReport};
 use crate::machine::shim_environment;
 use crate::peer_flood::FloodingPeer;
-use crate::rig::{exclusive_lock, Rig, Shape, Verdict};
+use crate::rig::{exclusive_lock, ProcessLimits, Rig, Shape, Verdict};
 use crate::soak::number;
 use crate::traffic::Load;
 use crate::usage::Usage;
@@ -46,6 +46,7 @@
     connections: usize,
     /// Share of a core that the front end may use.
     share: f64,
+    limits: ProcessLimits,
     seed: u64,
 }
 
@@ -96,13 +97,14 @@
 
 impl Play {
     fn name(&self) -> String {
-        let Play { flood, peer, connections, share, seed } = self;
+        let Play { flood, peer, connections, share, limits, seed } = self;
         let flood = match (flood, peer) {
             (Some(flood), _) => format!("{flood:?}"),
             (None, Some(peer)) => format!("{peer:?}"),
             (None, None) => "no flood".into(),
         };
-        format!("{flood}, {connections} connections, {share} of a core, seed {seed}")
+        let ProcessLimits { memory_mb, sockets } = limits;
+        format!("{flood}, {connections} connections, {share} of a core, {memory_mb} MB, {sockets} sockets, seed {seed}")
     }
 
     /// Whether the play is to be performed. For manual runs of some plays set `FLOOD_PLAYS` to a part of their names.
@@ -141,6 +143,10 @@
         if self.verdict.late as f64 > LATE_PART * self.verdict.requests.len() as f64 {
             violations.push(format!("{} of {} late", self.verdict.late, self.verdict.requests.len()));
         }
+        let max_kib = u64::from(self.play.limits.memory_mb) * 1_000_000 / 1024;
+        if self.usage.peak_kib > max_kib {
+            violations.push(format!("{} KiB, at most {max_kib}", self.usage.peak_kib));
+        }
         if self.report.unanswered > 0 {
             violations.push(format!("{} flooding connections not answered", self.report.unanswered));
         }
@@ -154,6 +160,7 @@
     peers: &'a [FloodingPeer],
     connections: &'a [usize],
     shares: &'a [f64],
+    limits: ProcessLimits,
     /// Minimum fraction of the ordinary requests that are served, relative to a play without a flood.
     served_part: f64,
     /// The smallest share of a core at which so many have to be served.
@@ -164,19 +171,32 @@
     /// Returns the plays of a seed; the first one is without a flood. For longer manual runs set `FLOOD_ALL=1`.
     fn plays(&self, seed: u64) -> Vec<Play> {
         let is_long = std::env::var_os("FLOOD_ALL").is_some();
+        let limits = self.limits;
         let connections = if is_long { &[6, 30, 300] } else { self.connections };
         let shares = if is_long { &[1.0, 0.25, 0.1] } else { self.shares };
-        let mut plays = vec![Play { flood: None, peer: None, connections: 0, share: 1.0, seed }];
+        let mut plays = vec![Play { flood: None, peer: None, connections: 0, share: 1.0, limits, seed }];
         for &flood in self.kinds {
             for &connections in connections {
-                let play =
-                    |share: &f64| Play { flood: Some(flood), peer: None, connections, share: *share, seed };
+                let play = |share: &f64| Play {
+                    flood: Some(flood),
+                    peer: None,
+                    connections,
+                    share: *share,
+                    limits,
+                    seed,
+                };
                 plays.extend(shares.iter().map(play));
             }
         }
         for &peer in self.peers {
-            let play =
-                |share: &f64| Play { flood: None, peer: Some(peer), connections: 1, share: *share, seed };
+            let play = |share: &f64| Play {
+                flood: None,
+                peer: Some(peer),
+                connections: 1,
+                share: *share,
+                limits,
+                seed,
+            };
             plays.extend(shares.iter().map(play));
         }
         plays
@@ -208,6 +228,7 @@
         peers: &[],
         connections: &[6, 300],
         shares: &[1.0, 0.25],
+        limits: ProcessLimits::default(),
         served_part: SERVED_BESIDE_UNSOUND,
         served_from_share: 1.0,
     };
@@ -228,6 +249,7 @@
         peers: &[],
         connections: &[300],
         shares: &[0.25],
+        limits: ProcessLimits::default(),
         served_part: SERVED_BESIDE_SOUND,
         served_from_share: 0.0,
     };
@@ -242,8 +264,31 @@
         peers: &[FloodingPeer::Executor, FloodingPeer::Bus],
         connections: &[],
         shares: &[1.0, 0.25],
+        limits: ProcessLimits::default(),
         served_part: SERVED_BESIDE_UNSOUND,
         served_from_share: 1.0,
     };
     floods.assert_harmless();
 }
+
+/// Guards against clients that use up the memory: with the smallest limit of memory and the greatest of descriptors, all
+/// of them in use.
+#[test]
+fn clients_that_hold_every_descriptor_of_a_front_end_do_not_use_up_its_memory() {
+    let floods = Floods {
+        kinds: &[
+            Flood::NewFunctions,
+            Flood::NewConnections,
+            Flood::UnfinishedBodies,
+            Flood::ManyFields,
+            Flood::UnreadHealth,
+        ],
+        peers: &[],
+        connections: &[600],
+        shares: &[1.0],
+        limits: ProcessLimits { memory_mb: 32, sockets: 1024 },
+        served_part: SERVED_BESIDE_SOUND,
+        served_from_share: 0.0,
+    };
+    floods.assert_harmless();
+}
--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -76,6 +76,19 @@
     TESTS.read().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Limits of a front-end process, as its configuration states them.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessLimits {
+    pub memory_mb: u32,
+    pub sockets: u64,
+}
+
+impl Default for ProcessLimits {
+    fn default() -> ProcessLimits {
+        ProcessLimits { memory_mb: 64, sockets: 512 }
+    }
+}
+
 /// Parameters of a rig.
 #[derive(Clone, Copy, Debug)]
 pub struct Shape {
@@ -99,6 +112,7 @@
     pub answer_slack: Duration,
     /// A peer that can send at full speed: another executor, or the event bus of a rig without other events.
     pub flooding_peer: Option<FloodingPeer>,
+    pub limits: ProcessLimits,
     pub seed: u64,
 }
 
@@ -117,6 +131,7 @@
             fleet_front_ends: front_ends,
             answer_slack: SLACK,
             flooding_peer: None,
+            limits: ProcessLimits::default(),
             seed,
         }
     }
@@ -300,7 +315,8 @@
             Some((FloodingPeer::Bus, address)) => bus = address,
             None => {}
         }
-        let mut config = document(hosts, bus, 512);
+        let mut config = document(hosts, bus, self.shape.limits.sockets);
+        config["limits"]["memory_mb"] = self.shape.limits.memory_mb.into();
         let last = front_end.bus.last();
         config["known"]["offset"] = last.into();
         config["known"]["batch"][0]["offset"] = last.into();
--- a/crates/cli/tests/outages/soak.rs
+++ b/crates/cli/tests/outages/soak.rs
@@ -5,7 +5,7 @@
 //! `SOAK_SEEDS` sets the number of seeds and `SOAK_AT_ONCE` how many run concurrently.
 
 use crate::machine::shim_environment;
-use crate::rig::{shared_lock, Rig, Shape, Verdict};
+use crate::rig::{shared_lock, ProcessLimits, Rig, Shape, Verdict};
 use crate::traffic::{Load, Phase};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -103,6 +103,7 @@
         fleet_front_ends: front_ends,
         answer_slack: SLACK,
         flooding_peer: None,
+        limits: ProcessLimits::default(),
         seed,
     };
     let load = Load {
--- a/crates/gateway/src/state/core/calls.rs
+++ b/crates/gateway/src/state/core/calls.rs
@@ -14,8 +14,9 @@
             return;
         }
         let ticket = arrival.ticket;
-        let known =
-            arrival.properties.filter(|function| self.names.on_call(function.id, &arrival.function, now));
+        let known = arrival.properties.filter(|function| {
+            self.names.on_call(function.id, &arrival.function, arrival.client_verified, now)
+        });
         let reason = if (self.calls.len() + self.waiting.len()) as u64 >= self.settings.max_calls {
             Some("too-many-held")
         } else if known.is_none() {
@@ -28,7 +29,8 @@
             // A later retry can succeed when too many calls are held, but not when the function is unknown.
             let retry_after = if reason == "too-many-held" { self.settings.max_retry_after } else { 0 };
             let answer = Answer::Refused { reason, retry_after };
-            tracing::info!(
+            // One line a call would let a client fill the log.
+            tracing::debug!(
                 correlation = &*arrival.correlation,
                 function = &*arrival.function,
                 reason,
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -119,7 +119,7 @@
         let (kinds, zones) = (core_settings.kinds.clone(), core_settings.zones.clone());
         Core {
             policy: policy_factory(core_settings.settings.clone(), seed, now),
-            names: Names::new(core_settings.name_limits.0, core_settings.name_limits.1),
+            names: Names::new(core_settings.name_limits),
             endpoints: EndpointSet::new(kinds, zones, core_settings.announcement_retention)
                 .with_max_workers(core_settings.max_workers.unwrap_or(MAX_WORKERS)),
             settings: core_settings,
--- a/crates/gateway/src/state/core/recovery.rs
+++ b/crates/gateway/src/state/core/recovery.rs
@@ -63,7 +63,12 @@
                 self.reject_waiting(now, waiting.arrival, answer, commands);
                 continue;
             }
-            let known = self.names.on_call(waiting.properties.id, &waiting.arrival.function, now);
+            let known = self.names.on_call(
+                waiting.properties.id,
+                &waiting.arrival.function,
+                waiting.arrival.client_verified,
+                now,
+            );
             match self.recovery_admission(now, &waiting.arrival) {
                 Admission::Admit if known => self.enter(now, waiting.arrival, waiting.properties, commands),
                 Admission::Admit => {
--- a/crates/gateway/src/state/functions.rs
+++ b/crates/gateway/src/state/functions.rs
@@ -55,31 +55,50 @@
     }
 }
 
+/// Limits of the cache of function names.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NameLimits {
+    /// Maximum number of names.
+    pub max_names: usize,
+    /// Maximum number of names up to which a client may add one of which no call was served yet. The rest is for the
+    /// others, so that such clients can't use up the cache.
+    pub max_from_unverified: usize,
+    /// How long an unused name stays cached.
+    pub retention: Micros,
+}
+
+impl NameLimits {
+    /// Creates limits with a quarter of the names reserved for clients of which a call was served.
+    pub fn new(max_names: usize, retention: Micros) -> NameLimits {
+        NameLimits { max_names, max_from_unverified: max_names - max_names / 4, retention }
+    }
+}
+
 /// The names of recently called functions.
 #[derive(Debug)]
 pub struct Names {
-    max_names: usize,
-    retention: Micros,
+    limits: NameLimits,
     names: HashMap<FunctionId, (Rc<str>, Micros)>,
     last_purge: Micros,
 }
 
 impl Names {
-    /// Creates an empty cache of at most `max` names, each removed after `unused_for` microseconds without a call.
-    pub fn new(max: usize, unused_for: Micros) -> Names {
-        Names { max_names: max, retention: unused_for, names: HashMap::new(), last_purge: Micros::MIN }
+    /// Creates an empty cache.
+    pub fn new(limits: NameLimits) -> Names {
+        Names { limits, names: HashMap::new(), last_purge: Micros::MIN }
     }
 
     /// Records a call. Returns false if the ID belongs to another name, because the decision module would treat both names
-    /// as one function, or if there is no room for another name.
-    pub fn on_call(&mut self, id: FunctionId, name: &Rc<str>, now: Micros) -> bool {
+    /// as one function, or if there is no room for another name of such a client.
+    pub fn on_call(&mut self, id: FunctionId, name: &Rc<str>, is_verified: bool, now: Micros) -> bool {
         if let Some((cached, last_used)) = self.names.get_mut(&id) {
             *last_used = now;
             return cached == name;
         }
-        if self.names.len() >= self.max_names {
+        let max_names = if is_verified { self.limits.max_names } else { self.limits.max_from_unverified };
+        if self.names.len() >= max_names {
             self.purge(now);
-            if self.names.len() >= self.max_names {
+            if self.names.len() >= max_names {
                 return false;
             }
         }
@@ -89,11 +108,11 @@
 
     /// Removes names whose retention is over; scans at most once per sixteenth of the retention.
     pub fn purge(&mut self, now: Micros) {
-        if self.last_purge > now - self.retention / 16 {
+        if self.last_purge > now - self.limits.retention / 16 {
             return;
         }
         self.last_purge = now;
-        let retention = self.retention;
+        let retention = self.limits.retention;
         self.names.retain(|_, (_, last_used)| now - *last_used < retention);
         if self.names.capacity() > 4 * self.names.len() + 1024 {
             self.names.shrink_to_fit();
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -7,7 +7,7 @@
 
 pub use answer::Answer;
 pub use core::{Core, Counters};
-pub use functions::{FunctionProperties, Names};
+pub use functions::{FunctionProperties, NameLimits, Names};
 
 use bytes::Bytes;
 use stagehoist::{
@@ -65,8 +65,7 @@
     pub max_retry_after: Micros,
     /// A load order without a result counts as lost after this time.
     pub load_timeout: Micros,
-    /// Maximum number of cached function names, and how long an unused name stays cached.
-    pub name_limits: (usize, Micros),
+    pub name_limits: NameLimits,
     /// Whether the attempts of a call are cancelled when its caller leaves; otherwise they run to completion.
     pub cancel_abandoned: bool,
 }
@@ -85,7 +84,7 @@
             max_calls: config.max_held_calls,
             max_retry_after: config.max_retry_after,
             load_timeout: config.load_timeout,
-            name_limits: (100_000, 600_000_000),
+            name_limits: NameLimits::new(100_000, 600_000_000),
             cancel_abandoned: false,
         }
     }
--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -29,8 +29,14 @@
     pub executors: usize,
     /// Maximum number of bytes of request bodies held at once.
     pub held_bytes: usize,
+    /// Maximum number of bytes of unsent output, and of deferred requests, of a client that does not read its answers.
+    pub unread_bytes: usize,
 }
 
+/// Bounds of [`Bounds::unread_bytes`].
+const MIN_UNREAD_BYTES: usize = 4 << 10;
+pub const MAX_UNREAD_BYTES: usize = 128 << 10;
+
 impl Bounds {
     /// Derives the bounds. Clients get half of the descriptors, and executors get the rest except for a reserve.
     /// Well-behaved clients hold only a third of all descriptors; the margin exists because some clients misbehave.
@@ -42,6 +48,7 @@
             clients: clients as usize,
             executors: executors as usize,
             held_bytes: (limits.memory_mb * 1e6 / 6.0) as usize,
+            unread_bytes: unread_bytes(limits.memory_mb, clients),
         }
     }
 
@@ -51,6 +58,13 @@
     }
 }
 
+/// Returns the bytes that a client may leave unread: an eighth of the memory for the output of all clients, and as much
+/// for their deferred requests.
+fn unread_bytes(memory_mb: f64, clients: u64) -> usize {
+    let share = (memory_mb * 1e6 / 8.0) as usize / (clients as usize).max(1);
+    share.clamp(MIN_UNREAD_BYTES, MAX_UNREAD_BYTES)
+}
+
 /// The activity of a client's connection, from which the one to evict is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionActivity {
--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -76,7 +76,7 @@
         self.count(|c| c.accepted += 1);
         let id = self.next_conn.get() + 1;
         self.next_conn.set(id);
-        let session = RefCell::new(Session::new(self.shared.clock.now()));
+        let session = RefCell::new(Session::new(self.bounds.unread_bytes, self.shared.clock.now()));
         let [is_gone, is_inactive, dirty, fills_reads] = [false; 4].map(Cell::new);
         let (inputs, wake) = (RefCell::default(), Notify::new());
         let turn = self.shared.read_turns.add(SourceKind::Client);
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use stagehoist::{wire, Micros, Settings};
-use stagehoist_gateway::state::CoreSettings;
+use stagehoist_gateway::state::{CoreSettings, NameLimits};
 use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{self, Read};
@@ -86,6 +86,11 @@
 
 /// Minimum time after which a load order counts as lost.
 const MIN_LOAD_TIMEOUT: Micros = 1_000_000;
+/// Memory of a known function, in the decision module and here.
+const FUNCTION_BYTES: f64 = 700.0;
+/// Bounds of the number of functions that are known at once.
+const MIN_FUNCTIONS: usize = 1_000;
+const MAX_FUNCTIONS: usize = 50_000;
 
 /// A class of calls, under the name that clients use.
 #[derive(Clone, Debug, PartialEq)]
@@ -247,11 +252,20 @@
             max_retry_after: self.settings.max_retry_after,
             load_timeout: self.settings.load_delay,
             // The module removes functions after eight times the keep-alive.
-            name_limits: (50_000, (10 * self.settings.idle_retention).max(30_000_000)),
+            name_limits: NameLimits::new(
+                self.max_functions(),
+                (10 * self.settings.idle_retention).max(30_000_000),
+            ),
             cancel_abandoned: true,
         }
     }
 
+    /// Returns the maximum number of functions that are known at once: an eighth of the memory is for them.
+    fn max_functions(&self) -> usize {
+        let fitting = self.limits.memory_mb * 1e6 / 8.0 / FUNCTION_BYTES;
+        (fitting as usize).clamp(MIN_FUNCTIONS, MAX_FUNCTIONS)
+    }
+
     /// Returns the longest time that any client waits.
     pub fn longest_deadline(&self) -> Micros {
         self.classes.iter().map(|c| c.hard_limit).max().unwrap_or(0)
--- a/crates/platform/src/deferred.rs
+++ b/crates/platform/src/deferred.rs
@@ -4,23 +4,34 @@
 use crate::resp::Words;
 use std::collections::VecDeque;
 
-/// Maximum number of bytes deferred per client; one more array may exceed it.
-const MAX_BYTES: usize = 128 << 10;
-/// Memory overhead of an array beyond its words.
+/// Memory overhead of an array, and of each of its words.
 const ARRAY_OVERHEAD: usize = 64;
+const WORD_OVERHEAD: usize = 40;
 
 /// Deferred arrays in order of arrival.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DeferredRequests {
+    /// Maximum number of bytes; one more array may exceed it.
+    max_bytes: usize,
     waiting: VecDeque<(Option<u64>, Words)>,
     bytes: usize,
 }
 
 fn size(words: &Words) -> usize {
-    ARRAY_OVERHEAD + words.iter().map(Vec::len).sum::<usize>()
+    ARRAY_OVERHEAD + words.iter().map(|word| WORD_OVERHEAD + word.len()).sum::<usize>()
 }
 
 impl DeferredRequests {
+    /// Creates an empty queue.
+    pub fn new(max_bytes: usize) -> DeferredRequests {
+        DeferredRequests { max_bytes, waiting: VecDeque::new(), bytes: 0 }
+    }
+
+    /// Drops all arrays.
+    pub fn clear(&mut self) {
+        *self = DeferredRequests::new(self.max_bytes);
+    }
+
     /// Whether nothing is deferred.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
@@ -28,7 +39,7 @@
 
     /// Whether no more arrays may be deferred.
     pub fn is_full(&self) -> bool {
-        self.bytes >= MAX_BYTES
+        self.bytes >= self.max_bytes
     }
 
     /// Defers an array under its request number.
--- a/crates/platform/src/read_turns.rs
+++ b/crates/platform/src/read_turns.rs
@@ -2,7 +2,7 @@
 //! turn is one read of limited size. The turns of a round are limited too, and the runtime polls all sockets and timers
 //! between rounds. So no connection keeps the loop from the others, whatever it sends, and neither do many together.
 //!
-//! The order of the turns is decided in [`queue`]. While the loop has time, a turn is granted at once.
+//! The order of the turns is decided in `queue`. While the loop has time, a turn is granted at once.
 
 mod queue;
 mod throttle;
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -16,8 +16,6 @@
 
 /// Maximum number of requests open on one connection.
 pub const MAX_OPEN_REQUESTS: usize = 32;
-/// Unsent output at which the session stops handling new requests of this client. Cancellations are still handled.
-pub const MAX_OUTPUT: usize = 128 << 10;
 
 /// What a client has sent since its last read, or over the whole connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -62,6 +60,8 @@
     open: BTreeMap<u64, Ticket>,
     deferred: DeferredRequests,
     output: BytesMut,
+    /// Unsent output at which the session stops handling new requests of this client. Cancellations are still handled.
+    max_output: usize,
     /// No more input is handled; the connection closes once the pending output is sent.
     closing: bool,
     has_requested: bool,
@@ -79,13 +79,15 @@
 }
 
 impl Session {
-    /// Creates the session of a connection that was just accepted.
-    pub fn new(now: Micros) -> Session {
+    /// Creates the session of a connection that was just accepted. `unread_bytes` limits the unsent output, and the
+    /// requests deferred behind it.
+    pub fn new(unread_bytes: usize, now: Micros) -> Session {
         Session {
             decoder: Decoder::default(),
             open: BTreeMap::new(),
-            deferred: DeferredRequests::default(),
+            deferred: DeferredRequests::new(unread_bytes),
             output: BytesMut::new(),
+            max_output: unread_bytes,
             closing: false,
             has_requested: false,
             is_verified: false,
@@ -121,7 +123,7 @@
                 Ok(Some(words)) => {
                     self.counts.messages += 1;
                     self.partial_since = None;
-                    if self.output.len() < MAX_OUTPUT {
+                    if self.output.len() < self.max_output {
                         self.take(words, (catalog, serving), next_ticket, events);
                     } else {
                         self.defer(words, events);
@@ -175,7 +177,7 @@
     pub fn close(&mut self, events: &mut Vec<ClientEvent>) {
         self.closing = true;
         self.decoder = Decoder::default();
-        self.deferred = DeferredRequests::default();
+        self.deferred.clear();
         self.partial_since = None;
         events.extend(std::mem::take(&mut self.open).into_values().map(ClientEvent::Cancelled));
     }
@@ -239,7 +241,7 @@
     /// Whether more bytes may be read. A client that keeps sending without reading its answers is not read from until
     /// it reads some. Its connection stays open, as its requests may be as valid as those of other clients.
     pub fn wants_read(&self) -> bool {
-        !self.closing && (self.output.len() < MAX_OUTPUT || !self.deferred.is_full())
+        !self.closing && (self.output.len() < self.max_output || !self.deferred.is_full())
     }
 
     /// Whether bytes were read that are not parsed because the client does not read its answers. A cancellation may
@@ -250,7 +252,7 @@
 
     /// Whether deferred requests can be handled, because the client has read its answers.
     pub fn can_resume(&self) -> bool {
-        !self.closing && !self.deferred.is_empty() && self.output.len() < MAX_OUTPUT
+        !self.closing && !self.deferred.is_empty() && self.output.len() < self.max_output
     }
 
     /// Whether the session handles no more requests.
--- a/crates/platform/tests/codecs/tools.rs
+++ b/crates/platform/tests/codecs/tools.rs
@@ -3,6 +3,7 @@
 use bytes::BytesMut;
 use stagehoist::{Micros, Outcome};
 use stagehoist_gateway::state::Input;
+use stagehoist_platform::bounds::MAX_UNREAD_BYTES;
 use stagehoist_platform::connection::{ConnectionState, Exchange, ProtocolViolation, RunRequest};
 use stagehoist_platform::resp::{encode, Decoder};
 use stagehoist_platform::session::{Catalog, ClientEvent, Session};
@@ -23,7 +24,12 @@
 
 impl Client {
     pub fn new() -> Client {
-        Client { session: Session::new(0), catalog: catalog(), ticket: 0, events: Vec::new() }
+        Client {
+            session: Session::new(MAX_UNREAD_BYTES, 0),
+            catalog: catalog(),
+            ticket: 0,
+            events: Vec::new(),
+        }
     }
     pub fn send(&mut self, words: &[&[u8]]) {
         let mut bytes = BytesMut::new();
--- a/crates/platform/tests/crossings/clients.rs
+++ b/crates/platform/tests/crossings/clients.rs
@@ -4,7 +4,7 @@
 use crate::stage::{on_one_thread, WAIT};
 use stagehoist_gateway::clock::Clock;
 use stagehoist_gateway::state::Input;
-use stagehoist_platform::bounds::Bounds;
+use stagehoist_platform::bounds::{Bounds, MAX_UNREAD_BYTES};
 use stagehoist_platform::clients::{Clients, Shared};
 use stagehoist_platform::session::Catalog;
 use stagehoist_platform::PlatformSettings;
@@ -31,7 +31,7 @@
         let (sender, inputs) = mpsc::channel(capacity);
         let shared = Rc::new(Shared::new(Clock::new(), sender));
         tokio::task::spawn_local(shared.clone().run_read_turns());
-        let bounds = Bounds { clients, executors: 4, held_bytes: 1 << 20 };
+        let bounds = Bounds { clients, executors: 4, held_bytes: 1 << 20, unread_bytes: MAX_UNREAD_BYTES };
         let clients = Rc::new(Clients::new(shared, Catalog::from(&settings), bounds));
         clients.serve(true);
         let listener = Rc::new(TcpListener::bind("127.0.0.1:0").await.unwrap());
--- a/crates/platform/tests/crossings/stage.rs
+++ b/crates/platform/tests/crossings/stage.rs
@@ -7,7 +7,7 @@
 use stagehoist_endpoints::NumberedEndpoint;
 use stagehoist_gateway::clock::Clock;
 use stagehoist_gateway::state::{Attempt, Input, Ticket};
-use stagehoist_platform::bounds::Bounds;
+use stagehoist_platform::bounds::{Bounds, MAX_UNREAD_BYTES};
 use stagehoist_platform::clients::{Clients, Shared};
 use stagehoist_platform::executors::{Executors, Limits};
 use stagehoist_platform::session::Catalog;
@@ -61,7 +61,12 @@
             report_fields: Vec::new(),
             classes: vec!["look".into()],
         };
-        let bounds = Bounds { clients: 4, executors: max_connections, held_bytes: 1 << 20 };
+        let bounds = Bounds {
+            clients: 4,
+            executors: max_connections,
+            held_bytes: 1 << 20,
+            unread_bytes: MAX_UNREAD_BYTES,
+        };
         let settings = stagehoist_platform::PlatformSettings::parse(include_str!("../config.json")).unwrap();
         let clients = Rc::new(Clients::new(shared.clone(), Catalog::from(&settings), bounds));
         let (listener, listen) = listen(8);
--- a/crates/platform/tests/descriptors/stage.rs
+++ b/crates/platform/tests/descriptors/stage.rs
@@ -9,7 +9,7 @@
 use stagehoist_endpoints::NumberedEndpoint as Row;
 use stagehoist_gateway::clock::Clock;
 use stagehoist_gateway::state::{Attempt, Input};
-use stagehoist_platform::bounds::Bounds;
+use stagehoist_platform::bounds::{Bounds, MAX_UNREAD_BYTES};
 use stagehoist_platform::clients::{Clients, Shared};
 use stagehoist_platform::executors::{Executors, Limits};
 use stagehoist_platform::{session::Catalog, PlatformSettings};
@@ -87,7 +87,12 @@
             report_fields: Vec::new(),
             classes: vec!["look".into()],
         };
-        let bounds = Bounds { clients: 100, executors: max_connections, held_bytes: 1 << 20 };
+        let bounds = Bounds {
+            clients: 100,
+            executors: max_connections,
+            held_bytes: 1 << 20,
+            unread_bytes: MAX_UNREAD_BYTES,
+        };
         let clients = Rc::new(Clients::new(shared.clone(), Catalog::from(&settings), bounds));
         let executors = Rc::new(Executors::new(shared.clone(), clients.clone(), limits, bounds));
         shared.descriptors.add(&clients);
--- a/crates/scale-tests/src/front_end/player.rs
+++ b/crates/scale-tests/src/front_end/player.rs
@@ -9,7 +9,7 @@
 use crate::meter::spent;
 use stagehoist::*;
 use stagehoist_endpoints::{EndpointSet, NumberedEndpoint};
-use stagehoist_gateway::state::Names;
+use stagehoist_gateway::state::{NameLimits, Names};
 use stagehoist_sharding::MAX_MEMBERS;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -56,7 +56,7 @@
             // A divided front end still follows the whole list.
             members: if divided.is_some() { members.with_max_workers(MAX_MEMBERS) } else { members },
             subset: divided.map(|d| Subset::new(d, scene, number)),
-            names: Names::new(50_000, 10 * KEEP),
+            names: Names::new(NameLimits::new(50_000, 10 * KEEP)),
             calls: HashMap::new(),
             next: 0,
             actions: Vec::new(),
@@ -124,7 +124,7 @@
         play.out.strange += u64::from(before.is_none_or(|t| now - t > KEEP));
         play.out.calls += 1;
         play.out.rare.0 += u64::from(rare);
-        self.names.on_call(function, &Rc::from(function_name(function)), now);
+        self.names.on_call(function, &Rc::from(function_name(function)), true, now);
         self.names.purge(now);
         self.calls.insert(id, Open { function, rare, came: now, attempts: 0 });
         self.turn(play, &[Event::Request(Request { id, ..request })], now);
--- a/crates/scale-tests/src/traces/core.rs
+++ b/crates/scale-tests/src/traces/core.rs
@@ -8,7 +8,7 @@
 use stagehoist_gateway::amqp::link::LinkState;
 use stagehoist_gateway::metrics::Gauges;
 use stagehoist_gateway::state::{
-    Arrival, AttemptResult, Command, Core, CoreSettings, FunctionProperties, Input,
+    Arrival, AttemptResult, Command, Core, CoreSettings, FunctionProperties, Input, NameLimits,
 };
 use std::io;
 use std::rc::Rc;
@@ -24,7 +24,7 @@
         kinds: vec!["large".into()],
         max_calls: 20_000,
         load_timeout: 10_000_000,
-        name_limits: (100_000, 600_000_000),
+        name_limits: NameLimits::new(100_000, 600_000_000),
         ..CoreSettings::default()
     };
     let mut now = 1_000_000;
