--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -70,6 +70,8 @@
 pub struct ConnectionActivity {
     /// A complete request was received on it.
     pub has_requested: bool,
+    /// An executor has served a request of this client.
+    pub is_verified: bool,
     /// Number of requests open on it.
     pub open_requests: usize,
     /// When data was last received or an answer was last queued.
@@ -77,14 +79,14 @@
 }
 
 /// Returns the connection to evict for a new one. Connections with open requests are never evicted; None if there are
-/// no others. Connections that had time to send a request and did not are evicted first, then the others. In each
-/// group the one that is inactive for the longest time is chosen. A connection that was just accepted ranks with
+/// no others. Connections that had time to send a request and did not are evicted first, then those of clients that
+/// were not served yet, then the others. In each group the one that is inactive for the longest time is chosen. A connection that was just accepted ranks with
 /// those that have sent requests, because its first request is in transit.
 pub fn victim<K: Copy>(activity: impl Iterator<Item = (K, ConnectionActivity)>, now: Micros) -> Option<K> {
     let is_spared = |s: &ConnectionActivity| s.has_requested || now - s.active_at < FIRST_REQUEST_TRANSIT;
     activity
         .filter(|(_, s)| s.open_requests == 0)
-        .min_by_key(|(_, s)| (is_spared(s), s.active_at))
+        .min_by_key(|(_, s)| (is_spared(s), s.is_verified, s.active_at))
         .map(|(k, _)| k)
 }
 
--- a/crates/platform/src/bounds/tests.rs
+++ b/crates/platform/src/bounds/tests.rs
@@ -19,6 +19,7 @@
 fn connections_without_a_request_are_evicted_first_and_those_with_open_requests_never() {
     let s = |requested, open_count, last_active| ConnectionActivity {
         has_requested: requested,
+        is_verified: false,
         open_requests: open_count,
         active_at: last_active,
     };
@@ -27,6 +28,9 @@
     assert_eq!(victim(all.iter().copied().enumerate(), late), Some(2));
     assert_eq!(victim([s(true, 0, 9), s(true, 0, 3)].into_iter().enumerate(), late), Some(1));
     assert_eq!(victim([s(true, 1, 1)].into_iter().enumerate(), late), None);
+    let verified = ConnectionActivity { is_verified: true, ..s(true, 0, 1) };
+    assert_eq!(victim([verified, s(true, 0, 9)].into_iter().enumerate(), late), Some(1));
+    assert_eq!(victim([verified].into_iter().enumerate(), late), Some(0));
     // A connection that was just accepted had no time to send a request, so it ranks by its age like those that did.
     let young = [s(false, 0, late - 1), s(true, 0, 9), s(true, 0, 8)];
     assert_eq!(victim(young.into_iter().enumerate(), late), Some(2));
@@ -38,6 +42,7 @@
 fn inactive_connections_expire_and_an_open_request_keeps_its_connection() {
     let s = |requested, open_count, last_active| ConnectionActivity {
         has_requested: requested,
+        is_verified: false,
         open_requests: open_count,
         active_at: last_active,
     };
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -269,6 +269,7 @@
     pub fn activity(&self) -> ConnectionActivity {
         ConnectionActivity {
             has_requested: self.has_requested,
+            is_verified: self.is_verified,
             open_requests: self.open.len(),
             active_at: self.active_at,
         }
