Platform: the id of a non-idempotent call that ended is not accepted again

Shown here: a client leaves while its request of class book runs, the same id comes on a new connection, becomes a call and may run a second time. Ids are new with every request, so nobody else is refused. the_id_of_a_non_idempotent_request_whose_client_left_is_not_accepted_again fails without the check.

--- a/crates/platform/src/clients/calls.rs
+++ b/crates/platform/src/clients/calls.rs
@@ -20,7 +20,8 @@
                     inputs.extend(self.accept_call(connection, ticket, *request, (now, late)))
                 }
                 ClientEvent::Cancelled(ticket) => {
-                    if self.release(ticket).is_some() {
+                    if let Some(accepted) = self.release(ticket) {
+                        self.remember_id(&accepted, now);
                         self.cancelled.borrow_mut().insert(ticket, now);
                         inputs.push(Input::ClientGone(ticket));
                     }
@@ -38,8 +39,9 @@
         (now, late): (Micros, Micros),
     ) -> Option<Input> {
         let bytes = request.body.len() + 512;
-        if self.references.borrow().contains_key(&request.reference) {
-            // An answer would be ambiguous. The request that is already open continues.
+        let is_open = self.references.borrow().contains_key(&request.reference);
+        if is_open || self.ended_ids.borrow().contains(request.reference) {
+            // An answer would be ambiguous, or the request would run twice. One that is already open continues.
             connection.session.borrow_mut().reject(ticket);
             self.count(|c| c.unusable += 1);
             return None;
@@ -64,7 +66,12 @@
         }
         self.held_bytes.set(self.held_bytes.get() + bytes);
         self.references.borrow_mut().insert(request.reference, ticket);
-        let accepted = AcceptedCall { connection: connection.clone(), reference: request.reference, bytes };
+        let accepted = AcceptedCall {
+            connection: connection.clone(),
+            reference: request.reference,
+            bytes,
+            is_non_idempotent: self.catalog.is_non_idempotent(request.properties.class),
+        };
         self.calls.borrow_mut().insert(ticket, accepted);
         let remaining = self.exit_by.get().map_or(Micros::MAX, |at| at - now);
         Some(Input::Call(Arrival {
@@ -114,12 +121,24 @@
         Some(accepted)
     }
 
+    /// Remembers the id of a call that ended, if it may have run and must not run again.
+    fn remember_id(&self, ended: &AcceptedCall, now: Micros) {
+        if ended.is_non_idempotent {
+            self.ended_ids.borrow_mut().insert(ended.reference, now);
+        }
+    }
+
     /// Passes the answer of a call to its session; it is written at the end of the batch.
     pub fn answer(&self, ticket: Ticket, answer: &Answer) {
-        let Some(AcceptedCall { connection, .. }) = self.release(ticket) else { return };
+        let Some(accepted) = self.release(ticket) else { return };
+        let now = self.shared.clock.now();
+        if !matches!(answer, Answer::Refused { .. }) {
+            self.remember_id(&accepted, now);
+        }
+        let connection = accepted.connection;
         let mut session = connection.session.borrow_mut();
         let was_verified = session.is_verified();
-        session.answer(ticket, answer, self.shared.clock.now());
+        session.answer(ticket, answer, now);
         if session.is_verified() && !was_verified {
             self.shared.read_turns.prefer(&connection.turn);
         }
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -9,6 +9,7 @@
 
 use crate::bounds::Bounds;
 use crate::read_turns::Turn;
+use crate::recent_ids::RecentIds;
 use crate::session::{Catalog, MessageCounts, Session};
 pub use crate::shared::Shared;
 use crate::sockets;
@@ -63,6 +64,8 @@
     connection: Rc<ClientConnection>,
     reference: u64,
     bytes: usize,
+    /// The call must never run twice.
+    is_non_idempotent: bool,
 }
 
 /// Counters of client connections and requests, for the log.
@@ -88,6 +91,8 @@
     conns: RefCell<HashMap<u64, Rc<ClientConnection>>>,
     calls: RefCell<HashMap<Ticket, AcceptedCall>>,
     references: RefCell<HashMap<u64, Ticket>>,
+    /// Ids of ended calls that may have run and must not run again.
+    ended_ids: RefCell<RecentIds>,
     /// When each call was cancelled or its client disconnected. An entry is kept while a part of the call may still
     /// be queued for writing.
     cancelled: RefCell<HashMap<Ticket, Micros>>,
@@ -118,6 +123,7 @@
             conns: RefCell::default(),
             calls: RefCell::default(),
             references: RefCell::default(),
+            ended_ids: RefCell::default(),
             cancelled: RefCell::default(),
             held_bytes: Cell::new(0),
             next_ticket: Cell::new(0),
@@ -182,6 +188,7 @@
     pub fn on_tick(&self) {
         self.forget_cancelled();
         let now = self.shared.clock.now();
+        self.ended_ids.borrow_mut().purge(now);
         for connection in self.conns.borrow().values() {
             let awaits_turn = connection.turn.is_waiting();
             if awaits_turn && sockets::is_read_closed(&connection.stream) {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`completion_rate`]: how long requests in progress take.
 //! - [`loop_lag`]: how far the event loop is behind, and which requests are rejected because of it.
 //! - [`read_turns`]: which connection may read next, so that none keeps the event loop from the others.
+//! - [`recent_ids`]: ids of calls that must not run again.
 //! - [`stalls`]: for how long this process did not run.
 //! - [`reload`]: rereads the configuration at a signal, and retries until the file is readable.
 //!
@@ -35,6 +36,7 @@
 pub mod loop_lag;
 pub mod poll_times;
 pub mod read_turns;
+pub mod recent_ids;
 pub mod reload;
 pub mod replay;
 pub mod request;
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -3,7 +3,7 @@
 use crate::config::{Class, PlatformSettings};
 use crate::fields;
 use bytes::Bytes;
-use stagehoist::Micros;
+use stagehoist::{ClassSettings, Effect, Micros};
 use stagehoist_gateway::state::FunctionProperties;
 use std::rc::Rc;
 
@@ -20,6 +20,8 @@
 pub struct Catalog {
     classes: Vec<Class>,
     tenants: Vec<String>,
+    /// Whether a request of the class must never run twice, by class.
+    non_idempotent: Vec<bool>,
     max_memory_mb: f64,
 }
 
@@ -29,11 +31,23 @@
         Catalog {
             classes: settings.classes.clone(),
             tenants: settings.tenants.clone(),
+            non_idempotent: settings.settings.classes.iter().map(is_non_idempotent).collect(),
             max_memory_mb: max_memory,
         }
     }
 }
 
+fn is_non_idempotent(class: &ClassSettings) -> bool {
+    class.effect == Effect::NonIdempotent
+}
+
+impl Catalog {
+    /// Whether a request of this class must never run twice.
+    pub fn is_non_idempotent(&self, class: u16) -> bool {
+        self.non_idempotent.get(usize::from(class)).copied().unwrap_or(true)
+    }
+}
+
 /// A parsed request of a client.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClientRequest {
--- a/crates/platform/tests/crossings/cancelled.rs
+++ b/crates/platform/tests/crossings/cancelled.rs
@@ -6,6 +6,7 @@
 use crate::stage::{listen, on_one_thread, Peer, Stage};
 use bytes::Bytes;
 use stagehoist::Outcome;
+use stagehoist_gateway::state::Input;
 use std::io::Write;
 use std::time::Duration;
 
@@ -179,3 +180,37 @@
         assert!(!peer.has("first"));
     });
 }
+
+/// Its client leaves while it runs, and the same id comes again on another connection: it must not run a second time. An
+/// idempotent request may.
+#[test]
+fn the_id_of_a_non_idempotent_request_whose_client_left_is_not_accepted_again() {
+    for how in ALL_DEPARTURES {
+        on_one_thread(async {
+            let (listener, address) = listen(8);
+            let mut stage = Stage::new(1, 64);
+            stage.at(address);
+            let mut client = Client::connect(&stage);
+            client.write(&[Client::request_of("book", 2, b"x"), Client::request(4, b"x")].concat());
+            let tickets = [stage.asked(2).await, stage.asked(4).await];
+            stage.send(2);
+            let mut peer = Peer::accept(&stage, &listener).await;
+            stage.until(|| peer.has("RUN 0000000000000002")).await;
+            client.leave(2, how);
+            if how == Departure::Abort {
+                client.leave(4, how);
+            }
+            let mut gone = 0;
+            while gone < tickets.len() {
+                let item = stage.inputs.recv().await;
+                gone += usize::from(matches!(item, Some(Input::ClientGone(t)) if tickets.contains(&t)));
+            }
+            let mut again = Client::connect(&stage);
+            again.write(&[Client::request_of("book", 2, b"x"), Client::request(4, b"x")].concat());
+            stage.asked(4).await;
+            stage.until(|| again.read_available() > 0).await;
+            let refused = stage.clients.counters.get().unusable;
+            assert_eq!(refused, 1, "{how:?}: request 2 was accepted a second time");
+        });
+    }
+}
--- a/crates/platform/tests/crossings/client.rs
+++ b/crates/platform/tests/crossings/client.rs
@@ -38,9 +38,14 @@
 
     /// Encodes a request with this number.
     pub fn request(n: u32, body: &[u8]) -> Vec<u8> {
+        Client::request_of("look", n, body)
+    }
+
+    /// Encodes a request of a class.
+    pub fn request_of(class: &str, n: u32, body: &[u8]) -> Vec<u8> {
         let fields = format!("ref={n:016x},allow=1900,project=acme,lookup=7f3a9c21e0b4d655,effort=8");
         let mut bytes = BytesMut::new();
-        encode(&mut bytes, &[b"REQ", n.to_string().as_bytes(), b"look", fields.as_bytes(), body]);
+        encode(&mut bytes, &[b"REQ", n.to_string().as_bytes(), class.as_bytes(), fields.as_bytes(), body]);
         bytes.to_vec()
     }
 
