Tests: a new executor at the address of one that is gone

The queued one is withdrawn as never sent, and the new executor gets its requests on a connection of its own.

--- a/crates/platform/tests/crossings/sockets.rs
+++ b/crates/platform/tests/crossings/sockets.rs
@@ -1,10 +1,11 @@
 //! Races on real sockets, without a wait between the two events.
 
 use crate::queues::{block_until, drain, fill_socket};
-use crate::stage::{listen, on_one_thread, Peer, Stage};
+use crate::stage::{listed, listen, on_one_thread, Peer, Stage};
 use bytes::Bytes;
 use socket2::SockRef;
-use stagehoist::Outcome;
+use stagehoist::{EndpointUpdate, Lifecycle, Outcome};
+use stagehoist_endpoints::NumberedEndpoint;
 use stagehoist_gateway::state::Input;
 use std::io::Write;
 use std::net::TcpStream;
@@ -113,6 +114,49 @@
     });
 }
 
+/// An executor is gone, and a new one with another id came up at its address. The connection to the old one is still open
+/// here, with a request in progress and one queued. The list may report both in one event or in two, in either order.
+#[test]
+fn a_new_executor_at_the_address_of_one_that_is_gone_gets_nothing_on_the_old_connection() {
+    for is_one_event in [true, false] {
+        for is_new_first in [true, false] {
+            on_one_thread(async {
+                let ((listener, address), (_other, other_at)) = (listen(8), listen(8));
+                // Two executors share two connections, so each has one.
+                let mut stage = Stage::new(2, 64);
+                stage.at(address);
+                stage.worker_at(3, other_at);
+                stage.send(1);
+                let mut old = Peer::accept(&stage, &listener).await;
+                stage.until(|| old.has("RUN 0000000000000001")).await;
+                stage.start(2, Bytes::from_static(b"x"));
+                let gone = listed(1, address, Lifecycle::Gone);
+                let new = listed(2, address, Lifecycle::Ready);
+                let records = if is_new_first { [new, gone] } else { [gone, new] };
+                let events: Vec<&[NumberedEndpoint]> =
+                    if is_one_event { vec![&records] } else { records.chunks(1).collect() };
+                let apply = |event: &&[NumberedEndpoint]| stage.executors.apply(EndpointUpdate::Delta, event);
+                let withdrawn: Vec<Input> = events.iter().flat_map(apply).collect();
+                assert!(matches!(&withdrawn[..], [Input::AttemptEnded { request: 2, result, .. }]
+                    if result.outcome == Outcome::ConnectFailed));
+                // The old id gets nothing more, and the new one gets its requests on a connection of its own.
+                stage.start_at(1, 3, Bytes::from_static(b"x"));
+                stage.start_at(2, 4, Bytes::from_static(b"x"));
+                stage.executors.flush_all();
+                let mut fresh = Peer::accept(&stage, &listener).await;
+                stage.until(|| fresh.has("RUN 0000000000000004")).await;
+                assert_eq!(stage.end().await, (3, Outcome::ConnectFailed));
+                old.stream.write_all(b"0000000000000001 OK - 2\r\nhi\r\n").unwrap();
+                assert_eq!(stage.end().await, (1, Outcome::Ok));
+                for peer in [&mut old, &mut fresh] {
+                    assert!(!peer.has("RUN 0000000000000002") && !peer.has("RUN 0000000000000003"));
+                }
+                assert!(!old.has("RUN 0000000000000004"));
+            });
+        }
+    }
+}
+
 #[test]
 fn a_handshake_with_an_outdated_address_carries_no_request() {
     on_one_thread(async {
--- a/crates/platform/tests/crossings/stage.rs
+++ b/crates/platform/tests/crossings/stage.rs
@@ -41,6 +41,12 @@
     local.block_on(&runtime, async { tokio::time::timeout(3 * WAIT, test).await.expect("in time") });
 }
 
+/// Returns the list's entry of an executor.
+pub fn listed(worker: u32, address: SocketAddr, lifecycle: Lifecycle) -> NumberedEndpoint {
+    let endpoint = Endpoint { worker, kind: 0, lifecycle, zone: 0, started: 0, cell: 0, capacity: 4.0 };
+    NumberedEndpoint { name: format!("s-{worker:08x}"), address: address.to_string(), endpoint }
+}
+
 impl Stage {
     /// Creates a harness with a maximum number of connections and a capacity of the driver's queue.
     pub fn new(max_connections: usize, capacity: usize) -> Stage {
@@ -93,17 +99,7 @@
 
     /// Reports an executor as ready at an address.
     pub fn worker_at(&self, worker: u32, address: SocketAddr) -> Vec<Input> {
-        let row = Endpoint {
-            worker,
-            kind: 0,
-            lifecycle: Lifecycle::Ready,
-            zone: 0,
-            started: 0,
-            cell: 0,
-            capacity: 4.0,
-        };
-        let listed =
-            NumberedEndpoint { name: format!("s-{worker:08x}"), address: address.to_string(), endpoint: row };
+        let listed = listed(worker, address, Lifecycle::Ready);
         self.executors.apply(EndpointUpdate::Delta, &[listed])
     }
 
