--- a/crates/platform/tests/crossings/held_back.rs
+++ b/crates/platform/tests/crossings/held_back.rs
@@ -210,3 +210,40 @@
         assert!(!peer.has("RUN 0000000000000002"));
     });
 }
+
+/// A client that sends very many messages without effect is read in small parts. It closes its connection with much
+/// unread: its request does not start, and its departure is detected without reading all of it.
+#[test]
+fn nothing_starts_for_a_limited_client_that_closed_with_much_unread_input() {
+    on_one_thread(async {
+        let (listener, address) = listen(8);
+        let mut stage = Stage::new(1, 64);
+        stage.at(address);
+        let mut client = Client::connect(&stage);
+        client.ask(2);
+        let ticket = stage.asked(2).await;
+        let health_check = b"*2\r\n$6\r\nHEALTH\r\n$1\r\n9\r\n";
+        client.write(&health_check.repeat(2_000));
+        stage
+            .until(|| {
+                client.read_available();
+                stage.clients.counters.get().limited > 0
+            })
+            .await;
+        client.write(&health_check.repeat(20_000));
+        client.leave(0, Departure::Close);
+        stage.start(2, small());
+        stage.send(3);
+        let mut peer = Peer::accept(&stage, &listener).await;
+        stage.until(|| peer.has("RUN 0000000000000003")).await;
+        assert!(!peer.has("RUN 0000000000000002"));
+        stage.clients.on_tick();
+        loop {
+            let item = tokio::time::timeout(WAIT, stage.inputs.recv()).await.expect("in time");
+            if matches!(item, Some(Input::ClientGone(t)) if t == ticket) {
+                break;
+            }
+        }
+        stage.until(|| stage.clients.connections() == 0).await;
+    });
+}
