--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -21,6 +21,9 @@
 const MAX_TICK_DELAY: Micros = 200_000;
 /// Size of a single read.
 const READ_BUFFER: usize = 64 << 10;
+/// Number of bytes read after which other tasks get their turn. A read that yields no call does not count against the
+/// runtime's cooperative budget, so a broker that always has something to send would keep the thread.
+const MAX_BYTES_IN_TURN: usize = READ_BUFFER;
 /// If waiting for the socket took longer than this, the socket was empty until then.
 const BATCH_WAIT: Micros = 1000;
 /// Maximum time for a connection to be established, and for a broker to accept bytes.
@@ -183,6 +186,15 @@
                     if let Err(end) = self.read(&mut socket, waits_from) {
                         return end;
                     }
+                    // The alarm is not polled while the socket always has input.
+                    let now = self.clock.now();
+                    if now >= due {
+                        self.front.tick(now);
+                    }
+                    if socket.read_in_turn >= MAX_BYTES_IN_TURN {
+                        socket.read_in_turn = 0;
+                        tokio::task::yield_now().await;
+                    }
                 }
                 _ = socket.stream.writable(), if has_output => {}
                 input = self.inquiries.next(), if self.inquiries.are_on() => {
@@ -272,6 +284,7 @@
         match socket.stream.try_read(&mut socket.buffer) {
             Ok(0) => return Err(ConnectionEnd::Lost("the broker closed the connection".into())),
             Ok(read) => {
+                socket.read_in_turn += read;
                 let stopped_for = std::mem::take(&mut socket.stopped_for);
                 self.front.receive(&socket.buffer[..read], now, stopped_for);
                 if read < socket.buffer.len() {
@@ -299,6 +312,8 @@
     stream: TcpStream,
     buffer: Vec<u8>,
     alarm: Alarm,
+    /// Number of bytes read since other tasks had their turn.
+    read_in_turn: usize,
     /// The connection is being closed in order.
     closing: bool,
     /// When the state was last published.
@@ -320,6 +335,7 @@
             stream,
             buffer: vec![0u8; READ_BUFFER],
             alarm: Alarm::new(clock),
+            read_in_turn: 0,
             closing: false,
             published_at: 0,
             last_tick: clock.now(),
