Platform: clients and peers have virtual times of their own

One virtual time for both let the listener, which is charged for each connection it accepts, push it ahead of the clients: a newcomer or an idle client then came behind all that always had input. Seen as 17 of 421 flooding connections without an answer for 3 s (ever new functions, 300 connections, a quarter of a core, beside a build). the_work_of_peers_puts_no_idle_client_behind_others fails without it.

--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -19,8 +19,8 @@
 const MAX_WRITE: usize = 64 << 10;
 /// Maximum number of abandoned ids kept: twice the number of requests that may be in flight at once.
 const MAX_ABANDONED: usize = 64;
-/// Maximum number of consecutive answers that nothing awaits. A few are normal: second copies, and answers to abandoned
-/// requests.
+/// Maximum number of consecutive answers without a pending exchange. A few are normal: second copies, and answers to
+/// abandoned requests.
 const MAX_UNEXPECTED: u32 = 4096;
 
 /// The header fields of a request.
--- a/crates/platform/src/read_turns/queue.rs
+++ b/crates/platform/src/read_turns/queue.rs
@@ -69,6 +69,7 @@
     id: SourceId,
 }
 
+/// The lines in which connections wait; each is served in its own order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Line {
     Clients,
@@ -77,7 +78,9 @@
 }
 
 const LINES: usize = 3;
+const KINDS: usize = 2;
 
+/// The account of a connection.
 #[derive(Debug)]
 struct Source {
     kind: SourceKind,
@@ -126,7 +129,8 @@
 pub(super) struct TurnQueue {
     sources: HashMap<SourceId, Source>,
     lines: [BTreeSet<Place>; LINES],
-    virtual_time: u64,
+    /// Virtual time of clients and of peers: each kind has its own, because they do not wait for each other.
+    virtual_time: [u64; KINDS],
     /// Work of this round.
     used: u64,
     is_driver_behind: bool,
@@ -137,11 +141,12 @@
 }
 
 impl TurnQueue {
+    /// Creates a queue without connections.
     pub fn new(now: Micros) -> TurnQueue {
         TurnQueue {
             sources: HashMap::new(),
             lines: Default::default(),
-            virtual_time: 0,
+            virtual_time: [0; KINDS],
             used: 0,
             is_driver_behind: false,
             next_id: 0,
@@ -151,6 +156,7 @@
         }
     }
 
+    /// Adds a connection.
     pub fn add(&mut self, kind: SourceKind) -> SourceId {
         self.next_id += 1;
         let id = SourceId(self.next_id);
@@ -176,6 +182,7 @@
         }
     }
 
+    /// Removes a connection, which may be waiting.
     pub fn remove(&mut self, id: SourceId) {
         let Some(source) = self.sources.remove(&id) else { return };
         if let Some((line, place)) = source.waiting {
@@ -186,7 +193,8 @@
     /// Requests a turn. It is granted at once while this round has work left and nobody of the same line waits.
     pub fn request(&mut self, id: SourceId, now: Micros) -> Grant {
         let Some(source) = self.sources.get_mut(&id) else { return Grant::Now };
-        source.start = source.finish.max(self.virtual_time);
+        let virtual_time = &mut self.virtual_time[source.kind as usize];
+        source.start = source.finish.max(*virtual_time);
         let line = match source.kind {
             _ if source.unproductive.is_limited(now) => Line::Limited,
             SourceKind::Client => Line::Clients,
@@ -198,7 +206,7 @@
             Line::Limited => false,
         };
         if is_open && self.used < ROUND_WORK && self.lines[line as usize].is_empty() {
-            self.virtual_time = self.virtual_time.max(source.start);
+            *virtual_time = source.start;
             return Grant::Now;
         }
         self.next_order += 1;
@@ -230,9 +238,11 @@
         self.used >= ROUND_WORK / 2
     }
 
+    /// Whether a connection is limited, or was served more than the one that is served now.
     pub fn is_backlogged(&self, id: SourceId, now: Micros) -> bool {
         self.sources.get(&id).is_some_and(|source| {
-            source.unproductive.is_limited(now) || source.finish > self.virtual_time + BACKLOG_WORK
+            source.unproductive.is_limited(now)
+                || source.finish > self.virtual_time[source.kind as usize] + BACKLOG_WORK
         })
     }
 
@@ -287,14 +297,14 @@
         let mut expected = 0;
         while expected < max_work {
             let Some(place) = self.lines[line as usize].pop_first() else { return };
-            expected += self.sources.get(&place.id).map_or(0, |source| source.last_work);
+            let Some(source) = self.sources.get_mut(&place.id) else { continue };
+            source.waiting = None;
+            expected += source.last_work;
             if line != Line::Limited {
-                self.virtual_time = self.virtual_time.max(place.start);
-            }
-            if let Some(source) = self.sources.get_mut(&place.id) {
-                source.waiting = None;
-                granted.push(place.id);
+                let virtual_time = &mut self.virtual_time[source.kind as usize];
+                *virtual_time = place.start.max(*virtual_time);
             }
+            granted.push(place.id);
         }
     }
 }
--- a/crates/platform/src/read_turns/tests.rs
+++ b/crates/platform/src/read_turns/tests.rs
@@ -143,3 +143,23 @@
     let round = queue.begin_round(0, 0);
     assert_eq!((round.granted, round.next_at), (vec![], None));
 }
+
+/// The listener accepts connection after connection, and clients that always have input wait.
+#[test]
+fn the_work_of_peers_puts_no_idle_client_behind_others() {
+    let (mut queue, _) = flooded_queue(30);
+    let listener = queue.add(SourceKind::Peer);
+    for _ in 0..1_000 {
+        if queue.request(listener, 0) == Grant::Later {
+            for id in queue.begin_round(0, 0).granted.into_iter().filter(|id| *id != listener) {
+                queue.charge(id, READ, 0);
+                queue.request(id, 0);
+            }
+        }
+        queue.charge(listener, READ, 0);
+    }
+    let ordinary = queue.add(SourceKind::Client);
+    assert_eq!(queue.request(ordinary, 0), Grant::Later);
+    let granted = play_round(&mut queue, READ, Some(ordinary));
+    assert!(granted.contains(&ordinary), "{granted:?}");
+}
--- a/crates/platform/src/read_turns/throttle.rs
+++ b/crates/platform/src/read_turns/throttle.rs
@@ -20,16 +20,19 @@
 }
 
 impl RecentMessages {
+    /// Returns the number of recent messages.
     pub fn value(&self, now: Micros) -> f64 {
         let half_lives = (now - self.at).max(0) as f64 / HALF_LIFE as f64;
         self.count * (-half_lives).exp2()
     }
 
+    /// Adds messages that were read now.
     pub fn record(&mut self, messages: u32, now: Micros) {
         self.count = self.value(now) + f64::from(messages);
         self.at = now;
     }
 
+    /// Whether a connection with these messages is limited.
     pub fn is_limited(&self, now: Micros) -> bool {
         // Most connections never send such a message.
         self.count >= MAX_RECENT && self.value(now) >= MAX_RECENT
@@ -44,6 +47,7 @@
 }
 
 impl SharedRate {
+    /// Creates a rate with its burst saved up.
     pub fn new(now: Micros) -> SharedRate {
         SharedRate { tokens: SHARED_BURST, at: now }
     }
