Platform: at exit the clients that were served are read first, and each is closed right after

SIGTERM inside a flood lost requests: the last reads have a limited time, 150 flooding connections used it up before the ordinary ones were read, accepting a backlog that fills all the time had no limit of time, and the connections were closed long after their last read. Clients that were served are read first, each connection is shut down right after its last read, and accepting the backlog is limited to 20 ms.

--- a/crates/platform/src/clients/finish.rs
+++ b/crates/platform/src/clients/finish.rs
@@ -16,6 +16,8 @@
 /// This is enough for all requests that may be open on a connection, with bodies of the maximum length.
 const MAX_READS: usize = 160;
 const MAX_MESSAGES: u32 = 256;
+/// Maximum time for which connections are accepted at the end.
+const LAST_ACCEPTS_TIMEOUT: Micros = 20_000;
 /// Maximum time for which clients' sockets are read for the last time.
 const LAST_READS_TIMEOUT: Micros = 30_000;
 /// How long clients have to read the written answers and to close.
@@ -32,6 +34,13 @@
     Closed,
 }
 
+/// What becomes of a connection after its last read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LastRead {
+    Open,
+    Close,
+}
+
 impl Clients {
     /// Rejects every complete request in a socket, also on connections that were not accepted yet. Then shuts down
     /// writing on each connection and goes on reading for a while, because closing a socket with unread input would
@@ -44,11 +53,9 @@
             self.answer(ticket, &Answer::Refused { reason: "front-end-ends", retry_after: 0 });
         }
         self.flush_all();
-        self.answer_unread();
-        for stream in std::iter::from_fn(|| sockets::accept(listener)).take(MAX_BACKLOG) {
-            self.admit(stream);
-        }
-        self.answer_unread();
+        self.answer_unread(LastRead::Open);
+        self.accept_backlog(listener);
+        self.answer_unread(LastRead::Close);
         for connection in self.conns.borrow().values() {
             // Pending output is written first. No request is open any more.
             connection.session.borrow_mut().close(&mut Vec::new());
@@ -63,10 +70,27 @@
         let _ = tokio::time::timeout(CLOSE_TIMEOUT, all_closed).await;
     }
 
-    fn answer_unread(self: &Rc<Self>) {
+    /// Accepts the connections of the listener's backlog. Clients that connect again and again may fill it all the time,
+    /// so the time is limited.
+    fn accept_backlog(self: &Rc<Self>, listener: &TcpListener) {
+        let end = self.shared.clock.now() + LAST_ACCEPTS_TIMEOUT;
+        for stream in std::iter::from_fn(|| sockets::accept(listener)).take(MAX_BACKLOG) {
+            self.admit(stream);
+            if self.shared.clock.now() >= end {
+                return;
+            }
+        }
+    }
+
+    /// Reads and answers each connection once more. The time is limited, so clients of which a request was served are read
+    /// first, then the others, those with the most messages without effect last. With [`LastRead::Close`], each connection is closed for writing right after that: requests that cross
+    /// a close are sent again by their clients only if they were sent shortly before it.
+    fn answer_unread(self: &Rc<Self>, last_read: LastRead) {
         let mut conns: Vec<Rc<ClientConnection>> = self.conns.borrow().values().cloned().collect();
-        // Clients that send more than others are read last.
-        conns.sort_by_key(|connection| self.shared.read_turns.is_backlogged(&connection.turn));
+        conns.sort_by_key(|connection| {
+            let is_verified = connection.session.borrow().is_verified();
+            (!is_verified, self.shared.read_turns.unproductive(&connection.turn))
+        });
         let end = self.shared.clock.now() + LAST_READS_TIMEOUT;
         for connection in conns.iter().filter(|c| !c.is_gone.get()) {
             if self.shared.clock.now() >= end {
@@ -76,6 +100,8 @@
             if self.read_all(connection, &mut Vec::new()) == ReadState::Closed || !self.write_all(connection)
             {
                 connection.is_gone.set(true);
+            } else if last_read == LastRead::Close && connection.session.borrow().output().is_empty() {
+                sockets::shutdown_write(&connection.stream);
             }
         }
     }
