Platform: input found while rounds are busy is as old as the poll before the last

Beside a flood with a tenth of a core a turn of the loop takes 0.15 s, for which input lay in its socket unseen; executors were told to wait for up to 0.18 s more than the client had left (flood soak, seed 129: in 2 of 4 runs).

--- a/crates/platform/src/read_turns.rs
+++ b/crates/platform/src/read_turns.rs
@@ -41,7 +41,7 @@
         self.granted.notified().await;
     }
 
-    /// Returns when the connection was known to have unread input.
+    /// Returns since when the connection may have had unread input.
     pub fn requested_at(&self) -> Micros {
         self.requested_at.get()
     }
@@ -63,6 +63,8 @@
     clock: Clock,
     queue: RefCell<TurnQueue>,
     turns: RefCell<HashMap<SourceId, Rc<Turn>>>,
+    /// When the last two rounds began, if connections waited after them.
+    rounds_at: Cell<Option<[Micros; 2]>>,
     /// Notified when a round is to begin.
     round: Notify,
 }
@@ -71,7 +73,13 @@
     /// Creates the turns of a loop without connections.
     pub fn new(clock: Clock) -> ReadTurns {
         let queue = RefCell::new(TurnQueue::new(clock.now()));
-        ReadTurns { clock, queue, turns: RefCell::default(), round: Notify::new() }
+        ReadTurns {
+            clock,
+            queue,
+            turns: RefCell::default(),
+            rounds_at: Cell::new(None),
+            round: Notify::new(),
+        }
     }
 
     /// Adds a connection.
@@ -105,7 +113,9 @@
             return;
         }
         let now = self.clock.now();
-        turn.requested_at.set(now);
+        // While rounds are busy, input that is found now may have arrived right after the poll before the last.
+        let known_since = self.rounds_at.get().map_or(now, |[earlier, _]| earlier);
+        turn.requested_at.set(known_since);
         match self.queue.borrow_mut().request(turn.id, now) {
             Grant::Now => turn.is_granted.set(true),
             Grant::Later => {
@@ -171,6 +181,8 @@
         tokio::task::yield_now().await;
         let now = self.clock.now();
         let round = self.queue.borrow_mut().begin_round(queued_inputs(), now);
+        let last = self.rounds_at.get().map_or(now, |[_, last]| last);
+        self.rounds_at.set(round.next_at.map(|_| [last, now]));
         let turns = self.turns.borrow();
         for id in round.granted {
             if let Some(turn) = turns.get(&id) {
