--- a/crates/cli/tests/outages/fleet_soak.rs
+++ b/crates/cli/tests/outages/fleet_soak.rs
@@ -40,7 +40,7 @@
     Fault::Error,
 ];
 
-fn draw(seed: u64) -> Plan {
+pub fn draw(seed: u64) -> Plan {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x6221_ae00_0000);
     let (executors, most) = [(3, 4), (12, 20), (12, 20), (100, 8), (100, 8), (800, 4), (800, 4), (3200, 1)]
         [random.random_range(0..8)];
--- a/crates/cli/tests/outages/flood.rs
+++ b/crates/cli/tests/outages/flood.rs
@@ -23,6 +23,8 @@
 const REQUESTS_PER_CONNECTION: usize = 300;
 /// Maximum length of a body, and of the list of further figures.
 const MAX_BODY: usize = 16 << 10;
+/// Pause after a connection that was not established.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(5);
 /// Time within which a client is owed an answer or a close.
 const ANSWER_LIMIT: Duration = Duration::from_secs(3);
 /// The first id and function of the flooding clients, which no other client uses.
@@ -88,7 +90,10 @@
 async fn run_client(kind: Flood, to: SocketAddr, until: Instant) -> FloodReport {
     let mut report = FloodReport::default();
     while Instant::now() < until {
-        let Ok(Ok(stream)) = timeout_at(until.into(), TcpStream::connect(to)).await else { continue };
+        let Ok(Ok(stream)) = timeout_at(until.into(), TcpStream::connect(to)).await else {
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+            continue;
+        };
         report.connections += 1;
         let connected_at = Instant::now();
         let (read, write) = stream.into_split();
--- a/crates/cli/tests/outages/main.rs
+++ b/crates/cli/tests/outages/main.rs
@@ -4,6 +4,7 @@
 mod drains;
 mod fleet_soak;
 mod flood;
+mod flood_soak;
 mod floods;
 mod front_end;
 mod machine;
--- a/crates/cli/tests/outages/soak.rs
+++ b/crates/cli/tests/outages/soak.rs
@@ -4,6 +4,7 @@
 //! `SOAK_FIRST=17 SOAK_SEEDS=1 cargo test -p stagehoist-cli --test outages soak -- --nocapture`. In manual runs,
 //! `SOAK_SEEDS` sets the number of seeds and `SOAK_AT_ONCE` how many run concurrently.
 
+use crate::flood::{run_flood, Flood};
 use crate::machine::shim_environment;
 use crate::rig::{shared_lock, ProcessLimits, Rig, Shape, Verdict};
 use crate::traffic::{Load, Phase};
@@ -73,6 +74,16 @@
     CutOff(usize),
     /// The next answers of an executor are corrupted.
     Spoils(usize, Vec<Fault>),
+    Flood(PlannedFlood),
+}
+
+/// Clients that send at full speed to one front end.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedFlood {
+    pub front_end: usize,
+    pub kind: Flood,
+    pub connections: usize,
+    pub length: Duration,
 }
 
 /// The drawn parameters and events of a run.
@@ -302,6 +313,11 @@
         PlannedEvent::Vanishes(index) => rig.vanish(index),
         PlannedEvent::CutOff(index) => rig.cut_off(index),
         PlannedEvent::Spoils(index, faults) => rig.spoil(index, faults),
+        PlannedEvent::Flood(flood) => {
+            let (to, until) = (rig.front_ends[flood.front_end].listen, Instant::now() + flood.length);
+            // The flood ends by itself.
+            std::thread::spawn(move || run_flood(flood.kind, flood.connections, to, until));
+        }
     }
 }
 
