--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -16,6 +16,8 @@
 const MAX_EVICTION_CANDIDATES: usize = 8;
 /// Accepting a connection costs as much as this many messages.
 const ACCEPT_COST: ReadCost = ReadCost { bytes: 0, messages: 16, unproductive: 0 };
+/// Maximum number of connections accepted in one turn.
+const MAX_ACCEPTS: usize = 16;
 /// Recent messages without effect from which a connection is evicted before idle ones.
 const MIN_UNPRODUCTIVE: u32 = 16;
 /// Maximum number of evicted connections that are not closed yet while more are accepted. They hold reserved
@@ -41,8 +43,15 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    turns.charge(&turn, ACCEPT_COST);
-                    closing += usize::from(self.admit(stream));
+                    // A turn may come only once in a round, and the clients behind this one wait too.
+                    let others = std::iter::from_fn(|| sockets::try_accept(&listener)).take(MAX_ACCEPTS - 1);
+                    for stream in std::iter::once(stream).chain(others) {
+                        turns.charge(&turn, ACCEPT_COST);
+                        closing += usize::from(self.admit(stream));
+                        if closing >= MAX_CLOSING {
+                            break;
+                        }
+                    }
                     if closing >= MAX_CLOSING {
                         // Evicted connections must be closed before more are accepted.
                         tokio::task::yield_now().await;
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -2,7 +2,7 @@
 //! sockets.
 
 use rustix::io::Errno;
-use socket2::SockRef;
+use socket2::{SockRef, Socket};
 use std::future::Future;
 use std::io::{self, Read, Write};
 use std::mem::MaybeUninit;
@@ -90,15 +90,23 @@
     let _ = SockRef::from(stream).set_linger(None);
 }
 
+/// Returns the next pending connection, if there is one and it can be accepted at once.
+pub fn try_accept(listener: &TcpListener) -> Option<TcpStream> {
+    let (socket, _) = SockRef::from(listener).accept().ok()?;
+    into_stream(socket)
+}
+
+fn into_stream(socket: Socket) -> Option<TcpStream> {
+    socket.set_nonblocking(true).ok()?;
+    TcpStream::from_std(socket.into()).ok()
+}
+
 /// Returns the next pending connection, if any. A connection that the peer aborted, or a transient lack of resources
 /// in the system, does not hide those behind it.
 pub fn accept(listener: &TcpListener) -> Option<TcpStream> {
     for _ in 0..MAX_ACCEPT_FAILURES {
         match SockRef::from(listener).accept() {
-            Ok((socket, _)) => {
-                socket.set_nonblocking(true).ok()?;
-                return TcpStream::from_std(socket.into()).ok();
-            }
+            Ok((socket, _)) => return into_stream(socket),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
             Err(_) => {}
         }
