Platform: peers are never limited in rate, as their documentation says

An executor's unmatched answers counted as messages without effect, so over 1,024 of them put its connection into the line of limited clients, with genuine answers behind them at a shared 20,000 messages a second; the pages and comments said that peers never wait there. They do not now: an endless run still ends the connection after 4,096. peers_are_never_limited fails without it. The counter of unexpected answers, which nothing else used, goes.

--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -179,14 +179,6 @@
     ProtocolViolated,
 }
 
-/// Numbers of answers that were parsed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct AnswerCounts {
-    pub answers: u32,
-    /// Answers among them that nothing awaits.
-    pub unexpected: u32,
-}
-
 /// The state of one connection.
 #[derive(Debug, Default)]
 pub struct ConnectionState {
@@ -205,8 +197,8 @@
     /// A partly written request is not completed: nothing more may be written.
     is_truncated: bool,
     next: u64,
-    /// Answers since [`ConnectionState::take_counts`].
-    counts: AnswerCounts,
+    /// Number of answers since [`ConnectionState::take_answer_count`].
+    answers: u32,
     /// Number of unexpected answers since the last expected one.
     unexpected_in_a_row: u32,
 }
@@ -223,9 +215,9 @@
         ConnectionState { forbids_probes: true, ..ConnectionState::new(now) }
     }
 
-    /// Returns the numbers of answers parsed since the last call.
-    pub fn take_counts(&mut self) -> AnswerCounts {
-        std::mem::take(&mut self.counts)
+    /// Returns the number of answers parsed since the last call.
+    pub fn take_answer_count(&mut self) -> u32 {
+        std::mem::take(&mut self.answers)
     }
 
     /// Returns the number of open attempts.
--- a/crates/platform/src/connection/reading.rs
+++ b/crates/platform/src/connection/reading.rs
@@ -66,8 +66,7 @@
         }
     }
 
-    /// Records that the message which this answer belongs to has arrived.
-    /// Returns whether there is such a message.
+    /// Records that the message which this answer belongs to has arrived. Returns whether there is such a message.
     fn confirm_delivery(&mut self, tag: Option<Tag>) -> bool {
         let Some(tag) = tag else { return false };
         let mut position =
@@ -87,12 +86,11 @@
 
     /// Counts an answer. Returns an error if the executor has sent too many that nothing awaits.
     fn count_answer(&mut self, is_expected: bool) -> Result<(), ProtocolViolation> {
-        self.counts.answers += 1;
+        self.answers += 1;
         if is_expected {
             self.unexpected_in_a_row = 0;
             return Ok(());
         }
-        self.counts.unexpected += 1;
         self.unexpected_in_a_row += 1;
         match self.unexpected_in_a_row > MAX_UNEXPECTED {
             true => Err(ProtocolViolation::Unexpected),
--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -188,8 +188,7 @@
         let (now, late) = self.shared.read_time();
         let mut protocol = connection.protocol.borrow_mut();
         let result = protocol.receive(bytes, (now, now - late), &self.limits.report_fields, inputs);
-        let counts = protocol.take_counts();
-        let cost = ReadCost { bytes: bytes.len(), messages: counts.answers, unproductive: counts.unexpected };
+        let cost = ReadCost { bytes: bytes.len(), messages: protocol.take_answer_count(), unproductive: 0 };
         self.shared.read_turns.charge(&connection.turn, cost);
         if protocol.is_spent() {
             connection.end(Closure::ProtocolViolated);
--- a/crates/platform/src/read_turns.rs
+++ b/crates/platform/src/read_turns.rs
@@ -20,7 +20,7 @@
 #[cfg(test)]
 mod tests;
 
-/// One connection's right to read. It is returned when dropped.
+/// One connection's right to read. [`ReadTurns::remove`] ends it.
 pub struct Turn {
     id: SourceId,
     is_waiting: Cell<bool>,
--- a/crates/platform/src/read_turns/queue.rs
+++ b/crates/platform/src/read_turns/queue.rs
@@ -42,8 +42,8 @@
 pub struct ReadCost {
     pub bytes: usize,
     pub messages: u32,
-    /// Messages among them that lead to no work: malformed and refused requests, health checks, answers that nobody
-    /// asked for, empty frames.
+    /// Messages of a client among them that lead to no work for an executor: malformed and refused requests, health
+    /// checks.
     pub unproductive: u32,
 }
 
@@ -196,9 +196,9 @@
         let virtual_time = &mut self.virtual_time[source.kind as usize];
         source.start = source.finish.max(*virtual_time);
         let line = match source.kind {
-            _ if source.unproductive.is_limited(now) => Line::Limited,
-            SourceKind::Client => Line::Clients,
             SourceKind::Peer => Line::Peers,
+            SourceKind::Client if source.unproductive.is_limited(now) => Line::Limited,
+            SourceKind::Client => Line::Clients,
         };
         let is_open = match line {
             Line::Clients => !self.is_driver_behind,
--- a/crates/platform/src/read_turns/tests.rs
+++ b/crates/platform/src/read_turns/tests.rs
@@ -163,3 +163,16 @@
     let granted = play_round(&mut queue, READ, Some(ordinary));
     assert!(granted.contains(&ordinary), "{granted:?}");
 }
+
+/// A drain may be behind the frames of the event bus, and answers behind those that nothing awaits.
+#[test]
+fn peers_are_never_limited() {
+    const UNEXPECTED: ReadCost = ReadCost { bytes: 16 << 10, messages: 500, unproductive: 500 };
+    let mut queue = TurnQueue::new(0);
+    let peer = queue.add(SourceKind::Peer);
+    for _ in 0..100 {
+        assert_eq!(queue.request(peer, 0), Grant::Now);
+        queue.charge(peer, UNEXPECTED, 0);
+        queue.begin_round(0, 0);
+    }
+}
