Platform: one bound on log lines, one look at the lag, names of the new bounds

The lines about limited clients and about refused descriptors each kept the time of the last line in their own way: log_interval does. Whether the loop is behind was asked three times for each request. Turn::requested_at held a time before the request: input_since.

--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -20,6 +20,11 @@
 /// A client that reads no pending output for this time is disconnected.
 pub const ANSWER_READ_TIMEOUT: Micros = 3_000_000;
 
+/// Minimum of [`Bounds::unread_bytes`].
+const MIN_UNREAD_BYTES: usize = 4 << 10;
+/// Maximum of [`Bounds::unread_bytes`].
+pub const MAX_UNREAD_BYTES: usize = 128 << 10;
+
 /// Bounds derived from the resource limits of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -33,10 +38,6 @@
     pub unread_bytes: usize,
 }
 
-/// Bounds of [`Bounds::unread_bytes`].
-const MIN_UNREAD_BYTES: usize = 4 << 10;
-pub const MAX_UNREAD_BYTES: usize = 128 << 10;
-
 impl Bounds {
     /// Derives the bounds. Clients get half of the descriptors, and executors get the rest except for a reserve.
     /// Well-behaved clients hold only a third of all descriptors; the margin exists because some clients misbehave.
@@ -80,8 +81,8 @@
 
 /// Returns the connection to evict for a new one. Connections with open requests are never evicted; None if there are
 /// no others. Connections that had time to send a request and did not are evicted first, then those of clients that
-/// were not served yet, then the others. In each group the one that is inactive for the longest time is chosen. A connection that was just accepted ranks with
-/// those that have sent requests, because its first request is in transit.
+/// were not served yet, then the others. In each group the one that is inactive for the longest time is chosen. A
+/// connection that was just accepted ranks with those that have sent requests, because its first request is in transit.
 pub fn victim<K: Copy>(activity: impl Iterator<Item = (K, ConnectionActivity)>, now: Micros) -> Option<K> {
     let is_spared = |s: &ConnectionActivity| s.has_requested || now - s.active_at < FIRST_REQUEST_TRANSIT;
     activity
--- a/crates/platform/src/clients/calls.rs
+++ b/crates/platform/src/clients/calls.rs
@@ -54,7 +54,12 @@
         }
         let lag = self.shared.lag.borrow().expected(now);
         let is_excessive = lag > 0 && connection.fills_reads.get();
-        if is_excessive || self.is_too_late(connection, request.budget - late, now) {
+        let is_too_late = || {
+            let in_progress = self.fair_in_progress(connection);
+            self.shared.lag.borrow().should_reject(request.budget - late, in_progress, now)
+        };
+        // Requests in progress are counted only while the loop is behind.
+        if is_excessive || (lag > 0 && is_too_late()) {
             self.shared.lag.borrow_mut().record_rejected(request.reference);
             if is_excessive {
                 connection.session.borrow_mut().count_excessive();
@@ -93,12 +98,6 @@
         }))
     }
 
-    /// Whether a request with this remaining time is to be rejected because the loop is behind.
-    fn is_too_late(&self, connection: &ClientConnection, remaining: Micros, now: Micros) -> bool {
-        let lag = self.shared.lag.borrow();
-        lag.expected(now) > 0 && lag.should_reject(remaining, self.fair_in_progress(connection), now)
-    }
-
     /// Returns how many requests would be in progress if every client had as many as this one, but not more than there
     /// are. So the first requests to be rejected are those of the clients with the most requests.
     fn fair_in_progress(&self, connection: &ClientConnection) -> usize {
--- a/crates/platform/src/clients/exchange.rs
+++ b/crates/platform/src/clients/exchange.rs
@@ -122,7 +122,7 @@
             Err(_) => return false,
         };
         connection.fills_reads.set(size == READ_SIZE && n == size);
-        let waited_since = connection.turn.requested_at();
+        let waited_since = connection.turn.input_since();
         let received = self.receive(connection, &read_buffer[..n], waited_since);
         drop(read_buffer);
         connection.inputs.borrow_mut().extend(received.inputs);
@@ -175,8 +175,7 @@
     }
 
     fn report_limited(&self, connection: &ClientConnection, received: &MessageCounts) {
-        let now = self.shared.clock.now();
-        if !self.limited_log.borrow_mut().may_log(now) {
+        if !self.limited_log.may_log() {
             return;
         }
         let peer = connection.stream.peer_addr().map(|address| address.to_string()).unwrap_or_default();
--- a/crates/platform/src/clients/finish.rs
+++ b/crates/platform/src/clients/finish.rs
@@ -110,7 +110,7 @@
     pub(super) fn read_all(&self, connection: &Rc<ClientConnection>, inputs: &mut Vec<Input>) -> ReadState {
         // Input that waits for a turn has been there since the turn was requested.
         let now = self.shared.clock.now();
-        let waited_since = if connection.turn.is_waiting() { connection.turn.requested_at() } else { now };
+        let waited_since = if connection.turn.is_waiting() { connection.turn.input_since() } else { now };
         let mut messages = 0;
         for _ in 0..MAX_READS {
             if messages >= MAX_MESSAGES || !connection.session.borrow().wants_read() {
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -8,6 +8,7 @@
 mod finish;
 
 use crate::bounds::Bounds;
+use crate::log_interval::LogInterval;
 use crate::read_turns::Turn;
 use crate::recent_ids::RecentIds;
 use crate::session::{Catalog, MessageCounts, Session};
@@ -18,27 +19,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// Minimum interval between log lines about limited connections.
-const LIMITED_LOG_INTERVAL: Micros = 100_000;
-
-/// Lets a log line through once in an interval.
-#[derive(Debug, Default)]
-struct LogInterval {
-    last: Option<Micros>,
-}
-
-impl LogInterval {
-    fn may_log(&mut self, now: Micros) -> bool {
-        let may_log = self.last.is_none_or(|at| now - at >= LIMITED_LOG_INTERVAL);
-        if may_log {
-            self.last = Some(now);
-        }
-        may_log
-    }
-}
+const LIMITED_LOG_INTERVAL: Duration = Duration::from_millis(100);
 
 struct ClientConnection {
     id: u64,
@@ -109,7 +95,7 @@
     written: Notify,
     dirty: RefCell<Vec<Rc<ClientConnection>>>,
     /// Bounds the log lines about limited connections.
-    limited_log: RefCell<LogInterval>,
+    limited_log: LogInterval,
     pub counters: Cell<ClientCounters>,
 }
 
@@ -134,7 +120,7 @@
             lingering: Cell::new(0),
             written: Notify::new(),
             dirty: RefCell::default(),
-            limited_log: RefCell::default(),
+            limited_log: LogInterval::new(LIMITED_LOG_INTERVAL),
             counters: Cell::default(),
         }
     }
--- a/crates/platform/src/descriptors.rs
+++ b/crates/platform/src/descriptors.rs
@@ -2,6 +2,7 @@
 //! clients or executors, is evicted. Released descriptors go to connections to executors before a client is accepted.
 //! The event bus keeps its own socket ([`mod@crate::watch`]) and never waits for a descriptor.
 
+use crate::log_interval::LogInterval;
 use rustix::io::Errno;
 use rustix::process::{getrlimit, Resource};
 use std::cell::{Cell, RefCell};
@@ -46,10 +47,9 @@
 }
 
 /// The holders of descriptors and the waiters.
-#[derive(Default)]
 pub struct Descriptors {
-    /// When a refusal was last logged, for each [`DescriptorUse`].
-    last_logged: [Cell<Option<Instant>>; 3],
+    /// Bounds the log lines about refusals, for each [`DescriptorUse`].
+    refusal_logs: [LogInterval; 3],
     holders: RefCell<Vec<Weak<dyn DescriptorHolder>>>,
     /// Number of connections to executors that wait for a descriptor.
     waiting: Cell<usize>,
@@ -61,6 +61,19 @@
     changed: Notify,
 }
 
+impl Default for Descriptors {
+    fn default() -> Descriptors {
+        Descriptors {
+            refusal_logs: [const { LogInterval::new(LOG_INTERVAL) }; 3],
+            holders: RefCell::default(),
+            waiting: Cell::default(),
+            evicting: Cell::default(),
+            freed: Notify::new(),
+            changed: Notify::new(),
+        }
+    }
+}
+
 /// Counts one waiter until dropped.
 struct Waiter<'a>(&'a Descriptors);
 
@@ -80,9 +93,7 @@
 
     /// Records that the system refused a descriptor: all descriptors of the process are in use at this instant.
     pub fn refused(&self, whom: DescriptorUse) {
-        let (last_logged, now) = (&self.last_logged[whom as usize], Instant::now());
-        if last_logged.get().is_none_or(|at| now - at >= LOG_INTERVAL) {
-            last_logged.set(Some(now));
+        if self.refusal_logs[whom as usize].may_log() {
             tracing::warn!(?whom, most = open_file_limit(), "the system refuses a descriptor");
         }
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod executors;
 pub mod fields;
 mod flatten;
+mod log_interval;
 pub mod loop_lag;
 pub mod poll_times;
 pub mod read_turns;
--- a/crates/platform/src/read_turns.rs
+++ b/crates/platform/src/read_turns.rs
@@ -25,8 +25,8 @@
     id: SourceId,
     is_waiting: Cell<bool>,
     is_granted: Cell<bool>,
-    /// When the turn was requested.
-    requested_at: Cell<Micros>,
+    /// Since when the connection may have had the unread input for which the turn was requested.
+    input_since: Cell<Micros>,
     granted: Notify,
 }
 
@@ -42,8 +42,8 @@
     }
 
     /// Returns since when the connection may have had unread input.
-    pub fn requested_at(&self) -> Micros {
-        self.requested_at.get()
+    pub fn input_since(&self) -> Micros {
+        self.input_since.get()
     }
 
     /// Uses the granted turn; returns false if there is none.
@@ -89,7 +89,7 @@
             id,
             is_waiting: Cell::new(false),
             is_granted: Cell::new(false),
-            requested_at: Cell::new(0),
+            input_since: Cell::new(0),
             granted: Notify::new(),
         });
         self.turns.borrow_mut().insert(id, turn.clone());
@@ -115,7 +115,7 @@
         let now = self.clock.now();
         // While rounds are busy, input that is found now may have arrived right after the poll before the last.
         let known_since = self.rounds_at.get().map_or(now, |[earlier, _]| earlier);
-        turn.requested_at.set(known_since);
+        turn.input_since.set(known_since);
         match self.queue.borrow_mut().request(turn.id, now) {
             Grant::Now => turn.is_granted.set(true),
             Grant::Later => {
