Platform: hundreds of clients that connect at once wait for no second attempt

Callers saw: of some hundred clients that connect at once, those beyond 129 are answered a second late, or three, if the front end does not run for the moment (a small share of a core, a pause).

Cause: the listener had the standard library's queue of 128 connections. What does not fit is dropped and sent again by the client's system after 1 s, then 2 s more.

Now the queue has 4,096 places, the system's own maximum by default, which the last accepts at exit took already.

Test: 240 clients connect and check health while the process is stopped for 200 ms.

--- a/crates/cli/tests/outages/main.rs
+++ b/crates/cli/tests/outages/main.rs
@@ -1,6 +1,7 @@
 //! Tests front ends while discovery is unreachable: real front-end processes run between emulated clients, executors and one
 //! event bus per front end, and the recorded traffic is judged.
 
+mod connecting;
 mod drains;
 mod fleet_soak;
 mod flood;
--- a/crates/platform/src/clients/finish.rs
+++ b/crates/platform/src/clients/finish.rs
@@ -10,8 +10,6 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 
-/// Maximum number of connections taken from the listener's backlog: the system's own maximum.
-const MAX_BACKLOG: usize = 4096;
 /// Maximum number of consecutive reads of one socket, and of messages in them, because some clients never stop writing.
 /// This is enough for all requests that may be open on a connection, with bodies of the maximum length.
 const MAX_READS: usize = 160;
@@ -74,7 +72,7 @@
     /// so the time is limited.
     fn accept_backlog(self: &Rc<Self>, listener: &TcpListener) {
         let end = self.shared.clock.now() + LAST_ACCEPTS_TIMEOUT;
-        for stream in std::iter::from_fn(|| sockets::accept(listener)).take(MAX_BACKLOG) {
+        for stream in std::iter::from_fn(|| sockets::accept(listener)).take(sockets::MAX_BACKLOG) {
             self.admit(stream);
             if self.shared.clock.now() >= end {
                 return;
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -9,6 +9,7 @@
 use crate::reload;
 use crate::replay::Replay;
 use crate::session::Catalog;
+use crate::sockets;
 use crate::start_times::StartTimes;
 use crate::subscription::EventSubscription;
 use crate::watch::watch_events;
@@ -72,7 +73,7 @@
     let handle = |kind: SignalKind| signal(kind).map_err(io("can't install a signal handler".into()));
     let (mut term, mut int, hup) =
         (handle(SignalKind::terminate())?, handle(SignalKind::interrupt())?, handle(SignalKind::hangup())?);
-    let listener = TcpListener::bind(listen).await.map_err(io(format!("can't listen on {listen}")))?;
+    let listener = sockets::listen(listen).await.map_err(io(format!("can't listen on {listen}")))?;
     let listen = listener.local_addr().map_err(io(format!("can't listen on {listen}")))?;
     let clock = Clock::new();
     let (inputs, incoming) = mpsc::channel(driver::INPUT_QUEUE_CAPACITY);
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -6,12 +6,15 @@
 use std::future::Future;
 use std::io::{self, Read, Write};
 use std::mem::MaybeUninit;
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::pin;
 use std::task::{Context, Poll, Waker};
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
 
+/// Maximum number of connections in a listener's queue: the system's own maximum by default. Many clients may connect
+/// while this process does not run, and the system sends again only after a second what does not fit.
+pub const MAX_BACKLOG: usize = 4096;
 /// Maximum number of consecutive failures to accept: connections aborted by the peer, or a lack of resources in the
 /// system.
 const MAX_ACCEPT_FAILURES: usize = 64;
@@ -90,6 +93,14 @@
     let _ = SockRef::from(stream).set_linger(None);
 }
 
+/// Listens at an address, with a queue of [`MAX_BACKLOG`] connections.
+pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await?;
+    // Listening again changes only the length of the queue.
+    SockRef::from(&listener).listen(MAX_BACKLOG as i32)?;
+    Ok(listener)
+}
+
 /// Returns the next pending connection, if there is one and it can be accepted at once.
 pub fn try_accept(listener: &TcpListener) -> Option<TcpStream> {
     let (socket, _) = SockRef::from(listener).accept().ok()?;
