Consensus: hundreds of front ends that connect at once wait for no second attempt

The listener of a replica had the same queue of 128 connections as that of the front ends, and thousands of front ends connect to a new leader at once.

Test: 400 connections before the first is accepted. With 128 places 129 of them come up in half a second, now all.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod error;
 mod frames;
+mod listener;
 mod replica;
 mod session;
 mod session_file;
--- a/crates/consensus/src/start.rs
+++ b/crates/consensus/src/start.rs
@@ -1,5 +1,6 @@
 //! Start and shutdown of a process's replica and sessions.
 
+use crate::listener;
 use crate::replica::{run, Parts};
 use crate::session::{member_seed, run_session, SessionClient};
 use crate::session_file::SessionFile;
@@ -7,7 +8,6 @@
 use crate::{ConsensusError, Now, Options, Session, SessionReport, Statistics};
 use stagehoist_cluster_state::{LeaseHolder, Retirement};
 use std::collections::BTreeMap;
-use std::net::TcpListener;
 use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -112,9 +112,8 @@
     if !options.replicas.contains_key(&replica.number) {
         return Err(ConsensusError::NotAReplica { number: replica.number });
     }
-    let listen = |source| ConsensusError::Listen { address: replica.listen.clone(), source };
-    let listener = TcpListener::bind(&replica.listen).map_err(listen)?;
-    listener.set_nonblocking(true).map_err(listen)?;
+    let listen_error = |source| ConsensusError::Listen { address: replica.listen.clone(), source };
+    let listener = listener::listen(&replica.listen).map_err(listen_error)?;
     let (store, start) = store::open(&replica.store)?;
     Ok(Some(Parts { number: replica.number, store, start, listener }))
 }
