Platform: an exit in the middle of a flood does not crash

Callers saw: at SIGTERM inside a flood the process crashed, and no request that was open got an answer.

Cause: for the last reads the connections are sorted by their recent messages without effect. That number fades with time and was computed anew in each comparison, with the clock of the moment, so two connections could change places while the sort went on, and the library's sort panics where an order contradicts itself. Related paths: the other sorts of the code have keys that stand still.

Now the number is asked for a given time, and each connection's key is computed once.

Test: for each kind of flood, a reload with a moved bus, a drain told on the new bus, SIGTERM, and a start within the flood.

--- a/crates/cli/tests/outages/flood.rs
+++ b/crates/cli/tests/outages/flood.rs
@@ -51,6 +51,17 @@
 }
 
 impl Flood {
+    pub const ALL: [Flood; 8] = [
+        Flood::Health,
+        Flood::UnreadHealth,
+        Flood::UnknownClasses,
+        Flood::NoIdNoTime,
+        Flood::NewFunctions,
+        Flood::NewConnections,
+        Flood::UnfinishedBodies,
+        Flood::ManyFields,
+    ];
+
     /// Whether a message may be sent more than once: it never becomes a call.
     fn is_repeatable(self) -> bool {
         matches!(self, Flood::Health | Flood::UnreadHealth | Flood::UnknownClasses | Flood::NoIdNoTime)
--- a/crates/cli/tests/outages/flood_soak.rs
+++ b/crates/cli/tests/outages/flood_soak.rs
@@ -16,17 +16,6 @@
 const CONCURRENCY: u64 = 1;
 /// Maximum number of floods of a run.
 const MAX_FLOODS: usize = 3;
-const KINDS: [Flood; 8] = [
-    Flood::Health,
-    Flood::UnreadHealth,
-    Flood::UnknownClasses,
-    Flood::NoIdNoTime,
-    Flood::NewFunctions,
-    Flood::NewConnections,
-    Flood::UnfinishedBodies,
-    Flood::ManyFields,
-];
-
 /// Floods are to be borne with this share of a core and more.
 const MIN_SHARE: f64 = 0.1;
 
@@ -37,7 +26,7 @@
     for _ in 0..random.random_range(1..=MAX_FLOODS) {
         let flood = PlannedFlood {
             front_end: random.random_range(0..plan.shape.front_ends),
-            kind: KINDS[random.random_range(0..KINDS.len())],
+            kind: Flood::ALL[random.random_range(0..Flood::ALL.len())],
             connections: [1, 6, 30, 150][random.random_range(0..4)],
             length: random.random_range(1000..5000) * MS,
         };
--- a/crates/cli/tests/outages/main.rs
+++ b/crates/cli/tests/outages/main.rs
@@ -5,6 +5,7 @@
 mod drains;
 mod fleet_soak;
 mod flood;
+mod flood_signals;
 mod flood_soak;
 mod floods;
 mod front_end;
--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -7,6 +7,7 @@
 use crate::read_turns::{ReadCost, SourceKind};
 use crate::session::Session;
 use crate::sockets;
+use stagehoist::Micros;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
@@ -111,12 +112,12 @@
 
     /// Returns the connection without open requests that has sent the most messages without effect, if it has sent
     /// more than a well-behaved client does.
-    fn most_unproductive(&self) -> Option<u64> {
+    fn most_unproductive(&self, now: Micros) -> Option<u64> {
         let conns = self.conns.borrow();
         let count = |connection: &ClientConnection| {
             let open_requests = connection.session.borrow().activity().open_requests;
             if open_requests == 0 {
-                self.shared.read_turns.unproductive(&connection.turn)
+                self.shared.read_turns.unproductive(&connection.turn, now)
             } else {
                 0
             }
@@ -128,10 +129,11 @@
     /// Unlists and returns the connection to evict: one with many messages without effect, else an idle one. Idle
     /// connections with unread input are skipped, because that input may be a request.
     fn take_victim(&self) -> Option<Rc<ClientConnection>> {
-        if let Some(unproductive) = self.most_unproductive() {
+        let now = self.shared.clock.now();
+        if let Some(unproductive) = self.most_unproductive(now) {
             return self.conns.borrow_mut().remove(&unproductive);
         }
-        let (mut skipped, now) = (Vec::new(), self.shared.clock.now());
+        let mut skipped = Vec::new();
         for _ in 0..MAX_EVICTION_CANDIDATES {
             let conns = self.conns.borrow();
             let open = conns.values().filter(|c| !skipped.contains(&c.id));
--- a/crates/platform/src/clients/finish.rs
+++ b/crates/platform/src/clients/finish.rs
@@ -80,16 +80,24 @@
         }
     }
 
-    /// Reads and answers each connection once more. The time is limited, so clients of which a request was served are read
-    /// first, then the others, those with the most messages without effect last. With [`LastRead::Close`], each connection is closed for writing right after that: requests that cross
-    /// a close are sent again by their clients only if they were sent shortly before it.
-    fn answer_unread(self: &Rc<Self>, last_read: LastRead) {
+    /// Returns the connections in the order of their last reads: clients of which a request was served, then the others,
+    /// those with the most messages without effect last.
+    fn last_read_order(&self, now: Micros) -> Vec<Rc<ClientConnection>> {
         let mut conns: Vec<Rc<ClientConnection>> = self.conns.borrow().values().cloned().collect();
-        conns.sort_by_key(|connection| {
+        conns.sort_by_cached_key(|connection| {
             let is_verified = connection.session.borrow().is_verified();
-            (!is_verified, self.shared.read_turns.unproductive(&connection.turn))
+            (!is_verified, self.shared.read_turns.unproductive(&connection.turn, now))
         });
-        let end = self.shared.clock.now() + LAST_READS_TIMEOUT;
+        conns
+    }
+
+    /// Reads and answers each connection once more, for a limited time. With [`LastRead::Close`], each connection is
+    /// closed for writing right after that: requests that cross a close are sent again by their clients only if they
+    /// were sent shortly before it.
+    fn answer_unread(self: &Rc<Self>, last_read: LastRead) {
+        let now = self.shared.clock.now();
+        let conns = self.last_read_order(now);
+        let end = now + LAST_READS_TIMEOUT;
         for connection in conns.iter().filter(|c| !c.is_gone.get()) {
             if self.shared.clock.now() >= end {
                 return;
--- a/crates/platform/src/read_turns.rs
+++ b/crates/platform/src/read_turns.rs
@@ -148,9 +148,10 @@
         self.queue.borrow().is_backlogged(turn.id, self.clock.now())
     }
 
-    /// Returns the number of messages without effect that this connection has sent in the last seconds.
-    pub fn unproductive(&self, turn: &Turn) -> u32 {
-        self.queue.borrow().unproductive(turn.id, self.clock.now()) as u32
+    /// Returns the number of messages without effect that this connection has sent in the seconds before `now`. The
+    /// numbers of several connections can be compared if they are of the same time.
+    pub fn unproductive(&self, turn: &Turn, now: Micros) -> u32 {
+        self.queue.borrow().unproductive(turn.id, now) as u32
     }
 
     /// Returns what happened since the last call, and who waits now.
