Platform: a request that waited in the listener's queue is as old as its connection

Callers saw: executors were told to wait up to 240 ms longer than the client does (rule on stated waits) for requests on connections that were accepted late: right after a start beside clients that connect all the time, with 10% of a core.

Cause: the age of input counted from when its connection first asked for a read. The time that a connection spent in the listener's queue, from the start of the listener or behind others, was not in it.

Now the listener, a module of its own, knows since when the connections in its queue may have been there: since it was last found empty, or since the poll before the last if it became ready later. A connection that has input when it is accepted counts it from then.

--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -3,6 +3,7 @@
 use super::{ClientConnection, Clients};
 use crate::bounds;
 use crate::descriptors::{is_descriptor_limit, DescriptorHolder, DescriptorUse};
+use crate::listener::{Accepted, Listener};
 use crate::poll_times::{TaskKind, TimedTask};
 use crate::read_turns::{ReadCost, SourceKind};
 use crate::session::Session;
@@ -10,7 +11,6 @@
 use stagehoist::Micros;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
 /// Maximum number of connections checked for one that can be evicted.
@@ -27,7 +27,7 @@
 
 impl Clients {
     /// Accepts connections until dropped.
-    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
+    pub async fn accept(self: Rc<Self>, listener: Rc<Listener>) {
         let descriptors = &self.shared.descriptors;
         let turns = &self.shared.read_turns;
         let turn = turns.add(SourceKind::Peer);
@@ -40,15 +40,15 @@
                     descriptors.executors_first().await;
                     continue;
                 }
-                accepted = listener.accept() => accepted,
+                accepted = listener.accept(turns) => accepted,
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok(first) => {
                     // A turn may come only once in a round, and the clients behind this one wait too.
-                    let others = std::iter::from_fn(|| sockets::try_accept(&listener)).take(MAX_ACCEPTS - 1);
-                    for stream in std::iter::once(stream).chain(others) {
+                    let others = std::iter::from_fn(|| listener.try_accept()).take(MAX_ACCEPTS - 1);
+                    for accepted in std::iter::once(first).chain(others) {
                         turns.charge(&turn, ACCEPT_COST);
-                        closing += usize::from(self.admit(stream));
+                        closing += usize::from(self.admit(accepted));
                         if closing >= MAX_CLOSING {
                             break;
                         }
@@ -74,7 +74,8 @@
         }
     }
 
-    pub(super) fn admit(self: &Rc<Self>, stream: TcpStream) -> bool {
+    pub(super) fn admit(self: &Rc<Self>, accepted: Accepted) -> bool {
+        let Accepted { stream, since } = accepted;
         let is_full = self.open_connections() >= self.bounds.clients;
         if is_full && !self.release_one() {
             self.count(|c| c.not_admitted += 1);
@@ -90,6 +91,9 @@
         let [is_gone, is_inactive, dirty, fills_reads] = [false; 4].map(Cell::new);
         let (inputs, wake) = (RefCell::default(), Notify::new());
         let turn = self.shared.read_turns.add(SourceKind::Client);
+        if sockets::has_unread(&stream) {
+            turn.set_first_input_since(since);
+        }
         let received = Cell::default();
         let connection = Rc::new(ClientConnection {
             id,
--- a/crates/platform/src/clients/finish.rs
+++ b/crates/platform/src/clients/finish.rs
@@ -2,13 +2,13 @@
 
 use super::exchange::VERIFIED_READ_SIZE;
 use super::{ClientConnection, Clients};
+use crate::listener::{Listener, MAX_BACKLOG};
 use crate::sockets;
 use stagehoist::Micros;
 use stagehoist_gateway::state::{Answer, Input, Ticket};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 
 /// Maximum number of consecutive reads of one socket, and of messages in them, because some clients never stop writing.
 /// This is enough for all requests that may be open on a connection, with bodies of the maximum length.
@@ -43,7 +43,7 @@
     /// Rejects every complete request in a socket, also on connections that were not accepted yet. Then shuts down
     /// writing on each connection and goes on reading for a while, because closing a socket with unread input would
     /// reset what was written.
-    pub async fn finish(self: &Rc<Self>, listener: &TcpListener) {
+    pub async fn finish(self: &Rc<Self>, listener: &Listener) {
         self.stop_accepting();
         // These calls never reached the module because its queue was full.
         let unanswered: Vec<Ticket> = self.calls.borrow().keys().copied().collect();
@@ -70,10 +70,10 @@
 
     /// Accepts the connections of the listener's backlog. Clients that connect again and again may fill it all the time,
     /// so the time is limited.
-    fn accept_backlog(self: &Rc<Self>, listener: &TcpListener) {
+    fn accept_backlog(self: &Rc<Self>, listener: &Listener) {
         let end = self.shared.clock.now() + LAST_ACCEPTS_TIMEOUT;
-        for stream in std::iter::from_fn(|| sockets::accept(listener)).take(sockets::MAX_BACKLOG) {
-            self.admit(stream);
+        for accepted in std::iter::from_fn(|| listener.accept_last()).take(MAX_BACKLOG) {
+            self.admit(accepted);
             if self.shared.clock.now() >= end {
                 return;
             }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -16,7 +16,7 @@
 //! - [`stalls`]: for how long this process did not run.
 //! - [`reload`]: rereads the configuration at a signal, and retries until the file is readable.
 //!
-//! Thin modules with sockets: [`shared`], [`poll_times`], [`descriptors`], [`clients`], [`executors`], [`watch`],
+//! Thin modules with sockets: [`shared`], [`listener`], [`poll_times`], [`descriptors`], [`clients`], [`executors`], [`watch`],
 //! [`run()`].
 //!
 //! Nothing here decides about a call: the decision module in the `stagehoist` package does.
@@ -33,6 +33,7 @@
 pub mod executors;
 pub mod fields;
 mod flatten;
+pub mod listener;
 mod log_interval;
 pub mod loop_lag;
 pub mod poll_times;
--- a/crates/platform/src/read_turns.rs
+++ b/crates/platform/src/read_turns.rs
@@ -27,6 +27,8 @@
     is_granted: Cell<bool>,
     /// Since when the connection may have had the unread input for which the turn was requested.
     input_since: Cell<Micros>,
+    /// The same for the first request, if there was input when the connection was accepted.
+    first_input_since: Cell<Option<Micros>>,
     granted: Notify,
 }
 
@@ -41,6 +43,11 @@
         self.granted.notified().await;
     }
 
+    /// States since when the connection may have had the input that its first request is for.
+    pub fn set_first_input_since(&self, at: Micros) {
+        self.first_input_since.set(Some(at));
+    }
+
     /// Returns since when the connection may have had unread input.
     pub fn input_since(&self) -> Micros {
         self.input_since.get()
@@ -90,6 +97,7 @@
             is_waiting: Cell::new(false),
             is_granted: Cell::new(false),
             input_since: Cell::new(0),
+            first_input_since: Cell::new(None),
             granted: Notify::new(),
         });
         self.turns.borrow_mut().insert(id, turn.clone());
@@ -113,9 +121,8 @@
             return;
         }
         let now = self.clock.now();
-        // While rounds are busy, input that is found now may have arrived right after the poll before the last.
-        let known_since = self.rounds_at.get().map_or(now, |[earlier, _]| earlier);
-        turn.input_since.set(known_since);
+        let found_since = self.input_since(now);
+        turn.input_since.set(turn.first_input_since.take().map_or(found_since, |at| at.min(found_since)));
         match self.queue.borrow_mut().request(turn.id, now) {
             Grant::Now => turn.is_granted.set(true),
             Grant::Later => {
@@ -125,6 +132,12 @@
         }
     }
 
+    /// Returns the earliest time at which input that the runtime finds at `now` may have arrived: while rounds are busy,
+    /// right after the poll before the last.
+    pub fn input_since(&self, now: Micros) -> Micros {
+        self.rounds_at.get().map_or(now, |[earlier, _]| earlier)
+    }
+
     /// Waits for a turn. Dropping the future leaves the request in place; the next call continues it.
     pub async fn acquire(&self, turn: &Turn) {
         self.request(turn);
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -5,11 +5,11 @@
 use crate::config::{ConfigError, PlatformSettings};
 use crate::descriptors;
 use crate::executors::{Executors, Limits, LoadCommand};
+use crate::listener::Listener;
 use crate::poll_times::{TaskKind, TimedTask};
 use crate::reload;
 use crate::replay::Replay;
 use crate::session::Catalog;
-use crate::sockets;
 use crate::start_times::StartTimes;
 use crate::subscription::EventSubscription;
 use crate::watch::watch_events;
@@ -19,7 +19,6 @@
 use stagehoist_gateway::state::{Command, Core, Input};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, JoinSet, LocalSet};
@@ -73,9 +72,9 @@
     let handle = |kind: SignalKind| signal(kind).map_err(io("can't install a signal handler".into()));
     let (mut term, mut int, hup) =
         (handle(SignalKind::terminate())?, handle(SignalKind::interrupt())?, handle(SignalKind::hangup())?);
-    let listener = sockets::listen(listen).await.map_err(io(format!("can't listen on {listen}")))?;
-    let listen = listener.local_addr().map_err(io(format!("can't listen on {listen}")))?;
     let clock = Clock::new();
+    let listener = Listener::bind(listen, clock).map_err(io(format!("can't listen on {listen}")))?;
+    let listen = listener.local_addr().map_err(io(format!("can't listen on {listen}")))?;
     let (inputs, incoming) = mpsc::channel(driver::INPUT_QUEUE_CAPACITY);
     let shared = Rc::new(Shared::new(clock, inputs.clone()));
     let bounds = Bounds::new(&settings.limits.at_most(descriptors::open_file_limit()));
@@ -159,7 +158,7 @@
     shared: Rc<Shared>,
     clients: Rc<Clients>,
     executors: Rc<Executors>,
-    listener: Rc<TcpListener>,
+    listener: Rc<Listener>,
     accepting: AbortHandle,
     drain_limit: Micros,
     /// While draining: when the front end stops accepting requests.
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -6,18 +6,11 @@
 use std::future::Future;
 use std::io::{self, Read, Write};
 use std::mem::MaybeUninit;
-use std::net::{Shutdown, SocketAddr};
+use std::net::Shutdown;
 use std::pin::pin;
 use std::task::{Context, Poll, Waker};
 use tokio::io::Interest;
-use tokio::net::{TcpListener, TcpStream};
-
-/// Maximum number of connections in a listener's queue: the system's own maximum by default. Many clients may connect
-/// while this process does not run, and the system sends again only after a second what does not fit.
-pub const MAX_BACKLOG: usize = 4096;
-/// Maximum number of consecutive failures to accept: connections aborted by the peer, or a lack of resources in the
-/// system.
-const MAX_ACCEPT_FAILURES: usize = 64;
+use tokio::net::TcpStream;
 
 /// Repeats a system call that is interrupted by signals.
 pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
@@ -93,34 +86,8 @@
     let _ = SockRef::from(stream).set_linger(None);
 }
 
-/// Listens at an address, with a queue of [`MAX_BACKLOG`] connections.
-pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let listener = TcpListener::bind(address).await?;
-    // Listening again changes only the length of the queue.
-    SockRef::from(&listener).listen(MAX_BACKLOG as i32)?;
-    Ok(listener)
-}
-
-/// Returns the next pending connection, if there is one and it can be accepted at once.
-pub fn try_accept(listener: &TcpListener) -> Option<TcpStream> {
-    let (socket, _) = SockRef::from(listener).accept().ok()?;
-    into_stream(socket)
-}
-
-fn into_stream(socket: Socket) -> Option<TcpStream> {
+/// Registers a socket with the runtime.
+pub fn into_stream(socket: Socket) -> Option<TcpStream> {
     socket.set_nonblocking(true).ok()?;
     TcpStream::from_std(socket.into()).ok()
 }
-
-/// Returns the next pending connection, if any. A connection that the peer aborted, or a transient lack of resources
-/// in the system, does not hide those behind it.
-pub fn accept(listener: &TcpListener) -> Option<TcpStream> {
-    for _ in 0..MAX_ACCEPT_FAILURES {
-        match SockRef::from(listener).accept() {
-            Ok((socket, _)) => return into_stream(socket),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
-            Err(_) => {}
-        }
-    }
-    None
-}
--- a/crates/platform/tests/crossings/clients.rs
+++ b/crates/platform/tests/crossings/clients.rs
@@ -6,38 +6,53 @@
 use stagehoist_gateway::state::Input;
 use stagehoist_platform::bounds::{Bounds, MAX_UNREAD_BYTES};
 use stagehoist_platform::clients::{Clients, Shared};
+use stagehoist_platform::listener::Listener;
 use stagehoist_platform::session::Catalog;
 use stagehoist_platform::PlatformSettings;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+/// Any free port.
+const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const HEALTH: &str = "*3\r\n$6\r\nHEALTH\r\n$1\r\n8\r\n$0\r\n\r\n";
 
 struct Front {
+    clock: Clock,
     clients: Rc<Clients>,
-    listener: Rc<TcpListener>,
+    listener: Rc<Listener>,
     address: SocketAddr,
     inputs: mpsc::Receiver<Input>,
 }
 
 impl Front {
     /// Creates a front end with a maximum number of clients and a capacity of the driver's queue.
-    async fn new(clients: usize, capacity: usize) -> Front {
+    fn new(clients: usize, capacity: usize) -> Front {
+        let front = Front::listening(clients, capacity);
+        front.accept();
+        front
+    }
+
+    /// The same before it accepts connections.
+    fn listening(clients: usize, capacity: usize) -> Front {
         let settings = PlatformSettings::parse(include_str!("../config.json")).unwrap();
         let (sender, inputs) = mpsc::channel(capacity);
-        let shared = Rc::new(Shared::new(Clock::new(), sender));
+        let clock = Clock::new();
+        let shared = Rc::new(Shared::new(clock, sender));
         tokio::task::spawn_local(shared.clone().run_read_turns());
+        tokio::task::spawn_local(shared.clone().check_stalls());
         let bounds = Bounds { clients, executors: 4, held_bytes: 1 << 20, unread_bytes: MAX_UNREAD_BYTES };
         let clients = Rc::new(Clients::new(shared, Catalog::from(&settings), bounds));
         clients.serve(true);
-        let listener = Rc::new(TcpListener::bind("127.0.0.1:0").await.unwrap());
+        let listener = Rc::new(Listener::bind(LOOPBACK, clock).unwrap());
         let address = listener.local_addr().unwrap();
-        tokio::task::spawn_local(clients.clone().accept(listener.clone()));
-        Front { clients, listener, address, inputs }
+        Front { clock, clients, listener, address, inputs }
+    }
+
+    fn accept(&self) {
+        tokio::task::spawn_local(self.clients.clone().accept(self.listener.clone()));
     }
 
     async fn until(&self, mut holds: impl FnMut() -> bool) {
@@ -111,7 +126,7 @@
 #[test]
 fn a_connection_with_an_unread_request_is_not_evicted_for_a_new_one() {
     on_one_thread(async {
-        let front = Front::new(3, 64).await;
+        let front = Front::new(3, 64);
         let mut idle = front.idle(3).await;
         let mut new = Peer::connect(front.address);
         new.write(HEALTH);
@@ -129,7 +144,7 @@
 #[test]
 fn a_new_connection_is_not_admitted_while_every_socket_has_an_unread_request() {
     on_one_thread(async {
-        let front = Front::new(3, 64).await;
+        let front = Front::new(3, 64);
         let mut idle = front.idle(3).await;
         let mut new = Peer::connect(front.address);
         idle.iter_mut().for_each(|peer| peer.write(HEALTH));
@@ -154,7 +169,7 @@
 #[test]
 fn calls_that_wait_for_a_full_driver_queue_are_rejected_at_exit() {
     on_one_thread(async {
-        let mut front = Front::new(8, 2).await;
+        let mut front = Front::new(8, 2);
         let mut peers: Vec<Peer> = (0..4).map(|_| Peer::connect(front.address)).collect();
         for (n, peer) in peers.iter_mut().enumerate() {
             // Two arrive in one read, and one stays in the socket while its connection waits for the queue.
@@ -176,3 +191,26 @@
         assert!(reached >= 2, "the queue was not filled");
     });
 }
+
+/// Guards against counting the time in the listener's queue as the client's remaining time: the executor would be told
+/// to wait longer than the client does.
+#[test]
+fn a_request_that_waited_in_the_listeners_queue_is_as_old_as_its_connection() {
+    on_one_thread(async {
+        let mut front = Front::listening(3, 64);
+        let mut peer = Peer::connect(front.address);
+        peer.write(&call(1));
+        let sent_at = front.clock.now();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        front.accept();
+        let Some(Input::Call(first)) = front.inputs.recv().await else { panic!("a call") };
+        assert!(first.read_at <= sent_at, "read at {}, sent at {sent_at}", first.read_at);
+        // A connection that comes while the front end runs is not taken for an old one.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let connected_at = front.clock.now();
+        let mut later = Peer::connect(front.address);
+        later.write(&call(2));
+        let Some(Input::Call(second)) = front.inputs.recv().await else { panic!("a call") };
+        assert!(second.read_at >= connected_at, "read at {}, connected at {connected_at}", second.read_at);
+    });
+}
--- a/crates/platform/tests/crossings/stage.rs
+++ b/crates/platform/tests/crossings/stage.rs
@@ -10,6 +10,7 @@
 use stagehoist_platform::bounds::{Bounds, MAX_UNREAD_BYTES};
 use stagehoist_platform::clients::{Clients, Shared};
 use stagehoist_platform::executors::{Executors, Limits};
+use stagehoist_platform::listener::Listener;
 use stagehoist_platform::session::Catalog;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -78,7 +79,7 @@
         let (listener, listen) = listen(8);
         // The buffer holds all data of a client before any of it is read.
         SockRef::from(&listener).set_recv_buffer_size(1 << 20).unwrap();
-        let listener = tokio::net::TcpListener::from_std(listener).unwrap();
+        let listener = Listener::from_std(listener, shared.clock).unwrap();
         tokio::task::spawn_local(clients.clone().accept(Rc::new(listener)));
         let executors = Rc::new(Executors::new(shared.clone(), clients.clone(), limits, bounds));
         Stage {
--- a/crates/platform/tests/descriptors/stage.rs
+++ b/crates/platform/tests/descriptors/stage.rs
@@ -12,6 +12,7 @@
 use stagehoist_platform::bounds::{Bounds, MAX_UNREAD_BYTES};
 use stagehoist_platform::clients::{Clients, Shared};
 use stagehoist_platform::executors::{Executors, Limits};
+use stagehoist_platform::listener::Listener;
 use stagehoist_platform::{session::Catalog, PlatformSettings};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -98,7 +99,8 @@
         shared.descriptors.add(&clients);
         shared.descriptors.add(&executors);
         clients.serve(true);
-        let listener = Rc::new(tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = Rc::new(Listener::from_std(listener, shared.clock).unwrap());
         let listen = listener.local_addr().unwrap();
         tokio::task::spawn_local(clients.clone().accept(listener));
         Stage { shared, clients, executors, inputs, listen }
