--- a/crates/emulator/src/broker/server.rs
+++ b/crates/emulator/src/broker/server.rs
@@ -1,6 +1,8 @@
 //! The broker on a listening socket, with faults on command.
 
 use super::{Broker, Disconnect, Micros};
+use bytes::BytesMut;
+use stagehoist_amqp::codec::put_heartbeat;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
@@ -10,6 +12,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, Notify};
 
+/// A client that takes nothing for this time is given up.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Size of a write of a flood.
+const FLOOD_WRITE: usize = 64 << 10;
+
 /// What the broker's operators, or a scripted day, can do to it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Faults {
@@ -25,6 +32,8 @@
     Blocked(bool),
     /// `channel.flow` to every channel.
     Flow(bool),
+    /// Send heartbeats at full speed, for so long, on connections that consume from a queue.
+    Heartbeats { queue: String, span: Duration },
     /// All connections end; durable queues and persistent messages stay, or nothing does.
     Restart { keep_durable: bool },
 }
@@ -55,6 +64,8 @@
     started: Instant,
     delay: RefCell<Duration>,
     deaf_until: RefCell<Instant>,
+    /// Connections that are flooded with heartbeats, and until when.
+    heartbeats: RefCell<BTreeMap<u64, Instant>>,
 }
 
 impl Shared {
@@ -62,6 +73,11 @@
         self.started.elapsed().as_micros() as Micros
     }
 
+    /// Whether a connection is flooded with heartbeats now.
+    fn floods(&self, number: u64) -> bool {
+        self.heartbeats.borrow().get(&number).is_some_and(|until| Instant::now() < *until)
+    }
+
     fn wake(&self) {
         let dirty = self.broker.borrow_mut().take_dirty();
         let wakers = self.wakers.borrow();
@@ -81,6 +97,7 @@
         started: Instant::now(),
         delay: RefCell::default(),
         deaf_until: RefCell::new(Instant::now()),
+        heartbeats: RefCell::default(),
     });
     let mut tick = tokio::time::interval(Duration::from_millis(20));
     let mut tasks = tokio::task::JoinSet::new();
@@ -135,12 +152,34 @@
             Faults::StopReading(span) => *shared.deaf_until.borrow_mut() = Instant::now() + span,
             Faults::Blocked(blocked) => broker.set_blocked(blocked),
             Faults::Flow(active) => broker.set_flow(active),
+            Faults::Heartbeats { queue, span } => {
+                let until = Instant::now() + span;
+                for number in broker.consumers_of(&queue) {
+                    shared.heartbeats.borrow_mut().insert(number, until);
+                    broker.dirty.insert(number);
+                }
+            }
             Faults::Restart { keep_durable } => broker.restart(keep_durable, now),
         }
     }
     shared.wake();
 }
 
+/// Returns heartbeats that fill a write.
+fn heartbeat_flood() -> BytesMut {
+    let mut flood = BytesMut::with_capacity(FLOOD_WRITE);
+    while flood.len() < FLOOD_WRITE {
+        put_heartbeat(&mut flood);
+    }
+    flood
+}
+
+/// Writes all of the output. A client that takes nothing for [`WRITE_TIMEOUT`] is given up.
+async fn write(stream: &mut TcpStream, output: &mut BytesMut) -> io::Result<()> {
+    let written = tokio::time::timeout(WRITE_TIMEOUT, stream.write_all_buf(output)).await;
+    written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
 async fn connection(shared: &Shared, number: u64, mut stream: TcpStream, waker: &Notify) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut buffer = vec![0u8; 64 << 10];
@@ -153,10 +192,7 @@
             if !delay.is_zero() {
                 tokio::time::sleep(delay).await;
             }
-            // A client that takes nothing for ten seconds is given up.
-            let wrote =
-                tokio::time::timeout(Duration::from_secs(10), stream.write_all_buf(&mut output)).await;
-            wrote.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            write(&mut stream, &mut output).await?;
             continue;
         }
         if shared.broker.borrow().is_over(number) {
@@ -170,8 +206,23 @@
             }
             continue;
         }
+        let floods = shared.floods(number);
+        if floods {
+            write(&mut stream, &mut heartbeat_flood()).await?;
+        }
         tokio::select! {
+            biased;
             _ = waker.notified() => {}
+            // What is there is read between two writes of a flood.
+            () = tokio::task::yield_now(), if floods => match stream.try_read(&mut buffer) {
+                Ok(0) => return Ok(()),
+                Ok(n) => {
+                    shared.broker.borrow_mut().receive(number, &buffer[..n], shared.now());
+                    shared.wake();
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            },
             read = stream.read(&mut buffer) => {
                 let n = read?;
                 if n == 0 {
