AMQP link: questions of other front ends do not wait behind the broker's input

The select is biased, and the questions stood behind a socket that always has input in a flood. They are few and come from the session with the replicas, whose queue is bounded, so they are polled first. Related path, found by reading; the test of the flooding broker and those of the inquiries pass.

--- a/crates/gateway/src/amqp/link.rs
+++ b/crates/gateway/src/amqp/link.rs
@@ -179,6 +179,10 @@
                     None => return ConnectionEnd::Finished,
                     Some(command) => self.on_commands(command),
                 },
+                // Polled before the socket, which may have input all the time.
+                input = self.inquiries.next(), if self.inquiries.are_on() => {
+                    self.inquiries.on_input(input, &mut self.front, self.clock);
+                }
                 ready = socket.stream.readable() => {
                     if let Err(error) = ready {
                         return ConnectionEnd::Lost(error.to_string());
@@ -197,9 +201,6 @@
                     }
                 }
                 _ = socket.stream.writable(), if has_output => {}
-                input = self.inquiries.next(), if self.inquiries.are_on() => {
-                    self.inquiries.on_input(input, &mut self.front, self.clock);
-                }
                 () = socket.alarm.wait() => {
                     let now = self.clock.now();
                     socket.record_tick(now);
