Driver: the first batch is no longer than the others

Callers saw: right after a start in a flood, a refusal 51 to 70 ms after its time.

Cause: the limit of a batch is 20 ms divided by the time of an input, and that time was assumed to be 0 before the first batch, so the first batches could take all that had arrived while the process started.

Now 250 us are assumed before the first batch.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -19,6 +19,8 @@
 const MIN_BATCH: usize = 8;
 /// Target duration of a batch, in microseconds. Its answers are written only at its end, so a longer batch delays them.
 const BATCH_TIME: f64 = 20_000.0;
+/// Assumed processing time per input before the first batch, in microseconds.
+const INITIAL_INPUT_TIME: f64 = 250.0;
 /// Weight of a batch in the exponential moving average of the time per input.
 const INPUT_TIME_GAIN: f64 = 0.2;
 /// If a timer fires later than this, the process was stalled, and the sockets are read before timers are processed.
@@ -182,7 +184,7 @@
             endpoints_ready: false,
             batch: Vec::new(),
             commands: Vec::new(),
-            input_time: 0.0,
+            input_time: INITIAL_INPUT_TIME,
         }
     }
 
