Platform: the accounts of the order of turns in a module of their own

Moved without a change to read_turns/source.rs: the cost of a read, the account of a connection and the lines they wait in; the account has a constructor now.

--- a/crates/platform/src/read_turns.rs
+++ b/crates/platform/src/read_turns.rs
@@ -5,11 +5,14 @@
 //! The order of the turns is decided in `queue`. While the loop has time, a turn is granted at once.
 
 mod queue;
+mod source;
 mod throttle;
 
-pub use queue::{ReadCost, ReadStats, SourceKind};
+pub use queue::ReadStats;
+pub use source::{ReadCost, SourceKind};
 
-use queue::{Grant, SourceId, TurnQueue};
+use queue::{Grant, TurnQueue};
+use source::SourceId;
 use stagehoist::Micros;
 use stagehoist_gateway::clock::Clock;
 use std::cell::{Cell, RefCell};
--- a/crates/platform/src/read_turns/queue.rs
+++ b/crates/platform/src/read_turns/queue.rs
@@ -3,56 +3,21 @@
 //! costs as much as its last one. A connection that was idle starts at the present virtual time, so it comes before
 //! those that always have input, and saves up nothing.
 
-use super::throttle::{RecentMessages, SharedRate};
+use super::source::{Line, Place, ReadCost, Source, SourceId, SourceKind, PREFERRED_WEIGHT};
+use super::throttle::SharedRate;
 use stagehoist::Micros;
 use std::collections::{BTreeSet, HashMap};
 
 /// Work of one round. It is small beside the deadlines of requests, and large beside the cost of polling the sockets.
 const ROUND_WORK: u64 = 256;
-/// Expected work of the first read of a connection: that of one request.
-const FIRST_READ_WORK: u64 = TURN_WORK + 1;
 /// Work of limited connections in one round.
 const LIMITED_WORK: u64 = 64;
-/// Work of a read besides its content: the system call, and waking the connection's task.
-const TURN_WORK: u64 = 16;
-/// Part of the work that a preferred connection is charged with.
-const PREFERRED_WEIGHT: u64 = 8;
-/// Number of bytes that cost as much as one message.
-const BYTES_PER_WORK: u64 = 1024;
 /// A connection is ahead of its share if it was served this much more than the one that is served now.
 const BACKLOG_WORK: u64 = 64;
 /// While the driver has more inputs queued than this, clients get no turns, so that the order of their requests is
 /// decided here and not by who filled the queue first.
 const MAX_QUEUED_INPUTS: usize = 256;
 
-/// Identifies a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub(super) struct SourceId(u64);
-
-/// Kinds of connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SourceKind {
-    Client,
-    /// An executor or the event bus. Each frees work of the driver, so it does not wait while the driver is behind.
-    Peer,
-}
-
-/// What one read contained.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ReadCost {
-    pub bytes: usize,
-    pub messages: u32,
-    /// Messages of a client among them that lead to no work for an executor: malformed and refused requests, health
-    /// checks.
-    pub unproductive: u32,
-}
-
-impl ReadCost {
-    fn work(&self) -> u64 {
-        TURN_WORK + u64::from(self.messages) + self.bytes as u64 / BYTES_PER_WORK
-    }
-}
-
 /// Whether a turn is granted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Grant {
@@ -60,42 +25,9 @@
     Later,
 }
 
-/// The place of a waiting connection: by the expected end of its read, then in order of arrival.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Place {
-    expected_finish: u64,
-    order: u64,
-    start: u64,
-    id: SourceId,
-}
-
-/// The lines in which connections wait; each is served in its own order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Line {
-    Clients,
-    Peers,
-    Limited,
-}
-
 const LINES: usize = 3;
 const KINDS: usize = 2;
 
-/// The account of a connection.
-#[derive(Debug)]
-struct Source {
-    kind: SourceKind,
-    /// The work of its reads is divided by this.
-    weight: u64,
-    /// Virtual time at which the last turn started, and up to which the source is paid for.
-    start: u64,
-    finish: u64,
-    /// Work of the last read, which is expected of the next one.
-    last_work: u64,
-    waiting: Option<(Line, Place)>,
-    unproductive: RecentMessages,
-    is_limited: bool,
-}
-
 /// Rounds over some time, and the connections that wait at its end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReadStats {
@@ -109,13 +41,6 @@
     pub waiting_limited: usize,
 }
 
-impl Source {
-    /// Returns what the source is charged with for this work.
-    fn charge_of(&self, work: u64) -> u64 {
-        work.div_ceil(self.weight)
-    }
-}
-
 /// The turns of a round that begins.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub(super) struct Round {
@@ -160,18 +85,7 @@
     pub fn add(&mut self, kind: SourceKind) -> SourceId {
         self.next_id += 1;
         let id = SourceId(self.next_id);
-        let unproductive = RecentMessages::default();
-        let source = Source {
-            kind,
-            weight: 1,
-            start: 0,
-            finish: 0,
-            last_work: FIRST_READ_WORK,
-            waiting: None,
-            unproductive,
-            is_limited: false,
-        };
-        self.sources.insert(id, source);
+        self.sources.insert(id, Source::new(kind));
         id
     }
 
--- a/crates/platform/src/read_turns/tests.rs
+++ b/crates/platform/src/read_turns/tests.rs
@@ -1,4 +1,5 @@
-use super::queue::{Grant, ReadCost, SourceId, SourceKind, TurnQueue};
+use super::queue::{Grant, TurnQueue};
+use super::source::{ReadCost, SourceId, SourceKind};
 
 /// What a read of small messages contains.
 const READ: ReadCost = ReadCost { bytes: 1024, messages: 44, unproductive: 0 };
