Platform: accepting, serving and taking in requests in shorter functions

accept, accept_call, serve_connection and Session::take had 46 to 67 lines and are split by their steps; the counts of messages have a module of their own, and the two limits of a lingering connection their own names. No change of behaviour.

--- a/crates/platform/src/clients/accept.rs
+++ b/crates/platform/src/clients/accept.rs
@@ -5,11 +5,12 @@
 use crate::descriptors::{is_descriptor_limit, DescriptorHolder, DescriptorUse};
 use crate::listener::{Accepted, Listener};
 use crate::poll_times::{TaskKind, TimedTask};
-use crate::read_turns::{ReadCost, SourceKind};
+use crate::read_turns::{ReadCost, SourceKind, Turn};
 use crate::session::Session;
 use crate::sockets;
 use stagehoist::Micros;
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -43,37 +44,52 @@
                 accepted = listener.accept(turns) => accepted,
             };
             match accepted {
-                Ok(first) => {
-                    // A turn may come only once in a round, and the clients behind this one wait too.
-                    let others = std::iter::from_fn(|| listener.try_accept()).take(MAX_ACCEPTS - 1);
-                    for accepted in std::iter::once(first).chain(others) {
-                        turns.charge(&turn, ACCEPT_COST);
-                        closing += usize::from(self.admit(accepted));
-                        if closing >= MAX_CLOSING {
-                            break;
-                        }
-                    }
-                    if closing >= MAX_CLOSING {
-                        // Evicted connections must be closed before more are accepted.
-                        tokio::task::yield_now().await;
-                        closing = 0;
-                    }
-                }
-                Err(error) => {
-                    self.count(|c| c.not_accepted += 1);
-                    // The system allocates a descriptor before it checks whether a connection is pending. So one more
-                    // connection is evicted after the last new one, and its descriptor is available for the next.
-                    if is_descriptor_limit(&error) {
-                        descriptors.refused(DescriptorUse::Client);
-                        descriptors.release_one();
-                    }
-                    // Wait in any case, so that the loop does not spin at the descriptor limit.
-                    descriptors.wait_last().await;
-                }
+                Ok(first) => closing += self.admit_pending(first, &listener, &turn, MAX_CLOSING - closing),
+                Err(error) => self.on_accept_error(&error).await,
+            }
+            if closing >= MAX_CLOSING {
+                // Evicted connections must be closed before more are accepted.
+                tokio::task::yield_now().await;
+                closing = 0;
+            }
+        }
+    }
+
+    /// Admits a connection and those behind it: a turn may come only once in a round, and their clients wait too. Returns
+    /// the number of connections that were evicted or not admitted, at which it stops once there are `max_closing`.
+    fn admit_pending(
+        self: &Rc<Self>,
+        first: Accepted,
+        listener: &Listener,
+        turn: &Turn,
+        max_closing: usize,
+    ) -> usize {
+        let mut closing = 0;
+        let others = std::iter::from_fn(|| listener.try_accept()).take(MAX_ACCEPTS - 1);
+        for accepted in std::iter::once(first).chain(others) {
+            self.shared.read_turns.charge(turn, ACCEPT_COST);
+            closing += usize::from(self.admit(accepted));
+            if closing >= max_closing {
+                break;
             }
         }
+        closing
+    }
+
+    async fn on_accept_error(&self, error: &io::Error) {
+        let descriptors = &self.shared.descriptors;
+        self.count(|c| c.not_accepted += 1);
+        // The system allocates a descriptor before it checks whether a connection is pending. So one more connection is
+        // evicted after the last new one, and its descriptor is available for the next.
+        if is_descriptor_limit(error) {
+            descriptors.refused(DescriptorUse::Client);
+            descriptors.release_one();
+        }
+        // Wait in any case, so that the loop does not spin at the descriptor limit.
+        descriptors.wait_last().await;
     }
 
+    /// Adds a connection. Returns whether another one was evicted for it, or it was not admitted.
     pub(super) fn admit(self: &Rc<Self>, accepted: Accepted) -> bool {
         let Accepted { stream, since } = accepted;
         let is_full = self.open_connections() >= self.bounds.clients;
--- a/crates/platform/src/clients/calls.rs
+++ b/crates/platform/src/clients/calls.rs
@@ -6,6 +6,14 @@
 use stagehoist_gateway::state::{Answer, Arrival, Input, Ticket};
 use std::rc::Rc;
 
+/// Memory overhead of a request.
+const REQUEST_OVERHEAD: usize = 512;
+
+/// Returns the memory that a request takes while it is open, in bytes.
+fn held_bytes(request: &ClientRequest) -> usize {
+    request.body.len() + REQUEST_OVERHEAD
+}
+
 impl Clients {
     pub(super) fn on_client_events(
         &self,
@@ -31,14 +39,14 @@
         inputs
     }
 
-    pub(super) fn accept_call(
+    /// Accepts a request as a call for the driver, or rejects it.
+    fn accept_call(
         &self,
         connection: &Rc<ClientConnection>,
         ticket: Ticket,
         request: ClientRequest,
         (now, late): (Micros, Micros),
     ) -> Option<Input> {
-        let bytes = request.body.len() + 512;
         let is_open = self.references.borrow().contains_key(&request.reference);
         if is_open || self.ended_ids.borrow().contains(request.reference) {
             // An answer would be ambiguous, or the request would run twice. One that is already open continues.
@@ -46,12 +54,28 @@
             self.count(|c| c.unusable += 1);
             return None;
         }
-        if !self.accepts_requests.get() || self.held_bytes.get() + bytes > self.bounds.held_bytes {
-            let answer = Answer::Refused { reason: "too-many-held", retry_after: 0 };
+        if let Some(reason) = self.intake_refusal(connection, &request, (now, late)) {
+            let answer = Answer::Refused { reason, retry_after: 0 };
             connection.session.borrow_mut().answer(ticket, &answer, now);
             self.count(|c| c.rejected_at_intake += 1);
             return None;
         }
+        self.hold(connection, ticket, &request);
+        Some(Input::Call(self.arrival(connection, ticket, request, (now, late))))
+    }
+
+    /// Returns why a request is refused before the module sees it, if it is.
+    fn intake_refusal(
+        &self,
+        connection: &ClientConnection,
+        request: &ClientRequest,
+        (now, late): (Micros, Micros),
+    ) -> Option<&'static str> {
+        if !self.accepts_requests.get()
+            || self.held_bytes.get() + held_bytes(request) > self.bounds.held_bytes
+        {
+            return Some("too-many-held");
+        }
         let lag = self.shared.lag.borrow().expected(now);
         let is_excessive = lag > 0 && connection.fills_reads.get();
         let is_too_late = || {
@@ -59,16 +83,19 @@
             self.shared.lag.borrow().should_reject(request.budget - late, in_progress, now)
         };
         // Requests in progress are counted only while the loop is behind.
-        if is_excessive || (lag > 0 && is_too_late()) {
-            self.shared.lag.borrow_mut().record_rejected(request.reference);
-            if is_excessive {
-                connection.session.borrow_mut().count_excessive();
-            }
-            let answer = Answer::Refused { reason: "loop-behind", retry_after: 0 };
-            connection.session.borrow_mut().answer(ticket, &answer, now);
-            self.count(|c| c.rejected_at_intake += 1);
+        if !is_excessive && !(lag > 0 && is_too_late()) {
             return None;
         }
+        self.shared.lag.borrow_mut().record_rejected(request.reference);
+        if is_excessive {
+            connection.session.borrow_mut().count_excessive();
+        }
+        Some("loop-behind")
+    }
+
+    /// Adds a request to the calls that clients wait for.
+    fn hold(&self, connection: &Rc<ClientConnection>, ticket: Ticket, request: &ClientRequest) {
+        let bytes = held_bytes(request);
         self.held_bytes.set(self.held_bytes.get() + bytes);
         self.references.borrow_mut().insert(request.reference, ticket);
         let accepted = AcceptedCall {
@@ -78,8 +105,18 @@
             is_non_idempotent: self.catalog.is_non_idempotent(request.properties.class),
         };
         self.calls.borrow_mut().insert(ticket, accepted);
+    }
+
+    fn arrival(
+        &self,
+        connection: &ClientConnection,
+        ticket: Ticket,
+        request: ClientRequest,
+        (now, late): (Micros, Micros),
+    ) -> Arrival {
+        let lag = self.shared.lag.borrow().expected(now);
         let remaining = self.exit_by.get().map_or(Micros::MAX, |at| at - now);
-        Some(Input::Call(Arrival {
+        Arrival {
             ticket,
             function: request.function,
             properties: Some(request.properties),
@@ -95,7 +132,7 @@
             correlation: request.id,
             generation: None,
             identity: None,
-        }))
+        }
     }
 
     /// Returns how many requests would be in progress if every client had as many as this one, but not more than there
--- a/crates/platform/src/clients/exchange.rs
+++ b/crates/platform/src/clients/exchange.rs
@@ -14,7 +14,8 @@
 
 /// After a protocol error a connection is still read for this time and this many bytes, so that the error answer
 /// reaches the client.
-const LINGER_LIMITS: (Duration, usize) = (Duration::from_millis(250), 1 << 20);
+const LINGER_TIMEOUT: Duration = Duration::from_millis(250);
+const MAX_LINGER_BYTES: usize = 1 << 20;
 /// How often a connection that is not read from is checked for a close by the client.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of bytes read in one turn: some dozens of messages, or more from a client whose requests were served.
@@ -28,48 +29,23 @@
 }
 
 impl Clients {
+    /// Serves a connection until it ends.
     pub(super) async fn serve_connection(self: Rc<Self>, connection: Rc<ClientConnection>) {
         let mut is_expired = false;
         loop {
-            let (read, write, closing) = {
+            let (closing, write) = {
                 let session = connection.session.borrow();
-                (session.wants_read(), !session.output().is_empty(), session.is_closing())
+                (session.is_closing(), !session.output().is_empty())
             };
             if connection.is_gone.get() || is_expired || (closing && !write) {
                 break;
             }
-            let awaits_turn = connection.turn.is_waiting();
-            let held_back = !read && !closing;
-            tokio::select! {
-                biased;
-                () = connection.wake.notified() => {}
-                () = connection.turn.granted(), if awaits_turn => {}
-                ready = connection.stream.writable(), if write => {
-                    if ready.is_err() || !self.flush(&connection) {
-                        connection.is_gone.set(true);
-                    }
-                }
-                ready = connection.stream.readable(), if read && !awaits_turn => match ready {
-                    Ok(()) => self.shared.read_turns.request(&connection.turn),
-                    Err(_) => connection.is_gone.set(true),
-                },
-                () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if held_back => {
-                    if sockets::is_read_closed(&connection.stream) {
-                        connection.is_gone.set(true);
-                    }
-                }
-            }
+            self.wait_for_event(&connection).await;
             if connection.turn.take() && !connection.is_gone.get() && !self.read(&connection) {
                 connection.is_gone.set(true);
             }
             if connection.is_inactive.take() {
-                // The unread input may be the request that makes the client active again.
-                let mut inputs = Vec::new();
-                if self.read_all(&connection, &mut inputs) == ReadState::Closed {
-                    connection.is_gone.set(true);
-                }
-                connection.inputs.borrow_mut().extend(inputs);
-                is_expired = connection.session.borrow().is_expired(self.shared.clock.now());
+                is_expired = self.is_expired_after_reading(&connection);
             }
             if connection.session.borrow().can_resume() {
                 let received = self.receive(&connection, b"", self.shared.clock.now());
@@ -77,6 +53,51 @@
             }
             self.forward_inputs(&connection).await;
         }
+        self.end_connection(connection, is_expired).await;
+    }
+
+    /// Waits until there is something to do on a connection: requests a turn for its input, and writes its output.
+    async fn wait_for_event(&self, connection: &ClientConnection) {
+        let (read, write, closing) = {
+            let session = connection.session.borrow();
+            (session.wants_read(), !session.output().is_empty(), session.is_closing())
+        };
+        let awaits_turn = connection.turn.is_waiting();
+        let held_back = !read && !closing;
+        tokio::select! {
+            biased;
+            () = connection.wake.notified() => {}
+            () = connection.turn.granted(), if awaits_turn => {}
+            ready = connection.stream.writable(), if write => {
+                if ready.is_err() || !self.flush(connection) {
+                    connection.is_gone.set(true);
+                }
+            }
+            ready = connection.stream.readable(), if read && !awaits_turn => match ready {
+                Ok(()) => self.shared.read_turns.request(&connection.turn),
+                Err(_) => connection.is_gone.set(true),
+            },
+            () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if held_back => {
+                if sockets::is_read_closed(&connection.stream) {
+                    connection.is_gone.set(true);
+                }
+            }
+        }
+    }
+
+    /// Reads an inactive connection once more: the unread input may be the request that makes its client active again.
+    /// Returns whether it is to be closed nevertheless.
+    fn is_expired_after_reading(&self, connection: &Rc<ClientConnection>) -> bool {
+        let mut inputs = Vec::new();
+        if self.read_all(connection, &mut inputs) == ReadState::Closed {
+            connection.is_gone.set(true);
+        }
+        connection.inputs.borrow_mut().extend(inputs);
+        connection.session.borrow().is_expired(self.shared.clock.now())
+    }
+
+    /// Cancels the open requests of a connection, and closes it.
+    async fn end_connection(&self, connection: Rc<ClientConnection>, is_expired: bool) {
         self.conns.borrow_mut().remove(&connection.id);
         self.shared.read_turns.remove(&connection.turn);
         let mut events = Vec::new();
@@ -228,7 +249,7 @@
     sockets::shutdown_write(stream);
     let drop_all = async {
         let mut dropped = 0;
-        while dropped < LINGER_LIMITS.1 && stream.readable().await.is_ok() {
+        while dropped < MAX_LINGER_BYTES && stream.readable().await.is_ok() {
             let mut read_buffer = shared.read_buffer.borrow_mut();
             match uninterrupted(|| stream.try_read(&mut read_buffer)) {
                 Ok(0) => return,
@@ -238,5 +259,5 @@
             }
         }
     };
-    let _ = tokio::time::timeout(LINGER_LIMITS.0, drop_all).await;
+    let _ = tokio::time::timeout(LINGER_TIMEOUT, drop_all).await;
 }
--- a/crates/platform/src/session.rs
+++ b/crates/platform/src/session.rs
@@ -2,6 +2,7 @@
 //! its tag.
 
 mod answers;
+mod message_counts;
 
 use crate::bounds::ConnectionActivity;
 use crate::deferred::DeferredRequests;
@@ -10,6 +11,7 @@
 use crate::resp::{encode, Decoder, Words};
 use answers::{FAILED, REFUSED};
 use bytes::BytesMut;
+pub use message_counts::MessageCounts;
 use stagehoist::Micros;
 use stagehoist_gateway::state::Ticket;
 use std::collections::BTreeMap;
@@ -17,34 +19,6 @@
 /// Maximum number of requests open on one connection.
 pub const MAX_OPEN_REQUESTS: usize = 32;
 
-/// What a client has sent since its last read, or over the whole connection.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct MessageCounts {
-    pub messages: u32,
-    /// Requests that became calls, and cancellations of open ones.
-    pub effective: u32,
-    pub health_checks: u32,
-    pub malformed: u32,
-    /// Requests beyond those that may be open at once.
-    pub excessive: u32,
-}
-
-impl MessageCounts {
-    /// Adds the messages of another read.
-    pub fn add(&mut self, other: &MessageCounts) {
-        self.messages = self.messages.saturating_add(other.messages);
-        self.effective = self.effective.saturating_add(other.effective);
-        self.health_checks = self.health_checks.saturating_add(other.health_checks);
-        self.malformed = self.malformed.saturating_add(other.malformed);
-        self.excessive = self.excessive.saturating_add(other.excessive);
-    }
-
-    /// Returns the number of messages that lead to no work for an executor.
-    pub fn without_effect(&self) -> u32 {
-        self.messages.saturating_sub(self.effective)
-    }
-}
-
 /// An event that a client's bytes lead to.
 #[derive(Debug, PartialEq)]
 pub enum ClientEvent {
@@ -212,29 +186,41 @@
             b"ABORT" => {
                 self.cancel(number, events);
             }
-            _ if self.open.contains_key(&number) => {
-                // Two open requests have the same number: an answer would be ambiguous.
-                self.error(tag);
-                self.close(events);
+            _ => self.take_request(number, tag, &words, catalog, next_ticket, events),
+        }
+    }
+
+    fn take_request(
+        &mut self,
+        number: u64,
+        tag: &[u8],
+        words: &Words,
+        catalog: &Catalog,
+        next_ticket: &mut Ticket,
+        events: &mut Vec<ClientEvent>,
+    ) {
+        if self.open.contains_key(&number) {
+            // Two open requests have the same number: an answer would be ambiguous.
+            self.error(tag);
+            return self.close(events);
+        }
+        if self.open.len() >= MAX_OPEN_REQUESTS {
+            self.counts.excessive += 1;
+            return encode(&mut self.output, &[tag, REFUSED]);
+        }
+        match parse_request(words, catalog) {
+            Ok(request) => {
+                self.has_requested = true;
+                self.counts.effective += 1;
+                *next_ticket += 1;
+                self.open.insert(number, *next_ticket);
+                events.push(ClientEvent::Call(*next_ticket, Box::new(request)));
             }
-            _ if self.open.len() >= MAX_OPEN_REQUESTS => {
-                self.counts.excessive += 1;
-                encode(&mut self.output, &[tag, REFUSED]);
+            Err(why) => {
+                self.counts.malformed += 1;
+                self.request_error = Some(why);
+                self.error(tag);
             }
-            _ => match parse_request(&words, catalog) {
-                Ok(request) => {
-                    self.has_requested = true;
-                    self.counts.effective += 1;
-                    *next_ticket += 1;
-                    self.open.insert(number, *next_ticket);
-                    events.push(ClientEvent::Call(*next_ticket, Box::new(request)));
-                }
-                Err(why) => {
-                    self.counts.malformed += 1;
-                    self.request_error = Some(why);
-                    self.error(tag);
-                }
-            },
         }
     }
 
