--- a/crates/platform/src/clients/calls.rs
+++ b/crates/platform/src/clients/calls.rs
@@ -83,7 +83,8 @@
             self.shared.lag.borrow().should_reject(request.budget - late, in_progress, now)
         };
         // Requests in progress are counted only while the loop is behind.
-        if !is_excessive && !(lag > 0 && is_too_late()) {
+        let is_refused = is_excessive || (lag > 0 && is_too_late());
+        if !is_refused {
             return None;
         }
         self.shared.lag.borrow_mut().record_rejected(request.reference);
