Platform: clients that were served are read while the driver is behind

Callers saw: with a tenth of a core, beside 30 connections that send 300 requests each and come anew, requests with timeouts of 4 to 53 ms were refused 0.52 to 0.73 s late.

Cause: while the driver has more than 256 inputs, no client is read. A connection that leaves with 32 open requests adds 32 inputs at once, so this lasted for up to half a second, and a request that can only be refused waited in its socket for it.

Clients of which a request was served wait in a line of their own. It is served in one order with the other clients as before, and by a quarter of a round while the driver has 257 to 1,024 inputs.

--- a/crates/platform/src/read_turns/queue.rs
+++ b/crates/platform/src/read_turns/queue.rs
@@ -16,7 +16,11 @@
 const BACKLOG_WORK: u64 = 64;
 /// While the driver has more inputs queued than this, clients get no turns, so that the order of their requests is
 /// decided here and not by who filled the queue first.
-const MAX_QUEUED_INPUTS: usize = 256;
+pub(super) const MAX_QUEUED_INPUTS: usize = 256;
+/// The same for preferred clients, which then get a smaller part of a round. Their requests may have to be refused early.
+pub(super) const MAX_QUEUED_BESIDE_PREFERRED: usize = 4 * MAX_QUEUED_INPUTS;
+/// Work of preferred clients in a round in which the others get no turns.
+const PREFERRED_WORK: u64 = 64;
 
 /// Whether a turn is granted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,14 +29,14 @@
     Later,
 }
 
-const LINES: usize = 3;
+const LINES: usize = 4;
 const KINDS: usize = 2;
 
 /// Rounds over some time, and the connections that wait at its end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReadStats {
     pub rounds: u32,
-    /// Rounds without turns for clients, because the driver was behind.
+    /// Rounds without turns for clients that are not preferred, because the driver was behind.
     pub rounds_without_clients: u32,
     /// Turns that were waited for.
     pub granted: u32,
@@ -112,14 +116,18 @@
         let line = match source.kind {
             SourceKind::Peer => Line::Peers,
             SourceKind::Client if source.unproductive.is_limited(now) => Line::Limited,
+            SourceKind::Client if source.is_preferred() => Line::PreferredClients,
             SourceKind::Client => Line::Clients,
         };
+        let is_empty = |line: Line| self.lines[line as usize].is_empty();
         let is_open = match line {
-            Line::Clients => !self.is_driver_behind,
-            Line::Peers => true,
+            Line::Clients | Line::PreferredClients => {
+                !self.is_driver_behind && is_empty(Line::Clients) && is_empty(Line::PreferredClients)
+            }
+            Line::Peers => is_empty(Line::Peers),
             Line::Limited => false,
         };
-        if is_open && self.used < ROUND_WORK && self.lines[line as usize].is_empty() {
+        if is_open && self.used < ROUND_WORK {
             *virtual_time = source.start;
             return Grant::Now;
         }
@@ -169,7 +177,7 @@
     pub fn take_stats(&mut self) -> ReadStats {
         let waiting = |line: Line| self.lines[line as usize].len();
         let now = ReadStats {
-            waiting_clients: waiting(Line::Clients),
+            waiting_clients: waiting(Line::Clients) + waiting(Line::PreferredClients),
             waiting_peers: waiting(Line::Peers),
             waiting_limited: waiting(Line::Limited),
             ..self.stats
@@ -183,17 +191,19 @@
         self.used = 0;
         self.is_driver_behind = queued_inputs > MAX_QUEUED_INPUTS;
         let mut granted = Vec::new();
-        self.release(Line::Peers, ROUND_WORK, &mut granted);
+        self.release(&[Line::Peers], ROUND_WORK, &mut granted);
         if !self.is_driver_behind {
-            self.release(Line::Clients, ROUND_WORK, &mut granted);
+            self.release(&[Line::Clients, Line::PreferredClients], ROUND_WORK, &mut granted);
+        } else if queued_inputs <= MAX_QUEUED_BESIDE_PREFERRED {
+            self.release(&[Line::PreferredClients], PREFERRED_WORK, &mut granted);
         }
         let limited_at = self.shared_rate.available_at(now);
         if limited_at <= now {
-            self.release(Line::Limited, LIMITED_WORK, &mut granted);
+            self.release(&[Line::Limited], LIMITED_WORK, &mut granted);
         }
         let is_line_empty = |line: Line| self.lines[line as usize].is_empty();
         let next_at = match (
-            is_line_empty(Line::Clients) && is_line_empty(Line::Peers),
+            [Line::Clients, Line::PreferredClients, Line::Peers].into_iter().all(is_line_empty),
             is_line_empty(Line::Limited),
         ) {
             (true, true) => None,
@@ -206,11 +216,15 @@
         Round { granted, next_at }
     }
 
-    /// Grants turns of a line until they are expected to cause this much work.
-    fn release(&mut self, line: Line, max_work: u64, granted: &mut Vec<SourceId>) {
+    /// Grants turns of these lines, in one order, until they are expected to cause this much work.
+    fn release(&mut self, lines: &[Line], max_work: u64, granted: &mut Vec<SourceId>) {
         let mut expected = 0;
         while expected < max_work {
-            let Some(place) = self.lines[line as usize].pop_first() else { return };
+            let first = |line: &Line| self.lines[*line as usize].first().copied().map(|place| (place, *line));
+            let Some((place, line)) = lines.iter().filter_map(first).min_by_key(|(place, _)| *place) else {
+                return;
+            };
+            self.lines[line as usize].remove(&place);
             let Some(source) = self.sources.get_mut(&place.id) else { continue };
             source.waiting = None;
             expected += source.last_work;
--- a/crates/platform/src/read_turns/source.rs
+++ b/crates/platform/src/read_turns/source.rs
@@ -53,6 +53,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Line {
     Clients,
+    /// Clients that are preferred. They are served in one order with the other clients, and also while those are not.
+    PreferredClients,
     Peers,
     Limited,
 }
@@ -88,6 +90,11 @@
         }
     }
 
+    /// Whether it gets a greater share than others of its kind.
+    pub fn is_preferred(&self) -> bool {
+        self.weight == PREFERRED_WEIGHT
+    }
+
     /// Returns what the source is charged with for this work.
     pub fn charge_of(&self, work: u64) -> u64 {
         work.div_ceil(self.weight)
--- a/crates/platform/src/read_turns/tests.rs
+++ b/crates/platform/src/read_turns/tests.rs
@@ -1,4 +1,4 @@
-use super::queue::{Grant, TurnQueue};
+use super::queue::{Grant, TurnQueue, MAX_QUEUED_BESIDE_PREFERRED, MAX_QUEUED_INPUTS};
 use super::source::{ReadCost, SourceId, SourceKind};
 
 /// What a read of small messages contains.
@@ -177,3 +177,21 @@
         queue.begin_round(0, 0);
     }
 }
+
+/// Guards against a wait of seconds of the requests that are to be refused at once, while a flood fills the driver's queue.
+#[test]
+fn clients_that_were_served_are_read_while_the_driver_is_behind() {
+    let (mut queue, flooding) = flooded_queue(30);
+    let served = queue.add(SourceKind::Client);
+    queue.prefer(served);
+    queue.begin_round(MAX_QUEUED_INPUTS + 1, 0);
+    assert_eq!(queue.request(served, 0), Grant::Later);
+    assert_eq!(queue.begin_round(MAX_QUEUED_INPUTS + 1, 0).granted, [served]);
+    queue.charge(served, ONE_REQUEST, 0);
+    // The driver has far too many inputs.
+    assert_eq!(queue.request(served, 0), Grant::Later);
+    assert_eq!(queue.begin_round(MAX_QUEUED_BESIDE_PREFERRED + 1, 0).granted, []);
+    let granted = queue.begin_round(0, 0).granted;
+    assert_eq!(granted[0], served);
+    assert!(granted[1..].iter().all(|id| flooding.contains(id)) && granted.len() > 1);
+}
