--- a/crates/emulator/src/broker/server.rs
+++ b/crates/emulator/src/broker/server.rs
@@ -1,7 +1,7 @@
 //! The broker on a listening socket, with faults on command.
 
 use super::{Broker, Disconnect, Micros};
-use bytes::BytesMut;
+use bytes::{Buf, Bytes, BytesMut};
 use stagehoist_amqp::codec::put_heartbeat;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -166,16 +166,16 @@
 }
 
 /// Returns heartbeats that fill a write.
-fn heartbeat_flood() -> BytesMut {
+fn heartbeat_flood() -> Bytes {
     let mut flood = BytesMut::with_capacity(FLOOD_WRITE);
     while flood.len() < FLOOD_WRITE {
         put_heartbeat(&mut flood);
     }
-    flood
+    flood.freeze()
 }
 
 /// Writes all of the output. A client that takes nothing for [`WRITE_TIMEOUT`] is given up.
-async fn write(stream: &mut TcpStream, output: &mut BytesMut) -> io::Result<()> {
+async fn write(stream: &mut TcpStream, output: &mut impl Buf) -> io::Result<()> {
     let written = tokio::time::timeout(WRITE_TIMEOUT, stream.write_all_buf(output)).await;
     written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
 }
@@ -183,6 +183,7 @@
 async fn connection(shared: &Shared, number: u64, mut stream: TcpStream, waker: &Notify) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut buffer = vec![0u8; 64 << 10];
+    let flood = heartbeat_flood();
     loop {
         let Some(mut output) = shared.broker.borrow_mut().take_output(number) else {
             return Ok(());
@@ -208,21 +209,11 @@
         }
         let floods = shared.floods(number);
         if floods {
-            write(&mut stream, &mut heartbeat_flood()).await?;
+            write(&mut stream, &mut flood.clone()).await?;
         }
         tokio::select! {
             biased;
             _ = waker.notified() => {}
-            // What is there is read between two writes of a flood.
-            () = tokio::task::yield_now(), if floods => match stream.try_read(&mut buffer) {
-                Ok(0) => return Ok(()),
-                Ok(n) => {
-                    shared.broker.borrow_mut().receive(number, &buffer[..n], shared.now());
-                    shared.wake();
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Err(error),
-            },
             read = stream.read(&mut buffer) => {
                 let n = read?;
                 if n == 0 {
@@ -231,6 +222,8 @@
                 shared.broker.borrow_mut().receive(number, &buffer[..n], shared.now());
                 shared.wake();
             }
+            // Between two writes of a flood only what is there is read.
+            () = tokio::task::yield_now(), if floods => {}
         }
     }
 }
