Platform: the queue is accepted from in one place; a connection is preferred or not

try_accept and accept_last repeated the system call and the registration. Whether a connection is preferred was read off its weight; it is the state now, and the weight follows from it.

--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -85,23 +85,19 @@
     /// Returns the next connection of the queue, if there is one and it can be accepted at once.
     pub fn try_accept(&self) -> Option<Accepted> {
         let before = self.clock.now();
-        match SockRef::from(&self.socket).accept() {
-            Ok((socket, _)) => into_stream(socket).map(|stream| self.accepted(stream)),
-            Err(error) => {
-                if error.kind() == io::ErrorKind::WouldBlock {
-                    self.queued_since.set(before);
-                }
-                None
-            }
+        let accepted = self.accept_now();
+        if matches!(&accepted, Err(error) if error.kind() == io::ErrorKind::WouldBlock) {
+            self.queued_since.set(before);
         }
+        accepted.ok()
     }
 
     /// Returns the next connection of the queue, if any. A connection that the peer aborted, or a transient lack of
     /// resources in the system, does not hide those behind it.
     pub fn accept_last(&self) -> Option<Accepted> {
         for _ in 0..MAX_ACCEPT_FAILURES {
-            match SockRef::from(&self.socket).accept() {
-                Ok((socket, _)) => return into_stream(socket).map(|stream| self.accepted(stream)),
+            match self.accept_now() {
+                Ok(accepted) => return Some(accepted),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
                 Err(_) => {}
             }
@@ -109,6 +105,12 @@
         None
     }
 
+    /// Accepts without the runtime, which knows only of connections that arrived before it last polled the sockets.
+    fn accept_now(&self) -> io::Result<Accepted> {
+        let (socket, _) = SockRef::from(&self.socket).accept()?;
+        Ok(self.accepted(into_stream(socket)?))
+    }
+
     fn accepted(&self, stream: TcpStream) -> Accepted {
         Accepted { stream, since: self.queued_since.get() }
     }
--- a/crates/platform/src/read_turns/queue.rs
+++ b/crates/platform/src/read_turns/queue.rs
@@ -3,7 +3,7 @@
 //! costs as much as its last one. A connection that was idle starts at the present virtual time, so it comes before
 //! those that always have input, and saves up nothing.
 
-use super::source::{Line, Place, ReadCost, Source, SourceId, SourceKind, PREFERRED_WEIGHT};
+use super::source::{Line, Place, ReadCost, Source, SourceId, SourceKind};
 use super::throttle::SharedRate;
 use stagehoist::Micros;
 use std::collections::{BTreeSet, HashMap};
@@ -96,7 +96,7 @@
     /// Prefers a connection to those of its kind that are not preferred.
     pub fn prefer(&mut self, id: SourceId) {
         if let Some(source) = self.sources.get_mut(&id) {
-            source.weight = PREFERRED_WEIGHT;
+            source.is_preferred = true;
         }
     }
 
@@ -116,7 +116,7 @@
         let line = match source.kind {
             SourceKind::Peer => Line::Peers,
             SourceKind::Client if source.unproductive.is_limited(now) => Line::Limited,
-            SourceKind::Client if source.is_preferred() => Line::PreferredClients,
+            SourceKind::Client if source.is_preferred => Line::PreferredClients,
             SourceKind::Client => Line::Clients,
         };
         let is_empty = |line: Line| self.lines[line as usize].is_empty();
--- a/crates/platform/src/read_turns/source.rs
+++ b/crates/platform/src/read_turns/source.rs
@@ -5,7 +5,7 @@
 /// Work of a read besides its content: the system call, and waking the connection's task.
 const TURN_WORK: u64 = 16;
 /// A preferred connection is charged with its work divided by this.
-pub(super) const PREFERRED_WEIGHT: u64 = 8;
+const PREFERRED_WEIGHT: u64 = 8;
 /// Number of bytes that cost as much as one message.
 const BYTES_PER_WORK: u64 = 1024;
 /// Expected work of the first read of a connection: that of one request.
@@ -63,8 +63,8 @@
 #[derive(Debug)]
 pub struct Source {
     pub kind: SourceKind,
-    /// The work of its reads is divided by this.
-    pub weight: u64,
+    /// It gets a greater share than others of its kind.
+    pub is_preferred: bool,
     /// Virtual time at which the last turn started, and up to which the source is paid for.
     pub start: u64,
     pub finish: u64,
@@ -80,7 +80,7 @@
     pub fn new(kind: SourceKind) -> Source {
         Source {
             kind,
-            weight: 1,
+            is_preferred: false,
             start: 0,
             finish: 0,
             last_work: FIRST_READ_WORK,
@@ -90,13 +90,12 @@
         }
     }
 
-    /// Whether it gets a greater share than others of its kind.
-    pub fn is_preferred(&self) -> bool {
-        self.weight == PREFERRED_WEIGHT
-    }
-
     /// Returns what the source is charged with for this work.
     pub fn charge_of(&self, work: u64) -> u64 {
-        work.div_ceil(self.weight)
+        if self.is_preferred {
+            work.div_ceil(PREFERRED_WEIGHT)
+        } else {
+            work
+        }
     }
 }
--- a/crates/platform/src/sockets.rs
+++ b/crates/platform/src/sockets.rs
@@ -87,7 +87,7 @@
 }
 
 /// Registers a socket with the runtime.
-pub fn into_stream(socket: Socket) -> Option<TcpStream> {
-    socket.set_nonblocking(true).ok()?;
-    TcpStream::from_std(socket.into()).ok()
+pub fn into_stream(socket: Socket) -> io::Result<TcpStream> {
+    socket.set_nonblocking(true)?;
+    TcpStream::from_std(socket.into())
 }
