Tests: one ordinary traffic, one set of defaults for floods, one check that only 3 starts

The signals in floods repeated the ordinary traffic of the floods, five tests repeated the fields they do not care for, and four of held_back.rs the same check. The plays, bounds and assertions are as before.

--- a/crates/cli/tests/outages/flood_signals.rs
+++ b/crates/cli/tests/outages/flood_signals.rs
@@ -1,9 +1,9 @@
 //! A reload and an orderly exit in the middle of a flood, for each kind of flood.
 
 use crate::flood::Flood;
+use crate::floods::ORDINARY;
 use crate::rig::{exclusive_lock, Shape};
 use crate::soak::{number, run_seeds, Plan, PlannedEvent, PlannedFlood};
-use crate::traffic::Load;
 use std::time::Duration;
 
 /// Number of seeds that CI runs: one for each kind of flood. Further seeds repeat the kinds with the other shares of a core.
@@ -16,8 +16,6 @@
 const CONNECTIONS: usize = 150;
 /// The executor that drains after the reload.
 const DRAINED: usize = 0;
-/// Longest client timeout.
-const ALLOW: Duration = Duration::from_millis(1200);
 const FLOOD_AT: Duration = Duration::from_millis(1000);
 const FLOOD_LENGTH: Duration = Duration::from_millis(7000);
 /// The bus moves, and the front end reloads the configuration with the new address. The drain is told on the new bus only.
@@ -35,19 +33,9 @@
     let (kind, round) = (Flood::ALL[index % Flood::ALL.len()], index / Flood::ALL.len());
     let share = SHARES[round % SHARES.len()];
     let flood = PlannedFlood { front_end: 0, kind, connections: CONNECTIONS, length: FLOOD_LENGTH };
-    let load = Load {
-        clients: 6,
-        rate: 60.0,
-        functions: 30,
-        new_function_after: 0,
-        allow: ALLOW,
-        unsafe_part: 0.3,
-        cancelled_part: 0.0,
-        short_part: 0.0,
-    };
     Plan {
-        shape: Shape { longest_deadline: ALLOW, ..Shape::usual(1, 12, seed) },
-        load,
+        shape: Shape { longest_deadline: ORDINARY.allow, ..Shape::usual(1, 12, seed) },
+        load: ORDINARY,
         faults: vec![format!("share={share}")],
         events: vec![
             (FLOOD_AT, PlannedEvent::Flood(flood)),
--- a/crates/cli/tests/outages/floods.rs
+++ b/crates/cli/tests/outages/floods.rs
@@ -25,7 +25,8 @@
 /// The same beside sound floods, at any share of a core.
 const SERVED_BESIDE_SOUND: f64 = 0.5;
 
-const ORDINARY: Load = Load {
+/// The ordinary traffic beside a flood.
+pub const ORDINARY: Load = Load {
     clients: 6,
     rate: 60.0,
     functions: 30,
@@ -36,6 +37,15 @@
     short_part: 0.0,
 };
 
+/// Floods of requests that may become calls, or of much input and output that waits.
+const SOUND_OR_LARGE: [Flood; 5] = [
+    Flood::NewFunctions,
+    Flood::NewConnections,
+    Flood::UnfinishedBodies,
+    Flood::ManyFields,
+    Flood::UnreadHealth,
+];
+
 /// Parameters of a play.
 #[derive(Clone, Copy, Debug)]
 struct Play {
@@ -167,6 +177,21 @@
     served_from_share: f64,
 }
 
+impl Default for Floods<'_> {
+    /// No floods, and what has to be served beside sound ones.
+    fn default() -> Self {
+        Floods {
+            kinds: &[],
+            peers: &[],
+            connections: &[],
+            shares: &[],
+            limits: ProcessLimits::default(),
+            served_part: SERVED_BESIDE_SOUND,
+            served_from_share: 0.0,
+        }
+    }
+}
+
 impl Floods<'_> {
     /// Returns the plays of a seed; the first one is without a flood. For longer manual runs set `FLOOD_ALL=1`.
     fn plays(&self, seed: u64) -> Vec<Play> {
@@ -174,30 +199,15 @@
         let limits = self.limits;
         let connections = if is_long { &[6, 30, 300] } else { self.connections };
         let shares = if is_long { &[1.0, 0.25, 0.1] } else { self.shares };
-        let mut plays = vec![Play { flood: None, peer: None, connections: 0, share: 1.0, limits, seed }];
+        let play = |flood, peer, connections, share| Play { flood, peer, connections, share, limits, seed };
+        let mut plays = vec![play(None, None, 0, 1.0)];
         for &flood in self.kinds {
             for &connections in connections {
-                let play = |share: &f64| Play {
-                    flood: Some(flood),
-                    peer: None,
-                    connections,
-                    share: *share,
-                    limits,
-                    seed,
-                };
-                plays.extend(shares.iter().map(play));
+                plays.extend(shares.iter().map(|share| play(Some(flood), None, connections, *share)));
             }
         }
         for &peer in self.peers {
-            let play = |share: &f64| Play {
-                flood: None,
-                peer: Some(peer),
-                connections: 1,
-                share: *share,
-                limits,
-                seed,
-            };
-            plays.extend(shares.iter().map(play));
+            plays.extend(shares.iter().map(|share| play(None, Some(peer), 1, *share)));
         }
         plays
     }
@@ -225,12 +235,11 @@
 fn clients_that_flood_a_front_end_with_unsound_requests_delay_no_other_client() {
     let floods = Floods {
         kinds: &[Flood::Health, Flood::UnknownClasses, Flood::NoIdNoTime],
-        peers: &[],
         connections: &[6, 300],
         shares: &[1.0, 0.25],
-        limits: ProcessLimits::default(),
         served_part: SERVED_BESIDE_UNSOUND,
         served_from_share: 1.0,
+        ..Floods::default()
     };
     floods.assert_harmless();
 }
@@ -238,21 +247,7 @@
 /// Guards against clients that take the loop by requests that may become calls, or by much input and output that waits.
 #[test]
 fn clients_that_flood_a_front_end_with_sound_or_large_requests_leave_half_to_others() {
-    let floods = Floods {
-        kinds: &[
-            Flood::NewFunctions,
-            Flood::NewConnections,
-            Flood::UnfinishedBodies,
-            Flood::ManyFields,
-            Flood::UnreadHealth,
-        ],
-        peers: &[],
-        connections: &[300],
-        shares: &[0.25],
-        limits: ProcessLimits::default(),
-        served_part: SERVED_BESIDE_SOUND,
-        served_from_share: 0.0,
-    };
+    let floods = Floods { kinds: &SOUND_OR_LARGE, connections: &[300], shares: &[0.25], ..Floods::default() };
     floods.assert_harmless();
 }
 
@@ -261,12 +256,9 @@
 fn clients_that_stop_in_the_middle_of_large_requests_are_closed_in_time_with_a_tenth_of_a_core() {
     let floods = Floods {
         kinds: &[Flood::UnfinishedBodies],
-        peers: &[],
         connections: &[300],
         shares: &[0.1],
-        limits: ProcessLimits::default(),
-        served_part: SERVED_BESIDE_SOUND,
-        served_from_share: 0.0,
+        ..Floods::default()
     };
     floods.assert_harmless();
 }
@@ -275,13 +267,11 @@
 #[test]
 fn an_executor_or_event_bus_that_floods_a_front_end_delays_no_client() {
     let floods = Floods {
-        kinds: &[],
         peers: &[FloodingPeer::Executor, FloodingPeer::Bus],
-        connections: &[],
         shares: &[1.0, 0.25],
-        limits: ProcessLimits::default(),
         served_part: SERVED_BESIDE_UNSOUND,
         served_from_share: 1.0,
+        ..Floods::default()
     };
     floods.assert_harmless();
 }
@@ -291,19 +281,11 @@
 #[test]
 fn clients_that_hold_every_descriptor_of_a_front_end_do_not_use_up_its_memory() {
     let floods = Floods {
-        kinds: &[
-            Flood::NewFunctions,
-            Flood::NewConnections,
-            Flood::UnfinishedBodies,
-            Flood::ManyFields,
-            Flood::UnreadHealth,
-        ],
-        peers: &[],
+        kinds: &SOUND_OR_LARGE,
         connections: &[600],
         shares: &[1.0],
         limits: ProcessLimits { memory_mb: 32, sockets: 1024 },
-        served_part: SERVED_BESIDE_SOUND,
-        served_from_share: 0.0,
+        ..Floods::default()
     };
     floods.assert_harmless();
 }
--- a/crates/platform/tests/crossings/held_back.rs
+++ b/crates/platform/tests/crossings/held_back.rs
@@ -5,6 +5,7 @@
 use crate::stage::{listen, on_one_thread, Peer, Stage, WAIT};
 use bytes::Bytes;
 use stagehoist_gateway::state::{Answer, Input, Ticket};
+use std::net::TcpListener;
 
 fn small() -> Bytes {
     Bytes::from_static(b"x")
@@ -33,6 +34,17 @@
     kept[0]
 }
 
+/// Starts attempts of requests 2 and 3, and asserts that only that of 3 is written. Returns the executor's end of the
+/// connection.
+async fn assert_only_3_starts(stage: &Stage, listener: &TcpListener) -> Peer {
+    stage.start(2, small());
+    stage.send(3);
+    let mut peer = Peer::accept(stage, listener).await;
+    stage.until(|| peer.has("RUN 0000000000000003")).await;
+    assert!(!peer.has("RUN 0000000000000002"));
+    peer
+}
+
 /// More data than is read at once precedes the cancellation.
 #[test]
 fn a_cancellation_behind_unread_requests_counts_and_all_inputs_arrive_in_order() {
@@ -47,11 +59,7 @@
         bytes.extend(Client::abort(2));
         assert!(bytes.len() > 2 * (64 << 10));
         client.write(&bytes);
-        stage.start(2, small());
-        stage.send(3);
-        let mut peer = Peer::accept(&stage, &listener).await;
-        stage.until(|| peer.has("RUN 0000000000000003")).await;
-        assert!(!peer.has("RUN 0000000000000002"));
+        let _peer = assert_only_3_starts(&stage, &listener).await;
         for n in 10..22 {
             let item = next_of_clients(&mut stage).await;
             assert!(
@@ -119,11 +127,7 @@
         client.ask(51);
         client.write(&Client::abort(51));
         client.leave(2, Departure::Abort);
-        stage.start(2, small());
-        stage.send(3);
-        let mut peer = Peer::accept(&stage, &listener).await;
-        stage.until(|| peer.has("RUN 0000000000000003")).await;
-        assert!(!peer.has("RUN 0000000000000002"));
+        let _peer = assert_only_3_starts(&stage, &listener).await;
         let next = tokio::time::timeout(WAIT, stage.inputs.recv()).await.expect("in time");
         assert!(
             matches!(next, Some(Input::ClientGone(t)) if t == ticket),
@@ -203,11 +207,7 @@
         client.leave(0, Departure::Close);
         let next = tokio::time::timeout(WAIT, stage.inputs.recv()).await.expect("in time");
         assert!(matches!(next, Some(Input::ClientGone(t)) if t == ticket));
-        stage.start(2, small());
-        stage.send(3);
-        let mut peer = Peer::accept(&stage, &listener).await;
-        stage.until(|| peer.has("RUN 0000000000000003")).await;
-        assert!(!peer.has("RUN 0000000000000002"));
+        let _peer = assert_only_3_starts(&stage, &listener).await;
     });
 }
 
@@ -232,11 +232,7 @@
             .await;
         client.write(&health_check.repeat(20_000));
         client.leave(0, Departure::Close);
-        stage.start(2, small());
-        stage.send(3);
-        let mut peer = Peer::accept(&stage, &listener).await;
-        stage.until(|| peer.has("RUN 0000000000000003")).await;
-        assert!(!peer.has("RUN 0000000000000002"));
+        let _peer = assert_only_3_starts(&stage, &listener).await;
         stage.clients.on_tick();
         loop {
             let item = tokio::time::timeout(WAIT, stage.inputs.recv()).await.expect("in time");
