--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -161,6 +161,9 @@
 /// What all executors of a case saw.
 pub type SeenByAll = Arc<Mutex<Vec<Seen>>>;
 
+/// The executors that drain: they finish what runs, and reject what is new.
+pub static DRAINING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
 /// The body with which an executor answers a request.
 pub fn made_for(id: &str) -> Vec<u8> {
     format!("made for {id}").into_bytes()
@@ -204,6 +207,11 @@
                     break;
                 }
                 note("run", id);
+                if DRAINING.lock().unwrap().contains(&executor) {
+                    note("answered BUSY", id);
+                    put(&write, format!("{id} BUSY - 0\r\n\r\n").as_bytes());
+                    continue;
+                }
                 let given_up = Arc::new(AtomicBool::new(false));
                 running.lock().unwrap().insert(id.to_string(), given_up.clone());
                 let (id, write, seen, record) = (id.to_string(), write.clone(), seen.clone(), record.clone());
@@ -228,10 +236,14 @@
                     given_up.store(true, Ordering::SeqCst);
                 }
             }
-            ["NOOP" | "INFO", tag] => put(&write, format!("{tag} UP stats=inflight:0;x0:0.1 0\r\n\r\n").as_bytes()),
+            ["NOOP" | "INFO", tag] => {
+                let word = if DRAINING.lock().unwrap().contains(&executor) { "DOWN" } else { "UP" };
+                put(&write, format!("{tag} {word} stats=inflight:0;x0:0.1 0\r\n\r\n").as_bytes());
+            }
             ["HOLD", tag, _] => {
                 note("hold", tag);
-                put(&write, format!("{tag} OK copies=1 0\r\n\r\n").as_bytes());
+                let word = if DRAINING.lock().unwrap().contains(&executor) { "BUSY" } else { "OK" };
+                put(&write, format!("{tag} {word} copies=1 0\r\n\r\n").as_bytes());
             }
             ["FREE", key] => note("free", key),
             _ => break,
