Review: cases end all that they started, also where they can't run

Examined: the processes left after each script. Case 7 left its executors' processes behind, as its exit passed over their drop; all cases now end what they started by its id before they exit.

--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -120,6 +120,7 @@
             .stdin(Stdio::null())
             .spawn()
             .unwrap_or_else(|e| cannot_run(&e.to_string()));
+        note_started(child.id());
         let member = Member { name, id, cell, address, log, child, born_ms };
         let by = Instant::now() + Duration::from_secs(5);
         while TcpStream::connect_timeout(&address, ms(200)).is_err() {
@@ -134,6 +135,7 @@
     fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        note_ended(self.child.id());
     }
 
     fn record(&self, state: u8) -> Vec<u8> {
@@ -272,7 +274,7 @@
     let ended = front_end.ended();
     drop(front_end);
     let Some(d) = d else { cannot_run("d was not started") };
-    std::process::exit(verdict(&record, &clients, &[&a, &c, &e, &f, &d], started, ended));
+    finish(verdict(&record, &clients, &[&a, &c, &e, &f, &d], started, ended));
 }
 
 fn verdict(record: &Record, clients: &[Client], members: &[&Member], started: u64, ended: Option<String>) -> i32 {
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -130,7 +130,7 @@
     let ended = front_end.ended();
     drop(front_end);
     let told = bus.events.lock().unwrap()[0].0;
-    std::process::exit(verdict(&record, &clients, &seen, told, ended));
+    finish(verdict(&record, &clients, &seen, told, ended));
 }
 
 fn verdict(record: &Record, clients: &[Client], seen: &SeenByAll, told: Instant, ended: Option<String>) -> i32 {
--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -50,10 +50,35 @@
     }
 }
 
-/// Ends the program: the case could not run.
+/// The processes that the case started and that have not been ended.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Notes a process, so that it is ended with the case in any event.
+pub fn note_started(id: u32) {
+    STARTED.lock().unwrap().push(id);
+}
+
+/// Forgets a process that has ended.
+pub fn note_ended(id: u32) {
+    STARTED.lock().unwrap().retain(|other| *other != id);
+}
+
+fn send_signal(signal: &str, id: u32) {
+    let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{signal} {id}")]).status();
+}
+
+/// Ends the program and all that it started: the case could not run.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
-    std::process::exit(2);
+    finish(2)
+}
+
+/// Ends the program with this exit code, and all that it started.
+pub fn finish(code: i32) -> ! {
+    if let Ok(started) = STARTED.try_lock() {
+        started.iter().for_each(|id| send_signal("KILL", *id));
+    }
+    std::process::exit(code)
 }
 
 /// The folder of the case and the root of the repository, from the arguments.
@@ -117,13 +142,10 @@
             .stderr(err)
             .spawn()
             .unwrap_or_else(|e| cannot_run(&format!("{name}: {e}")));
+        note_started(child.id());
         Process { child, name: name.into() }
     }
 
-    pub fn signal(&self, signal: &str) {
-        let _ = Command::new("/bin/kill").args([signal, &self.child.id().to_string()]).status();
-    }
-
     /// Whether it has ended, and how.
     pub fn ended(&mut self) -> Option<String> {
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
@@ -134,6 +156,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        note_ended(self.child.id());
     }
 }
 
