Keyed repeats keep to the cell in which the attempt ran, also once its worker is gone

Callers saw: a request of a class that a cell or zone deduplicates could run a second time in another cell, after its worker had gone. Cause: the scope of an earlier attempt was read from the worker's present entry. The entry that reports a worker as gone replaces it, and need not name its cell or zone (`block` may be absent, and counts as 0), so repeats went to cell 0. Once the worker's slot was used again, repeats went nowhere. Change: an attempt keeps the zone and cell that the list named when it was sent. Why it works: the group of a process does not change with what is said of its worker later. Measured: `rule_2_the_cell_of_an_attempt_is_that_of_its_worker_when_it_was_sent` failed before (sent to worker 3 of cell 0 for worker 4 of cell 1) and passes; the other tests of the module pass, its recorded actions are the same.

--- a/crates/core/src/policy/call.rs
+++ b/crates/core/src/policy/call.rs
@@ -12,11 +12,36 @@
     MayHaveRun,
 }
 
+/// The workers with which a worker shares its memory of idempotency keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct KeyGroup {
+    pub zone: u8,
+    pub cell: u16,
+}
+
+impl KeyGroup {
+    /// Returns the group of the worker that an endpoint entry describes.
+    pub fn of(endpoint: &Endpoint) -> KeyGroup {
+        KeyGroup { zone: endpoint.zone, cell: endpoint.cell }
+    }
+
+    /// Whether workers of both groups share their keys.
+    pub fn shares_keys(self, other: KeyGroup, scope: DeduplicationScope) -> bool {
+        match scope {
+            DeduplicationScope::All => true,
+            DeduplicationScope::Zone => self.zone == other.zone,
+            DeduplicationScope::Cell => self.cell == other.cell,
+        }
+    }
+}
+
 /// An attempt of a request.
 pub(super) struct AttemptRecord {
     pub worker: WorkerId,
     pub sent_at: Micros,
     pub execution: Execution,
+    /// The group that the endpoint list named for the worker when the attempt was sent.
+    pub key_group: KeyGroup,
 }
 
 /// The time by which a request must have its final answer.
--- a/crates/core/src/policy/retries.rs
+++ b/crates/core/src/policy/retries.rs
@@ -1,6 +1,6 @@
 //! Retries: whether another attempt may be sent (rule 2), and the handling of overdue attempts at silent workers.
 
-use super::call::{Execution, PendingCall};
+use super::call::{Execution, KeyGroup, PendingCall};
 use super::queue::EnqueueReason;
 use super::worker::Worker;
 use super::{FrontEnd, SAFETY_MARGIN};
@@ -40,15 +40,9 @@
     pub(super) fn is_in_scope(&self, call: &PendingCall, worker: &Worker) -> bool {
         let effect = self.settings.classes[call.request.class as usize].effect;
         let Effect::IdempotentWithKey { scope, .. } = effect else { return true };
-        let shares_keys = |other: &Endpoint| match scope {
-            DeduplicationScope::All => true,
-            DeduplicationScope::Zone => other.zone == worker.endpoint.zone,
-            DeduplicationScope::Cell => other.cell == worker.endpoint.cell,
-        };
+        let group = KeyGroup::of(&worker.endpoint);
         call.attempts.iter().all(|attempt| {
-            let index = self.worker_index.get(&attempt.worker);
-            attempt.execution == Execution::NeverRan
-                || index.is_some_and(|&index| shares_keys(&self.workers[index].endpoint))
+            attempt.execution == Execution::NeverRan || attempt.key_group.shares_keys(group, scope)
         })
     }
 
--- a/crates/core/src/policy/send.rs
+++ b/crates/core/src/policy/send.rs
@@ -1,6 +1,6 @@
 //! Sending a request, and updating the estimates accordingly. All requests are sent from here.
 
-use super::call::{AttemptRecord, Execution};
+use super::call::{AttemptRecord, Execution, KeyGroup};
 use super::estimates::CachedCopy;
 use super::prediction::{Prediction, COPY_LOSS_RISK};
 use super::worker::Attempt;
@@ -31,6 +31,7 @@
         }
         let relative_work = self.relative_work(call.request.class);
         let start_by = self.confirmed_until(worker);
+        let key_group = KeyGroup::of(&worker.endpoint);
         self.mark_dirty(index);
         self.start_slot(index, now);
         self.dequeue(id);
@@ -38,7 +39,8 @@
         let function = call.request.function;
         let number = call.attempts.len() as u16;
         let worker = self.workers[index].endpoint.worker;
-        call.attempts.push(AttemptRecord { worker, sent_at: now, execution: Execution::InFlight });
+        let execution = Execution::InFlight;
+        call.attempts.push(AttemptRecord { worker, sent_at: now, execution, key_group });
         self.count_attempt(index, function, number > 0, now);
         self.record_sent_work(index, prediction.base_run, relative_work, now);
         self.expect_copy(index, function, &prediction, now);
--- a/crates/core/tests/rules/five_rules.rs
+++ b/crates/core/tests/rules/five_rules.rs
@@ -66,6 +66,22 @@
     assert_eq!(resent, [(1, 3 - worker)]);
 }
 
+/// Guards against a repeat in another cell: entries of workers that are gone need not contain their cell.
+#[test]
+fn rule_2_the_cell_of_an_attempt_is_that_of_its_worker_when_it_was_sent() {
+    let keyed = "classes.0.effect=deduplicated\nclasses.0.dedup_scope=cell\nclasses.0.key_ttl=10000\n";
+    let mut harness = Harness::new(keyed, &[1]);
+    assert_eq!(sends(&harness.step(MS, vec![request(1, 0, 9)])), [(1, 1)]);
+    let gone = Endpoint { worker: 1, lifecycle: Lifecycle::Gone, ..Endpoint::default() };
+    // Worker 4 is in the cell of worker 1, and worker 3 in cell 0.
+    let joined = [3, 4].map(|worker| endpoint(worker, Lifecycle::Ready, 0));
+    let changes = [vec![gone], joined.to_vec()].concat();
+    harness.step(MS, vec![endpoint_list(EndpointUpdate::Delta, changes)]);
+    let mut sent = sends(&harness.step(MS, vec![ended(1, 0, 1, Outcome::Reset)]));
+    (0..300).for_each(|_| sent.extend(sends(&harness.step(10 * MS, vec![]))));
+    assert_eq!(sent, [(1, 4)]);
+}
+
 #[test]
 fn rule_3_nothing_is_sent_to_a_draining_or_gone_worker() {
     for lifecycle in [Lifecycle::Draining, Lifecycle::Gone] {
