Keyed repeats go only to processes that the endpoint list is known to name

Discovery was silent, an executor had died, and an executor of another cell had started at its address. Cause: what the list says of an executor (its cell and zone) was used for whatever process answered at its address. A passed health check confirmed the executor, although it only shows that some process accepts work; that the connections to it had ended in between was not asked. Change: the subscription says up to when the list contains every change (the last empty frame, not the 1.6 s of validity after it), and the executors' connections say since when the oldest one is open. A connection that was established by then leads to the executor that the list names, for as long as it is open. A request that a cell or zone deduplicates and that may have run is sent again only if the process that ran it is known, and `Send` carries the latest establishment of a connection, which the sockets enforce. Until then it waits for the list, and a connection is opened for it where there is none. Classes that all executors deduplicate, other classes, and sources that don't say how complete their list is are as before.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod lists;
 mod partition;
 mod reload;
+mod replacement;
 mod restart;
 mod shutdown;
 mod stage;
--- a/crates/core/src/interface/action.rs
+++ b/crates/core/src/interface/action.rs
@@ -15,6 +15,9 @@
         timeout: Micros,
         /// No byte of the attempt is written after this time; [`Micros::MAX`]: no limit.
         start_by: Micros,
+        /// The attempt is written only to a connection that was established by this time, so that it reaches a known
+        /// process; [`Micros::MAX`]: no limit. Without such a connection it ends as [`super::Outcome::Full`].
+        connected_by: Micros,
     },
     /// Answer that the request was rejected and had no effect.
     Reject {
--- a/crates/core/src/interface/event.rs
+++ b/crates/core/src/interface/event.rs
@@ -114,13 +114,16 @@
     EndpointListValid {
         /// End of the validity; may be in the past.
         until: Micros,
+        /// The list is known to contain every change up to this time. Never after `until`: up to then further changes
+        /// may have happened that the source has not reported yet.
+        complete_at: Micros,
     },
-    /// The first connection to a worker was established, or the last one closed.
+    /// The oldest open connection to a worker changed.
     WorkerConnection {
         /// The worker.
         worker: WorkerId,
-        /// Whether there is a connection now.
-        is_open: bool,
+        /// When the oldest connection that is open now was established, at the latest; `None`: none is open.
+        open_since: Option<Micros>,
     },
     /// A request arrived.
     Request(Request),
--- a/crates/core/src/policy/call.rs
+++ b/crates/core/src/policy/call.rs
@@ -42,6 +42,16 @@
     pub execution: Execution,
     /// The group that the endpoint list named for the worker when the attempt was sent.
     pub key_group: KeyGroup,
+    pub process: ReachedProcess,
+}
+
+/// Whether the process that an attempt reached is known to be the worker that the endpoint list named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReachedProcess {
+    Known,
+    /// It is known once the list turns out to have named the worker up to the time at which the connection was
+    /// established, at the latest. `Micros::MAX`: the attempt is in flight.
+    ConnectedBy(Micros),
 }
 
 /// The time by which a request must have its final answer.
--- a/crates/core/src/policy/confirmation.rs
+++ b/crates/core/src/policy/confirmation.rs
@@ -39,7 +39,7 @@
     pub failing_since: Micros,
     /// The worker is not checked again before this time.
     pub next_check_at: Micros,
-    /// Start of the current period with at least one open connection.
+    /// When the oldest open connection was established.
     pub connected_since: Option<Micros>,
     /// Groups of the queued requests that wait for the check.
     pub waiting: BTreeSet<CallGroup>,
@@ -164,9 +164,9 @@
         }
     }
 
-    /// Handles the first connection to a worker being established or the last one being closed.
-    pub(super) fn on_worker_connection(&mut self, worker: WorkerId, is_open: bool, now: Micros) {
+    /// Handles a change of the oldest open connection to a worker.
+    pub(super) fn on_worker_connection(&mut self, worker: WorkerId, open_since: Option<Micros>) {
         let Some(&index) = self.worker_index.get(&worker) else { return };
-        self.workers[index].confirmation.connected_since = is_open.then_some(now);
+        self.workers[index].confirmation.connected_since = open_since;
     }
 }
--- a/crates/core/src/policy/dispatch.rs
+++ b/crates/core/src/policy/dispatch.rs
@@ -136,6 +136,7 @@
         let objective_start = objective_at - call.base_run as Micros;
         let is_past_objective = call.queued.is_some_and(|position| position.required_start > objective_start);
         let placement = self.place(id, health, now);
+        self.connect_for_retry(id, &placement, now, actions);
         if self.settings.may_order_loads {
             self.update_wanted_load(id, &placement, now);
         }
@@ -148,10 +149,12 @@
             }
             Placement::Send(prediction) => self.send(id, prediction, now, actions),
             Placement::WaitUntil(until) if until <= now => self.conclude(id, actions),
-            Placement::WaitUntil(until) if until > objective_at && !is_past_objective => {
+            Placement::WaitUntil(until) | Placement::AwaitKnownProcess { until, .. }
+                if until > objective_at && !is_past_objective =>
+            {
                 self.give_up_objective(id, now, actions);
             }
-            Placement::WaitUntil(_) => return true,
+            Placement::WaitUntil(_) | Placement::AwaitKnownProcess { .. } => return true,
         }
         false
     }
@@ -163,7 +166,7 @@
         let function = call.request.function;
         let needs_copy = match placement {
             Placement::Send(prediction) => prediction.copy_expected && prediction.finish > call.objective_at,
-            Placement::WaitUntil(until) => *until > now,
+            Placement::WaitUntil(until) | Placement::AwaitKnownProcess { until, .. } => *until > now,
         };
         let priority = if needs_copy { self.load_priority(function, now) } else { 0.0 };
         if priority > 0.0 {
--- a/crates/core/src/policy/endpoints.rs
+++ b/crates/core/src/policy/endpoints.rs
@@ -98,6 +98,7 @@
             }
             let previous_update = worker.list_updated_at;
             worker.ready = false;
+            worker.record_listing(Lifecycle::Gone, self.list_validity.complete_at, now);
             worker.endpoint.lifecycle = Lifecycle::Gone;
             worker.list_updated_at = now;
             self.update_listing(index, previous_update, now);
@@ -109,7 +110,9 @@
         let index = known.unwrap_or_else(|| self.add_worker(endpoint, now));
         let worker = &mut self.workers[index];
         let previous_update = worker.list_updated_at;
+        worker.record_listing(endpoint.lifecycle, self.list_validity.complete_at, now);
         if endpoint.started > worker.endpoint.started {
+            worker.start_reported_at = now;
             worker.warming_since = (endpoint.started > 0).then_some(endpoint.started);
             worker.estimates = Estimates::restarted(now);
         }
@@ -132,7 +135,13 @@
         self.ranking_version += 1;
         self.worker_index.insert(endpoint.worker, index);
         let endpoint = Endpoint { started: NEVER_STARTED, ..endpoint.clone() };
-        let worker = Worker { endpoint, checked_at: now, first_listed_at: now, ..Default::default() };
+        let worker = Worker {
+            endpoint,
+            checked_at: now,
+            first_listed_at: now,
+            listed_since: now,
+            ..Default::default()
+        };
         if index < self.workers.len() {
             self.replace_worker(index, worker);
         } else {
--- a/crates/core/src/policy/list_validity.rs
+++ b/crates/core/src/policy/list_validity.rs
@@ -7,6 +7,8 @@
 /// The validity of the endpoint list.
 pub(super) struct ListValidity {
     pub until: Micros,
+    /// The list is known to contain every change up to this time.
+    pub complete_at: Micros,
     /// Whether the list was old when its age was last logged.
     is_old: bool,
     /// Mean duration of a passed check.
@@ -39,6 +41,7 @@
     fn default() -> ListValidity {
         ListValidity {
             until: Micros::MAX,
+            complete_at: Micros::MAX,
             is_old: false,
             mean_check_time: None,
             checks: 0,
@@ -53,6 +56,16 @@
         self.list_validity.counters
     }
 
+    /// Handles a report on how long the list is valid.
+    pub(super) fn on_list_valid(&mut self, until: Micros, complete_at: Micros) {
+        let validity = &mut self.list_validity;
+        validity.until = until;
+        if complete_at != validity.complete_at {
+            validity.complete_at = complete_at;
+            self.reconsider_awaiting_process();
+        }
+    }
+
     /// Whether the list is too old to confirm its workers.
     pub(super) fn is_list_old(&self, now: Micros) -> bool {
         now > self.list_validity.until.saturating_add(self.confirmation_lifetime())
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -16,6 +16,7 @@
 //! | all workers | `fleet`: sums over all workers and their scheduled refreshes, so that no decision iterates over the whole fleet; `ranking`: the workers that a function may be sent to |
 //! | faults | `outliers`: ejection of workers, health checks |
 //! | old lists | `list_validity`: how old the endpoint list is; `confirmation`: which workers may get new work while the endpoint list is old (rule 3); `worker_checks`: their health checks |
+//! | replaced workers | `process_identity`: whether the process at a worker's address is known to be that worker (rule 2) |
 //!
 //! Only `send` sends a request, only `load` orders a load, and only `conclude` answers a request that was not served.
 //! The five rules are checked in these three functions.
@@ -41,6 +42,7 @@
 mod prediction;
 mod preferred_workers;
 mod priority;
+mod process_identity;
 mod queue;
 mod ranking;
 mod reports;
@@ -192,8 +194,10 @@
     fn on_event(&mut self, event: &Event, now: Micros, actions: &mut Vec<Action>) {
         match event {
             Event::Endpoints { update, endpoints } => self.on_endpoints(*update, endpoints, now, actions),
-            Event::EndpointListValid { until } => self.list_validity.until = *until,
-            Event::WorkerConnection { worker, is_open } => self.on_worker_connection(*worker, *is_open, now),
+            Event::EndpointListValid { until, complete_at } => {
+                self.on_list_valid(*until, *complete_at);
+            }
+            Event::WorkerConnection { worker, open_since } => self.on_worker_connection(*worker, *open_since),
             Event::Request(request) => self.on_request(request, now),
             Event::AttemptEnded(end) => {
                 self.on_attempt_ended(end, now, actions);
--- a/crates/core/src/policy/placement.rs
+++ b/crates/core/src/policy/placement.rs
@@ -27,6 +27,11 @@
     /// No worker can take the request now, and waiting past this time is of no use. If the time is not in the future,
     /// the request is concluded now.
     WaitUntil(Micros),
+    /// The same, but this worker could take the request if a connection were known to lead to it.
+    AwaitKnownProcess {
+        worker_index: usize,
+        until: Micros,
+    },
 }
 
 impl FrontEnd {
@@ -53,7 +58,13 @@
         // overload the store.
         let no_copy = candidates.copy_with_capacity.is_none() && candidates.copy_without_capacity.is_none();
         function.wants_copy.set(no_copy || self.load_priority(call.request.function, now) > 0.0);
-        self.choose(call, candidates, function.wants_copy.get(), now)
+        let unknown_process = candidates.unknown_process;
+        match (self.choose(call, candidates, function.wants_copy.get(), now), unknown_process) {
+            (Placement::WaitUntil(until), Some(worker_index)) if until > now => {
+                Placement::AwaitKnownProcess { worker_index, until }
+            }
+            (placement, _) => placement,
+        }
     }
 
     /// Whether the retry budget that a counter keeps allows the request's next attempt.
@@ -108,6 +119,7 @@
             load_with_capacity,
             load_without_capacity,
             same_worker,
+            unknown_process: _,
         } = candidates;
         let free = cheaper(copy_with_capacity, load_with_capacity.filter(|_| may_load));
         let busy = cheaper(copy_without_capacity, load_without_capacity.filter(|_| may_load));
--- a/crates/core/src/policy/retries.rs
+++ b/crates/core/src/policy/retries.rs
@@ -1,8 +1,7 @@
 //! Retries: whether another attempt may be sent (rule 2), and the handling of overdue attempts at silent workers.
 
-use super::call::{Execution, KeyGroup, PendingCall};
+use super::call::{Execution, PendingCall};
 use super::queue::EnqueueReason;
-use super::worker::Worker;
 use super::{FrontEnd, SAFETY_MARGIN};
 use crate::interface::*;
 
@@ -36,16 +35,6 @@
         }
     }
 
-    /// Rule 2: whether the worker is within the deduplication scope of the earlier attempts that may have run.
-    pub(super) fn is_in_scope(&self, call: &PendingCall, worker: &Worker) -> bool {
-        let effect = self.settings.classes[call.request.class as usize].effect;
-        let Effect::IdempotentWithKey { scope, .. } = effect else { return true };
-        let group = KeyGroup::of(&worker.endpoint);
-        call.attempts.iter().all(|attempt| {
-            attempt.execution == Execution::NeverRan || attempt.key_group.shares_keys(group, scope)
-        })
-    }
-
     /// Whether the request may be answered with a rejection, which guarantees that it had no effect or that repeating it
     /// does no harm.
     pub(super) fn may_reject(&self, call: &PendingCall) -> bool {
--- a/crates/core/src/policy/send.rs
+++ b/crates/core/src/policy/send.rs
@@ -1,6 +1,6 @@
 //! Sending a request, and updating the estimates accordingly. All requests are sent from here.
 
-use super::call::{AttemptRecord, Execution, KeyGroup};
+use super::call::{AttemptRecord, Execution, KeyGroup, ReachedProcess};
 use super::estimates::CachedCopy;
 use super::prediction::{Prediction, COPY_LOSS_RISK};
 use super::worker::Attempt;
@@ -10,7 +10,7 @@
 impl FrontEnd {
     /// Sends a request, unless a rule forbids it: the worker is not ready, or is unconfirmed while the list is old (rule
     /// 3); the limit of a warming worker is reached (rule 4); the request has its final answer (rule 1); or the request
-    /// may not have another attempt (rule 2).
+    /// may not have another attempt, or none at this worker (rule 2).
     pub(super) fn send(
         &mut self,
         id: RequestId,
@@ -24,6 +24,7 @@
         let is_allowed = worker.ready
             && self.may_send_again(id, now)
             && self.is_in_scope(call, worker)
+            && (!self.needs_known_process(call) || self.known_connection(worker).is_some())
             && self.is_confirmed(worker, now)
             && self.has_slow_start_capacity(index, call, now);
         if !is_allowed {
@@ -32,6 +33,14 @@
         let relative_work = self.relative_work(call.request.class);
         let start_by = self.confirmed_until(worker);
         let key_group = KeyGroup::of(&worker.endpoint);
+        // A first attempt need not reach a known process, but without one the request can't be sent again at once.
+        let known_connection =
+            self.known_connection(worker).filter(|_| self.depends_on_key_group(call.request.class));
+        let process = match known_connection {
+            Some(_) => ReachedProcess::Known,
+            None => ReachedProcess::ConnectedBy(Micros::MAX),
+        };
+        let connected_by = known_connection.unwrap_or(Micros::MAX);
         self.mark_dirty(index);
         self.start_slot(index, now);
         self.dequeue(id);
@@ -40,11 +49,11 @@
         let number = call.attempts.len() as u16;
         let worker = self.workers[index].endpoint.worker;
         let execution = Execution::InFlight;
-        call.attempts.push(AttemptRecord { worker, sent_at: now, execution, key_group });
+        call.attempts.push(AttemptRecord { worker, sent_at: now, execution, key_group, process });
         self.count_attempt(index, function, number > 0, now);
         self.record_sent_work(index, prediction.base_run, relative_work, now);
         self.expect_copy(index, function, &prediction, now);
-        actions.push(Action::Send { request: id, worker, timeout: 0, start_by });
+        actions.push(Action::Send { request: id, worker, timeout: 0, start_by, connected_by });
         self.workers[index].in_flight.push(Attempt {
             request: id,
             number,
--- a/crates/core/src/policy/worker.rs
+++ b/crates/core/src/policy/worker.rs
@@ -40,6 +40,12 @@
     pub slot_usage: SlotUsage,
     /// When the endpoint list first contained it.
     pub first_listed_at: Micros,
+    /// Since when the endpoint list has named it continuously.
+    pub listed_since: Micros,
+    /// Once it is gone: the list named it up to this time.
+    pub listed_until: Micros,
+    /// When the list last reported a start of its process.
+    pub start_reported_at: Micros,
     /// Time of the last list update that named it, or of the last full list that omitted it.
     pub list_updated_at: Micros,
     pub in_flight: Vec<Attempt>,
--- a/crates/core/src/policy/worker_search.rs
+++ b/crates/core/src/policy/worker_search.rs
@@ -21,6 +21,8 @@
     pub load_without_capacity: Option<Prediction>,
     /// A retry on a copy where an earlier attempt may have run.
     pub same_worker: Option<Prediction>,
+    /// A worker that would be considered if a connection were known to lead to it.
+    pub unknown_process: Option<usize>,
 }
 
 impl Candidates {
@@ -94,6 +96,10 @@
         if !self.may_try_again(worker, copy_expected) || !front_end.is_in_scope(self.call, worker) {
             return;
         }
+        if front_end.needs_known_process(self.call) && front_end.known_connection(worker).is_none() {
+            self.candidates.unknown_process.get_or_insert(index);
+            return;
+        }
         let copy_chance = if lacks_copy { 0.0 } else { self.copy_chance };
         let preference =
             if is_preferred { Preference::Preferred { copy_chance } } else { Preference::NotPreferred };
--- a/crates/core/tests/rules/confirmation.rs
+++ b/crates/core/tests/rules/confirmation.rs
@@ -11,7 +11,7 @@
 fn with_old_list(overrides: &str, workers: &[WorkerId]) -> Harness {
     let mut harness = Harness::new(overrides, workers);
     let until = harness.now;
-    harness.step(0, vec![Event::EndpointListValid { until }]);
+    harness.step(0, vec![Event::EndpointListValid { until, complete_at: until }]);
     harness.step(LIFETIME + MS, vec![]);
     harness
 }
@@ -49,7 +49,8 @@
 fn a_list_confirms_its_workers_until_the_grace_after_its_validity() {
     let mut harness = Harness::new(HEALTH_CHECKS, &[1]);
     let until = harness.now + 500 * MS;
-    let out = harness.step(0, vec![Event::EndpointListValid { until }, request(1, 0, 9)]);
+    let valid = Event::EndpointListValid { until, complete_at: harness.now };
+    let out = harness.step(0, vec![valid, request(1, 0, 9)]);
     assert_eq!((sends(&out), start_by(&out)), (vec![(1, 1)], vec![until + LIFETIME]));
 }
 
@@ -204,7 +205,8 @@
     let mut harness = with_old_list(HEALTH_CHECKS, &[1]);
     assert_eq!(sends(&harness.step(0, vec![request(1, 0, 9)])), []);
     let until = harness.now + 1600 * MS;
-    let out = harness.step(MS, vec![Event::EndpointListValid { until }, request(2, 0, 8)]);
+    let valid = Event::EndpointListValid { until, complete_at: harness.now };
+    let out = harness.step(MS, vec![valid, request(2, 0, 8)]);
     assert!(sends(&out).contains(&(2, 1)), "{out:?}");
 }
 
@@ -212,15 +214,15 @@
 /// checks again.
 fn requests_after_return(new_connection: bool) -> usize {
     let mut harness = with_old_list(HEALTH_CHECKS, &[1, 2]);
-    harness.step(0, vec![Event::WorkerConnection { worker: 1, is_open: true }]);
-    harness.step(0, vec![Event::WorkerConnection { worker: 2, is_open: true }]);
+    let open_since = Some(harness.now);
+    harness.step(0, [1, 2].map(|worker| Event::WorkerConnection { worker, open_since }).to_vec());
     let mut events = Vec::new();
     let mut count = 0;
     for step in 0..1400u32 {
         let fails = (200..600).contains(&step);
         if step == 500 && new_connection {
-            events.push(Event::WorkerConnection { worker: 1, is_open: false });
-            events.push(Event::WorkerConnection { worker: 1, is_open: true });
+            let reopened = [None, Some(harness.now)];
+            events.extend(reopened.map(|open_since| Event::WorkerConnection { worker: 1, open_since }));
         }
         events.push(request(step, 0, u64::from(step % 8)));
         let out = harness.step(5 * MS, std::mem::take(&mut events));
@@ -271,7 +273,8 @@
 #[test]
 fn an_attempt_sent_as_a_worker_returns_does_not_prove_that_it_kept_running() {
     let mut harness = with_old_list(HEALTH_CHECKS, &[1]);
-    harness.step(0, vec![Event::WorkerConnection { worker: 1, is_open: true }]);
+    let open_since = Some(harness.now);
+    harness.step(0, vec![Event::WorkerConnection { worker: 1, open_since }]);
     let (mut failures, mut id) = (0, 0);
     while failures < 2 {
         id += 1;
@@ -279,7 +282,8 @@
         failures += checks.len();
         harness.step(0, checks.into_iter().map(|worker| check_ended(worker, Outcome::Error, 0)).collect());
     }
-    let reopened = [false, true].map(|is_open| Event::WorkerConnection { worker: 1, is_open });
+    let reopened =
+        [None, Some(harness.now)].map(|open_since| Event::WorkerConnection { worker: 1, open_since });
     harness.step(20 * MS, reopened.to_vec());
     let mut sent = Vec::new();
     while sent.is_empty() {
--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -7,5 +7,6 @@
 mod learning;
 mod load_reports;
 mod placement;
+mod process_identity;
 mod queueing;
 mod support;
--- a/crates/core/tests/wire.rs
+++ b/crates/core/tests/wire.rs
@@ -159,8 +159,13 @@
 #[test]
 fn replies() {
     assert_eq!(encode(&[], &[]), hex("00000008 00000000"));
-    let send =
-        Action::Send { request: 0x5d3a91c4, worker: 0x03124a07, timeout: 80_000, start_by: Micros::MAX };
+    let send = Action::Send {
+        request: 0x5d3a91c4,
+        worker: 0x03124a07,
+        timeout: 80_000,
+        start_by: Micros::MAX,
+        connected_by: Micros::MAX,
+    };
     let timer = Action::SetTimer { after: 500_000, token: 77 };
     let log = Action::Log { text: "two servers unknown".into() };
     // 8 bytes of header, three records of 24 bytes, 19 bytes of text.
--- a/crates/gateway/src/intent_recorder.rs
+++ b/crates/gateway/src/intent_recorder.rs
@@ -19,7 +19,7 @@
 
 /// A message from the driver to the recorder's task.
 enum RecorderMessage {
-    Attempt(Identity, Ticket, Attempt),
+    Attempt(Identity, Ticket, Box<Attempt>),
     Abort(RequestId, u16),
     CallEnded(Ticket),
     Worker(WorkerId, Option<Micros>),
@@ -65,7 +65,7 @@
         let Some((identity, ticket)) = attempt.intent.filter(|_| !idempotent) else { return Some(attempt) };
         self.recorded.insert(ticket);
         // Sending can't fail, as the task ends only after this handle.
-        let _ = self.messages.send(RecorderMessage::Attempt(identity, ticket, attempt));
+        let _ = self.messages.send(RecorderMessage::Attempt(identity, ticket, Box::new(attempt)));
         None
     }
 
@@ -144,7 +144,7 @@
             RecorderMessage::Attempt(identity, ticket, attempt) => {
                 let id = (attempt.request, attempt.attempt);
                 let (worker, deadline) = (attempt.worker, attempt.deadline);
-                let decision = self.gate.submit((ticket, id), worker, deadline, attempt, now);
+                let decision = self.gate.submit((ticket, id), worker, deadline, *attempt, now);
                 if matches!(decision, GateDecision::Wait { record: true }) {
                     let intent = Intent { identity, number: ticket };
                     self.latency.begin(ticket, now);
--- a/crates/gateway/src/state/core/execute.rs
+++ b/crates/gateway/src/state/core/execute.rs
@@ -14,6 +14,8 @@
     pub timeout: Micros,
     /// Nothing may be sent after this time.
     pub start_by: Micros,
+    /// The connection must have been established by this time.
+    pub connected_by: Micros,
 }
 
 /// A decision to load copies of a function at a worker.
@@ -46,8 +48,8 @@
 
     pub(super) fn execute(&mut self, now: Micros, action: Action, commands: &mut Vec<Command>) {
         match action {
-            Action::Send { request, worker, timeout, start_by } => {
-                let order = SendOrder { request, worker, timeout, start_by };
+            Action::Send { request, worker, timeout, start_by, connected_by } => {
+                let order = SendOrder { request, worker, timeout, start_by, connected_by };
                 self.send(now, order, commands);
             }
             Action::Reject { request, retry_after } => {
@@ -121,7 +123,7 @@
     }
 
     pub(super) fn send(&mut self, now: Micros, order: SendOrder, commands: &mut Vec<Command>) {
-        let SendOrder { request, worker, timeout, start_by } = order;
+        let SendOrder { request, worker, timeout, start_by, connected_by } = order;
         let closed = self.is_closed_call(request, now);
         let address = self.address(worker);
         let Some(call) = self.calls.get_mut(&request) else { return };
@@ -161,6 +163,7 @@
             correlation: call.arrival.correlation.clone(),
             ticket: call.ticket,
             start_by,
+            connected_by,
             intent: call.arrival.identity.map(|identity| (identity, call.ticket)),
         }));
     }
--- a/crates/gateway/src/state/core/mod.rs
+++ b/crates/gateway/src/state/core/mod.rs
@@ -307,12 +307,12 @@
             }
             Input::ClusterStatus(status) => self.on_cluster_status(now, status, commands),
             Input::FrontEndList(list) => self.on_front_end_list(list, now, commands),
-            Input::EndpointListValid { until } => {
+            Input::EndpointListValid { until, complete_at } => {
                 self.list_valid_until = until;
-                self.events.push(Event::EndpointListValid { until });
+                self.events.push(Event::EndpointListValid { until, complete_at });
             }
-            Input::WorkerConnection { worker, is_open } => {
-                self.events.push(Event::WorkerConnection { worker, is_open });
+            Input::WorkerConnection { worker, open_since } => {
+                self.events.push(Event::WorkerConnection { worker, open_since });
             }
             Input::EndpointListFailed => {
                 let update = self.endpoints.on_list_failure();
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -176,14 +176,15 @@
     },
     EndpointList(Vec<stagehoist_endpoints::ListedWorker>),
     EndpointListFailed,
-    /// The source of the list guarantees its validity until this time: see [`stagehoist::Event::EndpointListValid`].
+    /// The source of the list guarantees its validity until a time: see [`stagehoist::Event::EndpointListValid`].
     EndpointListValid {
         until: Micros,
+        complete_at: Micros,
     },
-    /// The first connection to a worker was established, or the last one closed.
+    /// The oldest open connection to a worker changed: see [`stagehoist::Event::WorkerConnection`].
     WorkerConnection {
         worker: WorkerId,
-        is_open: bool,
+        open_since: Option<Micros>,
     },
     /// A full list of front ends, if it determines the division of the fleet; None: fetching it failed.
     FrontEndList(Option<Vec<crate::discovery::front_ends::Entry>>),
@@ -264,6 +265,9 @@
     pub ticket: Ticket,
     /// Nothing may be sent from this time on, because a worker that drops repeats by their key may have forgotten the key.
     pub start_by: Micros,
+    /// The attempt may be sent only on a connection established by this time; `Micros::MAX`: on any. Only sources that
+    /// report how complete their list is cause such a limit.
+    pub connected_by: Micros,
     /// The key of the call's intent record, if attempts are recorded on disk.
     pub intent: Option<(Identity, Ticket)>,
 }
--- a/crates/gateway/tests/crossings_sockets.rs
+++ b/crates/gateway/tests/crossings_sockets.rs
@@ -63,6 +63,7 @@
         correlation: "c".into(),
         ticket: u64::from(request),
         start_by: i64::MAX,
+        connected_by: i64::MAX,
         intent: None,
     }
 }
--- a/crates/gateway/tests/fleet_sockets.rs
+++ b/crates/gateway/tests/fleet_sockets.rs
@@ -49,6 +49,7 @@
         correlation: "c".into(),
         ticket: 1,
         start_by: i64::MAX,
+        connected_by: i64::MAX,
         intent: None,
     });
     workers.load((1, address), (7, function), 1);
--- a/crates/gateway/tests/front_marks.rs
+++ b/crates/gateway/tests/front_marks.rs
@@ -96,6 +96,7 @@
         correlation: format!("c{request}").into(),
         ticket: u64::from(request),
         start_by: i64::MAX,
+        connected_by: i64::MAX,
         intent: Some((u128::from(request), u64::from(request))),
     }
 }
--- a/crates/load-generator/src/baseline.rs
+++ b/crates/load-generator/src/baseline.rs
@@ -141,7 +141,13 @@
             let Some(call) = self.calls.get_mut(&id).filter(|c| !c.out) else { continue };
             (call.out, call.attempts) = (true, call.attempts + 1);
             *self.in_flight.entry(worker).or_default() += 1;
-            out.push(Action::Send { request: id, worker, timeout: 0, start_by: Micros::MAX });
+            out.push(Action::Send {
+                request: id,
+                worker,
+                timeout: 0,
+                start_by: Micros::MAX,
+                connected_by: Micros::MAX,
+            });
         }
         if let Some(&(at, _)) = self.deadlines.first() {
             self.token = self.token.wrapping_add(1);
--- a/crates/platform/src/executors/commands.rs
+++ b/crates/platform/src/executors/commands.rs
@@ -1,6 +1,7 @@
 //! Executes the module's commands: attempts, health checks, load and unload orders.
 
 use super::connection::Connection;
+use super::selection::ConnectionNeeds;
 use super::{Executors, InFlight};
 use crate::connection::{Closure, Exchange, RunRequest};
 use crate::fields;
@@ -40,7 +41,7 @@
     }
 
     /// Queues an attempt, or returns the outcome that ends it at once, which proves that nothing ran. A lack of
-    /// descriptors ends it as `Full`, which does not count against the executor.
+    /// descriptors or of a connection that is old enough ends it as `Full`, which does not count against the executor.
     fn try_start(self: &Rc<Self>, attempt: Attempt) -> Result<(), Outcome> {
         let Some(id) = fields::hex16(attempt.correlation.as_bytes()) else {
             return Err(Outcome::ConnectFailed);
@@ -51,7 +52,8 @@
         if !self.executors.borrow().get(&attempt.worker).is_some_and(|e| e.ready) {
             return Err(Outcome::ConnectFailed);
         }
-        let Some(connection) = self.select(attempt.worker, Some(id)) else { return Err(Outcome::Full) };
+        let needs = ConnectionNeeds { id: Some(id), connected_by: attempt.connected_by };
+        let Some(connection) = self.select(attempt.worker, needs) else { return Err(Outcome::Full) };
         let now = self.shared.clock.now();
         let run = RunRequest { class, function: &attempt.function, deadline: attempt.deadline };
         let exchange = Exchange::Attempt { request: attempt.request, attempt: attempt.attempt };
@@ -91,7 +93,7 @@
     /// Sends a health check, which reads the executor's load; the result is reported as [`Input::HealthChecked`].
     pub fn check_health(self: &Rc<Self>, worker: WorkerId) {
         let sent = self.shared.clock.now();
-        match self.select(worker, None) {
+        match self.select(worker, ConnectionNeeds::ANY) {
             Some(connection) => {
                 let report = !self.limits.report_fields.is_empty();
                 connection.protocol.borrow_mut().send_health_check(
@@ -122,7 +124,8 @@
         let LoadCommand { worker, function, name, copies, start_by } = order;
         let sent = self.shared.clock.now();
         let is_ready = self.executors.borrow().get(&worker).is_some_and(|e| e.ready);
-        let connection = if is_ready || copies == 0 { self.select(worker, None) } else { None };
+        let connection =
+            if is_ready || copies == 0 { self.select(worker, ConnectionNeeds::ANY) } else { None };
         match connection {
             Some(connection) => {
                 let exchange = Exchange::Load { worker, function, sent, start_by };
@@ -148,7 +151,7 @@
 
     /// Orders idle copies to be unloaded; the result is not reported.
     pub fn unload(self: &Rc<Self>, worker: WorkerId, name: &str) {
-        if let Some(connection) = self.select(worker, None) {
+        if let Some(connection) = self.select(worker, ConnectionNeeds::ANY) {
             connection.protocol.borrow_mut().send_unload(name, self.shared.clock.now());
             self.mark_dirty(connection);
         }
--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -32,6 +32,8 @@
     pub stream: RefCell<Option<Rc<TcpStream>>>,
     pub wake: Notify,
     pub state: Cell<State>,
+    /// When it was established, at the latest; set once it is open.
+    pub established_at: Cell<Micros>,
     pub dirty: Cell<bool>,
     /// The executor has a new address; this connection accepts nothing new.
     pub has_moved: Cell<bool>,
@@ -40,6 +42,12 @@
 }
 
 impl Connection {
+    /// Returns when it was established, if it is open and leads to the executor's current address.
+    pub fn open_since(&self) -> Option<Micros> {
+        let is_usable = self.state.get() == State::Open && !self.has_moved.get();
+        is_usable.then(|| self.established_at.get())
+    }
+
     /// Marks the connection as ended and wakes its task.
     pub fn end(&self, closure: Closure) {
         if !matches!(self.state.get(), State::Closed(_)) {
@@ -213,16 +221,14 @@
         }
     }
 
-    /// Marks the connection as open, and reports the first one to its executor.
+    /// Marks the connection as open, and reports it if it is the oldest one to its executor.
     fn note_connected(&self, connection: &Connection) {
-        let executors = self.executors.borrow();
-        let executor = executors.get(&connection.worker);
-        let is_first = executor.is_some_and(|executor| !executor.is_connected());
+        connection.established_at.set(self.shared.clock.now());
         connection.state.set(State::Open);
-        if is_first && !connection.has_moved.get() {
-            let opened = Input::WorkerConnection { worker: connection.worker, is_open: true };
-            self.queued_inputs.borrow_mut().push_back(opened);
-        }
+        let mut executors = self.executors.borrow_mut();
+        let executor = executors.get_mut(&connection.worker);
+        let report = executor.and_then(|executor| executor.report_connection(connection.worker));
+        self.queued_inputs.borrow_mut().extend(report);
     }
 
     async fn on_connection_ended(&self, connection: &Rc<Connection>) {
@@ -230,7 +236,6 @@
             State::Closed(closure) => closure,
             _ => Closure::Broken,
         };
-        let was_up = connection.stream.borrow().is_some();
         connection.state.set(State::Closed(closure));
         if closure == Closure::Broken {
             connection.release_settled();
@@ -258,9 +263,7 @@
                 if executor.connections.is_empty() {
                     self.connected.borrow_mut().remove(&connection.worker);
                 }
-                if was_up && !executor.is_connected() {
-                    inputs.push(Input::WorkerConnection { worker: connection.worker, is_open: false });
-                }
+                inputs.extend(executor.report_connection(connection.worker));
                 if !executor.ready && executor.connections.is_empty() {
                     executors.remove(&connection.worker);
                 }
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -27,14 +27,25 @@
     address: Rc<str>,
     ready: bool,
     connections: Vec<Rc<Connection>>,
+    /// When its oldest open connection was established, as last reported to the driver.
+    reported_open_since: Option<Micros>,
 }
 
 impl Executor {
-    /// Whether a connection to its current address is open.
-    fn is_connected(&self) -> bool {
-        self.connections
-            .iter()
-            .any(|connection| connection.state.get() == State::Open && !connection.has_moved.get())
+    /// Returns when the oldest open connection to its current address was established.
+    fn open_since(&self) -> Option<Micros> {
+        let open = self.connections.iter().filter_map(|connection| connection.open_since());
+        open.min()
+    }
+
+    /// Returns the report of its oldest open connection, if that changed since the last report.
+    fn report_connection(&mut self, worker: WorkerId) -> Option<Input> {
+        let open_since = self.open_since();
+        if open_since == self.reported_open_since {
+            return None;
+        }
+        self.reported_open_since = open_since;
+        Some(Input::WorkerConnection { worker, open_since })
     }
 }
 
@@ -191,6 +202,7 @@
                 executor.address = listed.address.as_str().into();
                 // The process at the old address is no longer this executor, so nothing new is sent there.
                 executor.connections.iter().for_each(|connection| connection.has_moved.set(true));
+                self.queued_inputs.borrow_mut().extend(executor.report_connection(listed.endpoint.worker));
             }
             self.withdraw(&mut executors, listed.endpoint.worker, &mut inputs);
         }
--- a/crates/platform/src/executors/selection.rs
+++ b/crates/platform/src/executors/selection.rs
@@ -15,6 +15,26 @@
 /// Maximum number of concurrent handshakes with one executor.
 const MAX_HANDSHAKES: usize = 2;
 
+/// What a request needs of its connection.
+#[derive(Clone, Copy)]
+pub(super) struct ConnectionNeeds {
+    /// No request with this id may be open on it.
+    pub id: Option<u64>,
+    /// It must have been established by this time; `Micros::MAX`: a new one will do.
+    pub connected_by: Micros,
+}
+
+impl ConnectionNeeds {
+    /// Any connection will do.
+    pub const ANY: ConnectionNeeds = ConnectionNeeds { id: None, connected_by: Micros::MAX };
+
+    fn are_met_by(&self, connection: &Connection) -> bool {
+        let has_id = self.id.is_some_and(|id| connection.protocol.borrow().has(id));
+        let by = self.connected_by;
+        !has_id && (by == Micros::MAX || connection.open_since().is_some_and(|since| since <= by))
+    }
+}
+
 impl Executors {
     /// Opens a connection without delaying the current call.
     fn open(self: &Rc<Self>, worker: WorkerId) -> Option<Rc<Connection>> {
@@ -34,6 +54,7 @@
             stream: RefCell::default(),
             wake: Notify::new(),
             state: Cell::new(State::Connecting),
+            established_at: Cell::new(Micros::MAX),
             has_moved: Cell::new(false),
             dirty: Cell::new(false),
             turn: self.shared.read_turns.add(SourceKind::Peer),
@@ -72,16 +93,21 @@
     /// one in its handshake, else a new one. If none is idle, a further connection is also opened within the limits on
     /// connections and handshakes of an executor, if the executor is ready. None is opened beside an idle one, because
     /// every front end holds connections to every executor.
-    pub(super) fn select(self: &Rc<Self>, worker: WorkerId, id: Option<u64>) -> Option<Rc<Connection>> {
+    /// A new connection is not selected for a request that needs an earlier one.
+    pub(super) fn select(
+        self: &Rc<Self>,
+        worker: WorkerId,
+        needs: ConnectionNeeds,
+    ) -> Option<Rc<Connection>> {
         let (chosen, may_open) = {
             let executors = self.executors.borrow();
             let executor = executors.get(&worker)?;
             let max_connections = self.bounds.per_executor(self.ready.get());
             let is_usable = |l: &&Rc<Connection>| {
                 let protocol = l.protocol.borrow();
-                let has_capacity =
-                    protocol.attempts() < self.limits.streams && !id.is_some_and(|id| protocol.has(id));
+                let has_capacity = protocol.attempts() < self.limits.streams;
                 has_capacity
+                    && needs.are_met_by(l)
                     && !l.has_moved.get()
                     && !protocol.is_silent()
                     && !protocol.is_truncated()
@@ -119,7 +145,7 @@
         };
         if chosen.is_none() || may_open {
             let opened = self.open(worker);
-            return chosen.or(opened);
+            return chosen.or(opened.filter(|connection| needs.are_met_by(connection)));
         }
         self.count(|c| c.reused += 1);
         chosen
--- a/crates/platform/src/subscription.rs
+++ b/crates/platform/src/subscription.rs
@@ -58,8 +58,10 @@
     heartbeats: HeartbeatNumbering,
     /// The replay in progress, while all events are received again.
     replay: Option<Replay>,
-    /// Until when the received events are known to be all that were published.
+    /// Until when the received events count as all that were published.
     valid_until: Micros,
+    /// The received events are known to be all that were published by this time.
+    complete_at: Micros,
 }
 
 impl EventSubscription {
@@ -76,10 +78,11 @@
             heartbeats: HeartbeatNumbering::Unknown,
             replay: None,
             valid_until: now,
+            complete_at: Micros::MIN,
         }
     }
 
-    /// Returns the time until which the received events are known to be complete. It advances only while a connection
+    /// Returns the time until which the received events count as complete. It advances only while a connection
     /// is open and has not been silent for too long, because an event counts as published, and thus as known to this
     /// front end, once it is in the bus. While the bus is unreachable, the platform allows front ends some time before
     /// such an event counts (2 s after a break, 4 s after a silence). This allowance is not used: it ends with the
@@ -88,6 +91,12 @@
         self.valid_until
     }
 
+    /// Returns the time up to which the received events are known to be complete: that of the last empty frame. The
+    /// validity extends beyond it, because the next frame is not due yet.
+    pub fn complete_at(&self) -> Micros {
+        self.complete_at
+    }
+
     /// Records that the connection ended, at most `late` ago. The bus may be reachable for others, so the received
     /// events no longer count as complete.
     pub fn ended(&mut self, now: Micros, late: Micros) {
@@ -99,6 +108,7 @@
     fn extend_validity(&mut self, read_at: Micros) {
         if self.replay.is_none() {
             self.valid_until = self.valid_until.max(read_at + SILENCE_TIMEOUT);
+            self.complete_at = self.complete_at.max(read_at);
         }
     }
 
--- a/crates/platform/src/subscription/tests.rs
+++ b/crates/platform/src/subscription/tests.rs
@@ -220,6 +220,23 @@
     assert_eq!(bus.valid_until(), 9 * S);
 }
 
+/// Guards against taking a change for known that the bus has not reported yet, within the validity or a silence.
+#[test]
+fn a_list_is_complete_up_to_the_last_empty_frame_and_no_later() {
+    let mut bus = EventSubscription::new(1, 5 * S);
+    assert_eq!(bus.complete_at(), Micros::MIN, "nothing confirms the initial list");
+    bus.connected(6 * S);
+    bus.feed(&frame(1, 0, &[]), (8 * S, 7 * S), &mut Vec::new()).unwrap();
+    assert_eq!(bus.complete_at(), 7 * S);
+    bus.feed(&frame(2, 2, &row(1, 1)), (9 * S, 9 * S), &mut Vec::new()).unwrap();
+    assert_eq!(bus.complete_at(), 7 * S, "another event may follow an event");
+    bus.ended(10 * S, 0);
+    bus.connected(11 * S);
+    assert_eq!(bus.complete_at(), 7 * S);
+    bus.feed(&frame(2, 0, &[]), (12 * S, 12 * S), &mut Vec::new()).unwrap();
+    assert_eq!(bus.complete_at(), 12 * S);
+}
+
 /// Missed events arrive one by one; only an empty frame shows that there are no more.
 #[test]
 fn the_first_of_several_missed_events_does_not_make_the_list_valid() {
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -36,8 +36,7 @@
     // Inputs that were read and not yet passed to the driver. They outlive the connection, because the next one
     // requests later events only.
     let mut queued = VecDeque::new();
-    // The validity of the list that was last reported.
-    let mut reported = Micros::MIN;
+    let mut reported = ListValidity::default();
     let turn = shared.read_turns.add(SourceKind::Peer);
     loop {
         // The new socket is created right after the previous one was closed, with no await between, so that nothing
@@ -126,16 +125,29 @@
     }
 }
 
+/// The validity of the list that was last reported to the driver; none at first.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+struct ListValidity {
+    until: Micros,
+    complete_at: Micros,
+}
+
 /// Queues the validity of the list for the driver if it changed, after the events that were read before it.
-fn report_validity(subscription: &EventSubscription, reported: &mut Micros, queued: &mut VecDeque<Input>) {
-    let until = subscription.valid_until();
-    if until != *reported {
-        *reported = until;
+fn report_validity(
+    subscription: &EventSubscription,
+    reported: &mut ListValidity,
+    queued: &mut VecDeque<Input>,
+) {
+    let validity =
+        ListValidity { until: subscription.valid_until(), complete_at: subscription.complete_at() };
+    if validity != *reported {
+        *reported = validity;
         // A queued validity is outdated.
         if matches!(queued.back(), Some(Input::EndpointListValid { .. })) {
             queued.pop_back();
         }
-        queued.push_back(Input::EndpointListValid { until });
+        let ListValidity { until, complete_at } = validity;
+        queued.push_back(Input::EndpointListValid { until, complete_at });
     }
 }
 
@@ -146,7 +158,7 @@
     subscription: &'a mut EventSubscription,
     /// Inputs that were read and not yet passed to the driver.
     queued: &'a mut VecDeque<Input>,
-    reported: &'a mut Micros,
+    reported: &'a mut ListValidity,
     starts: &'a mut StartTimes,
     turn: &'a Turn,
 }
--- a/crates/platform/tests/crossings/keyed.rs
+++ b/crates/platform/tests/crossings/keyed.rs
@@ -187,3 +187,54 @@
         assert_eq!(stage.end().await, (2, Outcome::Full));
     });
 }
+
+/// Guards against a repeat on a connection that was established after the repeat's process was last known.
+#[test]
+fn a_repeat_is_written_only_to_a_connection_that_is_old_enough() {
+    on_one_thread(async {
+        let (listener, address) = listen(8);
+        let mut stage = Stage::new(1, 64);
+        stage.at(address);
+        let before = stage.shared.clock.now();
+        stage.send(1);
+        let mut peer = Peer::accept(&stage, &listener).await;
+        stage.until(|| peer.has("RUN 0000000000000001")).await;
+        stage.connected_by.set(before);
+        stage.send(2);
+        assert_eq!(stage.end().await, (2, Outcome::Full));
+        stage.connected_by.set(stage.shared.clock.now());
+        stage.send(3);
+        stage.until(|| peer.has("RUN 0000000000000003")).await;
+        assert!(!peer.has("RUN 0000000000000002"));
+    });
+}
+
+/// The oldest connection is reported, as the others may lead to another process.
+#[test]
+fn the_oldest_open_connection_is_reported_whenever_it_changes() {
+    on_one_thread(async {
+        let (listener, address) = listen(8);
+        let mut stage = Stage::new(2, 64);
+        stage.at(address);
+        stage.send(1);
+        let mut first = Peer::accept(&stage, &listener).await;
+        stage.until(|| first.has("RUN 0000000000000001")).await;
+        let oldest = next_open_since(&mut stage).await.unwrap();
+        stage.send(2);
+        let second = Peer::accept(&stage, &listener).await;
+        drop(first);
+        let next = next_open_since(&mut stage).await.unwrap();
+        assert!(next > oldest, "{next} after {oldest}");
+        drop(second);
+        assert_eq!(next_open_since(&mut stage).await, None);
+    });
+}
+
+/// Returns the establishment of the oldest connection, as next reported.
+async fn next_open_since(stage: &mut Stage) -> Option<Micros> {
+    loop {
+        if let Some(Input::WorkerConnection { open_since, .. }) = stage.inputs.recv().await {
+            return open_since;
+        }
+    }
+}
--- a/crates/platform/tests/crossings/stage.rs
+++ b/crates/platform/tests/crossings/stage.rs
@@ -33,6 +33,8 @@
     pub tickets: RefCell<HashMap<u32, Ticket>>,
     /// The time before which attempts must start.
     pub start_by: Cell<Micros>,
+    /// The time by which the connection of an attempt must have been established.
+    pub connected_by: Cell<Micros>,
 }
 
 /// Runs a test on the front end's single thread.
@@ -90,6 +92,7 @@
             inputs,
             tickets: RefCell::default(),
             start_by: Cell::new(Micros::MAX),
+            connected_by: Cell::new(Micros::MAX),
         }
     }
 
@@ -123,6 +126,7 @@
             class: 0,
             function: "7f3a9c21e0b4d655".into(),
             start_by: self.start_by.get(),
+            connected_by: self.connected_by.get(),
             deadline: self.shared.clock.now() + 60_000_000 as Micros,
             body,
             content_type: None,
--- a/crates/platform/tests/descriptors/stage.rs
+++ b/crates/platform/tests/descriptors/stage.rs
@@ -137,6 +137,7 @@
             correlation: format!("{request:016x}").into(),
             ticket: u64::from(request),
             start_by: i64::MAX,
+            connected_by: Micros::MAX,
             intent: None,
         });
         self.executors.flush_all();
