Platform: a connection that accepts nothing new does not count as a known way to its executor

A connection on which a request was cut off, or that stayed silent after an abandoned one, remains open and accepts nothing. As the oldest connection it counted as a way to its executor, so that attempts of keyed requests which need an old connection were decided for it and ended as `Full`, one after the other. Change: only connections that accept requests count, and an attempt that finds none has the oldest one reported again. Measured: a_connection_that_accepts_nothing_new_is_no_longer_reported does not end without the report, and passes with it.

--- a/crates/platform/src/executors/commands.rs
+++ b/crates/platform/src/executors/commands.rs
@@ -53,7 +53,11 @@
             return Err(Outcome::ConnectFailed);
         }
         let needs = ConnectionNeeds { id: Some(id), connected_by: attempt.connected_by };
-        let Some(connection) = self.select(attempt.worker, needs) else { return Err(Outcome::Full) };
+        let Some(connection) = self.select(attempt.worker, needs) else {
+            // The connection that the decision relied on may have ceased to accept requests.
+            self.report_connection(attempt.worker);
+            return Err(Outcome::Full);
+        };
         let now = self.shared.clock.now();
         let run = RunRequest { class, function: &attempt.function, deadline: attempt.deadline };
         let exchange = Exchange::Attempt { request: attempt.request, attempt: attempt.attempt };
--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -42,9 +42,15 @@
 }
 
 impl Connection {
-    /// Returns when it was established, if it is open and leads to the executor's current address.
+    /// Whether it accepts no new requests although it may be open.
+    pub fn accepts_none(&self) -> bool {
+        let protocol = self.protocol.borrow();
+        self.has_moved.get() || protocol.is_silent() || protocol.is_truncated()
+    }
+
+    /// Returns when it was established, if it is open and accepts new requests.
     pub fn open_since(&self) -> Option<Micros> {
-        let is_usable = self.state.get() == State::Open && !self.has_moved.get();
+        let is_usable = self.state.get() == State::Open && !self.accepts_none();
         is_usable.then(|| self.established_at.get())
     }
 
@@ -225,10 +231,7 @@
     fn note_connected(&self, connection: &Connection) {
         connection.established_at.set(self.shared.clock.now());
         connection.state.set(State::Open);
-        let mut executors = self.executors.borrow_mut();
-        let executor = executors.get_mut(&connection.worker);
-        let report = executor.and_then(|executor| executor.report_connection(connection.worker));
-        self.queued_inputs.borrow_mut().extend(report);
+        self.report_connection(connection.worker);
     }
 
     async fn on_connection_ended(&self, connection: &Rc<Connection>) {
@@ -263,7 +266,7 @@
                 if executor.connections.is_empty() {
                     self.connected.borrow_mut().remove(&connection.worker);
                 }
-                inputs.extend(executor.report_connection(connection.worker));
+                inputs.extend(executor.connection_report(connection.worker));
                 if !executor.ready && executor.connections.is_empty() {
                     executors.remove(&connection.worker);
                 }
@@ -297,9 +300,8 @@
             };
             let is_idle = protocol.is_idle();
             let is_unused = now - protocol.active_at() >= limits.idle_close - limits.idle_close / 8;
-            let accepts_none = connection.has_moved.get() || protocol.is_silent() || protocol.is_truncated();
-            let can_close = is_idle && (is_unused || !executor.ready || accepts_none);
             drop(protocol);
+            let can_close = is_idle && (is_unused || !executor.ready || connection.accepts_none());
             if let Err(violation) = expired {
                 self.close_expired(connection, violation);
             } else if can_close {
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -32,14 +32,14 @@
 }
 
 impl Executor {
-    /// Returns when the oldest open connection to its current address was established.
+    /// Returns when its oldest open connection that accepts new requests was established.
     fn open_since(&self) -> Option<Micros> {
         let open = self.connections.iter().filter_map(|connection| connection.open_since());
         open.min()
     }
 
     /// Returns the report of its oldest open connection, if that changed since the last report.
-    fn report_connection(&mut self, worker: WorkerId) -> Option<Input> {
+    fn connection_report(&mut self, worker: WorkerId) -> Option<Input> {
         let open_since = self.open_since();
         if open_since == self.reported_open_since {
             return None;
@@ -202,7 +202,7 @@
                 executor.address = listed.address.as_str().into();
                 // The process at the old address is no longer this executor, so nothing new is sent there.
                 executor.connections.iter().for_each(|connection| connection.has_moved.set(true));
-                self.queued_inputs.borrow_mut().extend(executor.report_connection(listed.endpoint.worker));
+                self.queued_inputs.borrow_mut().extend(executor.connection_report(listed.endpoint.worker));
             }
             self.withdraw(&mut executors, listed.endpoint.worker, &mut inputs);
         }
@@ -210,6 +210,13 @@
         inputs
     }
 
+    /// Reports the oldest open connection to an executor with the next inputs, if it changed.
+    fn report_connection(&self, worker: WorkerId) {
+        let mut executors = self.executors.borrow_mut();
+        let report = executors.get_mut(&worker).and_then(|executor| executor.connection_report(worker));
+        self.queued_inputs.borrow_mut().extend(report);
+    }
+
     fn set_ready(&self, executor: &mut Executor, is_ready: bool) {
         let ready = self.ready.get() - usize::from(executor.ready) + usize::from(is_ready);
         self.ready.set(ready);
--- a/crates/platform/src/executors/selection.rs
+++ b/crates/platform/src/executors/selection.rs
@@ -104,13 +104,10 @@
             let executor = executors.get(&worker)?;
             let max_connections = self.bounds.per_executor(self.ready.get());
             let is_usable = |l: &&Rc<Connection>| {
-                let protocol = l.protocol.borrow();
-                let has_capacity = protocol.attempts() < self.limits.streams;
+                let has_capacity = l.protocol.borrow().attempts() < self.limits.streams;
                 has_capacity
                     && needs.are_met_by(l)
-                    && !l.has_moved.get()
-                    && !protocol.is_silent()
-                    && !protocol.is_truncated()
+                    && !l.accepts_none()
                     && !matches!(l.state.get(), State::Closed(_))
             };
             let mut idle = None;
--- a/crates/platform/tests/crossings/keyed.rs
+++ b/crates/platform/tests/crossings/keyed.rs
@@ -230,6 +230,24 @@
     });
 }
 
+/// Guards against a repeat that is decided again and again for a connection that no longer accepts requests.
+#[test]
+fn a_connection_that_accepts_nothing_new_is_no_longer_reported() {
+    on_one_thread(async {
+        let (listener, address) = listen(8);
+        let mut stage = Stage::new(1, 64);
+        stage.at(address);
+        let (_peer, last, _) = fill_socket(&stage, &listener).await;
+        assert!(next_open_since(&mut stage).await.is_some());
+        // Nothing may follow a request that is partly written.
+        stage.executors.abort(last, 0);
+        stage.connected_by.set(stage.shared.clock.now());
+        stage.send(3);
+        assert_eq!(next_open_since(&mut stage).await, None);
+        assert_eq!(stage.end().await, (3, Outcome::Full));
+    });
+}
+
 /// Returns the establishment of the oldest connection, as next reported.
 async fn next_open_since(stage: &mut Stage) -> Option<Micros> {
     loop {
