Platform: the selection of an executor's connection in short steps

Behaviour as before: which connections are usable, the idle one, the least loaded one, and whether another is opened have a function each.

--- a/crates/platform/src/executors/selection.rs
+++ b/crates/platform/src/executors/selection.rs
@@ -1,7 +1,7 @@
 //! Selects the connection for a request, and decides when to open another one.
 
 use super::connection::{Connection, State};
-use super::Executors;
+use super::{Executor, Executors};
 use crate::connection::{Closure, ConnectionState};
 use crate::descriptors::DescriptorHolder;
 use crate::poll_times::{TaskKind, TimedTask};
@@ -92,8 +92,8 @@
     /// Selects a connection for a request: an idle one, else the open one with the fewest attempts that has capacity, else
     /// one in its handshake, else a new one. If none is idle, a further connection is also opened within the limits on
     /// connections and handshakes of an executor, if the executor is ready. None is opened beside an idle one, because
-    /// every front end holds connections to every executor.
-    /// A new connection is not selected for a request that needs an earlier one.
+    /// every front end holds connections to every executor. A new connection is not selected for a request that needs an
+    /// earlier one.
     pub(super) fn select(
         self: &Rc<Self>,
         worker: WorkerId,
@@ -102,43 +102,14 @@
         let (chosen, may_open) = {
             let executors = self.executors.borrow();
             let executor = executors.get(&worker)?;
-            let max_connections = self.bounds.per_executor(self.ready.get());
-            let is_usable = |l: &&Rc<Connection>| {
-                let has_capacity = l.protocol.borrow().attempts() < self.limits.streams;
-                has_capacity
-                    && needs.are_met_by(l)
-                    && !l.accepts_none()
-                    && !matches!(l.state.get(), State::Closed(_))
-            };
-            let mut idle = None;
-            for connection in executor.connections.iter().filter(is_usable) {
-                if connection.state.get() != State::Open || !connection.protocol.borrow().is_idle() {
-                    continue;
-                }
-                // A closed connection is detected before anything is written to it.
-                if is_closed_by_peer(connection) {
-                    connection.end(Closure::Broken);
-                    continue;
-                }
-                let active_at = connection.protocol.borrow().active_at();
-                if idle.as_ref().is_none_or(|(at, _)| active_at > *at) {
-                    idle = Some((active_at, connection.clone()));
-                }
-            }
-            let least_loaded = |state: State| {
-                let connections =
-                    executor.connections.iter().filter(is_usable).filter(|l| l.state.get() == state);
-                connections.min_by_key(|l| l.protocol.borrow().attempts()).cloned()
-            };
-            let connecting =
-                executor.connections.iter().filter(|l| l.state.get() == State::Connecting).count();
-            let may_open =
-                idle.is_none() && executor.connections.len() < max_connections && connecting < MAX_HANDSHAKES;
+            let usable: Vec<&Rc<Connection>> =
+                executor.connections.iter().filter(|connection| self.is_usable(connection, needs)).collect();
+            let idle = take_idle(&usable);
+            let may_open = idle.is_none() && self.may_open(executor);
             let chosen = idle
-                .map(|(_, l)| l)
-                .or_else(|| least_loaded(State::Open))
-                .or_else(|| least_loaded(State::Connecting));
-            (chosen, may_open && executor.ready)
+                .or_else(|| least_loaded(&usable, State::Open))
+                .or_else(|| least_loaded(&usable, State::Connecting));
+            (chosen, may_open)
         };
         if chosen.is_none() || may_open {
             let opened = self.open(worker);
@@ -147,6 +118,50 @@
         self.count(|c| c.reused += 1);
         chosen
     }
+
+    /// Whether a connection has capacity for a request with these needs.
+    fn is_usable(&self, connection: &Connection, needs: ConnectionNeeds) -> bool {
+        connection.protocol.borrow().attempts() < self.limits.streams
+            && needs.are_met_by(connection)
+            && !connection.accepts_none()
+            && !matches!(connection.state.get(), State::Closed(_))
+    }
+
+    /// Whether a further connection to an executor may be opened beside those that it has.
+    fn may_open(&self, executor: &Executor) -> bool {
+        let is_connecting = |connection: &&Rc<Connection>| connection.state.get() == State::Connecting;
+        let connecting = executor.connections.iter().filter(is_connecting).count();
+        let max_connections = self.bounds.per_executor(self.ready.get());
+        executor.ready && executor.connections.len() < max_connections && connecting < MAX_HANDSHAKES
+    }
+}
+
+/// Returns the idle connection that was used last. Those that the executor closed are detected before anything is
+/// written to them, and ended.
+fn take_idle(usable: &[&Rc<Connection>]) -> Option<Rc<Connection>> {
+    let mut idle: Option<(Micros, Rc<Connection>)> = None;
+    for &connection in usable {
+        if connection.state.get() != State::Open || !connection.protocol.borrow().is_idle() {
+            continue;
+        }
+        if is_closed_by_peer(connection) {
+            connection.end(Closure::Broken);
+            continue;
+        }
+        let active_at = connection.protocol.borrow().active_at();
+        if idle.as_ref().is_none_or(|(latest, _)| active_at > *latest) {
+            idle = Some((active_at, connection.clone()));
+        }
+    }
+    idle.map(|(_, connection)| connection)
+}
+
+/// Returns the connection in this state with the fewest attempts.
+fn least_loaded(usable: &[&Rc<Connection>], state: State) -> Option<Rc<Connection>> {
+    let in_state = usable.iter().filter(|connection| connection.state.get() == state);
+    in_state
+        .min_by_key(|connection| connection.protocol.borrow().attempts())
+        .map(|&connection| connection.clone())
 }
 
 impl DescriptorHolder for Executors {
