A first keyed attempt goes on any connection, and its end tells which process it reached

A first attempt of a keyed request was sent only on a connection from before the last empty frame where its executor had one. With few places on each connection (`multiplex`), or many open requests, it would end as `Full` beside free younger connections, and use up the request's attempts. Change: only repeats need an old connection. The end of an attempt tells when its connection was established, and with it what process it reached. Known once, it stays known when its executor ends or restarts.

--- a/crates/core/benches/fleet_size.rs
+++ b/crates/core/benches/fleet_size.rs
@@ -106,6 +106,7 @@
                 copy: CopyReport::default(),
                 elapsed: 5 * MS,
                 report: None,
+                connected_at: Micros::MAX,
             })),
             Action::Load { worker, function, .. } => Some(Event::Loaded {
                 worker: *worker,
--- a/crates/core/benches/held.rs
+++ b/crates/core/benches/held.rs
@@ -146,6 +146,7 @@
             copy: CopyReport { state: 1, concurrency: 0 },
             elapsed: 100 * MS,
             report: None,
+            connected_at: Micros::MAX,
         }))
     }
 
--- a/crates/core/src/interface/event.rs
+++ b/crates/core/src/interface/event.rs
@@ -198,4 +198,6 @@
     pub elapsed: Micros,
     /// The worker's load report, if the answer carried one.
     pub report: LoadReport,
+    /// When the connection that carried it was established, at the latest; [`Micros::MAX`]: not known.
+    pub connected_at: Micros,
 }
--- a/crates/core/src/policy/completion.rs
+++ b/crates/core/src/policy/completion.rs
@@ -1,6 +1,6 @@
 //! Handles the end of an attempt: the next step of its request, and the slow start of its worker.
 
-use super::call::{Execution, ReachedProcess};
+use super::call::Execution;
 use super::load_budget::LoadOrder;
 use super::queue::EnqueueReason;
 use super::worker::Attempt;
@@ -28,7 +28,8 @@
             self.remove_request(end.request);
             return;
         }
-        self.record_execution(end, now);
+        self.record_execution(end);
+        self.record_reached_process(end, now);
         self.continue_call(index, end, now, actions);
     }
 
@@ -57,14 +58,11 @@
         }
     }
 
-    fn record_execution(&mut self, end: &AttemptEnd, now: Micros) {
+    fn record_execution(&mut self, end: &AttemptEnd) {
         let Some(call) = self.pending.get_mut(&end.request) else { return };
         if let Some(attempt) = call.attempts.get_mut(end.attempt as usize) {
             let never_ran = matches!(end.outcome, Full | ConnectFailed | Superseded | Miss);
             attempt.execution = if never_ran { Execution::NeverRan } else { Execution::MayHaveRun };
-            if attempt.process == ReachedProcess::ConnectedBy(Micros::MAX) {
-                attempt.process = ReachedProcess::ConnectedBy(now);
-            }
         }
     }
 
--- a/crates/core/src/policy/process_identity.rs
+++ b/crates/core/src/policy/process_identity.rs
@@ -15,6 +15,24 @@
 use super::FrontEnd;
 use crate::interface::*;
 
+/// A period over which the endpoint list is known to have named one process of a worker.
+#[derive(Clone, Copy)]
+struct ListedPeriod {
+    /// Since when it has named the worker.
+    listed_since: Micros,
+    /// Since when it has named the process.
+    process_since: Micros,
+    until: Micros,
+}
+
+impl ListedPeriod {
+    /// Whether the attempt was sent after the list named the process, on a connection that was established while it did.
+    fn covers(self, attempt: &AttemptRecord) -> bool {
+        let ReachedProcess::ConnectedBy(connected_by) = attempt.process else { return false };
+        attempt.sent_at >= self.process_since && (self.listed_since..=self.until).contains(&connected_by)
+    }
+}
+
 impl FrontEnd {
     /// Whether the workers that drop the repeats of a class are those of one cell or zone.
     pub(super) fn depends_on_key_group(&self, class: u16) -> bool {
@@ -30,27 +48,53 @@
         self.depends_on_key_group(call.request.class) && !call.never_ran()
     }
 
+    /// Whether the source of the list reports up to when it is complete. If not, each process counts as the listed one.
+    pub(super) fn is_completeness_reported(&self) -> bool {
+        self.list_validity.complete_at < Micros::MAX
+    }
+
     /// Returns the time by which a connection must be established to lead to the listed worker, or `None` if no
     /// connection to it is known to do so.
     pub(super) fn known_connection(&self, worker: &Worker) -> Option<Micros> {
-        let complete_at = self.list_validity.complete_at;
-        if complete_at == Micros::MAX {
+        if !self.is_completeness_reported() {
             return Some(Micros::MAX);
         }
+        let complete_at = self.list_validity.complete_at;
         let connected_since = worker.confirmation.connected_since?;
-        let is_known = (worker.listed_since..=complete_at).contains(&connected_since);
-        is_known.then_some(complete_at)
+        (worker.listed_since..=complete_at).contains(&connected_since).then_some(complete_at)
     }
 
-    /// Whether the process that an attempt reached is known to be the worker that the list named.
-    fn reached_known_process(&self, attempt: &AttemptRecord) -> bool {
-        let ReachedProcess::ConnectedBy(connected_by) = attempt.process else { return true };
-        let Some(&index) = self.worker_index.get(&attempt.worker) else { return false };
+    /// Returns the period over which the list is known to have named the present process of a worker, or the last one.
+    fn listed_period(&self, worker: WorkerId) -> Option<ListedPeriod> {
+        let &index = self.worker_index.get(&worker)?;
         let worker = &self.workers[index];
-        let same_process_since = worker.listed_since.max(worker.start_reported_at);
         let is_listed = worker.endpoint.lifecycle != Lifecycle::Gone;
-        let listed_until = if is_listed { self.list_validity.complete_at } else { worker.listed_until };
-        attempt.sent_at >= same_process_since && connected_by <= listed_until
+        Some(ListedPeriod {
+            listed_since: worker.listed_since,
+            process_since: worker.listed_since.max(worker.start_reported_at),
+            until: if is_listed { self.list_validity.complete_at } else { worker.listed_until },
+        })
+    }
+
+    /// Whether the process that an attempt reached is known to be the worker that the list named.
+    fn reached_known_process(&self, attempt: &AttemptRecord) -> bool {
+        attempt.process == ReachedProcess::Known
+            || self.listed_period(attempt.worker).is_some_and(|period| period.covers(attempt))
+    }
+
+    /// Records what the end of an attempt shows of the process that it reached. A process that is known by now remains
+    /// known, whatever the list reports of its worker later.
+    pub(super) fn record_reached_process(&mut self, end: &AttemptEnd, now: Micros) {
+        let period = self.listed_period(end.worker);
+        let Some(call) = self.pending.get_mut(&end.request) else { return };
+        let Some(attempt) = call.attempts.get_mut(end.attempt as usize) else { return };
+        if attempt.process == ReachedProcess::Known {
+            return;
+        }
+        attempt.process = ReachedProcess::ConnectedBy(end.connected_at.min(now));
+        if period.is_some_and(|period| period.covers(attempt)) {
+            attempt.process = ReachedProcess::Known;
+        }
     }
 
     /// Rule 2: whether the worker is within the deduplication scope of the earlier attempts that may have run.
--- a/crates/core/src/policy/send.rs
+++ b/crates/core/src/policy/send.rs
@@ -33,14 +33,13 @@
         let relative_work = self.relative_work(call.request.class);
         let start_by = self.confirmed_until(worker);
         let key_group = KeyGroup::of(&worker.endpoint);
-        // A first attempt need not reach a known process, but without one the request can't be sent again at once.
-        let known_connection =
-            self.known_connection(worker).filter(|_| self.depends_on_key_group(call.request.class));
-        let process = match known_connection {
-            Some(_) => ReachedProcess::Known,
-            None => ReachedProcess::ConnectedBy(Micros::MAX),
-        };
+        let known_connection = self.known_connection(worker).filter(|_| self.needs_known_process(call));
         let connected_by = known_connection.unwrap_or(Micros::MAX);
+        let process = if known_connection.is_some() || !self.is_completeness_reported() {
+            ReachedProcess::Known
+        } else {
+            ReachedProcess::ConnectedBy(Micros::MAX)
+        };
         self.mark_dirty(index);
         self.start_slot(index, now);
         self.dequeue(id);
--- a/crates/core/src/wire/raw_record.rs
+++ b/crates/core/src/wire/raw_record.rs
@@ -126,6 +126,7 @@
             elapsed: millis_at(bytes, 18),
             outcome: self.outcome(26)?,
             report: load_report(bytes, 28),
+            connected_at: Micros::MAX,
         })
     }
 
--- a/crates/core/tests/load_budget.rs
+++ b/crates/core/tests/load_budget.rs
@@ -167,6 +167,7 @@
                         copy: copy_report,
                         elapsed: elapsed_time,
                         report: None,
+                        connected_at: Micros::MAX,
                     };
                     scheduled_events.push((now + elapsed_time, Event::AttemptEnded(end)));
                 }
--- a/crates/core/tests/only_attempt.rs
+++ b/crates/core/tests/only_attempt.rs
@@ -91,6 +91,7 @@
                     copy: CopyReport { state: has_copy as u8, concurrency: 0 },
                     elapsed: elapsed_time,
                     report: None,
+                    connected_at: Micros::MAX,
                 };
                 let end = if has_copy {
                     CallOutcome::Served(worker, now + elapsed_time)
--- a/crates/core/tests/recording/outcomes.rs
+++ b/crates/core/tests/recording/outcomes.rs
@@ -106,6 +106,7 @@
             copy: copy_report,
             elapsed: elapsed_time,
             report,
+            connected_at: Micros::MAX,
         };
         self.send(front, sent + elapsed_time, Event::AttemptEnded(ended));
     }
--- a/crates/core/tests/rules/process_identity.rs
+++ b/crates/core/tests/rules/process_identity.rs
@@ -38,6 +38,12 @@
     harness
 }
 
+/// Returns the end of a first attempt, whose connection was established at this time.
+fn ended_on(connected_at: Micros, worker: WorkerId, outcome: Outcome) -> Event {
+    let Event::AttemptEnded(end) = ended(1, 0, worker, outcome) else { unreachable!() };
+    Event::AttemptEnded(AttemptEnd { connected_at, ..end })
+}
+
 /// Moves a worker to a connection that was established just now.
 fn reconnect(harness: &mut Harness, worker: WorkerId) {
     harness.step(STEP, vec![Event::WorkerConnection { worker, open_since: None }]);
@@ -64,12 +70,11 @@
 fn rule_2_a_keyed_repeat_waits_until_the_list_confirms_the_process_at_a_new_connection() {
     for (scope, workers) in [(CELL, SAME_CELL), (ZONE, SAME_ZONE)] {
         let mut harness = with_known(scope, &workers);
-        let complete_at = harness.now;
-        let first = targets(&harness.step(STEP, vec![request(1, 0, 9)]));
-        assert_eq!(first.iter().map(|send| send.1).collect::<Vec<_>>(), [complete_at], "{scope}");
-        let other = workers[0] + workers[1] - first[0].0;
+        let connected_at = harness.now;
+        let first = sends(&harness.step(STEP, vec![request(1, 0, 9)]))[0].1;
+        let other = workers[0] + workers[1] - first;
         reconnect(&mut harness, other);
-        let mut sent = targets(&harness.step(STEP, vec![ended(1, 0, first[0].0, Outcome::Error)]));
+        let mut sent = targets(&harness.step(STEP, vec![ended_on(connected_at, first, Outcome::Error)]));
         sent.extend(sends_within(&mut harness, 20));
         assert_eq!(sent, [], "{scope}");
         let report = complete_list(&harness);
@@ -81,25 +86,42 @@
 #[test]
 fn rule_2_a_keyed_repeat_fails_if_the_list_never_confirms_the_process() {
     let mut harness = with_known(CELL, &SAME_CELL);
+    let connected_at = harness.now;
     let first = sends(&harness.step(STEP, vec![request(1, 0, 9)]))[0].1;
     reconnect(&mut harness, 5 - first);
-    let mut actions = harness.step(STEP, vec![ended(1, 0, first, Outcome::Error)]);
+    let mut actions = harness.step(STEP, vec![ended_on(connected_at, first, Outcome::Error)]);
     (0..STEPS).for_each(|_| actions.extend(harness.step(STEP, vec![])));
     assert_eq!(sends(&actions), []);
     assert!(has_failed(&actions, 1));
 }
 
+/// What is known of a process when its attempt ends stays known, so that its restart does not cost the repeat.
+#[test]
+fn rule_2_a_keyed_request_is_sent_again_after_its_worker_ended_or_restarted() {
+    for lifecycle in [Lifecycle::Gone, Lifecycle::Ready] {
+        let mut harness = with_known(CELL, &SAME_CELL);
+        let complete_at = harness.now;
+        let first = sends(&harness.step(STEP, vec![request(1, 0, 9)]))[0].1;
+        let started = harness.now;
+        let changed = endpoint_list(EndpointUpdate::Delta, vec![endpoint(first, lifecycle, started)]);
+        let reset = ended_on(complete_at, first, Outcome::Reset);
+        let sent = targets(&harness.step(STEP, vec![reset, changed]));
+        assert_eq!(sent, [(5 - first, complete_at)], "{lifecycle:?}");
+    }
+}
+
 /// The first attempt itself may have reached a process of another cell.
 #[test]
 fn rule_2_a_keyed_request_that_ran_at_an_unknown_process_is_sent_again_once_the_list_confirms_it() {
     for is_gone in [false, true] {
         let mut harness = with_known(CELL, &[1]);
         reconnect(&mut harness, 1);
+        let connected_at = harness.now;
         assert_eq!(targets(&harness.step(STEP, vec![request(1, 0, 9)])), [(1, Micros::MAX)]);
         let joined = endpoint_list(EndpointUpdate::Delta, vec![endpoint(4, Lifecycle::Ready, 0)]);
         let open_since = harness.now;
         harness.step(0, vec![joined, connected(4, open_since)]);
-        let mut sent = targets(&harness.step(STEP, vec![ended(1, 0, 1, Outcome::Reset)]));
+        let mut sent = targets(&harness.step(STEP, vec![ended_on(connected_at, 1, Outcome::Reset)]));
         sent.extend(sends_within(&mut harness, 5));
         assert_eq!(sent, []);
         let mut events = vec![complete_list(&harness)];
@@ -116,9 +138,10 @@
 #[test]
 fn a_connection_is_opened_for_a_keyed_repeat_that_finds_none() {
     let mut harness = with_known(CELL, &[1]);
+    let connected_at = harness.now;
     assert_eq!(sends(&harness.step(STEP, vec![request(1, 0, 9)])), [(1, 1)]);
     harness.step(0, vec![endpoint_list(EndpointUpdate::Delta, vec![endpoint(4, Lifecycle::Ready, 0)])]);
-    let out = harness.step(STEP, vec![ended(1, 0, 1, Outcome::Error)]);
+    let out = harness.step(STEP, vec![ended_on(connected_at, 1, Outcome::Error)]);
     assert!(out.contains(&Action::HealthCheck { worker: 4 }), "{out:?}");
     let checked = Event::HealthChecked { worker: 4, outcome: Outcome::Ok, elapsed: STEP, report: None };
     let open_since = harness.now;
--- a/crates/core/tests/rules/support.rs
+++ b/crates/core/tests/rules/support.rs
@@ -61,6 +61,7 @@
         copy: copy_report,
         elapsed: 100 * MS,
         report: None,
+        connected_at: Micros::MAX,
     })
 }
 
--- a/crates/core/tests/slow_start/world.rs
+++ b/crates/core/tests/slow_start/world.rs
@@ -249,6 +249,7 @@
                 copy: CopyReport { state: 1, concurrency: 0 },
                 elapsed: 0,
                 report: None,
+                connected_at: Micros::MAX,
             };
             if from - at > self.s.max_wait {
                 (ended.concluded, ended.outcome) = (false, Outcome::Full);
--- a/crates/gateway/src/state/core/calls.rs
+++ b/crates/gateway/src/state/core/calls.rs
@@ -211,6 +211,7 @@
             copy: result.copy,
             elapsed: took,
             report: result.report,
+            connected_at: result.connected_at,
         };
         if !ended.concluded {
             let answer = (result.body, result.content_type);
--- a/crates/gateway/src/state/core/execute.rs
+++ b/crates/gateway/src/state/core/execute.rs
@@ -209,5 +209,6 @@
     outcome: Outcome,
 ) -> AttemptEnd {
     let copy = CopyReport::default();
-    AttemptEnd { request, attempt, worker, concluded, outcome, copy, elapsed: 0, report: None }
+    let connected_at = Micros::MAX;
+    AttemptEnd { request, attempt, worker, concluded, outcome, copy, elapsed: 0, report: None, connected_at }
 }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -132,6 +132,8 @@
     pub draining: Option<bool>,
     /// When the end of the attempt was read from the socket; 0: now.
     pub read_at: Micros,
+    /// When the connection that carried the attempt was established, at the latest; `Micros::MAX`: not known.
+    pub connected_at: Micros,
 }
 
 impl AttemptResult {
@@ -145,6 +147,7 @@
             content_type: None,
             draining: None,
             read_at: 0,
+            connected_at: Micros::MAX,
         }
     }
 }
@@ -266,7 +269,7 @@
     /// Nothing may be sent from this time on, because a worker that drops repeats by their key may have forgotten the key.
     pub start_by: Micros,
     /// The attempt may be sent only on a connection established by this time; `Micros::MAX`: on any. Only sources that
-    /// report how complete their list is cause such a limit.
+    /// report how complete their list is cause such a limit, on attempts after one that may have run.
     pub connected_by: Micros,
     /// The key of the call's intent record, if attempts are recorded on disk.
     pub intent: Option<(Identity, Ticket)>,
--- a/crates/gateway/src/workers/http_response.rs
+++ b/crates/gateway/src/workers/http_response.rs
@@ -4,7 +4,7 @@
 use hyper::header::{HeaderMap, CONTENT_TYPE};
 use hyper::StatusCode;
 use serde_json::Value;
-use stagehoist::{CopyReport, LoadReport, Outcome};
+use stagehoist::{CopyReport, LoadReport, Micros, Outcome};
 
 use crate::state::AttemptResult;
 
@@ -101,6 +101,7 @@
 ) -> AttemptResult {
     AttemptResult {
         read_at: 0,
+        connected_at: Micros::MAX,
         outcome: outcome(status, headers),
         copy: copy_report(headers),
         report: load_report(headers, fields),
--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -258,7 +258,7 @@
         }
         let mut inputs = Vec::new();
         connection.protocol.borrow_mut().end(closure, self.shared.clock.now(), &mut inputs);
-        self.remove_ended(&inputs);
+        self.remove_ended(&mut inputs);
         {
             let mut executors = self.executors.borrow_mut();
             if let Some(executor) = executors.get_mut(&connection.worker) {
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -206,7 +206,7 @@
             }
             self.withdraw(&mut executors, listed.endpoint.worker, &mut inputs);
         }
-        self.remove_ended(&inputs);
+        self.remove_ended(&mut inputs);
         inputs
     }
 
@@ -246,12 +246,13 @@
         }
     }
 
-    /// Removes the attempts that these inputs end.
-    fn remove_ended(&self, inputs: &[Input]) {
+    /// Removes the attempts that these inputs end, and completes the inputs with what is known of their connections.
+    fn remove_ended(&self, inputs: &mut [Input]) {
         let mut in_flight = self.in_flight_attempts.borrow_mut();
         for item in inputs {
-            if let Input::AttemptEnded { request, attempt, .. } = item {
-                in_flight.remove(&(*request, *attempt));
+            let Input::AttemptEnded { request, attempt, result } = item else { continue };
+            if let Some(ended) = in_flight.remove(&(*request, *attempt)) {
+                result.connected_at = ended.connection.established_at.get();
             }
         }
         if in_flight.capacity() > 8 * in_flight.len() + 1024 {
--- a/crates/platform/src/executors/writing.rs
+++ b/crates/platform/src/executors/writing.rs
@@ -76,7 +76,7 @@
         if protocol.is_truncated() && !must_close {
             protocol.withdraw(now, &mut inputs);
         }
-        self.remove_ended(&inputs);
+        self.remove_ended(&mut inputs);
         self.queued_inputs.borrow_mut().extend(inputs);
         must_close
     }
@@ -89,7 +89,7 @@
         if protocol.is_truncated() && !must_close {
             let mut inputs = Vec::new();
             protocol.withdraw(now, &mut inputs);
-            self.remove_ended(&inputs);
+            self.remove_ended(&mut inputs);
             self.queued_inputs.borrow_mut().extend(inputs);
         }
         must_close
--- a/crates/platform/tests/crossings/keyed.rs
+++ b/crates/platform/tests/crossings/keyed.rs
@@ -230,6 +230,25 @@
     });
 }
 
+#[test]
+fn the_end_of_an_attempt_tells_when_its_connection_was_established() {
+    on_one_thread(async {
+        let (listener, address) = listen(8);
+        let mut stage = Stage::new(1, 64);
+        stage.at(address);
+        stage.send(1);
+        let peer = Peer::accept(&stage, &listener).await;
+        let open_since = next_open_since(&mut stage).await.unwrap();
+        drop(peer);
+        let ended = loop {
+            if let Some(Input::AttemptEnded { result, .. }) = stage.inputs.recv().await {
+                break result;
+            }
+        };
+        assert_eq!((ended.outcome, ended.connected_at), (Outcome::Reset, open_since));
+    });
+}
+
 /// Guards against a repeat that is decided again and again for a connection that no longer accepts requests.
 #[test]
 fn a_connection_that_accepts_nothing_new_is_no_longer_reported() {
--- a/crates/scale-tests/src/front_end/player.rs
+++ b/crates/scale-tests/src/front_end/player.rs
@@ -156,6 +156,7 @@
                     copy: CopyReport { state: copy, concurrency: 0 },
                     elapsed: took,
                     report: None,
+                    connected_at: Micros::MAX,
                 })
             }
             Due::Loaded { worker, function, took } => Event::Loaded {
--- a/crates/sharding/tests/transition.rs
+++ b/crates/sharding/tests/transition.rs
@@ -122,6 +122,7 @@
                         copy: CopyReport::default(),
                         elapsed: 10_000,
                         report: None,
+                        connected_at: Micros::MAX,
                     }));
                 }
             }
