Comments: what fills an executor in a test, and how complete a list is

The test's executors take two requests, not one. After a stall the end of a connection may end the validity before the time up to which the list is complete, so the doc comment no longer says that this never happens. No code changes.

--- a/crates/cli/tests/platform/replacement.rs
+++ b/crates/cli/tests/platform/replacement.rs
@@ -15,7 +15,7 @@
 const PAUSE: Duration = Duration::from_millis(4);
 /// The executors fail one in so many requests.
 const ERROR_INTERVAL: u64 = 3;
-/// The event bus writes a frame each second.
+/// Somewhat longer than the second between two frames of the event bus.
 const FRAME_INTERVAL: Duration = Duration::from_millis(1100);
 /// By then the endpoint list of a silent event bus is old.
 const LIST_EXPIRY: Duration = Duration::from_millis(2500);
@@ -33,7 +33,7 @@
         let hosts = config["known"]["batch"][0]["topology"]["hosts"].as_array_mut().unwrap();
         for (host, cell) in hosts.iter_mut().zip(cells) {
             host["block"] = json!(cell);
-            // A single request fills an executor, so that all of them get requests.
+            // Two requests fill an executor, so that all of them get requests.
             host["share"] = json!(2.0);
         }
     })
--- a/crates/core/src/interface/event.rs
+++ b/crates/core/src/interface/event.rs
@@ -114,8 +114,8 @@
     EndpointListValid {
         /// End of the validity; may be in the past.
         until: Micros,
-        /// The list is known to contain every change up to this time. Never after `until`: up to then further changes
-        /// may have happened that the source has not reported yet.
+        /// The list is known to contain every change up to this time. Between then and `until` further changes may
+        /// have happened that the source has not reported yet.
         complete_at: Micros,
     },
     /// The oldest open connection to a worker changed.
