Policy: a worker that rejects an attempt is not confirmed by a list from before

Callers' requests were sent on to executors that had drained and answered BUSY, for as long as the list counted as valid: a bus that is in time until just before a drain and then late is found out only when its next frame is overdue, up to 1.2 s later.

Cause: `Full` dropped the worker's own confirmation, but the list went on to confirm it.

Change: the list confirms a worker that rejected an attempt for lack of capacity only once it is known to contain every change up to the rejection (`complete_at`). Until then the worker is health-checked, or waits for the next frame where checks are not allowed. Workers that fail such checks are withdrawn and timed like those under an old list.

--- a/crates/cli/tests/outages/late_discovery.rs
+++ b/crates/cli/tests/outages/late_discovery.rs
@@ -167,3 +167,32 @@
             .late_since(1000 * MS, 1000),
     ]);
 }
+
+/// Guards against new work to an executor that rejects it, in the time until the next frame is overdue.
+#[test]
+fn an_executor_that_rejects_attempts_gets_no_more_from_a_list_that_may_lack_its_drain() {
+    let _lock = shared_lock();
+    let dense = |name, seed| Case { drains: 3, rate: 300.0, ..Case::new(name, seed) };
+    assert_rules_kept(&[
+        dense("late by 0.35 s since 10 ms before the drain", 11).late_since(10 * MS, 350),
+        dense("late by 1 s since 10 ms before the drain", 12).late_since(10 * MS, 1000),
+        dense("late by 1.6 s since 10 ms before the drain", 13).late_since(10 * MS, 1600),
+    ]);
+}
+
+/// Guards against the first attempt at an executor that drained while the list counts as valid and no attempt renewed the
+/// evidence of the executor within the grace.
+#[test]
+fn an_executor_with_few_attempts_gets_none_after_a_drain_that_a_bus_in_time_until_then_reports_late() {
+    let _lock = shared_lock();
+    assert_rules_kept(&[
+        Case { drains: 3, ..Case::new("late by 1 s since 10 ms before the drain", 12) }
+            .late_since(10 * MS, 1000),
+        Case {
+            drains: 2,
+            run: 250 * MS,
+            ..Case::new("runs of 0.25 s, late since 10 ms before the drain", 14)
+        }
+        .late_since(10 * MS, 1600),
+    ]);
+}
--- a/crates/core/src/policy/confirmation.rs
+++ b/crates/core/src/policy/confirmation.rs
@@ -8,12 +8,16 @@
 //! at some time after that. If a request is placed on an unconfirmed worker, the worker is health-checked, which is not
 //! new work; the request waits for the result or is sent to another worker. Front ends without requests check no worker.
 //!
+//! The source may report changes late without knowing it. A worker that rejects an attempt for lack of capacity may be
+//! draining, so the list does not confirm it until it is known to contain every change up to the rejection.
+//!
 //! A failed check does not prove that the worker is draining: a draining worker fails all checks, but one without free
 //! capacity fails some. A worker that fails several checks in a row is withdrawn: between checks it is treated as
 //! unlisted, until it passes one.
 
 use super::call::CallGroup;
 use super::estimates::Estimates;
+use super::list_validity::ListValidity;
 use super::worker::Worker;
 use super::FrontEnd;
 use crate::interface::*;
@@ -39,6 +43,8 @@
     pub failing_since: Micros,
     /// The worker is not checked again before this time.
     pub next_check_at: Micros,
+    /// When the end of the latest attempt arrived that the worker rejected for lack of capacity.
+    pub rejected_at: Option<Micros>,
     /// When the oldest open connection was established.
     pub connected_since: Option<Micros>,
     /// Groups of the queued requests that wait for the check.
@@ -77,10 +83,23 @@
 
     /// Returns the time up to which new work may be written to a worker's connection.
     pub(super) fn confirmed_until(&self, worker: &Worker) -> Micros {
-        let valid_from = self.list_validity.until.max(worker.confirmation.confirmed_at);
+        let valid_from = self.list_confirms_until(worker).max(worker.confirmation.confirmed_at);
         valid_from.saturating_add(self.confirmation_lifetime())
     }
 
+    /// Returns the time up to which the list confirms a worker; 0 if the worker rejected an attempt and the list may lack
+    /// a drain that caused this.
+    fn list_confirms_until(&self, worker: &Worker) -> Micros {
+        let ListValidity { until, complete_at, .. } = self.list_validity;
+        let may_lack_drain =
+            worker.confirmation.rejected_at.is_some_and(|rejected_at| complete_at < rejected_at);
+        if may_lack_drain {
+            0
+        } else {
+            until
+        }
+    }
+
     /// Whether a worker is confirmed, by the list or by itself, and may get new work now.
     pub(super) fn is_confirmed(&self, worker: &Worker, now: Micros) -> bool {
         now <= self.confirmed_until(worker)
@@ -156,6 +175,7 @@
             Outcome::Ok | Outcome::Miss => self.confirm(index, sent_at, now, actions),
             Outcome::Full => {
                 let confirmation = &mut self.workers[index].confirmation;
+                confirmation.rejected_at = Some(now);
                 if confirmation.confirmed_at <= sent_at {
                     confirmation.confirmed_at = 0;
                 }
--- a/crates/core/src/policy/dispatch.rs
+++ b/crates/core/src/policy/dispatch.rs
@@ -39,12 +39,10 @@
 
     fn fleet_health(&self, now: Micros) -> FleetHealth {
         let (mut ready, mut healthy) = (self.fleet.ready(), self.fleet.healthy());
-        if self.is_list_old(now) {
-            let unconfirmed = self.fleet.unconfirmed.iter().map(|&index| &self.workers[index]);
-            for worker in unconfirmed.filter(|worker| worker.ready && self.is_withdrawn(worker, now)) {
-                ready -= 1;
-                healthy -= usize::from(worker.is_healthy(now));
-            }
+        let unconfirmed = self.fleet.unconfirmed.iter().map(|&index| &self.workers[index]);
+        for worker in unconfirmed.filter(|worker| worker.ready && self.is_withdrawn(worker, now)) {
+            ready -= 1;
+            healthy -= usize::from(worker.is_healthy(now));
         }
         FleetHealth { ready, ignore_ejections: healthy * 2 < ready }
     }
--- a/crates/core/src/policy/worker_checks.rs
+++ b/crates/core/src/policy/worker_checks.rs
@@ -142,12 +142,10 @@
     /// Returns the next time at which a queued request may be considered for other workers or a worker may be checked
     /// again.
     pub(super) fn next_check(&self, now: Micros) -> Micros {
-        if !self.is_list_old(now) {
-            return Micros::MAX;
-        }
         let check_wait = self.check_wait();
         let unconfirmed = self.fleet.unconfirmed.iter().map(|&index| &self.workers[index]);
-        let due = unconfirmed.filter(|worker| worker.ready).filter_map(|worker| {
+        let barred = unconfirmed.filter(|worker| worker.ready && !self.is_confirmed(worker, now));
+        let due = barred.filter_map(|worker| {
             let confirmation = &worker.confirmation;
             let wait_ends_at =
                 confirmation.check_started_at.map(|check_started_at| check_started_at + check_wait);
--- a/crates/core/tests/rules/confirmation.rs
+++ b/crates/core/tests/rules/confirmation.rs
@@ -299,3 +299,45 @@
     let burst = sends(&harness.step(0, burst)).len();
     assert!(burst < 6, "{burst} of twelve requests sent to a worker that has just started");
 }
+
+/// Returns a harness whose endpoint list is valid for the next second, and known to be complete up to now.
+fn with_valid_list(overrides: &str, workers: &[WorkerId]) -> Harness {
+    let mut harness = Harness::new(overrides, workers);
+    let list_valid = list_valid_at(harness.now);
+    harness.step(0, vec![list_valid]);
+    harness
+}
+
+fn list_valid_at(complete_at: Micros) -> Event {
+    Event::EndpointListValid { until: complete_at + 1000 * MS, complete_at }
+}
+
+/// Guards against new work to a draining worker whose drain the list reports late, while the list counts as valid.
+#[test]
+fn rule_3_a_worker_that_rejects_an_attempt_is_not_confirmed_by_a_list_from_before() {
+    let mut harness = with_valid_list(HEALTH_CHECKS, &[1]);
+    let out = harness.step(MS, vec![request(1, 0, 9)]);
+    assert_eq!(sends(&out), [(1, 1)]);
+    let mut out = harness.step(MS, vec![ended(1, 0, 1, Outcome::Full)]);
+    for id in 2..50 {
+        out.extend(harness.step(4 * MS, vec![request(id, 0, 9)]));
+    }
+    assert_eq!((sends(&out), health_checks(&out)), (vec![], vec![1]));
+    // Only a check, or a list that is complete up to the rejection, shows that the worker was full.
+    let out = harness.step(MS, vec![check_ended(1, Outcome::Ok, MS)]);
+    assert_ne!(sends(&out), []);
+}
+
+#[test]
+fn a_list_that_is_complete_up_to_a_rejection_confirms_the_worker_again() {
+    let mut harness = with_valid_list("limits.probes=false\n", &[1]);
+    harness.step(MS, vec![request(1, 0, 9)]);
+    harness.step(MS, vec![ended(1, 0, 1, Outcome::Full)]);
+    let rejected_at = harness.now;
+    let mut out = harness.step(300 * MS, vec![request(2, 0, 9)]);
+    out.extend(harness.step(MS, vec![list_valid_at(rejected_at - 1)]));
+    assert_eq!(sends(&out), []);
+    let mut out = harness.step(MS, vec![list_valid_at(rejected_at)]);
+    out.extend(harness.step(MS, vec![request(3, 0, 9)]));
+    assert_ne!(sends(&out), []);
+}
