Platform: the first frame of a connection to the event bus may take 2 s

A bus that is late by 1.6 s answered a request just as the connection counted as silent, so that it was contacted again and its events could be missed.

Change: before its first frame a connection counts as silent after 2 s, later as before after 1.6 s. Where the bus is in time nothing changes; where it is silent on new connections too, the next one follows 0.4 s later.

--- a/crates/cli/tests/outages/late_discovery.rs
+++ b/crates/cli/tests/outages/late_discovery.rs
@@ -14,6 +14,8 @@
 const AFTER_DRAINS: Duration = Duration::from_millis(2500);
 /// Minimum part of the requests that is served while the bus is late and executors may be checked.
 const SERVED_PART: f64 = 0.9;
+/// Part of the log line about a connection on which the bus was silent. A late bus is silent once, when it becomes late.
+const SILENCE: &str = "sent nothing before the timeout";
 /// Maximum number of broken rules printed for each run.
 const MAX_PRINTED: usize = 8;
 
@@ -112,6 +114,10 @@
             case.seed,
             verdict.probes as f64 / requests.max(1) as f64
         );
+        let silences = verdict.logs.iter().filter(|line| line.contains(SILENCE)).count();
+        if silences > case.front_ends {
+            violations.push(format!("{}: the bus counted as silent {silences} times", case.name));
+        }
         let is_served_too_little = case.may_health_check && served < SERVED_PART;
         violations.extend(is_served_too_little.then(|| format!("{}: served {served:.3}", case.name)));
         let shown = verdict.broken.into_iter().take(MAX_PRINTED);
--- a/crates/platform/src/frame_schedule.rs
+++ b/crates/platform/src/frame_schedule.rs
@@ -26,6 +26,11 @@
         FrameSchedule { requested_at: now, response_time: None, written_at: None }
     }
 
+    /// Whether a frame arrived on the connection.
+    pub fn has_frames(&self) -> bool {
+        self.response_time.is_some()
+    }
+
     /// Records a frame with an event. Only the first frame of a connection tells anything, as events have no schedule.
     pub fn on_event(&mut self, arrived_at: Micros) {
         self.response_time.get_or_insert(arrived_at - self.requested_at);
--- a/crates/platform/src/subscription.rs
+++ b/crates/platform/src/subscription.rs
@@ -15,6 +15,9 @@
 const FRAME_HEADER: usize = 9;
 /// The bus sends a frame each second; a connection without any for this time is closed.
 pub const SILENCE_TIMEOUT: Micros = 1_600_000;
+/// The same before the first frame of a connection, so that the frames of a bus that is late by up to the silence
+/// timeout are read at all.
+const FIRST_FRAME_TIMEOUT: Micros = 2_000_000;
 /// An empty frame that may have been written longer ago than this is late. Events that are this late still arrive well
 /// within the drain grace.
 pub const MAX_LATENESS: Micros = 100_000;
@@ -201,7 +204,8 @@
 
     /// Returns when the connection counts as silent.
     pub fn silence_deadline(&self) -> Micros {
-        self.received_at + SILENCE_TIMEOUT
+        let is_first_frame_due = !self.schedule.has_frames();
+        self.received_at + if is_first_frame_due { FIRST_FRAME_TIMEOUT } else { SILENCE_TIMEOUT }
     }
 
     /// Returns the pause before the next connection. Received frames alone do not shorten it, because a bus that
--- a/crates/platform/src/subscription/tests.rs
+++ b/crates/platform/src/subscription/tests.rs
@@ -369,3 +369,15 @@
     bus.feed(&frame(4, 0, &[]), (3 * S, 3 * S), &mut events).unwrap();
     assert_eq!(bus.valid_until(), 3 * S + HEARTBEAT_INTERVAL);
 }
+
+/// Guards against a bus that is late by the silence timeout being contacted again and again without ever being read.
+#[test]
+fn the_first_frame_of_a_connection_may_come_later_than_the_following_ones() {
+    let mut bus = EventSubscription::new(1, 0);
+    bus.connected(0);
+    assert!(bus.silence_deadline() > SILENCE_TIMEOUT + S / 4);
+    bus.feed(&frame(1, 1, &row(1, 0)), (SILENCE_TIMEOUT, SILENCE_TIMEOUT), &mut Vec::new()).unwrap();
+    assert_eq!(bus.silence_deadline(), 2 * SILENCE_TIMEOUT);
+    bus.connected(4 * S);
+    assert!(bus.silence_deadline() > 4 * S + SILENCE_TIMEOUT + S / 4);
+}
