--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`resp`], [`request`], [`session`]: a client's connection, from RESP to calls and back to answers.
 //! - [`connection`]: an executor's connection, which carries many requests at once.
 //! - [`subscription`], [`replay`], [`endpoint_events`]: the frames of the event bus and the executors that they
-//!   describe. `frame_schedule` bounds the age of the frames.
+//!   describe. `frame_schedule` bounds the age of the frames, `lateness` tracks it.
 //! - [`bounds`]: how descriptors and memory are divided so that the process does not run out of them.
 //! - [`start_times`]: when executors started, independent of steps of the wall clock.
 //! - [`completion_rate`]: how long requests in progress take.
@@ -34,6 +34,7 @@
 pub mod fields;
 mod flatten;
 mod frame_schedule;
+mod lateness;
 pub mod listener;
 mod log_interval;
 pub mod loop_lag;
--- a/crates/platform/src/subscription.rs
+++ b/crates/platform/src/subscription.rs
@@ -4,6 +4,7 @@
 
 use crate::endpoint_events::{self, EndpointEvent};
 use crate::frame_schedule::{FrameSchedule, HEARTBEAT_INTERVAL};
+use crate::lateness::LatenessMonitor;
 use crate::replay::Replay;
 use bytes::{Buf, BytesMut};
 use stagehoist::{EndpointUpdate, Micros};
@@ -18,14 +19,6 @@
 /// The same before the first frame of a connection, so that the frames of a bus that is late by up to the silence
 /// timeout are read at all.
 const FIRST_FRAME_TIMEOUT: Micros = 2_000_000;
-/// An empty frame that may have been written longer ago than this is late. Events that are this late still arrive well
-/// within the drain grace.
-pub const MAX_LATENESS: Micros = 100_000;
-/// After this number of late empty frames in a row a new connection measures the lateness anew, because the interval of
-/// the bus may differ from the expected one.
-const MAX_LATE_HEARTBEATS: u32 = 2;
-/// Pauses between such connections: the first, doubling up to the second while the frames remain late.
-const MEASUREMENT_PAUSE: (Micros, Micros) = (4_000_000, 64_000_000);
 /// Pauses between connections: none at first, then the first of these, doubling up to the second.
 const RECONNECT_PAUSE: (Micros, Micros) = (50_000, 400_000);
 /// Maximum number of malformed events that are requested a second time; further ones are not.
@@ -79,12 +72,7 @@
     complete_at: Micros,
     /// When the frames of the present connection were due.
     schedule: FrameSchedule,
-    /// The maximum lateness of the last empty frame.
-    lateness: Micros,
-    late_heartbeats: u32,
-    /// The lateness is not measured on a new connection before this time, and the pause after that.
-    next_measurement_at: Micros,
-    measurement_pause: Micros,
+    lateness: LatenessMonitor,
 }
 
 impl EventSubscription {
@@ -103,10 +91,7 @@
             valid_until: now,
             complete_at: Micros::MIN,
             schedule: FrameSchedule::new(now),
-            lateness: 0,
-            late_heartbeats: 0,
-            next_measurement_at: now,
-            measurement_pause: MEASUREMENT_PAUSE.0,
+            lateness: LatenessMonitor::new(now),
         }
     }
 
@@ -127,7 +112,7 @@
 
     /// Returns the maximum lateness of the last empty frame.
     pub fn lateness(&self) -> Micros {
-        self.lateness
+        self.lateness.lateness()
     }
 
     /// Records that the connection ended, at most `late` ago. The bus may be reachable for others, so the received
@@ -142,8 +127,7 @@
     /// The list is valid until the next frame is due. A late frame proves only that nothing was missing when it was
     /// written, and as the following frames will be late as well, nothing is known of the time since.
     fn extend_validity(&mut self, written_at: Micros) {
-        let is_late = self.lateness > MAX_LATENESS;
-        let valid_until = if is_late { written_at } else { written_at + HEARTBEAT_INTERVAL };
+        let valid_until = if self.lateness.is_late() { written_at } else { written_at + HEARTBEAT_INTERVAL };
         self.valid_until = self.valid_until.max(valid_until);
         self.complete_at = self.complete_at.max(written_at);
     }
@@ -151,32 +135,10 @@
     /// Compares an empty frame with its schedule. Returns the time since which it was written.
     fn record_lateness(&mut self, arrived_at: Micros, now: Micros) -> Micros {
         let written_at = self.schedule.on_heartbeat(arrived_at, now).min(arrived_at);
-        let (was_late, lateness) = (self.lateness > MAX_LATENESS, arrived_at - written_at);
-        self.lateness = lateness;
-        let is_late = lateness > MAX_LATENESS;
-        if is_late != was_late {
-            tracing::info!(lateness_ms = lateness / 1000, is_late, "lateness of the event bus changed");
-        }
-        if is_late {
-            self.late_heartbeats += 1;
-        } else {
-            self.late_heartbeats = 0;
-            self.measurement_pause = MEASUREMENT_PAUSE.0;
-        }
+        self.lateness.record(arrived_at - written_at);
         written_at
     }
 
-    /// Returns an error, which ends the connection, if the frames have been late for a while and their lateness should be
-    /// measured on a new connection.
-    fn check_lateness(&mut self, now: Micros) -> Result<(), SubscriptionError> {
-        if self.late_heartbeats < MAX_LATE_HEARTBEATS || now < self.next_measurement_at {
-            return Ok(());
-        }
-        self.next_measurement_at = now + self.measurement_pause;
-        self.measurement_pause = (2 * self.measurement_pause).min(MEASUREMENT_PAUSE.1);
-        Err(SubscriptionError::Late { lateness: self.lateness })
-    }
-
     /// Returns the number of the last applied event.
     pub fn last(&self) -> u64 {
         self.last
@@ -190,7 +152,7 @@
         self.received_at = now;
         self.connected_at = Some(now);
         self.schedule = FrameSchedule::new(now);
-        self.late_heartbeats = 0;
+        self.lateness.on_connected();
         // Once the bus receives the request, all events that it holds count as published.
         self.valid_until = self.valid_until.min(now);
         match &mut self.replay {
@@ -222,7 +184,8 @@
         }
     }
 
-    /// Handles bytes read from the socket at `now`, which arrived at `arrived_at` or later. Events are pushed in order. After an error the connection must be closed.
+    /// Handles bytes read from the socket at `now`, which arrived at `arrived_at` or later. Events are pushed in order.
+    /// After an error the connection must be closed.
     pub fn feed(
         &mut self,
         bytes: &[u8],
@@ -286,7 +249,10 @@
         if is_complete {
             self.extend_validity(written_at);
         }
-        self.check_lateness(now)
+        if self.lateness.begin_measurement(now) {
+            return Err(SubscriptionError::Late { lateness: self.lateness() });
+        }
+        Ok(())
     }
 
     fn on_event(&mut self, event: EndpointEvent, events: &mut Vec<EndpointEvent>) {
