Platform: the schedule of frames bounds a frame's age in one place

Found on reading the change again: the schedule limited the time of writing by the time of reading, and the subscription by that of arrival; a getter of the subscription served its tests alone; the emulated bus slept until a made-up time where no frame was due. No change of behaviour.

--- a/crates/core/src/policy/send.rs
+++ b/crates/core/src/policy/send.rs
@@ -8,7 +8,7 @@
 use crate::interface::*;
 
 impl FrontEnd {
-    /// Sends a request, unless a rule forbids it: the worker is not ready, or is unconfirmed while the list is old (rule
+    /// Sends a request, unless a rule forbids it: the worker is not ready, or neither the list nor itself confirms it (rule
     /// 3); the limit of a warming worker is reached (rule 4); the request has its final answer (rule 1); or the request
     /// may not have another attempt, or none at this worker (rule 2).
     pub(super) fn send(
--- a/crates/emulator/src/platform/bus.rs
+++ b/crates/emulator/src/platform/bus.rs
@@ -371,12 +371,20 @@
             biased;
             _ = changed.changed() => false,
             _ = heartbeats.tick() => true,
-            _ = tokio::time::sleep_until(next_due.unwrap_or_else(Instant::now).into()), if next_due.is_some() => false,
+            _ = wait_until(next_due) => false,
             _ = follower.stream.read(&mut byte) => return,
         };
     }
 }
 
+/// Waits until a time; forever without one.
+async fn wait_until(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// A connection of a follower, and the last event that was told on it.
 struct Follower {
     stream: TcpStream,
--- a/crates/platform/src/frame_schedule.rs
+++ b/crates/platform/src/frame_schedule.rs
@@ -52,7 +52,7 @@
         // A bus whose interval is a little shorter is never ahead of the schedule.
         let written_at = due_at.min(now);
         self.written_at = Some(written_at);
-        written_at
+        written_at.min(arrived_at)
     }
 }
 
--- a/crates/platform/src/subscription.rs
+++ b/crates/platform/src/subscription.rs
@@ -110,11 +110,6 @@
         self.complete_at
     }
 
-    /// Returns the maximum lateness of the last empty frame.
-    pub fn lateness(&self) -> Micros {
-        self.lateness.lateness()
-    }
-
     /// Records that the connection ended, at most `late` ago. The bus may be reachable for others, so the received
     /// events no longer count as complete.
     pub fn ended(&mut self, now: Micros, late: Micros) {
@@ -132,13 +127,6 @@
         self.complete_at = self.complete_at.max(written_at);
     }
 
-    /// Compares an empty frame with its schedule. Returns the time since which it was written.
-    fn record_lateness(&mut self, arrived_at: Micros, now: Micros) -> Micros {
-        let written_at = self.schedule.on_heartbeat(arrived_at, now).min(arrived_at);
-        self.lateness.record(arrived_at - written_at);
-        written_at
-    }
-
     /// Returns the number of the last applied event.
     pub fn last(&self) -> u64 {
         self.last
@@ -238,7 +226,8 @@
         (now, arrived_at): (Micros, Micros),
         events: &mut Vec<EndpointEvent>,
     ) -> Result<(), SubscriptionError> {
-        let written_at = self.record_lateness(arrived_at, now);
+        let written_at = self.schedule.on_heartbeat(arrived_at, now);
+        self.lateness.record(arrived_at - written_at);
         let is_complete = if self.replay.is_some() {
             self.on_replayed(number, 0, payload, events)?;
             self.replay.is_none()
@@ -250,7 +239,7 @@
             self.extend_validity(written_at);
         }
         if self.lateness.begin_measurement(now) {
-            return Err(SubscriptionError::Late { lateness: self.lateness() });
+            return Err(SubscriptionError::Late { lateness: self.lateness.lateness() });
         }
         Ok(())
     }
--- a/crates/platform/src/subscription/tests.rs
+++ b/crates/platform/src/subscription/tests.rs
@@ -254,7 +254,7 @@
         bus.connected(0);
         bus.feed(&frame(1, 1, &row(1, 0)), (late, late), &mut Vec::new()).unwrap();
         feed_heartbeat(&mut bus, S + late).unwrap();
-        assert_eq!((bus.valid_until(), bus.complete_at(), bus.lateness()), (S, S, late));
+        assert_eq!((bus.valid_until(), bus.complete_at(), bus.lateness.lateness()), (S, S, late));
     }
 }
 
@@ -282,7 +282,7 @@
     bus.connected(3 * S);
     bus.feed(&frame(1, 1, &row(1, 0)), (3 * S, 3 * S), &mut Vec::new()).unwrap();
     feed_heartbeat(&mut bus, 4 * S).unwrap();
-    assert_eq!((bus.lateness(), bus.valid_until()), (0, 5 * S));
+    assert_eq!((bus.lateness.lateness(), bus.valid_until()), (0, 5 * S));
 }
 
 /// Guards against taking a change for known that the bus has not reported yet, within the validity or a silence.
