Tests: plays of outages share their threads, shape and served part

The new plays of a late bus wrote again what drains, floods, machines, soaks and processor shares each had: a runtime, a thread for each case, the part of requests that was served, and in two soaks every field of the usual shape. `threads.rs`, `Verdict::served_in_all` and `Shape::usual` now serve all of them.

--- a/crates/cli/tests/outages/connecting.rs
+++ b/crates/cli/tests/outages/connecting.rs
@@ -1,6 +1,7 @@
 //! Many clients that connect at the same moment.
 
 use crate::rig::{shared_lock, Rig, Shape};
+use crate::threads::on_this_thread;
 use rustix::process::Signal;
 use stagehoist_emulator::platform::client::array;
 use stagehoist_emulator::platform::Client;
@@ -50,8 +51,7 @@
 #[test]
 fn clients_that_connect_at_once_while_a_front_end_does_not_run_are_answered_right_after() {
     let _lock = shared_lock();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let slowest = runtime.block_on(slowest_answer());
+    let slowest = on_this_thread(slowest_answer());
     println!("slowest answer {slowest:?}");
     assert!(slowest <= ANSWER_LIMIT, "{slowest:?}");
 }
--- a/crates/cli/tests/outages/drains.rs
+++ b/crates/cli/tests/outages/drains.rs
@@ -2,6 +2,7 @@
 //! times that the documentation defines.
 
 use crate::rig::{shared_lock, Rig, Shape, Verdict};
+use crate::threads::{on_own_threads, on_this_thread};
 use crate::traffic::Load;
 use stagehoist_emulator::platform::bus::{Resumption, SubscriptionFault};
 use std::time::{Duration, Instant};
@@ -102,12 +103,7 @@
 
 /// Runs each case on its own thread, and asserts that there are no violations in any of them.
 fn assert_rules_kept(cases: impl IntoIterator<Item = Case>) {
-    let play = |case| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(report(case))
-    };
-    let threads: Vec<_> = cases.into_iter().map(|case| std::thread::spawn(move || play(case))).collect();
-    let reports: Vec<Report> = threads.into_iter().map(|thread| thread.join().unwrap()).collect();
+    let reports: Vec<Report> = on_own_threads(cases, report);
     let (mut sends, mut orders, mut violations) = (0, 0, Vec::new());
     for report in reports {
         println!("{}", report.line);
@@ -125,9 +121,8 @@
 #[test]
 fn a_front_end_started_inside_an_outage_keeps_drains_that_begin_after_its_start() {
     let _lock = shared_lock();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     for kind in [SubscriptionFault::Refusing, SubscriptionFault::Unreachable] {
-        let verdict = runtime.block_on(async {
+        let verdict = on_this_thread(async {
             let mut rig = Rig::start(Shape::usual(2, EXECUTORS, 9), |_| Vec::new()).await;
             rig.begin_traffic(load(2));
             tokio::time::sleep(500 * MS).await;
--- a/crates/cli/tests/outages/fleet_soak.rs
+++ b/crates/cli/tests/outages/fleet_soak.rs
@@ -3,12 +3,11 @@
 //! other soak test. To repeat a run:
 //! `SOAK_FIRST=17 FLEET_SOAK_SEEDS=1 cargo test -p stagehoist-cli --test outages fleet_soak -- --nocapture`.
 
-use crate::rig::{exclusive_lock, ProcessLimits, Shape};
+use crate::rig::{exclusive_lock, Shape};
 use crate::soak::{draw_faults, draw_outages, draw_signals, number, run_seeds, Plan, PlannedEvent};
 use crate::traffic::Load;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use stagehoist_emulator::platform::bus::Lateness;
 use stagehoist_emulator::platform::Fault;
 use std::time::Duration;
 
@@ -49,21 +48,14 @@
     let share = [1.0, 1.0, 1.0, 0.3, 0.1, 0.05, 0.03][random.random_range(0..7)];
     let longest = [600, 1200, 2000, 3000][random.random_range(0..4)] * MS;
     let shape = Shape {
-        front_ends,
-        executors,
         run: random.random_range(5..=40) * MS,
-        capacity: 8,
         load: random.random_range(20..=150) * MS,
         places: [0, 0, 8][random.random_range(0..3)],
         drops_expired: random.random_bool(0.5),
         longest_deadline: longest,
         fleet_front_ends: front_ends.max(executors / USUAL_FLEET),
         answer_slack: LOST_AFTER,
-        flooding_peer: None,
-        limits: ProcessLimits::default(),
-        bus_lateness: Lateness::NONE,
-        may_health_check: true,
-        seed,
+        ..Shape::usual(front_ends, executors, seed)
     };
     let load = Load {
         clients: random.random_range(1..=6),
--- a/crates/cli/tests/outages/floods.rs
+++ b/crates/cli/tests/outages/floods.rs
@@ -5,6 +5,7 @@
 use crate::peer_flood::FloodingPeer;
 use crate::rig::{exclusive_lock, ProcessLimits, Rig, Shape, Verdict};
 use crate::soak::number;
+use crate::threads::on_this_thread;
 use crate::traffic::Load;
 use crate::usage::Usage;
 use std::time::{Duration, Instant};
@@ -97,8 +98,7 @@
 fn run_all(plays: &[Play]) -> Vec<Outcome> {
     let _lock = exclusive_lock();
     let perform = |play: &Play| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        let outcome = runtime.block_on(run(*play));
+        let outcome = on_this_thread(run(*play));
         outcome.print();
         outcome
     };
--- a/crates/cli/tests/outages/late_discovery.rs
+++ b/crates/cli/tests/outages/late_discovery.rs
@@ -2,6 +2,7 @@
 //! order, so that the bus is neither silent nor broken off. A drain counts from when it is in the bus.
 
 use crate::rig::{shared_lock, Rig, Shape, Verdict};
+use crate::threads::on_own_threads;
 use crate::traffic::Load;
 use stagehoist_emulator::platform::bus::Lateness;
 use std::time::{Duration, Instant};
@@ -97,17 +98,10 @@
 
 /// Plays each case on its own thread. Returns the broken rules, and the cases that were served too little.
 fn violations(cases: &[Case]) -> Vec<String> {
-    let run = |case: Case| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(play(case))
-    };
-    let threads: Vec<_> = cases.iter().map(|&case| (case, std::thread::spawn(move || run(case)))).collect();
     let mut violations = Vec::new();
-    for (case, thread) in threads {
-        let verdict = thread.join().unwrap();
+    for (case, verdict) in cases.iter().zip(on_own_threads(cases.to_vec(), play)) {
         let (requests, broken) = (verdict.requests.len(), verdict.broken.len());
-        let served = verdict.requests.iter().filter(|(_, is_served)| *is_served).count();
-        let served = served as f64 / requests.max(1) as f64;
+        let served = verdict.served_in_all();
         println!(
             "{}, seed {}: {requests} requests, served {served:.3}, {:.3} health checks a request, {broken} broken rules",
             case.name,
--- a/crates/cli/tests/outages/machine.rs
+++ b/crates/cli/tests/outages/machine.rs
@@ -2,6 +2,7 @@
 //! and a wall clock that steps. None of these indicates a fault of an executor, and none may make a call fail.
 
 use crate::rig::{shared_lock, Rig, Shape, Verdict};
+use crate::threads::on_this_thread;
 use crate::traffic::Load;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -58,8 +59,7 @@
 }
 
 fn assert_unaffected_by(plan: &str) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let (verdict, served) = runtime.block_on(run_with_faults(plan, 1));
+    let (verdict, served) = on_this_thread(run_with_faults(plan, 1));
     let ejections: Vec<_> = verdict.logs.iter().filter(|line| line.contains("eject worker")).collect();
     println!("{plan}: served {served:.3} of {}, {} ejections", verdict.requests.len(), ejections.len());
     assert!(verdict.broken.is_empty(), "{plan}: {:#?}", verdict.broken);
--- a/crates/cli/tests/outages/main.rs
+++ b/crates/cli/tests/outages/main.rs
@@ -15,5 +15,6 @@
 mod processor_share;
 mod rig;
 mod soak;
+mod threads;
 mod traffic;
 mod usage;
--- a/crates/cli/tests/outages/processor_share.rs
+++ b/crates/cli/tests/outages/processor_share.rs
@@ -4,6 +4,7 @@
 use crate::machine::shim_environment;
 use crate::rig::{exclusive_lock, Rig, Shape, Verdict};
 use crate::soak::number;
+use crate::threads::on_own_threads;
 use crate::traffic::Load;
 use crate::usage::Usage;
 use std::time::{Duration, Instant};
@@ -107,14 +108,7 @@
     let _lock = exclusive_lock();
     let mut outcomes = Vec::new();
     for batch in plays.chunks(at_once) {
-        let start = |play: Play| {
-            std::thread::spawn(move || {
-                let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-                runtime.block_on(run(play))
-            })
-        };
-        let threads: Vec<_> = batch.iter().map(|play| start(*play)).collect();
-        outcomes.extend(threads.into_iter().map(|thread| thread.join().unwrap()));
+        outcomes.extend(on_own_threads(batch.iter().copied(), run));
     }
     outcomes.iter().for_each(Outcome::print);
     outcomes
--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -230,9 +230,12 @@
 impl Verdict {
     /// Returns the fraction of the requests sent between two times that were served.
     pub fn served(&self, from: Instant, to: Instant) -> f64 {
-        let within = self.requests.iter().filter(|(request, _)| (from..to).contains(&request.at));
-        let served = within.clone().filter(|(_, served)| *served).count();
-        served as f64 / within.count().max(1) as f64
+        served_part(self.requests.iter().filter(|(request, _)| (from..to).contains(&request.at)))
+    }
+
+    /// Returns the fraction of all requests that were served.
+    pub fn served_in_all(&self) -> f64 {
+        served_part(self.requests.iter())
     }
 }
 
@@ -583,6 +586,11 @@
     }
 }
 
+fn served_part<'a>(requests: impl Iterator<Item = &'a (SentRequest, bool)> + Clone) -> f64 {
+    let served = requests.clone().filter(|(_, served)| *served).count();
+    served as f64 / requests.count().max(1) as f64
+}
+
 async fn start_executor(shape: &Shape, index: usize) -> Executor {
     let (block, place) = (index / EXECUTORS_IN_BLOCK, index % EXECUTORS_IN_BLOCK);
     let port = |front_end: usize| EXECUTOR_PORT + place as u16 * MAX_FRONT_ENDS + front_end as u16;
--- a/crates/cli/tests/outages/soak.rs
+++ b/crates/cli/tests/outages/soak.rs
@@ -6,14 +6,14 @@
 
 use crate::flood::{run_flood, Flood};
 use crate::machine::shim_environment;
-use crate::rig::{shared_lock, ProcessLimits, Rig, Shape, Verdict};
+use crate::rig::{shared_lock, Rig, Shape, Verdict};
+use crate::threads::on_this_thread;
 use crate::traffic::{Load, Phase};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
-use stagehoist_emulator::platform::bus::{Lateness, Resumption, SubscriptionFault};
-use stagehoist_emulator::platform::judge::SLACK;
+use stagehoist_emulator::platform::bus::{Resumption, SubscriptionFault};
 use stagehoist_emulator::platform::Fault;
 use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -103,21 +103,13 @@
     // Small executors with long runs tolerate few requests while they start.
     let (capacity, longest_run) = [(8, 40), (8, 40), (2, 80), (1, 60)][random.random_range(0..4)];
     let shape = Shape {
-        front_ends,
-        executors,
         run: random.random_range(5..=longest_run) * MS,
         capacity,
         load: random.random_range(20..=150) * MS,
         places: [0, 0, 4, 8][random.random_range(0..4)],
         drops_expired: random.random_bool(0.5),
         longest_deadline: longest as u32 * MS,
-        fleet_front_ends: front_ends,
-        answer_slack: SLACK,
-        flooding_peer: None,
-        limits: ProcessLimits::default(),
-        bus_lateness: Lateness::NONE,
-        may_health_check: true,
-        seed,
+        ..Shape::usual(front_ends, executors, seed)
     };
     let load = Load {
         clients: 1,
@@ -325,10 +317,8 @@
 
 /// Runs the plan of one seed and returns the violations.
 pub fn run(name: &str, seed: u64, plan: Plan) -> Vec<String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let (plan, verdict) = runtime.block_on(run_plan(plan));
-    let start = verdict.requests.first().map_or(Instant::now(), |(request, _)| request.at);
-    let served = verdict.served(start, start + LENGTH_MS as u32 * MS * 2);
+    let (plan, verdict) = on_this_thread(run_plan(plan));
+    let served = verdict.served_in_all();
     let Shape { front_ends, executors, longest_deadline, run, capacity, .. } = plan.shape;
     println!(
         "{name}, seed {seed}: {front_ends} front ends, {executors} executors of {capacity}, runs of {run:?}, deadline \
