Tests: concurrent rigs never share addresses

Cause: rigs took their host numbers in turn, modulo 32, without a look at which were in use; the sixteen new plays of a late bus brought the count round while a rig of the soak still ran. A trace of the same selection of tests showed it: number 3 in use as 22 rigs ran.

Change: a rig takes the next number that is free and gives it back at its end; it waits where all 32 are in use.

--- a/crates/cli/tests/outages/main.rs
+++ b/crates/cli/tests/outages/main.rs
@@ -14,6 +14,7 @@
 mod peer_flood;
 mod processor_share;
 mod rig;
+mod rig_host;
 mod soak;
 mod threads;
 mod traffic;
--- a/crates/cli/tests/outages/rig.rs
+++ b/crates/cli/tests/outages/rig.rs
@@ -3,6 +3,7 @@
 
 use crate::front_end::FrontEnd;
 use crate::peer_flood::{FloodingPeer, PeerFlood};
+use crate::rig_host::{RigHost, MAX_RIGS};
 use crate::traffic::{run_client, Ledger, Load, Phase};
 use rustix::process::Signal;
 use serde_json::Value;
@@ -17,7 +18,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::Range;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -33,8 +33,6 @@
 /// Number of executors whose ports fit on one loopback address, and number of such addresses of a rig.
 const EXECUTORS_IN_BLOCK: usize = 800;
 const EXECUTOR_BLOCKS: u8 = 4;
-/// Maximum number of concurrent rigs in a process.
-const MAX_RIGS: u8 = 32;
 /// Each function starts with a copy on every `COPY_SPREAD`-th executor.
 const COPY_SPREAD: u64 = 3;
 /// States of an executor on the event bus.
@@ -46,8 +44,6 @@
 /// Load budget of a front end: load orders that are always allowed, additional load orders per request, and the window.
 const LOAD_BUDGET: (f64, f64, Duration) = (6.0, 0.1, Duration::from_secs(10));
 
-static RIGS: AtomicU8 = AtomicU8::new(1);
-
 thread_local! {
     static HOST: std::cell::Cell<u8> = const { std::cell::Cell::new(0) };
 }
@@ -61,10 +57,13 @@
 /// Returns an address in one of the blocks of the rig.
 fn address_in_block(block: u8, port: u16) -> SocketAddr {
     let [_, _, c, d] = std::process::id().to_be_bytes();
-    let host = 128 + HOST.get() % MAX_RIGS * EXECUTOR_BLOCKS + block;
+    let host = 128 + HOST.get() * EXECUTOR_BLOCKS + block;
     SocketAddr::from(([127, host, c, d.clamp(1, 254)], port))
 }
 
+const _: () =
+    assert!(128 + (MAX_RIGS as u16) * (EXECUTOR_BLOCKS as u16) <= 256, "the hosts of the rigs exceed a byte");
+
 static TESTS: RwLock<()> = RwLock::new(());
 
 /// Returns the exclusive lock for a test with thousands of executors. Their listeners use many descriptors, and some of these
@@ -210,6 +209,7 @@
     clients: Vec<FrontEndClient>,
     lateness: Lateness,
     pub peer_flood: Option<PeerFlood>,
+    _host: RigHost,
 }
 
 /// Result of a run of the rig.
@@ -243,7 +243,8 @@
     /// Starts everything except clients. `environment` returns the environment variables for the process of a front end, given
     /// its number.
     pub async fn start(shape: Shape, environment: impl Fn(usize) -> Vec<(String, String)>) -> Rig {
-        HOST.set(RIGS.fetch_add(1, Ordering::Relaxed));
+        let host = RigHost::wait_for_free().await;
+        HOST.set(host.number());
         let folder = tempfile::tempdir().unwrap();
         let mut slots = Vec::new();
         for index in 0..shape.executors {
@@ -276,6 +277,7 @@
             clients,
             lateness: Lateness::start(),
             peer_flood: shape.flooding_peer.map(|kind| PeerFlood::start(kind, address(FLOODING_PEER_PORT))),
+            _host: host,
         };
         rig.set_bus_lateness(shape.bus_lateness);
         for number in 0..shape.front_ends {
